Thin whole path: daemon, CLI, stand-in engines, prefix-aware routing

Change: a src-layout package with the daemon kumquatseamd and the fire tool kumquatseam. Callers reach OpenAI-compatible /v1/completions and /v1/chat/completions (bottle on gevent, SSE ending in [DONE]); a bearer key names the team, an unknown one gets 401 before anything runs. Block keys are chained XXH3 seeded by cache salt (team, model version) and engine epoch; a per-engine prefix index fed by the engines' nng cache events (msgpack) scores engines by estimated time to first token (missing prefill plus queue), with round-robin and least-loaded behind the same abstract base class. One route: line per decision. Checked INI settings with typed SettingsError (file, section, key), embedded default, one composition root with start/close, stand-in engine with LRU block cache, priority slots, modelled prefill/decode cost, late and lossy events and lagged load reports.

Before: nothing ran. Tests: 7 behave scenarios pass (stream complete and in order, teams never share blocks by the engine's own accounting, restarted engine not credited, 401 runs nothing, bad INI exits 2).

--- /dev/null
+++ b/features/thin_path.feature
@@ -0,0 +1,45 @@
+Feature: The whole path, from caller through the router to an engine and back
+  Real processes on loopback, real HTTP. Faults injected: engine restart
+  (crash, then back empty), an unknown key, a bad setting.
+
+  Scenario: A streamed answer arrives complete and in order
+    Given a router before 1 stand-in engine
+    When team "alpha" streams a 64-token prompt asking for 12 tokens
+    Then the stream carries 12 tokens and ends with [DONE]
+    And the streamed text equals the whole answer to the same prompt
+    And the router logged a route line for every request
+
+  Scenario: Two teams with the same prompt never share cached blocks
+    Given a router before 1 stand-in engine
+    When team "alpha" sends a 64-token prompt
+    And team "beta" sends the same prompt
+    And team "alpha" sends the same prompt
+    Then by the engine's accounting request 2 was served 0 cached tokens
+    And by the engine's accounting request 3 was served 64 cached tokens
+
+  Scenario: An engine that restarts is not credited with its old cache
+    Given a router before 1 stand-in engine
+    When team "alpha" sends a 64-token prompt
+    Then the router soon indexes 4 blocks of the engine
+    When the engine crashes and comes back empty
+    Then the router soon sees the engine's new epoch and indexes 0 blocks of it
+    When team "alpha" sends the same prompt
+    Then the router logged matched_blocks=0/4 for the last request
+    And by the engine's accounting request 1 was served 0 cached tokens
+
+  Scenario: An unknown key gets 401 and the engine sees nothing
+    Given a router before 1 stand-in engine
+    When a caller with the key "no-such-key" sends a 64-token prompt
+    Then the caller got status 401
+    And the engine has seen 0 requests
+
+  Scenario Outline: A bad setting stops the daemon with its typed error
+    Given a settings file whose [<section>] <key> is "<value>"
+    When the daemon starts with that file
+    Then it exits with code 2 naming the file, [<section>] and <key>
+
+    Examples:
+      | section     | key               | value       |
+      | daemon      | block_size_tokens | sixteen     |
+      | daemon      | policy            | random      |
+      | team:alpha  | upstreams         | nowhere-0   |
--- /dev/null
+++ b/src/kumquatseam/bench/_demo.py
@@ -0,0 +1,122 @@
+"""The main job on the embedded default: router, three engines, a burst.
+
+For each policy it starts three stand-in engines and one ``kumquatseamd`` as
+separate processes on loopback, sends the same seeded burst of nested-prefix
+requests from two teams through real HTTP, and reports the users' measures.
+"""
+
+import tempfile
+from pathlib import Path
+from urllib.parse import urlparse
+
+import attrs
+
+from kumquatseam.bench._driver import DriveResult, DriveTarget, WorkloadDriver
+from kumquatseam.bench._processes import daemon_program, engine_program
+from kumquatseam.bench._workload import NestedPromptWorkload, WorkloadTeam
+from kumquatseam.metrics import FiguresSummary
+from kumquatseam.settings import load_settings
+
+#: blocks each demo engine holds: too few for every opening on every engine.
+DEMO_CAPACITY_BLOCKS = 260
+
+
+@attrs.frozen
+class PolicyOutcome:
+    """What one policy achieved in the demo.
+
+    :param policy: the policy's name.
+    :param figures: the users' measures.
+    :param drive: incomplete streams and refusals.
+    :param route_lines: ``route:`` lines in the daemon's log.
+    """
+
+    policy: str
+    figures: FiguresSummary
+    drive: DriveResult
+    route_lines: int
+
+
+def run_demo(
+    policies: list[str],
+    requests: int,
+    seed: int,
+    concurrency: int,
+    arrival_gap_s: float,
+    log_dir: str | None = None,
+) -> list[PolicyOutcome]:
+    """Run the demo once per policy on the same seeded burst.
+
+    :returns: one outcome per policy, in order.
+    """
+    settings = load_settings(None)
+    model = settings.models[0]
+    teams = [
+        WorkloadTeam(t.name, t.api_keys[0], t.priority_classes) for t in settings.teams
+    ]
+    burst = NestedPromptWorkload().requests(teams, requests, seed)
+    folder = Path(log_dir or tempfile.mkdtemp(prefix="kumquatseam-demo-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    outcomes = []
+    for policy in policies:
+        engines = []
+        for index, upstream in enumerate(settings.upstreams):
+            port = urlparse(upstream.url).port
+            events_port = int(upstream.events_address.rsplit(":", 1)[1])
+            engines.append(
+                engine_program(
+                    upstream.name,
+                    port,
+                    events_port,
+                    seed + index,
+                    str(folder / f"{policy}-{upstream.name}.log"),
+                    capacity_blocks=DEMO_CAPACITY_BLOCKS,
+                    block_size_tokens=settings.daemon.block_size_tokens,
+                )
+            )
+        daemon_log = folder / f"{policy}-kumquatseamd.log"
+        daemon = daemon_program(
+            settings.daemon.listen_port, policy=policy, log_path=str(daemon_log)
+        )
+        started = []
+        try:
+            for program in [*engines, daemon]:
+                program.start()
+                started.append(program)
+            target = DriveTarget(
+                router_url=f"http://{settings.daemon.listen_host}:{settings.daemon.listen_port}",
+                engine_urls=tuple(u.url for u in settings.upstreams),
+                model=model.name,
+                model_version=model.version,
+            )
+            driver = WorkloadDriver(target, concurrency)
+            drive = driver.drive(burst, arrival_gap_s)
+        finally:
+            for program in reversed(started):
+                program.close()
+        route_lines = sum(
+            " route: " in line for line in daemon_log.read_text().splitlines()
+        )
+        outcomes.append(
+            PolicyOutcome(policy, driver.figures.summary(), drive, route_lines)
+        )
+    return outcomes
+
+
+def format_outcomes(outcomes: list[PolicyOutcome]) -> str:
+    """Return the outcomes as a plain-text table."""
+    header = (
+        f"{'policy':<14}{'requests':>9}{'refused':>8}{'incomplete':>11}"
+        f"{'hit rate':>9}{'ttft p95 ms':>12}{'ttft p99 ms':>12}"
+        f"{'wasted tokens':>14}{'route lines':>12}"
+    )
+    rows = [header]
+    for outcome in outcomes:
+        figures = outcome.figures
+        rows.append(
+            f"{outcome.policy:<14}{figures.requests:>9}{figures.refused:>8}"
+            f"{outcome.drive.incomplete_streams:>11}{figures.prefix_hit_rate:>9.3f}"
+            f"{figures.ttft_p95_ms:>12.1f}{figures.ttft_p99_ms:>12.1f}"
+            f"{figures.wasted_recompute_tokens:>14}{outcome.route_lines:>12}"
+        )
+    return "\n".join(rows)
--- /dev/null
+++ b/src/kumquatseam/callers/_calls.py
@@ -0,0 +1,114 @@
+"""Reading a caller's HTTP request into a typed call."""
+
+import json
+
+import attrs
+
+from kumquatseam.errors import CallerError
+from kumquatseam.settings import Settings, TeamSettings
+
+PRIORITY_HEADER = "X-Kumquatseam-Priority"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+DEFAULT_MAX_TOKENS = 16
+MAX_TOKENS_LIMIT = 4096
+
+
+@attrs.frozen
+class CompletionCall:
+    """A caller's completion request, checked.
+
+    :param team: the team its API key belongs to.
+    :param model: the model asked for.
+    :param prompt: the prompt text (chat messages joined, see
+        :func:`chat_prompt`).
+    :param max_tokens: tokens to generate at most.
+    :param stream: answer as server-sent events.
+    :param include_usage: send a usage chunk at the end of a stream.
+    :param chat: ``True`` for ``/v1/chat/completions``.
+    :param priority_class: the class asked for, or the team's default.
+    :param priority_rank: that class's rank.
+    :param idempotency_key: the caller's key, or ``None``.
+    """
+
+    team: TeamSettings
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+    include_usage: bool
+    chat: bool
+    priority_class: str
+    priority_rank: int
+    idempotency_key: str | None
+
+
+def chat_prompt(messages: list) -> str:
+    """Join chat messages into one prompt, one ``role: content`` line each.
+
+    :param messages: OpenAI-style ``[{"role": ..., "content": ...}, ...]``.
+    :raises CallerError: if a message is malformed.
+    """
+    lines = []
+    for message in messages:
+        if not isinstance(message, dict) or not isinstance(message.get("content"), str):
+            raise CallerError(
+                400, "invalid_request_error", "each message needs content"
+            )
+        lines.append(f"{message.get('role', 'user')}: {message['content']}")
+    return "\n".join(lines)
+
+
+def read_call(settings: Settings, headers, body: bytes, chat: bool) -> CompletionCall:
+    """Check a request's headers and body.
+
+    :param settings: the daemon's settings.
+    :param headers: the HTTP headers (case-insensitive mapping).
+    :param body: the raw JSON body.
+    :param chat: whether this is the chat endpoint.
+    :returns: the checked call.
+    :raises CallerError: 401 for an unknown key, 400 or 404 for a bad body.
+    """
+    team = _team(settings, headers.get("Authorization", ""))
+    try:
+        data = json.loads(body or b"{}")
+    except ValueError as error:
+        raise CallerError(400, "invalid_request_error", "body is not JSON") from error
+    if not isinstance(data, dict):
+        raise CallerError(400, "invalid_request_error", "body must be a JSON object")
+    model = data.get("model")
+    if model not in team.models:
+        raise CallerError(404, "model_not_found", f"model {model!r} is not open to you")
+    prompt = chat_prompt(data.get("messages") or []) if chat else data.get("prompt")
+    if not isinstance(prompt, str) or not prompt:
+        raise CallerError(
+            400, "invalid_request_error", "prompt must be a non-empty string"
+        )
+    max_tokens = data.get("max_tokens", DEFAULT_MAX_TOKENS)
+    if not isinstance(max_tokens, int) or not 0 < max_tokens <= MAX_TOKENS_LIMIT:
+        raise CallerError(400, "invalid_request_error", "max_tokens out of range")
+    priority_class = headers.get(PRIORITY_HEADER) or team.priority_classes[0]
+    if priority_class not in team.priority_classes:
+        raise CallerError(
+            400, "invalid_priority", f"unknown priority {priority_class!r}"
+        )
+    rank = next(p.rank for p in settings.priorities if p.name == priority_class)
+    return CompletionCall(
+        team=team,
+        model=model,
+        prompt=prompt,
+        max_tokens=max_tokens,
+        stream=bool(data.get("stream", False)),
+        include_usage=bool((data.get("stream_options") or {}).get("include_usage")),
+        chat=chat,
+        priority_class=priority_class,
+        priority_rank=rank,
+        idempotency_key=headers.get(IDEMPOTENCY_HEADER),
+    )
+
+
+def _team(settings: Settings, authorization: str) -> TeamSettings:
+    scheme, _, key = authorization.partition(" ")
+    team = settings.team_for_key(key.strip()) if scheme.lower() == "bearer" else None
+    if team is None:
+        raise CallerError(401, "invalid_api_key", "unknown API key")
+    return team
--- /dev/null
+++ b/src/kumquatseam/engines/_blocks.py
@@ -0,0 +1,77 @@
+"""Tokens and block keys: the part of the engine protocol both sides compute.
+
+Engines cache KV state per block of ``block_size_tokens`` tokens. A block's key
+is an xxHash (XXH3, 64 bit) chained from its parent's key, so a key names the
+whole opening up to and including that block. The first block's seed is the
+hash of the *scope*: the cache salt the router sends (team and model version,
+see :func:`cache_salt`) joined with the engine's epoch, which changes at every
+engine start. Hence a key can only match work of the same team, the same
+weights and the same engine life.
+
+Tokenisation is a documented whitespace split (no tokenizer library fits
+without downloading a vocabulary); stand-in engines and the router share it.
+
+Example::
+
+    >>> keys = block_keys(tokenize("a b c d"), 2, scope_seed("salt", "epoch-1"))
+    >>> len(keys)
+    2
+"""
+
+import re
+
+import xxhash
+
+_TOKEN = re.compile(r"\S+")
+_SEPARATOR = b"\x1f"
+
+
+def tokenize(text: str) -> list[str]:
+    """Split ``text`` into tokens: maximal runs of non-space characters.
+
+    :param text: the prompt.
+    :returns: the tokens in order.
+    """
+    return _TOKEN.findall(text)
+
+
+def cache_salt(team: str, model: str, version: str) -> str:
+    """Return the cache salt that scopes blocks to a team and model version.
+
+    :param team: the team's name.
+    :param model: the model's name.
+    :param version: the weights version.
+    :returns: a hex string sent to engines as ``cache_salt``.
+    """
+    return xxhash.xxh3_128_hexdigest(f"{team}\x1f{model}\x1f{version}".encode())
+
+
+def scope_seed(salt: str, epoch: str) -> int:
+    """Return the seed of the first block for a salt on one engine life.
+
+    :param salt: from :func:`cache_salt`.
+    :param epoch: the engine's epoch, as reported by the engine.
+    :returns: a 64-bit seed.
+    """
+    return xxhash.xxh3_64_intdigest(f"{salt}\x1f{epoch}".encode())
+
+
+def block_keys(tokens: list[str], block_size_tokens: int, seed: int) -> list[int]:
+    """Return the chained keys of the prompt's full blocks.
+
+    A partial last block has no key: engines cache only full blocks.
+
+    :param tokens: from :func:`tokenize`.
+    :param block_size_tokens: tokens per block.
+    :param seed: from :func:`scope_seed`.
+    :returns: one 64-bit key per full block, in order.
+    """
+    keys = []
+    parent = seed
+    for start in range(0, len(tokens) - block_size_tokens + 1, block_size_tokens):
+        chunk = _SEPARATOR.join(
+            t.encode() for t in tokens[start : start + block_size_tokens]
+        )
+        parent = xxhash.xxh3_64_intdigest(chunk, seed=parent)
+        keys.append(parent)
+    return keys
--- /dev/null
+++ b/src/kumquatseam/metrics/_figures.py
@@ -0,0 +1,93 @@
+"""Recording request figures in HDR histograms."""
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+#: time to first token is recorded in microseconds, from 1 us to 10 minutes.
+_TTFT_LOWEST_US = 1
+_TTFT_HIGHEST_US = 600_000_000
+_SIGNIFICANT_DIGITS = 3
+
+
+@attrs.frozen
+class FiguresSummary:
+    """The users' measures over a set of requests.
+
+    :param requests: requests answered.
+    :param refused: requests refused.
+    :param prompt_tokens: prompt tokens over all answered requests.
+    :param cached_tokens: of those, tokens served from an engine's cache.
+    :param wasted_recompute_tokens: prompt tokens prefilled again though a
+        live engine of the fleet held them under the same scope.
+    :param ttft_p50_ms: median time to first token.
+    :param ttft_p95_ms: 95th percentile.
+    :param ttft_p99_ms: 99th percentile.
+    """
+
+    requests: int
+    refused: int
+    prompt_tokens: int
+    cached_tokens: int
+    wasted_recompute_tokens: int
+    ttft_p50_ms: float
+    ttft_p95_ms: float
+    ttft_p99_ms: float
+
+    @property
+    def prefix_hit_rate(self) -> float:
+        """Share of prompt tokens served from cache, 0 to 1."""
+        return self.cached_tokens / self.prompt_tokens if self.prompt_tokens else 0.0
+
+
+class RequestFigures:
+    """Accumulates figures request by request."""
+
+    def __init__(self) -> None:
+        self._ttft_us = HdrHistogram(
+            _TTFT_LOWEST_US, _TTFT_HIGHEST_US, _SIGNIFICANT_DIGITS
+        )
+        self._requests = 0
+        self._refused = 0
+        self._prompt_tokens = 0
+        self._cached_tokens = 0
+        self._wasted_tokens = 0
+
+    def record(
+        self,
+        ttft_s: float,
+        prompt_tokens: int,
+        cached_tokens: int,
+        wasted_tokens: int = 0,
+    ) -> None:
+        """Record one answered request.
+
+        :param ttft_s: time to first token in seconds.
+        :param prompt_tokens: its prompt tokens.
+        :param cached_tokens: of those, served from cache.
+        :param wasted_tokens: of those, recomputed though cached elsewhere.
+        """
+        self._ttft_us.record_value(max(_TTFT_LOWEST_US, int(ttft_s * 1_000_000)))
+        self._requests += 1
+        self._prompt_tokens += prompt_tokens
+        self._cached_tokens += cached_tokens
+        self._wasted_tokens += wasted_tokens
+
+    def record_refusal(self) -> None:
+        """Record one refused request."""
+        self._refused += 1
+
+    def summary(self) -> FiguresSummary:
+        """Return the figures so far."""
+        return FiguresSummary(
+            requests=self._requests,
+            refused=self._refused,
+            prompt_tokens=self._prompt_tokens,
+            cached_tokens=self._cached_tokens,
+            wasted_recompute_tokens=self._wasted_tokens,
+            ttft_p50_ms=self._percentile_ms(50),
+            ttft_p95_ms=self._percentile_ms(95),
+            ttft_p99_ms=self._percentile_ms(99),
+        )
+
+    def _percentile_ms(self, percentile: float) -> float:
+        return self._ttft_us.get_value_at_percentile(percentile) / 1000.0
--- /dev/null
+++ b/src/kumquatseam/routing/__init__.py
@@ -0,0 +1,30 @@
+"""Prefix-aware routing: the index, the fleet view, the policies, the router.
+
+Use :class:`Router` with a policy from :func:`build_policy`.
+"""
+
+from kumquatseam.routing._fleet import FleetView
+from kumquatseam.routing._index import PrefixIndex
+from kumquatseam.routing._policies import (
+    Candidate,
+    LeastLoadedPolicy,
+    PrefixAwarePolicy,
+    RoundRobinPolicy,
+    RoutingPolicy,
+    build_policy,
+)
+from kumquatseam.routing._router import Router, RoutingDecision, RoutingRequest
+
+__all__ = [
+    "Candidate",
+    "FleetView",
+    "LeastLoadedPolicy",
+    "PrefixAwarePolicy",
+    "PrefixIndex",
+    "RoundRobinPolicy",
+    "Router",
+    "RoutingDecision",
+    "RoutingPolicy",
+    "RoutingRequest",
+    "build_policy",
+]
--- /dev/null
+++ b/src/kumquatseam/routing/_index.py
@@ -0,0 +1,122 @@
+"""The approximate per-engine prefix index.
+
+Fed by engines' cache events, which arrive late and with gaps, the index says
+which block keys each engine probably still holds. It is approximate by
+design: an entry not confirmed within ``entry_ttl_s`` is forgotten, because
+engines evict within seconds. Entries of an older engine epoch are dropped the
+moment a newer epoch is seen, so a restarted engine is never credited with the
+cache it lost.
+"""
+
+import attrs
+
+from kumquatseam.engines import CacheEventBatch
+from kumquatseam.logs import part_logger
+
+_log = part_logger("index")
+
+
+@attrs.define
+class _EngineEntries:
+    epoch: str
+    last_sequence: int = 0
+    lost_batches: int = 0
+    entries: dict[int, float] = attrs.Factory(dict)
+
+
+class PrefixIndex:
+    """Block keys each engine holds, as far as its events tell.
+
+    :param entry_ttl_s: how long an entry lives without being confirmed.
+    """
+
+    def __init__(self, entry_ttl_s: float) -> None:
+        self._entry_ttl_s = entry_ttl_s
+        self._engines: dict[str, _EngineEntries] = {}
+
+    def apply(self, batch: CacheEventBatch, now_s: float) -> None:
+        """Take in one batch of cache events.
+
+        :param batch: the events, possibly after a gap.
+        :param now_s: the monotonic time it arrived.
+        """
+        state = self._engines.get(batch.engine)
+        if state is None or state.epoch != batch.epoch:
+            self.observe_epoch(batch.engine, batch.epoch)
+            state = self._engines[batch.engine]
+        if batch.sequence <= state.last_sequence:
+            return
+        gap = batch.sequence - state.last_sequence - 1
+        if gap:
+            state.lost_batches += gap
+            _log.info("Engine {} lost {} event batches.", batch.engine, gap)
+        state.last_sequence = batch.sequence
+        for key in batch.removed_keys:
+            state.entries.pop(key, None)
+        for key in batch.stored_keys:
+            state.entries[key] = now_s
+
+    def observe_epoch(self, engine: str, epoch: str) -> None:
+        """Record that ``engine`` runs in ``epoch``; drop older entries.
+
+        :param engine: the engine's name.
+        :param epoch: its epoch as last reported.
+        """
+        state = self._engines.get(engine)
+        if state is not None and state.epoch == epoch:
+            return
+        if state is not None:
+            _log.info(
+                "Engine {} restarted (epoch {} to {}); dropped {} blocks.",
+                engine,
+                state.epoch,
+                epoch,
+                len(state.entries),
+            )
+        self._engines[engine] = _EngineEntries(epoch=epoch)
+
+    def drop(self, engine: str) -> None:
+        """Forget everything about a dead engine.
+
+        :param engine: the engine's name.
+        """
+        state = self._engines.pop(engine, None)
+        if state is not None:
+            _log.info(
+                "Engine {} is dead; dropped {} blocks.", engine, len(state.entries)
+            )
+
+    def epoch(self, engine: str) -> str | None:
+        """Return the engine's epoch as last seen, or ``None``."""
+        state = self._engines.get(engine)
+        return state.epoch if state else None
+
+    def match(self, engine: str, keys: list[int], now_s: float) -> int:
+        """Count how many leading ``keys`` the engine probably holds.
+
+        :param engine: the engine's name.
+        :param keys: the prompt's chained block keys for that engine's epoch.
+        :param now_s: the monotonic time now.
+        :returns: number of matched leading blocks.
+        """
+        state = self._engines.get(engine)
+        if state is None:
+            return 0
+        oldest_s = now_s - self._entry_ttl_s
+        matched = 0
+        for key in keys:
+            seen_s = state.entries.get(key)
+            if seen_s is None or seen_s < oldest_s:
+                break
+            matched += 1
+        return matched
+
+    def size_blocks(self, engine: str) -> int:
+        """Return how many entries the index keeps for ``engine``."""
+        state = self._engines.get(engine)
+        return len(state.entries) if state else 0
+
+    def lost_batches(self, engine: str) -> int:
+        """Return how many event batches of the current epoch never arrived."""
+        state = self._engines.get(engine)
+        return state.lost_batches if state else 0
--- /dev/null
+++ b/src/kumquatseam/routing/_policies.py
@@ -0,0 +1,127 @@
+"""Routing policies: the choice of engine among the candidates.
+
+All policies share one abstract base class, so the daemon, the bench and the
+tests call the same code. :class:`PrefixAwarePolicy` is the default;
+:class:`RoundRobinPolicy` and :class:`LeastLoadedPolicy` are the baselines.
+"""
+
+import abc
+import itertools
+from collections.abc import Sequence
+
+import attrs
+
+
+@attrs.frozen
+class Candidate:
+    """An engine that may serve a request, as the router sees it now.
+
+    :param upstream: the engine's name.
+    :param matched_blocks: leading prompt blocks it probably holds.
+    :param total_blocks: full blocks in the prompt.
+    :param load_requests: its load, in requests running or queued.
+    """
+
+    upstream: str
+    matched_blocks: int
+    total_blocks: int
+    load_requests: float
+
+
+class RoutingPolicy(abc.ABC):
+    """Chooses one engine for a request."""
+
+    #: the name used in settings and log lines.
+    name: str = ""
+
+    @abc.abstractmethod
+    def choose(self, candidates: Sequence[Candidate]) -> Candidate:
+        """Pick one of ``candidates`` (never empty)."""
+
+
+class RoundRobinPolicy(RoutingPolicy):
+    """Baseline: each candidate in turn, blind to cache and load."""
+
+    name = "round_robin"
+
+    def __init__(self) -> None:
+        self._turn = itertools.count()
+
+    def choose(self, candidates: Sequence[Candidate]) -> Candidate:
+        return candidates[next(self._turn) % len(candidates)]
+
+
+class LeastLoadedPolicy(RoutingPolicy):
+    """Baseline: the candidate with the fewest requests, ties in turn."""
+
+    name = "least_loaded"
+
+    def __init__(self) -> None:
+        self._turn = itertools.count()
+
+    def choose(self, candidates: Sequence[Candidate]) -> Candidate:
+        return _lowest(candidates, lambda c: c.load_requests, next(self._turn))
+
+
+class PrefixAwarePolicy(RoutingPolicy):
+    """Picks the engine with the lowest estimated time to first token.
+
+    The estimate is the modelled prefill of the blocks the engine lacks plus
+    a wait per request already on it, so a hot opening spreads to a second
+    engine once the first one's queue costs more than recomputing it.
+
+    :param block_size_tokens: tokens per block.
+    :param prefill_ms_per_token: modelled prefill time per uncached token.
+    :param queue_ms_per_request: modelled wait per request on the engine.
+    """
+
+    name = "prefix_aware"
+
+    def __init__(
+        self,
+        block_size_tokens: int,
+        prefill_ms_per_token: float,
+        queue_ms_per_request: float,
+    ) -> None:
+        self._block_size_tokens = block_size_tokens
+        self._prefill_ms_per_token = prefill_ms_per_token
+        self._queue_ms_per_request = queue_ms_per_request
+        self._turn = itertools.count()
+
+    def estimate_ms(self, candidate: Candidate) -> float:
+        """Return the modelled time to first token on ``candidate``."""
+        missing_blocks = candidate.total_blocks - candidate.matched_blocks
+        prefill_ms = (
+            missing_blocks * self._block_size_tokens * self._prefill_ms_per_token
+        )
+        return prefill_ms + candidate.load_requests * self._queue_ms_per_request
+
+    def choose(self, candidates: Sequence[Candidate]) -> Candidate:
+        return _lowest(candidates, self.estimate_ms, next(self._turn))
+
+
+def _lowest(candidates: Sequence[Candidate], cost, turn: int) -> Candidate:
+    """Return the cheapest candidate; among equals, rotate by ``turn``."""
+    count = len(candidates)
+    rotated = [candidates[(turn + i) % count] for i in range(count)]
+    return min(rotated, key=cost)
+
+
+def build_policy(
+    name: str,
+    block_size_tokens: int,
+    prefill_ms_per_token: float,
+    queue_ms_per_request: float,
+) -> RoutingPolicy:
+    """Return a new policy by its settings name.
+
+    :raises KeyError: for an unknown name (settings check names first).
+    """
+    if name == PrefixAwarePolicy.name:
+        return PrefixAwarePolicy(
+            block_size_tokens, prefill_ms_per_token, queue_ms_per_request
+        )
+    return {
+        RoundRobinPolicy.name: RoundRobinPolicy,
+        LeastLoadedPolicy.name: LeastLoadedPolicy,
+    }[name]()
--- /dev/null
+++ b/src/kumquatseam/standins/engine/_settings.py
@@ -0,0 +1,43 @@
+"""Settings of one stand-in engine."""
+
+import attrs
+
+
+@attrs.frozen
+class EngineStandinSettings:
+    """How a stand-in engine behaves; every time is in modelled seconds.
+
+    Real sleeps are the modelled times multiplied by ``time_scale``.
+
+    :param name: the replica's name, e.g. ``nyelvmodell-flotta-0``.
+    :param host: address its HTTP interface binds.
+    :param port: its HTTP port.
+    :param events_address: nng address its events are published on.
+    :param block_size_tokens: tokens per cached block.
+    :param capacity_blocks: blocks its KV cache holds.
+    :param prefill_ms_per_token: modelled prefill time per uncached token.
+    :param decode_ms_per_token: modelled time per generated token.
+    :param slots: requests decoded at once; more wait, by priority.
+    :param event_interval_s: seconds between event batches.
+    :param event_delay_s: cache events are published this late.
+    :param event_loss_ratio: share of event batches lost.
+    :param load_lag_s: load is reported this late.
+    :param seed: seed of all its randomness.
+    :param time_scale: real seconds per modelled second.
+    """
+
+    name: str
+    host: str = "127.0.0.1"
+    port: int = 8501
+    events_address: str = "tcp://127.0.0.1:8601"
+    block_size_tokens: int = 16
+    capacity_blocks: int = 400
+    prefill_ms_per_token: float = 0.2
+    decode_ms_per_token: float = 4.0
+    slots: int = 4
+    event_interval_s: float = 0.1
+    event_delay_s: float = 0.2
+    event_loss_ratio: float = 0.05
+    load_lag_s: float = 0.5
+    seed: int = 7
+    time_scale: float = 1.0
