--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -53,6 +53,7 @@
             f"events = tcp://127.0.0.1:{engine['events_port']}",
             "zone = kobanya",
             "models = zaras-7b",
+            "slots = 4",
         ]
     for team in ("alpha", "beta"):
         lines += [
--- a/src/kumquatseam/bench/_workload.py
+++ b/src/kumquatseam/bench/_workload.py
@@ -64,6 +64,32 @@
     item_tokens: int = 24
     zipf_exponent: float = 1.1
 
+    def corpus(
+        self, team_names, rng: random.Random
+    ) -> tuple[str, dict[str, list[str]]]:
+        """Draw the common instruction and every team's openings.
+
+        :returns: the instruction, and each team's list of openings.
+        """
+        instruction = _words(rng, self.instruction_tokens)
+        openings = {
+            name: [
+                _words(rng, self.opening_tokens) for _ in range(self.openings_per_team)
+            ]
+            for name in team_names
+        }
+        return instruction, openings
+
+    def draw_opening(self, rng: random.Random) -> int:
+        """Draw the index of an opening by the Zipf law."""
+        ranks = range(self.openings_per_team)
+        weights = [1 / (rank + 1) ** self.zipf_exponent for rank in ranks]
+        return rng.choices(ranks, weights)[0]
+
+    def prompt(self, rng: random.Random, instruction: str, opening: str) -> str:
+        """Join the levels and a freshly drawn item into one prompt."""
+        return " ".join((instruction, opening, _words(rng, self.item_tokens)))
+
     def requests(
         self, teams: list[WorkloadTeam], count: int, seed: int
     ) -> list[WorkloadRequest]:
@@ -74,23 +100,12 @@
         :param seed: seed of every draw.
         """
         rng = random.Random(seed)
-        instruction = _words(rng, self.instruction_tokens)
-        openings = {
-            team.name: [
-                _words(rng, self.opening_tokens) for _ in range(self.openings_per_team)
-            ]
-            for team in teams
-        }
-        weights = [
-            1 / (rank + 1) ** self.zipf_exponent
-            for rank in range(self.openings_per_team)
-        ]
+        instruction, openings = self.corpus([t.name for t in teams], rng)
         drawn = []
         for _ in range(count):
             team = rng.choice(teams)
-            opening = rng.choices(range(self.openings_per_team), weights)[0]
-            item = _words(rng, self.item_tokens)
-            prompt = " ".join((instruction, openings[team.name][opening], item))
+            opening = self.draw_opening(rng)
+            prompt = self.prompt(rng, instruction, openings[team.name][opening])
             priority = rng.choice(team.priority_classes)
             drawn.append(WorkloadRequest(team, prompt, priority, opening))
         return drawn
--- a/src/kumquatseam/cli.py
+++ b/src/kumquatseam/cli.py
@@ -3,6 +3,7 @@
 Commands::
 
     kumquatseam demo                       # the main job on the embedded default
+    kumquatseam bench --scenario hivatal   # seeded bench in modelled time
     kumquatseam check-settings FILE.ini    # check a settings file
     kumquatseam standin engine --name N --port P --events-port E
 
@@ -121,6 +122,27 @@
         outcomes = run_demo(chosen, requests, seed, concurrency, arrival_gap_s, log_dir)
         print(format_outcomes(outcomes))
 
+    def bench(
+        self,
+        scenario: str = "hivatal",
+        seed: int = 1,
+        requests: int = 1500,
+        json: bool = False,
+    ) -> None:
+        """Run every policy and the oracle on a seeded scenario, in modelled time.
+
+        :param scenario: ``hivatal``, ``exchange``, ``engine-crash``,
+            ``event-loss`` or ``hot-shift``.
+        :param seed: seed of the trace.
+        :param requests: arrivals in the trace.
+        :param json: print one JSON object instead of the table.
+        """
+        from kumquatseam.bench._report import format_json, format_report, run_bench
+
+        configure_logging("kumquatseam", "WARNING")
+        report = run_bench(scenario, seed, requests, progress=not json)
+        print(format_json(report) if json else format_report(report))
+
 
 def _run_until_signal(part) -> None:
     stop = gevent.event.Event()
--- a/src/kumquatseam/routing/_policies.py
+++ b/src/kumquatseam/routing/_policies.py
@@ -20,12 +20,14 @@
     :param matched_blocks: leading prompt blocks it probably holds.
     :param total_blocks: full blocks in the prompt.
     :param load_requests: its load, in requests running or queued.
+    :param slots: requests it runs at once; beyond them, requests wait.
     """
 
     upstream: str
     matched_blocks: int
     total_blocks: int
     load_requests: float
+    slots: int
 
 
 class RoutingPolicy(abc.ABC):
@@ -67,12 +69,14 @@
     """Picks the engine with the lowest estimated time to first token.
 
     The estimate is the modelled prefill of the blocks the engine lacks plus
-    a wait per request already on it, so a hot opening spreads to a second
-    engine once the first one's queue costs more than recomputing it.
+    a wait for every request that would queue ahead of this one (those beyond
+    the engine's slots), so a hot opening stays where it is cached while the
+    engine has room and spreads to a second engine once its queue costs more
+    than recomputing the opening.
 
     :param block_size_tokens: tokens per block.
     :param prefill_ms_per_token: modelled prefill time per uncached token.
-    :param queue_ms_per_request: modelled wait per request on the engine.
+    :param queue_ms_per_request: modelled wait per request queued ahead.
     """
 
     name = "prefix_aware"
@@ -94,7 +98,8 @@
         prefill_ms = (
             missing_blocks * self._block_size_tokens * self._prefill_ms_per_token
         )
-        return prefill_ms + candidate.load_requests * self._queue_ms_per_request
+        queued_ahead = max(0.0, candidate.load_requests - candidate.slots + 1)
+        return prefill_ms + queued_ahead * self._queue_ms_per_request
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
         return _lowest(candidates, self.estimate_ms, next(self._turn))
--- a/src/kumquatseam/routing/_router.py
+++ b/src/kumquatseam/routing/_router.py
@@ -121,9 +121,8 @@
             epoch = self.fleet.epoch(name)
             keys = self._keys(request, epoch)
             matched = self.index.match(name, keys, now_s) if epoch is not None else 0
-            found.append(
-                Candidate(name, matched, len(keys), self.fleet.load_requests(name))
-            )
+            load = self.fleet.load_requests(name)
+            found.append(Candidate(name, matched, len(keys), load, upstream.slots))
         return found
 
     def route(self, request: RoutingRequest) -> RoutingDecision:
--- a/src/kumquatseam/settings/_loading.py
+++ b/src/kumquatseam/settings/_loading.py
@@ -156,7 +156,7 @@
         )
 
     def upstream(self, section: str, name: str) -> UpstreamSettings:
-        self._check_keys(section, {"url", "events", "zone", "models"})
+        self._check_keys(section, {"url", "events", "zone", "models", "slots"})
         url = self._get(section, "url", str)
         if not url.startswith(("http://", "https://")):
             self._fail(section, "url", "must start with http:// or https://")
@@ -166,8 +166,15 @@
             events_address=self._get(section, "events", str),
             zone=self._get(section, "zone", str),
             models=self._names(section, "models"),
+            slots=self._positive(section, "slots"),
         )
 
+    def _positive(self, section: str, key: str) -> int:
+        value = self._get(section, key, int)
+        if value == 0:
+            self._fail(section, key, "must be positive")
+        return value
+
     def team(self, section: str, name: str) -> TeamSettings:
         allowed = {"api_keys", "priority_classes", "models", "upstreams"}
         self._check_keys(section, allowed)
--- a/src/kumquatseam/settings/_schema.py
+++ b/src/kumquatseam/settings/_schema.py
@@ -74,6 +74,7 @@
     :param events_address: nng address of its cache-event and load stream.
     :param zone: its availability zone.
     :param models: names of the models it serves.
+    :param slots: requests it runs at once (its batch size); more wait.
     """
 
     name: str
@@ -81,6 +82,7 @@
     events_address: str
     zone: str
     models: tuple[str, ...]
+    slots: int
 
 
 @attrs.frozen
