Scope index entries by engine epoch, retire old epochs; keys once per request

Cause: two findings. (1) A late cache-event batch or load report from an engine's previous epoch, arriving after the new epoch was seen, reset the index back to the old epoch (observe_epoch took any epoch that differed), so a restarted engine could be credited with blocks it lost.

Change: block keys are seeded by the cache salt (team, model, version) only and computed once per request; the epoch scopes the index's entries structurally, and retired epochs (last 16 per engine) are ignored, also in load reports. Stand-in engine and modelled bench hash the same way.

--- a/src/kumquatseam/bench/_demo.py
+++ b/src/kumquatseam/bench/_demo.py
@@ -15,7 +15,7 @@
 from kumquatseam.bench._processes import daemon_program, engine_program
 from kumquatseam.bench._workload import NestedPromptWorkload, WorkloadTeam
 from kumquatseam.metrics import FiguresSummary
-from kumquatseam.settings import load_settings
+from kumquatseam.settings import Settings, load_settings
 
 #: blocks each demo engine holds: too few for every opening on every engine.
 DEMO_CAPACITY_BLOCKS = 260
@@ -50,7 +50,6 @@
     :returns: one outcome per policy, in order.
     """
     settings = load_settings(None)
-    model = settings.models[0]
     teams = [
         WorkloadTeam(t.name, t.api_keys[0], t.priority_classes) for t in settings.teams
     ]
@@ -59,37 +58,14 @@
     folder.mkdir(parents=True, exist_ok=True)
     outcomes = []
     for policy in policies:
-        engines = []
-        for index, upstream in enumerate(settings.upstreams):
-            port = urlparse(upstream.url).port
-            events_port = int(upstream.events_address.rsplit(":", 1)[1])
-            engines.append(
-                engine_program(
-                    upstream.name,
-                    port,
-                    events_port,
-                    seed + index,
-                    str(folder / f"{policy}-{upstream.name}.log"),
-                    capacity_blocks=DEMO_CAPACITY_BLOCKS,
-                    block_size_tokens=settings.daemon.block_size_tokens,
-                )
-            )
+        engines, daemon = demo_fleet(settings, policy, seed, folder)
         daemon_log = folder / f"{policy}-kumquatseamd.log"
-        daemon = daemon_program(
-            settings.daemon.listen_port, policy=policy, log_path=str(daemon_log)
-        )
         started = []
         try:
             for program in [*engines, daemon]:
                 program.start()
                 started.append(program)
-            target = DriveTarget(
-                router_url=f"http://{settings.daemon.listen_host}:{settings.daemon.listen_port}",
-                engine_urls=tuple(u.url for u in settings.upstreams),
-                model=model.name,
-                model_version=model.version,
-            )
-            driver = WorkloadDriver(target, concurrency)
+            driver = WorkloadDriver(demo_target(settings), concurrency)
             drive = driver.drive(burst, arrival_gap_s)
         finally:
             for program in reversed(started):
@@ -103,6 +79,47 @@
     return outcomes
 
 
+def demo_fleet(settings: Settings, policy: str, seed: int, folder: Path):
+    """Return the demo's engine programs and daemon program (not started).
+
+    :returns: ``(engines, daemon)``; logs go to ``folder``.
+    """
+    engines = []
+    for index, upstream in enumerate(settings.upstreams):
+        port = urlparse(upstream.url).port
+        events_port = int(upstream.events_address.rsplit(":", 1)[1])
+        engines.append(
+            engine_program(
+                upstream.name,
+                port,
+                events_port,
+                seed + index,
+                str(folder / f"{policy}-{upstream.name}.log"),
+                capacity_blocks=DEMO_CAPACITY_BLOCKS,
+                block_size_tokens=settings.daemon.block_size_tokens,
+                slots=upstream.slots,
+            )
+        )
+    daemon = daemon_program(
+        settings.daemon.listen_port,
+        policy=policy,
+        log_path=str(folder / f"{policy}-kumquatseamd.log"),
+    )
+    return engines, daemon
+
+
+def demo_target(settings: Settings) -> DriveTarget:
+    """Return where the demo's driver sends requests."""
+    model = settings.models[0]
+    daemon = settings.daemon
+    return DriveTarget(
+        router_url=f"http://{daemon.listen_host}:{daemon.listen_port}",
+        engine_urls=tuple(u.url for u in settings.upstreams),
+        model=model.name,
+        model_version=model.version,
+    )
+
+
 def format_outcomes(outcomes: list[PolicyOutcome]) -> str:
     """Return the outcomes as a plain-text table."""
     header = (
--- a/src/kumquatseam/bench/_modelled.py
+++ b/src/kumquatseam/bench/_modelled.py
@@ -23,7 +23,7 @@
     CacheEventBatch,
     block_keys,
     cache_salt,
-    scope_seed,
+    salt_seed,
     tokenize,
 )
 from kumquatseam.metrics import FiguresSummary, RequestFigures
@@ -213,10 +213,8 @@
             crashed.cache = BlockCache(scenario.capacity_blocks)
             crashed.sequence = 0
         salt = cache_salt(request.team, MODEL.name, MODEL.version)
-        keys = {
-            name: block_keys(list(request.tokens), block, scope_seed(salt, e.epoch))
-            for name, e in engines.items()
-        }
+        prompt_keys = block_keys(list(request.tokens), block, salt_seed(salt))
+        keys = dict.fromkeys(engines, prompt_keys)
         if policy_name == ORACLE:
             name = _oracle_choice(engines, keys, request, scenario)
         else:
--- a/src/kumquatseam/bench/_processes.py
+++ b/src/kumquatseam/bench/_processes.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+from pathlib import Path
 
 import urllib3
 
@@ -81,6 +82,19 @@
             self._log.close()
         return self._process.returncode
 
+    def cpu_s(self) -> float:
+        """Return the CPU seconds (user and system) the process has used."""
+        fields = Path(f"/proc/{self._process.pid}/stat").read_text().rsplit(")", 1)[1]
+        user_ticks, system_ticks = fields.split()[11:13]
+        return (int(user_ticks) + int(system_ticks)) / os.sysconf("SC_CLK_TCK")
+
+    def rss_bytes(self) -> int:
+        """Return the resident memory of the process."""
+        for line in Path(f"/proc/{self._process.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) * 1024
+        return 0
+
     def kill(self) -> None:
         """Kill the process at once, as a crash would."""
         self._process.kill()
--- a/src/kumquatseam/cli.py
+++ b/src/kumquatseam/cli.py
@@ -4,6 +4,7 @@
 
     kumquatseam demo                       # the main job on the embedded default
     kumquatseam bench --scenario hivatal   # seeded bench in modelled time
+    kumquatseam slopes                     # the slopes behind docs/CAPACITY.md
     kumquatseam check-settings FILE.ini    # check a settings file
     kumquatseam standin engine --name N --port P --events-port E
 
@@ -122,6 +123,13 @@
         outcomes = run_demo(chosen, requests, seed, concurrency, arrival_gap_s, log_dir)
         print(format_outcomes(outcomes))
 
+    def slopes(self) -> None:
+        """Measure the slopes docs/CAPACITY.md is worked out from."""
+        from kumquatseam.bench._slopes import format_slopes, measure_all
+
+        configure_logging("kumquatseam", "WARNING")
+        print(format_slopes(measure_all()))
+
     def bench(
         self,
         scenario: str = "hivatal",
--- a/src/kumquatseam/engines/__init__.py
+++ b/src/kumquatseam/engines/__init__.py
@@ -2,11 +2,11 @@
 
 - :class:`EngineClient` streams completions over HTTP.
 - :class:`EngineEventSubscriber` receives cache events and load reports.
-- :func:`tokenize`, :func:`cache_salt`, :func:`scope_seed` and
+- :func:`tokenize`, :func:`cache_salt`, :func:`salt_seed` and
   :func:`block_keys` compute block keys exactly as engines do.
 """
 
-from kumquatseam.engines._blocks import block_keys, cache_salt, scope_seed, tokenize
+from kumquatseam.engines._blocks import block_keys, cache_salt, salt_seed, tokenize
 from kumquatseam.engines._client import EngineChunk, EngineClient, EngineRequest
 from kumquatseam.engines._events import EngineEventSubscriber
 from kumquatseam.engines._messages import (
@@ -27,6 +27,6 @@
     "cache_salt",
     "decode_message",
     "encode_message",
-    "scope_seed",
+    "salt_seed",
     "tokenize",
 ]
--- a/src/kumquatseam/engines/_blocks.py
+++ b/src/kumquatseam/engines/_blocks.py
@@ -3,17 +3,18 @@
 Engines cache KV state per block of ``block_size_tokens`` tokens. A block's key
 is an xxHash (XXH3, 64 bit) chained from its parent's key, so a key names the
 whole opening up to and including that block. The first block's seed is the
-hash of the *scope*: the cache salt the router sends (team and model version,
-see :func:`cache_salt`) joined with the engine's epoch, which changes at every
-engine start. Hence a key can only match work of the same team, the same
-weights and the same engine life.
+hash of the cache salt the router sends (team, model and version, see
+:func:`cache_salt`). Hence a key can only match work of the same team and the
+same weights. The engine's epoch, which changes at every engine start, scopes
+the router's index entries (see :mod:`kumquatseam.routing`), so a key is never
+credited to an engine's earlier life.
 
 Tokenisation is a documented whitespace split (no tokenizer library fits
 without downloading a vocabulary); stand-in engines and the router share it.
 
 Example::
 
-    >>> keys = block_keys(tokenize("a b c d"), 2, scope_seed("salt", "epoch-1"))
+    >>> keys = block_keys(tokenize("a b c d"), 2, salt_seed("salt"))
     >>> len(keys)
     2
 """
@@ -46,14 +47,13 @@
     return xxhash.xxh3_128_hexdigest(f"{team}\x1f{model}\x1f{version}".encode())
 
 
-def scope_seed(salt: str, epoch: str) -> int:
-    """Return the seed of the first block for a salt on one engine life.
+def salt_seed(salt: str) -> int:
+    """Return the seed of the first block for a cache salt.
 
     :param salt: from :func:`cache_salt`.
-    :param epoch: the engine's epoch, as reported by the engine.
     :returns: a 64-bit seed.
     """
-    return xxhash.xxh3_64_intdigest(f"{salt}\x1f{epoch}".encode())
+    return xxhash.xxh3_64_intdigest(salt.encode())
 
 
 def block_keys(tokens: list[str], block_size_tokens: int, seed: int) -> list[int]:
@@ -63,7 +63,7 @@
 
     :param tokens: from :func:`tokenize`.
     :param block_size_tokens: tokens per block.
-    :param seed: from :func:`scope_seed`.
+    :param seed: from :func:`salt_seed`.
     :returns: one 64-bit key per full block, in order.
     """
     keys = []
--- a/src/kumquatseam/routing/_index.py
+++ b/src/kumquatseam/routing/_index.py
@@ -4,16 +4,25 @@
 which block keys each engine probably still holds. It is approximate by
 design: an entry not confirmed within ``entry_ttl_s`` is forgotten, because
 engines evict within seconds. Entries of an older engine epoch are dropped the
-moment a newer epoch is seen, so a restarted engine is never credited with the
+moment a newer epoch is seen, and the old epoch is retired: late events or
+reports from it are ignored, so a restarted engine is never credited with the
 cache it lost.
+
+Entries are scoped by engine and epoch in the index's structure rather than in
+the block key itself: so a prompt's keys are computed once per request, not
+once per candidate (``route_us_per_candidate`` in docs/CAPACITY.md).
 """
 
+import collections
+
 import attrs
 
 from kumquatseam.engines import CacheEventBatch
 from kumquatseam.logs import part_logger
 
 _log = part_logger("index")
+#: retired epochs remembered per engine; older ones are long out of flight.
+RETIRED_EPOCHS_KEPT = 16
 
 
 @attrs.define
@@ -33,6 +42,13 @@
     def __init__(self, entry_ttl_s: float) -> None:
         self._entry_ttl_s = entry_ttl_s
         self._engines: dict[str, _EngineEntries] = {}
+        self._retired: dict[str, collections.deque] = collections.defaultdict(
+            lambda: collections.deque(maxlen=RETIRED_EPOCHS_KEPT)
+        )
+
+    def is_retired(self, engine: str, epoch: str) -> bool:
+        """Return whether ``epoch`` is an earlier life of ``engine``."""
+        return epoch in self._retired[engine]
 
     def apply(self, batch: CacheEventBatch, now_s: float) -> None:
         """Take in one batch of cache events.
@@ -40,6 +56,8 @@
         :param batch: the events, possibly after a gap.
         :param now_s: the monotonic time it arrived.
         """
+        if self.is_retired(batch.engine, batch.epoch):
+            return
         state = self._engines.get(batch.engine)
         if state is None or state.epoch != batch.epoch:
             self.observe_epoch(batch.engine, batch.epoch)
@@ -63,9 +81,10 @@
         :param epoch: its epoch as last reported.
         """
         state = self._engines.get(engine)
-        if state is not None and state.epoch == epoch:
+        if self.is_retired(engine, epoch) or (state and state.epoch == epoch):
             return
         if state is not None:
+            self._retired[engine].append(state.epoch)
             _log.info(
                 "Engine {} restarted (epoch {} to {}); dropped {} blocks.",
                 engine,
--- a/src/kumquatseam/routing/_router.py
+++ b/src/kumquatseam/routing/_router.py
@@ -13,7 +13,7 @@
     CacheEventBatch,
     LoadReport,
     block_keys,
-    scope_seed,
+    salt_seed,
 )
 from kumquatseam.errors import NoUpstreamError
 from kumquatseam.logs import part_logger
@@ -96,6 +96,8 @@
     def observe(self, message: CacheEventBatch | LoadReport) -> None:
         """Take in one engine message (cache events or a load report)."""
         now_s = self._clock()
+        if self.index.is_retired(message.engine, message.epoch):
+            return
         if isinstance(message, LoadReport):
             self.fleet.observe_report(message, now_s)
             self.index.observe_epoch(message.engine, message.epoch)
@@ -111,6 +113,9 @@
     def candidates(self, request: RoutingRequest) -> list[Candidate]:
         """Return the live engines that may serve ``request``, with their figures."""
         now_s = self._clock()
+        keys = block_keys(
+            list(request.tokens), self._block_size_tokens, salt_seed(request.salt)
+        )
         found = []
         for name in request.team.upstreams:
             upstream = self._settings.upstream(name)
@@ -118,9 +123,7 @@
                 continue
             if not self.fleet.is_live(name, now_s):
                 continue
-            epoch = self.fleet.epoch(name)
-            keys = self._keys(request, epoch)
-            matched = self.index.match(name, keys, now_s) if epoch is not None else 0
+            matched = self.index.match(name, keys, now_s)
             load = self.fleet.load_requests(name)
             found.append(Candidate(name, matched, len(keys), load, upstream.slots))
         return found
@@ -162,7 +165,3 @@
             decision.policy,
         )
         return decision
-
-    def _keys(self, request: RoutingRequest, epoch: str | None) -> list[int]:
-        seed = scope_seed(request.salt, epoch or "")
-        return block_keys(list(request.tokens), self._block_size_tokens, seed)
--- a/src/kumquatseam/standins/engine/_engine.py
+++ b/src/kumquatseam/standins/engine/_engine.py
@@ -17,7 +17,7 @@
 import gevent.pywsgi
 import xxhash
 
-from kumquatseam.engines import block_keys, scope_seed, tokenize
+from kumquatseam.engines import block_keys, salt_seed, tokenize
 from kumquatseam.logs import part_logger
 from kumquatseam.standins.engine._cache import BlockCache
 from kumquatseam.standins.engine._publisher import EventPublisher
@@ -96,7 +96,7 @@
 
     def _keys(self, prompt: str, salt: str) -> tuple[list[str], list[int]]:
         tokens = tokenize(prompt)
-        seed = scope_seed(salt, self.epoch)
+        seed = salt_seed(salt)
         return tokens, block_keys(tokens, self.settings.block_size_tokens, seed)
 
     def _probe(self):
