Affinity policy (stateless rendezvous hashing, bounded load); load reports in the bench

Cause: the capacity work needs a mechanism for a fleet where no router can index every engine (2.1 M cache events/s; see CAPACITY.md), so the candidate must be measured here first. A first trial also showed a bench-model fault: engines were heard only through cache events, so an idle engine (no events) was declared dead after 5 modelled seconds and left the candidate set; the daemon never does this because stand-in engines send load reports every interval.

Change: AffinityPolicy ranks candidates by the XXH3 rendezvous weight of the prompt's opening key (block 32, i.e. 512 tokens) and the engine's name, and takes the first with a free slot, else the shortest queue; it reads no cache events. Policy name "affinity" in settings and the bench. The modelled bench now delivers a LoadReport per engine every modelled second, half a second late, as the stand-in does.

--- a/src/kumquatseam/bench/_modelled.py
+++ b/src/kumquatseam/bench/_modelled.py
@@ -21,6 +21,7 @@
 from kumquatseam.bench._scenarios import Scenario
 from kumquatseam.engines import (
     CacheEventBatch,
+    LoadReport,
     block_keys,
     cache_salt,
     salt_seed,
@@ -39,6 +40,9 @@
 from kumquatseam.standins.engine import BlockCache
 
 ORACLE = "oracle"
+#: modelled seconds between two load reports of an engine, and their lag.
+LOAD_REPORT_INTERVAL_S = 1.0
+LOAD_REPORT_LAG_S = 0.5
 MODEL = ModelSettings(name="bench-model", version="v1", adapters=())
 
 
@@ -82,6 +86,7 @@
     slot_free_s: list[float]
     sequence: int = 0
     in_flight: int = 0
+    reported_s: float = -LOAD_REPORT_INTERVAL_S
 
 
 def build_trace(scenario: Scenario, requests: int, seed: int) -> list[ModelledRequest]:
@@ -207,6 +212,16 @@
             name = heapq.heappop(completions)[2]
             engines[name].in_flight -= 1
             router.fleet.end(name)
+        for engine in engines.values():
+            if now[0] - engine.reported_s >= LOAD_REPORT_INTERVAL_S:
+                engine.reported_s = now[0]
+                running = min(engine.in_flight, scenario.slots)
+                report = LoadReport(
+                    engine.name, engine.epoch, running, engine.in_flight - running, 0.0
+                )
+                heapq.heappush(
+                    events, (now[0] + LOAD_REPORT_LAG_S, next(order), report)
+                )
         if index == crash_at:
             crashed = engines[settings.upstreams[0].name]
             crashed.epoch = f"{crashed.name}-e1"
--- a/src/kumquatseam/bench/_report.py
+++ b/src/kumquatseam/bench/_report.py
@@ -9,7 +9,7 @@
 from kumquatseam.bench._scenarios import SCENARIOS
 from kumquatseam.errors import KumquatseamError
 
-BENCH_POLICIES = ("prefix_aware", "round_robin", "least_loaded", ORACLE)
+BENCH_POLICIES = ("prefix_aware", "affinity", "round_robin", "least_loaded", ORACLE)
 
 #: regression bounds, as ratios within one run (issue 6).
 MIN_HIT_RATE_OF_ORACLE = 0.9
--- a/src/kumquatseam/routing/__init__.py
+++ b/src/kumquatseam/routing/__init__.py
@@ -6,6 +6,7 @@
 from kumquatseam.routing._fleet import FleetView
 from kumquatseam.routing._index import PrefixIndex
 from kumquatseam.routing._policies import (
+    AffinityPolicy,
     Candidate,
     LeastLoadedPolicy,
     PrefixAwarePolicy,
@@ -16,6 +17,7 @@
 from kumquatseam.routing._router import Router, RoutingDecision, RoutingRequest
 
 __all__ = [
+    "AffinityPolicy",
     "Candidate",
     "FleetView",
     "LeastLoadedPolicy",
--- a/src/kumquatseam/routing/_policies.py
+++ b/src/kumquatseam/routing/_policies.py
@@ -21,6 +21,8 @@
     :param total_blocks: full blocks in the prompt.
     :param load_requests: its load, in requests running or queued.
     :param slots: requests it runs at once; beyond them, requests wait.
+    :param affinity_weight: rendezvous weight of the prompt's opening on this
+        engine (64 bit); the same on every router, no state needed.
     """
 
     upstream: str
@@ -28,6 +30,7 @@
     total_blocks: int
     load_requests: float
     slots: int
+    affinity_weight: int = 0
 
 
 class RoutingPolicy(abc.ABC):
@@ -105,6 +108,29 @@
         return _lowest(candidates, self.estimate_ms, next(self._turn))
 
 
+class AffinityPolicy(RoutingPolicy):
+    """Stateless prefix affinity: rendezvous hashing of the opening, bounded load.
+
+    Every router ranks the candidates by the rendezvous (highest random
+    weight) hash of the prompt's opening and the engine's name, and takes the
+    first that has a free slot; if none has, the one with the shortest queue,
+    higher weight first. Routers agree without exchanging any state, so it
+    needs no cache events: the mechanism for a fleet too large for every
+    router to index every engine (docs/CAPACITY.md). The bound on load is in
+    the spirit of consistent hashing with bounded loads (Mirrokni, Thorup and
+    Zadimoghaddam, 2018).
+    """
+
+    name = "affinity"
+
+    def choose(self, candidates: Sequence[Candidate]) -> Candidate:
+        ranked = sorted(candidates, key=lambda c: c.affinity_weight, reverse=True)
+        for candidate in ranked:
+            if candidate.load_requests < candidate.slots:
+                return candidate
+        return min(ranked, key=lambda c: c.load_requests - c.slots)
+
+
 def _lowest(candidates: Sequence[Candidate], cost, turn: int) -> Candidate:
     """Return the cheapest candidate; among equals, rotate by ``turn``."""
     count = len(candidates)
@@ -129,4 +155,5 @@
     return {
         RoundRobinPolicy.name: RoundRobinPolicy,
         LeastLoadedPolicy.name: LeastLoadedPolicy,
+        AffinityPolicy.name: AffinityPolicy,
     }[name]()
--- a/src/kumquatseam/routing/_router.py
+++ b/src/kumquatseam/routing/_router.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 import attrs
+import xxhash
 
 from kumquatseam.engines import (
     CacheEventBatch,
@@ -24,6 +25,10 @@
 
 _log = part_logger("route")
 
+#: blocks of the prompt whose key names its opening for affinity (512 tokens
+#: at 16 per block: the common instruction and the team's checklist).
+AFFINITY_BLOCKS = 32
+
 
 @attrs.frozen
 class RoutingRequest:
@@ -116,6 +121,7 @@
         keys = block_keys(
             list(request.tokens), self._block_size_tokens, salt_seed(request.salt)
         )
+        opening = keys[min(len(keys), AFFINITY_BLOCKS) - 1] if keys else 0
         found = []
         for name in request.team.upstreams:
             upstream = self._settings.upstream(name)
@@ -125,7 +131,10 @@
                 continue
             matched = self.index.match(name, keys, now_s)
             load = self.fleet.load_requests(name)
-            found.append(Candidate(name, matched, len(keys), load, upstream.slots))
+            weight = xxhash.xxh3_64_intdigest(name.encode(), seed=opening)
+            found.append(
+                Candidate(name, matched, len(keys), load, upstream.slots, weight)
+            )
         return found
 
     def route(self, request: RoutingRequest) -> RoutingDecision:
--- a/src/kumquatseam/settings/_schema.py
+++ b/src/kumquatseam/settings/_schema.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-POLICY_NAMES = ("prefix_aware", "round_robin", "least_loaded")
+POLICY_NAMES = ("prefix_aware", "round_robin", "least_loaded", "affinity")
 
 
 @attrs.frozen
