--- a/src/kumquatseam/bench/_slopes.py
+++ b/src/kumquatseam/bench/_slopes.py
@@ -22,6 +22,8 @@
 
 #: keys per cache-event batch in the measurements.
 BATCH_KEYS = 64
+#: tokens per answer in the second daemon burst (the first asks 16).
+LONG_ANSWER_TOKENS = 64
 
 
 @attrs.frozen
@@ -174,7 +176,6 @@
     from pathlib import Path
 
     from kumquatseam.bench._demo import demo_fleet, demo_target
-    from kumquatseam.bench._driver import WorkloadDriver
     from kumquatseam.bench._workload import NestedPromptWorkload, WorkloadTeam
     from kumquatseam.settings import load_settings
 
@@ -183,6 +184,8 @@
         WorkloadTeam(t.name, t.api_keys[0], t.priority_classes) for t in settings.teams
     ]
     burst = NestedPromptWorkload().requests(teams, requests, seed)
+    short_target = demo_target(settings)
+    long_target = attrs.evolve(short_target, max_tokens=LONG_ANSWER_TOKENS)
     folder = Path(tempfile.mkdtemp(prefix="kumquatseam-slopes-"))
     engines, daemon = demo_fleet(settings, "prefix_aware", seed, folder)
     started = []
@@ -191,11 +194,8 @@
             program.start()
             started.append(program)
         idle_rss = daemon.rss_bytes()
-        cpu_before_s = daemon.cpu_s()
-        wall_before_s = time.monotonic()
-        WorkloadDriver(demo_target(settings), 12).drive(burst, 0.01)
-        wall_s = time.monotonic() - wall_before_s
-        cpu_s = daemon.cpu_s() - cpu_before_s
+        cpu_short_s, wall_s = _daemon_cpu_s(daemon, short_target, burst)
+        cpu_long_s, _ = _daemon_cpu_s(daemon, long_target, burst)
         busy_rss = daemon.rss_bytes()
     finally:
         for program in reversed(started):
@@ -207,16 +207,86 @@
         ),
         Slope(
             "daemon_cpu_ms_per_request",
-            cpu_s / requests * 1000,
+            cpu_short_s / requests * 1000,
             "ms",
             f"{requests} streamed requests, 16 tokens each, in {wall_s:.1f} s",
         ),
+        Slope(
+            "daemon_cpu_us_per_token",
+            (cpu_long_s - cpu_short_s) / (requests * (LONG_ANSWER_TOKENS - 16)) * 1e6,
+            "us",
+            f"same burst at {LONG_ANSWER_TOKENS} tokens, difference per token",
+        ),
+    ]
+
+
+def _daemon_cpu_s(daemon, target, burst) -> tuple[float, float]:
+    """Drive ``burst`` and return the daemon's CPU seconds and the wall time."""
+    from kumquatseam.bench._driver import WorkloadDriver
+
+    cpu_before_s = daemon.cpu_s()
+    wall_before_s = time.monotonic()
+    WorkloadDriver(target, 12).drive(burst, 0.01)
+    return daemon.cpu_s() - cpu_before_s, time.monotonic() - wall_before_s
+
+
+def measure_records(upstreams: int = 8_000, teams: int = 490) -> list[Slope]:
+    """Memory of the settings records a router keeps per upstream and team."""
+    from kumquatseam.settings import TeamSettings, UpstreamSettings
+
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    records = [
+        UpstreamSettings(
+            f"seer-pool-{n}",
+            f"http://10.1.{n // 250}.{n % 250}:8000",
+            f"tcp://10.1.{n // 250}.{n % 250}:8601",
+            f"zone-{n % 8}",
+            (f"model-{n % 33}",),
+            8,
+        )
+        for n in range(upstreams)
+    ]
+    middle = tracemalloc.get_traced_memory()[0]
+    names = tuple(r.name for r in records[:240])
+    team_records = [
+        TeamSettings(
+            f"team-{n}",
+            (f"key-{n}-a", f"key-{n}-b"),
+            ("triage", "summary"),
+            ("model-1", "model-2"),
+            names,
+        )
+        for n in range(teams)
+    ]
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del records, team_records
+    return [
+        Slope(
+            "upstream_record_bytes",
+            (middle - before) / upstreams,
+            "bytes",
+            f"tracemalloc of {upstreams} UpstreamSettings",
+        ),
+        Slope(
+            "team_record_bytes",
+            (after - middle) / teams,
+            "bytes",
+            f"{teams} TeamSettings sharing one 240-name upstream tuple",
+        ),
     ]
 
 
 def measure_all() -> list[Slope]:
     """Every slope above."""
-    return [*measure_index(), *measure_wire(), *measure_routing(), *measure_daemon()]
+    return [
+        *measure_index(),
+        *measure_wire(),
+        *measure_routing(),
+        *measure_records(),
+        *measure_daemon(),
+    ]
 
 
 def format_slopes(slopes: list[Slope]) -> str:
