Graceful shutdown drains running streams; fault features for broken streams and refusals

Cause: a new feature sent SIGTERM to kumquatseamd while six 20-token streams (40 ms a token) ran: every stream broke ("Response ended prematurely"). gevent's WSGIServer.stop() waits for handlers only when the server spawns from a pool; with the default spawn it closes the listener and returns at once, so the daemon closed its other parts and exited under the running streams. Ruled out: drain_timeout_s (5 s in the test, the streams need 0.8 s).

Change: the caller interface's server spawns from a gevent Pool, so close() stops accepting and waits up to drain_timeout_s. New features: SIGTERM mid-stream (all complete, exit 0); an engine killed half-way through an answer (the stream ends with an error saying "may_have_run" and no [DONE]); every engine down (503, "not_run", Retry-After). Program gains terminate() and wait().

--- /dev/null
+++ b/features/shutdown_and_faults.feature
@@ -0,0 +1,23 @@
+Feature: Graceful shutdown, broken streams and true refusals
+  Faults injected: SIGTERM while streams run, an engine killed in the middle
+  of an answer, every engine down.
+
+  Scenario: A graceful shutdown cuts off no request
+    Given a router before 1 stand-in engine that decodes a token every 40 ms
+    When 6 callers stream 20-token answers at once
+    And the router gets SIGTERM while they stream
+    Then all 6 streams arrive complete and end with [DONE]
+    And the router exits with code 0
+
+  Scenario: An answer broken by an engine crash is reported, never cut silently
+    Given a router before 1 stand-in engine that decodes a token every 40 ms
+    When a caller streams a 40-token answer and the engine is killed half-way
+    Then the stream ends with an error that says the work may have run
+    And the stream has no [DONE]
+
+  Scenario: A refusal that says "not run" is true
+    Given a router before 1 stand-in engine
+    When the engine crashes and stays down
+    And team "alpha" sends a 64-token prompt
+    Then the caller got status 503
+    And the refusal says the work was not run and when to come back
--- /dev/null
+++ b/features/steps/fault_steps.py
@@ -0,0 +1,103 @@
+"""Steps that inject faults: SIGTERM mid-stream, engine crashes, engines down."""
+
+import json
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import sseclient
+from behave import then, when
+from fleet_steps import HTTP, prompt_of, send
+
+#: how long after the streams start the fault is injected.
+FAULT_AFTER_S = 0.3
+
+
+def stream_events(context, max_tokens: int, on_first_token=None) -> list[str]:
+    body = {
+        "model": "zaras-7b",
+        "prompt": prompt_of(48),
+        "stream": True,
+        "max_tokens": max_tokens,
+    }
+    response = HTTP.request(
+        "POST",
+        f"http://127.0.0.1:{context.router_port}/v1/completions",
+        body=json.dumps(body).encode(),
+        headers={"Authorization": "Bearer key-alpha"},
+        preload_content=False,
+    )
+    events = []
+    for event in sseclient.SSEClient(response.stream(64)).events():
+        events.append(event.data)
+        if on_first_token and len(events) == 1:
+            on_first_token()
+    response.release_conn()
+    return events
+
+
+@when("{count:d} callers stream {tokens:d}-token answers at once")
+def step_parallel_streams(context, count, tokens):
+    context.pool = ThreadPoolExecutor(count)
+    context.futures = [
+        context.pool.submit(stream_events, context, tokens) for _ in range(count)
+    ]
+    context.expected_tokens = tokens
+
+
+@when("the router gets SIGTERM while they stream")
+def step_sigterm(context):
+    time.sleep(FAULT_AFTER_S)
+    context.daemon.terminate()
+
+
+@then("all {count:d} streams arrive complete and end with [DONE]")
+def step_all_complete(context, count):
+    results = [future.result(timeout=30) for future in context.futures]
+    assert len(results) == count
+    for events in results:
+        assert events[-1] == "[DONE]", events[-2:]
+        chunks = [json.loads(e) for e in events[:-1]]
+        tokens = [c for c in chunks if c["choices"]]
+        assert len(tokens) == context.expected_tokens, len(tokens)
+
+
+@then("the router exits with code {code:d}")
+def step_router_exit(context, code):
+    assert context.daemon.wait(timeout_s=20) == code
+
+
+@when("a caller streams a {tokens:d}-token answer and the engine is killed half-way")
+def step_kill_mid_stream(context, tokens):
+    engine = context.engines[0]["program"]
+    half_s = tokens / 2 * 0.04
+
+    def kill_later():
+        threading.Timer(half_s, engine.kill).start()
+
+    context.events = stream_events(context, tokens, on_first_token=kill_later)
+
+
+@then("the stream ends with an error that says the work may have run")
+def step_error_may_have_run(context):
+    last = json.loads(context.events[-1])
+    assert last["error"]["run"] == "may_have_run", last
+
+
+@then("the stream has no [DONE]")
+def step_no_done(context):
+    assert "[DONE]" not in context.events
+
+
+@when("the engine crashes and stays down")
+def step_engine_down(context):
+    context.engines[0]["program"].kill()
+
+
+@then("the refusal says the work was not run and when to come back")
+def step_not_run(context):
+    assert context.answer["error"]["run"] == "not_run", context.answer
+    assert context.retry_after is not None
+
+
+__all__ = ["send"]
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -74,6 +74,12 @@
     return program
 
 
+@given("a router before {count:d} stand-in engine that decodes a token every {ms:d} ms")
+def step_slow_fleet(context, count, ms):
+    context.engine_options = {"decode_ms_per_token": ms}
+    step_fleet(context, count)
+
+
 @given("a router before {count:d} stand-in engine")
 def step_fleet(context, count):
     context.folder = Path(tempfile.mkdtemp(prefix="kumquatseam-test-"))
@@ -99,6 +105,7 @@
             log_path=str(context.daemon_log),
         ),
     )
+    context.daemon = context.programs[-1]
     context.request_ids = []
     context.prompt = None
 
@@ -110,6 +117,7 @@
         engine["events_port"],
         seed=3,
         log_path=str(context.folder / f"{engine['name']}.log"),
+        **getattr(context, "engine_options", {}),
         event_loss_ratio=0,
         event_delay_s=0.05,
         load_lag_s=0.1,
@@ -135,6 +143,7 @@
         preload_content=False,
     )
     context.status = response.status
+    context.retry_after = response.headers.get("Retry-After")
     if response.headers.get("X-Request-Id"):
         context.request_ids.append(response.headers["X-Request-Id"])
     if stream and response.status == 200:
--- a/src/kumquatseam/bench/_processes.py
+++ b/src/kumquatseam/bench/_processes.py
@@ -95,6 +95,14 @@
                 return int(line.split()[1]) * 1024
         return 0
 
+    def terminate(self) -> None:
+        """Send SIGTERM and return at once (a graceful shutdown begins)."""
+        self._process.send_signal(signal.SIGTERM)
+
+    def wait(self, timeout_s: float) -> int:
+        """Wait for the process to exit and return its exit code."""
+        return self._process.wait(timeout_s)
+
     def kill(self) -> None:
         """Kill the process at once, as a crash would."""
         self._process.kill()
--- a/src/kumquatseam/callers/_interface.py
+++ b/src/kumquatseam/callers/_interface.py
@@ -7,6 +7,7 @@
 
 import attrs
 import bottle
+import gevent.pool
 import gevent.pywsgi
 
 from kumquatseam.callers._calls import CompletionCall, read_call
@@ -75,8 +76,13 @@
     def start(self) -> None:
         """Begin accepting callers."""
         daemon = self._settings.daemon
+        # A pool, not the default spawn: only with a pool does stop() wait for
+        # running handlers, which is what lets a shutdown drain.
         self._server = gevent.pywsgi.WSGIServer(
-            (daemon.listen_host, daemon.listen_port), self.app, log=None
+            (daemon.listen_host, daemon.listen_port),
+            self.app,
+            log=None,
+            spawn=gevent.pool.Pool(),
         )
         self._server.start()
         _log.info("listening on {}", self.address)
