--- a/features/shutdown_and_faults.feature
+++ b/features/shutdown_and_faults.feature
@@ -1,6 +1,6 @@
 Feature: Graceful shutdown, broken streams and true refusals
   Faults injected: SIGTERM while streams run, an engine killed in the middle
-  of an answer, every engine down.
+  of an answer, answers labelled with another request's id, every engine down.
 
   Scenario: A graceful shutdown cuts off no request
     Given a router before 1 stand-in engine that decodes a token every 40 ms
@@ -15,6 +15,13 @@
     Then the stream ends with an error that says the work may have run
     And the stream has no [DONE]
 
+  Scenario: A crossed answer never reaches the wrong caller
+    Given a router before 1 stand-in engine that crosses its answers
+    When team "alpha" streams a 64-token prompt asking for 4 tokens
+    Then the stream ends with an error that says the work may have run
+    And the stream has no [DONE]
+    And the stream carries no token
+
   Scenario: A refusal that says "not run" is true
     Given a router before 1 stand-in engine
     When the engine crashes and stays down
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -89,6 +89,12 @@
     assert "[DONE]" not in context.events
 
 
+@then("the stream carries no token")
+def step_no_token(context):
+    chunks = [json.loads(e) for e in context.events if e != "[DONE]"]
+    assert not [c for c in chunks if c.get("choices")], chunks
+
+
 @when("the engine crashes and stays down")
 def step_engine_down(context):
     context.engines[0]["program"].kill()
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -80,6 +80,12 @@
     step_fleet(context, count)
 
 
+@given("a router before {count:d} stand-in engine that crosses its answers")
+def step_crossing_fleet(context, count):
+    context.engine_options = {"crossed_answers": True}
+    step_fleet(context, count)
+
+
 @given("a router before {count:d} stand-in engine")
 def step_fleet(context, count):
     context.folder = Path(tempfile.mkdtemp(prefix="kumquatseam-test-"))
--- a/src/kumquatseam/cli.py
+++ b/src/kumquatseam/cli.py
@@ -45,6 +45,7 @@
         event_loss_ratio: float = 0.05,
         load_lag_s: float = 0.5,
         time_scale: float = 1.0,
+        crossed_answers: bool = False,
     ) -> None:
         """Run a stand-in model engine until SIGTERM.
 
@@ -70,6 +71,7 @@
                 load_lag_s=load_lag_s,
                 seed=seed,
                 time_scale=time_scale,
+                crossed_answers=crossed_answers,
             )
         )
         _run_until_signal(engine)
--- a/src/kumquatseam/engines/_client.py
+++ b/src/kumquatseam/engines/_client.py
@@ -79,7 +79,9 @@
         :param upstream: the engine's name, for errors.
         :param url: the engine's base URL.
         :param request: what to run.
-        :returns: an iterator of chunks in the engine's order.
+        :returns: an iterator of chunks in the engine's order; a piece that
+            carries another request's id ends it with an error, so a crossed
+            answer never reaches the wrong caller.
         :raises UpstreamError: ``started=False`` if the connection could not be
             opened; ``started=True`` for any later failure.
         """
@@ -109,9 +111,11 @@
             raise UpstreamError(upstream, False, f"cannot connect: {error}") from error
         except urllib3.exceptions.HTTPError as error:
             raise UpstreamError(upstream, True, f"request failed: {error}") from error
-        return self._chunks(upstream, response)
+        return self._chunks(upstream, request.request_id, response)
 
-    def _chunks(self, upstream: str, response) -> Iterator[EngineChunk]:
+    def _chunks(
+        self, upstream: str, request_id: str, response
+    ) -> Iterator[EngineChunk]:
         try:
             if response.status != 200:
                 raise UpstreamError(
@@ -122,7 +126,10 @@
                 if event.data == _DONE:
                     finished = True
                     break
-                yield _chunk_from(json.loads(event.data))
+                data = json.loads(event.data)
+                if data.get("id", request_id) != request_id:
+                    raise UpstreamError(upstream, True, f"crossed answer {data['id']}")
+                yield _chunk_from(data)
             if not finished:
                 raise UpstreamError(upstream, True, "answer ended before [DONE]")
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
--- a/src/kumquatseam/standins/engine/_engine.py
+++ b/src/kumquatseam/standins/engine/_engine.py
@@ -113,6 +113,8 @@
         rank = int(body.get("priority", 0))
         max_tokens = int(body.get("max_tokens", 16))
         request_id = body.get("request_id") or uuid.uuid4().hex
+        if self.settings.crossed_answers:
+            request_id = f"{request_id}-of-someone-else"
         bottle.response.content_type = "text/event-stream"
         return self._stream(
             request_id, body.get("model", ""), prompt, salt, rank, max_tokens
--- a/src/kumquatseam/standins/engine/_settings.py
+++ b/src/kumquatseam/standins/engine/_settings.py
@@ -24,6 +24,8 @@
     :param load_lag_s: load is reported this late.
     :param seed: seed of all its randomness.
     :param time_scale: real seconds per modelled second.
+    :param crossed_answers: fault: label every answer with another request's
+        id, as a confused connection pool in between might.
     """
 
     name: str
@@ -41,3 +43,4 @@
     load_lag_s: float = 0.5
     seed: int = 7
     time_scale: float = 1.0
+    crossed_answers: bool = False
