--- a/src/kumquatseam/bench/_modelled.py
+++ b/src/kumquatseam/bench/_modelled.py
@@ -64,6 +64,22 @@
     priority_class: str
 
 
+@attrs.frozen
+class TimelinePoint:
+    """One request's figures at its modelled arrival, for plots.
+
+    :param arrival_s: modelled arrival time.
+    :param ttft_ms: modelled time to first token.
+    :param prompt_tokens: its prompt tokens.
+    :param cached_tokens: of those, served from cache.
+    """
+
+    arrival_s: float
+    ttft_ms: float
+    prompt_tokens: int
+    cached_tokens: int
+
+
 @attrs.frozen
 class PolicyFigures:
     """One policy's figures on one trace.
@@ -71,11 +87,13 @@
     :param summary: the users' measures.
     :param duplicates: requests run more than once (must be 0).
     :param lost: requests never answered (must be 0).
+    :param timeline: each request's figures in arrival order.
     """
 
     summary: FiguresSummary
     duplicates: int
     lost: int
+    timeline: tuple[TimelinePoint, ...] = ()
 
 
 @attrs.define
@@ -203,6 +221,7 @@
     order = itertools.count()
     crash_at = _ratio_index(scenario.crash_at_ratio, len(trace))
     figures = RequestFigures()
+    timeline = []
     block = daemon.block_size_tokens
     for index, request in enumerate(trace):
         now[0] = request.arrival_s
@@ -263,7 +282,12 @@
             matched * block,
             (best_blocks - matched) * block,
         )
-    return PolicyFigures(figures.summary(), duplicates=0, lost=0)
+        timeline.append(
+            TimelinePoint(
+                request.arrival_s, ttft_s * 1000, len(request.tokens), matched * block
+            )
+        )
+    return PolicyFigures(figures.summary(), 0, 0, tuple(timeline))
 
 
 def _serve(
--- a/src/kumquatseam/cli.py
+++ b/src/kumquatseam/cli.py
@@ -138,6 +138,7 @@
         seed: int = 1,
         requests: int = 1500,
         json: bool = False,
+        plot: str | None = None,
     ) -> None:
         """Run every policy and the oracle on a seeded scenario, in modelled time.
 
@@ -146,12 +147,18 @@
         :param seed: seed of the trace.
         :param requests: arrivals in the trace.
         :param json: print one JSON object instead of the table.
+        :param plot: also draw ttft and hit rate over time to this image file
+            (needs the ``plot`` extra: matplotlib).
         """
         from kumquatseam.bench._report import format_json, format_report, run_bench
 
         configure_logging("kumquatseam", "WARNING")
         report = run_bench(scenario, seed, requests, progress=not json)
         print(format_json(report) if json else format_report(report))
+        if plot:
+            from kumquatseam.bench._plot import plot_report
+
+            plot_report(report, plot)
 
 
 def _run_until_signal(part) -> None:
