--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -7,26 +7,14 @@
 
 import sseclient
 from behave import then, when
-from fleet_steps import HTTP, prompt_of, send
+from fleet_steps import post_completion, prompt_of
 
 #: how long after the streams start the fault is injected.
 FAULT_AFTER_S = 0.3
 
 
 def stream_events(context, max_tokens: int, on_first_token=None) -> list[str]:
-    body = {
-        "model": "zaras-7b",
-        "prompt": prompt_of(48),
-        "stream": True,
-        "max_tokens": max_tokens,
-    }
-    response = HTTP.request(
-        "POST",
-        f"http://127.0.0.1:{context.router_port}/v1/completions",
-        body=json.dumps(body).encode(),
-        headers={"Authorization": "Bearer key-alpha"},
-        preload_content=False,
-    )
+    response = post_completion(context, "key-alpha", prompt_of(48), True, max_tokens)
     events = []
     for event in sseclient.SSEClient(response.stream(64)).events():
         events.append(event.data)
@@ -104,6 +92,3 @@
 def step_not_run(context):
     assert context.answer["error"]["run"] == "not_run", context.answer
     assert context.retry_after is not None
-
-
-__all__ = ["send"]
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -134,20 +134,25 @@
     return " ".join(f"tetel{i}" for i in range(tokens))
 
 
-def send(context, key: str, prompt: str, stream: bool, max_tokens: int = 4):
+def post_completion(context, key: str, prompt: str, stream: bool, max_tokens: int):
+    """POST to the router's /v1/completions; the answer is left unread."""
     body = {
         "model": "zaras-7b",
         "prompt": prompt,
         "stream": stream,
         "max_tokens": max_tokens,
     }
-    response = HTTP.request(
+    return HTTP.request(
         "POST",
         f"http://127.0.0.1:{context.router_port}/v1/completions",
         body=json.dumps(body).encode(),
         headers={"Authorization": f"Bearer {key}", "Content-Type": "application/json"},
         preload_content=False,
     )
+
+
+def send(context, key: str, prompt: str, stream: bool, max_tokens: int = 4):
+    response = post_completion(context, key, prompt, stream, max_tokens)
     context.status = response.status
     context.retry_after = response.headers.get("Retry-After")
     if response.headers.get("X-Request-Id"):
