--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -280,6 +280,19 @@
     context.old_epoch = wait_for(indexed, f"{count} indexed blocks")["epoch"]
 
 
+@when("the router is killed and started again")
+def step_router_restart(context):
+    context.daemon.kill()
+    context.daemon = start(
+        context,
+        daemon_program(
+            context.router_port,
+            str(context.settings_path),
+            log_path=str(context.daemon_log),
+        ),
+    )
+
+
 @when("the engine crashes and comes back empty")
 def step_engine_restart(context):
     engine = context.engines[0]
--- a/features/thin_path.feature
+++ b/features/thin_path.feature
@@ -27,6 +27,13 @@
     Then the router logged matched_blocks=0/4 for the last request
     And by the engine's accounting request 1 was served 0 cached tokens
 
+  Scenario: A router that restarts serves at once
+    Given a router before 1 stand-in engine
+    When team "alpha" sends a 64-token prompt
+    And the router is killed and started again
+    And team "alpha" sends the same prompt
+    Then the caller got status 200
+
   Scenario: An unknown key gets 401 and the engine sees nothing
     Given a router before 1 stand-in engine
     When a caller with the key "no-such-key" sends a 64-token prompt
@@ -43,3 +50,5 @@
       | daemon      | block_size_tokens | sixteen     |
       | daemon      | policy            | random      |
       | team:alpha  | upstreams         | nowhere-0   |
+      | team:beta   | api_keys          | key-alpha   |
+      | daemon      | listen            | 127.0.0.1   |
