Silent engines take no new work, heard from before or not; new-weights scenario

Cause: a scenario freezes one of two engines right after the router starts.

Change: FleetView.is_live gives an engine dead_after_s from when it is known to be heard; engines never heard from are only the last resort when no engine is live (their event stream may be what is broken). A scenario pins that new weights never reuse blocks cached under the old ones.

Conclusion: silence is judged the same whether or not the engine was ever heard.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -15,7 +15,9 @@
 
 from kumquatseam.bench._processes import daemon_program, engine_program
 
-HTTP = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(connect=2, read=20))
+HTTP = urllib3.PoolManager(
+    maxsize=16, retries=False, timeout=urllib3.Timeout(connect=2, read=20)
+)
 WAIT_S = 10.0
 BLOCK_SIZE_TOKENS = 16
 
@@ -86,6 +88,7 @@
     step_fleet(context, count)
 
 
+@given("a router before {count:d} stand-in engines")
 @given("a router before {count:d} stand-in engine")
 def step_fleet(context, count):
     context.folder = Path(tempfile.mkdtemp(prefix="kumquatseam-test-"))
@@ -280,6 +283,38 @@
     context.old_epoch = wait_for(indexed, f"{count} indexed blocks")["epoch"]
 
 
+@when('the router restarts with model version "{version}"')
+def step_router_new_version(context, version):
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read(context.settings_path)
+    parser["model:zaras-7b"]["version"] = version
+    with context.settings_path.open("w") as file:
+        parser.write(file)
+    step_router_restart(context)
+
+
+@when("engine {index:d} freezes")
+def step_engine_freeze(context, index):
+    context.engines[index]["program"].pause()
+
+
+@when("the router has not heard from engine {index:d} for {seconds:f} seconds")
+def step_wait_silence(context, index, seconds):
+    time.sleep(seconds)
+
+
+@when('team "{team}" sends {count:d} different prompts')
+def step_send_many(context, team, count):
+    for number in range(count):
+        send(context, f"key-{team}", prompt_of(40 + number), stream=False)
+
+
+@then("the router routed every request to {engine}")
+def step_routed_to(context, engine):
+    lines = [x for x in daemon_log(context) if " route: " in x]
+    assert lines and all(f" engine={engine} " in x for x in lines), lines
+
+
 @when("the router is killed and started again")
 def step_router_restart(context):
     context.daemon.kill()
--- a/features/thin_path.feature
+++ b/features/thin_path.feature
@@ -1,6 +1,7 @@
 Feature: The whole path, from caller through the router to an engine and back
   Real processes on loopback, real HTTP. Faults injected: engine restart
-  (crash, then back empty), an unknown key, a bad setting.
+  (crash, then back empty), engine freeze, router restart, new weights,
+  an unknown key, a bad setting.
 
   Scenario: A streamed answer arrives complete and in order
     Given a router before 1 stand-in engine
@@ -52,3 +53,17 @@
       | team:alpha  | upstreams         | nowhere-0   |
       | team:beta   | api_keys          | key-alpha   |
       | daemon      | listen            | 127.0.0.1   |
+
+  Scenario: New weights never reuse blocks cached under the old ones
+    Given a router before 1 stand-in engine
+    When team "alpha" sends a 64-token prompt
+    And the router restarts with model version "v2"
+    And team "alpha" sends the same prompt
+    Then by the engine's accounting request 2 was served 0 cached tokens
+
+  Scenario: A frozen engine gets no new work once it is silent
+    Given a router before 2 stand-in engines
+    When engine 1 freezes
+    And the router has not heard from engine 1 for 3.5 seconds
+    And team "alpha" sends 4 different prompts
+    Then the router routed every request to engine-0
--- a/src/kumquatseam/bench/_processes.py
+++ b/src/kumquatseam/bench/_processes.py
@@ -72,6 +72,7 @@
         if self._process is None:
             return None
         if self._process.poll() is None:
+            self._process.send_signal(signal.SIGCONT)
             self._process.send_signal(signal.SIGTERM)
             try:
                 self._process.wait(timeout_s)
@@ -103,6 +104,10 @@
         """Wait for the process to exit and return its exit code."""
         return self._process.wait(timeout_s)
 
+    def pause(self) -> None:
+        """Freeze the process (SIGSTOP): it keeps its sockets but answers nothing."""
+        self._process.send_signal(signal.SIGSTOP)
+
     def kill(self) -> None:
         """Kill the process at once, as a crash would."""
         self._process.kill()
--- a/src/kumquatseam/routing/_router.py
+++ b/src/kumquatseam/routing/_router.py
@@ -90,7 +90,9 @@
         self._block_size_tokens = settings.daemon.block_size_tokens
         self.index = PrefixIndex(settings.daemon.index_entry_ttl_s)
         self.fleet = FleetView(
-            [u.name for u in settings.upstreams], settings.daemon.engine_dead_after_s
+            [u.name for u in settings.upstreams],
+            settings.daemon.engine_dead_after_s,
+            clock(),
         )
 
     @property
@@ -122,13 +124,18 @@
             list(request.tokens), self._block_size_tokens, salt_seed(request.salt)
         )
         opening = keys[min(len(keys), AFFINITY_BLOCKS) - 1] if keys else 0
+        reachable = [
+            name
+            for name in request.team.upstreams
+            if name not in request.exclude
+            and request.model in self._settings.upstream(name).models
+        ]
+        live = [n for n in reachable if self.fleet.is_live(n, now_s)]
+        if not live:
+            live = [n for n in reachable if self.fleet.may_be_live(n, now_s)]
         found = []
-        for name in request.team.upstreams:
+        for name in live:
             upstream = self._settings.upstream(name)
-            if request.model not in upstream.models or name in request.exclude:
-                continue
-            if not self.fleet.is_live(name, now_s):
-                continue
             matched = self.index.match(name, keys, now_s)
             load = self.fleet.load_requests(name)
             weight = xxhash.xxh3_64_intdigest(name.encode(), seed=opening)
