--- /dev/null
+++ b/src/kumquatseam/codec.py
@@ -0,0 +1,68 @@
+"""Binary codec for the messages and records of our own processes.
+
+One :class:`MessageCodec` covers a closed set of frozen ``attrs`` classes and
+writes them as msgpack ``[kind, body]`` through cattrs, so no message travels
+as a bare map and an unknown kind is a typed failure.
+
+Example::
+
+    >>> import attrs
+    >>> @attrs.frozen
+    ... class Ping:
+    ...     sequence: int
+    >>> codec = MessageCodec("example", {"ping": Ping})
+    >>> codec.decode(codec.encode(Ping(7)))
+    Ping(sequence=7)
+"""
+
+from collections.abc import Mapping
+
+import msgpack
+from cattrs.errors import BaseValidationError, ForbiddenExtraKeysError
+from cattrs.preconf.msgpack import make_converter
+
+from kumquatseam.errors import CodecError
+
+_CONVERTER = make_converter()
+
+
+class MessageCodec:
+    """Encodes and decodes a closed set of message classes.
+
+    :param family: what the messages are for, named in errors.
+    :param kinds: wire name to message class.
+    """
+
+    def __init__(self, family: str, kinds: Mapping[str, type]) -> None:
+        self._family = family
+        self._kinds = dict(kinds)
+        self._names = {cls: kind for kind, cls in self._kinds.items()}
+
+    def encode(self, message: object) -> bytes:
+        """Return ``message`` as msgpack bytes.
+
+        :raises CodecError: if its class is not in the set.
+        """
+        kind = self._names.get(type(message))
+        if kind is None:
+            raise CodecError(self._family, f"unknown class {type(message).__name__}")
+        return msgpack.packb([kind, _CONVERTER.unstructure(message)])
+
+    def decode(self, data: bytes) -> object:
+        """Return the message in ``data``.
+
+        :raises CodecError: if the bytes are not a message of the set.
+        """
+        try:
+            kind, body = msgpack.unpackb(data, strict_map_key=False)
+            return _CONVERTER.structure(body, self._kinds[kind])
+        except (
+            BaseValidationError,
+            ForbiddenExtraKeysError,
+            msgpack.UnpackException,
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+        ) as error:
+            raise CodecError(self._family, repr(error)) from error
--- /dev/null
+++ b/src/kumquatseam/logservice/__init__.py
@@ -0,0 +1,53 @@
+"""The platform's append-only log service, as the router uses it.
+
+- :class:`LogService` is the interface: append, read, newest record per key.
+- :class:`HttpLogService` speaks the platform's published HTTP protocol.
+- :func:`append_once` makes a conditional append exactly-once although the
+  answer to it may be lost.
+"""
+
+from kumquatseam.logservice._append_once import append_once
+from kumquatseam.logservice._errors import (
+    LogAnswerLostError,
+    LogConflictError,
+    LogRecordsExpiredError,
+    LogServiceError,
+    LogUnavailableError,
+)
+from kumquatseam.logservice._framing import (
+    frame_keyed,
+    frame_records,
+    frame_slice,
+    unframe_keyed,
+    unframe_records,
+)
+from kumquatseam.logservice._http import HttpLogService
+from kumquatseam.logservice._service import (
+    KEYED_PREFIX,
+    KeyedPage,
+    KeyedRecord,
+    LogRecord,
+    LogService,
+    LogSlice,
+)
+
+__all__ = [
+    "KEYED_PREFIX",
+    "HttpLogService",
+    "KeyedPage",
+    "KeyedRecord",
+    "LogAnswerLostError",
+    "LogConflictError",
+    "LogRecord",
+    "LogRecordsExpiredError",
+    "LogService",
+    "LogServiceError",
+    "LogSlice",
+    "LogUnavailableError",
+    "append_once",
+    "frame_keyed",
+    "frame_records",
+    "frame_slice",
+    "unframe_keyed",
+    "unframe_records",
+]
--- /dev/null
+++ b/src/kumquatseam/logservice/_append_once.py
@@ -0,0 +1,73 @@
+"""Exactly-once conditional append over a log whose answers can be lost."""
+
+import time
+from collections.abc import Callable
+
+from kumquatseam.logservice._errors import (
+    LogAnswerLostError,
+    LogConflictError,
+    LogUnavailableError,
+)
+from kumquatseam.logservice._service import LogService
+
+ATTEMPTS = 6
+PAUSE_S = 0.2
+
+
+def append_once(
+    log: LogService,
+    topic: str,
+    payload: bytes,
+    at: int,
+    attempts: int = ATTEMPTS,
+    sleep: Callable[[float], None] = time.sleep,
+) -> int:
+    """Append ``payload`` at offset ``at`` exactly once.
+
+    ``payload`` must be unique (carry its own id). When an answer is lost the
+    topic is read back: our own bytes at ``at`` mean it took effect; other
+    bytes mean somebody else won the offset; nothing there means it may yet
+    take effect, and appending again under the same condition is then safe,
+    since only one append can ever land at ``at``.
+
+    :returns: ``at``.
+    :raises LogConflictError: if another record holds offset ``at``; ours is
+        not in the log and never will be.
+    :raises LogUnavailableError: if nothing was done in every attempt.
+    :raises LogAnswerLostError: if the outcome is still unknown.
+    """
+    uncertain = False
+    last: Exception | None = None
+    for attempt in range(attempts):
+        if attempt:
+            sleep(PAUSE_S * attempt)
+        try:
+            return log.append(topic, [payload], at=at)
+        except LogConflictError as conflict:
+            if not uncertain:
+                raise
+            outcome = _read_back(log, topic, payload, at)
+            if outcome is True:
+                return at
+            if outcome is False:
+                raise
+            last = conflict
+        except LogAnswerLostError as error:
+            uncertain = True
+            last = error
+            if _read_back(log, topic, payload, at) is True:
+                return at
+        except LogUnavailableError as error:
+            last = error
+    if uncertain:
+        raise LogAnswerLostError(f"unresolved after {attempts} attempts") from last
+    raise last
+
+
+def _read_back(log: LogService, topic: str, payload: bytes, at: int) -> bool | None:
+    """Return whether our record holds offset ``at``; ``None`` if unknown."""
+    try:
+        found = log.read(topic, at).records
+    except (LogUnavailableError, LogAnswerLostError):
+        return None
+    return found[0].payload == payload if found else None
--- /dev/null
+++ b/src/kumquatseam/logservice/_framing.py
@@ -0,0 +1,71 @@
+"""The platform's published record framing: a 4-byte big-endian length each.
+
+In keyed topics a record's content is a 1-byte key length, the key, and the
+value; no value drops the key. A read's body begins with the topic's end and
+first offset, 8 bytes each.
+"""
+
+import struct
+from collections.abc import Iterable
+
+from kumquatseam.errors import CodecError
+
+_LENGTH = struct.Struct(">I")
+_BOUNDS = struct.Struct(">QQ")
+
+
+def frame_records(payloads: Iterable[bytes]) -> bytes:
+    """Return ``payloads`` framed for an append."""
+    return b"".join(_LENGTH.pack(len(p)) + p for p in payloads)
+
+
+def unframe_records(data: bytes) -> list[bytes]:
+    """Return the payloads in framed ``data``.
+
+    :raises CodecError: if the last record is cut short.
+    """
+    payloads = []
+    position = 0
+    while position < len(data):
+        start = position + _LENGTH.size
+        if start > len(data):
+            raise CodecError("log records", "cut inside a length")
+        (length,) = _LENGTH.unpack_from(data, position)
+        position = start + length
+        if position > len(data):
+            raise CodecError("log records", "cut inside a record")
+        payloads.append(data[start:position])
+    return payloads
+
+
+def frame_slice(end_offset: int, first_offset: int, payloads: Iterable[bytes]) -> bytes:
+    """Return the body of a read's answer."""
+    return _BOUNDS.pack(end_offset, first_offset) + frame_records(payloads)
+
+
+def unframe_slice(data: bytes) -> tuple[int, int, list[bytes]]:
+    """Return ``(end_offset, first_offset, payloads)`` of a read's answer.
+
+    :raises CodecError: if it is cut short.
+    """
+    if len(data) < _BOUNDS.size:
+        raise CodecError("log read", "cut inside the offsets")
+    end_offset, first_offset = _BOUNDS.unpack_from(data)
+    return end_offset, first_offset, unframe_records(data[_BOUNDS.size :])
+
+
+def frame_keyed(key: str, value: bytes) -> bytes:
+    """Return the content of a keyed record."""
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
+def unframe_keyed(content: bytes) -> tuple[str, bytes]:
+    """Return ``(key, value)`` of a keyed record's content.
+
+    :raises CodecError: if it is cut short.
+    """
+    if not content or len(content) < 1 + content[0]:
+        raise CodecError("keyed record", "cut inside the key")
+    split = 1 + content[0]
+    return content[1:split].decode(), content[split:]
