Fleet control: configuration through the log, membership, duties, operators' language

Stand-ins: log service, instance list, weight store, plain service; the engine takes orders, names its weights and refuses mismatches. Test steps run on bench.LocalFleet instead of their own launcher.

--- a/features/environment.py
+++ b/features/environment.py
@@ -4,12 +4,12 @@
 
 
 def before_scenario(context, scenario):
-    context.programs = []
+    context.fleet = None
     context.folder = None
 
 
 def after_scenario(context, scenario):
-    for program in reversed(context.programs):
-        program.close()
+    if context.fleet:
+        context.fleet.close()
     if context.folder:
         shutil.rmtree(context.folder, ignore_errors=True)
--- a/src/kumquatseam/cli.py
+++ b/src/kumquatseam/cli.py
@@ -2,11 +2,14 @@
 
 Commands::
 
+    kumquatseam query 'show running'       # ask every router
+    kumquatseam apply 'drain upstream X'   # change the fleet's configuration
     kumquatseam demo                       # the main job on the embedded default
+    kumquatseam fleet                      # a fleet on loopback to try commands on
     kumquatseam bench --scenario hivatal   # seeded bench in modelled time
     kumquatseam slopes                     # the slopes behind docs/CAPACITY.md
     kumquatseam check-settings FILE.ini    # check a settings file
-    kumquatseam standin engine --name N --port P --events-port E
+    kumquatseam standin engine|log|instances|weights|service ...
 
 Built on ``fire``; run ``kumquatseam COMMAND --help`` for each command's flags.
 """
@@ -15,73 +18,29 @@
 
 monkey.patch_all()
 
-import signal  # noqa: E402
+import getpass  # noqa: E402
 import sys  # noqa: E402
+import warnings  # noqa: E402
 
 import fire  # noqa: E402
-import gevent  # noqa: E402
-import gevent.event  # noqa: E402
 
-from kumquatseam.errors import SettingsError  # noqa: E402
+from kumquatseam.errors import KumquatseamError, SettingsError  # noqa: E402
 from kumquatseam.logs import configure_logging  # noqa: E402
-from kumquatseam.settings import POLICY_NAMES, load_settings  # noqa: E402
+from kumquatseam.settings import POLICY_NAMES, Settings, load_settings  # noqa: E402
 
-
-class Standins:
-    """Run stand-ins of the outside systems (for tests, the demo and the bench)."""
-
-    def engine(
-        self,
-        name: str,
-        port: int,
-        events_port: int,
-        seed: int = 7,
-        block_size_tokens: int = 16,
-        capacity_blocks: int = 400,
-        prefill_ms_per_token: float = 0.2,
-        decode_ms_per_token: float = 4.0,
-        slots: int = 4,
-        event_delay_s: float = 0.2,
-        event_loss_ratio: float = 0.05,
-        load_lag_s: float = 0.5,
-        time_scale: float = 1.0,
-        crossed_answers: bool = False,
-    ) -> None:
-        """Run a stand-in model engine until SIGTERM.
-
-        :param name: replica name, e.g. ``nyelvmodell-flotta-0``.
-        :param port: HTTP port on 127.0.0.1.
-        :param events_port: TCP port of its nng event stream on 127.0.0.1.
-        """
-        from kumquatseam.standins.engine import EngineStandinSettings, StandinEngine
-
-        configure_logging(f"engine:{name}")
-        engine = StandinEngine(
-            EngineStandinSettings(
-                name=name,
-                port=port,
-                events_address=f"tcp://127.0.0.1:{events_port}",
-                block_size_tokens=block_size_tokens,
-                capacity_blocks=capacity_blocks,
-                prefill_ms_per_token=prefill_ms_per_token,
-                decode_ms_per_token=decode_ms_per_token,
-                slots=slots,
-                event_delay_s=event_delay_s,
-                event_loss_ratio=event_loss_ratio,
-                load_lag_s=load_lag_s,
-                seed=seed,
-                time_scale=time_scale,
-                crossed_answers=crossed_answers,
-            )
-        )
-        _run_until_signal(engine)
+EXIT_SETTINGS = 2
+EXIT_CONFLICT = 3
+EXIT_REFUSED = 4
+EXIT_UNAVAILABLE = 5
 
 
 class Commands:
     """The kumquatseam operator tool."""
 
     def __init__(self) -> None:
-        self.standin = Standins()
+        from kumquatseam.standins.commands import StandinCommands
+
+        self.standin = StandinCommands()
 
     def check_settings(self, path: str | None = None) -> str:
         """Check a settings file (none: the embedded default).
@@ -92,13 +51,72 @@
             settings = load_settings(path)
         except SettingsError as error:
             print(f"SettingsError: {error}", file=sys.stderr)
-            sys.exit(2)
+            sys.exit(EXIT_SETTINGS)
         found = settings.configuration
         return (
             f"settings: {settings.source} is valid: {len(found.teams)} teams, "
             f"{len(found.upstreams)} upstreams, {len(found.models)} models"
         )
 
+    def query(
+        self,
+        text: str,
+        settings: str | None = None,
+        routers: str | None = None,
+        json: bool = False,
+        timeout_s: float = 2.0,
+    ) -> None:
+        """Ask every router a query, e.g. ``show running where team = "pecs"``.
+
+        :param text: the query.
+        :param settings: a router's INI file, which names the instance list.
+        :param routers: control addresses, comma-separated, instead of the list.
+        :param json: print one JSON object instead of a table.
+        :param timeout_s: how long a router's answer is waited for.
+        """
+        from kumquatseam.operators.printing import answer_json, answer_table
+
+        configure_logging("kumquatseam", "ERROR")
+        console = _console(_load(settings), routers, timeout_s)
+        try:
+            answer = console.query(_text(text))
+        except KumquatseamError as error:
+            _exit(error)
+        print(answer_json(answer) if json else answer_table(answer))
+
+    def apply(
+        self,
+        text: str,
+        settings: str | None = None,
+        routers: str | None = None,
+        operator: str | None = None,
+        json: bool = False,
+        wait_s: float = 5.0,
+        timeout_s: float = 2.0,
+    ) -> None:
+        """Change the fleet's configuration, e.g. ``drain upstream seer-pool-3``.
+
+        Exits 2 on a fault in the text, 3 if another operator's command came
+        first, 4 if it does not fit the configuration, 5 if the log service
+        did not take it; nothing is changed then.
+
+        :param text: commands, separated by semicolons; all apply or none.
+        :param settings: a router's INI file, which names the log service.
+        :param routers: control addresses, comma-separated, instead of the list.
+        :param operator: who issues it (default: the user's name).
+        :param json: print one JSON object.
+        :param wait_s: how long to watch the routers put it in force.
+        """
+        from kumquatseam.operators.printing import applied_json, applied_text
+
+        configure_logging("kumquatseam", "ERROR")
+        console = _console(_load(settings), routers, timeout_s)
+        try:
+            applied = console.apply(_text(text), operator or getpass.getuser(), wait_s)
+        except KumquatseamError as error:
+            _exit(error)
+        print(applied_json(applied) if json else applied_text(applied))
+
     def demo(
         self,
         requests: int = 240,
@@ -122,10 +140,22 @@
         unknown = [p for p in chosen if p not in POLICY_NAMES]
         if unknown:
             print(f"SettingsError: unknown policies {unknown}", file=sys.stderr)
-            sys.exit(2)
+            sys.exit(EXIT_SETTINGS)
         outcomes = run_demo(chosen, requests, seed, concurrency, arrival_gap_s, log_dir)
         print(format_outcomes(outcomes))
 
+    def fleet(self, routers: int = 3, engines: int = 3, log_dir: str | None = None):
+        """Run a whole fleet on loopback until Ctrl-C, to try commands on.
+
+        :param routers: router daemons.
+        :param engines: stand-in engines.
+        :param log_dir: folder for settings and logs (default: a temporary one).
+        """
+        from kumquatseam.bench import run_fleet
+
+        configure_logging("kumquatseam", "WARNING")
+        run_fleet(routers, engines, log_dir)
+
     def slopes(self) -> None:
         """Measure the slopes docs/CAPACITY.md is worked out from."""
         from kumquatseam.bench._slopes import format_slopes, measure_all
@@ -162,17 +192,63 @@
             plot_report(report, plot)
 
 
-def _run_until_signal(part) -> None:
-    stop = gevent.event.Event()
-    gevent.signal_handler(signal.SIGTERM, stop.set)
-    gevent.signal_handler(signal.SIGINT, stop.set)
-    part.start()
-    stop.wait()
-    part.close()
+def _load(path: str | None) -> Settings:
+    try:
+        return load_settings(path)
+    except SettingsError as error:
+        _exit(error)
+
+
+def _text(argument) -> str:
+    """Return a language text that fire may have read as something else."""
+    return argument if isinstance(argument, str) else str(argument)
+
+
+def _console(settings: Settings, routers: str | None, timeout_s: float):
+    """Return a console for the routers named, listed, or the settings' own."""
+    from kumquatseam.fleet import router_addresses
+    from kumquatseam.instances import HttpInstanceList
+    from kumquatseam.logservice import HttpLogService
+    from kumquatseam.operators import FleetConsole
+
+    if routers:
+        names = routers if isinstance(routers, tuple | list) else routers.split(",")
+        addresses = {name: name for name in names}
+    elif settings.instances.url:
+        try:
+            listed = HttpInstanceList(settings.instances.url, timeout_s).read()
+        except KumquatseamError as error:
+            _exit(error)
+        addresses = router_addresses(listed)
+    else:
+        own = settings.fleet.control
+        addresses = {settings.daemon.instance_name: own} if own else {}
+    log = None
+    if settings.log.url:
+        log = HttpLogService(settings.log.url, settings.log.timeout_s)
+    return FleetConsole(addresses, log, settings.configuration, timeout_s)
+
+
+def _exit(error: KumquatseamError):
+    """Print a typed failure and exit with the code of its kind."""
+    from kumquatseam.fleet import ChangeRefusedError
+    from kumquatseam.logservice import LogServiceError
+    from kumquatseam.operators import CommandConflictError
+
+    codes = {
+        CommandConflictError: EXIT_CONFLICT,
+        ChangeRefusedError: EXIT_REFUSED,
+        LogServiceError: EXIT_UNAVAILABLE,
+    }
+    print(f"{type(error).__name__}: {error}", file=sys.stderr)
+    found = (code for cls, code in codes.items() if isinstance(error, cls))
+    sys.exit(next(found, EXIT_SETTINGS))
 
 
 def main() -> None:
     """Entry point of ``kumquatseam``."""
+    # fire tries every argument as a Python literal; paths make it warn.
+    warnings.simplefilter("ignore", SyntaxWarning)
     fire.Fire(Commands, name="kumquatseam")
 
 
--- /dev/null
+++ b/src/kumquatseam/control.py
@@ -0,0 +1,80 @@
+"""What a router answers at its control address.
+
+Peers send heartbeats and ask for warm state; operators ask queries.
+"""
+
+from collections.abc import Callable
+
+from kumquatseam.errors import CodecError
+from kumquatseam.fleet import (
+    ControlMessage,
+    Heartbeat,
+    LiveConfiguration,
+    Membership,
+    QueryFault,
+    QueryRequest,
+    RouterSummary,
+    WarmState,
+    WarmStateRequest,
+)
+from kumquatseam.operators import LanguageError, Query, QueryAnswerer, parse
+from kumquatseam.routing import PeerSummaries
+
+_NO_SUMMARY = RouterSummary()
+
+
+class ControlHandler:
+    """Replies to control messages.
+
+    :param live: the configuration in force.
+    :param membership: this router's view of its peers.
+    :param summaries: takes in peers' summaries.
+    :param answerer: answers queries.
+    :param read_warm_state: returns what this router knows of caches.
+    """
+
+    def __init__(
+        self,
+        live: LiveConfiguration,
+        membership: Membership,
+        summaries: PeerSummaries,
+        answerer: QueryAnswerer,
+        read_warm_state: Callable[[], WarmState],
+    ) -> None:
+        self._live = live
+        self._membership = membership
+        self._summaries = summaries
+        self._answerer = answerer
+        self._read_warm_state = read_warm_state
+
+    def reply(self, message: ControlMessage) -> ControlMessage:
+        """Return the reply to ``message``.
+
+        :raises CodecError: if it is not a request.
+        """
+        if isinstance(message, Heartbeat):
+            self.receive(message)
+            return self._membership.heartbeat(self._live.next_offset, _NO_SUMMARY)
+        if isinstance(message, QueryRequest):
+            return self._answer(message)
+        if isinstance(message, WarmStateRequest):
+            return self._read_warm_state()
+        raise CodecError("control message", f"no request: {type(message).__name__}")
+
+    def receive(self, heartbeat: Heartbeat) -> None:
+        """Take in a heartbeat sent to us."""
+        self._membership.receive(heartbeat)
+        self._summaries.receive(heartbeat)
+
+    def receive_reply(self, heartbeat: Heartbeat) -> None:
+        """Take in a peer's reply to our heartbeat (it carries no summary)."""
+        self._membership.receive(heartbeat)
+
+    def _answer(self, message: QueryRequest) -> ControlMessage:
+        try:
+            query = parse(message.text)
+        except LanguageError as error:
+            return QueryFault(self._membership.name, str(error))
+        if not isinstance(query, Query):
+            return QueryFault(self._membership.name, "not a query")
+        return self._answerer.answer(query)
--- a/src/kumquatseam/engines/_client.py
+++ b/src/kumquatseam/engines/_client.py
@@ -107,10 +107,19 @@
 
     :param connect_timeout_s: timeout to connect.
     :param read_timeout_s: timeout between two reads.
+    :param first_byte_timeout_s: timeout until the answer begins.
     """
 
-    def __init__(self, connect_timeout_s: float, read_timeout_s: float) -> None:
-        self._timeout = urllib3.Timeout(connect=connect_timeout_s, read=read_timeout_s)
+    def __init__(
+        self,
+        connect_timeout_s: float,
+        read_timeout_s: float,
+        first_byte_timeout_s: float,
+    ) -> None:
+        self._timeout = urllib3.Timeout(
+            connect=connect_timeout_s, read=first_byte_timeout_s
+        )
+        self._read_timeout_s = read_timeout_s
         self._pool: urllib3.PoolManager | None = None
 
     def start(self) -> None:
@@ -153,6 +162,7 @@
             )
         finished = False
         try:
+            _set_read_timeout(response, self._read_timeout_s)
             _check_status(target.name, response)
             yield from _chunks(target.name, request.request_id, response)
             finished = True
@@ -195,6 +205,13 @@
     }
 
 
+def _set_read_timeout(response, timeout_s: float) -> None:
+    """Give the rest of an answer its own timeout, now that it has begun."""
+    connection = response.connection
+    if connection is not None and connection.sock is not None:
+        connection.sock.settimeout(timeout_s)
+
+
 def _check_status(upstream: str, response) -> None:
     if response.status == _OK:
         return
--- a/src/kumquatseam/fleet/_follower.py
+++ b/src/kumquatseam/fleet/_follower.py
@@ -129,6 +129,23 @@
     return True
 
 
+def seed(log: LogService, configuration: Configuration) -> ConfigurationState:
+    """Make ``configuration`` the first record of an empty log.
+
+    Of several that try, one wins, and all go on from its record.
+
+    :returns: the state at the log's end.
+    :raises LogServiceError: if the log did not answer.
+    """
+    payload = RECORD_CODEC.encode(snapshot_of(configuration, 1))
+    try:
+        append_once(log, CONFIGURATION_TOPIC, payload, 0)
+        _log.info("Seeded the empty log with the settings' configuration.")
+    except LogConflictError:
+        _log.info("Another process seeded the log.")
+    return read_state(log, ConfigurationState(configuration, 0))
+
+
 def append_change(
     log: LogService, state: ConfigurationState, record: ConfigurationRecord
 ) -> ConfigurationState:
@@ -190,7 +207,7 @@
             self._put_in_force(snapshot)
         self._put_in_force(read_state(self._log_service, self.state))
         if self._live.next_offset == 0:
-            self._seed()
+            self._put_in_force(seed(self._log_service, self._live.current))
 
     def follow_once(self) -> None:
         """Wait once for records at the log's end and put them in force.
@@ -206,15 +223,6 @@
         self.last_answer_s = time.monotonic()
         self._put_in_force(fold(self.state, found.records))
 
-    def _seed(self) -> None:
-        payload = RECORD_CODEC.encode(snapshot_of(self._live.current, 1))
-        try:
-            append_once(self._log_service, CONFIGURATION_TOPIC, payload, 0)
-            _log.info("Seeded the empty log with the settings' configuration.")
-        except LogConflictError:
-            _log.info("Another router seeded the log.")
-        self._put_in_force(read_state(self._log_service, self.state))
-
     def _put_in_force(self, state: ConfigurationState) -> None:
         if self._live.advance(state.configuration, state.next_offset):
             _log.info("In force offset={}.", state.next_offset - 1)
--- /dev/null
+++ b/src/kumquatseam/fleet/_lease.py
@@ -0,0 +1,147 @@
+"""A lease on a fleet duty, kept in the log service.
+
+The newest record of the duty's topic names its holder; its offset is the
+fencing token. A contender may take the lease once no newer record appeared
+for ``lease_s`` since it first saw the newest one, which needs no agreement
+of clocks. The append is conditional, so of racing contenders one wins. The
+holder counts its own lease from before it began the append, so it always
+stops acting before anyone may take over; a holder that was paused past its
+lease finds it lapsed before it acts, and an order it had already sent
+carries a token that is no longer the newest.
+"""
+
+import time
+from collections.abc import Callable
+
+import attrs
+
+from kumquatseam.codec import MessageCodec
+from kumquatseam.errors import CodecError
+from kumquatseam.fleet._records import new_record_id
+from kumquatseam.logs import part_logger
+from kumquatseam.logservice import (
+    LogConflictError,
+    LogRecordsExpiredError,
+    LogService,
+    LogServiceError,
+    append_once,
+)
+
+_log = part_logger("duty")
+_TOPIC_PREFIX = "kumquatseam.duty."
+#: share of the lease after which its holder renews it.
+RENEW_SHARE = 0.4
+#: seconds a router waits longer per place in the order of contenders.
+RANK_DELAY_S = 0.5
+
+
+@attrs.frozen
+class LeaseRecord:
+    """A holder's claim to a duty.
+
+    :param record_id: unique.
+    :param holder: the router's name.
+    """
+
+    record_id: str
+    holder: str
+
+
+_CODEC = MessageCodec("lease record", {"lease": LeaseRecord})
+
+
+class DutyLease:
+    """This router's part in the contest for one duty.
+
+    :param log: the log service.
+    :param duty: the duty's name.
+    :param holder: this router's name.
+    :param lease_s: how long a lease lasts.
+    :param read_rank: this router's place in the order of contenders.
+    :param clock: monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        log: LogService,
+        duty: str,
+        holder: str,
+        lease_s: float,
+        read_rank: Callable[[], int] = lambda: 0,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._log_service = log
+        self._topic = _TOPIC_PREFIX + duty
+        self._duty = duty
+        self._holder = holder
+        self._lease_s = lease_s
+        self._read_rank = read_rank
+        self._clock = clock
+        self._next_offset = 0
+        self._newest_holder = ""
+        self._newest_seen_s = clock()
+        self._fence: int | None = None
+        self._held_until_s = 0.0
+
+    @property
+    def fence(self) -> int | None:
+        """The fencing token while this router holds the lease, else ``None``."""
+        return self._fence if self._clock() < self._held_until_s else None
+
+    def step(self) -> None:
+        """Renew the lease if held, or take it if it lapsed."""
+        now_s = self._clock()
+        if self.fence is not None:
+            if self._held_until_s - now_s < self._lease_s * (1 - RENEW_SHARE):
+                self._take()
+            return
+        if self._fence is not None:
+            _log.info("Lost duty={} fence={}.", self._duty, self._fence)
+            self._fence = None
+        try:
+            self._look()
+        except LogServiceError as error:
+            _log.warning("Cannot look at duty={}: {}.", self._duty, error)
+            return
+        silent_s = now_s - self._newest_seen_s
+        patience_s = self._lease_s + self._read_rank() * RANK_DELAY_S
+        if not self._next_offset or silent_s >= patience_s:
+            self._take()
+
+    def _look(self) -> None:
+        """Read the newest lease record, if there are new ones."""
+        try:
+            found = self._log_service.read(self._topic, self._next_offset)
+        except LogRecordsExpiredError as expired:
+            self._next_offset = expired.first_offset
+            found = self._log_service.read(self._topic, self._next_offset)
+        if found.end_offset > self._next_offset:
+            self._next_offset = found.end_offset
+            self._newest_seen_s = self._clock()
+            try:
+                self._newest_holder = _CODEC.decode(found.records[-1].payload).holder
+            except (CodecError, IndexError):
+                self._newest_holder = ""
+
+    def _take(self) -> None:
+        """Append a lease record at the end this router has seen."""
+        began_s = self._clock()
+        payload = _CODEC.encode(LeaseRecord(new_record_id(), self._holder))
+        try:
+            offset = append_once(
+                self._log_service, self._topic, payload, self._next_offset, attempts=2
+            )
+        except LogConflictError:
+            _log.info("Another router holds duty={}.", self._duty)
+            self._fence = None
+            return
+        except LogServiceError as error:
+            _log.warning("Cannot take duty={}: {}.", self._duty, error)
+            return
+        if self._fence is None:
+            _log.info("Took duty={} fence={}.", self._duty, offset)
+        self._fence = offset
+        self._next_offset = offset + 1
+        self._newest_holder = self._holder
+        self._newest_seen_s = self._clock()
+        self._held_until_s = began_s + self._lease_s
--- a/src/kumquatseam/fleet/_messages.py
+++ b/src/kumquatseam/fleet/_messages.py
@@ -75,4 +75,94 @@
     summary: RouterSummary = RouterSummary()
 
 
-HEARTBEAT_CODEC = MessageCodec("heartbeat", {"heartbeat": Heartbeat})
+@attrs.frozen
+class QueryRequest:
+    """An operator's query.
+
+    :param text: the query in the operators' language.
+    """
+
+    text: str
+
+
+@attrs.frozen
+class Row:
+    """One row of an answer.
+
+    :param cells: texts in the order of the subject's columns.
+    """
+
+    cells: tuple[str, ...]
+
+
+@attrs.frozen
+class QueryAnswer:
+    """One router's answer to a query.
+
+    :param router: the router's name.
+    :param next_offset: every configuration record before it is in force there.
+    :param rows: the rows.
+    """
+
+    router: str
+    next_offset: int
+    rows: tuple[Row, ...]
+
+
+@attrs.frozen
+class QueryFault:
+    """A router could not answer a query.
+
+    :param router: the router's name.
+    :param reason: why not.
+    """
+
+    router: str
+    reason: str
+
+
+@attrs.frozen
+class WarmStateRequest:
+    """A restarted router asks a peer for what it knows of engines' caches."""
+
+
+@attrs.frozen
+class EngineBlocks:
+    """Blocks an engine probably holds.
+
+    :param engine: the engine's name.
+    :param epoch: the engine's life they belong to.
+    :param keys: block keys, newest last.
+    """
+
+    engine: str
+    epoch: str
+    keys: tuple[int, ...]
+
+
+@attrs.frozen
+class WarmState:
+    """What a router knows of engines' caches.
+
+    :param router: whose knowledge it is.
+    :param engines: blocks per engine.
+    """
+
+    router: str
+    engines: tuple[EngineBlocks, ...]
+
+
+CONTROL_CODEC = MessageCodec(
+    "control message",
+    {
+        "heartbeat": Heartbeat,
+        "query": QueryRequest,
+        "answer": QueryAnswer,
+        "fault": QueryFault,
+        "warm": WarmStateRequest,
+        "state": WarmState,
+    },
+)
+ControlMessage = (
+    Heartbeat | QueryRequest | QueryAnswer | QueryFault | WarmStateRequest | WarmState
+)
--- /dev/null
+++ b/src/kumquatseam/fleet/_warm_start.py
@@ -0,0 +1,86 @@
+"""Warming a restarted router: the log's snapshot first, then a live peer.
+
+The router serves on defaults meanwhile; warm state only improves its choice
+of engine. What is adopted is scoped by engine epoch, so state from before an
+engine's restart is dropped as soon as the engine names its new life.
+"""
+
+import time
+from collections.abc import Callable
+
+import gevent
+
+from kumquatseam.fleet._control import ControlClient
+from kumquatseam.fleet._membership import Membership
+from kumquatseam.fleet._messages import WarmState, WarmStateRequest
+from kumquatseam.fleet._snapshots import read_warm_state
+from kumquatseam.logs import part_logger
+from kumquatseam.logservice import LogService, LogServiceError
+
+_log = part_logger("warm")
+
+#: how long a starting router looks for a live peer.
+PATIENCE_S = 5.0
+ASK_TIMEOUT_S = 1.0
+PAUSE_S = 0.2
+
+
+class WarmStart:
+    """Fetches warm state once after the start.
+
+    :param log: the log service, if there is one.
+    :param membership: names the peers, if there are any.
+    :param adopt: takes in warm state, returns the blocks it added.
+    """
+
+    def __init__(
+        self,
+        log: LogService | None,
+        membership: Membership | None,
+        adopt: Callable[[WarmState], int],
+    ) -> None:
+        self._log_service = log
+        self._membership = membership
+        self._adopt = adopt
+        self._greenlets: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Begin fetching."""
+        self._greenlets = [gevent.spawn(self._from_log), gevent.spawn(self._from_peer)]
+
+    def close(self) -> None:
+        """Stop fetching."""
+        gevent.killall(self._greenlets)
+
+    def _from_log(self) -> None:
+        if self._log_service is None:
+            return
+        began_s = time.monotonic()
+        try:
+            state = read_warm_state(self._log_service)
+        except LogServiceError as error:
+            _log.info("No snapshot: {}.", error)
+            return
+        if state is not None:
+            self._take(state, "the log's snapshot", began_s)
+
+    def _from_peer(self) -> None:
+        if self._membership is None:
+            return
+        began_s = time.monotonic()
+        while time.monotonic() - began_s < PATIENCE_S:
+            for member in self._membership.targets():
+                client = ControlClient(member.address)
+                try:
+                    state = client.ask(WarmStateRequest(), ASK_TIMEOUT_S)
+                finally:
+                    client.close()
+                if isinstance(state, WarmState):
+                    self._take(state, f"router {member.name}", began_s)
+                    return
+            gevent.sleep(PAUSE_S)
+
+    def _take(self, state: WarmState, source: str, began_s: float) -> None:
+        added = self._adopt(state)
+        took_ms = (time.monotonic() - began_s) * 1000
+        _log.info("Adopted blocks={} from {} after_ms={:.0f}.", added, source, took_ms)
--- a/src/kumquatseam/routing/__init__.py
+++ b/src/kumquatseam/routing/__init__.py
@@ -7,6 +7,7 @@
 from kumquatseam.routing._held_out import HeldOut
 from kumquatseam.routing._hints import PlacementHints
 from kumquatseam.routing._index import PrefixIndex
+from kumquatseam.routing._peers import PeerSummaries
 from kumquatseam.routing._policies import (
     AffinityPolicy,
     Candidate,
@@ -24,6 +25,7 @@
     "FleetView",
     "HeldOut",
     "LeastLoadedPolicy",
+    "PeerSummaries",
     "PlacementHints",
     "PrefixAwarePolicy",
     "PrefixIndex",
--- a/src/kumquatseam/routing/_index.py
+++ b/src/kumquatseam/routing/_index.py
@@ -14,10 +14,12 @@
 """
 
 import collections
+import itertools
 
 import attrs
 
 from kumquatseam.engines import CacheEventBatch
+from kumquatseam.fleet import EngineBlocks
 from kumquatseam.logs import part_logger
 
 _log = part_logger("index")
@@ -28,7 +30,7 @@
 @attrs.define
 class _EngineEntries:
     epoch: str
-    last_sequence: int = 0
+    last_sequence: int | None = None
     lost_batches: int = 0
     entries: dict[int, float] = attrs.Factory(dict)
 
@@ -62,9 +64,11 @@
         if state is None or state.epoch != batch.epoch:
             self.observe_epoch(batch.engine, batch.epoch)
             state = self._engines[batch.engine]
-        if batch.sequence <= state.last_sequence:
+        last = state.last_sequence
+        if last is not None and batch.sequence <= last:
             return
-        gap = batch.sequence - state.last_sequence - 1
+        # The first batch heard says nothing of those before this router came.
+        gap = batch.sequence - last - 1 if last is not None else 0
         if gap:
             state.lost_batches += gap
             _log.info("Engine {} lost {} event batches.", batch.engine, gap)
@@ -130,6 +134,36 @@
             matched += 1
         return matched
 
+    def export(self, limit_blocks: int) -> tuple[EngineBlocks, ...]:
+        """Return the newest blocks of every engine, an equal share of each.
+
+        :param limit_blocks: blocks over all engines at most.
+        """
+        share = limit_blocks // max(1, len(self._engines))
+        return tuple(
+            EngineBlocks(name, state.epoch, _newest_keys(state.entries, share))
+            for name, state in self._engines.items()
+        )
+
+    def adopt(self, blocks: EngineBlocks, now_s: float) -> int:
+        """Take in what another router knew of an engine's cache.
+
+        Nothing is adopted for a life of the engine other than the one known.
+
+        :returns: blocks added.
+        """
+        if self.is_retired(blocks.engine, blocks.epoch):
+            return 0
+        state = self._engines.get(blocks.engine)
+        if state is None:
+            state = _EngineEntries(epoch=blocks.epoch)
+            self._engines[blocks.engine] = state
+        if state.epoch != blocks.epoch:
+            return 0
+        fresh = [key for key in blocks.keys if key not in state.entries]
+        state.entries.update(dict.fromkeys(fresh, now_s))
+        return len(fresh)
+
     def size_blocks(self, engine: str) -> int:
         """Return how many entries the index keeps for ``engine``."""
         state = self._engines.get(engine)
@@ -139,3 +173,7 @@
         """Return how many event batches of the current epoch never arrived."""
         state = self._engines.get(engine)
         return state.lost_batches if state else 0
+
+
+def _newest_keys(entries: dict[int, float], count: int) -> tuple[int, ...]:
+    return tuple(itertools.islice(reversed(entries), count))[::-1]
--- a/src/kumquatseam/routing/_router.py
+++ b/src/kumquatseam/routing/_router.py
@@ -241,9 +241,12 @@
         return [u for u in reachable if self.fleet.may_be_live(u.name, now_s)]
 
     def _version(self, engine: str, model: str) -> str:
-        """Return the weights the engine named, else the configured ones."""
+        """Return the weights the engine named, else those it is to run."""
         named = self.fleet.version(engine, model)
-        return named or self._live.current.model(model).version
+        if named is not None:
+            return named
+        configuration = self._live.current
+        return configuration.desired_version(configuration.upstream(engine), model)
 
     def _keys(self, request: RoutingRequest, version: str) -> list[int]:
         salt = cache_salt(request.team.name, request.model, version)
--- a/src/kumquatseam/settings/_configuration.py
+++ b/src/kumquatseam/settings/_configuration.py
@@ -98,6 +98,10 @@
         """Return the upstream called ``name``, or ``None``."""
         return self.find("upstream", name)
 
+    def desired_version(self, upstream: UpstreamSettings, model: str) -> str:
+        """Return the version of ``model`` that ``upstream`` is to run."""
+        return upstream.pinned_version(model) or self.model(model).version
+
     def priority(self, name: str) -> PrioritySettings | None:
         """Return the priority class called ``name``, or ``None``."""
         return self.find("priority", name)
--- a/src/kumquatseam/settings/_entities.py
+++ b/src/kumquatseam/settings/_entities.py
@@ -53,6 +53,8 @@
     :param models: names of the models it serves.
     :param slots: requests it runs at once (its batch size); more wait.
     :param state: ``draining`` keeps new work away while running work ends.
+    :param loads: weights it is to run instead of a model's own version,
+        ``model@version`` each.
     """
 
     name: str
@@ -62,6 +64,15 @@
     models: tuple[str, ...] = setting()
     slots: int = setting(positive=True)
     state: str = setting(choices=(ACTIVE, DRAINING), default=ACTIVE)
+    loads: tuple[str, ...] = setting(default=())
+
+    def pinned_version(self, model: str) -> str | None:
+        """Return the version of ``model`` it is pinned to, if it is."""
+        for load in self.loads:
+            name, _, version = load.partition("@")
+            if name == model:
+                return version
+        return None
 
 
 @attrs.frozen
--- a/src/kumquatseam/settings/_schema.py
+++ b/src/kumquatseam/settings/_schema.py
@@ -122,7 +122,7 @@
     retry_budget_ratio: float = setting(default=0.2)
     retry_budget_slack: int = setting(default=10)
     retry_window_s: float = setting(positive=True, default=10.0)
-    first_byte_timeout_s: float = setting(positive=True, default=5.0)
+    first_byte_timeout_s: float = setting(positive=True, default=10.0)
 
 
 @attrs.frozen
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -6,19 +6,46 @@
 """
 
 import time
+from collections.abc import Callable, Iterable
 
 import attrs
 import gevent
 
 from kumquatseam.admission import RetryBudget, TeamLimiter
 from kumquatseam.callers import CallerInterface
-from kumquatseam.engines import EngineEventSubscriber, HttpEngineClient
-from kumquatseam.fleet import ConfigurationFollower, LiveConfiguration
+from kumquatseam.control import ControlHandler
+from kumquatseam.engines import (
+    EngineEventSubscriber,
+    HttpEngineClient,
+    HttpEngineOrderClient,
+)
+from kumquatseam.fleet import (
+    ConfigurationFollower,
+    ControlServer,
+    DutyLease,
+    HeartbeatLoop,
+    LiveConfiguration,
+    Membership,
+    SnapshotKeeper,
+    WarmStart,
+    WarmState,
+    WeightsRollout,
+    next_incarnation,
+    router_addresses,
+)
 from kumquatseam.idempotency import ClaimLedger
+from kumquatseam.instances import (
+    LEAVING,
+    HttpInstanceList,
+    Instance,
+    InstanceRegistration,
+    InstanceWatcher,
+)
 from kumquatseam.logs import part_logger
-from kumquatseam.logservice import HttpLogService
+from kumquatseam.logservice import HttpLogService, LogService
 from kumquatseam.metrics import RequestFigures
-from kumquatseam.routing import Router, build_policy
+from kumquatseam.operators import AnswerSources, QueryAnswerer
+from kumquatseam.routing import PeerSummaries, Router, build_policy
 from kumquatseam.services import HttpServiceClient
 from kumquatseam.serving import (
     CompletionServer,
@@ -26,19 +53,31 @@
     RunningRequests,
     ServiceServer,
 )
-from kumquatseam.settings import Configuration, Settings
+from kumquatseam.settings import Configuration, DaemonSettings, Settings
 
 _log = part_logger("daemon")
 
 #: seconds between two sweeps for engines that went silent.
 SWEEP_INTERVAL_S = 0.5
+#: seconds between two steps of a fleet duty.
+DUTY_INTERVAL_S = 0.25
+FLEET_DUTY = "fleet"
+#: timeout of an order to an engine.
+ORDER_TIMEOUT_S = 2.0
+#: blocks in a warm state at most (9 bytes each on the wire).
+WARM_STATE_BLOCKS = 12_000
 
 
-class _SweepLoop:
-    """Periodically drops the cache entries of engines that went silent."""
+class _StepLoop:
+    """Runs steps at an interval.
+
+    :param interval_s: seconds between two rounds.
+    :param steps: called in order each round.
+    """
 
-    def __init__(self, router: Router) -> None:
-        self._router = router
+    def __init__(self, interval_s: float, *steps: Callable[[], None]) -> None:
+        self._interval_s = interval_s
+        self._steps = steps
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -50,8 +89,9 @@
 
     def _run(self) -> None:
         while True:
-            gevent.sleep(SWEEP_INTERVAL_S)
-            self._router.sweep()
+            gevent.sleep(self._interval_s)
+            for step in self._steps:
+                step()
 
 
 class Daemon:
@@ -64,7 +104,7 @@
         self._parts = parts
 
     def start(self) -> None:
-        """Start every part; the caller interface comes last."""
+        """Start every part; the caller interface comes late."""
         for part in self._parts:
             part.start()
 
@@ -90,81 +130,245 @@
     :param policy_name: overrides ``[daemon] policy`` when given.
     :returns: the daemon, not yet started.
     """
-    daemon = settings.daemon
-    policy = build_policy(
-        policy_name or daemon.policy,
-        daemon.block_size_tokens,
-        daemon.prefill_ms_per_token,
-        daemon.queue_ms_per_request,
-    )
-    live = LiveConfiguration(settings.configuration)
-    router = Router(live, daemon, policy)
-    subscriber = EngineEventSubscriber(router.observe)
-    _follow_engines(subscriber, live)
-    engines = HttpEngineClient(daemon.connect_timeout_s, daemon.read_timeout_s)
-    figures = RequestFigures()
-    refusals = RefusalLog()
-    running = RunningRequests()
-    parts: list = [engines, subscriber, _SweepLoop(router)]
-    claims = None
-    if settings.log.url:
-        log_service = HttpLogService(settings.log.url, settings.log.timeout_s)
-        claims = ClaimLedger(log_service)
-        follower = ConfigurationFollower(log_service, live, settings.log.poll_s)
-        parts += [follower, claims]
-    limiter = TeamLimiter()
-    retry_budget = RetryBudget(settings.admission)
-    shared = (claims, limiter, retry_budget, settings.admission, running)
-    callers = CallerInterface(
-        daemon,
-        live,
-        CompletionServer(router, engines, *shared),
-        ServiceServer(
-            HttpServiceClient(daemon.connect_timeout_s, daemon.read_timeout_s), *shared
-        ),
-        refusals,
-        figures,
-        lambda: _status(router, live, figures),
-    )
-    _log.info(
-        "Built with policy {} and {} engines.",
-        router.policy_name,
-        len(live.current.upstreams),
-    )
-    return Daemon([*parts, callers])
+    return _DaemonBuilder(settings, policy_name).build()
+
+
+class _DaemonBuilder:
+    """Builds the parts of one daemon; each method wires one concern."""
+
+    def __init__(self, settings: Settings, policy_name: str | None) -> None:
+        self._settings = settings
+        daemon = settings.daemon
+        self._live = LiveConfiguration(settings.configuration)
+        self._router = _build_router(daemon, policy_name, self._live)
+        self._figures = RequestFigures()
+        self._refusals = RefusalLog()
+        self._running = RunningRequests()
+        self._log_service: LogService | None = None
+        if settings.log.url:
+            self._log_service = HttpLogService(settings.log.url, settings.log.timeout_s)
+        self._membership: Membership | None = None
+        if settings.fleet.control:
+            self._membership = Membership(
+                daemon.instance_name,
+                settings.fleet.control,
+                next_incarnation(),
+                settings.fleet,
+            )
+        self._heartbeats: HeartbeatLoop | None = None
+        self._claims: ClaimLedger | None = None
+
+    def build(self) -> Daemon:
+        """Return the daemon."""
+        engines = self._engine_parts()
+        fleet = self._fleet_parts()
+        log = self._log_parts()
+        daemon = Daemon(
+            [
+                *engines,
+                *log,
+                *fleet,
+                self._caller_interface(engines[0]),
+                *self._instance_parts(),
+            ]
+        )
+        _log.info(
+            "Built name={} policy={} engines={} log={} fleet={}.",
+            self._settings.daemon.instance_name,
+            self._router.policy_name,
+            len(self._live.current.upstreams),
+            self._settings.log.url or "none",
+            self._settings.fleet.control or "none",
+        )
+        return daemon
 
+    def _engine_parts(self) -> list:
+        daemon = self._settings.daemon
+        admission = self._settings.admission
+        subscriber = EngineEventSubscriber(self._router.observe)
+        client = HttpEngineClient(
+            daemon.connect_timeout_s,
+            daemon.read_timeout_s,
+            admission.first_byte_timeout_s,
+        )
 
-def _follow_engines(subscriber: EngineEventSubscriber, live: LiveConfiguration):
-    """Keep ``subscriber`` on the engines of the configuration in force."""
+        def follow(configuration: Configuration) -> None:
+            subscriber.follow(u.events_address for u in configuration.upstreams)
 
-    def follow(configuration: Configuration) -> None:
-        subscriber.follow(u.events_address for u in configuration.upstreams)
+        follow(self._live.current)
+        self._live.on_change(follow)
+        return [client, subscriber, _StepLoop(SWEEP_INTERVAL_S, self._router.sweep)]
 
-    follow(live.current)
-    live.on_change(follow)
+    def _log_parts(self) -> list:
+        if self._log_service is None:
+            return []
+        settings = self._settings
+        self._claims = ClaimLedger(self._log_service)
+        follower = ConfigurationFollower(
+            self._log_service, self._live, settings.log.poll_s
+        )
+        name = settings.daemon.instance_name
+        membership = self._membership
+        lease = DutyLease(
+            self._log_service,
+            FLEET_DUTY,
+            name,
+            settings.fleet.lease_s,
+            lambda: membership.duty_rank(FLEET_DUTY) if membership else 0,
+        )
+        rollout = WeightsRollout(
+            self._live,
+            lease,
+            HttpEngineOrderClient(ORDER_TIMEOUT_S),
+            self._router.fleet.epoch,
+            self._router.fleet.version,
+            name,
+        )
+        snapshots = SnapshotKeeper(
+            self._log_service,
+            lease,
+            settings.log.snapshot_interval_s,
+            lambda: follower.state,
+            self._warm_state,
+        )
+        duty = _StepLoop(DUTY_INTERVAL_S, lease.step, rollout.step, snapshots.step)
+        return [follower, self._claims, duty]
 
+    def _fleet_parts(self) -> list:
+        parts: list = []
+        if self._membership is not None:
+            parts += self._peer_parts(self._membership)
+        if self._log_service is not None or self._membership is not None:
+            parts.append(WarmStart(self._log_service, self._membership, self._adopt))
+        return parts
 
-def _status(router: Router, live: LiveConfiguration, figures: RequestFigures) -> dict:
-    now_s = time.monotonic()
-    fleet = router.fleet
-    engines = {
-        name: {
-            "live": fleet.is_live(name, now_s),
-            "epoch": fleet.epoch(name),
-            "load_requests": fleet.load_requests(name),
-            "index_blocks": router.index.size_blocks(name),
-            "lost_event_batches": router.index.lost_batches(name),
+    def _peer_parts(self, membership: Membership) -> list:
+        settings = self._settings.fleet
+        summaries = PeerSummaries(self._router, settings)
+        membership.on_state(summaries.on_state)
+        sources = AnswerSources(
+            membership.name,
+            self._live,
+            self._router,
+            self._running,
+            self._refusals,
+            membership,
+        )
+        handler = ControlHandler(
+            self._live,
+            membership,
+            summaries,
+            QueryAnswerer(sources),
+            self._warm_state,
+        )
+        self._heartbeats = HeartbeatLoop(
+            membership,
+            settings,
+            lambda: self._live.next_offset,
+            summaries.take,
+            handler.receive_reply,
+        )
+        return [
+            ControlServer(settings.control, handler.reply),
+            self._heartbeats,
+            _StepLoop(SWEEP_INTERVAL_S, summaries.sweep),
+        ]
+
+    def _instance_parts(self) -> list:
+        settings = self._settings
+        if not settings.instances.url:
+            return []
+        instances = HttpInstanceList(settings.instances.url)
+        parts: list = [
+            InstanceWatcher(
+                instances, settings.instances.poll_interval_s, self._take_instances
+            )
+        ]
+        if self._membership is not None:
+            listed = Instance(
+                name=self._membership.name,
+                kind="router",
+                address=self._membership.address,
+                zone=settings.daemon.zone,
+            )
+            parts.append(InstanceRegistration(instances, listed))
+        return parts
+
+    def _caller_interface(self, engines: HttpEngineClient) -> CallerInterface:
+        daemon = self._settings.daemon
+        admission = self._settings.admission
+        limiter = TeamLimiter(self._count_routers)
+        retry_budget = RetryBudget(admission, self._count_routers)
+        shared = (self._claims, limiter, retry_budget, admission, self._running)
+        service_client = HttpServiceClient(
+            daemon.connect_timeout_s, daemon.read_timeout_s
+        )
+        return CallerInterface(
+            daemon,
+            self._live,
+            CompletionServer(self._router, engines, *shared),
+            ServiceServer(service_client, *shared),
+            self._refusals,
+            self._figures,
+            self._status,
+        )
+
+    def _count_routers(self) -> int:
+        return self._membership.count_alive() if self._membership else 1
+
+    def _take_instances(self, instances: Iterable[Instance]) -> None:
+        leaving = [i.name for i in instances if i.state == LEAVING]
+        for name in self._router.fleet.set_leaving(leaving):
+            _log.info("Engine {} is leaving; it gets no new work.", name)
+        if self._membership is not None:
+            self._membership.set_listed(router_addresses(instances))
+
+    def _warm_state(self) -> WarmState:
+        name = self._settings.daemon.instance_name
+        return WarmState(name, self._router.index.export(WARM_STATE_BLOCKS))
+
+    def _adopt(self, state: WarmState) -> int:
+        now_s = time.monotonic()
+        index = self._router.index
+        return sum(index.adopt(blocks, now_s) for blocks in state.engines)
+
+    def _status(self) -> dict:
+        now_s = time.monotonic()
+        fleet = self._router.fleet
+        engines = {
+            name: {
+                "live": fleet.is_live(name, now_s),
+                "epoch": fleet.epoch(name),
+                "load_requests": fleet.load_requests(name),
+                "index_blocks": self._router.index.size_blocks(name),
+                "lost_event_batches": self._router.index.lost_batches(name),
+            }
+            for name in fleet.names()
+        }
+        summary = self._figures.summary()
+        return {
+            "policy": self._router.policy_name,
+            "next_offset": self._live.next_offset,
+            "routers_alive": self._count_routers(),
+            "control_bytes": (
+                self._heartbeats.bytes_exchanged if self._heartbeats else 0
+            ),
+            "engines": engines,
+            "figures": {
+                **attrs.asdict(summary),
+                "prefix_hit_rate": summary.prefix_hit_rate,
+                "class_ttft_p99_ms": self._figures.class_ttft_ms(99),
+            },
         }
-        for name in fleet.names()
-    }
-    summary = figures.summary()
-    return {
-        "policy": router.policy_name,
-        "next_offset": live.next_offset,
-        "engines": engines,
-        "figures": {
-            **attrs.asdict(summary),
-            "prefix_hit_rate": summary.prefix_hit_rate,
-            "class_ttft_p99_ms": figures.class_ttft_ms(99),
-        },
-    }
+
+
+def _build_router(
+    daemon: DaemonSettings, policy_name: str | None, live: LiveConfiguration
+) -> Router:
+    policy = build_policy(
+        policy_name or daemon.policy,
+        daemon.block_size_tokens,
+        daemon.prefill_ms_per_token,
+        daemon.queue_ms_per_request,
+    )
+    return Router(live, daemon, policy)
