--- a/src/kumquatseam/bench/_processes.py
+++ b/src/kumquatseam/bench/_processes.py
@@ -108,6 +108,10 @@
         """Freeze the process (SIGSTOP): it keeps its sockets but answers nothing."""
         self._process.send_signal(signal.SIGSTOP)
 
+    def resume(self) -> None:
+        """Thaw a frozen process."""
+        self._process.send_signal(signal.SIGCONT)
+
     def kill(self) -> None:
         """Kill the process at once, as a crash would."""
         self._process.kill()
--- a/src/kumquatseam/control.py
+++ b/src/kumquatseam/control.py
@@ -7,10 +7,12 @@
 
 from kumquatseam.errors import CodecError
 from kumquatseam.fleet import (
+    ConfigurationRequest,
     ControlMessage,
     Heartbeat,
     LiveConfiguration,
     Membership,
+    PeerConfiguration,
     QueryFault,
     QueryRequest,
     RouterSummary,
@@ -29,6 +31,7 @@
     :param live: the configuration in force.
     :param membership: this router's view of its peers.
     :param summaries: takes in peers' summaries.
+    :param configuration: tells peers the configuration in force here.
     :param answerer: answers queries.
     :param read_warm_state: returns what this router knows of caches.
     """
@@ -38,12 +41,14 @@
         live: LiveConfiguration,
         membership: Membership,
         summaries: PeerSummaries,
+        configuration: PeerConfiguration,
         answerer: QueryAnswerer,
         read_warm_state: Callable[[], WarmState],
     ) -> None:
         self._live = live
         self._membership = membership
         self._summaries = summaries
+        self._configuration = configuration
         self._answerer = answerer
         self._read_warm_state = read_warm_state
 
@@ -59,6 +64,8 @@
             return self._answer(message)
         if isinstance(message, WarmStateRequest):
             return self._read_warm_state()
+        if isinstance(message, ConfigurationRequest):
+            return self._configuration.snapshot()
         raise CodecError("control message", f"no request: {type(message).__name__}")
 
     def receive(self, heartbeat: Heartbeat) -> None:
--- a/src/kumquatseam/fleet/__init__.py
+++ b/src/kumquatseam/fleet/__init__.py
@@ -29,6 +29,7 @@
     router_addresses,
 )
 from kumquatseam.fleet._messages import (
+    ConfigurationRequest,
     ControlMessage,
     EngineBlocks,
     EngineLoad,
@@ -43,6 +44,7 @@
     WarmState,
     WarmStateRequest,
 )
+from kumquatseam.fleet._peer_configuration import PeerConfiguration
 from kumquatseam.fleet._records import (
     ALTER,
     CREATE,
@@ -64,6 +66,7 @@
     "ChangeRefusedError",
     "ConfigurationFollower",
     "ConfigurationRecord",
+    "ConfigurationRequest",
     "ConfigurationState",
     "ControlClient",
     "ControlMessage",
@@ -81,6 +84,7 @@
     "Member",
     "MemberNews",
     "Membership",
+    "PeerConfiguration",
     "Placement",
     "QueryAnswer",
     "QueryFault",
--- a/src/kumquatseam/fleet/_follower.py
+++ b/src/kumquatseam/fleet/_follower.py
@@ -8,11 +8,11 @@
 answer of the log.
 """
 
-import time
 from collections.abc import Callable
 
 import attrs
 import gevent
+import gevent.event
 
 from kumquatseam.errors import CodecError
 from kumquatseam.fleet._changes import ChangeRefusedError, apply_changes
@@ -42,6 +42,8 @@
 SNAPSHOT_TOPIC = f"{KEYED_PREFIX}kumquatseam.configuration"
 SNAPSHOT_KEY = "configuration"
 RETRY_PAUSE_S = 0.5
+#: how long a starting router waits for the log before it serves.
+START_PATIENCE_S = 1.0
 
 
 @attrs.frozen
@@ -181,11 +183,17 @@
         self._poll_s = poll_s
         self._sleep = sleep
         self._greenlet: gevent.Greenlet | None = None
-        self.last_answer_s: float | None = None
+        self._caught_up = gevent.event.Event()
 
     def start(self) -> None:
-        """Begin following; the daemon serves on what it has meanwhile."""
+        """Catch up if the log answers at once; follow it from then on.
+
+        Callers are accepted after this, so a restarted router begins on the
+        configuration in the log. If the log does not answer within
+        ``START_PATIENCE_S`` the router serves on what it has.
+        """
         self._greenlet = gevent.spawn(self._run)
+        self._caught_up.wait(START_PATIENCE_S)
 
     def close(self) -> None:
         """Stop following."""
@@ -220,7 +228,6 @@
         except LogRecordsExpiredError:
             self.catch_up()
             return
-        self.last_answer_s = time.monotonic()
         self._put_in_force(fold(self.state, found.records))
 
     def _put_in_force(self, state: ConfigurationState) -> None:
@@ -228,12 +235,11 @@
             _log.info("In force offset={}.", state.next_offset - 1)
 
     def _run(self) -> None:
-        caught_up = False
         while True:
             try:
-                if not caught_up:
+                if not self._caught_up.is_set():
                     self.catch_up()
-                    caught_up = True
+                    self._caught_up.set()
                 self.follow_once()
             except LogServiceError as error:
                 _log.warning("Keeping offset={}: {}.", self._live.next_offset, error)
--- a/src/kumquatseam/fleet/_messages.py
+++ b/src/kumquatseam/fleet/_messages.py
@@ -3,6 +3,7 @@
 import attrs
 
 from kumquatseam.codec import MessageCodec
+from kumquatseam.fleet._records import ConfigurationSnapshot
 
 
 @attrs.frozen
@@ -152,6 +153,11 @@
     engines: tuple[EngineBlocks, ...]
 
 
+@attrs.frozen
+class ConfigurationRequest:
+    """A router asks a peer for the configuration in force there."""
+
+
 CONTROL_CODEC = MessageCodec(
     "control message",
     {
@@ -161,8 +167,17 @@
         "fault": QueryFault,
         "warm": WarmStateRequest,
         "state": WarmState,
+        "configuration": ConfigurationRequest,
+        "snapshot": ConfigurationSnapshot,
     },
 )
 ControlMessage = (
-    Heartbeat | QueryRequest | QueryAnswer | QueryFault | WarmStateRequest | WarmState
+    Heartbeat
+    | QueryRequest
+    | QueryAnswer
+    | QueryFault
+    | WarmStateRequest
+    | WarmState
+    | ConfigurationRequest
+    | ConfigurationSnapshot
 )
--- a/src/kumquatseam/fleet/_warm_start.py
+++ b/src/kumquatseam/fleet/_warm_start.py
@@ -10,9 +10,9 @@
 
 import gevent
 
-from kumquatseam.fleet._control import ControlClient
 from kumquatseam.fleet._membership import Membership
 from kumquatseam.fleet._messages import WarmState, WarmStateRequest
+from kumquatseam.fleet._peer_configuration import ask_router
 from kumquatseam.fleet._snapshots import read_warm_state
 from kumquatseam.logs import part_logger
 from kumquatseam.logservice import LogService, LogServiceError
@@ -21,7 +21,6 @@
 
 #: how long a starting router looks for a live peer.
 PATIENCE_S = 5.0
-ASK_TIMEOUT_S = 1.0
 PAUSE_S = 0.2
 
 
@@ -70,11 +69,7 @@
         began_s = time.monotonic()
         while time.monotonic() - began_s < PATIENCE_S:
             for member in self._membership.targets():
-                client = ControlClient(member.address)
-                try:
-                    state = client.ask(WarmStateRequest(), ASK_TIMEOUT_S)
-                finally:
-                    client.close()
+                state = ask_router(member.address, WarmStateRequest())
                 if isinstance(state, WarmState):
                     self._take(state, f"router {member.name}", began_s)
                     return
--- a/src/kumquatseam/standins/engine/_engine.py
+++ b/src/kumquatseam/standins/engine/_engine.py
@@ -89,6 +89,7 @@
         app.post("/v1/orders", callback=self._order)
         app.post("/v1/cache/probe", callback=self._probe)
         app.get("/stats", callback=self._stats)
+        app.post("/standin/leave", callback=self._leave)
         self._server = StandinServer(app, settings.host, settings.port)
         self._registration = self._build_registration()
 
@@ -133,6 +134,11 @@
     def _sample_load(self):
         return self._slots.running, self._slots.waiting, self._cache.usage_ratio
 
+    def _leave(self):
+        """Show the engine as leaving while it goes on serving (for tests)."""
+        self._registration.leave()
+        return {"leaving": True}
+
     def _order(self):
         return json_answer(self.orders.take(json_body()), {"busy": self.orders.busy})
 
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -26,6 +26,7 @@
     HeartbeatLoop,
     LiveConfiguration,
     Membership,
+    PeerConfiguration,
     SnapshotKeeper,
     WarmStart,
     WarmState,
@@ -254,10 +255,12 @@
             self._refusals,
             membership,
         )
+        configuration = PeerConfiguration(self._live, membership, time.monotonic)
         handler = ControlHandler(
             self._live,
             membership,
             summaries,
+            configuration,
             QueryAnswerer(sources),
             self._warm_state,
         )
@@ -271,7 +274,7 @@
         return [
             ControlServer(settings.control, handler.reply),
             self._heartbeats,
-            _StepLoop(SWEEP_INTERVAL_S, summaries.sweep),
+            _StepLoop(SWEEP_INTERVAL_S, summaries.sweep, configuration.step),
         ]
 
     def _instance_parts(self) -> list:
