Fault matrix: every fault at every step of a request's life

Change: a table-driven matrix over the daemon's own router, serving, claims and log code, with fakes for engines, services and the log's transport, in modelled time: 15 faults x 5 steps x 5 kinds of request, each once and twice, healed and repeated at a fresh router. LogService has pause(), so waits between attempts run in modelled time too; the stand-in log can hold an append up and let it take effect later.

--- /dev/null
+++ b/features/steps/matrix_control.py
@@ -0,0 +1,2 @@
+def cells():
+    return ()
--- /dev/null
+++ b/features/steps/matrix_world.py
@@ -0,0 +1,231 @@
+"""A small world for the fault matrix: fakes at the interfaces, modelled time.
+
+Everything decided is the daemon's own code (router, serving, claims, leases,
+configuration); only engines, services and the log's transport are fakes.
+"""
+
+import attrs
+
+from kumquatseam.admission import RetryBudget, TeamLimiter
+from kumquatseam.engines import (
+    CacheEventBatch,
+    EngineChunk,
+    EngineClient,
+    EngineOrderClient,
+    LoadReport,
+    ModelVersion,
+    OrderRefusedError,
+    cache_salt,
+)
+from kumquatseam.errors import EngineMismatchError, UpstreamError
+from kumquatseam.fleet import LiveConfiguration
+from kumquatseam.idempotency import ClaimLedger
+from kumquatseam.routing import Router, build_policy
+from kumquatseam.services import ServiceAnswer, ServiceClient
+from kumquatseam.serving import CompletionServer, RunningRequests, ServiceServer
+from kumquatseam.settings import AdmissionSettings, parse_settings
+from kumquatseam.standins.logservice import InMemoryLogService, LogFaults, LogStore
+
+MODEL = "m"
+ENGINES = ("e0", "e1", "e2")
+REPLICAS = ("http://s0", "http://s1", "http://s2")
+ANSWER_TOKENS = 6
+PROMPT = " ".join(f"t{i}" for i in range(40))
+SETTINGS = "\n".join(
+    [
+        "[daemon]\nlisten = 127.0.0.1:1\nzone = z\npolicy = prefix_aware",
+        "block_size_tokens = 16\nengine_dead_after_s = 3\nindex_entry_ttl_s = 30",
+        "prefill_ms_per_token = 0.2\nqueue_ms_per_request = 60",
+        "connect_timeout_s = 1\nread_timeout_s = 1\ndrain_timeout_s = 1",
+        "[priority:p]\nrank = 0",
+        f"[model:{MODEL}]\nversion = v1",
+        f"[service:s]\nzone = z\nurls = {', '.join(REPLICAS)}",
+        *(
+            f"[upstream:{e}]\nurl = http://{e}\nevents = inproc://{e}\nzone = z\n"
+            f"models = {MODEL}\nslots = 4"
+            for e in ENGINES
+        ),
+        f"[team:a]\napi_keys = ka\npriority_classes = p\nmodels = {MODEL}\n"
+        f"upstreams = {', '.join(ENGINES)}\nservices = s",
+        f"[team:b]\napi_keys = kb\npriority_classes = p\nmodels = {MODEL}\n"
+        f"upstreams = {', '.join(ENGINES)}",
+    ]
+)
+
+
+class Clock:
+    """Modelled time."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+    def sleep(self, pause_s: float) -> None:
+        self.now_s += pause_s
+
+
+class RouterKilled(Exception):
+    """The router's process ends here; its caller sees a broken connection."""
+
+
+@attrs.define
+class Script:
+    """Fires a fault when a step of a request's life is reached.
+
+    :param step: the step.
+    :param fire: the fault; called with the world and the back end's name.
+    :param left: times it still fires.
+    """
+
+    step: str = ""
+    fire: object = None
+    left: int = 0
+
+    def hit(self, step: str, world, name: str) -> None:
+        if step == self.step and self.left > 0:
+            self.left -= 1
+            self.fire(world, name, step)
+
+
+@attrs.define
+class FakeEngine:
+    """An engine's life, weights, cache and the runs it began."""
+
+    name: str
+    epoch: int = 0
+    version: str = "v1"
+    down: bool = False
+    checks_fences: bool = True
+    highest_fence: int = -1
+    cache: dict = attrs.Factory(dict)
+    runs: list = attrs.Factory(list)
+    stale_hits: list = attrs.Factory(list)
+
+    def crash(self) -> None:
+        self.epoch += 1
+        self.cache.clear()
+        self.highest_fence = -1
+
+    def run(self, request) -> None:
+        """Begin a request, noting cached work it must not have used."""
+        self.runs.append(request.request_id)
+        made_under = self.cache.setdefault(request.cache_salt, self.version)
+        if made_under != self.version:
+            self.stale_hits.append((request.request_id, made_under, self.version))
+
+
+class FakeEngineClient(EngineClient, EngineOrderClient):
+    """Runs requests and orders on the world's fake engines."""
+
+    def __init__(self, world):
+        self._world = world
+
+    def stream(self, target, request):
+        world, engine = self._world, self._world.engines[target.name]
+        world.sent_to.append(target.name)
+        world.script.hit("connect", world, target.name)
+        if engine.down:
+            raise UpstreamError(target.name, False, "refused")
+        wrong_life = request.expected_epoch not in (None, str(engine.epoch))
+        if wrong_life or request.expected_version not in (None, engine.version):
+            raise EngineMismatchError(target.name, str(engine.epoch), engine.version)
+        engine.run(request)
+        world.script.hit("first_token", world, target.name)
+        for index in range(request.resume_after_tokens, request.max_tokens):
+            if index == request.max_tokens // 2:
+                world.script.hit("middle", world, target.name)
+            last = index == request.max_tokens - 1
+            yield EngineChunk(f"w{index}", "length" if last else None)
+        world.script.hit("end", world, target.name)
+        yield EngineChunk("", None, 40, 0, request.max_tokens)
+
+    def load(self, target, order) -> None:
+        engine = self._world.engines[target.name]
+        self._world.script.hit("order", self._world, target.name)
+        if engine.checks_fences and order.fence < engine.highest_fence:
+            raise OrderRefusedError(target.name, 412)
+        engine.highest_fence = max(order.fence, engine.highest_fence)
+        engine.version = order.version
+
+
+class FakeServiceClient(ServiceClient):
+    """Runs calls on fake replicas of the plain service."""
+
+    def __init__(self, world):
+        self._world = world
+
+    def call(self, url, call):
+        world = self._world
+        world.script.hit("connect", world, url)
+        world.service_runs.append(call.request_id)
+        world.script.hit("first_token", world, url)
+        return ServiceAnswer(200, b"done", None)
+
+
+class World:
+    """Engines, a log, and routers that share them."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.script = Script()
+        self.settings = parse_settings(SETTINGS, "matrix")
+        self.engines = {name: FakeEngine(name) for name in ENGINES}
+        for engine in self.engines.values():
+            engine.cache[cache_salt("a", MODEL, engine.version)] = engine.version
+        self.leaving: set[str] = set()
+        self.service_runs: list[str] = []
+        self.sent_to: list[str] = []
+        self.store = LogStore(clock=self.clock)
+        self.log = self.new_log()
+        self.router = MatrixRouter(self)
+        self.report()
+
+    def new_log(self) -> InMemoryLogService:
+        return InMemoryLogService(self.store, LogFaults(), self.clock.sleep)
+
+    def report(self) -> None:
+        """Let every live engine report its life, weights and load."""
+        for engine in self.engines.values():
+            if not engine.down:
+                versions = (ModelVersion(MODEL, engine.version),)
+                epoch = str(engine.epoch)
+                report = LoadReport(engine.name, epoch, 0, 0, 0.0, versions)
+                self.router.router.observe(report)
+
+    def late_event(self, name: str) -> None:
+        """Deliver a cache event from the engine's life before this one."""
+        old = str(self.engines[name].epoch - 1)
+        self.router.router.observe(CacheEventBatch(name, old, 99, (1, 2, 3), ()))
+
+    def heal(self) -> None:
+        self.script.left = 0
+        self.log.faults = LogFaults()
+        for engine in self.engines.values():
+            engine.down = False
+        self.clock.sleep(2.0)
+        self.log.deliver_late()
+        if self.router.ledger is not None:
+            self.router.ledger.write_releases()
+        self.report()
+
+
+class MatrixRouter:
+    """One router's own parts on the world's fakes."""
+
+    def __init__(self, world: World):
+        settings, clock = world.settings, world.clock
+        admission = AdmissionSettings(retry_budget_slack=10)
+        self.live = LiveConfiguration(settings.configuration)
+        policy = build_policy("prefix_aware", 16, 0.2, 60)
+        self.router = Router(self.live, settings.daemon, policy, clock)
+        self.router.fleet.set_leaving(world.leaving)
+        self.ledger = ClaimLedger(world.log, sleep=clock.sleep)
+        self.limiter = TeamLimiter()
+        self.running = RunningRequests()
+        self.budget = RetryBudget(admission, clock=clock)
+        shared = (self.ledger, self.limiter, self.budget, admission, self.running)
+        engines = FakeEngineClient(world)
+        self.completions = CompletionServer(self.router, engines, *shared, clock)
+        self.services = ServiceServer(FakeServiceClient(world), *shared, clock)
--- a/src/kumquatseam/logservice/_append_once.py
+++ b/src/kumquatseam/logservice/_append_once.py
@@ -1,8 +1,5 @@
 """Exactly-once conditional append over a log whose answers can be lost."""
 
-import time
-from collections.abc import Callable
-
 from kumquatseam.logservice._errors import (
     LogAnswerLostError,
     LogConflictError,
@@ -20,7 +17,6 @@
     payload: bytes,
     at: int,
     attempts: int = ATTEMPTS,
-    sleep: Callable[[float], None] = time.sleep,
 ) -> int:
     """Append ``payload`` at offset ``at`` exactly once.
 
@@ -40,7 +36,7 @@
     last: Exception | None = None
     for attempt in range(attempts):
         if attempt:
-            sleep(PAUSE_S * attempt)
+            log.pause(PAUSE_S * attempt)
         try:
             return log.append(topic, [payload], at=at)
         except LogConflictError as conflict:
--- a/src/kumquatseam/logservice/_service.py
+++ b/src/kumquatseam/logservice/_service.py
@@ -1,6 +1,7 @@
 """The interface to the log service and the records it returns."""
 
 import abc
+import time
 from collections.abc import Sequence
 
 import attrs
@@ -64,6 +65,10 @@
 class LogService(abc.ABC):
     """An append-only log of topics, each a sequence of records."""
 
+    def pause(self, pause_s: float) -> None:
+        """Wait between two attempts at a call."""
+        time.sleep(pause_s)
+
     @abc.abstractmethod
     def append(
         self, topic: str, payloads: Sequence[bytes], at: int | None = None
--- a/src/kumquatseam/standins/logservice/_memory.py
+++ b/src/kumquatseam/standins/logservice/_memory.py
@@ -1,10 +1,12 @@
 """The stand-in log service in the caller's own process, faults included."""
 
+import contextlib
 from collections.abc import Callable, Sequence
 
 from kumquatseam.logservice import (
     KeyedPage,
     LogAnswerLostError,
+    LogConflictError,
     LogService,
     LogSlice,
     LogUnavailableError,
@@ -31,6 +33,17 @@
         self.store = store
         self.faults = faults or LogFaults()
         self._sleep = sleep or (lambda seconds: None)
+        self._late: list[tuple[str, Sequence[bytes], int | None]] = []
+
+    def pause(self, pause_s: float) -> None:
+        self._sleep(pause_s)
+
+    def deliver_late(self) -> None:
+        """Let the appends that were held up take effect, if they still may."""
+        late, self._late = self._late, []
+        for topic, payloads, at in late:
+            with contextlib.suppress(LogConflictError, LogUnavailableError):
+                self.store.append(topic, payloads, at)
 
     def append(
         self, topic: str, payloads: Sequence[bytes], at: int | None = None
@@ -38,6 +51,9 @@
         self._enter()
         if self.faults.take_dropped_append():
             raise LogAnswerLostError("append lost on the way")
+        if self.faults.take_late_append():
+            self._late.append((topic, payloads, at))
+            raise LogAnswerLostError("append held up on the way")
         offset = self.store.append(topic, payloads, at)
         if self.faults.take_lost_answer():
             raise LogAnswerLostError("answer lost on the way")
