Configuration lives in a keyed topic: nothing accepted is lost when the log forgets

Change: the configuration is the newest record of each entity in one keyed topic, which the platform keeps for good; a command appends the entities it changes, whole, in one conditional append, and routers apply a command only when all its records are read.

The control matrix: 14 faults at 4 steps, once and twice, and every ordered pair of faults; three routers, three engines, two versions named.

--- a/features/fault_matrix.feature
+++ b/features/fault_matrix.feature
@@ -6,3 +6,7 @@
   Scenario: Every fault at every step of a request's life
     When every fault of the requests matrix is injected at every step
     Then every cell holds, of at least 200
+
+  Scenario: Every fault, and every pair of faults, at every step of control
+    When every fault of the control matrix is injected at every step
+    Then every cell holds, of at least 250
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -22,8 +22,8 @@
 from kumquatseam.bench import FIRST_VERSION, MODEL, FleetPlan
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.fleet import CONFIGURATION_TOPIC
-from kumquatseam.fleet._records import RECORD_CODEC, ConfigurationRecord
-from kumquatseam.logservice import HttpLogService
+from kumquatseam.fleet._records import RECORD_CODEC
+from kumquatseam.logservice import HttpLogService, unframe_keyed
 from kumquatseam.operators import CommandConflictError, FleetConsole
 from kumquatseam.settings import load_settings
 
@@ -41,6 +41,7 @@
     fleet = start_fleet(context, plan)
     context.console = console_of(fleet)
     context.log = HttpLogService(fleet.log_url)
+    context.seeded = context.console.read().next_offset
 
 
 @given(
@@ -107,7 +108,7 @@
 @then("every router soon has {count:d} changes in force")
 def step_in_force(context, count):
     wait_for(
-        lambda: all(offset == count + 1 for offset in offsets(context)),
+        lambda: all(o == context.seeded + count for o in offsets(context)),
         f"{count} changes in force, now {offsets(context)}",
     )
 
@@ -122,7 +123,6 @@
 
 @when("the log loses the answer to the next append")
 def step_lose_answer(context):
-    context.console.read()
     set_log_faults(context, lose_answers=1)
 
 
@@ -139,8 +139,8 @@
 @then("the log holds exactly {count:d} record of an operator")
 def step_records(context, count):
     records = context.log.read(CONFIGURATION_TOPIC, 0).records
-    decoded = [RECORD_CODEC.decode(record.payload) for record in records]
-    assert sum(isinstance(x, ConfigurationRecord) for x in decoded) == count, decoded
+    decoded = [RECORD_CODEC.decode(unframe_keyed(r.payload)[1]) for r in records]
+    assert sum(x.operator == "tester" for x in decoded) == count, decoded
 
 
 @when('the operator tool applies "{text}"')
--- a/features/steps/matrix_control.py
+++ b/features/steps/matrix_control.py
@@ -1,2 +1,334 @@
+"""The control half of the fault matrix: configuration, leases, orders, snapshots.
+
+Three routers share a log and three engines. Two versions are named, one
+after the other, while a fault strikes; then all heals and must agree.
+"""
+
+import contextlib
+
+import attrs
+from matrix_world import MODEL, Clock, FakeEngine, FakeEngineClient, Script
+
+from kumquatseam.engines import OrderUnansweredError
+from kumquatseam.errors import KumquatseamError
+from kumquatseam.fleet import (
+    ConfigurationFollower,
+    DutyLease,
+    LiveConfiguration,
+    SnapshotKeeper,
+    WarmState,
+    WeightsRollout,
+)
+from kumquatseam.logservice import LogServiceError
+from kumquatseam.operators import FleetConsole
+from kumquatseam.settings import parse_settings
+from kumquatseam.standins.logservice import InMemoryLogService, LogFaults, LogStore
+
+ROUTERS = ("r0", "r1", "r2")
+TICK_S = 0.25
+LEASE_S = 3.0
+FAULT_S = 5.0
+HEAL_S = 16.0
+#: an outage lasts until an operator has tried in vain this often.
+OUTAGE_TRIES = 4
+#: what the fault strikes: while nothing happens, before or after a change is
+#: appended, and while engines are being ordered.
+STEPS = ("idle", "before_apply", "after_apply", "ordering")
+
+
+class ControlRouter:
+    """One router's control parts; a restart makes new ones."""
+
+    def __init__(self, world, name: str):
+        self.name = name
+        self.log = world.new_log()
+        self.live = LiveConfiguration(world.settings.configuration)
+        self.follower = ConfigurationFollower(self.log, self.live, 0.0, world.sleep)
+        rank = ROUTERS.index(name)
+        self.lease = DutyLease(
+            self.log, "fleet", name, LEASE_S, lambda: rank, world.clock
+        )
+        self.rollout = WeightsRollout(
+            self.live,
+            self.lease,
+            FakeEngineClient(world),
+            lambda engine: str(world.engines[engine].epoch),
+            lambda engine, model: world.reported[engine],
+            name,
+            world.clock,
+        )
+        self.snapshots = SnapshotKeeper(
+            self.log,
+            self.lease,
+            1.0,
+            lambda: WarmState(name, ()),
+            world.clock,
+        )
+        self.paused_until_s = 0.0
+        self.caught_up = False
+
+    def step(self) -> None:
+        with contextlib.suppress(LogServiceError):
+            if not self.caught_up:
+                self.follower.catch_up()
+                self.caught_up = True
+            self.follower.follow_once()
+        self.lease.step()
+        self.rollout.step()
+        self.snapshots.step()
+
+
+class ControlWorld:
+    """Three routers, three engines, an operator, and one log."""
+
+    def __init__(self):
+        from matrix_world import SETTINGS
+
+        self.clock = Clock()
+        self.sleep = self.clock.sleep
+        self.script = Script()
+        self.settings = parse_settings(SETTINGS, "matrix")
+        self.store = LogStore(clock=self.clock)
+        self.logs: list[InMemoryLogService] = []
+        self.engines = {n: FakeEngine(n) for n in ("e0", "e1", "e2")}
+        self.reported = dict.fromkeys(self.engines, "v1")
+        self.late_orders: list = []
+        self.operator_log = self.new_log()
+        self.routers = {name: ControlRouter(self, name) for name in ROUTERS}
+        self.broken: list[str] = []
+        self.offsets = dict.fromkeys(ROUTERS, 0)
+        self.by_offset: dict[int, object] = {}
+
+    def new_log(self) -> InMemoryLogService:
+        log = InMemoryLogService(self.store, LogFaults(), self.sleep)
+        self.logs.append(log)
+        return log
+
+    def holder(self) -> ControlRouter:
+        held = [r for r in self.routers.values() if r.lease.fence is not None]
+        return held[0] if held else self.routers["r0"]
+
+    def run(self, seconds: float) -> None:
+        end_s = self.clock.now_s + seconds
+        while self.clock.now_s < end_s:
+            self.clock.sleep(TICK_S)
+            for engine in self.engines.values():
+                self.reported[engine.name] = engine.version
+            for router in list(self.routers.values()):
+                if self.clock.now_s >= router.paused_until_s:
+                    router.step()
+                self.check()
+
+    def check(self) -> None:
+        """Check what must hold at every moment."""
+        held = [r.name for r in self.routers.values() if r.lease.fence is not None]
+        if len(held) > 1:
+            self.broken.append(f"two holders of one duty: {held}")
+        for router in self.routers.values():
+            offset = router.live.next_offset
+            if offset < self.offsets[router.name]:
+                self.broken.append(f"{router.name} went back to {offset}")
+            self.offsets[router.name] = offset
+            known = self.by_offset.setdefault(offset, router.live.current)
+            if offset and known != router.live.current:
+                self.broken.append(f"routers differ at offset {offset}")
+
+    def restart(self, name: str) -> None:
+        self.routers[name] = ControlRouter(self, name)
+        self.offsets[name] = 0
+
+    def apply(self, text: str) -> None:
+        """Apply as an operator does who tries again after a failure."""
+        console = FleetConsole({}, self.operator_log, self.settings.configuration)
+        for attempt in range(20):
+            if attempt == OUTAGE_TRIES:
+                self.heal()
+            try:
+                if not self._is_applied(console, text):
+                    console.apply(text, "op", 0)
+                return
+            except KumquatseamError:
+                self.run(1.0)
+        self.broken.append(f"never accepted: {text}")
+
+    @staticmethod
+    def _is_applied(console: FleetConsole, text: str) -> bool:
+        version = text.split()[-1]
+        return console.read().configuration.model(MODEL).version == version
+
+    def heal(self) -> None:
+        self.script.left = 0
+        for log in self.logs:
+            log.faults = LogFaults()
+            log.deliver_late()
+        for engine_name, order in self.late_orders:
+            engine = self.engines[engine_name]
+            if not engine.checks_fences or order.fence >= engine.highest_fence:
+                engine.version = order.version
+        self.late_orders.clear()
+
+
+def _all_logs(world, **faults) -> None:
+    for log in world.logs:
+        for name, value in faults.items():
+            setattr(log.faults, name, value)
+
+
+def log_down(world):
+    _all_logs(world, down=True)
+
+
+def log_down_for_holder(world):
+    world.holder().log.faults.down = True
+
+
+def log_slow(world):
+    _all_logs(world, slow_s=0.5)
+
+
+def log_loses_answers(world):
+    _all_logs(world, lose_answers=1)
+
+
+def log_loses_appends(world):
+    _all_logs(world, drop_appends=2)
+
+
+def log_appends_late(world):
+    _all_logs(world, late_appends=2)
+
+
+def log_forgets_history(world):
+    topics = world.store._topics.values()
+    for topic in topics:
+        while topic.payloads:
+            topic.payloads.popleft()
+            topic.appended_s.popleft()
+            topic.first_offset += 1
+
+
+def pause_holder(world):
+    world.holder().paused_until_s = world.clock.now_s + LEASE_S + 2.0
+
+
+def kill_holder(world):
+    world.restart(world.holder().name)
+
+
+def kill_all(world):
+    for name in ROUTERS:
+        world.restart(name)
+
+
+def kill_all_while_log_is_down(world):
+    log_down(world)
+    kill_all(world)
+
+
+def engines_crash(world):
+    for engine in world.engines.values():
+        engine.crash()
+
+
+def operators_race(world):
+    """Another operator's change lands whenever ours has been read."""
+    console = FleetConsole({}, world.new_log(), world.settings.configuration)
+    with contextlib.suppress(KumquatseamError):
+        name = f"raced{int(world.clock.now_s * 4)}"
+        console.apply(f"create priority {name} rank = 9", "racer", 0)
+
+
+def orders_are_late(world):
+    """Engines that ignore fencing tokens carry out orders long after."""
+
+    def hold_up(world, name, step):
+        order = attrs.make_class("Held", ["fence", "version"])(
+            world.holder().lease.fence or 0, "v2"
+        )
+        world.late_orders.append((name, order))
+        raise OrderUnansweredError(name, "held up")
+
+    for engine in world.engines.values():
+        engine.checks_fences = False
+    world.script.step, world.script.fire, world.script.left = "order", hold_up, 3
+
+
+FAULTS = (
+    log_down,
+    log_down_for_holder,
+    log_slow,
+    log_loses_answers,
+    log_loses_appends,
+    log_appends_late,
+    log_forgets_history,
+    pause_holder,
+    kill_holder,
+    kill_all,
+    kill_all_while_log_is_down,
+    engines_crash,
+    operators_race,
+    orders_are_late,
+)
+
+
 def cells():
-    return ()
+    """Yield every cell: a fault, a step, times it strikes, a second fault."""
+    for fault in FAULTS:
+        for step in STEPS:
+            for times in (1, 2):
+                yield fault, step, times, None
+    for first in FAULTS:
+        for second in FAULTS:
+            if first is not second:
+                yield first, "after_apply", 1, second
+
+
+def run_cell(fault, step, times, second) -> list[str]:
+    """Run one cell and return what was broken."""
+    world = ControlWorld()
+    world.run(2.0)
+    _strike(world, fault, step == "idle", times, second)
+    if step == "idle":
+        world.run(FAULT_S)
+        world.heal()
+        world.run(1.0)
+    _strike(world, fault, step == "before_apply", times, second)
+    world.apply(f"load model {MODEL} version v2")
+    _strike(world, fault, step == "after_apply", times, second)
+    world.run(0.5)
+    _strike(world, fault, step == "ordering", times, second)
+    world.run(FAULT_S)
+    world.apply(f"load model {MODEL} version v3")
+    world.run(1.0)
+    world.heal()
+    world.run(HEAL_S)
+    return _check_end(world)
+
+
+def _strike(world, fault, now: bool, times: int, second) -> None:
+    if not now:
+        return
+    for _ in range(times):
+        fault(world)
+        if times > 1:
+            world.run(1.0)
+    if second is not None:
+        second(world)
+
+
+def _check_end(world) -> list[str]:
+    """Check that the fleet repaired itself."""
+    broken = list(dict.fromkeys(world.broken))
+    offsets = {r.name: r.live.next_offset for r in world.routers.values()}
+    if len(set(offsets.values())) != 1:
+        broken.append(f"offsets differ: {offsets}")
+    for router in world.routers.values():
+        version = router.live.current.model(MODEL).version
+        if version != "v3":
+            broken.append(f"{router.name} has version {version} in force")
+    for engine in world.engines.values():
+        if engine.version != "v3":
+            broken.append(f"{engine.name} runs {engine.version}")
+    if sum(r.lease.fence is not None for r in world.routers.values()) != 1:
+        broken.append("no holder of the duty")
+    return broken
--- a/src/kumquatseam/fleet/__init__.py
+++ b/src/kumquatseam/fleet/__init__.py
@@ -8,13 +8,12 @@
 from kumquatseam.fleet._control import ControlClient, ControlServer
 from kumquatseam.fleet._follower import (
     CONFIGURATION_TOPIC,
+    Command,
     ConfigurationFollower,
     ConfigurationState,
-    append_change,
-    read_snapshot,
-    read_state,
-    seed,
-    write_snapshot,
+    append_command,
+    load_newest,
+    read_current,
 )
 from kumquatseam.fleet._heartbeats import HeartbeatLoop
 from kumquatseam.fleet._lease import DutyLease
@@ -49,23 +48,26 @@
     ALTER,
     CREATE,
     DROP,
-    ConfigurationRecord,
+    ConfigurationSnapshot,
     EntityChange,
     FieldValue,
-    new_record_id,
 )
 from kumquatseam.fleet._rollout import WeightsRollout
 from kumquatseam.fleet._snapshots import SnapshotKeeper, read_warm_state
 from kumquatseam.fleet._warm_start import WarmStart
 
 __all__ = [
+    "Command",
+    "ConfigurationSnapshot",
+    "append_command",
+    "load_newest",
+    "read_current",
     "ALIVE",
     "ALTER",
     "CONFIGURATION_TOPIC",
     "CREATE",
     "ChangeRefusedError",
     "ConfigurationFollower",
-    "ConfigurationRecord",
     "ConfigurationRequest",
     "ConfigurationState",
     "ControlClient",
@@ -97,14 +99,8 @@
     "WarmState",
     "WarmStateRequest",
     "WeightsRollout",
-    "append_change",
     "apply_changes",
-    "new_record_id",
     "next_incarnation",
-    "read_snapshot",
-    "read_state",
     "read_warm_state",
     "router_addresses",
-    "seed",
-    "write_snapshot",
 ]
--- a/src/kumquatseam/fleet/_follower.py
+++ b/src/kumquatseam/fleet/_follower.py
@@ -1,28 +1,31 @@
 """Keeping the configuration in force by following the log service.
 
-The configuration is the fold of the records of one topic, in offset order.
-Records expire, so a keyed topic keeps a snapshot for good. A daemon starts
-on its INI file's configuration, takes the snapshot if there is one, seeds an
-empty log with its own (a conditional append: exactly one daemon's wins), and
-then waits for records at the log's end, so a change is in force within one
-answer of the log.
+The configuration is the newest record of every entity in one keyed topic.
+A daemon starts on its INI file's configuration, loads the newest records,
+seeds an empty topic with its own (a conditional append: exactly one daemon's
+wins), and then waits for records at the topic's end, so a change is in force
+within one answer of the log. If the log forgot the records in between, the
+newest of each entity are loaded again; nothing accepted is ever lost.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import gevent
 import gevent.event
 
 from kumquatseam.errors import CodecError
-from kumquatseam.fleet._changes import ChangeRefusedError, apply_changes
+from kumquatseam.fleet._changes import apply_changes
 from kumquatseam.fleet._live import LiveConfiguration
 from kumquatseam.fleet._records import (
     RECORD_CODEC,
-    ConfigurationRecord,
-    ConfigurationSnapshot,
-    configuration_of,
-    snapshot_of,
+    EntityChange,
+    EntityRecord,
+    entity_key,
+    entity_of,
+    new_record_id,
+    split_entity_key,
+    values_of,
 )
 from kumquatseam.logs import part_logger
 from kumquatseam.logservice import (
@@ -33,22 +36,24 @@
     LogService,
     LogServiceError,
     append_once,
+    frame_keyed,
+    unframe_keyed,
 )
-from kumquatseam.settings import Configuration
+from kumquatseam.settings import Configuration, Entity, FieldFault
 
 _log = part_logger("config")
 
-CONFIGURATION_TOPIC = "kumquatseam.configuration"
-SNAPSHOT_TOPIC = f"{KEYED_PREFIX}kumquatseam.configuration"
-SNAPSHOT_KEY = "configuration"
+CONFIGURATION_TOPIC = f"{KEYED_PREFIX}kumquatseam.configuration"
 RETRY_PAUSE_S = 0.5
 #: how long a starting router waits for the log before it serves.
 START_PATIENCE_S = 1.0
+#: the operator named in the records that seed an empty topic.
+SEED_OPERATOR = "seed"
 
 
 @attrs.frozen
 class ConfigurationState:
-    """A configuration and how much of the log it includes.
+    """A configuration and how much of the topic it includes.
 
     :param configuration: the entities.
     :param next_offset: the offset after the last record included.
@@ -58,117 +63,169 @@
     next_offset: int
 
 
-def fold(state: ConfigurationState, records: tuple[LogRecord, ...]):
-    """Return ``state`` after ``records``, skipping those already included.
+@attrs.frozen
+class Command:
+    """An operator's command, ready to append.
 
-    A record that no longer fits (which a conditional append prevents) or
-    cannot be read is skipped by every daemon alike.
+    :param operator: who issues it.
+    :param changes: the changes, in order; all apply or none.
     """
+
+    operator: str
+    changes: tuple[EntityChange, ...]
+
+
+def fold(state: ConfigurationState, records: Iterable[LogRecord]):
+    """Return ``state`` after every command that is whole in ``records``."""
+    group: list[tuple[str, EntityRecord]] = []
     for record in records:
-        if record.offset < state.next_offset:
+        try:
+            key, value = unframe_keyed(record.payload)
+            entity = RECORD_CODEC.decode(value)
+        except CodecError as error:
+            _log.warning("Skipped record offset={}: {}.", record.offset, error)
             continue
-        configuration = _apply_record(state.configuration, record)
-        state = ConfigurationState(configuration, record.offset + 1)
+        group.append((key, entity))
+        if entity.index == entity.count - 1:
+            configuration = _replace(state.configuration, group)
+            state = ConfigurationState(configuration, record.offset + 1)
+            keys = ", ".join(key for key, _ in group[:5])
+            _log.info(
+                "Applied offset={} operator={} entities={} ({}).",
+                record.offset,
+                entity.operator,
+                len(group),
+                keys,
+            )
+            group = []
     return state
 
 
-def _apply_record(configuration: Configuration, record: LogRecord) -> Configuration:
-    try:
-        message = RECORD_CODEC.decode(record.payload)
-        if isinstance(message, ConfigurationSnapshot):
-            return configuration_of(message)
-        configuration = apply_changes(configuration, message.changes)
-    except (CodecError, ChangeRefusedError) as error:
-        _log.warning("Skipped record offset={}: {}.", record.offset, error)
-        return configuration
-    _log.info(
-        "Applied record offset={} operator={} changes={}.",
-        record.offset,
-        message.operator,
-        "; ".join(f"{c.verb} {c.kind} {c.name}" for c in message.changes),
-    )
-    return configuration
+def load_newest(log: LogService) -> ConfigurationState:
+    """Return the state made of the newest record of every entity.
+
+    :raises LogServiceError: if the log did not answer.
+    """
+    page = log.newest(CONFIGURATION_TOPIC)
+    group = []
+    for record in page.records:
+        try:
+            group.append((record.key, RECORD_CODEC.decode(record.value)))
+        except CodecError as error:
+            _log.warning("Skipped record key={}: {}.", record.key, error)
+    return ConfigurationState(_replace(Configuration(), group), page.end_offset)
 
 
 def read_state(log: LogService, state: ConfigurationState) -> ConfigurationState:
-    """Return ``state`` brought up to the log's end.
+    """Return ``state`` brought up to the topic's end.
 
     :raises LogServiceError: if the log did not answer.
     """
     try:
-        return fold(state, log.read(CONFIGURATION_TOPIC, state.next_offset).records)
+        return fold(state, _read_all(log, state.next_offset))
     except LogRecordsExpiredError:
-        state = read_snapshot(log) or state
-        return fold(state, log.read(CONFIGURATION_TOPIC, state.next_offset).records)
-
+        _log.info("The log forgot offset={}; loading the newest.", state.next_offset)
+        return load_newest(log)
 
-def read_snapshot(log: LogService) -> ConfigurationState | None:
-    """Return the state of the newest snapshot, if there is one."""
-    for record in log.newest(SNAPSHOT_TOPIC).records:
-        if record.key == SNAPSHOT_KEY:
-            snapshot = RECORD_CODEC.decode(record.value)
-            return ConfigurationState(configuration_of(snapshot), snapshot.next_offset)
-    return None
 
+def _read_all(log: LogService, from_offset: int) -> list[LogRecord]:
+    """Return every record from ``from_offset`` to the topic's end."""
+    records: list[LogRecord] = []
+    while True:
+        found = log.read(CONFIGURATION_TOPIC, from_offset + len(records))
+        records += found.records
+        if not found.records or records[-1].offset + 1 >= found.end_offset:
+            return records
 
-def write_snapshot(log: LogService, state: ConfigurationState) -> bool:
-    """Keep ``state`` as the snapshot unless a newer one is kept already.
 
-    Conditional on the topic's end, so a writer that was paused cannot put an
-    older snapshot over a newer one.
+def read_current(log: LogService, seed_configuration: Configuration):
+    """Return the state at the topic's end, seeding an empty topic.
 
-    :returns: whether it was written.
+    :param seed_configuration: what an empty topic is seeded with.
+    :raises LogServiceError: if the log did not answer.
     """
-    page = log.newest(SNAPSHOT_TOPIC)
-    for record in page.records:
-        if RECORD_CODEC.decode(record.value).next_offset >= state.next_offset:
-            return False
-    value = RECORD_CODEC.encode(snapshot_of(state.configuration, state.next_offset))
-    try:
-        log.append_keyed(SNAPSHOT_TOPIC, SNAPSHOT_KEY, value, at=page.end_offset)
-    except LogConflictError:
-        return False
-    return True
-
-
-def seed(log: LogService, configuration: Configuration) -> ConfigurationState:
-    """Make ``configuration`` the first record of an empty log.
+    state = load_newest(log)
+    if state.next_offset == 0:
+        state = _seed(log, seed_configuration)
+    return read_state(log, state)
 
-    Of several that try, one wins, and all go on from its record.
 
-    :returns: the state at the log's end.
-    :raises LogServiceError: if the log did not answer.
-    """
-    payload = RECORD_CODEC.encode(snapshot_of(configuration, 1))
+def _seed(log: LogService, configuration: Configuration) -> ConfigurationState:
+    """Make ``configuration`` the first command; of several that try, one wins."""
+    changed = [(k, e.name, e) for k, e in configuration.entities()]
+    if not changed:
+        return ConfigurationState(configuration, 0)
     try:
-        append_once(log, CONFIGURATION_TOPIC, payload, 0)
+        append_once(log, CONFIGURATION_TOPIC, _payloads(SEED_OPERATOR, changed), 0)
         _log.info("Seeded the empty log with the settings' configuration.")
     except LogConflictError:
         _log.info("Another process seeded the log.")
-    return read_state(log, ConfigurationState(configuration, 0))
+    return load_newest(log)
 
 
-def append_change(
-    log: LogService, state: ConfigurationState, record: ConfigurationRecord
+def append_command(
+    log: LogService, state: ConfigurationState, command: Command
 ) -> ConfigurationState:
-    """Append ``record`` at the offset ``state`` was read at.
+    """Append ``command`` at the offset ``state`` was read at.
 
     :returns: the state after it.
     :raises ChangeRefusedError: if it does not fit; nothing was appended.
-    :raises LogConflictError: if another change came first.
+    :raises LogConflictError: if another command came first.
+    :raises LogServiceError: if the log did not take it.
     """
-    configuration = apply_changes(state.configuration, record.changes)
-    payload = RECORD_CODEC.encode(record)
-    append_once(log, CONFIGURATION_TOPIC, payload, state.next_offset)
-    return ConfigurationState(configuration, state.next_offset + 1)
+    after = apply_changes(state.configuration, command.changes)
+    touched = dict.fromkeys((c.kind, c.name) for c in command.changes)
+    changed = [(kind, name, after.find(kind, name)) for kind, name in touched]
+    payloads = _payloads(command.operator, changed)
+    append_once(log, CONFIGURATION_TOPIC, payloads, state.next_offset)
+    return ConfigurationState(after, state.next_offset + len(payloads))
+
+
+def _payloads(
+    operator: str, changed: list[tuple[str, str, Entity | None]]
+) -> list[bytes]:
+    """Return one framed record per entity changed; ``None`` drops one."""
+    command_id = new_record_id()
+    payloads = []
+    for index, (kind, name, entity) in enumerate(changed):
+        record = EntityRecord(
+            command_id=command_id,
+            operator=operator,
+            index=index,
+            count=len(changed),
+            is_dropped=entity is None,
+            fields=values_of(entity) if entity is not None else (),
+        )
+        payloads.append(
+            frame_keyed(entity_key(kind, name), RECORD_CODEC.encode(record))
+        )
+    return payloads
+
+
+def _replace(
+    configuration: Configuration, group: list[tuple[str, EntityRecord]]
+) -> Configuration:
+    """Return ``configuration`` with the entities of ``group`` as recorded."""
+    entities = {(kind, e.name): e for kind, e in configuration.entities()}
+    for key, record in group:
+        kind, name = split_entity_key(key)
+        if record.is_dropped:
+            entities.pop((kind, name), None)
+            continue
+        try:
+            entities[(kind, name)] = entity_of(kind, name, record.fields)
+        except (FieldFault, KeyError) as error:
+            _log.warning("Skipped {}: {!r}.", key, error)
+    return Configuration.of((kind, e) for (kind, _), e in entities.items())
 
 
 class ConfigurationFollower:
-    """Follows the configuration topic and keeps it in force.
+    """Follows the configuration's topic and keeps it in force.
 
     :param log: the log service.
     :param live: where the configuration is put in force.
     :param poll_s: how long one read waits for the next record.
+    :param sleep: pauses after a failed call.
     """
 
     def __init__(
@@ -200,25 +257,15 @@
         if self._greenlet is not None:
             self._greenlet.kill()
 
-    @property
-    def state(self) -> ConfigurationState:
-        """The configuration in force and its place in the log."""
-        return ConfigurationState(self._live.current, self._live.next_offset)
-
     def catch_up(self) -> None:
-        """Take the snapshot or seed an empty log; then read to its end.
+        """Load the newest records, or seed an empty topic.
 
         :raises LogServiceError: if the log did not answer.
         """
-        snapshot = read_snapshot(self._log_service)
-        if snapshot is not None:
-            self._put_in_force(snapshot)
-        self._put_in_force(read_state(self._log_service, self.state))
-        if self._live.next_offset == 0:
-            self._put_in_force(seed(self._log_service, self._live.current))
+        self._put_in_force(read_current(self._log_service, self._live.current))
 
     def follow_once(self) -> None:
-        """Wait once for records at the log's end and put them in force.
+        """Wait once for records at the topic's end and put them in force.
 
         :raises LogServiceError: if the log did not answer.
         """
@@ -226,9 +273,11 @@
         try:
             found = self._log_service.read(CONFIGURATION_TOPIC, offset, self._poll_s)
         except LogRecordsExpiredError:
-            self.catch_up()
+            self._put_in_force(load_newest(self._log_service))
             return
-        self._put_in_force(fold(self.state, found.records))
+        if found.records:
+            state = ConfigurationState(self._live.current, offset)
+            self._put_in_force(read_state(self._log_service, state))
 
     def _put_in_force(self, state: ConfigurationState) -> None:
         if self._live.advance(state.configuration, state.next_offset):
--- a/src/kumquatseam/fleet/_lease.py
+++ b/src/kumquatseam/fleet/_lease.py
@@ -129,7 +129,7 @@
         payload = _CODEC.encode(LeaseRecord(new_record_id(), self._holder))
         try:
             offset = append_once(
-                self._log_service, self._topic, payload, self._next_offset, attempts=2
+                self._log_service, self._topic, [payload], self._next_offset, attempts=2
             )
         except LogConflictError:
             _log.info("Another router holds duty={}.", self._duty)
--- a/src/kumquatseam/fleet/_snapshots.py
+++ b/src/kumquatseam/fleet/_snapshots.py
@@ -1,15 +1,14 @@
-"""Snapshots in the log service: the configuration and the warm state.
+"""Snapshots of the warm state in the log service.
 
-The duty's holder writes both at an interval, the configuration's only when
-it changed, so a fleet of any size costs the log one writer. Records expire,
-snapshots in keyed topics do not.
+The duty's holder writes what it knows of engines' caches at an interval, so
+a fleet of any size costs the log one writer. Records expire, the newest
+record of a keyed topic does not.
 """
 
 import time
 from collections.abc import Callable
 
 from kumquatseam.errors import CodecError
-from kumquatseam.fleet._follower import ConfigurationState, write_snapshot
 from kumquatseam.fleet._lease import DutyLease
 from kumquatseam.fleet._messages import CONTROL_CODEC, WarmState
 from kumquatseam.logs import part_logger
@@ -36,12 +35,11 @@
 
 
 class SnapshotKeeper:
-    """Writes snapshots while this router holds the duty.
+    """Writes the warm state while this router holds the duty.
 
     :param log: the log service.
     :param lease: this router's part in the duty.
     :param interval_s: seconds between two snapshots.
-    :param read_configuration: returns the configuration in force.
     :param read_warm_state: returns what this router knows of caches.
     :param clock: monotonic clock in seconds.
     """
@@ -51,18 +49,15 @@
         log: LogService,
         lease: DutyLease,
         interval_s: float,
-        read_configuration: Callable[[], ConfigurationState],
         read_warm_state: Callable[[], WarmState],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._log_service = log
         self._lease = lease
         self._interval_s = interval_s
-        self._read_configuration = read_configuration
         self._read_warm_state = read_warm_state
         self._clock = clock
         self._written_s: float | None = None
-        self._written_offset = 0
 
     def step(self) -> None:
         """Write what is due, if this router holds the duty."""
@@ -73,18 +68,10 @@
             return
         self._written_s = now_s
         try:
-            self._write_configuration()
             self._write_warm_state()
         except LogServiceError as error:
             _log.warning("Not written: {}.", error)
 
-    def _write_configuration(self) -> None:
-        state = self._read_configuration()
-        if state.next_offset > self._written_offset:
-            if write_snapshot(self._log_service, state):
-                _log.info("Wrote the configuration offset={}.", state.next_offset)
-            self._written_offset = state.next_offset
-
     def _write_warm_state(self) -> None:
         state = self._read_warm_state()
         blocks = sum(len(engine.keys) for engine in state.engines)
--- a/src/kumquatseam/operators/_console.py
+++ b/src/kumquatseam/operators/_console.py
@@ -8,17 +8,14 @@
 
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.fleet import (
-    ConfigurationRecord,
+    Command,
     ConfigurationState,
     ControlClient,
     QueryAnswer,
     QueryRequest,
     Row,
-    append_change,
-    new_record_id,
-    read_snapshot,
-    read_state,
-    seed,
+    append_command,
+    read_current,
 )
 from kumquatseam.logservice import LogConflictError, LogService
 from kumquatseam.operators._commands import changes_of
@@ -129,13 +126,7 @@
 
         :raises LogServiceError: if the log did not answer.
         """
-        state = read_snapshot(self._log_service) or ConfigurationState(
-            self._seed_configuration, 0
-        )
-        state = read_state(self._log_service, state)
-        if state.next_offset == 0:
-            state = seed(self._log_service, self._seed_configuration)
-        return state
+        return read_current(self._log_service, self._seed_configuration)
 
     def apply(
         self,
@@ -159,9 +150,8 @@
             raise LanguageError(text, 1, "this is a query; use query")
         state = state or self.read()
         changes = changes_of(commands.commands, state.configuration)
-        record = ConfigurationRecord(new_record_id(), operator, changes)
         try:
-            after = append_change(self._log_service, state, record)
+            after = append_command(self._log_service, state, Command(operator, changes))
         except LogConflictError as conflict:
             raise CommandConflictError(
                 state.next_offset, conflict.end_offset
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -229,7 +229,6 @@
             self._log_service,
             lease,
             settings.log.snapshot_interval_s,
-            lambda: follower.state,
             self._warm_state,
         )
         duty = _StepLoop(DUTY_INTERVAL_S, lease.step, rollout.step, snapshots.step)
