Serving features: going on elsewhere, hanging engines, marked requests, bursts, limits

Change: seven scenarios: a crashed engine's answer goes on at another and equals an undisturbed one; a hanging engine is given up at the first-byte timeout; a marked request runs once across a router's death and is refused as not run while the log is down, and its repeat then runs; a POST whose answer is lost is not sent again, a GET is; a burst sheds the low class; a team over its limit is refused. The stand-in engine takes faults while it runs.

--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -34,9 +34,13 @@
 @given("a fleet of {routers:d} routers and {engines:d} engines")
 @given("a fleet of {routers:d} routers and {engines:d} engine")
 @given("a fleet of {routers:d} router and {engines:d} engine")
-def step_controlled_fleet(context, routers, engines, **options):
+def step_controlled_fleet(context, routers, engines, more=None, **options):
     plan = FleetPlan(
-        routers=routers, engines=engines, with_log=True, sections=QUICK, **options
+        routers=routers,
+        engines=engines,
+        with_log=True,
+        sections={**QUICK, **(more or {})},
+        **options,
     )
     fleet = start_fleet(context, plan)
     context.console = console_of(fleet)
--- a/src/kumquatseam/standins/engine/_engine.py
+++ b/src/kumquatseam/standins/engine/_engine.py
@@ -90,6 +90,7 @@
         app.post("/v1/cache/probe", callback=self._probe)
         app.get("/stats", callback=self._stats)
         app.post("/standin/leave", callback=self._leave)
+        app.put("/standin/faults", callback=self._set_faults)
         self._server = StandinServer(app, settings.host, settings.port)
         self._registration = self._build_registration()
 
@@ -134,6 +135,11 @@
     def _sample_load(self):
         return self._slots.running, self._slots.waiting, self._cache.usage_ratio
 
+    def _set_faults(self):
+        """Change how the engine behaves from now on (for tests)."""
+        self.settings = attrs.evolve(self.settings, **json_body())
+        return {}
+
     def _leave(self):
         """Show the engine as leaving while it goes on serving (for tests)."""
         self._registration.leave()
