--- a/src/kumquatseam/bench/_modelled.py
+++ b/src/kumquatseam/bench/_modelled.py
@@ -1,11 +1,12 @@
 """The seeded bench in modelled time: the router's own code against cache models.
 
 Every figure here is deterministic for a scenario and seed, so CI gates on
-them. The router, its prefix index, its policies and the engines' block cache
-are the same classes the daemon and the stand-ins run; only time and the
-wire are modelled: arrivals are Poisson, an engine runs ``slots`` requests at
-once, prefill costs per uncached token and decode per token, cache events
-arrive ``event_delay_s`` late and a share of them never.
+them. The routers, their prefix indexes, policies and summaries and the
+engines' block cache are the same classes the daemon and the stand-ins run;
+only time and the wire are modelled: arrivals are Poisson, a balancer spreads
+them over the routers, an engine runs ``slots`` requests at once by priority,
+prefill costs per uncached token and decode per token, cache events and load
+reports arrive late and a share of the events never.
 
 The ``oracle`` places each request where its modelled time to first token is
 lowest, knowing every cache and queue exactly and at once: the bound the
@@ -15,55 +16,35 @@
 import heapq
 import itertools
 import random
+from collections.abc import Callable
 
 import attrs
 
+from kumquatseam.bench._modelled_engine import ModelledEngine
 from kumquatseam.bench._scenarios import Scenario
-from kumquatseam.engines import (
-    CacheEventBatch,
-    LoadReport,
-    block_keys,
-    cache_salt,
-    salt_seed,
-    tokenize,
+from kumquatseam.bench._trace import (
+    MODEL,
+    ModelledRequest,
+    bench_settings,
+    ratio_index,
 )
-from kumquatseam.fleet import LiveConfiguration
+from kumquatseam.engines import block_keys, cache_salt, salt_seed
+from kumquatseam.errors import OverloadedError
+from kumquatseam.fleet import Heartbeat, LiveConfiguration, WarmState
 from kumquatseam.metrics import FiguresSummary, RequestFigures
-from kumquatseam.routing import Router, RoutingRequest, build_policy
-from kumquatseam.settings import (
-    Configuration,
-    DaemonSettings,
-    ModelSettings,
-    PrioritySettings,
-    Settings,
-    TeamSettings,
-    UpstreamSettings,
-)
-from kumquatseam.standins.engine import BlockCache
+from kumquatseam.routing import PeerSummaries, Router, RoutingRequest, build_policy
+from kumquatseam.settings import FleetSettings
 
 ORACLE = "oracle"
 #: modelled seconds between two load reports of an engine, and their lag.
 LOAD_REPORT_INTERVAL_S = 1.0
 LOAD_REPORT_LAG_S = 0.5
-MODEL = ModelSettings(name="bench-model", version="v1", adapters=())
-
-
-@attrs.frozen
-class ModelledRequest:
-    """One arrival of the trace.
-
-    :param arrival_s: modelled arrival time.
-    :param team: the team's name.
-    :param tokens: the prompt's tokens.
-    :param max_tokens: tokens to generate.
-    :param priority_class: its class.
-    """
-
-    arrival_s: float
-    team: str
-    tokens: tuple[str, ...]
-    max_tokens: int
-    priority_class: str
+#: modelled seconds between two summaries of a router, and their delay.
+SUMMARY_INTERVAL_S = 0.5
+SUMMARY_DELAY_S = 0.005
+#: modelled seconds between two warm-state snapshots.
+SNAPSHOT_INTERVAL_S = 5.0
+WARM_STATE_BLOCKS = 12_000
 
 
 @attrs.frozen
@@ -88,104 +69,18 @@
 
     :param summary: the users' measures.
     :param duplicates: requests run more than once (must be 0).
-    :param lost: requests never answered (must be 0).
-    :param timeline: each request's figures in arrival order.
+    :param lost: requests neither answered nor refused (must be 0).
+    :param timeline: each request's figures in order of first token.
+    :param class_ttft_p99_ms: p99 time to first token by priority class.
+    :param class_refused: refused requests by priority class.
     """
 
     summary: FiguresSummary
     duplicates: int
     lost: int
     timeline: tuple[TimelinePoint, ...] = ()
-
-
-@attrs.define
-class _Engine:
-    name: str
-    epoch: str
-    cache: BlockCache
-    slot_free_s: list[float]
-    sequence: int = 0
-    in_flight: int = 0
-    reported_s: float = -LOAD_REPORT_INTERVAL_S
-
-
-def build_trace(scenario: Scenario, requests: int, seed: int) -> list[ModelledRequest]:
-    """Draw the scenario's arrivals.
-
-    :param scenario: what to draw.
-    :param requests: how many arrivals.
-    :param seed: seed of every draw.
-    """
-    rng = random.Random(seed)
-    workload = scenario.workload
-    instruction, openings = workload.corpus(scenario.teams, rng)
-    weights = [
-        scenario.large_team_weight if i < scenario.large_teams else 1.0
-        for i in range(len(scenario.teams))
-    ]
-    shift_at = _ratio_index(scenario.shift_openings_at_ratio, requests)
-    trace = []
-    now_s = 0.0
-    for index in range(requests):
-        in_burst = requests / 3 <= index < 2 * requests / 3
-        rate = scenario.requests_per_s * (scenario.burst_factor if in_burst else 1.0)
-        now_s += rng.expovariate(rate)
-        team = rng.choices(scenario.teams, weights)[0]
-        opening = workload.draw_opening(rng)
-        if shift_at is not None and index >= shift_at:
-            opening = workload.openings_per_team - 1 - opening
-        prompt = workload.prompt(rng, instruction, openings[team][opening])
-        kind = rng.choices(scenario.kinds, [k.share for k in scenario.kinds])[0]
-        trace.append(
-            ModelledRequest(
-                now_s,
-                team,
-                tuple(tokenize(prompt)),
-                kind.max_tokens,
-                kind.priority_class,
-            )
-        )
-    return trace
-
-
-def bench_settings(scenario: Scenario) -> Settings:
-    """Return router settings for the scenario's pool and teams."""
-    names = [f"{scenario.service}-{i}" for i in range(scenario.replicas)]
-    mean_service_ms = sum(
-        k.share * k.max_tokens * scenario.decode_ms_per_token for k in scenario.kinds
-    )
-    daemon = DaemonSettings(
-        listen="127.0.0.1:1",
-        zone=scenario.zones[0],
-        policy="prefix_aware",
-        block_size_tokens=scenario.block_size_tokens,
-        engine_dead_after_s=5.0,
-        index_entry_ttl_s=30.0,
-        prefill_ms_per_token=scenario.prefill_ms_per_token,
-        queue_ms_per_request=mean_service_ms / scenario.slots,
-        connect_timeout_s=0.5,
-        read_timeout_s=10.0,
-        drain_timeout_s=10.0,
-    )
-    upstreams = tuple(
-        UpstreamSettings(
-            name=name,
-            url=f"http://bench/{name}",
-            events_address=f"inproc://{name}",
-            zone=scenario.zones[i % len(scenario.zones)],
-            models=(MODEL.name,),
-            slots=scenario.slots,
-        )
-        for i, name in enumerate(names)
-    )
-    classes = tuple(k.priority_class for k in scenario.kinds)
-    teams = tuple(
-        TeamSettings(team, (f"key-{team}",), classes, (MODEL.name,), tuple(names))
-        for team in scenario.teams
-    )
-    priorities = tuple(PrioritySettings(c, rank) for rank, c in enumerate(classes))
-    configuration = Configuration(priorities, (MODEL,), upstreams, teams)
-    return Settings(f"<bench {scenario.name}>", daemon, configuration)
+    class_ttft_p99_ms: dict[str, float] = attrs.Factory(dict)
+    class_refused: dict[str, int] = attrs.Factory(dict)
 
 
 def run_policy(
@@ -195,134 +90,209 @@
 
     :param policy_name: a routing policy's name, or ``"oracle"``.
     """
-    settings = bench_settings(scenario)
-    daemon = settings.daemon
-    now = [0.0]
-    chooser = build_policy(
-        "prefix_aware" if policy_name == ORACLE else policy_name,
-        daemon.block_size_tokens,
-        daemon.prefill_ms_per_token,
-        daemon.queue_ms_per_request,
-    )
-    configuration = settings.configuration
-    live = LiveConfiguration(configuration)
-    router = Router(live, daemon, chooser, clock=lambda: now[0])
-    rng = random.Random(seed)
-    engines = {
-        u.name: _Engine(
-            u.name,
-            f"{u.name}-e0",
-            BlockCache(scenario.capacity_blocks),
-            [0.0] * scenario.slots,
+    return _ModelledRun(scenario, trace, policy_name, seed).run()
+
+
+@attrs.define
+class _ModelledRouter:
+    name: str
+    router: Router
+    summaries: PeerSummaries
+
+
+class _ModelledRun:
+    """One replay: a queue of timed steps over routers and engines."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        trace: list[ModelledRequest],
+        policy_name: str,
+        seed: int,
+    ) -> None:
+        self._scenario = scenario
+        self._trace = trace
+        self._policy_name = policy_name
+        self._settings = bench_settings(scenario)
+        self._configuration = self._settings.configuration
+        self._rng = random.Random(seed)
+        self._now_s = 0.0
+        self._steps: list = []
+        self._order = itertools.count()
+        self._figures = RequestFigures()
+        self._timeline: list[TimelinePoint] = []
+        self._answers: dict[int, int] = {}
+        self._refused: dict[str, int] = {}
+        self._owners: dict[int, _ModelledRouter] = {}
+        self._warm: WarmState | None = None
+        names = [u.name for u in self._configuration.upstreams]
+        self._engines = {name: ModelledEngine(name, scenario) for name in names}
+        self._routers = [self._new_router(i) for i in range(scenario.routers)]
+
+    def run(self) -> PolicyFigures:
+        """Replay the whole trace and return its figures."""
+        for request in self._trace:
+            self._at(request.arrival_s, self._arrive, request)
+        self._schedule_background(self._trace[-1].arrival_s)
+        while self._steps:
+            self._now_s, _, step, arguments = heapq.heappop(self._steps)
+            step(*arguments)
+        answered = len(self._answers)
+        refused = sum(self._refused.values())
+        return PolicyFigures(
+            summary=self._figures.summary(),
+            duplicates=sum(count - 1 for count in self._answers.values()),
+            lost=len(self._trace) - answered - refused,
+            timeline=tuple(self._timeline),
+            class_ttft_p99_ms=self._figures.class_ttft_ms(99),
+            class_refused=self._refused,
+        )
+
+    def _at(self, time_s: float, step: Callable, *arguments) -> None:
+        heapq.heappush(self._steps, (time_s, next(self._order), step, arguments))
+
+    def _schedule_background(self, end_s: float) -> None:
+        """Schedule load reports, summaries, snapshots and faults."""
+        scenario = self._scenario
+        self._every(LOAD_REPORT_INTERVAL_S, end_s, self._report_loads)
+        if scenario.routers > 1 and scenario.has_summaries:
+            self._every(SUMMARY_INTERVAL_S, end_s, self._exchange_summaries)
+        if scenario.herd_at_ratio is not None:
+            self._every(SNAPSHOT_INTERVAL_S, end_s, self._take_snapshot)
+        for ratio, fault in (
+            (scenario.crash_at_ratio, self._crash_engine),
+            (scenario.herd_at_ratio, self._restart_routers),
+        ):
+            index = ratio_index(ratio, len(self._trace))
+            if index is not None:
+                self._at(self._trace[index].arrival_s, fault)
+
+    def _every(self, interval_s: float, end_s: float, step: Callable) -> None:
+        for tick in range(int(end_s / interval_s) + 1):
+            self._at(tick * interval_s, step)
+
+    def _new_router(self, index: int) -> _ModelledRouter:
+        daemon = self._settings.daemon
+        name = "prefix_aware" if self._policy_name == ORACLE else self._policy_name
+        policy = build_policy(
+            name,
+            daemon.block_size_tokens,
+            daemon.prefill_ms_per_token,
+            daemon.queue_ms_per_request,
         )
-        for u in configuration.upstreams
-    }
-    teams = {t.name: t for t in configuration.teams}
-    events: list = []
-    completions: list = []
-    order = itertools.count()
-    crash_at = _ratio_index(scenario.crash_at_ratio, len(trace))
-    figures = RequestFigures()
-    timeline = []
-    block = daemon.block_size_tokens
-    for index, request in enumerate(trace):
-        now[0] = request.arrival_s
-        while events and events[0][0] <= now[0]:
-            router.observe(heapq.heappop(events)[2])
-        while completions and completions[0][0] <= now[0]:
-            name = heapq.heappop(completions)[2]
-            engines[name].in_flight -= 1
-            router.fleet.end(name)
-        for engine in engines.values():
-            if now[0] - engine.reported_s >= LOAD_REPORT_INTERVAL_S:
-                engine.reported_s = now[0]
-                running = min(engine.in_flight, scenario.slots)
-                report = LoadReport(
-                    engine.name, engine.epoch, running, engine.in_flight - running, 0.0
-                )
-                heapq.heappush(
-                    events, (now[0] + LOAD_REPORT_LAG_S, next(order), report)
-                )
-        if index == crash_at:
-            crashed = engines[configuration.upstreams[0].name]
-            crashed.epoch = f"{crashed.name}-e1"
-            crashed.cache = BlockCache(scenario.capacity_blocks)
-            crashed.sequence = 0
+        live = LiveConfiguration(self._configuration)
+        router = Router(live, daemon, policy, clock=lambda: self._now_s)
+        settings = FleetSettings(heartbeat_interval_s=SUMMARY_INTERVAL_S)
+        summaries = PeerSummaries(router, settings, clock=lambda: self._now_s)
+        return _ModelledRouter(f"router-{index}", router, summaries)
+
+    def _report_loads(self) -> None:
+        for engine in self._engines.values():
+            self._tell_all(LOAD_REPORT_LAG_S, engine.report())
+
+    def _tell_all(self, delay_s: float, message) -> None:
+        for index in range(len(self._routers)):
+            self._at(self._now_s + delay_s, self._hear, index, message)
+
+    def _hear(self, index: int, message) -> None:
+        self._routers[index].router.observe(message)
+
+    def _exchange_summaries(self) -> None:
+        peers = len(self._routers) - 1
+        for sender, router in enumerate(self._routers):
+            summary = router.summaries.take(peers)
+            heartbeat = Heartbeat(router.name, "", 0, 0, (), summary)
+            for receiver in range(len(self._routers)):
+                if receiver != sender:
+                    at_s = self._now_s + SUMMARY_DELAY_S
+                    self._at(at_s, self._hear_summary, receiver, heartbeat)
+
+    def _hear_summary(self, index: int, heartbeat: Heartbeat) -> None:
+        self._routers[index].summaries.receive(heartbeat)
+
+    def _take_snapshot(self) -> None:
+        holder = self._routers[0]
+        blocks = holder.router.index.export(WARM_STATE_BLOCKS)
+        self._warm = WarmState(holder.name, blocks)
+
+    def _crash_engine(self) -> None:
+        next(iter(self._engines.values())).crash()
+
+    def _restart_routers(self) -> None:
+        """Replace every router at once, with or without the last snapshot."""
+        self._routers = [self._new_router(i) for i in range(len(self._routers))]
+        if self._scenario.is_warm_start and self._warm is not None:
+            for router in self._routers:
+                for blocks in self._warm.engines:
+                    router.router.index.adopt(blocks, self._now_s)
+
+    def _arrive(self, request: ModelledRequest) -> None:
         salt = cache_salt(request.team, MODEL.name, MODEL.version)
-        prompt_keys = block_keys(list(request.tokens), block, salt_seed(salt))
-        keys = dict.fromkeys(engines, prompt_keys)
-        if policy_name == ORACLE:
-            name = _oracle_choice(engines, keys, request, scenario)
-        else:
-            routing_request = RoutingRequest(
-                f"bench-{index}", teams[request.team], MODEL.name, request.tokens
+        block = self._settings.daemon.block_size_tokens
+        keys = block_keys(list(request.tokens), block, salt_seed(salt))
+        rank = self._configuration.priority(request.priority_class).rank
+        router = self._routers[request.router]
+        try:
+            name = self._choose(router, request, keys, rank)
+        except OverloadedError:
+            self._figures.record_refusal()
+            refused = self._refused.get(request.priority_class, 0)
+            self._refused[request.priority_class] = refused + 1
+            return
+        router.router.fleet.begin(name)
+        self._owners[request.number] = router
+        self._engines[name].enqueue(request, keys, rank)
+        self._start_waiting(self._engines[name])
+
+    def _choose(
+        self,
+        router: _ModelledRouter,
+        request: ModelledRequest,
+        keys: list[int],
+        rank: int,
+    ) -> str:
+        if self._policy_name == ORACLE:
+            return min(
+                self._engines,
+                key=lambda name: self._engines[name].expected_ttft_s(
+                    request, keys, rank, self._now_s
+                ),
             )
-            name = router.route(routing_request).upstream.name
-        engine = engines[name]
-        best_blocks = max(e.cache.peek(keys[n]) for n, e in engines.items())
-        matched, change = engine.cache.admit(keys[name])
-        ttft_s, done_s = _serve(engine, request, matched, scenario, now[0])
-        engine.in_flight += 1
-        router.fleet.begin(name)
-        heapq.heappush(completions, (done_s, next(order), name))
-        if change.stored_keys or change.removed_keys:
-            engine.sequence += 1
-            if rng.random() >= scenario.event_loss_ratio:
-                batch = CacheEventBatch(
-                    name,
-                    engine.epoch,
-                    engine.sequence,
-                    change.stored_keys,
-                    change.removed_keys,
-                )
-                heapq.heappush(
-                    events, (now[0] + scenario.event_delay_s, next(order), batch)
-                )
-        figures.record(
-            ttft_s,
-            len(request.tokens),
-            matched * block,
-            (best_blocks - matched) * block,
+        priority = self._configuration.priority(request.priority_class)
+        routing_request = RoutingRequest(
+            f"bench-{request.number}",
+            self._configuration.find("team", request.team),
+            MODEL.name,
+            request.tokens,
+            priority if self._scenario.sheds else None,
         )
-        timeline.append(
+        return router.router.route(routing_request).upstream.name
+
+    def _start_waiting(self, engine: ModelledEngine) -> None:
+        """Give the engine's free slot to its next request, if it has one."""
+        keys = engine.next_keys()
+        if keys is None:
+            return
+        best = max(other.cache.peek(keys) for other in self._engines.values())
+        started = engine.start_next(self._now_s)
+        request = started.request
+        block = self._settings.daemon.block_size_tokens
+        cached_tokens = started.matched_blocks * block
+        wasted = (best - started.matched_blocks) * block
+        ttft_s = started.first_token_s - request.arrival_s
+        self._figures.record_ttft(ttft_s, request.priority_class)
+        self._figures.record_tokens(len(request.tokens), cached_tokens, wasted)
+        self._timeline.append(
             TimelinePoint(
-                request.arrival_s, ttft_s * 1000, len(request.tokens), matched * block
+                request.arrival_s, ttft_s * 1000, len(request.tokens), cached_tokens
             )
         )
-    return PolicyFigures(figures.summary(), 0, 0, tuple(timeline))
-
-
-def _serve(
-    engine: _Engine,
-    request: ModelledRequest,
-    matched: int,
-    scenario: Scenario,
-    now_s: float,
-) -> tuple[float, float]:
-    """Queue the request on the engine; return its TTFT and completion time."""
-    start_s = max(now_s, heapq.heappop(engine.slot_free_s))
-    uncached = len(request.tokens) - matched * scenario.block_size_tokens
-    prefill_s = uncached * scenario.prefill_ms_per_token / 1000
-    decode_s = request.max_tokens * scenario.decode_ms_per_token / 1000
-    done_s = start_s + prefill_s + decode_s
-    heapq.heappush(engine.slot_free_s, done_s)
-    return start_s - now_s + prefill_s, done_s
-
-
-def _oracle_choice(engines, keys, request: ModelledRequest, scenario: Scenario) -> str:
-    """Return the engine with the lowest exact modelled time to first token."""
-
-    def exact_ttft_s(name: str) -> float:
-        engine = engines[name]
-        wait_s = max(0.0, engine.slot_free_s[0] - request.arrival_s)
-        uncached = (
-            len(request.tokens)
-            - engine.cache.peek(keys[name]) * scenario.block_size_tokens
-        )
-        return wait_s + uncached * scenario.prefill_ms_per_token / 1000
-
-    return min(engines, key=exact_ttft_s)
-
-
-def _ratio_index(ratio: float | None, count: int) -> int | None:
-    return None if ratio is None else int(ratio * count)
+        self._answers[request.number] = self._answers.get(request.number, 0) + 1
+        if started.batch and self._rng.random() >= self._scenario.event_loss_ratio:
+            self._tell_all(self._scenario.event_delay_s, started.batch)
+        self._at(started.done_s, self._finish, engine, request)
+
+    def _finish(self, engine: ModelledEngine, request: ModelledRequest) -> None:
+        engine.finish()
+        self._owners.pop(request.number).router.fleet.end(engine.name)
+        self._start_waiting(engine)
--- a/src/kumquatseam/bench/_report.py
+++ b/src/kumquatseam/bench/_report.py
@@ -5,8 +5,9 @@
 
 import attrs
 
-from kumquatseam.bench._modelled import ORACLE, PolicyFigures, build_trace, run_policy
+from kumquatseam.bench._modelled import ORACLE, PolicyFigures, run_policy
 from kumquatseam.bench._scenarios import SCENARIOS
+from kumquatseam.bench._trace import build_trace
 from kumquatseam.errors import KumquatseamError
 
 BENCH_POLICIES = ("prefix_aware", "affinity", "round_robin", "least_loaded", ORACLE)
@@ -127,6 +128,8 @@
             "refused": summary.refused,
             "duplicates": figures.duplicates,
             "lost": figures.lost,
+            "class_ttft_p99_ms": figures.class_ttft_p99_ms,
+            "class_refused": figures.class_refused,
         }
     return {"scenario": report.scenario, "seed": report.seed, "policies": policies}
 
@@ -135,15 +138,17 @@
     """Return the report as a plain-text table, with the bounds' verdict."""
     rows = [
         f"scenario {report.scenario}, seed {report.seed}, modelled time",
-        f"{'policy':<14}{'requests':>9}{'hit rate':>9}{'ttft p95 ms':>12}"
-        f"{'ttft p99 ms':>12}{'wasted tokens':>14}{'dup':>5}{'lost':>5}",
+        f"{'policy':<14}{'requests':>9}{'refused':>8}{'hit rate':>9}"
+        f"{'ttft p95 ms':>12}{'ttft p99 ms':>12}{'wasted tokens':>14}"
+        f"{'dup':>5}{'lost':>5}  p99 by class",
     ]
     for name, figures in report.policies.items():
         s = figures.summary
         rows.append(
-            f"{name:<14}{s.requests:>9}{s.prefix_hit_rate:>9.3f}"
+            f"{name:<14}{s.requests:>9}{s.refused:>8}{s.prefix_hit_rate:>9.3f}"
             f"{s.ttft_p95_ms:>12.1f}{s.ttft_p99_ms:>12.1f}"
             f"{s.wasted_recompute_tokens:>14}{figures.duplicates:>5}{figures.lost:>5}"
+            f"  {_by_class(figures)}"
         )
     broken = broken_bounds(report)
     rows.append(
@@ -154,6 +159,15 @@
     return "\n".join(rows)
 
 
+def _by_class(figures: PolicyFigures) -> str:
+    """Return each class's p99 time to first token and refusals, in short."""
+    parts = []
+    for name, ttft_ms in figures.class_ttft_p99_ms.items():
+        refused = figures.class_refused.get(name, 0)
+        parts.append(f"{name} {ttft_ms:.0f}" + (f" (-{refused})" if refused else ""))
+    return ", ".join(parts)
+
+
 def format_json(report: BenchReport) -> str:
     """Return :func:`report_dict` as one line of JSON."""
     return json.dumps(report_dict(report))
--- a/src/kumquatseam/bench/_scenarios.py
+++ b/src/kumquatseam/bench/_scenarios.py
@@ -16,11 +16,13 @@
     :param priority_class: its class, e.g. ``"checklist"``.
     :param share: its share of the team's calls, 0 to 1.
     :param max_tokens: tokens generated per call.
+    :param max_queue_ratio: where the class is shed, in scenarios that shed.
     """
 
     priority_class: str
     share: float
     max_tokens: int
+    max_queue_ratio: float = 4.0
 
 
 @attrs.frozen
@@ -50,6 +52,12 @@
         and comes back empty, or ``None``.
     :param shift_openings_at_ratio: fraction of the run at which the hot
         openings change, or ``None``.
+    :param routers: routers the balancer spreads requests over.
+    :param has_summaries: whether routers exchange summaries.
+    :param herd_at_ratio: fraction of the run at which every router restarts
+        at the same moment, or ``None``.
+    :param is_warm_start: whether restarted routers adopt the last snapshot.
+    :param sheds: whether classes are shed from crowded engines.
     """
 
     name: str
@@ -73,6 +81,11 @@
     event_loss_ratio: float = 0.05
     crash_at_ratio: float | None = None
     shift_openings_at_ratio: float | None = None
+    routers: int = 1
+    has_summaries: bool = True
+    herd_at_ratio: float | None = None
+    is_warm_start: bool = True
+    sheds: bool = False
 
 
 HIVATAL = Scenario(
@@ -149,5 +162,30 @@
         attrs.evolve(HIVATAL, name="engine-crash", crash_at_ratio=0.5),
         attrs.evolve(EXCHANGE, name="event-loss", event_loss_ratio=0.5),
         attrs.evolve(HIVATAL, name="hot-shift", shift_openings_at_ratio=0.5),
+        attrs.evolve(HIVATAL, name="hivatal-7", routers=7),
+        attrs.evolve(HIVATAL, name="hivatal-7-mute", routers=7, has_summaries=False),
+        attrs.evolve(EXCHANGE, name="exchange-7", routers=7),
+        attrs.evolve(EXCHANGE, name="exchange-7-mute", routers=7, has_summaries=False),
+        attrs.evolve(HIVATAL, name="router-herd", routers=7, herd_at_ratio=0.5),
+        attrs.evolve(
+            HIVATAL,
+            name="router-herd-cold",
+            routers=7,
+            herd_at_ratio=0.5,
+            is_warm_start=False,
+        ),
+        attrs.evolve(HIVATAL, name="burst", burst_factor=6.0, routers=7),
+        attrs.evolve(
+            HIVATAL,
+            name="burst-shed",
+            burst_factor=6.0,
+            routers=7,
+            sheds=True,
+            kinds=(
+                RequestKind("checklist", 0.7, 8, 4.0),
+                RequestKind("notes", 0.2, 96, 1.0),
+                RequestKind("status", 0.1, 4, 2.0),
+            ),
+        ),
     )
 }
--- a/src/kumquatseam/bench/_slopes.py
+++ b/src/kumquatseam/bench/_slopes.py
@@ -115,8 +115,8 @@
 
 def measure_routing(engine_counts=(3, 9, 27)) -> list[Slope]:
     """CPU of one routing decision against the number of candidates."""
-    from kumquatseam.bench._modelled import MODEL, bench_settings
     from kumquatseam.bench._scenarios import HIVATAL
+    from kumquatseam.bench._trace import MODEL, bench_settings
     from kumquatseam.engines import tokenize
     from kumquatseam.fleet import LiveConfiguration
     from kumquatseam.routing import Router, RoutingRequest, build_policy
