--- a/src/kumquatseam/bench/_modelled.py
+++ b/src/kumquatseam/bench/_modelled.py
@@ -239,7 +239,7 @@
             refused = self._refused.get(request.priority_class, 0)
             self._refused[request.priority_class] = refused + 1
             return
-        router.router.fleet.begin(name)
+        router.router.fleet.begin(name, rank)
         self._owners[request.number] = router
         self._engines[name].enqueue(request, keys, rank)
         self._start_waiting(self._engines[name])
@@ -258,13 +258,13 @@
                     request, keys, rank, self._now_s
                 ),
             )
-        priority = self._configuration.priority(request.priority_class)
         routing_request = RoutingRequest(
             f"bench-{request.number}",
             self._configuration.find("team", request.team),
             MODEL.name,
             request.tokens,
-            priority if self._scenario.sheds else None,
+            self._configuration.priority(request.priority_class),
+            self._scenario.sheds,
         )
         return router.router.route(routing_request).upstream.name
 
@@ -294,5 +294,6 @@
 
     def _finish(self, engine: ModelledEngine, request: ModelledRequest) -> None:
         engine.finish()
-        self._owners.pop(request.number).router.fleet.end(engine.name)
+        rank = self._configuration.priority(request.priority_class).rank
+        self._owners.pop(request.number).router.fleet.end(engine.name, rank)
         self._start_waiting(engine)
--- a/src/kumquatseam/bench/_slopes.py
+++ b/src/kumquatseam/bench/_slopes.py
@@ -12,6 +12,14 @@
 import attrs
 from loguru import logger
 
+from kumquatseam.bench._control_slopes import (
+    letter_configuration,
+    measure_claims,
+    measure_configuration,
+    measure_fleets,
+    measure_membership,
+)
+from kumquatseam.bench._slope import Slope
 from kumquatseam.engines import (
     CacheEventBatch,
     LoadReport,
@@ -26,22 +34,6 @@
 LONG_ANSWER_TOKENS = 64
 
 
-@attrs.frozen
-class Slope:
-    """One measured slope.
-
-    :param name: what is measured, e.g. ``"index_apply_us_per_key"``.
-    :param value: the figure.
-    :param unit: its unit.
-    :param how: how it was measured, in a few words.
-    """
-
-    name: str
-    value: float
-    unit: str
-    how: str
-
-
 def measure_index(keys: int = 200_000) -> list[Slope]:
     """CPU and memory of the prefix index per cached block."""
     index = PrefixIndex(entry_ttl_s=30.0)
@@ -146,6 +138,7 @@
             team,
             MODEL.name,
             tokens,
+            settings.configuration.priorities[0],
         )
         calls = 2_000
         started = time.process_time()
@@ -236,52 +229,15 @@
     return daemon.cpu_s() - cpu_before_s, time.monotonic() - wall_before_s
 
 
-def measure_records(upstreams: int = 8_000, teams: int = 490) -> list[Slope]:
-    """Memory of the settings records a router keeps per upstream and team."""
-    from kumquatseam.settings import TeamSettings, UpstreamSettings
-
+def measure_records() -> list[Slope]:
+    """Memory of a configuration of the letter's size."""
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    records = [
-        UpstreamSettings(
-            f"seer-pool-{n}",
-            f"http://10.1.{n // 250}.{n % 250}:8000",
-            f"tcp://10.1.{n // 250}.{n % 250}:8601",
-            f"zone-{n % 8}",
-            (f"model-{n % 33}",),
-            8,
-        )
-        for n in range(upstreams)
-    ]
-    middle = tracemalloc.get_traced_memory()[0]
-    names = tuple(r.name for r in records[:240])
-    team_records = [
-        TeamSettings(
-            f"team-{n}",
-            (f"key-{n}-a", f"key-{n}-b"),
-            ("triage", "summary"),
-            ("model-1", "model-2"),
-            names,
-        )
-        for n in range(teams)
-    ]
-    after = tracemalloc.get_traced_memory()[0]
+    configuration = letter_configuration()
+    size = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
-    del records, team_records
-    return [
-        Slope(
-            "upstream_record_bytes",
-            (middle - before) / upstreams,
-            "bytes",
-            f"tracemalloc of {upstreams} UpstreamSettings",
-        ),
-        Slope(
-            "team_record_bytes",
-            (after - middle) / teams,
-            "bytes",
-            f"{teams} TeamSettings sharing one 240-name upstream tuple",
-        ),
-    ]
+    how = f"{len(configuration.upstreams)} upstreams, {len(configuration.teams)} teams"
+    return [Slope("configuration_mb", size / 2**20, "MB", f"tracemalloc of {how}")]
 
 
 def measure_all() -> list[Slope]:
@@ -291,6 +247,10 @@
         *measure_wire(),
         *measure_routing(),
         *measure_records(),
+        *measure_membership(),
+        *measure_configuration(),
+        *measure_claims(),
+        *measure_fleets(),
         *measure_daemon(),
     ]
 
--- a/src/kumquatseam/fleet/_control.py
+++ b/src/kumquatseam/fleet/_control.py
@@ -27,8 +27,7 @@
         self._handler = handler
         self._socket: pynng.Rep0 | None = None
         self._greenlet: gevent.Greenlet | None = None
-        self.received_bytes = 0
-        self.sent_bytes = 0
+        self.bytes_exchanged = 0
 
     def start(self) -> None:
         """Listen and begin answering."""
@@ -44,13 +43,13 @@
             self._socket.close()
 
     def _answer(self, data: bytes) -> None:
-        self.received_bytes += len(data)
+        self.bytes_exchanged += len(data)
         try:
             reply = CONTROL_CODEC.encode(self._handler(CONTROL_CODEC.decode(data)))
         except KumquatseamError as error:
             _log.warning("Left a message unanswered: {}.", error)
             return
-        self.sent_bytes += len(reply)
+        self.bytes_exchanged += len(reply)
         try:
             self._socket.send(reply, block=False)
         except pynng.NNGException as error:
@@ -67,8 +66,7 @@
         self.address = address
         self._socket = pynng.Req0(reconnect_time_min=100, reconnect_time_max=1000)
         self._socket.dial(address, block=False)
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self.bytes_exchanged = 0
 
     def close(self) -> None:
         """Close the connection."""
@@ -83,11 +81,11 @@
         with gevent.Timeout(timeout_s, False):
             while not self._send(data):
                 gevent.sleep(0.01)
-            self.sent_bytes += len(data)
+            self.bytes_exchanged += len(data)
             reply = receive_within(self._socket, timeout_s)
             if reply is None:
                 return None
-            self.received_bytes += len(reply)
+            self.bytes_exchanged += len(reply)
             try:
                 return CONTROL_CODEC.decode(reply)
             except CodecError as error:
--- a/src/kumquatseam/fleet/_heartbeats.py
+++ b/src/kumquatseam/fleet/_heartbeats.py
@@ -58,7 +58,7 @@
     @property
     def bytes_exchanged(self) -> int:
         """Bytes sent and received on heartbeats this router began."""
-        open_bytes = (c.sent_bytes + c.received_bytes for c in self._clients.values())
+        open_bytes = (client.bytes_exchanged for client in self._clients.values())
         return self._closed_bytes + sum(open_bytes)
 
     def _run(self) -> None:
@@ -89,5 +89,5 @@
     def _close_others(self, addresses: set[str]) -> None:
         for address in set(self._clients) - addresses:
             client = self._clients.pop(address)
-            self._closed_bytes += client.sent_bytes + client.received_bytes
+            self._closed_bytes += client.bytes_exchanged
             client.close()
--- a/src/kumquatseam/fleet/_messages.py
+++ b/src/kumquatseam/fleet/_messages.py
@@ -8,6 +8,9 @@
 from kumquatseam.codec import MessageCodec
 from kumquatseam.fleet._records import ConfigurationSnapshot
 
+#: requests by priority rank.
+RankCounts = Mapping[int, int]
+
 
 @attrs.frozen
 class Placement:
@@ -29,19 +32,20 @@
     to by place, since a summary goes to every peer several times a second.
 
     :param engines: ids of the engines it speaks of.
-    :param requests: its requests in flight on each of them, in that order.
+    :param requests: its requests in flight on each of them, in that order, by
+        priority rank.
     :param openings: block keys of the openings it placed lately.
     :param placed_on: the place in ``engines`` each opening went to.
     """
 
     engines: tuple[int, ...] = ()
-    requests: tuple[int, ...] = ()
+    requests: tuple[dict[int, int], ...] = ()
     openings: tuple[int, ...] = ()
     placed_on: tuple[int, ...] = ()
 
     @classmethod
     def of(
-        cls, loads: Mapping[str, int], placements: Sequence[Placement]
+        cls, loads: Mapping[str, RankCounts], placements: Sequence[Placement]
     ) -> "RouterSummary":
         """Return the summary of some loads and placements."""
         placed = (p.engine for p in placements if p.engine not in loads)
@@ -49,13 +53,13 @@
         places = {name: place for place, name in enumerate(names)}
         return cls(
             engines=tuple(engine_id(name) for name in names),
-            requests=tuple(loads.get(name, 0) for name in names),
+            requests=tuple(dict(loads.get(name, {})) for name in names),
             openings=tuple(p.opening for p in placements),
             placed_on=tuple(places[p.engine] for p in placements),
         )
 
-    def loads(self, names: Mapping[int, str]) -> dict[str, int]:
-        """Return the requests in flight by engine.
+    def loads(self, names: Mapping[int, str]) -> dict[str, RankCounts]:
+        """Return the requests in flight by engine and rank.
 
         :param names: engine names by id; others are left out.
         """
--- a/src/kumquatseam/routing/_fleet.py
+++ b/src/kumquatseam/routing/_fleet.py
@@ -6,12 +6,14 @@
 router counted there lately are others' work.
 """
 
+import collections
 import time
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
 from kumquatseam.engines import LoadReport
+from kumquatseam.fleet import RankCounts
 
 #: seconds over which the most counted on an engine is remembered: longer than
 #: a load report takes from its sampling to its arrival.
@@ -43,17 +45,26 @@
     epoch: str | None = None
     last_heard_s: float | None = None
     reported_requests: int = 0
-    in_flight_requests: int = 0
+    in_flight: collections.Counter = attrs.Factory(collections.Counter)
     failed_until_s: float = 0.0
     dead: bool = False
     leaving: bool = False
     versions: dict[str, str] = attrs.Factory(dict)
-    peer_requests: dict[str, int] = attrs.Factory(dict)
+    peer_requests: dict[str, RankCounts] = attrs.Factory(dict)
     recent_peak: _RecentPeak = attrs.Factory(_RecentPeak)
 
-    def counted_requests(self) -> int:
-        """Return what this router and its peers count here."""
-        return self.in_flight_requests + sum(self.peer_requests.values())
+    def counted_requests(self, rank: int | None = None) -> int:
+        """Return what routers count here, of ranks up to ``rank`` if given."""
+        total = _count_up_to(self.in_flight, rank)
+        for counts in self.peer_requests.values():
+            total += _count_up_to(counts, rank)
+        return total
+
+
+def _count_up_to(counts: RankCounts, rank: int | None) -> int:
+    if rank is None:
+        return sum(counts.values())
+    return sum(count for own_rank, count in counts.items() if own_rank <= rank)
 
 
 class FleetView:
@@ -131,7 +142,7 @@
         state = self._engines.get(engine)
         return state is not None and state.leaving
 
-    def set_peer_load(self, peer: str, requests: Mapping[str, int]) -> None:
+    def set_peer_load(self, peer: str, requests: Mapping[str, RankCounts]) -> None:
         """Replace what ``peer`` says it has in flight on each engine."""
         for name, state in self._engines.items():
             if name in requests:
@@ -193,33 +204,36 @@
         state = self._engines.get(engine)
         return state.versions.get(model) if state else None
 
-    def load_requests(self, engine: str) -> int:
-        """Return what routers count on ``engine`` plus unexplained load."""
+    def load_requests(self, engine: str, rank: int | None = None) -> int:
+        """Return what routers count on ``engine`` plus unexplained load.
+
+        :param rank: count only requests at least as urgent as this rank.
+        """
         state = self._engines[engine]
-        counted = state.counted_requests()
-        peak = state.recent_peak.note(counted, self._clock())
-        return counted + max(0, state.reported_requests - peak)
+        peak = state.recent_peak.note(state.counted_requests(), self._clock())
+        unexplained = max(0, state.reported_requests - peak)
+        return state.counted_requests(rank) + unexplained
 
-    def in_flight(self) -> dict[str, int]:
+    def in_flight(self) -> dict[str, RankCounts]:
         """Return this router's own requests in flight, per busy engine."""
         return {
-            name: state.in_flight_requests
+            name: dict(+state.in_flight)
             for name, state in self._engines.items()
-            if state.in_flight_requests
+            if state.in_flight.total()
         }
 
-    def begin(self, engine: str) -> None:
+    def begin(self, engine: str, rank: int = 0) -> None:
         """Count one more request in flight on ``engine``."""
         state = self._engines.get(engine)
         if state is not None:
-            state.in_flight_requests += 1
+            state.in_flight[rank] += 1
             state.recent_peak.note(state.counted_requests(), self._clock())
 
-    def end(self, engine: str) -> None:
+    def end(self, engine: str, rank: int = 0) -> None:
         """Count one request fewer in flight on ``engine``."""
         state = self._engines.get(engine)
-        if state is not None and state.in_flight_requests:
-            state.in_flight_requests -= 1
+        if state is not None and state.in_flight[rank]:
+            state.in_flight[rank] -= 1
 
     def names(self) -> list[str]:
         """Return every engine's name."""
--- a/src/kumquatseam/routing/_peers.py
+++ b/src/kumquatseam/routing/_peers.py
@@ -15,8 +15,8 @@
 
 #: wire size of a placement: a 64-bit key and a small number.
 PLACEMENT_BYTES = 10
-#: wire size of a load: a 32-bit id and a small number.
-LOAD_BYTES = 6
+#: wire size of a load: a 32-bit id and two ranks' counts.
+LOAD_BYTES = 10
 
 
 class PeerSummaries:
@@ -46,13 +46,12 @@
         """
         interval_s = self._settings.heartbeat_interval_s
         budget = self._settings.summary_bytes_per_s * interval_s / max(1, targets)
-        loads: dict[str, int] = {}
+        loads = {}
         in_flight = self._router.fleet.in_flight()
-        for engine, count in sorted(in_flight.items(), key=lambda item: -item[1]):
+        busiest = sorted(in_flight, key=lambda e: -sum(in_flight[e].values()))
+        for engine in busiest[: int(budget / LOAD_BYTES)]:
+            loads[engine] = in_flight[engine]
             budget -= LOAD_BYTES
-            if budget < 0:
-                break
-            loads[engine] = count
         placements = self._router.hints.take_fresh(int(budget / PLACEMENT_BYTES))
         return RouterSummary.of(loads, placements)
 
--- a/src/kumquatseam/routing/_policies.py
+++ b/src/kumquatseam/routing/_policies.py
@@ -11,6 +11,13 @@
 
 import attrs
 
+#: what waiting for the first of the taken slots is worth, in queued requests;
+#: long answers hold slots for longer than the mean (docs/design/routing.md).
+SLOT_WAIT_REQUESTS = 2.0
+#: what a less urgent request beyond the slots is worth: it waits itself, but
+#: it says that slots come free slowly.
+LESS_URGENT_WEIGHT = 0.25
+
 
 @attrs.frozen
 class Candidate:
@@ -20,6 +27,8 @@
     :param matched_blocks: leading prompt blocks it probably holds.
     :param total_blocks: full blocks in the prompt.
     :param load_requests: its load, in requests running or queued.
+    :param urgent_requests: of that load, requests at least as urgent as this
+        one; an engine lets the others wait.
     :param slots: requests it runs at once; beyond them, requests wait.
     :param affinity_weight: rendezvous weight of the prompt's opening on this
         engine (64 bit); the same on every router, no state needed.
@@ -30,6 +39,7 @@
     matched_blocks: int
     total_blocks: int
     load_requests: float
+    urgent_requests: float
     slots: int
     affinity_weight: int = 0
     opening: int = 0
@@ -74,8 +84,9 @@
     """Picks the engine with the lowest estimated time to first token.
 
     The estimate is the modelled prefill of the blocks the engine lacks plus
-    a wait for every request that would queue ahead of this one (those beyond
-    the engine's slots), so a hot opening stays where it is cached while the
+    a wait for every request that would queue ahead of this one (those at least
+    as urgent beyond the engine's slots, and one slot to come free if all are
+    taken), so a hot opening stays where it is cached while the
     engine has room and spreads to a second engine once its queue costs more
     than recomputing the opening. Equal estimates go to the lowest load, and
     equal loads by rendezvous weight, so routers that know the same choose
@@ -104,8 +115,7 @@
         prefill_ms = (
             missing_blocks * self._block_size_tokens * self._prefill_ms_per_token
         )
-        queued_ahead = max(0.0, candidate.load_requests - candidate.slots + 1)
-        return prefill_ms + queued_ahead * self._queue_ms_per_request
+        return prefill_ms + _queued_ahead(candidate) * self._queue_ms_per_request
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
         return min(candidates, key=self._rank)
@@ -138,6 +148,15 @@
         return min(ranked, key=lambda c: c.load_requests - c.slots)
 
 
+def _queued_ahead(candidate: Candidate) -> float:
+    """Return how many requests' worth of waiting the candidate's load means."""
+    urgent = max(0.0, candidate.urgent_requests - candidate.slots + 1)
+    beyond_slots = candidate.load_requests - candidate.slots
+    if beyond_slots < 0:
+        return urgent
+    return max(SLOT_WAIT_REQUESTS, urgent) + LESS_URGENT_WEIGHT * beyond_slots
+
+
 def _lowest(candidates: Sequence[Candidate], cost, turn: int) -> Candidate:
     """Return the cheapest candidate; among equals, rotate by ``turn``."""
     count = len(candidates)
--- a/src/kumquatseam/routing/_router.py
+++ b/src/kumquatseam/routing/_router.py
@@ -53,7 +53,8 @@
     :param team: the caller's team.
     :param model: the model asked for.
     :param tokens: the prompt's tokens.
-    :param priority: its class; ``None`` is never shed.
+    :param priority: its class.
+    :param may_be_shed: whether it may be refused when engines are crowded.
     :param exclude: engines not to choose (e.g. one that just failed).
     """
 
@@ -61,9 +62,15 @@
     team: TeamSettings
     model: str
     tokens: tuple[str, ...]
-    priority: PrioritySettings | None = None
+    priority: PrioritySettings
+    may_be_shed: bool = True
     exclude: frozenset[str] = frozenset()
 
+    @property
+    def rank(self) -> int:
+        """The rank of its class."""
+        return self.priority.rank
+
 
 @attrs.frozen
 class RoutingDecision:
@@ -166,7 +173,7 @@
             if keys is None:
                 keys = self._keys(request, version)
                 keys_by_version[version] = keys
-            found.append(self._candidate(upstream, keys, now_s))
+            found.append(self._candidate(upstream, keys, request.rank, now_s))
         return found
 
     def route(self, request: RoutingRequest) -> RoutingDecision:
@@ -255,7 +262,11 @@
         )
 
     def _candidate(
-        self, upstream: UpstreamSettings, keys: Sequence[int], now_s: float
+        self,
+        upstream: UpstreamSettings,
+        keys: Sequence[int],
+        rank: int,
+        now_s: float,
     ) -> Candidate:
         opening_blocks = min(len(keys), AFFINITY_BLOCKS)
         opening = keys[opening_blocks - 1] if keys else 0
@@ -267,6 +278,7 @@
             matched_blocks=matched,
             total_blocks=len(keys),
             load_requests=self.fleet.load_requests(upstream.name),
+            urgent_requests=self.fleet.load_requests(upstream.name, rank),
             slots=upstream.slots,
             affinity_weight=xxhash.xxh3_64_intdigest(
                 upstream.name.encode(), seed=opening
@@ -278,17 +290,17 @@
         self, request: RoutingRequest, candidates: list[Candidate]
     ) -> list[Candidate]:
         """Return the candidates with room for the request's class."""
-        if request.priority is None:
+        if not request.may_be_shed:
             return candidates
         ratio = request.priority.max_queue_ratio
-        return [c for c in candidates if c.load_requests < c.slots * ratio]
+        return [c for c in candidates if c.urgent_requests < c.slots * ratio]
 
     def _retry_after_s(
         self, priority: PrioritySettings, candidates: list[Candidate]
     ) -> float:
         """Return when the least crowded engine should have room again."""
         excess = min(
-            c.load_requests - c.slots * priority.max_queue_ratio for c in candidates
+            c.urgent_requests - c.slots * priority.max_queue_ratio for c in candidates
         )
         return max(MIN_RETRY_AFTER_S, (excess + 1) * self._queue_s_per_request)
 
--- a/src/kumquatseam/serving/_completions.py
+++ b/src/kumquatseam/serving/_completions.py
@@ -214,7 +214,8 @@
             team=completion.team,
             model=completion.model,
             tokens=tuple(tokenize(completion.prompt)),
-            priority=completion.priority if attempts.count == 0 else None,
+            priority=completion.priority,
+            may_be_shed=attempts.count == 0,
             exclude=frozenset(attempts.excluded),
         )
         try:
@@ -252,7 +253,7 @@
             resume_after_tokens=attempts.received_tokens,
         )
         target = EngineTarget(name, decision.upstream.url)
-        self._router.fleet.begin(name)
+        self._router.fleet.begin(name, completion.priority.rank)
         chunks = self._engines.stream(target, request)
         try:
             for chunk in chunks:
@@ -264,7 +265,7 @@
                 yield chunk
         finally:
             chunks.close()
-            self._router.fleet.end(name)
+            self._router.fleet.end(name, completion.priority.rank)
 
     def _take_mismatch(
         self,
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -157,6 +157,7 @@
                 settings.fleet,
             )
         self._heartbeats: HeartbeatLoop | None = None
+        self._control: ControlServer | None = None
         self._claims: ClaimLedger | None = None
 
     def build(self) -> Daemon:
@@ -270,8 +271,9 @@
             summaries.take,
             handler.receive_reply,
         )
+        self._control = ControlServer(settings.control, handler.reply)
         return [
-            ControlServer(settings.control, handler.reply),
+            self._control,
             self._heartbeats,
             _StepLoop(SWEEP_INTERVAL_S, summaries.sweep, configuration.step),
         ]
@@ -325,6 +327,12 @@
         if self._membership is not None:
             self._membership.set_listed(router_addresses(instances))
 
+    def _control_bytes(self) -> int:
+        """Return the bytes exchanged with peers, sent and received."""
+        if self._heartbeats is None:
+            return 0
+        return self._heartbeats.bytes_exchanged + self._control.bytes_exchanged
+
     def _warm_state(self) -> WarmState:
         name = self._settings.daemon.instance_name
         return WarmState(name, self._router.index.export(WARM_STATE_BLOCKS))
@@ -352,9 +360,7 @@
             "policy": self._router.policy_name,
             "next_offset": self._live.next_offset,
             "routers_alive": self._count_routers(),
-            "control_bytes": (
-                self._heartbeats.bytes_exchanged if self._heartbeats else 0
-            ),
+            "control_bytes": self._control_bytes(),
             "engines": engines,
             "figures": {
                 **attrs.asdict(summary),
