--- a/features/control_rules.feature
+++ b/features/control_rules.feature
@@ -16,6 +16,15 @@
     When the peer is suspected
     Then the router counts 0 requests and no opening there
 
+  Scenario: A step that fails does not end its loop
+    Given a loop whose step fails the first 2 times
+    Then the step soon ran 5 times
+
+  Scenario: A large configuration is read whole from the log's pages
+    Given a log service holding 1200 teams
+    When a team changes while the pages are read
+    Then all 1200 teams are read, the changed one as changed
+
   Scenario Outline: A fault in the language is pointed at: <text>
     Then "<text>" is refused at column <column>
 
--- a/features/steps/matrix_world.py
+++ b/features/steps/matrix_world.py
@@ -22,7 +22,12 @@
 from kumquatseam.idempotency import ClaimLedger
 from kumquatseam.routing import Router, build_policy
 from kumquatseam.services import ServiceAnswer, ServiceClient
-from kumquatseam.serving import CompletionServer, RunningRequests, ServiceServer
+from kumquatseam.serving import (
+    CompletionServer,
+    RunningRequests,
+    ServiceServer,
+    ServingParts,
+)
 from kumquatseam.settings import AdmissionSettings, parse_settings
 from kumquatseam.standins.logservice import InMemoryLogService, LogFaults, LogStore
 
@@ -225,7 +230,9 @@
         self.limiter = TeamLimiter()
         self.running = RunningRequests()
         self.budget = RetryBudget(admission, clock=clock)
-        shared = (self.ledger, self.limiter, self.budget, admission, self.running)
+        parts = ServingParts(
+            self.ledger, self.limiter, self.budget, admission, self.running, clock
+        )
         engines = FakeEngineClient(world)
-        self.completions = CompletionServer(self.router, engines, *shared, clock)
-        self.services = ServiceServer(FakeServiceClient(world), *shared, clock)
+        self.completions = CompletionServer(self.router, engines, parts)
+        self.services = ServiceServer(FakeServiceClient(world), parts)
--- a/features/steps/rule_steps.py
+++ b/features/steps/rule_steps.py
@@ -1,20 +1,36 @@
 """Steps that call control classes directly."""
 
 import attrs
+import gevent
 from behave import given, then, when
+from fleet_steps import start_fleet
 from matrix_world import World
 
 from kumquatseam.admission import RetryBudget
+from kumquatseam.bench import FleetPlan
 from kumquatseam.fleet import (
+    ALTER,
     SUSPECT,
+    Command,
+    EntityChange,
+    FieldValue,
     Heartbeat,
     LiveConfiguration,
     Placement,
     RouterSummary,
+    append_command,
+    read_current,
 )
+from kumquatseam.logservice import HttpLogService
+from kumquatseam.loops import StepLoop
 from kumquatseam.operators import LanguageError, parse
 from kumquatseam.routing import PeerSummaries
-from kumquatseam.settings import AdmissionSettings, Configuration, FleetSettings
+from kumquatseam.settings import (
+    AdmissionSettings,
+    Configuration,
+    FleetSettings,
+    TeamSettings,
+)
 
 
 @given("a live configuration with {count:d} records in force")
@@ -87,3 +103,57 @@
         assert error.column == column, error
         return
     raise AssertionError(attrs.asdict(found))
+
+
+@given("a loop whose step fails the first {count:d} times")
+def step_failing_loop(context, count):
+    context.runs = []
+
+    def step():
+        context.runs.append(1)
+        if len(context.runs) <= count:
+            raise ValueError("told to fail")
+
+    context.loop = StepLoop(0.01, step)
+    context.loop.start()
+
+
+@then("the step soon ran {count:d} times")
+def step_loop_ran(context, count):
+    gevent.sleep(0.5)
+    context.loop.close()
+    assert len(context.runs) >= count, context.runs
+
+
+@given("a log service holding {count:d} teams")
+def step_many_teams(context, count):
+    start_fleet(context, FleetPlan(routers=0, engines=0, with_log=True))
+    teams = tuple(
+        TeamSettings(f"t{n:04}", (f"k{n}",), (), (), ()) for n in range(count)
+    )
+    context.log = HttpLogService(context.fleet.log_url)
+    context.state = read_current(context.log, Configuration(teams=teams))
+
+
+@when("a team changes while the pages are read")
+def step_change_between_pages(context):
+    original, changed = context.log._call, []
+
+    def call(method, path, fields, topic, **options):
+        answer = original(method, path, fields, topic, **options)
+        if path == "/log-newest" and not changed:
+            changed.append(True)
+            values = (FieldValue("max_running", "7"),)
+            change = EntityChange(ALTER, "team", "t0001", values)
+            append_command(context.log, context.state, Command("op", (change,)))
+        return answer
+
+    context.log._call = call
+    context.read = read_current(context.log, Configuration())
+
+
+@then("all {count:d} teams are read, the changed one as changed")
+def step_all_read(context, count):
+    teams = context.read.configuration.teams
+    assert len(teams) == count, len(teams)
+    assert context.read.configuration.find("team", "t0001").max_running == 7
--- a/src/kumquatseam/instances/_client.py
+++ b/src/kumquatseam/instances/_client.py
@@ -55,8 +55,12 @@
         self._pool = urllib3.PoolManager(retries=False, timeout=timeout_s)
 
     def read(self) -> tuple[Instance, ...]:
-        listed = json.loads(self._call("GET", "/instances"))["instances"]
-        return tuple(Instance(**fields) for fields in listed)
+        answer = self._call("GET", "/instances")
+        try:
+            listed = json.loads(answer)["instances"]
+            return tuple(Instance(**fields) for fields in listed)
+        except (ValueError, KeyError, TypeError) as error:
+            raise InstanceListError(f"unreadable answer: {error!r}") from error
 
     def show(self, instance: Instance) -> None:
         body = json.dumps(attrs.asdict(instance)).encode()
--- a/src/kumquatseam/instances/_registration.py
+++ b/src/kumquatseam/instances/_registration.py
@@ -1,10 +1,12 @@
 """Showing one of our processes in the instance list while it runs."""
 
+import contextlib
+
 import attrs
-import gevent
 
 from kumquatseam.instances._client import InstanceList, InstanceListError
 from kumquatseam.instances._instance import LEAVING, Instance
+from kumquatseam.loops import StepLoop
 
 #: seconds between two heartbeats to the list.
 HEARTBEAT_INTERVAL_S = 1.0
@@ -20,11 +22,11 @@
     def __init__(self, instances: InstanceList, instance: Instance) -> None:
         self._instances = instances
         self._instance = instance
-        self._greenlet: gevent.Greenlet | None = None
+        self._loop = StepLoop(HEARTBEAT_INTERVAL_S, self._show, runs_at_once=True)
 
     def start(self) -> None:
         """Begin showing the instance."""
-        self._greenlet = gevent.spawn(self._run)
+        self._loop.start()
 
     def leave(self) -> None:
         """Show the instance as leaving from now on."""
@@ -33,19 +35,11 @@
 
     def close(self) -> None:
         """Show the instance as leaving a last time and stop."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
-            self._greenlet = None
+        if self._loop.is_running:
+            self._loop.close()
             self.leave()
 
-    def _run(self) -> None:
-        while True:
-            self._show()
-            gevent.sleep(HEARTBEAT_INTERVAL_S)
-
     def _show(self) -> None:
-        try:
+        # The list may be down for long; the next heartbeat tries again.
+        with contextlib.suppress(InstanceListError):
             self._instances.show(self._instance)
-        except InstanceListError:
-            # The list may be down for long; the next heartbeat tries again.
-            return
--- a/src/kumquatseam/instances/_watcher.py
+++ b/src/kumquatseam/instances/_watcher.py
@@ -2,11 +2,10 @@
 
 from collections.abc import Callable
 
-import gevent
-
 from kumquatseam.instances._client import InstanceList, InstanceListError
 from kumquatseam.instances._instance import Instance
 from kumquatseam.logs import part_logger
+from kumquatseam.loops import StepLoop
 
 _log = part_logger("instances")
 
@@ -28,27 +27,23 @@
         handler: Callable[[tuple[Instance, ...]], None],
     ) -> None:
         self._instances = instances
-        self._interval_s = interval_s
         self._handler = handler
-        self._greenlet: gevent.Greenlet | None = None
+        self._answers = True
+        self._loop = StepLoop(interval_s, self._read, runs_at_once=True)
 
     def start(self) -> None:
         """Begin reading."""
-        self._greenlet = gevent.spawn(self._run)
+        self._loop.start()
 
     def close(self) -> None:
         """Stop reading."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
-
-    def _run(self) -> None:
-        answered = True
-        while True:
-            try:
-                self._handler(self._instances.read())
-                answered = True
-            except InstanceListError as error:
-                if answered:
-                    _log.warning("Keeping the last reading: {}.", error)
-                answered = False
-            gevent.sleep(self._interval_s)
+        self._loop.close()
+
+    def _read(self) -> None:
+        try:
+            self._handler(self._instances.read())
+            self._answers = True
+        except InstanceListError as error:
+            if self._answers:
+                _log.warning("Keeping the last reading: {}.", error)
+            self._answers = False
--- a/src/kumquatseam/logservice/_http.py
+++ b/src/kumquatseam/logservice/_http.py
@@ -58,7 +58,7 @@
             fields["at"] = at
         body = frame_records(payloads)
         answer = self._call("POST", "/log-append", fields, topic, body=body)
-        return json.loads(answer)["offset"]
+        return _field(answer, "offset")
 
     def append_keyed(
         self, topic: str, key: str, value: bytes, at: int | None = None
@@ -86,14 +86,18 @@
 
     def newest(self, topic: str) -> KeyedPage:
         records: list[KeyedRecord] = []
+        end_offset: int | None = None
         fields = {"topic": topic, "part": 0}
         while True:
-            page = json.loads(self._call("GET", "/log-newest", fields, topic))
-            for item in page["items"]:
+            answer = self._call("GET", "/log-newest", fields, topic)
+            for item in _field(answer, "items"):
                 value = base64.b64decode(item["value"])
                 records.append(KeyedRecord(item["key"], value, item["offset"]))
-            if not page["hasMore"]:
-                return KeyedPage(tuple(records), page["end"])
+            # Pages are no snapshot: what changes meanwhile lies past the end
+            # of the first page, from where a reader goes on.
+            end_offset = _field(answer, "end") if end_offset is None else end_offset
+            if not _field(answer, "hasMore"):
+                return KeyedPage(tuple(records), end_offset)
             fields["after"] = records[-1].key
 
     def _call(
@@ -119,7 +123,18 @@
         if response.status == _OK:
             return response.data
         if response.status == _CONFLICT:
-            raise LogConflictError(topic, json.loads(response.data)["end"])
+            raise LogConflictError(topic, _field(response.data, "end"))
         if response.status == _GONE:
-            raise LogRecordsExpiredError(topic, json.loads(response.data)["first"])
+            raise LogRecordsExpiredError(topic, _field(response.data, "first"))
         raise LogUnavailableError(f"HTTP {response.status}")
+
+
+def _field(answer: bytes, name: str):
+    """Return a field of a JSON answer.
+
+    :raises LogAnswerLostError: if the answer cannot be read.
+    """
+    try:
+        return json.loads(answer)[name]
+    except (ValueError, KeyError, TypeError) as error:
+        raise LogAnswerLostError(f"unreadable answer: {error!r}") from error
--- a/src/kumquatseam/serving/__init__.py
+++ b/src/kumquatseam/serving/__init__.py
@@ -11,6 +11,7 @@
     CompletionAnswer,
     CompletionServer,
 )
+from kumquatseam.serving._parts import ServingParts
 from kumquatseam.serving._refusals import Refusal, RefusalLog, may_have_run
 from kumquatseam.serving._running import RunningRequest, RunningRequests
 from kumquatseam.serving._services import ServiceServer
@@ -25,5 +26,6 @@
     "RunningRequest",
     "RunningRequests",
     "ServiceServer",
+    "ServingParts",
     "may_have_run",
 ]
--- a/src/kumquatseam/serving/_completions.py
+++ b/src/kumquatseam/serving/_completions.py
@@ -7,13 +7,10 @@
 sent to a second engine only if the first provably did not run it.
 """
 
-import contextlib
-import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 import attrs
 
-from kumquatseam.admission import RetryBudget, TeamLimiter
 from kumquatseam.engines import (
     EngineChunk,
     EngineClient,
@@ -22,19 +19,16 @@
     tokenize,
 )
 from kumquatseam.errors import (
-    ClaimUnavailableError,
     EngineMismatchError,
-    KumquatseamError,
     NoUpstreamError,
     RetryBudgetError,
     UpstreamError,
 )
-from kumquatseam.idempotency import ClaimLedger
 from kumquatseam.logs import part_logger
 from kumquatseam.routing import Router, RoutingDecision, RoutingRequest
-from kumquatseam.serving._refusals import may_have_run
-from kumquatseam.serving._running import RunningRequest, RunningRequests
-from kumquatseam.settings import AdmissionSettings, PrioritySettings, TeamSettings
+from kumquatseam.serving._parts import ServingParts
+from kumquatseam.serving._running import RunningRequest
+from kumquatseam.settings import PrioritySettings, TeamSettings
 
 _log = part_logger("serving")
 
@@ -124,33 +118,15 @@
 
     :param router: chooses engines.
     :param engines: talks to them.
-    :param claims: keeps claims; ``None`` without a log service.
-    :param limiter: bounds what teams have running.
-    :param retry_budget: bounds retries.
-    :param admission: the number of attempts.
-    :param running: told what runs where.
-    :param clock: monotonic clock in seconds.
+    :param parts: what every request passes through.
     """
 
     def __init__(
-        self,
-        router: Router,
-        engines: EngineClient,
-        claims: ClaimLedger | None,
-        limiter: TeamLimiter,
-        retry_budget: RetryBudget,
-        admission: AdmissionSettings,
-        running: RunningRequests,
-        clock: Callable[[], float] = time.monotonic,
+        self, router: Router, engines: EngineClient, parts: ServingParts
     ) -> None:
         self._router = router
         self._engines = engines
-        self._claims = claims
-        self._limiter = limiter
-        self._retry_budget = retry_budget
-        self._admission = admission
-        self._running = running
-        self._clock = clock
+        self._parts = parts
 
     def serve(self, completion: Completion) -> CompletionAnswer:
         """Return the answer to ``completion``; iterating it serves it.
@@ -162,29 +138,15 @@
         return CompletionAnswer(self._serve(completion, attempts), attempts)
 
     def _serve(self, completion: Completion, attempts: _Attempts):
-        self._retry_budget.note_request()
-        with self._limiter.running_request(completion.team), self._claimed(completion):
+        parts = self._parts
+        parts.retry_budget.note_request()
+        team, key = completion.team, completion.idempotency_key
+        claimed = parts.claimed(team.name, key, completion.request_id)
+        with parts.limiter.running_request(team), claimed:
             try:
                 return (yield from self._attempt_all(completion, attempts))
             finally:
-                self._running.remove(completion.request_id)
-
-    @contextlib.contextmanager
-    def _claimed(self, completion: Completion) -> Iterator[None]:
-        """Hold a claim for a marked completion; give it up if it never ran."""
-        key = completion.idempotency_key
-        if key is None:
-            yield
-            return
-        if self._claims is None:
-            raise ClaimUnavailableError(key, "no log service is configured")
-        claim = self._claims.claim(completion.team.name, key, completion.request_id)
-        try:
-            yield
-        except KumquatseamError as error:
-            if not may_have_run(error):
-                self._claims.release(claim)
-            raise
+                parts.running.remove(completion.request_id)
 
     def _attempt_all(self, completion: Completion, attempts: _Attempts):
         while True:
@@ -231,14 +193,14 @@
     ):
         """Yield what one engine adds to the answer."""
         name = decision.upstream.name
-        self._running.put(
+        self._parts.running.put(
             RunningRequest(
                 completion.request_id,
                 completion.team.name,
                 completion.model,
                 name,
                 completion.priority.name,
-                self._clock(),
+                self._parts.clock(),
             )
         )
         request = EngineRequest(
@@ -302,11 +264,11 @@
         """
         name = decision.upstream.name
         attempts.excluded.add(name)
-        self._router.fleet.mark_failed(name, self._clock(), FAILED_ENGINE_HOLD_S)
+        self._router.fleet.mark_failed(name, self._parts.clock(), FAILED_ENGINE_HOLD_S)
         repeatable = completion.idempotency_key is None or not attempts.may_have_run
-        if not repeatable or attempts.count >= self._admission.max_attempts:
+        if not repeatable or attempts.count >= self._parts.admission.max_attempts:
             raise UpstreamError(name, attempts.may_have_run, error.detail) from error
-        if not self._retry_budget.take():
+        if not self._parts.retry_budget.take():
             raise RetryBudgetError(name, attempts.may_have_run) from error
         _log.info(
             "request={} retry attempt={} after_tokens={}: {}.",
--- a/src/kumquatseam/serving/_services.py
+++ b/src/kumquatseam/serving/_services.py
@@ -6,24 +6,18 @@
 """
 
 import itertools
-import time
-from collections.abc import Callable
 
-from kumquatseam.admission import RetryBudget, TeamLimiter
 from kumquatseam.errors import (
-    ClaimUnavailableError,
-    KumquatseamError,
     NoUpstreamError,
     RetryBudgetError,
     UpstreamError,
 )
-from kumquatseam.idempotency import ClaimLedger
 from kumquatseam.logs import part_logger
 from kumquatseam.routing import HeldOut
 from kumquatseam.services import ServiceAnswer, ServiceCall, ServiceClient
-from kumquatseam.serving._refusals import may_have_run
-from kumquatseam.serving._running import RunningRequest, RunningRequests
-from kumquatseam.settings import AdmissionSettings, ServiceSettings, TeamSettings
+from kumquatseam.serving._parts import ServingParts
+from kumquatseam.serving._running import RunningRequest
+from kumquatseam.settings import ServiceSettings, TeamSettings
 
 _log = part_logger("services")
 
@@ -35,31 +29,12 @@
     """Serves calls on plain services.
 
     :param services: talks to them.
-    :param claims: keeps claims; ``None`` without a log service.
-    :param limiter: bounds what teams have running.
-    :param retry_budget: bounds retries.
-    :param admission: the number of attempts.
-    :param running: told what runs where.
-    :param clock: monotonic clock in seconds.
+    :param parts: what every request passes through.
     """
 
-    def __init__(
-        self,
-        services: ServiceClient,
-        claims: ClaimLedger | None,
-        limiter: TeamLimiter,
-        retry_budget: RetryBudget,
-        admission: AdmissionSettings,
-        running: RunningRequests,
-        clock: Callable[[], float] = time.monotonic,
-    ) -> None:
+    def __init__(self, services: ServiceClient, parts: ServingParts) -> None:
         self._services = services
-        self._claims = claims
-        self._limiter = limiter
-        self._retry_budget = retry_budget
-        self._admission = admission
-        self._running = running
-        self._clock = clock
+        self._parts = parts
         self._turn = itertools.count()
         self._held_out = HeldOut(FAILED_REPLICA_HOLD_S)
 
@@ -75,32 +50,16 @@
         :raises KumquatseamError: the typed failure that ended it;
             :func:`~kumquatseam.serving.may_have_run` tells what it promises.
         """
-        self._retry_budget.note_request()
-        repeatable = call.method in service.repeatable_methods
-        with self._limiter.running_request(team):
+        parts = self._parts
+        parts.retry_budget.note_request()
+        is_marked = idempotency_key is not None
+        repeatable = call.method in service.repeatable_methods and not is_marked
+        claimed = parts.claimed(team.name, idempotency_key, call.request_id)
+        with parts.limiter.running_request(team), claimed:
             try:
-                if idempotency_key is None:
-                    return self._attempt_all(team, service, call, repeatable)
-                return self._serve_claimed(team, service, call, idempotency_key)
+                return self._attempt_all(team, service, call, repeatable)
             finally:
-                self._running.remove(call.request_id)
-
-    def _serve_claimed(
-        self,
-        team: TeamSettings,
-        service: ServiceSettings,
-        call: ServiceCall,
-        key: str,
-    ) -> ServiceAnswer:
-        if self._claims is None:
-            raise ClaimUnavailableError(key, "no log service is configured")
-        claim = self._claims.claim(team.name, key, call.request_id)
-        try:
-            return self._attempt_all(team, service, call, repeatable=False)
-        except KumquatseamError as error:
-            if not may_have_run(error):
-                self._claims.release(claim)
-            raise
+                parts.running.remove(call.request_id)
 
     def _attempt_all(
         self,
@@ -125,9 +84,14 @@
                 url,
                 attempt,
             )
-            self._running.put(
+            self._parts.running.put(
                 RunningRequest(
-                    call.request_id, team.name, service.name, url, "", self._clock()
+                    call.request_id,
+                    team.name,
+                    service.name,
+                    url,
+                    "",
+                    self._parts.clock(),
                 )
             )
             try:
@@ -135,16 +99,16 @@
             except UpstreamError as error:
                 started |= error.started
                 excluded.add(url)
-                self._held_out.hold(url, self._clock())
-                last_attempt = attempt >= self._admission.max_attempts
+                self._held_out.hold(url, self._parts.clock())
+                last_attempt = attempt >= self._parts.admission.max_attempts
                 if last_attempt or (started and not repeatable):
                     raise UpstreamError(url, started, error.detail) from error
-                if not self._retry_budget.take():
+                if not self._parts.retry_budget.take():
                     raise RetryBudgetError(url, started) from error
 
     def _choose(self, service: ServiceSettings, excluded: set[str]) -> str | None:
         """Return the next replica in turn, one that failed lately last."""
-        now_s = self._clock()
+        now_s = self._parts.clock()
         open_urls = [url for url in service.urls if url not in excluded]
         if not open_urls:
             return None
--- a/src/kumquatseam/standins/logservice/_server.py
+++ b/src/kumquatseam/standins/logservice/_server.py
@@ -24,6 +24,8 @@
 #: how long a call whose answer is lost holds its connection open.
 LOST_ANSWER_HOLD_S = 30.0
 MAX_WAIT_S = 30.0
+#: newest records in one page at most.
+PAGE_RECORDS = 500
 
 
 class StandinLogService:
@@ -113,13 +115,17 @@
         refused = self._enter()
         if refused:
             return refused
-        page = self.store.newest(bottle.request.query["topic"])
+        query = bottle.request.query
+        page = self.store.newest(query["topic"])
+        after = query.get("after", "")
+        left = [record for record in page.records if record.key > after]
         items = [
             {
                 "key": record.key,
                 "value": base64.b64encode(record.value).decode(),
                 "offset": record.offset,
             }
-            for record in page.records
+            for record in left[:PAGE_RECORDS]
         ]
-        return {"items": items, "hasMore": False, "end": page.end_offset}
+        has_more = len(left) > PAGE_RECORDS
+        return {"items": items, "hasMore": has_more, "end": page.end_offset}
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -6,10 +6,7 @@
 """
 
 import time
-from collections.abc import Callable, Iterable
-
-import attrs
-import gevent
+from collections.abc import Iterable
 
 from kumquatseam.admission import RetryBudget, TeamLimiter
 from kumquatseam.callers import CallerInterface
@@ -45,6 +42,7 @@
 )
 from kumquatseam.logs import part_logger
 from kumquatseam.logservice import HttpLogService, LogService
+from kumquatseam.loops import StepLoop
 from kumquatseam.metrics import RequestFigures
 from kumquatseam.operators import AnswerSources, QueryAnswerer
 from kumquatseam.routing import PeerSummaries, Router, build_policy
@@ -54,8 +52,10 @@
     RefusalLog,
     RunningRequests,
     ServiceServer,
+    ServingParts,
 )
 from kumquatseam.settings import Configuration, DaemonSettings, Settings
+from kumquatseam.status import DaemonStatus
 
 _log = part_logger("daemon")
 
@@ -70,32 +70,6 @@
 WARM_STATE_BLOCKS = 12_000
 
 
-class _StepLoop:
-    """Runs steps at an interval.
-
-    :param interval_s: seconds between two rounds.
-    :param steps: called in order each round.
-    """
-
-    def __init__(self, interval_s: float, *steps: Callable[[], None]) -> None:
-        self._interval_s = interval_s
-        self._steps = steps
-        self._greenlet: gevent.Greenlet | None = None
-
-    def start(self) -> None:
-        self._greenlet = gevent.spawn(self._run)
-
-    def close(self) -> None:
-        if self._greenlet is not None:
-            self._greenlet.kill()
-
-    def _run(self) -> None:
-        while True:
-            gevent.sleep(self._interval_s)
-            for step in self._steps:
-                step()
-
-
 class Daemon:
     """A running router daemon: its parts in start order.
 
@@ -203,7 +177,7 @@
 
         follow(self._live.current)
         self._live.on_change(follow)
-        return [client, subscriber, _StepLoop(SWEEP_INTERVAL_S, self._router.sweep)]
+        return [client, subscriber, StepLoop(SWEEP_INTERVAL_S, self._router.sweep)]
 
     def _log_parts(self) -> list:
         if self._log_service is None:
@@ -236,7 +210,7 @@
             settings.log.snapshot_interval_s,
             self._warm_state,
         )
-        duty = _StepLoop(DUTY_INTERVAL_S, lease.step, rollout.step, snapshots.step)
+        duty = StepLoop(DUTY_INTERVAL_S, lease.step, rollout.step, snapshots.step)
         return [follower, self._claims, duty]
 
     def _fleet_parts(self) -> list:
@@ -284,7 +258,7 @@
         return [
             *parts,
             self._heartbeats,
-            _StepLoop(SWEEP_INTERVAL_S, summaries.sweep, configuration.step),
+            StepLoop(SWEEP_INTERVAL_S, summaries.sweep, configuration.step),
         ]
 
     def _instance_parts(self) -> list:
@@ -311,20 +285,31 @@
     def _caller_interface(self, engines: HttpEngineClient) -> CallerInterface:
         daemon = self._settings.daemon
         admission = self._settings.admission
-        limiter = TeamLimiter(self._count_routers)
-        retry_budget = RetryBudget(admission, self._count_routers)
-        shared = (self._claims, limiter, retry_budget, admission, self._running)
+        parts = ServingParts(
+            self._claims,
+            TeamLimiter(self._count_routers),
+            RetryBudget(admission, self._count_routers),
+            admission,
+            self._running,
+        )
         service_client = HttpServiceClient(
             daemon.connect_timeout_s, daemon.read_timeout_s
         )
+        status = DaemonStatus(
+            self._live,
+            self._router,
+            self._figures,
+            self._count_routers,
+            self._control_bytes,
+        )
         return CallerInterface(
             daemon,
             self._live,
-            CompletionServer(self._router, engines, *shared),
-            ServiceServer(service_client, *shared),
+            CompletionServer(self._router, engines, parts),
+            ServiceServer(service_client, parts),
             self._refusals,
             self._figures,
-            self._status,
+            status.read,
         )
 
     def _count_routers(self) -> int:
@@ -352,33 +337,6 @@
         index = self._router.index
         return sum(index.adopt(blocks, now_s) for blocks in state.engines)
 
-    def _status(self) -> dict:
-        now_s = time.monotonic()
-        fleet = self._router.fleet
-        engines = {
-            name: {
-                "live": fleet.is_live(name, now_s),
-                "epoch": fleet.epoch(name),
-                "load_requests": fleet.load_requests(name),
-                "index_blocks": self._router.index.size_blocks(name),
-                "lost_event_batches": self._router.index.lost_batches(name),
-            }
-            for name in fleet.names()
-        }
-        summary = self._figures.summary()
-        return {
-            "policy": self._router.policy_name,
-            "next_offset": self._live.next_offset,
-            "routers_alive": self._count_routers(),
-            "control_bytes": self._control_bytes(),
-            "engines": engines,
-            "figures": {
-                **attrs.asdict(summary),
-                "prefix_hit_rate": summary.prefix_hit_rate,
-                "class_ttft_p99_ms": self._figures.class_ttft_ms(99),
-            },
-        }
-
 
 def _build_router(
     daemon: DaemonSettings, policy_name: str | None, live: LiveConfiguration
