Engines take orders for adapters and roles as well as versions

Change: engines name adapters and role in their reports; the rollout compares them with the configuration (model adapters, upstream role) and gives load or role orders under the fencing token; a standby engine gets no completions. The rollout reads engines through one interface, EngineReports, which FleetView is.

--- a/features/fleet_control.feature
+++ b/features/fleet_control.feature
@@ -72,6 +72,14 @@
     When team "alpha" sends the same prompt to router 1
     Then the newest request was served 0 cached tokens
 
+  Scenario: Adapters and roles are ordered, and a standby engine gets no work
+    Given a fleet of 2 routers and 2 engines that check weights
+    When the operator applies "alter model zaras-7b set adapters = pecs, szeged"
+    And the operator applies "alter upstream engine-0 set role = standby"
+    Then every engine soon has adapters "pecs, szeged" and engine 0 is on standby
+    When team "alpha" sends 3 different prompts
+    Then the router routed every request to engine-1
+
   Scenario: A restarted router adopts warm state from the log or a peer
     Given a fleet of 2 routers and 1 engine
     When team "alpha" sends a 64-token prompt
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -355,3 +355,22 @@
     wait_for(indexed, f"{count} blocks")
     lines = context.fleet.routers[index].log_lines("warm")
     assert any(f"Adopted blocks={count} " in line for line in lines), lines
+
+
+@then('every engine soon has adapters "{names}" and engine 0 is on standby')
+def step_adapters(context, names):
+    wanted = [name.strip() for name in names.split(",")]
+
+    def ordered():
+        stats = [engine_stats(context, i) for i in range(len(context.fleet.engines))]
+        loaded = all(s["adapters"].get(MODEL) == wanted for s in stats)
+        return loaded and [s["role"] for s in stats] == ["standby", "serving"]
+
+    wait_for(ordered, "adapters and roles")
+    wait_for(lambda: reported_role(context, "engine-0") == "standby", "the report")
+
+
+def reported_role(context, engine: str) -> str:
+    rows = context.console.query(f"show upstreams where upstream = {engine}").rows
+    roles = {row.cells[-1] for row in rows}
+    return roles.pop() if len(roles) == 1 else ""
--- a/features/steps/matrix_control.py
+++ b/features/steps/matrix_control.py
@@ -18,12 +18,13 @@
     SETTINGS as INI,
 )
 
-from kumquatseam.engines import OrderUnansweredError
+from kumquatseam.engines import SERVING, ModelVersion, OrderUnansweredError
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.fleet import (
     ALIVE,
     ConfigurationFollower,
     DutyLease,
+    EngineReports,
     LiveConfiguration,
     Membership,
     PeerConfiguration,
@@ -67,8 +68,7 @@
             self.live,
             self.lease,
             FakeEngineClient(world),
-            lambda engine: str(world.engines[engine].epoch),
-            lambda engine, model: world.reported[engine],
+            world,
             name,
             world.clock,
         )
@@ -117,7 +117,7 @@
                 self.membership.receive(reply)
 
 
-class ControlWorld:
+class ControlWorld(EngineReports):
     """Three routers, three engines, an operator, and one log."""
 
     def __init__(self):
@@ -137,6 +137,15 @@
         self.offsets = dict.fromkeys(ROUTERS, 0)
         self.by_offset: dict[int, object] = {}
 
+    def epoch(self, engine: str) -> str:
+        return str(self.engines[engine].epoch)
+
+    def named_model(self, engine: str, model: str) -> ModelVersion:
+        return ModelVersion(model, self.reported[engine])
+
+    def role(self, engine: str) -> str:
+        return SERVING
+
     def new_log(self) -> InMemoryLogService:
         log = InMemoryLogService(self.store, LogFaults(), self.sleep)
         self.logs.append(log)
--- a/src/kumquatseam/engines/__init__.py
+++ b/src/kumquatseam/engines/__init__.py
@@ -22,6 +22,8 @@
 )
 from kumquatseam.engines._events import EngineEventSubscriber
 from kumquatseam.engines._messages import (
+    SERVING,
+    STANDBY,
     CacheEventBatch,
     EngineMessage,
     LoadReport,
@@ -30,11 +32,13 @@
     encode_message,
 )
 from kumquatseam.engines._orders import (
+    EngineOrder,
     EngineOrderClient,
     HttpEngineOrderClient,
     LoadOrder,
     OrderRefusedError,
     OrderUnansweredError,
+    RoleOrder,
 )
 
 __all__ = [
@@ -46,6 +50,7 @@
     "EngineClient",
     "EngineEventSubscriber",
     "EngineMessage",
+    "EngineOrder",
     "EngineOrderClient",
     "EngineRequest",
     "EngineTarget",
@@ -56,6 +61,9 @@
     "ModelVersion",
     "OrderRefusedError",
     "OrderUnansweredError",
+    "RoleOrder",
+    "SERVING",
+    "STANDBY",
     "block_keys",
     "cache_salt",
     "decode_message",
--- a/src/kumquatseam/engines/_messages.py
+++ b/src/kumquatseam/engines/_messages.py
@@ -8,6 +8,9 @@
 
 from kumquatseam.codec import MessageCodec
 
+SERVING = "serving"
+STANDBY = "standby"
+
 
 @attrs.frozen
 class CacheEventBatch:
@@ -34,10 +37,12 @@
 
     :param model: the model's name.
     :param version: its weights version.
+    :param adapters: the adapters loaded with it.
     """
 
     model: str
     version: str
+    adapters: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -50,6 +55,7 @@
     :param waiting_requests: requests queued for a slot.
     :param cache_usage_ratio: used share of the KV cache, 0 to 1.
     :param versions: the weights it runs.
+    :param role: ``"serving"``, or ``"standby"`` if it takes no completions.
     """
 
     engine: str
@@ -58,6 +64,7 @@
     waiting_requests: int
     cache_usage_ratio: float
     versions: tuple[ModelVersion, ...] = ()
+    role: str = SERVING
 
 
 EngineMessage = CacheEventBatch | LoadReport
--- a/src/kumquatseam/engines/_orders.py
+++ b/src/kumquatseam/engines/_orders.py
@@ -1,4 +1,4 @@
-"""Orders to engines: load weights, under a fencing token from the log."""
+"""Orders to engines, each under a fencing token from the log."""
 
 import abc
 import json
@@ -32,6 +32,26 @@
     expected_epoch: str | None = None
 
 
+@attrs.frozen
+class RoleOrder:
+    """An order to change role.
+
+    :param role: ``"serving"`` or ``"standby"``.
+    :param holder: the daemon that holds the duty.
+    :param fence: the duty's fencing token.
+    :param expected_epoch: the engine's life the order is meant for.
+    """
+
+    role: str
+    holder: str
+    fence: int
+    expected_epoch: str | None = None
+
+
+EngineOrder = LoadOrder | RoleOrder
+_OPERATIONS = {LoadOrder: "load", RoleOrder: "role"}
+
+
 @attrs.define(frozen=True, eq=False)
 class OrderRefusedError(KumquatseamError):
     """An engine refused an order and did not carry it out.
@@ -67,8 +87,8 @@
     """Gives engines orders."""
 
     @abc.abstractmethod
-    def load(self, target: EngineTarget, order: LoadOrder) -> None:
-        """Order ``target`` to load weights; returns once it accepted.
+    def give(self, target: EngineTarget, order: EngineOrder) -> None:
+        """Give ``target`` an order; returns once it accepted.
 
         :raises OrderRefusedError: if it refused.
         :raises OrderUnansweredError: if it did not answer.
@@ -84,8 +104,8 @@
     def __init__(self, timeout_s: float) -> None:
         self._pool = urllib3.PoolManager(retries=False, timeout=timeout_s)
 
-    def load(self, target: EngineTarget, order: LoadOrder) -> None:
-        body = {"op": "load", **attrs.asdict(order)}
+    def give(self, target: EngineTarget, order: EngineOrder) -> None:
+        body = {"op": _OPERATIONS[type(order)], **attrs.asdict(order)}
         try:
             response = self._pool.request(
                 "POST",
--- a/src/kumquatseam/fleet/__init__.py
+++ b/src/kumquatseam/fleet/__init__.py
@@ -53,7 +53,7 @@
     EntityChange,
     FieldValue,
 )
-from kumquatseam.fleet._rollout import WeightsRollout
+from kumquatseam.fleet._rollout import EngineReports, WeightsRollout
 from kumquatseam.fleet._snapshots import SnapshotKeeper, read_warm_state
 from kumquatseam.fleet._warm_start import WarmStart
 
@@ -79,6 +79,7 @@
     "DROP",
     "DutyLease",
     "EngineBlocks",
+    "EngineReports",
     "EntityChange",
     "FieldValue",
     "Heartbeat",
--- a/src/kumquatseam/operators/_answers.py
+++ b/src/kumquatseam/operators/_answers.py
@@ -192,6 +192,7 @@
                 "slots": upstream.slots,
                 "state": upstream.state,
                 "live": "yes" if fleet.is_live(upstream.name, now_s) else "no",
+                "role": fleet.role(upstream.name),
             }
 
     def _services(self, query: Query) -> Iterable[dict]:
--- a/src/kumquatseam/operators/_subjects.py
+++ b/src/kumquatseam/operators/_subjects.py
@@ -36,6 +36,15 @@
     ),
     "priorities": ("router", "priority", "rank", "max_queue_ratio"),
     "models": ("router", "model", "version", "adapters"),
-    "upstreams": ("router", "upstream", "zone", "model", "slots", "state", "live"),
+    "upstreams": (
+        "router",
+        "upstream",
+        "zone",
+        "model",
+        "slots",
+        "state",
+        "live",
+        "role",
+    ),
     "services": ("router", "service", "zone", "urls", "repeatable_methods"),
 }
--- a/src/kumquatseam/routing/_fleet.py
+++ b/src/kumquatseam/routing/_fleet.py
@@ -12,8 +12,8 @@
 
 import attrs
 
-from kumquatseam.engines import LoadReport
-from kumquatseam.fleet import RankCounts
+from kumquatseam.engines import SERVING, LoadReport, ModelVersion
+from kumquatseam.fleet import EngineReports, RankCounts
 
 #: seconds over which the most counted on an engine is remembered: longer than
 #: a load report takes from its sampling to its arrival.
@@ -49,7 +49,8 @@
     failed_until_s: float = 0.0
     dead: bool = False
     leaving: bool = False
-    versions: dict[str, str] = attrs.Factory(dict)
+    versions: dict[str, ModelVersion] = attrs.Factory(dict)
+    role: str = SERVING
     peer_requests: dict[str, RankCounts] = attrs.Factory(dict)
     recent_peak: _RecentPeak = attrs.Factory(_RecentPeak)
 
@@ -67,7 +68,7 @@
     return sum(count for own_rank, count in counts.items() if own_rank <= rank)
 
 
-class FleetView:
+class FleetView(EngineReports):
     """Liveness, weights and load of every engine in the configuration.
 
     :param dead_after_s: an engine silent this long is dead.
@@ -94,7 +95,8 @@
         state = self._heard(report.engine, report.epoch, now_s)
         if state is not None:
             state.reported_requests = report.running_requests + report.waiting_requests
-            state.versions = {v.model: v.version for v in report.versions}
+            state.versions = {v.model: v for v in report.versions}
+            state.role = report.role
 
     def observe_heard(self, engine: str, epoch: str, now_s: float) -> None:
         """Note that any message came from ``engine``."""
@@ -115,7 +117,7 @@
         """Note the weights an engine named when it refused a request."""
         state = self._engines.get(engine)
         if state is not None:
-            state.versions[model] = version
+            state.versions[model] = ModelVersion(model, version)
 
     def forget_epoch(self, engine: str) -> None:
         """Forget an engine's life and weights (it refused them as wrong)."""
@@ -201,9 +203,19 @@
 
     def version(self, engine: str, model: str) -> str | None:
         """Return the weights of ``model`` that ``engine`` last named."""
+        named = self.named_model(engine, model)
+        return named.version if named else None
+
+    def named_model(self, engine: str, model: str) -> ModelVersion | None:
+        """Return what ``engine`` last said it runs of ``model``."""
         state = self._engines.get(engine)
         return state.versions.get(model) if state else None
 
+    def role(self, engine: str) -> str:
+        """Return the role ``engine`` last named."""
+        state = self._engines.get(engine)
+        return state.role if state else SERVING
+
     def load_requests(self, engine: str, rank: int | None = None) -> int:
         """Return what routers count on ``engine`` plus unexplained load.
 
--- a/src/kumquatseam/routing/_router.py
+++ b/src/kumquatseam/routing/_router.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from kumquatseam.engines import (
+    SERVING,
     CacheEventBatch,
     EngineMessage,
     LoadReport,
@@ -250,6 +251,8 @@
                 continue
             if upstream.state != ACTIVE or self.fleet.is_leaving(name):
                 continue
+            if self.fleet.role(name) != SERVING:
+                continue
             if request.model in upstream.models:
                 reachable.append(upstream)
         live = [u for u in reachable if self.fleet.is_live(u.name, now_s)]
--- a/src/kumquatseam/settings/_entities.py
+++ b/src/kumquatseam/settings/_entities.py
@@ -53,6 +53,7 @@
     :param models: names of the models it serves.
     :param slots: requests it runs at once (its batch size); more wait.
     :param state: ``draining`` keeps new work away while running work ends.
+    :param role: the role it is to have; ``standby`` takes no completions.
     :param loads: weights it is to run instead of a model's own version,
         ``model@version`` each.
     """
@@ -64,6 +65,7 @@
     models: tuple[str, ...] = setting()
     slots: int = setting(positive=True)
     state: str = setting(choices=(ACTIVE, DRAINING), default=ACTIVE)
+    role: str = setting(choices=("serving", "standby"), default="serving")
     loads: tuple[str, ...] = setting(default=())
 
     def pinned_version(self, model: str) -> str | None:
--- a/src/kumquatseam/standins/engine/_engine.py
+++ b/src/kumquatseam/standins/engine/_engine.py
@@ -21,6 +21,7 @@
 from kumquatseam.engines import (
     EPOCH_HEADER,
     NOT_EXECUTED_HEADER,
+    SERVING,
     VERSION_HEADER,
     block_keys,
     salt_seed,
@@ -80,7 +81,7 @@
             settings.load_lag_s * settings.time_scale,
             self._rng,
             self._sample_load,
-            lambda: self.orders.versions,
+            lambda: (self.orders.named_models(), self.orders.role),
         )
         self._requests: list[dict] = []
         self._totals = {"requests": 0, "prompt_tokens": 0, "cached_tokens": 0}
@@ -182,8 +183,8 @@
             answer.set_header(EPOCH_HEADER, self.epoch)
             if version is not None:
                 answer.set_header(VERSION_HEADER, version)
-        elif self.orders.busy:
-            answer = json_answer(503, {"why": "loading weights"})
+        elif self.orders.busy or self.orders.role != SERVING:
+            answer = json_answer(503, {"why": "loading weights or on standby"})
         else:
             return None
         answer.set_header(NOT_EXECUTED_HEADER, "true")
@@ -264,6 +265,8 @@
             "event_batches_dropped": self._publisher.dropped_batches,
             "recent_requests": self._requests,
             "versions": self.orders.versions,
+            "adapters": self.orders.adapters,
+            "role": self.orders.role,
             "orders": [attrs.asdict(order) for order in self.orders.carried_out],
             "refused_fences": self.orders.refused_fences,
         }
--- a/src/kumquatseam/standins/engine/_orders.py
+++ b/src/kumquatseam/standins/engine/_orders.py
@@ -1,9 +1,10 @@
-"""How the stand-in engine takes orders to load weights."""
+"""How the stand-in engine takes orders to load weights or change role."""
 
 import attrs
 import gevent
 import urllib3
 
+from kumquatseam.engines import SERVING, ModelVersion
 from kumquatseam.logs import part_logger
 
 _log = part_logger("engine")
@@ -32,7 +33,7 @@
 
 
 class EngineOrders:
-    """The weights an engine runs and the orders that change them.
+    """The weights and role an engine has and the orders that change them.
 
     :param epoch: the engine's life.
     :param versions: ``model=version`` each.
@@ -52,6 +53,8 @@
         self._weights_url = weights_url
         self._on_loaded = on_loaded
         self._highest_fence = -1
+        self.adapters: dict[str, tuple[str, ...]] = {}
+        self.role = SERVING
         self.busy = False
         self.carried_out: list[CarriedOutOrder] = []
         self.refused_fences = 0
@@ -65,7 +68,10 @@
             self.refused_fences += 1
             return _OLD_FENCE
         self._highest_fence = max(fence, self._highest_fence)
-        if self.versions.get(order["model"]) == order["version"]:
+        if order["op"] == "role":
+            self.role = order["role"]
+            return _HOLDS_ALREADY
+        if self._holds(order):
             return _HOLDS_ALREADY
         if self.busy:
             return _BUSY
@@ -73,12 +79,25 @@
         gevent.spawn(self._carry_out, order, fence)
         return _ACCEPTED
 
+    def named_models(self) -> tuple[ModelVersion, ...]:
+        """Return the weights it runs, as it names them in reports."""
+        return tuple(
+            ModelVersion(model, version, self.adapters.get(model, ()))
+            for model, version in self.versions.items()
+        )
+
+    def _holds(self, order: dict) -> bool:
+        model = order["model"]
+        same_adapters = self.adapters.get(model, ()) == tuple(order["adapters"])
+        return self.versions.get(model) == order["version"] and same_adapters
+
     def _carry_out(self, order: dict, fence: int) -> None:
         model, version = order["model"], order["version"]
         try:
             self._fetch(model, version)
             gevent.sleep(self._load_s)
             self.versions[model] = version
+            self.adapters[model] = tuple(order["adapters"])
             self.carried_out.append(
                 CarriedOutOrder(model, version, order["holder"], fence)
             )
--- a/src/kumquatseam/standins/engine/_publisher.py
+++ b/src/kumquatseam/standins/engine/_publisher.py
@@ -10,7 +10,6 @@
 from kumquatseam.engines import (
     CacheEventBatch,
     LoadReport,
-    ModelVersion,
     encode_message,
 )
 from kumquatseam.standins.engine._cache import CacheChange
@@ -28,7 +27,7 @@
     :param load_lag_s: the load published is the one of this long ago.
     :param rng: the engine's seeded random source.
     :param sample_load: returns ``(running, waiting, cache_usage_ratio)`` now.
-    :param read_versions: returns the weights it runs, version by model.
+    :param read_named: returns the weights it runs and its role.
     """
 
     def __init__(
@@ -42,7 +41,7 @@
         load_lag_s,
         rng: random.Random,
         sample_load,
-        read_versions,
+        read_named,
     ) -> None:
         self._engine = engine
         self._epoch = epoch
@@ -53,7 +52,7 @@
         self._load_lag_s = load_lag_s
         self._rng = rng
         self._sample_load = sample_load
-        self._read_versions = read_versions
+        self._read_named = read_named
         self._pending: collections.deque = collections.deque()
         self._loads: collections.deque = collections.deque()
         self._sequence = 0
@@ -110,8 +109,7 @@
         while len(self._loads) > 1 and now_s - self._loads[1][0] >= self._load_lag_s:
             self._loads.popleft()
         running, waiting, usage = self._loads[0][1]
-        versions = tuple(ModelVersion(m, v) for m, v in self._read_versions().items())
         report = LoadReport(
-            self._engine, self._epoch, running, waiting, usage, versions
+            self._engine, self._epoch, running, waiting, usage, *self._read_named()
         )
         self._socket.send(encode_message(report), block=False)
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -200,8 +200,7 @@
             self._live,
             lease,
             HttpEngineOrderClient(ORDER_TIMEOUT_S),
-            self._router.fleet.epoch,
-            self._router.fleet.version,
+            self._router.fleet,
             name,
         )
         snapshots = SnapshotKeeper(
