Connections gone silent for good cost one timeout, not one each

Ruled out: TCP_USER_TIMEOUT and keep-alive probes, which the relay's kernel still acknowledges.

Change: pools.AddressPools keeps one pool per address; a read timeout drops all idle connections to it, for engines, services and the log service.

The scenario fails without the drop.

Conclusion: one timeout tells about the address, not the connection.

--- a/features/serving.feature
+++ b/features/serving.feature
@@ -54,3 +54,9 @@
     When the operator applies "alter team beta set max_running = 1"
     And team "beta" sends 3 requests at once and team "alpha" 2
     Then 2 of "beta" were refused with status 429 as not run and all others answered
+
+  Scenario: Connections gone silent cost one timeout, not one each
+    Given a fleet of 1 router and 1 engine reached through a relay
+    When 4 requests open 4 connections, which then go silent for good
+    And team "alpha" sends one request and after it 4 at once
+    Then only the first of them timed out
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -1,6 +1,7 @@
 """Steps for requests under limits, faults and marks."""
 
 import json
+import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -201,3 +202,66 @@
     assert [t for t, _ in refused] == [team] * count, context.answers
     for _, answer in refused:
         assert answer[0] == status and answer[1]["error"]["run"] == "not_run", answer
+
+
+class Relay:
+    """Forwards TCP connections; the open ones can be made silent for good."""
+
+    def __init__(self, target_port: int) -> None:
+        self._target_port = target_port
+        self._epoch = 0
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def silence(self) -> None:
+        """Keep the open connections open but forward nothing on them."""
+        self._epoch += 1
+
+    def _accept(self) -> None:
+        while True:
+            near, _ = self._listener.accept()
+            far = socket.create_connection(("127.0.0.1", self._target_port))
+            for source, sink in ((near, far), (far, near)):
+                arguments = (source, sink, self._epoch)
+                threading.Thread(
+                    target=self._forward, args=arguments, daemon=True
+                ).start()
+
+    def _forward(self, source, sink, epoch: int) -> None:
+        while data := source.recv(65536):
+            if epoch == self._epoch:
+                sink.sendall(data)
+        if epoch == self._epoch:
+            sink.close()
+
+
+@given("a fleet of 1 router and 1 engine reached through a relay")
+def step_relay(context):
+    more = {"admission": {"first_byte_timeout_s": 0.5}}
+    step_controlled_fleet(context, 1, 1, more=more)
+    context.relay = Relay(context.fleet.engines[0].port)
+    url = f"http://127.0.0.1:{context.relay.port}"
+    context.console.apply(f'alter upstream engine-0 set url = "{url}"', "tester", 5.0)
+
+
+@when("{count:d} requests open {same:d} connections, which then go silent for good")
+def step_go_silent(context, count, same):
+    answers = send_at_once(context, [("alpha", "checklist")] * count)
+    assert [answer[0] for answer in answers] == [200] * count, answers
+    context.relay.silence()
+
+
+@when('team "{team}" sends one request and after it {count:d} at once')
+def step_one_then_many(context, team, count):
+    send(context, f"key-{team}", prompt_of(30), stream=False)
+    time.sleep(1.2)
+    answers = send_at_once(context, [(team, "checklist")] * count)
+    context.statuses = [context.status, *(answer[0] for answer in answers)]
+
+
+@then("only the first of them timed out")
+def step_only_first(context):
+    assert context.statuses == [502] + [200] * (len(context.statuses) - 1), (
+        context.statuses
+    )
--- a/src/kumquatseam/engines/__init__.py
+++ b/src/kumquatseam/engines/__init__.py
@@ -18,7 +18,6 @@
     EngineRequest,
     EngineTarget,
     HttpEngineClient,
-    silent_connection_options,
 )
 from kumquatseam.engines._events import EngineEventSubscriber
 from kumquatseam.engines._messages import (
@@ -69,6 +68,5 @@
     "decode_message",
     "encode_message",
     "salt_seed",
-    "silent_connection_options",
     "tokenize",
 ]
--- a/src/kumquatseam/engines/_client.py
+++ b/src/kumquatseam/engines/_client.py
@@ -2,15 +2,14 @@
 
 import abc
 import json
-import socket
 from collections.abc import Iterator
 
 import attrs
 import sseclient
 import urllib3
-from urllib3.connection import HTTPConnection
 
 from kumquatseam.errors import EngineMismatchError, UpstreamError
+from kumquatseam.pools import AddressPools
 
 _DONE = "[DONE]"
 _OK = 200
@@ -102,8 +101,8 @@
 class HttpEngineClient(EngineClient):
     """Streams completions over pooled HTTP connections.
 
-    Connections that went silent for good show themselves through
-    ``TCP_USER_TIMEOUT`` and keep-alive probes before the read timeout.
+    Connections that went silent for good are dropped together
+    (:mod:`kumquatseam.pools`).
 
     :param connect_timeout_s: timeout to connect.
     :param read_timeout_s: timeout between two reads.
@@ -120,25 +119,20 @@
             connect=connect_timeout_s, read=first_byte_timeout_s
         )
         self._read_timeout_s = read_timeout_s
-        self._pool: urllib3.PoolManager | None = None
+        self._pools = AddressPools()
 
     def start(self) -> None:
-        """Open the connection pool."""
-        self._pool = urllib3.PoolManager(
-            maxsize=64, retries=False, socket_options=silent_connection_options()
-        )
+        """Connections open as requests need them."""
 
     def close(self) -> None:
         """Close every pooled connection."""
-        if self._pool is not None:
-            self._pool.clear()
-            self._pool = None
+        self._pools.close()
 
     def stream(
         self, target: EngineTarget, request: EngineRequest
     ) -> Iterator[EngineChunk]:
         try:
-            response = self._pool.request(
+            response = self._pools.pool(target.url).request(
                 "POST",
                 f"{target.url}/v1/completions",
                 body=json.dumps(_body(request)).encode(),
@@ -157,6 +151,8 @@
                 error
             )
         except urllib3.exceptions.HTTPError as error:
+            if isinstance(error, urllib3.exceptions.ReadTimeoutError):
+                self._pools.drop(target.url)
             raise UpstreamError(target.name, True, f"request failed: {error}") from (
                 error
             )
@@ -177,18 +173,6 @@
                 response.close()
 
 
-def silent_connection_options() -> list[tuple[int, int, int]]:
-    """Return socket options that end connections no one answers on."""
-    return [
-        *HTTPConnection.default_socket_options,
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
-    ]
-
-
 def _body(request: EngineRequest) -> dict:
     return {
         "model": request.model,
--- a/src/kumquatseam/logservice/_http.py
+++ b/src/kumquatseam/logservice/_http.py
@@ -26,6 +26,7 @@
     LogService,
     LogSlice,
 )
+from kumquatseam.pools import AddressPools
 
 _CONFLICT = 412
 _GONE = 410
@@ -44,11 +45,11 @@
     def __init__(self, url: str, timeout_s: float = 2.0) -> None:
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
-        self._pool = urllib3.PoolManager(maxsize=8, retries=False)
+        self._pools = AddressPools()
 
     def close(self) -> None:
         """Close every pooled connection."""
-        self._pool.clear()
+        self._pools.close()
 
     def append(
         self, topic: str, payloads: Sequence[bytes], at: int | None = None
@@ -107,7 +108,7 @@
             connect=self._timeout_s, read=self._timeout_s + extra_s
         )
         try:
-            response = self._pool.request(
+            response = self._pools.pool(self._url).request(
                 method,
                 f"{self._url}{path}?{urllib.parse.urlencode(fields)}",
                 body=body,
@@ -119,6 +120,8 @@
         ) as error:
             raise LogUnavailableError(str(error)) from error
         except urllib3.exceptions.HTTPError as error:
+            if isinstance(error, urllib3.exceptions.ReadTimeoutError):
+                self._pools.drop(self._url)
             raise LogAnswerLostError(repr(error)) from error
         if response.status == _OK:
             return response.data
--- /dev/null
+++ b/src/kumquatseam/pools.py
@@ -0,0 +1,65 @@
+"""HTTP connection pools that forget connections gone silent.
+
+Something between two ends can lose track of open connections: they go silent
+for good while new ones work. One timeout then says that every idle
+connection to that address is suspect, so all of them are dropped and the
+next request opens a new one, instead of each waiting out its own timeout.
+"""
+
+import socket
+
+import urllib3
+from urllib3.connection import HTTPConnection
+
+#: idle connections kept per address.
+IDLE_CONNECTIONS = 64
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+#: how long sent bytes may stay unacknowledged before a connection ends.
+USER_TIMEOUT_MS = 3000
+
+
+class AddressPools:
+    """One pool of connections per base URL; urllib3 retries nothing itself."""
+
+    def __init__(self) -> None:
+        self._pools: dict[str, urllib3.PoolManager] = {}
+
+    def pool(self, url: str) -> urllib3.PoolManager:
+        """Return the pool for the address of base URL ``url``."""
+        pool = self._pools.get(url)
+        if pool is None:
+            pool = urllib3.PoolManager(
+                maxsize=IDLE_CONNECTIONS,
+                retries=False,
+                socket_options=silent_connection_options(),
+            )
+            self._pools[url] = pool
+        return pool
+
+    def drop(self, url: str) -> None:
+        """Close the idle connections to ``url``: one of them went silent.
+
+        Requests that run on others finish; their connections close after.
+        """
+        pool = self._pools.pop(url, None)
+        if pool is not None:
+            pool.clear()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for url in list(self._pools):
+            self.drop(url)
+
+
+def silent_connection_options() -> list[tuple[int, int, int]]:
+    """Return socket options that end connections no one acknowledges."""
+    return [
+        *HTTPConnection.default_socket_options,
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    ]
--- a/src/kumquatseam/services/_client.py
+++ b/src/kumquatseam/services/_client.py
@@ -5,8 +5,9 @@
 import attrs
 import urllib3
 
-from kumquatseam.engines import NOT_EXECUTED_HEADER, silent_connection_options
+from kumquatseam.engines import NOT_EXECUTED_HEADER
 from kumquatseam.errors import UpstreamError
+from kumquatseam.pools import AddressPools
 
 
 @attrs.frozen
@@ -62,28 +63,24 @@
     """
 
     def __init__(self, connect_timeout_s: float, read_timeout_s: float) -> None:
-        timeout = urllib3.Timeout(connect=connect_timeout_s, read=read_timeout_s)
-        self._pool = urllib3.PoolManager(
-            maxsize=32,
-            retries=False,
-            timeout=timeout,
-            socket_options=silent_connection_options(),
-        )
+        self._timeout = urllib3.Timeout(connect=connect_timeout_s, read=read_timeout_s)
+        self._pools = AddressPools()
 
     def close(self) -> None:
         """Close every pooled connection."""
-        self._pool.clear()
+        self._pools.close()
 
     def call(self, url: str, call: ServiceCall) -> ServiceAnswer:
         headers = {"X-Request-Id": call.request_id, "X-Team": call.team}
         if call.content_type:
             headers["Content-Type"] = call.content_type
         try:
-            response = self._pool.request(
+            response = self._pools.pool(url).request(
                 call.method,
                 f"{url}/{call.path}",
                 body=call.body or None,
                 headers=headers,
+                timeout=self._timeout,
                 redirect=False,
             )
         except (
@@ -92,6 +89,8 @@
         ) as error:
             raise UpstreamError(url, False, f"cannot connect: {error}") from error
         except urllib3.exceptions.HTTPError as error:
+            if isinstance(error, urllib3.exceptions.ReadTimeoutError):
+                self._pools.drop(url)
             raise UpstreamError(url, True, f"answer broke: {error}") from error
         if NOT_EXECUTED_HEADER in response.headers:
             raise UpstreamError(url, False, f"HTTP {response.status}, not run")
