A crossed answer is refused with 502 before its first byte: the scenario says so

Cause: the step that reads the error accepts it in the body as well as in the stream since answers are refused before their first token; without a check of the status the scenario was less strict than before.

Change: the scenario also requires status 502. Conclusion: as strict as it was.

--- a/features/shutdown_and_faults.feature
+++ b/features/shutdown_and_faults.feature
@@ -24,7 +24,8 @@
   Scenario: A crossed answer never reaches the wrong caller
     Given a router before 1 stand-in engine that crosses its answers
     When team "alpha" streams a 64-token prompt asking for 4 tokens
-    Then the stream ends with an error that says the work may have run
+    Then the caller got status 502
+    And the stream ends with an error that says the work may have run
     And the stream has no [DONE]
     And the stream carries no token
 
