Read once more: one hold-out, one silent-connection rule, no work done twice per request

Found: the rule that a read timeout drops an address's idle connections stood in three clients; the hold-out after a failure stood in FleetView beside HeldOut; every candidate copied the prompt's keys and summed an engine's load twice, and every attempt split the prompt again; the pools for plain services and the log were built but never closed; a 421 made the router forget an engine's adapters, so the rollout would order a load again until the next report; fields nobody reads (_newest_holder, heard_s, appends, log_program).

Change: AddressPools.request drops on a timeout itself; FleetView holds engines out through HeldOut; FleetView.load returns both loads at once; keys and tokens are made once a request; both pools are parts the daemon starts and closes; the adapters named are kept; the releases run on a StepLoop; the unread fields are gone. No test changed.

Conclusion: behaviour as before but for the adapters.

--- a/src/kumquatseam/bench/_fleet.py
+++ b/src/kumquatseam/bench/_fleet.py
@@ -100,7 +100,6 @@
         self.log_url = ""
         self.instances_url = ""
         self.weights_url = ""
-        self.log_program: Program | None = None
         self._programs: list[Program] = []
 
     def start(self) -> None:
@@ -109,13 +108,12 @@
         :raises ProgramNotReadyError: if one does not answer in time.
         """
         if self.plan.with_log:
-            self.log_program, self.log_url = self._standin("log")
-            _, self.instances_url = self._standin("instances", lag_s=0.3)
+            self.log_url = self._standin("log")
+            self.instances_url = self._standin("instances", lag_s=0.3)
         if self.plan.with_weights:
-            _, self.weights_url = self._standin("weights")
+            self.weights_url = self._standin("weights")
         for index in range(self.plan.services):
-            _, url = self._standin("service", name=f"portal-{index}")
-            self.services.append(url)
+            self.services.append(self._standin("service", name=f"portal-{index}"))
         for index in range(self.plan.engines):
             self.engines.append(self._engine(f"engine-{index}"))
         for engine in self.engines:
@@ -149,13 +147,14 @@
         router.program = self._router_program(router)
         self.run(router.program)
 
-    def _standin(self, kind: str, name: str = "", **options) -> tuple[Program, str]:
+    def _standin(self, kind: str, name: str = "", **options) -> str:
+        """Run a stand-in and return its base URL."""
         port = free_port()
         if name:
             options["name"] = name
         program = standin_program(kind, port, self._log_path(name or kind), **options)
         self.run(program)
-        return program, f"http://127.0.0.1:{port}"
+        return f"http://127.0.0.1:{port}"
 
     def _engine(self, name: str) -> FleetEngine:
         engine = FleetEngine(name, free_port(), free_port(), None)
--- a/src/kumquatseam/engines/_client.py
+++ b/src/kumquatseam/engines/_client.py
@@ -132,9 +132,10 @@
         self, target: EngineTarget, request: EngineRequest
     ) -> Iterator[EngineChunk]:
         try:
-            response = self._pools.pool(target.url).request(
+            response = self._pools.request(
                 "POST",
-                f"{target.url}/v1/completions",
+                target.url,
+                "/v1/completions",
                 body=json.dumps(_body(request)).encode(),
                 headers={
                     "Content-Type": "application/json",
@@ -151,8 +152,6 @@
                 error
             )
         except urllib3.exceptions.HTTPError as error:
-            if isinstance(error, urllib3.exceptions.ReadTimeoutError):
-                self._pools.drop(target.url)
             raise UpstreamError(target.name, True, f"request failed: {error}") from (
                 error
             )
--- a/src/kumquatseam/fleet/_lease.py
+++ b/src/kumquatseam/fleet/_lease.py
@@ -16,7 +16,6 @@
 import attrs
 
 from kumquatseam.codec import MessageCodec
-from kumquatseam.errors import CodecError
 from kumquatseam.fleet._records import new_record_id
 from kumquatseam.logs import part_logger
 from kumquatseam.logservice import (
@@ -83,7 +82,6 @@
         self._read_rank = read_rank
         self._clock = clock
         self._next_offset = 0
-        self._newest_holder = ""
         self._newest_seen_s = clock()
         self._fence: int | None = None
         self._held_until_s = 0.0
@@ -131,10 +129,6 @@
         if found.end_offset > self._next_offset:
             self._next_offset = found.end_offset
             self._newest_seen_s = self._clock()
-            try:
-                self._newest_holder = _CODEC.decode(found.records[-1].payload).holder
-            except (CodecError, IndexError):
-                self._newest_holder = ""
 
     def _take(self) -> None:
         """Append a lease record at the end this router has seen."""
@@ -155,6 +149,5 @@
             _log.info("Took duty={} fence={}.", self._duty, offset)
         self._fence = offset
         self._next_offset = offset + 1
-        self._newest_holder = self._holder
         self._newest_seen_s = self._clock()
         self._held_until_s = began_s + self._lease_s
--- a/src/kumquatseam/fleet/_membership.py
+++ b/src/kumquatseam/fleet/_membership.py
@@ -43,9 +43,9 @@
     :param incarnation: its life as last heard.
     :param state: ``"alive"``, ``"suspect"`` or ``"dead"``.
     :param since_s: monotonic time it entered that state.
-    :param heard_s: monotonic time it last answered us or heartbeat us;
-        ``None`` if never.
     :param next_offset: how much configuration is in force there.
+    :param asked_s: when the oldest heartbeat it left unanswered went out;
+        ``None`` if it left none.
     """
 
     name: str
@@ -53,7 +53,6 @@
     incarnation: int = 0
     state: str = ALIVE
     since_s: float = 0.0
-    heard_s: float | None = None
     next_offset: int = 0
     asked_s: float | None = None
 
@@ -185,7 +184,6 @@
         if heartbeat.incarnation < member.incarnation:
             return
         member.address = heartbeat.address
-        member.heard_s = now_s
         member.asked_s = None
         member.next_offset = max(member.next_offset, heartbeat.next_offset)
         member.incarnation = heartbeat.incarnation
--- a/src/kumquatseam/idempotency/_ledger.py
+++ b/src/kumquatseam/idempotency/_ledger.py
@@ -26,6 +26,7 @@
     LogService,
     LogServiceError,
 )
+from kumquatseam.loops import StepLoop
 
 _log = part_logger("claims")
 
@@ -38,7 +39,7 @@
 
 @attrs.define
 class _Waiting:
-    record: Claim | Release
+    record: Claim
     done: gevent.event.Event = attrs.Factory(gevent.event.Event)
     failure: str | None = None
 
@@ -65,20 +66,20 @@
         self._waiting: list[_Waiting] = []
         self._releases: list[Release] = []
         self._wake = gevent.event.Event()
-        self._greenlets: list[gevent.Greenlet] = []
-        self.appends = 0
+        self._greenlet: gevent.Greenlet | None = None
+        self._release_loop = StepLoop(RELEASE_RETRY_S, self.write_releases)
 
     def start(self) -> None:
         """Begin appending."""
-        self._greenlets = [
-            gevent.spawn(self._append_forever),
-            gevent.spawn(self._release_forever),
-        ]
+        self._greenlet = gevent.spawn(self._append_forever)
+        self._release_loop.start()
 
     def close(self) -> None:
         """Write the releases still owed, then stop."""
-        gevent.killall(self._greenlets)
-        self._greenlets = []
+        if self._greenlet is not None:
+            self._greenlet.kill()
+            self._greenlet = None
+        self._release_loop.close()
         self.write_releases()
 
     def claim(self, team: str, key: str, request_id: str) -> Claim:
@@ -127,11 +128,10 @@
 
     def _append(self, claim: Claim) -> str | None:
         """Append ``claim`` with others; return why not, if not."""
-        if not self._greenlets:
-            waiting = _Waiting(claim)
+        waiting = _Waiting(claim)
+        if self._greenlet is None:
             self._append_batch([waiting])
             return waiting.failure
-        waiting = _Waiting(claim)
         self._waiting.append(waiting)
         self._wake.set()
         waiting.done.wait()
@@ -145,11 +145,6 @@
             batch, self._waiting = self._waiting, []
             self._append_batch(batch)
 
-    def _release_forever(self) -> None:
-        while True:
-            gevent.sleep(RELEASE_RETRY_S)
-            self.write_releases()
-
     def _append_batch(self, batch: list[_Waiting]) -> None:
         """Append a batch until it is seen in the log, or give up.
 
@@ -163,7 +158,6 @@
                 self._sleep(RETRY_PAUSE_S * attempt)
             try:
                 self._log_service.append(CLAIM_TOPIC, payloads)
-                self.appends += 1
                 failure = None
             except LogServiceError as error:
                 failure = str(error)
--- a/src/kumquatseam/logservice/_http.py
+++ b/src/kumquatseam/logservice/_http.py
@@ -47,6 +47,9 @@
         self._timeout_s = timeout_s
         self._pools = AddressPools()
 
+    def start(self) -> None:
+        """Connections open as calls need them."""
+
     def close(self) -> None:
         """Close every pooled connection."""
         self._pools.close()
@@ -108,9 +111,10 @@
             connect=self._timeout_s, read=self._timeout_s + extra_s
         )
         try:
-            response = self._pools.pool(self._url).request(
+            response = self._pools.request(
                 method,
-                f"{self._url}{path}?{urllib.parse.urlencode(fields)}",
+                self._url,
+                f"{path}?{urllib.parse.urlencode(fields)}",
                 body=body,
                 timeout=timeout,
             )
@@ -120,8 +124,6 @@
         ) as error:
             raise LogUnavailableError(str(error)) from error
         except urllib3.exceptions.HTTPError as error:
-            if isinstance(error, urllib3.exceptions.ReadTimeoutError):
-                self._pools.drop(self._url)
             raise LogAnswerLostError(repr(error)) from error
         if response.status == _OK:
             return response.data
--- a/src/kumquatseam/pools.py
+++ b/src/kumquatseam/pools.py
@@ -26,8 +26,22 @@
     def __init__(self) -> None:
         self._pools: dict[str, urllib3.PoolManager] = {}
 
-    def pool(self, url: str) -> urllib3.PoolManager:
-        """Return the pool for the address of base URL ``url``."""
+    def request(self, method: str, url: str, path: str, **options):
+        """Send a request to ``path`` at base URL ``url``.
+
+        A read timeout drops the idle connections to ``url``.
+
+        :param options: passed on to urllib3.
+        :returns: urllib3's response.
+        :raises urllib3.exceptions.HTTPError: as urllib3 does.
+        """
+        try:
+            return self._pool(url).request(method, f"{url}{path}", **options)
+        except urllib3.exceptions.ReadTimeoutError:
+            self.drop(url)
+            raise
+
+    def _pool(self, url: str) -> urllib3.PoolManager:
         pool = self._pools.get(url)
         if pool is None:
             pool = urllib3.PoolManager(
--- a/src/kumquatseam/routing/_fleet.py
+++ b/src/kumquatseam/routing/_fleet.py
@@ -14,6 +14,7 @@
 
 from kumquatseam.engines import SERVING, LoadReport, ModelVersion
 from kumquatseam.fleet import EngineReports, RankCounts
+from kumquatseam.routing._held_out import HeldOut
 
 #: seconds over which the most counted on an engine is remembered: longer than
 #: a load report takes from its sampling to its arrival.
@@ -46,7 +47,6 @@
     last_heard_s: float | None = None
     reported_requests: int = 0
     in_flight: collections.Counter = attrs.Factory(collections.Counter)
-    failed_until_s: float = 0.0
     dead: bool = False
     leaving: bool = False
     versions: dict[str, ModelVersion] = attrs.Factory(dict)
@@ -68,6 +68,18 @@
     return sum(count for own_rank, count in counts.items() if own_rank <= rank)
 
 
+@attrs.frozen
+class EngineLoad:
+    """An engine's load as routers see it.
+
+    :param requests: requests running or queued.
+    :param urgent_requests: of those, at least as urgent as a given rank.
+    """
+
+    requests: int
+    urgent_requests: int
+
+
 class FleetView(EngineReports):
     """Liveness, weights and load of every engine in the configuration.
 
@@ -81,6 +93,7 @@
         self._dead_after_s = dead_after_s
         self._clock = clock
         self._engines: dict[str, _EngineState] = {}
+        self._failed = HeldOut()
 
     def set_engines(self, names: Iterable[str], now_s: float) -> None:
         """Know exactly the engines called ``names``, keeping what is known.
@@ -117,7 +130,8 @@
         """Note the weights an engine named when it refused a request."""
         state = self._engines.get(engine)
         if state is not None:
-            state.versions[model] = ModelVersion(model, version)
+            known = state.versions.get(model, ModelVersion(model, version))
+            state.versions[model] = attrs.evolve(known, version=version)
 
     def forget_epoch(self, engine: str) -> None:
         """Forget an engine's life and weights (it refused them as wrong)."""
@@ -152,11 +166,9 @@
             else:
                 state.peer_requests.pop(peer, None)
 
-    def mark_failed(self, engine: str, now_s: float, hold_s: float) -> None:
-        """Keep ``engine`` out of routing for ``hold_s`` after a failure."""
-        state = self._engines.get(engine)
-        if state is not None:
-            state.failed_until_s = now_s + hold_s
+    def mark_failed(self, engine: str, now_s: float) -> None:
+        """Keep ``engine`` out of routing for a while after a failure."""
+        self._failed.hold(engine, now_s)
 
     def is_live(self, engine: str, now_s: float) -> bool:
         """Return whether ``engine`` may take new work.
@@ -165,7 +177,7 @@
         fresh router serves at once; silent for longer, it does not.
         """
         state = self._engines.get(engine)
-        if state is None or state.dead or now_s < state.failed_until_s:
+        if state is None or state.dead or self._failed.holds(engine, now_s):
             return False
         since_s = state.last_heard_s
         if since_s is None:
@@ -181,7 +193,7 @@
         state = self._engines.get(engine)
         if state is None or state.last_heard_s is not None:
             return False
-        return now_s >= state.failed_until_s
+        return not self._failed.holds(engine, now_s)
 
     def newly_dead(self, now_s: float) -> list[str]:
         """Return engines that went silent, forgetting their epoch."""
@@ -216,15 +228,21 @@
         state = self._engines.get(engine)
         return state.role if state else SERVING
 
-    def load_requests(self, engine: str, rank: int | None = None) -> int:
+    def load(self, engine: str, rank: int) -> EngineLoad:
         """Return what routers count on ``engine`` plus unexplained load.
 
-        :param rank: count only requests at least as urgent as this rank.
+        :param rank: the rank whose urgent requests are wanted.
         """
         state = self._engines[engine]
-        peak = state.recent_peak.note(state.counted_requests(), self._clock())
+        counted = state.counted_requests()
+        peak = state.recent_peak.note(counted, self._clock())
         unexplained = max(0, state.reported_requests - peak)
-        return state.counted_requests(rank) + unexplained
+        urgent = state.counted_requests(rank)
+        return EngineLoad(counted + unexplained, urgent + unexplained)
+
+    def load_requests(self, engine: str) -> int:
+        """Return the whole load of ``engine``, whatever its urgency."""
+        return self.load(engine, 0).requests
 
     def in_flight(self) -> dict[str, RankCounts]:
         """Return this router's own requests in flight, per busy engine."""
--- a/src/kumquatseam/routing/_held_out.py
+++ b/src/kumquatseam/routing/_held_out.py
@@ -1,5 +1,8 @@
 """Back ends kept out of the choice for a while after a failure."""
 
+#: how long a failure holds a back end out.
+HOLD_S = 1.0
+
 
 class HeldOut:
     """Names held out for a fixed time after their last failure.
@@ -7,7 +10,7 @@
     :param hold_s: how long a failure holds a name out.
     """
 
-    def __init__(self, hold_s: float) -> None:
+    def __init__(self, hold_s: float = HOLD_S) -> None:
         self._hold_s = hold_s
         self._until_s: dict[str, float] = {}
 
--- a/src/kumquatseam/routing/_router.py
+++ b/src/kumquatseam/routing/_router.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import attrs
 import xxhash
@@ -175,7 +175,7 @@
     def candidates(self, request: RoutingRequest) -> list[Candidate]:
         """Return the engines that may serve ``request``, with their figures."""
         now_s = self._clock()
-        keys_by_version: dict[str, list[int]] = {}
+        keys_by_version: dict[str, tuple[int, ...]] = {}
         found = []
         for upstream in self._takers(request, now_s):
             version = self._version(upstream.name, request.model)
@@ -268,16 +268,16 @@
         configuration = self._live.current
         return configuration.desired_version(configuration.upstream(engine), model)
 
-    def _keys(self, request: RoutingRequest, version: str) -> list[int]:
+    def _keys(self, request: RoutingRequest, version: str) -> tuple[int, ...]:
         salt = cache_salt(request.team.name, request.model, version)
-        return block_keys(
-            list(request.tokens), self._block_size_tokens, salt_seed(salt)
+        return tuple(
+            block_keys(list(request.tokens), self._block_size_tokens, salt_seed(salt))
         )
 
     def _candidate(
         self,
         upstream: UpstreamSettings,
-        keys: Sequence[int],
+        keys: tuple[int, ...],
         rank: int,
         now_s: float,
     ) -> Candidate:
@@ -286,18 +286,19 @@
         matched = self.index.match(upstream.name, keys, now_s)
         if matched < opening_blocks and self.hints.names(opening, upstream.name, now_s):
             matched = opening_blocks
+        load = self.fleet.load(upstream.name, rank)
         return Candidate(
             upstream=upstream.name,
             matched_blocks=matched,
             total_blocks=len(keys),
-            load_requests=self.fleet.load_requests(upstream.name),
-            urgent_requests=self.fleet.load_requests(upstream.name, rank),
+            load_requests=load.requests,
+            urgent_requests=load.urgent_requests,
             slots=upstream.slots,
             affinity_weight=xxhash.xxh3_64_intdigest(
                 upstream.name.encode(), seed=opening
             ),
             opening=opening,
-            keys=tuple(keys),
+            keys=keys,
         )
 
     def _shed(
--- a/src/kumquatseam/services/_client.py
+++ b/src/kumquatseam/services/_client.py
@@ -66,6 +66,9 @@
         self._timeout = urllib3.Timeout(connect=connect_timeout_s, read=read_timeout_s)
         self._pools = AddressPools()
 
+    def start(self) -> None:
+        """Connections open as calls need them."""
+
     def close(self) -> None:
         """Close every pooled connection."""
         self._pools.close()
@@ -75,9 +78,10 @@
         if call.content_type:
             headers["Content-Type"] = call.content_type
         try:
-            response = self._pools.pool(url).request(
+            response = self._pools.request(
                 call.method,
-                f"{url}/{call.path}",
+                url,
+                f"/{call.path}",
                 body=call.body or None,
                 headers=headers,
                 timeout=self._timeout,
@@ -89,8 +93,6 @@
         ) as error:
             raise UpstreamError(url, False, f"cannot connect: {error}") from error
         except urllib3.exceptions.HTTPError as error:
-            if isinstance(error, urllib3.exceptions.ReadTimeoutError):
-                self._pools.drop(url)
             raise UpstreamError(url, True, f"answer broke: {error}") from error
         if NOT_EXECUTED_HEADER in response.headers:
             raise UpstreamError(url, False, f"HTTP {response.status}, not run")
--- a/src/kumquatseam/serving/_completions.py
+++ b/src/kumquatseam/serving/_completions.py
@@ -32,8 +32,6 @@
 
 _log = part_logger("serving")
 
-#: how long an engine that failed a request stays out of routing.
-FAILED_ENGINE_HOLD_S = 1.0
 #: times an engine's word on its own weights or life is taken per request.
 MAX_MISMATCHES = 3
 
@@ -86,6 +84,7 @@
     finished: bool = False
     excluded: set[str] = attrs.Factory(set)
     usage: EngineChunk | None = None
+    tokens: tuple[str, ...] = ()
 
 
 class CompletionAnswer:
@@ -140,6 +139,7 @@
     def _serve(self, completion: Completion, attempts: _Attempts):
         parts = self._parts
         parts.retry_budget.note_request()
+        attempts.tokens = tuple(tokenize(completion.prompt))
         team, key = completion.team, completion.idempotency_key
         claimed = parts.claimed(team.name, key, completion.request_id)
         with parts.limiter.running_request(team), claimed:
@@ -176,7 +176,7 @@
             request_id=completion.request_id,
             team=completion.team,
             model=completion.model,
-            tokens=tuple(tokenize(completion.prompt)),
+            tokens=attempts.tokens,
             priority=completion.priority,
             may_be_shed=attempts.count == 0,
             exclude=frozenset(attempts.excluded),
@@ -265,7 +265,7 @@
         """
         name = decision.upstream.name
         attempts.excluded.add(name)
-        self._router.fleet.mark_failed(name, self._parts.clock(), FAILED_ENGINE_HOLD_S)
+        self._router.fleet.mark_failed(name, self._parts.clock())
         repeatable = completion.idempotency_key is None or not attempts.may_have_run
         if not repeatable or attempts.count >= self._parts.admission.max_attempts:
             raise UpstreamError(name, attempts.may_have_run, error.detail) from error
--- a/src/kumquatseam/serving/_services.py
+++ b/src/kumquatseam/serving/_services.py
@@ -21,9 +21,6 @@
 
 _log = part_logger("services")
 
-#: how long a replica that failed a call stays out of the choice.
-FAILED_REPLICA_HOLD_S = 1.0
-
 
 class ServiceServer:
     """Serves calls on plain services.
@@ -36,7 +33,7 @@
         self._services = services
         self._parts = parts
         self._turn = itertools.count()
-        self._held_out = HeldOut(FAILED_REPLICA_HOLD_S)
+        self._held_out = HeldOut()
 
     def serve(
         self,
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -41,7 +41,7 @@
     InstanceWatcher,
 )
 from kumquatseam.logs import part_logger
-from kumquatseam.logservice import HttpLogService, LogService
+from kumquatseam.logservice import HttpLogService
 from kumquatseam.loops import StepLoop
 from kumquatseam.metrics import RequestFigures
 from kumquatseam.operators import AnswerSources, QueryAnswerer
@@ -120,7 +120,10 @@
         self._figures = RequestFigures()
         self._refusals = RefusalLog()
         self._running = RunningRequests()
-        self._log_service: LogService | None = None
+        self._log_service: HttpLogService | None = None
+        self._services = HttpServiceClient(
+            daemon.connect_timeout_s, daemon.read_timeout_s
+        )
         if settings.log.url:
             self._log_service = HttpLogService(settings.log.url, settings.log.timeout_s)
         self._instances: HttpInstanceList | None = None
@@ -146,6 +149,7 @@
         daemon = Daemon(
             [
                 *engines,
+                self._services,
                 *log,
                 *fleet,
                 self._caller_interface(engines[0]),
@@ -210,7 +214,7 @@
             self._warm_state,
         )
         duty = StepLoop(DUTY_INTERVAL_S, lease.step, rollout.step, snapshots.step)
-        return [follower, self._claims, duty]
+        return [self._log_service, follower, self._claims, duty]
 
     def _fleet_parts(self) -> list:
         parts: list = []
@@ -291,9 +295,6 @@
             admission,
             self._running,
         )
-        service_client = HttpServiceClient(
-            daemon.connect_timeout_s, daemon.read_timeout_s
-        )
         status = DaemonStatus(
             self._live,
             self._router,
@@ -305,7 +306,7 @@
             daemon,
             self._live,
             CompletionServer(self._router, engines, parts),
-            ServiceServer(service_client, parts),
+            ServiceServer(self._services, parts),
             self._refusals,
             self._figures,
             status.read,
