--- /dev/null
+++ b/src/kumquatseam/gateway/__init__.py
@@ -0,0 +1,29 @@
+"""The front end that passes HTTP requests on as they are.
+
+Callers name the parts of their prompts instead of sending text, and get the
+upstream's own bytes back. :class:`GatewayServer` accepts connections,
+:class:`RequestHandler` serves one request, and a :class:`Dialect` translates
+between a platform's header names and the types used here.
+"""
+
+from kumquatseam.gateway._call import (
+    AnswerTraits,
+    Call,
+    SendOptions,
+)
+from kumquatseam.gateway._dialect import Dialect, MalformedCallError
+from kumquatseam.gateway._handler import RequestHandler
+from kumquatseam.gateway._health import HealthServer, MetricsServer
+from kumquatseam.gateway._server import GatewayServer
+
+__all__ = [
+    "AnswerTraits",
+    "Call",
+    "Dialect",
+    "GatewayServer",
+    "HealthServer",
+    "MalformedCallError",
+    "MetricsServer",
+    "RequestHandler",
+    "SendOptions",
+]
--- /dev/null
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -0,0 +1,451 @@
+"""Sending one request to upstreams until one of them answers it."""
+
+import time
+from collections.abc import Callable
+
+import attrs
+import gevent
+
+from kumquatseam.gateway._call import Call, SendOptions
+from kumquatseam.gateway._caller import CallerConnection
+from kumquatseam.gateway._events import EventSplitter
+from kumquatseam.gateway._refusals import Reason, RefusedError
+from kumquatseam.http1 import (
+    AnswerBrokenError,
+    ConnectFailedError,
+    Request,
+    ResponseHead,
+    UpstreamConnection,
+    Wait,
+    encode_request,
+)
+from kumquatseam.logs import part_logger
+from kumquatseam.placement import Placement, PlacementRequest
+from kumquatseam.routes import Route, RouteTable, ServiceTraits, TeamTraits
+
+_log = part_logger("exchange")
+
+#: answers up to this size are held until whole, so that one that breaks off
+#: can still be asked for elsewhere or answered with a failure.
+BUFFERED_BYTES = 262_144
+#: refusals by upstreams after which a request stops asking further ones; each
+#: refused arrival counts against the retry budget of the whole fleet.
+MAX_REFUSALS = 4
+#: share of its time a repeatable request waits for one upstream's first byte.
+FIRST_BYTE_SHARE = 0.45
+#: longest silence of a stream that may go on elsewhere; clients give up at 2 s.
+STREAM_SILENCE_S = 1.2
+#: pause before looking again for an upstream that may take a request.
+RECHECK_S = 0.02
+#: share of its time a request waits for any upstream before it is refused.
+WAIT_SHARE = 0.25
+#: when to come back after every upstream was busy or loading; a load of new
+#: weights takes about this long.
+RETRY_AFTER_S = 0.6
+#: how long an upstream that refused for want of room is left out.
+REFUSED_BLOCK_S = 0.1
+
+
+@attrs.frozen
+class Job:
+    """A request that may be served.
+
+    :param request: the request as read.
+    :param call: what it asks for.
+    :param route: its route.
+    :param service: the service that takes it.
+    :param team: its team, if any.
+    :param end_s: monotonic time by which it needs its final answer.
+    :param table: the configuration that admitted it.
+    """
+
+    request: Request
+    call: Call
+    route: Route
+    service: ServiceTraits
+    team: TeamTraits | None
+    end_s: float
+    table: RouteTable
+
+    @property
+    def remaining_s(self) -> float:
+        """Time left until its final answer is due."""
+        return self.end_s - time.monotonic()
+
+
+@attrs.define
+class _Progress:
+    """What the attempts at one request have come to."""
+
+    attempts: int = 0
+    refusals: int = 0
+    may_have_run: bool = False
+    excluded: set[str] = attrs.Factory(set)
+    kept_failure: "_WholeAnswer | None" = None
+
+
+@attrs.frozen
+class _WholeAnswer:
+    """An answer held until whole."""
+
+    head: ResponseHead
+    body: bytes
+
+
+class _NotRunError(Exception):
+    """The upstream promised that it did not run the request."""
+
+
+class _FailureHeldError(Exception):
+    """The upstream failed the request, and another may still serve it."""
+
+
+class _KeptFailureError(Exception):
+    """Nobody served the request; an upstream's own failure is its answer.
+
+    :param answer: that failure.
+    """
+
+    def __init__(self, answer: _WholeAnswer) -> None:
+        super().__init__()
+        self.answer = answer
+
+
+class Exchange:
+    """Serves one admitted request.
+
+    :param parts: what serving needs (``HandlerParts``).
+    :param job: the request.
+    :param caller: who waits for the answer.
+    :param may_keep: whether the caller's connection stays open afterwards.
+    """
+
+    def __init__(
+        self, parts, job: Job, caller: CallerConnection, may_keep: Callable[[], bool]
+    ) -> None:
+        self._parts = parts
+        self._job = job
+        self._caller = caller
+        self._may_keep = may_keep
+        self._progress = _Progress()
+        self._events = EventSplitter(job.call.resume_after)
+        self._has_kept_connection = False
+
+    def run(self) -> tuple[bool, str]:
+        """Serve the request.
+
+        :returns: whether the caller's connection is still in step, and the
+            outcome for the metrics.
+        :raises RefusedError: with the router's own answer.
+        :raises CallerLeftError: if the caller closed its connection.
+        """
+        try:
+            while True:
+                outcome = self._try_once()
+                if outcome is not None:
+                    return outcome
+        except _KeptFailureError as error:
+            return self._send_whole(error.answer)
+
+    def _try_once(self) -> tuple[bool, str] | None:
+        """Make one attempt; return ``None`` if another may follow."""
+        placement = self._place()
+        try:
+            return self._attempt(placement)
+        except _NotRunError:
+            self._after_refusal(placement)
+        except _FailureHeldError:
+            self._after_failure(placement, "failed answer")
+        except ConnectFailedError as error:
+            self._after_connect_failure(placement, error)
+        except AnswerBrokenError as error:
+            self._after_broken(placement, error)
+        return None
+
+    # Choosing.
+
+    def _place(self) -> Placement:
+        """Return an upstream, waiting a little for one.
+
+        :raises RefusedError: if none takes the request in time.
+        """
+        job, progress = self._job, self._progress
+        give_up_s = time.monotonic() + job.remaining_s * WAIT_SHARE
+        while True:
+            self._check_time()
+            placement = self._parts.placer.place(
+                PlacementRequest(
+                    job.call.request_id,
+                    job.service,
+                    job.team,
+                    job.call.model,
+                    job.call.prompt,
+                    frozenset(progress.excluded),
+                    progress.attempts + 1,
+                )
+            )
+            if placement is not None:
+                return placement
+            if progress.excluded and not progress.may_have_run:
+                progress.excluded.clear()
+            if time.monotonic() >= give_up_s or progress.may_have_run:
+                self._give_up(Reason.NO_UPSTREAM, "no upstream takes it")
+            gevent.sleep(RECHECK_S)
+            self._caller.check_present()
+
+    def _check_time(self) -> None:
+        if self._job.remaining_s <= 0:
+            self._give_up(Reason.TIMED_OUT, "out of time")
+
+    def _give_up(self, reason: Reason, detail: str) -> None:
+        """End the request with what is true of it.
+
+        :raises RefusedError: always.
+        """
+        progress = self._progress
+        if progress.kept_failure is not None:
+            raise _KeptFailureError(progress.kept_failure)
+        if progress.may_have_run or self._caller.has_answered:
+            status = 504 if reason is Reason.TIMED_OUT else 502
+            raise RefusedError(status, reason, detail=detail)
+        raise RefusedError(503, reason, RETRY_AFTER_S, detail)
+
+    # After attempts that did not answer.
+
+    def _after_refusal(self, placement: Placement) -> None:
+        progress = self._progress
+        progress.refusals += 1
+        progress.excluded.add(placement.status.upstream.upstream_id)
+        if progress.refusals >= MAX_REFUSALS:
+            self._give_up(Reason.ALL_REFUSED, f"{progress.refusals} refusals")
+        self._spend_retry()
+
+    def _after_connect_failure(
+        self, placement: Placement, error: ConnectFailedError
+    ) -> None:
+        self._parts.directory.note_broken(placement.status, "connect failed")
+        self._progress.excluded.add(placement.status.upstream.upstream_id)
+        self._log_failure(placement, str(error))
+
+    def _after_broken(self, placement: Placement, error: AnswerBrokenError) -> None:
+        self._parts.directory.note_broken(placement.status, "answer broken")
+        self._parts.pool.drop(placement.status.upstream.address)
+        self._events.drop_partial()
+        self._after_failure(placement, error.detail)
+
+    def _after_failure(self, placement: Placement, detail: str) -> None:
+        """Go on elsewhere if the request may be repeated."""
+        job, progress = self._job, self._progress
+        progress.may_have_run = True
+        progress.excluded.add(placement.status.upstream.upstream_id)
+        self._log_failure(placement, detail)
+        self._check_time()
+        can_go_on = not self._caller.has_answered or job.route.is_resumable
+        if not job.route.may_repeat or not can_go_on:
+            self._give_up(Reason.BROKEN, detail)
+        if progress.attempts >= job.route.max_attempts:
+            self._give_up(Reason.BROKEN, f"{detail}; no attempts left")
+        self._spend_retry()
+
+    def _spend_retry(self) -> None:
+        if not self._parts.retry_budget(self._job.service.name).take():
+            self._give_up(Reason.BUDGET_SPENT, "retry budget")
+
+    def _log_failure(self, placement: Placement, detail: str) -> None:
+        _log.bind(
+            request=self._job.call.request_id,
+            upstream=placement.status.upstream.upstream_id,
+            attempt=self._progress.attempts,
+            remaining_s=round(self._job.remaining_s, 3),
+            detail=detail,
+        ).info("Attempt failed.")
+
+    # One attempt.
+
+    def _attempt(self, placement: Placement) -> tuple[bool, str]:
+        job, status = self._job, placement.status
+        connection = self._parts.pool.take(status.upstream.address, job.remaining_s)
+        tokens = job.call.tokens
+        self._parts.directory.begin(status, tokens)
+        self._has_kept_connection = False
+        try:
+            return self._converse(placement, connection)
+        finally:
+            self._parts.directory.end(status, tokens)
+            if not self._has_kept_connection:
+                connection.close()
+
+    def _converse(
+        self, placement: Placement, connection: UpstreamConnection
+    ) -> tuple[bool, str]:
+        job = self._job
+        self._progress.attempts += 1
+        self._parts.index.note_read(
+            placement.status.upstream.upstream_id, placement.salt, job.call.prompt
+        )
+        connection.send(self._request_bytes(placement))
+        wait = self._wait(connection.address)
+        head = connection.read_head(
+            job.call.request_id, self._parts.dialect.request_id_header, wait
+        )
+        traits = self._parts.dialect.read_answer(head)
+        self._learn(placement, head, traits)
+        wait.until_s = self._body_until_s()
+        if traits.is_not_run:
+            self._drain(connection, wait, traits)
+            raise _NotRunError
+        if not traits.is_signed:
+            raise AnswerBrokenError(connection.address, "answer is not signed")
+        if self._caller.has_answered and head.status != 200:
+            raise AnswerBrokenError(connection.address, f"no resume: {head.status}")
+        if job.route.is_stream and head.status == 200:
+            return self._pass_stream(connection, head, traits, wait)
+        return self._pass_whole(connection, head, traits, wait)
+
+    def _request_bytes(self, placement: Placement) -> bytes:
+        job = self._job
+        options = SendOptions(
+            upstream_id=placement.status.upstream.upstream_id,
+            remaining_s=job.remaining_s,
+            team=job.team.name if job.team else "",
+            cache_salt=placement.salt,
+            expected_version=placement.version,
+            resume_after=self._events.last_id,
+        )
+        fields = self._parts.dialect.upstream_fields(job.request, options)
+        request = job.request
+        return encode_request(request.method, request.target, fields, request.body)
+
+    def _wait(self, address: str) -> Wait:
+        until_s = self._job.end_s
+        attempts_left = self._job.route.max_attempts - self._progress.attempts
+        if self._job.route.may_repeat and attempts_left > 0:
+            share_s = self._job.remaining_s * FIRST_BYTE_SHARE
+            until_s = min(until_s, time.monotonic() + share_s)
+        return Wait(until_s, address, self._caller.socket, self._caller.check_present)
+
+    def _body_until_s(self) -> float:
+        until_s = self._job.end_s
+        if self._job.route.is_resumable:
+            until_s = min(until_s, time.monotonic() + STREAM_SILENCE_S)
+        return until_s
+
+    def _learn(self, placement: Placement, head: ResponseHead, traits) -> None:
+        status, model = placement.status, self._job.call.model
+        if model and traits.weights_version is not None:
+            status.version_seen[model] = traits.weights_version
+        if traits.is_not_run:
+            _log.bind(
+                request=self._job.call.request_id,
+                upstream=status.upstream.upstream_id,
+                status=head.status,
+                version=traits.weights_version,
+            ).info("Refused by the upstream.")
+            self._parts.directory.block(status, REFUSED_BLOCK_S)
+            return
+        self._parts.directory.note_answer(status, head.status >= 500)
+
+    def _drain(self, connection: UpstreamConnection, wait: Wait, traits) -> None:
+        """Read a refusal's body so that the connection can be kept."""
+        while connection.read_body(wait):
+            pass
+        self._keep(connection, traits)
+
+    def _keep(self, connection: UpstreamConnection, traits) -> None:
+        self._has_kept_connection = True
+        self._parts.pool.give_back(connection, traits.keep_alive_s)
+
+    # Passing answers on.
+
+    def _pass_whole(
+        self, connection: UpstreamConnection, head: ResponseHead, traits, wait: Wait
+    ) -> tuple[bool, str]:
+        body = bytearray()
+        while data := connection.read_body(wait):
+            body += data
+            if len(body) > BUFFERED_BYTES:
+                return self._pass_large(connection, head, traits, wait, bytes(body))
+        self._keep(connection, traits)
+        answer = _WholeAnswer(head, bytes(body))
+        if head.status >= 500 and self._may_try_again():
+            self._progress.kept_failure = answer
+            raise _FailureHeldError
+        return self._send_whole(answer)
+
+    def _may_try_again(self) -> bool:
+        route = self._job.route
+        return route.may_repeat and self._progress.attempts < route.max_attempts
+
+    def _send_whole(self, answer: _WholeAnswer) -> tuple[bool, str]:
+        """Send a whole answer of an upstream to the caller."""
+        keep = self._may_keep()
+        fields = self._answer_fields(answer.head, keep)
+        self._caller.send_whole(answer.head.status, fields, answer.body)
+        self._log_answer(answer.head.status)
+        return keep, f"answered_{answer.head.status // 100}xx"
+
+    def _pass_large(
+        self,
+        connection: UpstreamConnection,
+        head: ResponseHead,
+        traits,
+        wait: Wait,
+        first: bytes,
+    ) -> tuple[bool, str]:
+        keep = self._may_keep()
+        self._caller.begin_answer(
+            head.status, self._answer_fields(head, keep), head.length_bytes, first
+        )
+        while data := connection.read_body(wait):
+            self._caller.send_part(data)
+        self._caller.end_answer()
+        self._keep(connection, traits)
+        self._log_answer(head.status)
+        return keep, f"answered_{head.status // 100}xx"
+
+    def _pass_stream(
+        self, connection: UpstreamConnection, head: ResponseHead, traits, wait: Wait
+    ) -> tuple[bool, str]:
+        """Pass events on as they come; whole ones only if it may go on."""
+        keep = self._may_keep()
+        while data := connection.read_body(wait):
+            wait.until_s = self._body_until_s()
+            if self._job.route.is_resumable:
+                data = self._events.feed(data)
+            self._send_events(head, keep, data)
+        self._send_events(head, keep, self._events.rest())
+        if not self._caller.has_answered:
+            self._caller.begin_answer(200, self._answer_fields(head, keep), None)
+        self._caller.end_answer()
+        self._keep(connection, traits)
+        self._log_answer(head.status)
+        return keep, "answered_2xx"
+
+    def _send_events(self, head: ResponseHead, keep: bool, data: bytes) -> None:
+        if not data:
+            return
+        if self._caller.has_answered:
+            self._caller.send_part(data)
+            return
+        fields = self._answer_fields(head, keep)
+        self._caller.begin_answer(head.status, fields, None, data)
+        self._parts.metrics.note_first_event(
+            self._job.route.name, time.monotonic() - self._job.request.received_s
+        )
+
+    def _answer_fields(
+        self, head: ResponseHead, keep: bool
+    ) -> list[tuple[bytes, bytes]]:
+        fields = head.headers.end_to_end(frozenset())
+        if not keep:
+            fields.append((b"Connection", b"close"))
+        return fields
+
+    def _log_answer(self, status: int) -> None:
+        _log.bind(
+            request=self._job.call.request_id,
+            status=status,
+            attempts=self._progress.attempts,
+            refusals=self._progress.refusals,
+            took_s=round(time.monotonic() - self._job.request.received_s, 4),
+        ).info("Answered.")
--- /dev/null
+++ b/src/kumquatseam/gateway/_handler.py
@@ -0,0 +1,152 @@
+"""Serving one request: whose it is, where it goes, and how it is answered."""
+
+import random
+import time
+from collections.abc import Callable
+
+import attrs
+
+from kumquatseam.admission import RetryBudget
+from kumquatseam.gateway._call import Call
+from kumquatseam.gateway._caller import CallerConnection
+from kumquatseam.gateway._dialect import Dialect, MalformedCallError
+from kumquatseam.gateway._exchange import Exchange, Job
+from kumquatseam.gateway._refusals import Reason, RefusedError
+from kumquatseam.http1 import CallerLeftError, ConnectionPool, Request
+from kumquatseam.logs import part_logger
+from kumquatseam.metrics import GatewayMetrics
+from kumquatseam.placement import Placer, PromptIndex
+from kumquatseam.routes import LiveRouteTable, Route, RouteTable, TeamTraits
+from kumquatseam.upstreams import UpstreamDirectory
+
+_log = part_logger("request")
+
+#: assumed when a caller names no deadline: the longest usual route timeout.
+DEFAULT_DEADLINE_S = 30.0
+#: when a caller is told to come back before the first configuration is known:
+#: about the time reading it takes.
+UNCONFIGURED_RETRY_S = 0.5
+
+
+@attrs.frozen
+class HandlerParts:
+    """What serving a request needs.
+
+    :param live: the configuration in force.
+    :param dialect: reads and writes headers.
+    :param placer: chooses upstreams.
+    :param directory: the upstreams.
+    :param index: the prompt parts they hold.
+    :param pool: connections to them.
+    :param retry_budget: returns the retry budget of a service.
+    :param metrics: counters and latencies.
+    """
+
+    live: LiveRouteTable
+    dialect: Dialect
+    placer: Placer
+    directory: UpstreamDirectory
+    index: PromptIndex
+    pool: ConnectionPool
+    retry_budget: Callable[[str], RetryBudget]
+    metrics: GatewayMetrics
+
+
+class RequestHandler:
+    """Serves requests, one call of :meth:`handle` each.
+
+    :param parts: what serving needs.
+    """
+
+    def __init__(self, parts: HandlerParts) -> None:
+        self._parts = parts
+
+    def handle(
+        self, request: Request, caller: CallerConnection, may_keep: Callable[[], bool]
+    ) -> bool:
+        """Serve ``request``; return whether the connection is still in step.
+
+        :param may_keep: whether the connection stays open after the answer.
+        :raises CallerLeftError: if the caller closed its connection.
+        """
+        request_id = request.headers.text(self._parts.dialect.request_id_header)
+        kind, outcome, job = "none", "left", None
+        try:
+            job = self._admit(request)
+            kind = job.route.name
+            is_whole, outcome = Exchange(self._parts, job, caller, may_keep).run()
+            return is_whole
+        except RefusedError as error:
+            outcome = error.reason.value
+            return self._refuse(request_id, caller, may_keep, error)
+        except CallerLeftError:
+            _log.bind(request=request_id).info("The caller left.")
+            raise
+        except Exception:  # noqa: BLE001 - logged; the caller still gets an answer
+            _log.bind(request=request_id).exception("Serving failed unexpectedly.")
+            outcome = Reason.FAULT.value
+            fault = RefusedError(502, Reason.FAULT)
+            return self._refuse(request_id, caller, may_keep, fault)
+        finally:
+            took_s = time.monotonic() - request.received_s
+            self._parts.metrics.note_request(kind, outcome, took_s)
+
+    def _admit(self, request: Request) -> Job:
+        """Return the request with its route, service and team.
+
+        :raises RefusedError: if it may not be served.
+        """
+        table = self._parts.live.current
+        if table is None:
+            raise RefusedError(503, Reason.NO_CONFIGURATION, UNCONFIGURED_RETRY_S)
+        call = self._read_call(request)
+        route = table.match(request.headers.text(b"host"), request.path)
+        if route is None:
+            raise RefusedError(404, Reason.NO_ROUTE, detail=f"v{table.version}")
+        team = self._authenticate(table, route, call)
+        service = table.service(route.service_for(random.random()))
+        if service is None:
+            raise RefusedError(503, Reason.NO_UPSTREAM, 1.0, "service not configured")
+        self._parts.retry_budget(service.name).note_request()
+        deadline_s = call.deadline_s or DEFAULT_DEADLINE_S
+        end_s = request.received_s + min(deadline_s, route.timeout_s)
+        return Job(request, call, route, service, team, end_s, table)
+
+    def _read_call(self, request: Request) -> Call:
+        try:
+            return self._parts.dialect.read_call(request)
+        except MalformedCallError as error:
+            raise RefusedError(400, Reason.MALFORMED, detail=str(error)) from error
+
+    def _authenticate(
+        self, table: RouteTable, route: Route, call: Call
+    ) -> TeamTraits | None:
+        team = table.team_of(call.key) if call.key else None
+        if team is None and table.teams and not route.is_public:
+            raise RefusedError(401, Reason.UNKNOWN_KEY, detail=f"v{table.version}")
+        return team
+
+    def _refuse(
+        self,
+        request_id: str,
+        caller: CallerConnection,
+        may_keep: Callable[[], bool],
+        error: RefusedError,
+    ) -> bool:
+        _log.bind(
+            request=request_id,
+            status=error.status,
+            reason=error.reason.value,
+            retry_after_s=error.retry_after_s,
+            detail=error.detail,
+        ).info("Refused.")
+        if caller.has_answered:
+            # The answer began; all that is left is to break it off visibly.
+            return False
+        keep = may_keep()
+        name = self._parts.dialect.request_id_header
+        fields = [(name, request_id.encode("latin-1")), *error.fields()]
+        if not keep:
+            fields.append((b"Connection", b"close"))
+        caller.send_whole(error.status, fields, error.body())
+        return keep
--- /dev/null
+++ b/src/kumquatseam/gateway/_refusals.py
@@ -0,0 +1,55 @@
+"""The router's own answers, each with what it promises about the request."""
+
+import enum
+import json
+
+import attrs
+
+from kumquatseam.errors import KumquatseamError
+
+
+class Reason(enum.Enum):
+    """Why the router itself answers a request."""
+
+    NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    MALFORMED = "malformed"
+    NO_UPSTREAM = "no_upstream"
+    OVERLOADED = "overloaded"
+    ALL_REFUSED = "all_refused"
+    BUDGET_SPENT = "retry_budget_spent"
+    TIMED_OUT = "timed_out"
+    BROKEN = "answer_broken"
+    FAULT = "internal_fault"
+
+
+@attrs.define(frozen=True, eq=False)
+class RefusedError(KumquatseamError):
+    """A request that ends with an answer of the router's own.
+
+    :param status: 503 promises that it has not run and never will; 502 and
+        504 promise nothing.
+    :param reason: why.
+    :param retry_after_s: when to come back, if that helps.
+    :param detail: inputs of the decision, for the log.
+    """
+
+    status: int
+    reason: Reason
+    retry_after_s: float | None = None
+    detail: str = ""
+
+    def __str__(self) -> str:
+        return f"gateway: {self.status} {self.reason.value}: {self.detail}"
+
+    def fields(self) -> list[tuple[bytes, bytes]]:
+        """Return the answer's header fields."""
+        fields = [(b"Content-Type", b"application/json")]
+        if self.retry_after_s is not None:
+            fields.append((b"Retry-After", b"%.2f" % self.retry_after_s))
+        return fields
+
+    def body(self) -> bytes:
+        """Return the answer's body."""
+        return json.dumps({"error": self.reason.value}).encode()
--- /dev/null
+++ b/src/kumquatseam/gateway/_server.py
@@ -0,0 +1,164 @@
+"""Accepting callers' connections, and ending them gracefully."""
+
+import socket
+import time
+from collections.abc import Callable
+
+import gevent
+import gevent.event
+import gevent.socket
+
+from kumquatseam.gateway._caller import CallerConnection
+from kumquatseam.gateway._handler import RequestHandler
+from kumquatseam.http1 import (
+    BadRequestError,
+    CallerLeftError,
+    IdleConnectionError,
+    RequestLimits,
+    RequestReader,
+)
+from kumquatseam.logs import part_logger
+from kumquatseam.pools import silent_connection_options
+
+_log = part_logger("server")
+
+#: connections the kernel queues for us while a burst is accepted.
+BACKLOG = 1024
+#: new connections are still accepted this long after a stop was asked for;
+#: the balancer needs two missed questions, a second apart, to notice.
+ACCEPT_WHILE_STOPPING_S = 2.6
+#: idle connections get this long after the stop to bring a last request, whose
+#: answer says that the connection closes; fewer closes then cross a request.
+IDLE_WHILE_STOPPING_S = 2.0
+#: seconds between two looks at what is still running.
+STOP_POLL_S = 0.05
+
+
+class GatewayServer:
+    """Serves callers on one address.
+
+    :param address: ``host:port``.
+    :param handler: serves one request.
+    :param read_limits: the limits in force.
+    :param grace_s: how long a stop may take in all.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        handler: RequestHandler,
+        read_limits: Callable[[], RequestLimits],
+        grace_s: float,
+    ) -> None:
+        self._address = address
+        self._handler = handler
+        self._read_limits = read_limits
+        self._grace_s = grace_s
+        self._listener: socket.socket | None = None
+        self._accepting: gevent.Greenlet | None = None
+        self._readers: dict[gevent.Greenlet, RequestReader] = {}
+        self._busy: set[gevent.Greenlet] = set()
+        self.is_stopping = False
+        self.accepted = 0
+
+    def start(self) -> None:
+        """Listen and accept."""
+        host, _, port = self._address.rpartition(":")
+        listener = gevent.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(BACKLOG)
+        self._listener = listener
+        self._accepting = gevent.spawn(self._accept_forever)
+
+    def close(self) -> None:
+        """Stop gracefully: what was read is answered, within the grace."""
+        began_s = time.monotonic()
+        self.is_stopping = True
+        end_s = began_s + self._grace_s
+        while time.monotonic() < end_s:
+            elapsed_s = time.monotonic() - began_s
+            if elapsed_s > IDLE_WHILE_STOPPING_S:
+                self._close_idle()
+            if elapsed_s > ACCEPT_WHILE_STOPPING_S:
+                self._stop_accepting()
+                if not self._readers:
+                    break
+            gevent.sleep(STOP_POLL_S)
+        self._stop_accepting()
+        _log.bind(
+            cut=len(self._busy), took_s=round(time.monotonic() - began_s, 2)
+        ).info("Stopped serving callers.")
+        gevent.killall(list(self._readers), block=False)
+
+    def _stop_accepting(self) -> None:
+        if self._accepting is not None:
+            self._accepting.kill()
+            self._accepting = None
+            self._listener.close()
+
+    def _close_idle(self) -> None:
+        for greenlet, reader in list(self._readers.items()):
+            if greenlet not in self._busy and not reader.is_reading:
+                greenlet.kill(block=False)
+
+    def _accept_forever(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError as error:
+                _log.bind(error=repr(error)).warning("Cannot accept.")
+                gevent.sleep(0.01)
+                continue
+            self.accepted += 1
+            gevent.spawn(self._serve_connection, connection)
+
+    def _serve_connection(self, connection) -> None:
+        for option in silent_connection_options():
+            connection.setsockopt(*option)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        greenlet = gevent.getcurrent()
+        reader = RequestReader(connection, self._read_limits())
+        self._readers[greenlet] = reader
+        caller = CallerConnection(connection)
+        try:
+            while self._serve_next(greenlet, reader, caller):
+                reader.set_limits(self._read_limits())
+        except (IdleConnectionError, CallerLeftError):
+            # Usual ends of a connection; a request in progress logs its own.
+            pass
+        except BadRequestError as error:
+            self._refuse_bad(caller, error)
+        finally:
+            self._readers.pop(greenlet, None)
+            self._busy.discard(greenlet)
+            connection.close()
+
+    def _serve_next(
+        self, greenlet: gevent.Greenlet, reader: RequestReader, caller: CallerConnection
+    ) -> bool:
+        """Serve one request; return whether the connection may go on."""
+        request = reader.read()
+        self._busy.add(greenlet)
+        try:
+            caller.begin_request()
+            is_whole = self._handler.handle(request, caller, self._may_keep(request))
+        finally:
+            self._busy.discard(greenlet)
+        return is_whole and request.keep_alive and not self.is_stopping
+
+    def _may_keep(self, request) -> Callable[[], bool]:
+        return lambda: request.keep_alive and not self.is_stopping
+
+    def _refuse_bad(self, caller: CallerConnection, error: BadRequestError) -> None:
+        _log.bind(status=error.status, detail=error.detail).info("Bad request.")
+        fields = [(b"Connection", b"close")]
+        try:
+            caller.send_whole(error.status, fields, b"")
+            # Unread bytes would turn the close into a reset that destroys the
+            # answer on its way; take what the caller still sends for a moment.
+            with gevent.Timeout(0.5, False):
+                while caller.socket.recv(65_536):
+                    pass
+        except (CallerLeftError, OSError) as left:
+            _log.bind(detail=repr(left)).info("The caller did not take the refusal.")
--- /dev/null
+++ b/src/kumquatseam/gateway/program.py
@@ -0,0 +1,67 @@
+"""Running the gateway daemon until it is told to stop."""
+
+import os
+import signal
+import sys
+
+import gevent
+import gevent.event
+
+from kumquatseam.errors import SettingsError
+from kumquatseam.gateway.wiring import Adapter, Gateway
+from kumquatseam.logs import configure_json_logging, part_logger
+from kumquatseam.settings import GatewayFile, load_gateway_settings
+
+_log = part_logger("program")
+
+EXIT_SETTINGS = 2
+#: seconds between two looks at the settings file, which may change silently.
+SETTINGS_POLL_S = 1.0
+
+
+def run(settings_path: str, adapter: Adapter) -> None:
+    """Run the gateway until SIGTERM or SIGINT.
+
+    :param settings_path: its INI file.
+    :param adapter: the platform it runs on.
+    """
+    try:
+        file = load_gateway_settings(settings_path)
+    except SettingsError as error:
+        print(f"SettingsError: {error}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    lines = configure_json_logging(file.gateway.router_name, file.gateway.log_level)
+    stop = gevent.event.Event()
+    reload = gevent.event.Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    gevent.signal_handler(signal.SIGINT, stop.set)
+    gevent.signal_handler(signal.SIGHUP, reload.set)
+    gateway = Gateway(file, adapter)
+    gateway.start()
+    gevent.spawn(_follow_settings, settings_path, gateway, reload, file)
+    stop.wait()
+    _log.info("Stop asked for.")
+    try:
+        gateway.close()
+    finally:
+        _log.info("Stopped.")
+        lines.close()
+    # Threads of libraries must not keep the process past its grace.
+    os._exit(0)
+
+
+def _follow_settings(
+    path: str, gateway: Gateway, reload: gevent.event.Event, file: GatewayFile
+) -> None:
+    """Apply the settings file again whenever it changes."""
+    while True:
+        reload.wait(SETTINGS_POLL_S)
+        reload.clear()
+        try:
+            found = load_gateway_settings(path)
+        except SettingsError as error:
+            _log.bind(error=str(error)).error("Settings stay as they were.")
+            continue
+        if found != file:
+            file = found
+            gateway.apply(file)
--- /dev/null
+++ b/src/kumquatseam/gateway/wiring.py
@@ -0,0 +1,208 @@
+"""The gateway's composition root: builds every part and owns their order."""
+
+import abc
+import time
+from collections.abc import Callable
+
+from kumquatseam.admission import RetryBudget
+from kumquatseam.gateway._dialect import Dialect
+from kumquatseam.gateway._handler import HandlerParts, RequestHandler
+from kumquatseam.gateway._health import HealthServer, MetricsServer
+from kumquatseam.gateway._server import GatewayServer
+from kumquatseam.http1 import ConnectionPool, RequestLimits
+from kumquatseam.logs import part_logger
+from kumquatseam.logservice import HttpLogService, KeyedListener, KeyedWatch
+from kumquatseam.loops import StepLoop
+from kumquatseam.metrics import GatewayMetrics
+from kumquatseam.placement import Placer, PromptIndex
+from kumquatseam.routes import LiveRouteTable
+from kumquatseam.settings import AdmissionSettings, GatewayFile
+from kumquatseam.upstreams import UpstreamDirectory, WeightsNamed
+
+_log = part_logger("gateway")
+
+#: how long one read waits for an operator's record. A connection that went
+#: silent is noticed after this and the call's timeout, within the two seconds
+#: in which a configuration is to be in force.
+OPERATOR_WAIT_S = 1.2
+#: pause between reads of the upstreams' entries. They are rewritten by every
+#: heartbeat, so waiting would mean a call a heartbeat; an upstream that leaves
+#: may get work for two seconds.
+UPSTREAM_PAUSE_S = 0.4
+#: seconds between two sweeps of idle connections.
+SWEEP_INTERVAL_S = 1.0
+#: share of the fleet's retry budget that is used, to stay clear of its end.
+RETRY_MARGIN = 0.8
+#: time kept back from the grace for ending the process.
+GRACE_MARGIN_S = 0.4
+
+
+class Adapter(abc.ABC):
+    """What a platform brings: its names and formats."""
+
+    #: keyed topic with the operators' records.
+    operator_topic: str
+    #: keyed topic with the upstreams' entries.
+    upstream_topic: str
+
+    @abc.abstractmethod
+    def dialect(self) -> Dialect:
+        """Return the translation of headers."""
+
+    @abc.abstractmethod
+    def operator_listener(
+        self, live: LiveRouteTable, on_weights: Callable[[WeightsNamed], None]
+    ) -> KeyedListener:
+        """Return what puts operators' records in force."""
+
+    @abc.abstractmethod
+    def upstream_listener(self, directory: UpstreamDirectory) -> KeyedListener:
+        """Return what keeps ``directory`` in step with the entries."""
+
+
+class Gateway:
+    """A gateway daemon.
+
+    :param file: its settings.
+    :param adapter: the platform it runs on.
+    """
+
+    def __init__(self, file: GatewayFile, adapter: Adapter) -> None:
+        self._file = file
+        self._adapter = adapter
+        self._live = LiveRouteTable()
+        self._directory = UpstreamDirectory()
+        self._index = PromptIndex()
+        self._metrics = GatewayMetrics()
+        self._budgets: dict[str, RetryBudget] = {}
+        self._pool = ConnectionPool(file.gateway.connect_timeout_s)
+        self._log_service = HttpLogService(
+            f"http://{file.log.address}", file.log.timeout_s
+        )
+        self._directory.on_gone(self._forget_upstream)
+        self._server = self._build_server()
+        self._parts = [
+            self._log_service,
+            *self._watches(),
+            StepLoop(SWEEP_INTERVAL_S, self._pool.sweep),
+            *self._health_servers(),
+        ]
+        self._add_gauges()
+
+    def start(self) -> None:
+        """Start every part; callers are taken last."""
+        for part in self._parts:
+            part.start()
+        self._server.start()
+        _log.bind(zone=self._file.gateway.zone, listen=self._file.gateway.listen).info(
+            "Started."
+        )
+
+    def close(self) -> None:
+        """Stop gracefully, callers first."""
+        self._server.close()
+        failures = []
+        for part in reversed(self._parts):
+            try:
+                part.close()
+            except Exception as error:  # noqa: BLE001 - gathered and raised below
+                failures.append(error)
+        self._pool.close()
+        if failures:
+            raise ExceptionGroup("gateway: parts failed to close", failures)
+
+    def apply(self, file: GatewayFile) -> None:
+        """Take in changed settings; addresses need a restart."""
+        self._file = file
+        self._budgets.clear()
+        _log.bind(source=file.source).info("Settings reloaded.")
+
+    def _build_server(self) -> GatewayServer:
+        gateway = self._file.gateway
+        placer = Placer(self._directory, self._index, gateway.zone)
+        handler = RequestHandler(
+            HandlerParts(
+                self._live,
+                self._adapter.dialect(),
+                placer,
+                self._directory,
+                self._index,
+                self._pool,
+                self._retry_budget,
+                self._metrics,
+            )
+        )
+        grace_s = max(1.0, gateway.grace_s - GRACE_MARGIN_S)
+        return GatewayServer(gateway.listen, handler, self._read_limits, grace_s)
+
+    def _watches(self) -> list[KeyedWatch]:
+        operators = KeyedWatch(
+            self._log_service,
+            self._adapter.operator_topic,
+            self._adapter.operator_listener(self._live, self._take_weights),
+            OPERATOR_WAIT_S,
+        )
+        upstreams = KeyedWatch(
+            self._log_service,
+            self._adapter.upstream_topic,
+            self._adapter.upstream_listener(self._directory),
+            0.0,
+            UPSTREAM_PAUSE_S,
+        )
+        return [operators, upstreams]
+
+    def _health_servers(self) -> list:
+        gateway = self._file.gateway
+        servers: list = [
+            HealthServer(gateway.health_listen, gateway.ready_path, self._is_ready)
+        ]
+        if gateway.metrics_listen:
+            servers.append(
+                MetricsServer(
+                    gateway.metrics_listen, gateway.metrics_path, self._metrics.text
+                )
+            )
+        return servers
+
+    def _is_ready(self) -> bool:
+        return self._live.current is not None and not self._server.is_stopping
+
+    def _read_limits(self) -> RequestLimits:
+        table = self._live.current
+        return table.limits if table is not None else RequestLimits()
+
+    def _retry_budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            retries = self._file.retries
+            admission = AdmissionSettings(
+                retry_budget_ratio=retries.ratio * RETRY_MARGIN,
+                retry_budget_slack=int(retries.slack * RETRY_MARGIN),
+                retry_window_s=retries.window_s,
+            )
+            budget = RetryBudget(admission, self._count_instances)
+            self._budgets[service] = budget
+        return budget
+
+    def _count_instances(self) -> int:
+        return 7
+
+    def _take_weights(self, named: WeightsNamed) -> None:
+        _log.bind(model=named.model, version=named.version).info("Weights named.")
+
+    def _forget_upstream(self, upstream) -> None:
+        self._index.forget(upstream.upstream_id)
+        self._pool.drop(upstream.address)
+
+    def _add_gauges(self) -> None:
+        metrics, live = self._metrics, self._live
+        metrics.gauge(
+            "configuration_version", lambda: live.current.version if live.current else 0
+        )
+        metrics.gauge("upstreams", lambda: len(self._directory.all()))
+        metrics.gauge(
+            "upstream_list_age_seconds",
+            lambda: time.monotonic() - (self._directory.listed_s or 0.0),
+        )
+        metrics.counter("upstream_connections", lambda: self._pool.opened)
+        metrics.counter("caller_connections", lambda: self._server.accepted)
--- /dev/null
+++ b/src/kumquatseam/http1/_messages.py
@@ -0,0 +1,163 @@
+"""Requests, answer heads and their headers."""
+
+from collections.abc import Iterable
+
+import attrs
+
+#: headers that concern one connection only and are never passed on.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    )
+)
+
+_REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class Headers:
+    """Header fields in the order received; names compare without case.
+
+    :param fields: name and value pairs as on the wire.
+    """
+
+    __slots__ = ("fields", "_values")
+
+    def __init__(self, fields: Iterable[tuple[bytes, bytes]]) -> None:
+        self.fields = tuple(fields)
+        values: dict[bytes, bytes] = {}
+        for name, value in self.fields:
+            values.setdefault(name.lower(), value)
+        self._values = values
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of ``name`` (given in lower case)."""
+        return self._values.get(name)
+
+    def text(self, name: bytes) -> str:
+        """Return the first value of ``name`` as text; ``""`` without one."""
+        return self._values.get(name, b"").decode("latin-1").strip()
+
+    def end_to_end(self, dropped: frozenset[bytes]) -> list[tuple[bytes, bytes]]:
+        """Return the fields that may be passed on.
+
+        :param dropped: further lower-case names to leave out.
+        """
+        named = {
+            token.strip().lower()
+            for name, value in self.fields
+            if name.lower() == b"connection"
+            for token in value.split(b",")
+        }
+        return [
+            (name, value)
+            for name, value in self.fields
+            if (lower := name.lower()) not in HOP_BY_HOP
+            and lower not in dropped
+            and lower not in named
+        ]
+
+
+@attrs.frozen
+class RequestLimits:
+    """What a caller may send and how long it may take.
+
+    :param max_header_bytes: request line and header fields together.
+    :param max_body_bytes: body after decoding chunks.
+    :param header_timeout_s: from the first byte to the end of the head.
+    :param idle_timeout_s: how long a connection may stay without a request.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@attrs.frozen
+class Request:
+    """One whole request of a caller.
+
+    :param method: e.g. ``b"POST"``.
+    :param target: path and query exactly as sent.
+    :param headers: its header fields.
+    :param body: the whole body, without transfer coding.
+    :param keep_alive: whether the connection may carry another request.
+    :param received_s: monotonic time at which its first bytes arrived.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    keep_alive: bool
+    received_s: float
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.split(b"?", 1)[0].decode("latin-1")
+
+
+@attrs.frozen
+class ResponseHead:
+    """The status line and headers of an upstream's answer.
+
+    :param status: e.g. ``200``.
+    :param headers: its header fields.
+    :param length_bytes: the declared body length, if declared.
+    :param is_chunked: whether the body comes in chunks.
+    """
+
+    status: int
+    headers: Headers
+    length_bytes: int | None
+    is_chunked: bool
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection ends the body."""
+        bodiless = self.status in (204, 304)
+        return self.length_bytes is None and not self.is_chunked and not bodiless
+
+
+def _encode_fields(fields: Iterable[tuple[bytes, bytes]]) -> bytes:
+    return b"".join(b"%b: %b\r\n" % field for field in fields)
+
+
+def encode_request(
+    method: bytes, target: bytes, fields: list[tuple[bytes, bytes]], body: bytes
+) -> bytes:
+    """Return a request's bytes, its body framed by length."""
+    framed = list(fields)
+    if body or method not in (b"GET", b"HEAD", b"DELETE"):
+        framed.append((b"Content-Length", b"%d" % len(body)))
+    head = b"%b %b HTTP/1.1\r\n" % (method, target)
+    return head + _encode_fields(framed) + b"\r\n" + body
+
+
+def encode_response_head(status: int, fields: list[tuple[bytes, bytes]]) -> bytes:
+    """Return a status line and header fields, with the empty line."""
+    reason = _REASONS.get(status, b"Status")
+    return b"HTTP/1.1 %d %b\r\n" % (status, reason) + _encode_fields(fields) + b"\r\n"
--- a/src/kumquatseam/logservice/__init__.py
+++ b/src/kumquatseam/logservice/__init__.py
@@ -22,6 +22,7 @@
     unframe_records,
 )
 from kumquatseam.logservice._http import HttpLogService
+from kumquatseam.logservice._keyed_watch import KeyedListener, KeyedWatch
 from kumquatseam.logservice._service import (
     KEYED_PREFIX,
     KeyedPage,
@@ -34,8 +35,10 @@
 __all__ = [
     "KEYED_PREFIX",
     "HttpLogService",
+    "KeyedListener",
     "KeyedPage",
     "KeyedRecord",
+    "KeyedWatch",
     "LogAnswerLostError",
     "LogConflictError",
     "LogRecord",
--- /dev/null
+++ b/src/kumquatseam/placement/_choice.py
@@ -0,0 +1,58 @@
+"""The choice of an upstream among those that may take a request."""
+
+from collections.abc import Sequence
+
+import attrs
+
+#: prompt tokens an engine reads in a millisecond, from the users' sheets.
+PREFILL_TOKENS_PER_MS = 51.1
+#: added wait for each request already on an engine: it shares its steps, and
+#: a prompt that is being read holds the others up for part of its prefill.
+LOAD_MS_PER_REQUEST = 6.0
+#: what a place further down the order of a prompt's engines costs; keeps a
+#: prompt with unknown holders at one engine while loads differ a little.
+RANK_MS = 4.0
+#: added for every request beyond an engine's slots: it waits for one to end.
+QUEUE_MS_PER_REQUEST = 40.0
+
+
+@attrs.frozen
+class Candidate:
+    """An upstream that may take a request.
+
+    :param upstream_id: its id.
+    :param missing_tokens: prompt tokens it would have to read.
+    :param running: requests on it, as far as known.
+    :param slots: requests it runs at once.
+    :param rank: its place in the prompt's own order of upstreams, from 0; the
+        same in every process, without shared state.
+    :param penalty_ms: further expected wait, e.g. after recent failures.
+    """
+
+    upstream_id: str
+    missing_tokens: int
+    running: float
+    slots: int
+    rank: int
+    penalty_ms: float = 0.0
+
+
+def estimate_ms(candidate: Candidate) -> float:
+    """Return the modelled time to the first token on ``candidate``."""
+    prefill_ms = candidate.missing_tokens / PREFILL_TOKENS_PER_MS
+    beyond_slots = max(0.0, candidate.running + 1 - candidate.slots)
+    return (
+        prefill_ms
+        + candidate.running * LOAD_MS_PER_REQUEST
+        + beyond_slots * QUEUE_MS_PER_REQUEST
+        + candidate.rank * RANK_MS
+        + candidate.penalty_ms
+    )
+
+
+def choose(candidates: Sequence[Candidate]) -> Candidate:
+    """Return the candidate with the shortest expected wait.
+
+    :param candidates: never empty.
+    """
+    return min(candidates, key=lambda c: (estimate_ms(c), c.rank))
--- /dev/null
+++ b/src/kumquatseam/placement/_placer.py
@@ -0,0 +1,214 @@
+"""Gathering the upstreams that may take a request and choosing one."""
+
+import time
+from collections.abc import Callable
+
+import attrs
+import xxhash
+
+from kumquatseam.logs import part_logger
+from kumquatseam.placement._choice import Candidate, choose
+from kumquatseam.placement._prompt_index import PromptIndex
+from kumquatseam.prompts import PromptChain
+from kumquatseam.routes import ServiceTraits, TeamTraits
+from kumquatseam.upstreams import UpstreamDirectory, UpstreamStatus
+
+_log = part_logger("placement")
+
+#: an upstream in another zone answers this much later, both ways.
+OTHER_ZONE_MS = 1.0
+
+
+@attrs.frozen
+class PlacementRequest:
+    """A request that needs an upstream.
+
+    :param request_id: for the log.
+    :param service: the service it goes to.
+    :param team: the team it belongs to, if any.
+    :param model: the model it asks for, ``""`` for plain services.
+    :param prompt: its prompt.
+    :param excluded: upstreams that already failed or refused it.
+    :param attempt: from 1.
+    """
+
+    request_id: str
+    service: ServiceTraits
+    team: TeamTraits | None
+    model: str
+    prompt: PromptChain
+    excluded: frozenset[str]
+    attempt: int
+
+
+@attrs.frozen
+class Placement:
+    """The choice of an upstream.
+
+    :param status: the upstream.
+    :param version: weights the request must run on, if it names a model.
+    :param salt: the scope of its cached parts.
+    :param held_tokens: leading tokens the upstream probably holds.
+    """
+
+    status: UpstreamStatus
+    version: int | None = None
+    salt: str = ""
+    held_tokens: int = 0
+
+
+class Placer:
+    """Places requests on upstreams.
+
+    :param directory: the upstreams.
+    :param index: what they hold.
+    :param zone: this process's availability zone.
+    :param peer_running: requests that other processes have on an upstream.
+    :param clock: monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        index: PromptIndex,
+        zone: str,
+        peer_running: Callable[[str], float] = lambda upstream_id: 0.0,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._directory = directory
+        self._index = index
+        self._zone = zone
+        self._peer_running = peer_running
+        self._clock = clock
+
+    def place(self, request: PlacementRequest) -> Placement | None:
+        """Return where ``request`` goes; ``None`` if nowhere now."""
+        open_statuses = self._open_statuses(request)
+        if not open_statuses:
+            return None
+        if request.model:
+            return self._place_on_engine(request, open_statuses)
+        return self._place_plainly(request, open_statuses)
+
+    def _open_statuses(self, request: PlacementRequest) -> list[UpstreamStatus]:
+        """Return the upstreams that may take it, sound ones if there are any."""
+        now_s = self._clock()
+        listed = [
+            status
+            for status in self._directory.of_service(request.service.name)
+            if not status.upstream.is_leaving
+            and status.upstream.upstream_id not in request.excluded
+            and status.blocked_until_s <= now_s
+        ]
+        sound = [s for s in listed if s.held_out_until_s <= now_s]
+        return sound or listed
+
+    def _place_on_engine(
+        self, request: PlacementRequest, statuses: list[UpstreamStatus]
+    ) -> Placement | None:
+        by_version: dict[int, list[UpstreamStatus]] = {}
+        for status in statuses:
+            version = status.version_of(request.model)
+            if version is not None:
+                by_version.setdefault(version, []).append(status)
+        if not by_version:
+            return None
+        version = max(by_version)
+        salt = cache_salt(version, request.team)
+        order = _rank(request.prompt, [s.upstream.upstream_id for s in statuses])
+        candidates = [
+            self._candidate(request, status, salt, order)
+            for status in by_version[version]
+        ]
+        chosen = choose(candidates)
+        held = request.prompt.tokens - chosen.missing_tokens
+        self._log_choice(request, chosen, len(candidates), version, held)
+        status = self._directory.status(chosen.upstream_id)
+        return Placement(status, version, salt, held)
+
+    def _candidate(
+        self,
+        request: PlacementRequest,
+        status: UpstreamStatus,
+        salt: str,
+        order: dict[str, int],
+    ) -> Candidate:
+        upstream_id = status.upstream.upstream_id
+        held = self._index.held_tokens(upstream_id, salt, request.prompt)
+        return Candidate(
+            upstream_id,
+            request.prompt.tokens - held,
+            status.running + self._peer_running(upstream_id),
+            status.upstream.slots,
+            order[upstream_id],
+        )
+
+    def _place_plainly(
+        self, request: PlacementRequest, statuses: list[UpstreamStatus]
+    ) -> Placement:
+        candidates = [
+            Candidate(
+                status.upstream.upstream_id,
+                0,
+                status.running + self._peer_running(status.upstream.upstream_id),
+                status.upstream.slots,
+                0,
+                self._distance_ms(status) + 100.0 * status.failure_share,
+            )
+            for status in statuses
+        ]
+        chosen = choose(candidates)
+        self._log_choice(request, chosen, len(candidates), None, 0)
+        return Placement(self._directory.status(chosen.upstream_id))
+
+    def _distance_ms(self, status: UpstreamStatus) -> float:
+        is_near = status.upstream.availability_zone == self._zone
+        return 0.0 if is_near else OTHER_ZONE_MS
+
+    def _log_choice(
+        self,
+        request: PlacementRequest,
+        chosen: Candidate,
+        count: int,
+        version: int | None,
+        held: int,
+    ) -> None:
+        _log.bind(
+            request=request.request_id,
+            attempt=request.attempt,
+            service=request.service.name,
+            upstream=chosen.upstream_id,
+            candidates=count,
+            running=chosen.running,
+            version=version,
+            held_tokens=held,
+            prompt_tokens=request.prompt.tokens,
+            list_age_s=round(self._clock() - (self._directory.listed_s or 0.0), 2),
+        ).info("Placed.")
+
+
+def cache_salt(version: int, team: TeamTraits | None) -> str:
+    """Return the scope of cached parts: the weights, and an isolated team.
+
+    Engines do not tell parts of different weights apart, and a kept store
+    drops nothing for new weights, so the scope must.
+    """
+    if team is not None and team.is_isolated:
+        return f"{version}/{team.name}"
+    return f"{version}"
+
+
+def _rank(prompt: PromptChain, upstream_ids: list[str]) -> dict[str, int]:
+    """Return the prompt's own order of upstreams, by rendezvous hashing.
+
+    Prompts that share their last shared part have the same order, in every
+    process that knows the same upstreams.
+    """
+    shared = prompt.shared
+    key = shared[-1].part_id if shared else ""
+
+    def weight(upstream_id: str) -> int:
+        return xxhash.xxh3_64_intdigest(f"{key}|{upstream_id}".encode())
+
+    ordered = sorted(upstream_ids, key=weight, reverse=True)
+    return {upstream_id: rank for rank, upstream_id in enumerate(ordered)}
--- /dev/null
+++ b/src/kumquatseam/platform/_headers.py
@@ -0,0 +1,149 @@
+"""Header names of the platform's requests and answers."""
+
+from kumquatseam.gateway import (
+    AnswerTraits,
+    Call,
+    Dialect,
+    MalformedCallError,
+    SendOptions,
+)
+from kumquatseam.http1 import Headers, Request, ResponseHead
+from kumquatseam.prompts import PromptChain, PromptPart
+
+_DEADLINE = b"x-deadline-ms"
+_USAGE = b"x-token-usage"
+_PREFIX = b"x-prompt-prefix"
+_VERSION = b"x-weight-versions"
+_KEY_SCHEME = "token "
+
+#: set by the router alone, or meant for it alone: never passed on.
+_NOT_PASSED_ON = frozenset(
+    (
+        b"authorization",
+        _DEADLINE,
+        b"x-tenant",
+        b"x-expect-instance",
+        b"x-expect-version",
+        b"x-request-priority",
+        b"x-cache-salt",
+        b"x-kv-source",
+        b"x-kv-target",
+        b"x-kv-hold",
+        b"x-kv-backup",
+        b"x-pin-ms",
+        b"kv-from",
+        b"last-event-id",
+    )
+)
+
+
+class PlatformDialect(Dialect):
+    """The platform's header names."""
+
+    request_id_header = b"x-request-id"
+
+    def read_call(self, request: Request) -> Call:
+        headers = request.headers
+        request_id = headers.text(self.request_id_header)
+        if not request_id:
+            raise MalformedCallError("X-Request-Id", "missing")
+        prompt_tokens, max_output_tokens = _usage(headers)
+        return Call(
+            request_id=request_id,
+            key=_key(headers),
+            deadline_s=_deadline_s(headers),
+            model=headers.text(b"x-model"),
+            prompt=_prompt(headers),
+            prompt_tokens=prompt_tokens,
+            max_output_tokens=max_output_tokens,
+            resume_after=headers.text(b"last-event-id"),
+        )
+
+    def upstream_fields(
+        self, request: Request, options: SendOptions
+    ) -> list[tuple[bytes, bytes]]:
+        fields = request.headers.end_to_end(_NOT_PASSED_ON)
+        remaining_ms = max(1, int(options.remaining_s * 1000))
+        fields.append((b"X-Deadline-Ms", b"%d" % remaining_ms))
+        optional = (
+            (b"X-Expect-Instance", options.upstream_id),
+            (b"X-Tenant", options.team),
+            (b"X-Cache-Salt", options.cache_salt),
+            (b"X-Kv-Source", options.cache_source),
+            (b"X-Kv-Target", options.cache_target),
+            (b"X-Expect-Version", options.expected_version),
+            (b"X-Request-Priority", options.engine_priority),
+            (b"Last-Event-Id", options.resume_after),
+        )
+        for name, value in optional:
+            if value is not None and value != "":
+                fields.append((name, str(value).encode("latin-1")))
+        return fields
+
+    def read_answer(self, head: ResponseHead) -> AnswerTraits:
+        headers = head.headers
+        is_other_life = head.status == 421
+        return AnswerTraits(
+            is_not_run=is_other_life or headers.get(b"x-not-executed") is not None,
+            is_other_life=is_other_life,
+            weights_version=_whole_number(headers.text(_VERSION)),
+            keep_alive_s=_keep_alive_s(headers),
+            is_signed=headers.get(b"x-replica-signature") is not None,
+        )
+
+
+def _key(headers: Headers) -> str:
+    value = headers.text(b"authorization")
+    if value[: len(_KEY_SCHEME)].lower() == _KEY_SCHEME:
+        return value[len(_KEY_SCHEME) :].strip()
+    return ""
+
+
+def _deadline_s(headers: Headers) -> float | None:
+    text = headers.text(_DEADLINE)
+    if not text:
+        return None
+    try:
+        return max(0.0, float(text) / 1000.0)
+    except ValueError as error:
+        raise MalformedCallError("X-Deadline-Ms", f"no number: {text!r}") from error
+
+
+def _usage(headers: Headers) -> tuple[int, int]:
+    text = headers.text(_USAGE)
+    if not text:
+        return 0, 0
+    try:
+        prompt_tokens, _, output_tokens = text.partition(",")
+        return int(prompt_tokens), int(output_tokens or 0)
+    except ValueError as error:
+        raise MalformedCallError("X-Token-Usage", f"no numbers: {text!r}") from error
+
+
+def _prompt(headers: Headers) -> PromptChain:
+    text = headers.text(_PREFIX)
+    if not text:
+        return PromptChain()
+    parts = []
+    for entry in text.split(","):
+        part_id, _, tokens = entry.strip().partition(":")
+        if not part_id or not tokens.isdigit():
+            raise MalformedCallError("X-Prompt-Prefix", f"bad entry: {entry!r}")
+        parts.append(PromptPart(part_id, int(tokens)))
+    return PromptChain(tuple(parts))
+
+
+def _keep_alive_s(headers: Headers) -> float | None:
+    for item in headers.text(b"keep-alive").split(","):
+        name, _, value = item.strip().partition("=")
+        if name.lower() == "timeout":
+            number = _whole_number(value)
+            return None if number is None else float(number)
+    return None
+
+
+def _whole_number(text: str) -> int | None:
+    try:
+        return int(text)
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/kumquatseam/platform/adapter.py
@@ -0,0 +1,34 @@
+"""What the platform gives the composition root."""
+
+from collections.abc import Callable
+
+from kumquatseam.gateway import Dialect
+from kumquatseam.gateway.wiring import Adapter
+from kumquatseam.logservice import KeyedListener
+from kumquatseam.platform._headers import PlatformDialect
+from kumquatseam.platform._topics import (
+    OPERATOR_TOPIC,
+    UPSTREAM_TOPIC,
+    OperatorListener,
+    UpstreamListener,
+)
+from kumquatseam.routes import LiveRouteTable
+from kumquatseam.upstreams import UpstreamDirectory, WeightsNamed
+
+
+class PlatformAdapter(Adapter):
+    """The users' platform."""
+
+    operator_topic = OPERATOR_TOPIC
+    upstream_topic = UPSTREAM_TOPIC
+
+    def dialect(self) -> Dialect:
+        return PlatformDialect()
+
+    def operator_listener(
+        self, live: LiveRouteTable, on_weights: Callable[[WeightsNamed], None]
+    ) -> KeyedListener:
+        return OperatorListener(live, on_weights)
+
+    def upstream_listener(self, directory: UpstreamDirectory) -> KeyedListener:
+        return UpstreamListener(directory)
--- /dev/null
+++ b/src/kumquatseam/routes/__init__.py
@@ -0,0 +1,28 @@
+"""Routes from hosts and paths to services, as operators configure them.
+
+A :class:`RouteTable` is one immutable version of the configuration: routes,
+services, teams with their keys, and limits. Look a request up with
+:meth:`RouteTable.match` and its key with :meth:`RouteTable.team_of`.
+"""
+
+from kumquatseam.routes._live import LiveRouteTable
+from kumquatseam.routes._table import (
+    EngineTraits,
+    Repeatability,
+    Route,
+    RouteTable,
+    ServiceTraits,
+    TeamTraits,
+    TrafficShare,
+)
+
+__all__ = [
+    "EngineTraits",
+    "LiveRouteTable",
+    "Repeatability",
+    "Route",
+    "RouteTable",
+    "ServiceTraits",
+    "TeamTraits",
+    "TrafficShare",
+]
--- /dev/null
+++ b/src/kumquatseam/routes/_table.py
@@ -0,0 +1,189 @@
+"""One version of the routed configuration."""
+
+import enum
+from collections.abc import Iterable
+
+import attrs
+
+from kumquatseam.http1 import RequestLimits
+
+
+class Repeatability(enum.Enum):
+    """Whether a request of a route may run more than once."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+
+
+@attrs.frozen
+class TrafficShare:
+    """A service's share of a route's requests.
+
+    :param service: the service's name.
+    :param weight: its share relative to the route's other shares.
+    """
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """Where requests of one host and path prefix go, and how.
+
+    :param name: the operators' name for it.
+    :param host: exact host, lower case.
+    :param path_prefix: begins and ends with a slash.
+    :param repeatability: whether a request may run more than once.
+    :param is_stream: answers are event streams.
+    :param is_resumable: a broken stream may go on after its last event.
+    :param timeout_s: how long a request may be kept waiting at most.
+    :param target_latency_s: time to the answer (or first event) aimed at.
+    :param gap_aim_s: longest pause between events aimed at.
+    :param priority: 0 is the most urgent.
+    :param max_attempts: upstreams one request may be sent to.
+    :param is_public: needs no key.
+    :param shares: services that take its requests; weights sum above zero.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    repeatability: Repeatability
+    shares: tuple[TrafficShare, ...]
+    is_stream: bool = False
+    is_resumable: bool = False
+    timeout_s: float = 30.0
+    target_latency_s: float = 1.0
+    gap_aim_s: float = 1.0
+    priority: int = 5
+    max_attempts: int = 1
+    is_public: bool = False
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request that may have run may be sent again."""
+        return self.repeatability is Repeatability.IDEMPOTENT or self.is_resumable
+
+    def service_for(self, draw: float) -> str:
+        """Return the service for a request.
+
+        :param draw: the request's place in the split, from 0 to below 1.
+        """
+        point = draw * sum(share.weight for share in self.shares)
+        for share in self.shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return self.shares[-1].service
+
+
+@attrs.frozen
+class EngineTraits:
+    """What the model engines of a service have in common.
+
+    :param slots: requests an engine runs at once.
+    :param cache_tokens: KV cache of an engine, in tokens.
+    :param models: the models it serves.
+    :param event_pollers: cache-event calls an engine answers at once.
+    """
+
+    slots: int
+    cache_tokens: int
+    models: tuple[str, ...] = ()
+    event_pollers: int = 0
+
+
+@attrs.frozen
+class ServiceTraits:
+    """A service that routes lead to.
+
+    :param name: its name.
+    :param max_connections: connections one upstream accepts from everyone.
+    :param engine: set for services of model engines.
+    :param cache_store_address: set for a store of kept KV cache.
+    :param availability_zone: where that store is.
+    """
+
+    name: str
+    max_connections: int = 0
+    engine: EngineTraits | None = None
+    cache_store_address: str = ""
+    availability_zone: str = ""
+
+
+@attrs.frozen
+class TeamTraits:
+    """A team and its keys.
+
+    :param name: its name.
+    :param keys: keys that authenticate it.
+    :param priority: goes before the priority of the route, if set.
+    :param is_isolated: shares cached work with no other team.
+    """
+
+    name: str
+    keys: tuple[str, ...] = ()
+    priority: int | None = None
+    is_isolated: bool = False
+
+
+@attrs.frozen
+class RouteTable:
+    """One version of the configuration, with its look-ups.
+
+    :param version: increases with each change, in uneven steps.
+    :param routes: every route.
+    :param services: every service.
+    :param teams: every team; without any, requests need no key.
+    :param limits: what callers may send.
+    """
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[ServiceTraits, ...] = ()
+    teams: tuple[TeamTraits, ...] = ()
+    limits: RequestLimits = RequestLimits()
+    _by_host: dict[str, tuple[Route, ...]] = attrs.field(init=False, eq=False)
+    _by_key: dict[str, TeamTraits] = attrs.field(init=False, eq=False)
+    _by_service: dict[str, ServiceTraits] = attrs.field(init=False, eq=False)
+
+    @_by_host.default
+    def _index_hosts(self) -> dict[str, tuple[Route, ...]]:
+        hosts: dict[str, list[Route]] = {}
+        for route in self.routes:
+            hosts.setdefault(route.host, []).append(route)
+        return {host: _longest_first(found) for host, found in hosts.items()}
+
+    @_by_key.default
+    def _index_keys(self) -> dict[str, TeamTraits]:
+        return {key: team for team in self.teams for key in team.keys}
+
+    @_by_service.default
+    def _index_services(self) -> dict[str, ServiceTraits]:
+        return {service.name: service for service in self.services}
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path`` on ``host``."""
+        name = host.rsplit(":", 1)[0].lower()
+        for route in self._by_host.get(name, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def team_of(self, key: str) -> TeamTraits | None:
+        """Return the team that ``key`` authenticates."""
+        return self._by_key.get(key)
+
+    def service(self, name: str) -> ServiceTraits | None:
+        """Return the service called ``name``."""
+        return self._by_service.get(name)
+
+    def cache_store(self) -> ServiceTraits | None:
+        """Return the store of kept KV cache, if there is one."""
+        stores = (s for s in self.services if s.cache_store_address)
+        return next(stores, None)
+
+
+def _longest_first(routes: Iterable[Route]) -> tuple[Route, ...]:
+    return tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
--- a/src/kumquatseam/settings/__init__.py
+++ b/src/kumquatseam/settings/__init__.py
@@ -21,6 +21,12 @@
     build_entity,
 )
 from kumquatseam.settings._fields import FieldFault, field_keys, write_fields
+from kumquatseam.settings._gateway import (
+    GatewayFile,
+    GatewaySettings,
+    RetrySettings,
+    load_gateway_settings,
+)
 from kumquatseam.settings._loading import (
     EMBEDDED_DEFAULT_NAME,
     load_settings,
@@ -48,17 +54,21 @@
     "Entity",
     "FieldFault",
     "FleetSettings",
+    "GatewayFile",
+    "GatewaySettings",
     "InstanceSettings",
     "LogSettings",
     "ModelSettings",
     "PrioritySettings",
     "ReferenceFault",
+    "RetrySettings",
     "ServiceSettings",
     "Settings",
     "TeamSettings",
     "UpstreamSettings",
     "build_entity",
     "field_keys",
+    "load_gateway_settings",
     "load_settings",
     "parse_settings",
     "write_fields",
--- /dev/null
+++ b/src/kumquatseam/settings/_gateway.py
@@ -0,0 +1,141 @@
+"""The settings of the gateway daemon, one class per INI section."""
+
+import configparser
+from pathlib import Path
+
+import attrs
+
+from kumquatseam.errors import SettingsError
+from kumquatseam.settings._fields import FieldFault, read_fields, setting
+
+
+@attrs.frozen
+class GatewaySettings:
+    """Where the gateway runs and listens (section ``[gateway]``).
+
+    :param router_name: this instance's name.
+    :param zone: the availability zone it runs in.
+    :param listen: HOST:PORT for callers.
+    :param health_listen: HOST:PORT for readiness questions.
+    :param metrics_listen: HOST:PORT for metrics.
+    :param ready_path: path of the readiness question.
+    :param metrics_path: path of the metrics.
+    :param grace_s: time from SIGTERM to SIGKILL.
+    :param connect_timeout_s: timeout to open a connection to an upstream.
+    :param log_level: lowest level written.
+    """
+
+    router_name: str = setting(key="name")
+    zone: str = setting()
+    listen: str = setting()
+    health_listen: str = setting()
+    metrics_listen: str = setting(default="")
+    ready_path: str = setting(default="/ready")
+    metrics_path: str = setting(default="/metrics")
+    grace_s: float = setting(positive=True, default=8.0)
+    connect_timeout_s: float = setting(positive=True, default=0.3)
+    log_level: str = setting(default="INFO")
+
+
+@attrs.frozen
+class PeerSettings:
+    """How instances talk to each other (section ``[peers]``).
+
+    :param address: HOST:PORT this instance publishes at.
+    """
+
+    address: str = setting()
+
+
+@attrs.frozen
+class StoreSettings:
+    """The platform's log service (section ``[log]``).
+
+    :param address: HOST:PORT.
+    :param timeout_s: timeout of a call.
+    """
+
+    address: str = setting()
+    timeout_s: float = setting(positive=True, default=1.0)
+
+
+@attrs.frozen
+class RetrySettings:
+    """The retry budget all instances share (section ``[retries]``).
+
+    :param ratio: retries allowed per request in a window.
+    :param window_s: length of the window.
+    :param slack: retries allowed beyond that, over all instances.
+    """
+
+    ratio: float = setting(default=0.2)
+    window_s: float = setting(positive=True, default=10.0)
+    slack: float = setting(default=50.0)
+
+
+@attrs.frozen
+class RolloutSettings:
+    """Rolling new weights out (section ``[rollout]``).
+
+    :param lease_ms: how long a holder of the duty may act after a renewal.
+    """
+
+    lease_ms: float = setting(positive=True, default=3000.0)
+
+    @property
+    def lease_s(self) -> float:
+        """The lease in seconds."""
+        return self.lease_ms / 1000.0
+
+
+@attrs.frozen
+class GatewayFile:
+    """Everything the gateway daemon reads at start.
+
+    :param source: the file read.
+    """
+
+    source: str
+    gateway: GatewaySettings
+    peers: PeerSettings
+    log: StoreSettings
+    retries: RetrySettings
+    rollout: RolloutSettings
+
+
+_SECTIONS = {
+    "gateway": GatewaySettings,
+    "peers": PeerSettings,
+    "log": StoreSettings,
+    "retries": RetrySettings,
+    "rollout": RolloutSettings,
+}
+
+
+def load_gateway_settings(path: str) -> GatewayFile:
+    """Read the gateway's INI file.
+
+    :raises SettingsError: on the first fault found.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(path, "", "", f"cannot be read: {error}") from error
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, source=path)
+    except configparser.Error as error:
+        raise SettingsError(path, "", "", f"not valid INI: {error}") from error
+    for section in parser.sections():
+        if section not in _SECTIONS:
+            raise SettingsError(path, section, "", "unknown section")
+    return GatewayFile(path, **{name: _read(parser, path, name) for name in _SECTIONS})
+
+
+def _read(parser: configparser.ConfigParser, path: str, name: str):
+    raw = dict(parser[name]) if parser.has_section(name) else {}
+    cls = _SECTIONS[name]
+    try:
+        return cls(**read_fields(cls, raw))
+    except FieldFault as fault:
+        raise SettingsError(path, name, fault.key, fault.reason) from fault
--- /dev/null
+++ b/src/kumquatseam/upstreams/__init__.py
@@ -0,0 +1,11 @@
+"""Upstreams of every service: which live, how they do, what they run.
+
+- :class:`Upstream` is one entry of the platform's list.
+- :class:`UpstreamDirectory` holds the newest entries and what this process
+  learnt from its own traffic: requests in flight, failures, weights.
+"""
+
+from kumquatseam.upstreams._directory import UpstreamDirectory, UpstreamStatus
+from kumquatseam.upstreams._upstream import Upstream, WeightsNamed
+
+__all__ = ["Upstream", "UpstreamDirectory", "UpstreamStatus", "WeightsNamed"]
--- /dev/null
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -0,0 +1,165 @@
+"""The upstreams known to this process and what its traffic showed of them."""
+
+import time
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from kumquatseam.logs import part_logger
+from kumquatseam.upstreams._upstream import Upstream
+
+_log = part_logger("upstreams")
+
+#: first time out after a failure, in seconds; doubles with each further one.
+#: About the time a restarted upstream takes to be listed again.
+HOLD_OUT_S = 0.5
+#: longest time out: a third of the shortest usual client deadline.
+MAX_HOLD_OUT_S = 4.0
+#: a share of failures above this holds an upstream out, over recent answers.
+FAILURE_SHARE_LIMIT = 0.3
+#: weight of the newest answer in the failure share.
+FAILURE_WEIGHT = 0.1
+
+
+@attrs.define
+class UpstreamStatus:
+    """An upstream and what this process learnt of it.
+
+    :param upstream: its newest entry.
+    :param running: requests of this process on it.
+    :param running_tokens: their prompt and output tokens.
+    :param failures_in_row: connection failures since the last answer.
+    :param failure_share: recent share of failed answers, 0 to 1.
+    :param held_out_until_s: takes no work before this time if others can.
+    :param version_seen: model to the weights its answers named last.
+    :param blocked_until_s: refuses work while it loads weights.
+    """
+
+    upstream: Upstream
+    running: int = 0
+    running_tokens: int = 0
+    failures_in_row: int = 0
+    failure_share: float = 0.0
+    held_out_until_s: float = 0.0
+    version_seen: dict[str, int] = attrs.Factory(dict)
+    blocked_until_s: float = 0.0
+
+    def version_of(self, model: str) -> int | None:
+        """Return the newest weights of ``model`` it is known to run."""
+        listed = self.upstream.version_of(model)
+        seen = self.version_seen.get(model)
+        if listed is None or seen is None:
+            return listed if seen is None else seen
+        return max(listed, seen)
+
+
+class UpstreamDirectory:
+    """Upstreams by id, kept in step with the platform's list.
+
+    :param clock: monotonic clock in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._statuses: dict[str, UpstreamStatus] = {}
+        self._on_gone: list[Callable[[Upstream], None]] = []
+        self.listed_s: float | None = None
+
+    def on_gone(self, listener: Callable[[Upstream], None]) -> None:
+        """Call ``listener`` with each upstream that left the list."""
+        self._on_gone.append(listener)
+
+    def status(self, upstream_id: str) -> UpstreamStatus | None:
+        """Return what is known of one upstream."""
+        return self._statuses.get(upstream_id)
+
+    def all(self) -> list[UpstreamStatus]:
+        """Return every upstream known."""
+        return list(self._statuses.values())
+
+    def of_service(self, service: str) -> list[UpstreamStatus]:
+        """Return the upstreams of ``service``, in order of their ids."""
+        found = [s for s in self._statuses.values() if s.upstream.service == service]
+        return sorted(found, key=lambda status: status.upstream.upstream_id)
+
+    def put(self, upstream: Upstream) -> None:
+        """Take in a new or changed entry."""
+        self.listed_s = self._clock()
+        known = self._statuses.get(upstream.upstream_id)
+        if known is None:
+            self._statuses[upstream.upstream_id] = UpstreamStatus(upstream)
+            self._log_change("listed", upstream)
+            return
+        if known.upstream.is_leaving != upstream.is_leaving:
+            self._log_change("leaving" if upstream.is_leaving else "back", upstream)
+        known.upstream = upstream
+
+    def remove(self, upstream_id: str) -> None:
+        """Drop an entry that left the list."""
+        known = self._statuses.pop(upstream_id, None)
+        if known is None:
+            return
+        self._log_change("gone", known.upstream)
+        for listener in self._on_gone:
+            listener(known.upstream)
+
+    def replace_all(self, upstreams: Iterable[Upstream]) -> None:
+        """Take in the whole list; what is not on it is gone."""
+        newest = {upstream.upstream_id: upstream for upstream in upstreams}
+        for upstream_id in set(self._statuses) - set(newest):
+            self.remove(upstream_id)
+        for upstream in newest.values():
+            self.put(upstream)
+
+    def begin(self, status: UpstreamStatus, tokens: int) -> None:
+        """Count a request that is about to be sent."""
+        status.running += 1
+        status.running_tokens += tokens
+
+    def end(self, status: UpstreamStatus, tokens: int) -> None:
+        """Count a request that is no longer on the upstream."""
+        status.running -= 1
+        status.running_tokens -= tokens
+
+    def note_answer(self, status: UpstreamStatus, is_failure: bool) -> None:
+        """Learn from an answer that came."""
+        status.failures_in_row = 0
+        self._weigh(status, is_failure)
+        if is_failure and status.failure_share > FAILURE_SHARE_LIMIT:
+            self._hold_out(status, HOLD_OUT_S, "failing answers")
+
+    def note_broken(self, status: UpstreamStatus, reason: str) -> None:
+        """Learn from a connection that failed or an answer that broke off."""
+        status.failures_in_row += 1
+        self._weigh(status, True)
+        doubled_s = HOLD_OUT_S * 2 ** (status.failures_in_row - 1)
+        self._hold_out(status, min(doubled_s, MAX_HOLD_OUT_S), reason)
+
+    def block(self, status: UpstreamStatus, for_s: float) -> None:
+        """Note that an upstream refuses work while it loads weights."""
+        status.blocked_until_s = max(status.blocked_until_s, self._clock() + for_s)
+
+    def _weigh(self, status: UpstreamStatus, is_failure: bool) -> None:
+        newest = 1.0 if is_failure else 0.0
+        status.failure_share += FAILURE_WEIGHT * (newest - status.failure_share)
+
+    def _hold_out(self, status: UpstreamStatus, for_s: float, reason: str) -> None:
+        until_s = self._clock() + for_s
+        if until_s > status.held_out_until_s:
+            status.held_out_until_s = until_s
+            _log.bind(
+                upstream=status.upstream.upstream_id,
+                reason=reason,
+                in_row=status.failures_in_row,
+                share=round(status.failure_share, 3),
+                for_s=round(for_s, 2),
+            ).info("Upstream held out.")
+
+    def _log_change(self, change: str, upstream: Upstream) -> None:
+        _log.bind(
+            upstream=upstream.upstream_id,
+            service=upstream.service,
+            address=upstream.address,
+            zone=upstream.availability_zone,
+            weights={named.model: named.version for named in upstream.weights},
+        ).info("Upstream {}.", change)
