--- a/src/kumquatseam/fleet/_lease.py
+++ b/src/kumquatseam/fleet/_lease.py
@@ -92,6 +92,13 @@
         """The fencing token while this router holds the lease, else ``None``."""
         return self._fence if self._clock() < self._held_until_s else None
 
+    def give_up(self) -> None:
+        """Stop acting: somebody has shown a newer token than this one."""
+        _log.info("Gave up duty={} fence={}.", self._duty, self._fence)
+        self._fence = None
+        self._held_until_s = 0.0
+        self._newest_seen_s = self._clock()
+
     def step(self) -> None:
         """Renew the lease if held, or take it if it lapsed."""
         now_s = self._clock()
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from kumquatseam.admission import RetryBudget
+from kumquatseam.fleet import DutyLease
 from kumquatseam.gateway._dialect import Dialect
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
 from kumquatseam.gateway._health import HealthServer, MetricsServer
@@ -14,10 +15,17 @@
 from kumquatseam.logservice import HttpLogService, KeyedListener, KeyedWatch
 from kumquatseam.loops import StepLoop
 from kumquatseam.metrics import GatewayMetrics
+from kumquatseam.peers import (
+    InstanceRegistry,
+    LoadExchange,
+    PeerBus,
+    RolloutNotice,
+)
 from kumquatseam.placement import Placer, PromptIndex
+from kumquatseam.rollouts import OrderClient, RolloutDuty, RolloutView
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.settings import AdmissionSettings, GatewayFile
-from kumquatseam.upstreams import UpstreamDirectory, WeightsNamed
+from kumquatseam.upstreams import UpstreamDirectory, WeightsNamed, WeightsTargets
 
 _log = part_logger("gateway")
 
@@ -31,6 +39,10 @@
 UPSTREAM_PAUSE_S = 0.4
 #: seconds between two sweeps of idle connections.
 SWEEP_INTERVAL_S = 1.0
+#: seconds between two summaries of this instance's loads.
+LOAD_INTERVAL_S = 0.15
+#: the duty of rolling out weights.
+ROLLOUT_DUTY = "weights"
 #: share of the fleet's retry budget that is used, to stay clear of its end.
 RETRY_MARGIN = 0.8
 #: time kept back from the grace for ending the process.
@@ -55,6 +67,10 @@
     ) -> KeyedListener:
         """Return what puts operators' records in force."""
 
+    @abc.abstractmethod
+    def order_client(self) -> OrderClient:
+        """Return what gives orders to engines."""
+
     @abc.abstractmethod
     def upstream_listener(self, directory: UpstreamDirectory) -> KeyedListener:
         """Return what keeps ``directory`` in step with the entries."""
@@ -80,10 +96,17 @@
             f"http://{file.log.address}", file.log.timeout_s
         )
         self._directory.on_gone(self._forget_upstream)
+        self._targets = WeightsTargets()
+        self._bus = PeerBus(file.gateway.router_name, file.peers.address)
+        self._loads = LoadExchange(self._bus, self._directory)
         self._server = self._build_server()
         self._parts = [
             self._log_service,
+            self._bus,
             *self._watches(),
+            InstanceRegistry(self._log_service, self._bus),
+            StepLoop(LOAD_INTERVAL_S, self._loads.step, self._bus.step),
+            self._build_duty(),
             StepLoop(SWEEP_INTERVAL_S, self._pool.sweep),
             *self._health_servers(),
         ]
@@ -119,7 +142,13 @@
 
     def _build_server(self) -> GatewayServer:
         gateway = self._file.gateway
-        placer = Placer(self._directory, self._index, gateway.zone)
+        placer = Placer(
+            self._directory,
+            self._index,
+            gateway.zone,
+            self._targets,
+            self._loads.running,
+        )
         handler = RequestHandler(
             HandlerParts(
                 self._live,
@@ -135,11 +164,32 @@
         grace_s = max(1.0, gateway.grace_s - GRACE_MARGIN_S)
         return GatewayServer(gateway.listen, handler, self._read_limits, grace_s)
 
+    def _build_duty(self) -> RolloutDuty:
+        view = RolloutView(self._directory)
+        self._bus.on_message(RolloutNotice, view.take)
+        lease = DutyLease(
+            self._log_service,
+            ROLLOUT_DUTY,
+            self._bus.name,
+            self._file.rollout.lease_s,
+            lambda: self._bus.alive().index(self._bus.name),
+        )
+        return RolloutDuty(
+            lease,
+            self._targets,
+            self._live,
+            self._directory,
+            self._adapter.order_client(),
+            self._bus,
+            view,
+            self._loads.running,
+        )
+
     def _watches(self) -> list[KeyedWatch]:
         operators = KeyedWatch(
             self._log_service,
             self._adapter.operator_topic,
-            self._adapter.operator_listener(self._live, self._take_weights),
+            self._adapter.operator_listener(self._live, self._targets.take),
             OPERATOR_WAIT_S,
         )
         upstreams = KeyedWatch(
@@ -185,10 +235,7 @@
         return budget
 
     def _count_instances(self) -> int:
-        return 7
-
-    def _take_weights(self, named: WeightsNamed) -> None:
-        _log.bind(model=named.model, version=named.version).info("Weights named.")
+        return len(self._bus.alive())
 
     def _forget_upstream(self, upstream) -> None:
         self._index.forget(upstream.upstream_id)
--- /dev/null
+++ b/src/kumquatseam/peers/__init__.py
@@ -0,0 +1,27 @@
+"""Instances of the gateway telling each other what changes quickly.
+
+- :class:`PeerBus` publishes messages to every other instance and hands on
+  theirs; nothing on it is needed for correctness, only for better choices.
+- :class:`InstanceRegistry` finds the instances through the log service.
+- :class:`LoadExchange` shares how many requests each has on each upstream.
+"""
+
+from kumquatseam.peers._bus import PeerBus
+from kumquatseam.peers._loads import LoadExchange
+from kumquatseam.peers._messages import (
+    InstanceRecord,
+    LoadSummary,
+    RolloutNotice,
+    UpstreamLoad,
+)
+from kumquatseam.peers._registry import InstanceRegistry
+
+__all__ = [
+    "InstanceRecord",
+    "InstanceRegistry",
+    "LoadExchange",
+    "LoadSummary",
+    "PeerBus",
+    "RolloutNotice",
+    "UpstreamLoad",
+]
--- /dev/null
+++ b/src/kumquatseam/peers/_messages.py
@@ -0,0 +1,69 @@
+"""What instances tell each other, and its compact form on the wire."""
+
+import attrs
+
+from kumquatseam.codec import MessageCodec
+
+
+@attrs.frozen
+class InstanceRecord:
+    """Where an instance publishes.
+
+    :param name: the instance's name.
+    :param address: ``host:port``.
+    """
+
+    name: str
+    address: str
+
+
+@attrs.frozen
+class UpstreamLoad:
+    """Requests of one instance on one upstream.
+
+    :param upstream_id: the upstream.
+    :param running: requests.
+    """
+
+    upstream_id: str
+    running: int
+
+
+@attrs.frozen
+class LoadSummary:
+    """Every request an instance has on upstreams.
+
+    :param sender: the instance.
+    :param loads: upstreams with at least one.
+    """
+
+    sender: str
+    loads: tuple[UpstreamLoad, ...]
+
+
+@attrs.frozen
+class RolloutNotice:
+    """How far a rollout of weights is.
+
+    :param sender: the instance that gives the orders.
+    :param fence: its fencing token; a lower one is out of date.
+    :param model: the model.
+    :param version: the weights being rolled out.
+    :param loading: upstreams that refuse work of the model for now.
+    :param closing: upstreams that load next and should get no new work.
+    :param ready: upstreams that run the weights.
+    """
+
+    sender: str
+    fence: int
+    model: str
+    version: int
+    loading: tuple[str, ...]
+    closing: tuple[str, ...]
+    ready: tuple[str, ...]
+
+
+RECORD_CODEC = MessageCodec("instance record", {"instance": InstanceRecord})
+MESSAGE_CODEC = MessageCodec(
+    "peer message", {"load": LoadSummary, "rollout": RolloutNotice}, is_compact=True
+)
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -11,12 +11,28 @@
 from kumquatseam.placement._prompt_index import PromptIndex
 from kumquatseam.prompts import PromptChain
 from kumquatseam.routes import ServiceTraits, TeamTraits
-from kumquatseam.upstreams import UpstreamDirectory, UpstreamStatus
+from kumquatseam.upstreams import (
+    UpstreamDirectory,
+    UpstreamStatus,
+    WeightsTargets,
+)
 
 _log = part_logger("placement")
 
 #: an upstream in another zone answers this much later, both ways.
 OTHER_ZONE_MS = 1.0
+#: requests may begin on weights that were just replaced at no loss for this
+#: long; later ones lose a fifth of their worth to the users.
+OLD_WEIGHTS_FREE_S = 1.2
+#: what beginning on replaced weights costs after that, as a wait: the shortest
+#: time to first token that is aimed at.
+OLD_WEIGHTS_PENALTY_MS = 600.0
+#: after this long no request may begin on replaced weights; a second before
+#: the users' bound, since a request also waits at its engine.
+OLD_WEIGHTS_LIMIT_S = 6.5
+#: an engine that is about to load takes work only if the others are this much
+#: slower.
+CLOSING_PENALTY_MS = 250.0
 
 
 @attrs.frozen
@@ -63,6 +79,7 @@
     :param directory: the upstreams.
     :param index: what they hold.
     :param zone: this process's availability zone.
+    :param targets: the weights that are to be in force.
     :param peer_running: requests that other processes have on an upstream.
     :param clock: monotonic clock in seconds.
     """
@@ -72,12 +89,14 @@
         directory: UpstreamDirectory,
         index: PromptIndex,
         zone: str,
+        targets: WeightsTargets,
         peer_running: Callable[[str], float] = lambda upstream_id: 0.0,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._directory = directory
         self._index = index
         self._zone = zone
+        self._targets = targets
         self._peer_running = peer_running
         self._clock = clock
 
@@ -106,34 +125,42 @@
     def _place_on_engine(
         self, request: PlacementRequest, statuses: list[UpstreamStatus]
     ) -> Placement | None:
-        by_version: dict[int, list[UpstreamStatus]] = {}
+        order = _rank(request.prompt, [s.upstream.upstream_id for s in statuses])
+        age_s = self._targets.age_s(request.model)
+        target = self._targets.version(request.model)
+        candidates: dict[str, Candidate] = {}
         for status in statuses:
             version = status.version_of(request.model)
-            if version is not None:
-                by_version.setdefault(version, []).append(status)
-        if not by_version:
+            if version is None:
+                continue
+            is_old = target is not None and version < target
+            if is_old and age_s > OLD_WEIGHTS_LIMIT_S:
+                continue
+            penalty_ms = old_weights_penalty_ms(age_s) if is_old else 0.0
+            if status.closing_until_s > self._clock():
+                penalty_ms += CLOSING_PENALTY_MS
+            candidate = self._candidate(request, status, version, order, penalty_ms)
+            candidates[candidate.upstream_id] = candidate
+        if not candidates:
             return None
-        version = max(by_version)
+        chosen = choose(list(candidates.values()))
+        status = self._directory.status(chosen.upstream_id)
+        version = status.version_of(request.model)
         salt = cache_salt(version, request.team)
-        order = _rank(request.prompt, [s.upstream.upstream_id for s in statuses])
-        candidates = [
-            self._candidate(request, status, salt, order)
-            for status in by_version[version]
-        ]
-        chosen = choose(candidates)
         held = request.prompt.tokens - chosen.missing_tokens
         self._log_choice(request, chosen, len(candidates), version, held)
-        status = self._directory.status(chosen.upstream_id)
         return Placement(status, version, salt, held)
 
     def _candidate(
         self,
         request: PlacementRequest,
         status: UpstreamStatus,
-        salt: str,
+        version: int,
         order: dict[str, int],
+        penalty_ms: float,
     ) -> Candidate:
         upstream_id = status.upstream.upstream_id
+        salt = cache_salt(version, request.team)
         held = self._index.held_tokens(upstream_id, salt, request.prompt)
         return Candidate(
             upstream_id,
@@ -141,6 +168,7 @@
             status.running + self._peer_running(upstream_id),
             status.upstream.slots,
             order[upstream_id],
+            penalty_ms,
         )
 
     def _place_plainly(
@@ -187,6 +215,14 @@
         ).info("Placed.")
 
 
+def old_weights_penalty_ms(age_s: float) -> float:
+    """Return what beginning on replaced weights costs, as a wait.
+
+    :param age_s: how long ago newer weights were named.
+    """
+    return OLD_WEIGHTS_PENALTY_MS if age_s > OLD_WEIGHTS_FREE_S else 0.0
+
+
 def cache_salt(version: int, team: TeamTraits | None) -> str:
     """Return the scope of cached parts: the weights, and an isolated team.
 
--- a/src/kumquatseam/platform/_decoding.py
+++ b/src/kumquatseam/platform/_decoding.py
@@ -7,6 +7,7 @@
 
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.http1 import RequestLimits
+from kumquatseam.rollouts import EngineReport
 from kumquatseam.routes import (
     EngineTraits,
     Repeatability,
@@ -69,6 +70,24 @@
     )
 
 
+def decode_report(value: bytes) -> EngineReport:
+    """Return an engine's report of itself.
+
+    :raises DecodingError: if it is not one.
+    """
+    return _decode("report", value, _report)
+
+
+def _report(raw: Mapping) -> EngineReport:
+    return EngineReport(
+        weights=_weights(raw["models"]),
+        is_busy=bool(raw["busy"]),
+        orders_accepted=int(raw["sequence"]),
+        waiting=int(raw["waiting"]),
+        running=int(raw["running"]),
+    )
+
+
 def _route_table(raw: Mapping) -> RouteTable:
     return RouteTable(
         version=int(raw["version"]),
--- /dev/null
+++ b/src/kumquatseam/platform/_orders.py
@@ -0,0 +1,77 @@
+"""Orders to the platform's engines and their reports."""
+
+import json
+
+import urllib3
+
+from kumquatseam.logs import part_logger
+from kumquatseam.platform._decoding import DecodingError, decode_report
+from kumquatseam.pools import AddressPools
+from kumquatseam.rollouts import EngineReport, OrderClient, OrderOutcome, WeightsOrder
+from kumquatseam.upstreams import Upstream
+
+_log = part_logger("orders")
+
+#: an engine answers an order before it carries it out; half a second covers
+#: the way there and back many times over.
+_TIMEOUT_S = 0.5
+_OUTCOMES = {
+    202: OrderOutcome.ACCEPTED,
+    200: OrderOutcome.ALREADY_HOLDS,
+    409: OrderOutcome.BUSY,
+    412: OrderOutcome.FENCED,
+    421: OrderOutcome.OTHER_LIFE,
+}
+
+
+class PlatformOrderClient(OrderClient):
+    """Speaks the engines' order and report calls."""
+
+    def __init__(self) -> None:
+        self._pools = AddressPools()
+
+    def order(self, upstream: Upstream, order: WeightsOrder) -> OrderOutcome:
+        body = {
+            "op": "version",
+            "model": order.weights.model,
+            "version": order.weights.version,
+            "mode": "queue",
+            "holder": order.holder,
+            "fence": order.fence,
+        }
+        if order.expected_orders is not None:
+            body["expect"] = order.expected_orders
+        try:
+            response = self._call("POST", upstream, "/order", json.dumps(body).encode())
+        except urllib3.exceptions.HTTPError as error:
+            self._log_lost(upstream, "order", error)
+            return OrderOutcome.UNANSWERED
+        return _OUTCOMES.get(response.status, OrderOutcome.REFUSED)
+
+    def report(self, upstream: Upstream) -> EngineReport | None:
+        try:
+            response = self._call("GET", upstream, "/report")
+            if response.status != 200:
+                return None
+            return decode_report(response.data)
+        except (urllib3.exceptions.HTTPError, DecodingError) as error:
+            self._log_lost(upstream, "report", error)
+            return None
+
+    def _call(self, method: str, upstream: Upstream, path: str, body=None):
+        return self._pools.request(
+            method,
+            f"http://{upstream.address}",
+            path,
+            body=body,
+            headers={
+                "Content-Type": "application/json",
+                "X-Expect-Instance": upstream.upstream_id,
+            },
+            timeout=urllib3.Timeout(_TIMEOUT_S),
+        )
+
+    def _log_lost(self, upstream: Upstream, call: str, error: Exception) -> None:
+        _log.bind(upstream=upstream.upstream_id, call=call, error=repr(error)).warning(
+            "No answer."
+        )
--- a/src/kumquatseam/platform/adapter.py
+++ b/src/kumquatseam/platform/adapter.py
@@ -6,12 +6,14 @@
 from kumquatseam.gateway.wiring import Adapter
 from kumquatseam.logservice import KeyedListener
 from kumquatseam.platform._headers import PlatformDialect
+from kumquatseam.platform._orders import PlatformOrderClient
 from kumquatseam.platform._topics import (
     OPERATOR_TOPIC,
     UPSTREAM_TOPIC,
     OperatorListener,
     UpstreamListener,
 )
+from kumquatseam.rollouts import OrderClient
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.upstreams import UpstreamDirectory, WeightsNamed
 
@@ -30,5 +32,8 @@
     ) -> KeyedListener:
         return OperatorListener(live, on_weights)
 
+    def order_client(self) -> OrderClient:
+        return PlatformOrderClient()
+
     def upstream_listener(self, directory: UpstreamDirectory) -> KeyedListener:
         return UpstreamListener(directory)
--- /dev/null
+++ b/src/kumquatseam/rollouts/__init__.py
@@ -0,0 +1,29 @@
+"""Bringing engines to the weights that operators name.
+
+- :func:`plan_loads` decides which engines load next; a pure function.
+- :class:`RolloutDuty` gives the orders while this instance holds the lease.
+- :class:`RolloutView` applies what the holder tells every instance.
+- :class:`OrderClient` is the interface to engines' orders and reports.
+"""
+
+from kumquatseam.rollouts._duty import RolloutDuty
+from kumquatseam.rollouts._orders import (
+    EngineReport,
+    OrderClient,
+    OrderOutcome,
+    WeightsOrder,
+)
+from kumquatseam.rollouts._plan import EngineState, LoadPlan, plan_loads
+from kumquatseam.rollouts._view import RolloutView
+
+__all__ = [
+    "EngineReport",
+    "EngineState",
+    "LoadPlan",
+    "OrderClient",
+    "OrderOutcome",
+    "RolloutDuty",
+    "RolloutView",
+    "WeightsOrder",
+    "plan_loads",
+]
--- /dev/null
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -0,0 +1,266 @@
+"""Giving the orders of a rollout while this instance holds the lease."""
+
+import time
+from collections.abc import Callable
+
+import attrs
+import gevent
+
+from kumquatseam.fleet import DutyLease
+from kumquatseam.logs import part_logger
+from kumquatseam.peers import PeerBus, RolloutNotice
+from kumquatseam.rollouts._orders import OrderClient, OrderOutcome, WeightsOrder
+from kumquatseam.rollouts._plan import EngineState, plan_loads
+from kumquatseam.rollouts._view import RolloutView
+from kumquatseam.routes import LiveRouteTable
+from kumquatseam.upstreams import (
+    UpstreamDirectory,
+    UpstreamStatus,
+    WeightsNamed,
+    WeightsTargets,
+)
+
+_log = part_logger("rollout")
+
+#: instances get this long to hear which engines load before the order goes,
+#: so that none sends work that would be refused; ten times a message's way.
+NOTICE_LEAD_S = 0.02
+#: time from an order to the first question whether it is carried out: the
+#: shortest load on the users' sheets takes 0.57 s.
+FIRST_QUESTION_S = 0.5
+#: pause between two questions.
+QUESTION_PAUSE_S = 0.06
+#: an order that shows no effect for this long is given again.
+ORDER_PATIENCE_S = 3.0
+#: an order without an answer is given again sooner: it may not have arrived.
+UNANSWERED_PATIENCE_S = 0.6
+#: seconds between two notices while engines load.
+NOTICE_PAUSE_S = 0.25
+#: steps of the duty while engines load, and while there is nothing to do.
+ACTIVE_PAUSE_S = 0.03
+IDLE_PAUSE_S = 0.1
+
+
+@attrs.define
+class _Order:
+    """An order that was given.
+
+    :param version: the weights ordered.
+    :param given_s: when.
+    :param patience_s: when to give it again without effect.
+    :param asked_s: when the engine was last asked about it.
+    """
+
+    version: int
+    given_s: float
+    patience_s: float = ORDER_PATIENCE_S
+    asked_s: float = 0.0
+
+
+class RolloutDuty:
+    """Orders engines to the weights named, a few at a time.
+
+    Only the holder of the lease gives orders, and each carries the lease's
+    fencing token. Every instance is told which engines load before they are
+    ordered to.
+
+    :param lease: this instance's part in the duty.
+    :param targets: the weights named.
+    :param live: tells which services run a model.
+    :param directory: the engines.
+    :param orders: gives orders.
+    :param bus: tells the other instances.
+    :param view: tells this instance.
+    :param peer_running: requests that others have on an engine.
+    :param clock: monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        lease: DutyLease,
+        targets: WeightsTargets,
+        live: LiveRouteTable,
+        directory: UpstreamDirectory,
+        orders: OrderClient,
+        bus: PeerBus,
+        view: RolloutView,
+        peer_running: Callable[[str], int],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._lease = lease
+        self._targets = targets
+        self._live = live
+        self._directory = directory
+        self._orders = orders
+        self._bus = bus
+        self._view = view
+        self._peer_running = peer_running
+        self._clock = clock
+        self._given: dict[str, _Order] = {}
+        self._notice_s = 0.0
+        self._notice_key: tuple = ()
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to contend for the duty."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Stop; the lease lapses by itself."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+            self._greenlet = None
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self.step()
+            except Exception:  # noqa: BLE001 - logged; the duty goes on
+                _log.exception("A step of the rollout failed.")
+            gevent.sleep(ACTIVE_PAUSE_S if self._given else IDLE_PAUSE_S)
+
+    def step(self) -> None:
+        """Do what is due, if this instance holds the duty."""
+        self._lease.step()
+        if self._lease.fence is None:
+            self._given.clear()
+            return
+        for weights in self._targets.all():
+            self._step_model(weights)
+
+    def _step_model(self, weights: WeightsNamed) -> None:
+        statuses = self._engines_of(weights.model)
+        self._drop_done(weights, statuses)
+        self._ask_loading(weights, statuses)
+        self._drop_done(weights, statuses)
+        states = [self._state(weights, status) for status in statuses]
+        plan = plan_loads(states)
+        loading = [s.upstream_id for s in states if s.is_loading]
+        loading += plan.order_now
+        ready = tuple(s.upstream_id for s in states if s.has_target)
+        self._tell(weights, tuple(loading), plan.close_next, ready)
+        if plan.order_now:
+            gevent.sleep(NOTICE_LEAD_S)
+            gevent.joinall(
+                [
+                    gevent.spawn(self._give, weights, self._directory.status(i))
+                    for i in plan.order_now
+                ]
+            )
+
+    def _engines_of(self, model: str) -> list[UpstreamStatus]:
+        table = self._live.current
+        if table is None:
+            return []
+        return [
+            status
+            for service in table.services
+            if service.engine is not None and model in service.engine.models
+            for status in self._directory.of_service(service.name)
+            if not status.upstream.is_leaving
+        ]
+
+    def _drop_done(self, weights: WeightsNamed, statuses: list[UpstreamStatus]) -> None:
+        """Forget orders that took effect, lapsed or lost their engine."""
+        now_s = self._clock()
+        known = {status.upstream.upstream_id: status for status in statuses}
+        for upstream_id, order in list(self._given.items()):
+            status = known.get(upstream_id)
+            done = status is None or _has(status, weights.model, order.version)
+            if done:
+                _log.bind(
+                    upstream=upstream_id,
+                    version=order.version,
+                    took_s=round(now_s - order.given_s, 3),
+                    is_listed=status is not None,
+                ).info("Order done.")
+            if done or now_s - order.given_s > order.patience_s:
+                del self._given[upstream_id]
+
+    def _state(self, weights: WeightsNamed, status: UpstreamStatus) -> EngineState:
+        upstream_id = status.upstream.upstream_id
+        return EngineState(
+            upstream_id,
+            _has(status, weights.model, weights.version),
+            upstream_id in self._given,
+            status.running + self._peer_running(upstream_id),
+        )
+
+    def _ask_loading(
+        self, weights: WeightsNamed, statuses: list[UpstreamStatus]
+    ) -> None:
+        """Ask engines whose load should be done how they are."""
+        now_s = self._clock()
+        due = []
+        for status in statuses:
+            order = self._given.get(status.upstream.upstream_id)
+            if order is None or now_s - order.given_s < FIRST_QUESTION_S:
+                continue
+            if now_s - order.asked_s >= QUESTION_PAUSE_S:
+                order.asked_s = now_s
+                due.append(gevent.spawn(self._ask, weights.model, status))
+        gevent.joinall(due)
+
+    def _ask(self, model: str, status: UpstreamStatus) -> None:
+        report = self._orders.report(status.upstream)
+        if report is None or report.is_busy:
+            return
+        for named in report.weights:
+            if named.model == model:
+                seen = status.version_seen.get(model, 0)
+                status.version_seen[model] = max(seen, named.version)
+
+    def _tell(
+        self,
+        weights: WeightsNamed,
+        loading: tuple[str, ...],
+        closing: tuple[str, ...],
+        ready: tuple[str, ...],
+    ) -> None:
+        """Tell every instance, when something changed and now and then."""
+        now_s = self._clock()
+        key = (weights, loading, closing, ready)
+        fence = self._lease.fence
+        is_due = now_s - self._notice_s >= NOTICE_PAUSE_S and loading
+        if fence is None or (key == self._notice_key and not is_due):
+            return
+        self._notice_key, self._notice_s = key, now_s
+        notice = RolloutNotice(
+            self._bus.name,
+            fence,
+            weights.model,
+            weights.version,
+            loading,
+            closing,
+            ready,
+        )
+        self._view.take(notice)
+        self._bus.publish(notice)
+
+    def _give(self, weights: WeightsNamed, status: UpstreamStatus | None) -> None:
+        fence = self._lease.fence
+        if fence is None or status is None:
+            return
+        upstream = status.upstream
+        order = WeightsOrder(weights, self._bus.name, fence, None)
+        given = _Order(weights.version, self._clock())
+        self._given[upstream.upstream_id] = given
+        outcome = self._orders.order(upstream, order)
+        _log.bind(
+            upstream=upstream.upstream_id,
+            model=weights.model,
+            version=weights.version,
+            fence=fence,
+            outcome=outcome.value,
+        ).info("Order given.")
+        if outcome is OrderOutcome.ALREADY_HOLDS:
+            status.version_seen[weights.model] = weights.version
+        elif outcome is OrderOutcome.FENCED:
+            self._lease.give_up()
+        elif outcome is OrderOutcome.UNANSWERED or outcome is not OrderOutcome.ACCEPTED:
+            given.patience_s = UNANSWERED_PATIENCE_S
+
+
+def _has(status: UpstreamStatus, model: str, version: int) -> bool:
+    known = status.version_of(model)
+    return known is not None and known >= version
--- /dev/null
+++ b/src/kumquatseam/rollouts/_orders.py
@@ -0,0 +1,67 @@
+"""Orders to engines and what comes back."""
+
+import abc
+import enum
+
+import attrs
+
+from kumquatseam.upstreams import Upstream, WeightsNamed
+
+
+@attrs.frozen
+class WeightsOrder:
+    """An order to run other weights.
+
+    :param weights: the model and the version to run.
+    :param holder: the instance that gives the order.
+    :param fence: its fencing token.
+    :param expected_orders: orders the engine has accepted so far; it refuses
+        if there were others, so a late order cannot undo a newer one.
+    """
+
+    weights: WeightsNamed
+    holder: str
+    fence: int
+    expected_orders: int | None
+
+
+class OrderOutcome(enum.Enum):
+    """How an engine took an order."""
+
+    ACCEPTED = "accepted"
+    ALREADY_HOLDS = "already_holds"
+    BUSY = "busy"
+    FENCED = "fenced"
+    OTHER_LIFE = "other_life"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+
+
+@attrs.frozen
+class EngineReport:
+    """What an engine says of itself; some hundred milliseconds old.
+
+    :param weights: the weights it runs.
+    :param is_busy: whether it carries out an order.
+    :param orders_accepted: orders accepted in this life.
+    :param waiting: requests in its queue.
+    :param running: requests it runs.
+    """
+
+    weights: tuple[WeightsNamed, ...]
+    is_busy: bool
+    orders_accepted: int
+    waiting: int
+    running: int
+
+
+class OrderClient(abc.ABC):
+    """Gives orders to engines and asks them how they are."""
+
+    @abc.abstractmethod
+    def order(self, upstream: Upstream, order: WeightsOrder) -> OrderOutcome:
+        """Give an order to one life of an engine."""
+
+    @abc.abstractmethod
+    def report(self, upstream: Upstream) -> EngineReport | None:
+        """Ask an engine how it is; ``None`` if it does not say."""
--- a/src/kumquatseam/upstreams/__init__.py
+++ b/src/kumquatseam/upstreams/__init__.py
@@ -3,9 +3,17 @@
 - :class:`Upstream` is one entry of the platform's list.
 - :class:`UpstreamDirectory` holds the newest entries and what this process
   learnt from its own traffic: requests in flight, failures, weights.
+- :class:`WeightsTargets` holds the weights that are to be in force.
 """
 
 from kumquatseam.upstreams._directory import UpstreamDirectory, UpstreamStatus
+from kumquatseam.upstreams._targets import WeightsTargets
 from kumquatseam.upstreams._upstream import Upstream, WeightsNamed
 
-__all__ = ["Upstream", "UpstreamDirectory", "UpstreamStatus", "WeightsNamed"]
+__all__ = [
+    "Upstream",
+    "UpstreamDirectory",
+    "UpstreamStatus",
+    "WeightsNamed",
+    "WeightsTargets",
+]
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -33,6 +33,7 @@
     :param held_out_until_s: takes no work before this time if others can.
     :param version_seen: model to the weights its answers named last.
     :param blocked_until_s: refuses work while it loads weights.
+    :param closing_until_s: loads weights next; work should go to others.
     """
 
     upstream: Upstream
@@ -43,6 +44,7 @@
     held_out_until_s: float = 0.0
     version_seen: dict[str, int] = attrs.Factory(dict)
     blocked_until_s: float = 0.0
+    closing_until_s: float = 0.0
 
     def version_of(self, model: str) -> int | None:
         """Return the newest weights of ``model`` it is known to run."""
--- /dev/null
+++ b/src/kumquatseam/upstreams/_targets.py
@@ -0,0 +1,56 @@
+"""The weights that are to be in force, and since when."""
+
+import time
+from collections.abc import Callable
+
+import attrs
+
+from kumquatseam.logs import part_logger
+from kumquatseam.upstreams._upstream import WeightsNamed
+
+_log = part_logger("rollout")
+
+
+@attrs.frozen
+class _Target:
+    """A version and when this process learnt of it."""
+
+    version: int
+    known_s: float
+
+
+class WeightsTargets:
+    """The newest version named of each model.
+
+    :param clock: monotonic clock in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._targets: dict[str, _Target] = {}
+
+    def take(self, named: WeightsNamed) -> None:
+        """Take in named weights; older ones than known are ignored."""
+        known = self._targets.get(named.model)
+        if known is not None and named.version <= known.version:
+            return
+        self._targets[named.model] = _Target(named.version, self._clock())
+        _log.bind(
+            model=named.model,
+            version=named.version,
+            before=known.version if known else None,
+        ).info("Weights named.")
+
+    def all(self) -> list[WeightsNamed]:
+        """Return the newest weights of each model."""
+        return [WeightsNamed(m, target.version) for m, target in self._targets.items()]
+
+    def version(self, model: str) -> int | None:
+        """Return the newest version named of ``model``."""
+        target = self._targets.get(model)
+        return target.version if target else None
+
+    def age_s(self, model: str) -> float:
+        """Return how long ago the newest version of ``model`` became known."""
+        target = self._targets.get(model)
+        return self._clock() - target.known_s if target else 0.0
