Move runs off engines that load; kept store as source and target

Shared parts were read again by each engine.

Ruled out: longer waves (the last would pass the bound on versions), breaking streams off (a non-resumable one is lost), running on under changed weights (earns nothing).

Change: the plan names engines that keep an old version's runs; instances move their streams there by copying memory; requests name the kept store as source and target; weights are old from their own successor's naming on.

--- a/src/kumquatseam/gateway/_call.py
+++ b/src/kumquatseam/gateway/_call.py
@@ -47,6 +47,7 @@
     :param expected_version: the only weights that may run it, if any.
     :param engine_priority: 0 (first) to 9; ``None`` for the engine's default.
     :param resume_after: id of the last event already passed on.
+    :param resume_run: names the copy of a stopped run's memory to go on from.
     """
 
     upstream_id: str
@@ -58,6 +59,7 @@
     expected_version: int | None = None
     engine_priority: int | None = None
     resume_after: str = ""
+    resume_run: str = ""
 
 
 @attrs.frozen
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -10,6 +10,7 @@
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._events import EventSplitter
 from kumquatseam.gateway._refusals import Reason, RefusedError
+from kumquatseam.gateway._relocation import Relocation
 from kumquatseam.http1 import (
     AnswerBrokenError,
     ConnectFailedError,
@@ -21,6 +22,7 @@
 )
 from kumquatseam.logs import part_logger
 from kumquatseam.placement import Placement, PlacementRequest
+from kumquatseam.rollouts import MovedRun
 from kumquatseam.routes import Route, RouteTable, ServiceTraits, TeamTraits
 
 _log = part_logger("exchange")
@@ -96,6 +98,17 @@
     """The upstream promised that it did not run the request."""
 
 
+class _RunMovedError(Exception):
+    """The run stopped where it was and goes on elsewhere.
+
+    :param placement: where it goes on.
+    """
+
+    def __init__(self, placement: Placement) -> None:
+        super().__init__()
+        self.placement = placement
+
+
 class _FailureHeldError(Exception):
     """The upstream failed the request, and another may still serve it."""
 
@@ -130,6 +143,7 @@
         self._progress = _Progress()
         self._events = EventSplitter(job.call.resume_after)
         self._has_kept_connection = False
+        self._next_placement: Placement | None = None
 
     def run(self) -> tuple[bool, str]:
         """Serve the request.
@@ -149,9 +163,12 @@
 
     def _try_once(self) -> tuple[bool, str] | None:
         """Make one attempt; return ``None`` if another may follow."""
-        placement = self._place()
+        placement = self._next_placement or self._place()
+        self._next_placement = None
         try:
             return self._attempt(placement)
+        except _RunMovedError as moved:
+            self._next_placement = moved.placement
         except _NotRunError:
             self._after_refusal(placement)
         except _FailureHeldError:
@@ -214,6 +231,10 @@
 
     def _after_refusal(self, placement: Placement) -> None:
         progress = self._progress
+        if placement.moved_run is not None and not self._job.route.may_repeat:
+            # It ran before it moved, so it cannot begin again elsewhere.
+            progress.may_have_run = True
+            self._give_up(Reason.BROKEN, "refused after a move")
         progress.refusals += 1
         progress.excluded.add(placement.status.upstream.upstream_id)
         if progress.refusals >= MAX_REFUSALS:
@@ -279,7 +300,8 @@
         self, placement: Placement, connection: UpstreamConnection
     ) -> tuple[bool, str]:
         job = self._job
-        self._progress.attempts += 1
+        if placement.moved_run is None:
+            self._progress.attempts += 1
         self._parts.index.note_read(
             placement.status.upstream.upstream_id, placement.salt, job.call.prompt
         )
@@ -299,7 +321,7 @@
         if self._caller.has_answered and head.status != 200:
             raise AnswerBrokenError(connection.address, f"no resume: {head.status}")
         if job.route.is_stream and head.status == 200:
-            return self._pass_stream(connection, head, traits, wait)
+            return self._pass_stream(placement, connection, head, traits, wait)
         return self._pass_whole(connection, head, traits, wait)
 
     def _request_bytes(self, placement: Placement) -> bytes:
@@ -309,13 +331,27 @@
             remaining_s=job.remaining_s,
             team=job.team.name if job.team else "",
             cache_salt=placement.salt,
+            cache_source=self._cache_store(),
+            cache_target=self._cache_store(),
             expected_version=placement.version,
             resume_after=self._events.last_id,
+            resume_run=_run_name(placement.moved_run),
         )
         fields = self._parts.dialect.upstream_fields(job.request, options)
         request = job.request
         return encode_request(request.method, request.target, fields, request.body)
 
+    def _cache_store(self) -> str:
+        """Return the address of the store of kept prompt parts, if one helps.
+
+        Fetching a part takes half as long as reading it again, and a part
+        read once then serves every engine.
+        """
+        if not self._job.call.model:
+            return ""
+        store = self._job.table.cache_store()
+        return store.cache_store_address if store is not None else ""
+
     def _wait(self, address: str) -> Wait:
         until_s = self._job.end_s
         attempts_left = self._job.route.max_attempts - self._progress.attempts
@@ -404,15 +440,27 @@
         return keep, f"answered_{head.status // 100}xx"
 
     def _pass_stream(
-        self, connection: UpstreamConnection, head: ResponseHead, traits, wait: Wait
+        self,
+        placement: Placement,
+        connection: UpstreamConnection,
+        head: ResponseHead,
+        traits,
+        wait: Wait,
     ) -> tuple[bool, str]:
-        """Pass events on as they come; whole ones only if it may go on."""
+        """Pass whole events on as they come, so that it may go on elsewhere."""
         keep = self._may_keep()
-        while data := connection.read_body(wait):
-            wait.until_s = self._body_until_s()
-            if self._job.route.is_resumable:
-                data = self._events.feed(data)
-            self._send_events(head, keep, data)
+        relocation = Relocation(self._parts, self._job, placement)
+        try:
+            while data := connection.read_body(wait):
+                wait.until_s = self._body_until_s()
+                self._send_events(head, keep, self._events.feed(data))
+                relocation.begin_if_due()
+        except AnswerBrokenError:
+            moved = relocation.finish()
+            if moved is None:
+                raise
+            self._events.drop_partial()
+            raise _RunMovedError(moved) from None
         self._send_events(head, keep, self._events.rest())
         if not self._caller.has_answered:
             self._caller.begin_answer(200, self._answer_fields(head, keep), None)
@@ -449,3 +497,7 @@
             refusals=self._progress.refusals,
             took_s=round(time.monotonic() - self._job.request.received_s, 4),
         ).info("Answered.")
+
+
+def _run_name(moved: MovedRun | None) -> str:
+    return f"{moved.source}/{moved.handle}" if moved is not None else ""
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -16,6 +16,7 @@
 from kumquatseam.logs import part_logger
 from kumquatseam.metrics import GatewayMetrics
 from kumquatseam.placement import Placer, PromptIndex
+from kumquatseam.rollouts import OrderClient
 from kumquatseam.routes import LiveRouteTable, Route, RouteTable, TeamTraits
 from kumquatseam.upstreams import UpstreamDirectory
 
@@ -40,6 +41,7 @@
     :param pool: connections to them.
     :param retry_budget: returns the retry budget of a service.
     :param metrics: counters and latencies.
+    :param orders: moves runs between engines.
     """
 
     live: LiveRouteTable
@@ -50,6 +52,7 @@
     pool: ConnectionPool
     retry_budget: Callable[[str], RetryBudget]
     metrics: GatewayMetrics
+    orders: OrderClient
 
 
 class RequestHandler:
--- /dev/null
+++ b/src/kumquatseam/gateway/_relocation.py
@@ -0,0 +1,63 @@
+"""Moving a run away from an engine that is about to load other weights.
+
+An engine finishes its runs before it loads; streams last for seconds, so
+waiting for them would keep it out of service for as long. A run's memory is
+copied to another engine of the same weights in some ten milliseconds, and the
+caller sees one stream.
+"""
+
+import gevent
+
+from kumquatseam.logs import part_logger
+from kumquatseam.placement import Placement
+
+_log = part_logger("relocation")
+
+
+class Relocation:
+    """The move of one run, if it comes to that.
+
+    :param parts: what serving needs.
+    :param job: the request (``Job``).
+    :param placement: where it runs.
+    """
+
+    def __init__(self, parts, job, placement: Placement) -> None:
+        self._parts = parts
+        self._job = job
+        self._placement = placement
+        self._destination: Placement | None = None
+        self._moving: gevent.Greenlet | None = None
+
+    def begin_if_due(self) -> None:
+        """Begin to move the run if its engine is to be emptied."""
+        source = self._placement.status
+        if self._moving is not None or not source.move_runs_to:
+            return
+        self._destination = self._parts.placer.destination(self._placement)
+        if self._destination is None:
+            return
+        self._moving = gevent.spawn(
+            self._parts.orders.move_run,
+            source.upstream,
+            self._job.call.request_id,
+            self._destination.status.upstream,
+        )
+
+    def finish(self) -> Placement | None:
+        """Return where the run goes on, after its stream stopped.
+
+        :returns: ``None`` if it was not moved.
+        """
+        if self._moving is None:
+            return None
+        moved = self._moving.get()
+        _log.bind(
+            request=self._job.call.request_id,
+            source=self._placement.status.upstream.upstream_id,
+            destination=self._destination.status.upstream.upstream_id,
+            events=moved.events if moved else None,
+        ).info("Run moved." if moved else "Run lost in a move.")
+        if moved is None:
+            return None
+        return self._destination.going_on_from(moved)
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -97,6 +97,7 @@
         )
         self._directory.on_gone(self._forget_upstream)
         self._targets = WeightsTargets()
+        self._orders = adapter.order_client()
         self._bus = PeerBus(file.gateway.router_name, file.peers.address)
         self._loads = LoadExchange(self._bus, self._directory)
         self._server = self._build_server()
@@ -159,6 +160,7 @@
                 self._pool,
                 self._retry_budget,
                 self._metrics,
+                self._orders,
             )
         )
         grace_s = max(1.0, gateway.grace_s - GRACE_MARGIN_S)
@@ -179,7 +181,7 @@
             self._targets,
             self._live,
             self._directory,
-            self._adapter.order_client(),
+            self._orders,
             self._bus,
             view,
             self._loads.running,
--- a/src/kumquatseam/peers/_messages.py
+++ b/src/kumquatseam/peers/_messages.py
@@ -52,6 +52,7 @@
     :param loading: upstreams that refuse work of the model for now.
     :param closing: upstreams that load next and should get no new work.
     :param ready: upstreams that run the weights.
+    :param destinations: upstreams that take the runs of those that load.
     """
 
     sender: str
@@ -61,6 +62,7 @@
     loading: tuple[str, ...]
     closing: tuple[str, ...]
     ready: tuple[str, ...]
+    destinations: tuple[str, ...] = ()
 
 
 RECORD_CODEC = MessageCodec("instance record", {"instance": InstanceRecord})
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -1,5 +1,6 @@
 """Gathering the upstreams that may take a request and choosing one."""
 
+import random
 import time
 from collections.abc import Callable
 
@@ -10,6 +11,7 @@
 from kumquatseam.placement._choice import Candidate, choose
 from kumquatseam.placement._prompt_index import PromptIndex
 from kumquatseam.prompts import PromptChain
+from kumquatseam.rollouts import MovedRun
 from kumquatseam.routes import ServiceTraits, TeamTraits
 from kumquatseam.upstreams import (
     UpstreamDirectory,
@@ -65,12 +67,18 @@
     :param version: weights the request must run on, if it names a model.
     :param salt: the scope of its cached parts.
     :param held_tokens: leading tokens the upstream probably holds.
+    :param moved_run: a run that goes on there from a copy of its memory.
     """
 
     status: UpstreamStatus
     version: int | None = None
     salt: str = ""
     held_tokens: int = 0
+    moved_run: MovedRun | None = None
+
+    def going_on_from(self, moved: MovedRun) -> "Placement":
+        """Return this placement for a run that was moved to it."""
+        return attrs.evolve(self, moved_run=moved)
 
 
 class Placer:
@@ -109,6 +117,26 @@
             return self._place_on_engine(request, open_statuses)
         return self._place_plainly(request, open_statuses)
 
+    def destination(self, placement: Placement) -> Placement | None:
+        """Return where a run goes whose engine is to be emptied.
+
+        Only engines of the same weights can go on with it.
+        """
+        now_s = self._clock()
+        found = []
+        for upstream_id in placement.status.move_runs_to:
+            status = self._directory.status(upstream_id)
+            if status is None or status.blocked_until_s > now_s:
+                continue
+            if status.held_out_until_s > now_s or not status.runs(placement.version):
+                continue
+            load = status.running + self._peer_running(upstream_id)
+            if load < status.upstream.slots:
+                found.append((load, random.random(), status))
+        if not found:
+            return None
+        return attrs.evolve(placement, status=min(found)[2])
+
     def _open_statuses(self, request: PlacementRequest) -> list[UpstreamStatus]:
         """Return the upstreams that may take it, sound ones if there are any."""
         now_s = self._clock()
@@ -126,17 +154,15 @@
         self, request: PlacementRequest, statuses: list[UpstreamStatus]
     ) -> Placement | None:
         order = _rank(request.prompt, [s.upstream.upstream_id for s in statuses])
-        age_s = self._targets.age_s(request.model)
-        target = self._targets.version(request.model)
         candidates: dict[str, Candidate] = {}
         for status in statuses:
             version = status.version_of(request.model)
             if version is None:
                 continue
-            is_old = target is not None and version < target
-            if is_old and age_s > OLD_WEIGHTS_LIMIT_S:
+            age_s = self._targets.replaced_age_s(request.model, version) or 0.0
+            if age_s > OLD_WEIGHTS_LIMIT_S:
                 continue
-            penalty_ms = old_weights_penalty_ms(age_s) if is_old else 0.0
+            penalty_ms = old_weights_penalty_ms(age_s)
             if status.closing_until_s > self._clock():
                 penalty_ms += CLOSING_PENALTY_MS
             candidate = self._candidate(request, status, version, order, penalty_ms)
@@ -218,7 +244,7 @@
 def old_weights_penalty_ms(age_s: float) -> float:
     """Return what beginning on replaced weights costs, as a wait.
 
-    :param age_s: how long ago newer weights were named.
+    :param age_s: how long ago newer weights were named; 0 if there are none.
     """
     return OLD_WEIGHTS_PENALTY_MS if age_s > OLD_WEIGHTS_FREE_S else 0.0
 
--- a/src/kumquatseam/platform/_decoding.py
+++ b/src/kumquatseam/platform/_decoding.py
@@ -7,7 +7,7 @@
 
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.http1 import RequestLimits
-from kumquatseam.rollouts import EngineReport
+from kumquatseam.rollouts import EngineReport, MovedRun
 from kumquatseam.routes import (
     EngineTraits,
     Repeatability,
@@ -78,6 +78,19 @@
     return _decode("report", value, _report)
 
 
+def decode_moved_run(source: str, value: bytes) -> MovedRun:
+    """Return a run that an engine stopped and copied.
+
+    :raises DecodingError: if it is not one.
+    """
+    return _decode("moved run", value, lambda raw: _moved_run(source, raw))
+
+
+def _moved_run(source: str, raw: Mapping) -> MovedRun:
+    # The field counts the events made so far; it is no revision of anything.
+    return MovedRun(source, str(raw["handle"]), int(raw["createRevision"]))
+
+
 def _report(raw: Mapping) -> EngineReport:
     return EngineReport(
         weights=_weights(raw["models"]),
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -74,6 +74,7 @@
             (b"X-Expect-Version", options.expected_version),
             (b"X-Request-Priority", options.engine_priority),
             (b"Last-Event-Id", options.resume_after),
+            (b"Kv-From", options.resume_run),
         )
         for name, value in optional:
             if value is not None and value != "":
--- a/src/kumquatseam/platform/_orders.py
+++ b/src/kumquatseam/platform/_orders.py
@@ -5,9 +5,19 @@
 import urllib3
 
 from kumquatseam.logs import part_logger
-from kumquatseam.platform._decoding import DecodingError, decode_report
+from kumquatseam.platform._decoding import (
+    DecodingError,
+    decode_moved_run,
+    decode_report,
+)
 from kumquatseam.pools import AddressPools
-from kumquatseam.rollouts import EngineReport, OrderClient, OrderOutcome, WeightsOrder
+from kumquatseam.rollouts import (
+    EngineReport,
+    MovedRun,
+    OrderClient,
+    OrderOutcome,
+    WeightsOrder,
+)
 from kumquatseam.upstreams import Upstream
 
 _log = part_logger("orders")
@@ -15,6 +25,9 @@
 #: an engine answers an order before it carries it out; half a second covers
 #: the way there and back many times over.
 _TIMEOUT_S = 0.5
+#: a move waits its turn behind others on both links: some tens of runs, each
+#: about 15 ms.
+_MOVE_TIMEOUT_S = 2.0
 _OUTCOMES = {
     202: OrderOutcome.ACCEPTED,
     200: OrderOutcome.ALREADY_HOLDS,
@@ -58,7 +71,35 @@
             self._log_lost(upstream, "report", error)
             return None
 
-    def _call(self, method: str, upstream: Upstream, path: str, body=None):
+    def move_run(
+        self, source: Upstream, request_id: str, destination: Upstream
+    ) -> MovedRun | None:
+        body = {"id": request_id, "to": destination.address, "last": True}
+        try:
+            response = self._call(
+                "POST", source, "/kv-move", json.dumps(body).encode(), _MOVE_TIMEOUT_S
+            )
+            if response.status == 200:
+                return decode_moved_run(source.address, response.data)
+        except (urllib3.exceptions.HTTPError, DecodingError) as error:
+            self._log_lost(source, "move", error)
+            return None
+        _log.bind(
+            upstream=source.upstream_id,
+            request=request_id,
+            destination=destination.upstream_id,
+            status=response.status,
+        ).info("Run not moved.")
+        return None
+
+    def _call(
+        self,
+        method: str,
+        upstream: Upstream,
+        path: str,
+        body=None,
+        timeout_s=_TIMEOUT_S,
+    ):
         return self._pools.request(
             method,
             f"http://{upstream.address}",
@@ -68,7 +109,7 @@
                 "Content-Type": "application/json",
                 "X-Expect-Instance": upstream.upstream_id,
             },
-            timeout=urllib3.Timeout(_TIMEOUT_S),
+            timeout=urllib3.Timeout(timeout_s),
         )
 
     def _log_lost(self, upstream: Upstream, call: str, error: Exception) -> None:
--- a/src/kumquatseam/rollouts/__init__.py
+++ b/src/kumquatseam/rollouts/__init__.py
@@ -9,6 +9,7 @@
 from kumquatseam.rollouts._duty import RolloutDuty
 from kumquatseam.rollouts._orders import (
     EngineReport,
+    MovedRun,
     OrderClient,
     OrderOutcome,
     WeightsOrder,
@@ -20,6 +21,7 @@
     "EngineReport",
     "EngineState",
     "LoadPlan",
+    "MovedRun",
     "OrderClient",
     "OrderOutcome",
     "RolloutDuty",
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -10,7 +10,7 @@
 from kumquatseam.logs import part_logger
 from kumquatseam.peers import PeerBus, RolloutNotice
 from kumquatseam.rollouts._orders import OrderClient, OrderOutcome, WeightsOrder
-from kumquatseam.rollouts._plan import EngineState, plan_loads
+from kumquatseam.rollouts._plan import EngineState, LoadPlan, plan_loads
 from kumquatseam.rollouts._view import RolloutView
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.upstreams import (
@@ -134,11 +134,11 @@
         self._ask_loading(weights, statuses)
         self._drop_done(weights, statuses)
         states = [self._state(weights, status) for status in statuses]
-        plan = plan_loads(states)
+        plan = plan_loads(states, self._targets.age_s(weights.model))
         loading = [s.upstream_id for s in states if s.is_loading]
         loading += plan.order_now
         ready = tuple(s.upstream_id for s in states if s.has_target)
-        self._tell(weights, tuple(loading), plan.close_next, ready)
+        self._tell(weights, tuple(sorted(loading)), plan, ready)
         if plan.order_now:
             gevent.sleep(NOTICE_LEAD_S)
             gevent.joinall(
@@ -181,9 +181,11 @@
         upstream_id = status.upstream.upstream_id
         return EngineState(
             upstream_id,
+            status.version_of(weights.model),
             _has(status, weights.model, weights.version),
             upstream_id in self._given,
             status.running + self._peer_running(upstream_id),
+            status.upstream.slots,
         )
 
     def _ask_loading(
@@ -214,14 +216,16 @@
         self,
         weights: WeightsNamed,
         loading: tuple[str, ...],
-        closing: tuple[str, ...],
+        plan: LoadPlan,
         ready: tuple[str, ...],
     ) -> None:
         """Tell every instance, when something changed and now and then."""
         now_s = self._clock()
-        key = (weights, loading, closing, ready)
+        closing = tuple(sorted(plan.closing))
+        destinations = tuple(sorted(plan.destinations)) if loading else ()
+        key = (weights, loading, closing, ready, destinations)
         fence = self._lease.fence
-        is_due = now_s - self._notice_s >= NOTICE_PAUSE_S and loading
+        is_due = now_s - self._notice_s >= NOTICE_PAUSE_S and (loading or closing)
         if fence is None or (key == self._notice_key and not is_due):
             return
         self._notice_key, self._notice_s = key, now_s
@@ -233,6 +237,7 @@
             loading,
             closing,
             ready,
+            destinations,
         )
         self._view.take(notice)
         self._bus.publish(notice)
--- a/src/kumquatseam/rollouts/_orders.py
+++ b/src/kumquatseam/rollouts/_orders.py
@@ -55,8 +55,22 @@
     running: int
 
 
+@attrs.frozen
+class MovedRun:
+    """A run that stopped at one engine and may go on at another.
+
+    :param source: address of the engine it stopped at.
+    :param handle: names the copy of its memory; good for one use.
+    :param events: events the run had made.
+    """
+
+    source: str
+    handle: str
+    events: int
+
+
 class OrderClient(abc.ABC):
-    """Gives orders to engines and asks them how they are."""
+    """Gives orders to engines, asks how they are, and moves their runs."""
 
     @abc.abstractmethod
     def order(self, upstream: Upstream, order: WeightsOrder) -> OrderOutcome:
@@ -65,3 +79,12 @@
     @abc.abstractmethod
     def report(self, upstream: Upstream) -> EngineReport | None:
         """Ask an engine how it is; ``None`` if it does not say."""
+
+    @abc.abstractmethod
+    def move_run(
+        self, source: Upstream, request_id: str, destination: Upstream
+    ) -> MovedRun | None:
+        """Stop a run and copy its memory to another engine.
+
+        :returns: ``None`` if it was not stopped or cannot go on.
+        """
--- a/src/kumquatseam/rollouts/_plan.py
+++ b/src/kumquatseam/rollouts/_plan.py
@@ -1,4 +1,10 @@
-"""Which engines load new weights now, and which next."""
+"""Which engines load new weights now, and where their runs go.
+
+An engine finishes its runs before it loads, and streams last for seconds. So
+the engines that load hand their runs over to others of the same weights, and
+the last ones, which have nowhere to hand them, get no new work and load when
+their runs have ended. New work goes to the engines that are ready.
+"""
 
 from collections.abc import Sequence
 
@@ -7,6 +13,15 @@
 #: share of a model's engines that load at once: above three of nine, or 28 of
 #: 70, each load takes longer (the users' sheets).
 LOADING_SHARE = 0.4
+#: share of its slots that an engine may fill with runs taken over.
+TAKE_OVER_SHARE = 0.85
+#: the last engines load at the latest this long after the weights were named,
+#: whatever they still run; the users allow twelve seconds in all, and a run
+#: lasts up to seven.
+FORCE_AFTER_S = 4.0
+#: runs that the last engines may still have when they are ordered to load: a
+#: run that just ended is counted for as long as loads take to be shared.
+DRAINED_RUNS = 1
 
 
 @attrs.frozen
@@ -14,15 +29,19 @@
     """An engine as the holder of the duty sees it.
 
     :param upstream_id: its id.
-    :param has_target: it runs the weights that are to be in force.
+    :param version: the weights it runs; ``None`` if unknown.
+    :param has_target: they are the ones that are to be in force.
     :param is_loading: it was ordered to them and has not finished.
     :param running: requests on it, as far as known.
+    :param slots: requests it runs at once.
     """
 
     upstream_id: str
+    version: int | None
     has_target: bool
     is_loading: bool
     running: float
+    slots: int
 
 
 @attrs.frozen
@@ -30,12 +49,13 @@
     """What is due.
 
     :param order_now: engines to order now.
-    :param close_next: engines that load in the next wave; new work goes to
-        others, so that their requests have ended when their turn comes.
+    :param closing: engines that get no new work if others can take it.
+    :param destinations: engines that take over the runs of those that load.
     """
 
     order_now: tuple[str, ...] = ()
-    close_next: tuple[str, ...] = ()
+    closing: tuple[str, ...] = ()
+    destinations: tuple[str, ...] = ()
 
 
 def max_loading(engines: int) -> int:
@@ -43,19 +63,46 @@
     return max(1, int(engines * LOADING_SHARE))
 
 
-def plan_loads(engines: Sequence[EngineState]) -> LoadPlan:
+def plan_loads(engines: Sequence[EngineState], age_s: float) -> LoadPlan:
     """Return what is due for the engines of one model.
 
-    Engines with the least work load first: the fewest requests wait for them,
-    and an order lets them finish what they run.
+    :param age_s: how long ago the weights were named.
     """
-    waiting = [e for e in engines if not e.has_target and not e.is_loading]
-    waiting.sort(key=lambda engine: (engine.running, engine.upstream_id))
+    old = [e for e in engines if not e.has_target and not e.is_loading]
+    keepers = _keepers(engines)
+    ready_to_load = [
+        e
+        for e in old
+        if e.running <= DRAINED_RUNS or age_s > FORCE_AFTER_S or e not in keepers
+    ]
+    ready_to_load.sort(key=lambda engine: (engine.running, engine.upstream_id))
     loading = sum(1 for e in engines if e.is_loading)
     room = max(0, max_loading(len(engines)) - loading)
-    now, rest = waiting[:room], waiting[room:]
-    ready = sum(1 for e in engines if e.has_target)
-    closing = rest if ready else []
+    now = ready_to_load[:room]
+    any_ready = any(e.has_target for e in engines)
     return LoadPlan(
-        tuple(e.upstream_id for e in now), tuple(e.upstream_id for e in closing)
+        tuple(e.upstream_id for e in now),
+        tuple(e.upstream_id for e in old if e not in now) if any_ready else (),
+        tuple(e.upstream_id for e in keepers if e not in now),
     )
+
+
+def _keepers(engines: Sequence[EngineState]) -> list[EngineState]:
+    """Return the engines of each old version that keep its runs to the end.
+
+    Runs move to these alone, so that none has to move twice. They are the
+    engines with the most runs, and as few as have the slots.
+    """
+    keepers: list[EngineState] = []
+    for version in {e.version for e in engines if not e.has_target}:
+        group = [e for e in engines if e.version == version and not e.has_target]
+        runs = sum(e.running for e in group)
+        open_engines = [e for e in group if not e.is_loading]
+        open_engines.sort(key=lambda engine: (-engine.running, engine.upstream_id))
+        slots = 0.0
+        for engine in open_engines:
+            if slots and slots >= runs:
+                break
+            keepers.append(engine)
+            slots += engine.slots * TAKE_OVER_SHARE
+    return keepers
--- a/src/kumquatseam/rollouts/_view.py
+++ b/src/kumquatseam/rollouts/_view.py
@@ -46,6 +46,7 @@
                 loading=notice.loading,
                 closing=notice.closing,
                 ready=len(notice.ready),
+                destinations=notice.destinations,
             ).info("Rollout moved on.")
         until_s = self._clock() + NOTICE_TTL_S
         loading, closing = set(notice.loading), set(notice.closing)
@@ -53,6 +54,8 @@
             upstream_id = status.upstream.upstream_id
             status.blocked_until_s = until_s if upstream_id in loading else 0.0
             status.closing_until_s = until_s if upstream_id in closing else 0.0
+            is_loading = upstream_id in loading
+            status.move_runs_to = notice.destinations if is_loading else ()
         for upstream_id in notice.ready:
             status = self._directory.status(upstream_id)
             if status is not None:
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -33,6 +33,7 @@
     :param held_out_until_s: takes no work before this time if others can.
     :param version_seen: model to the weights its answers named last.
     :param blocked_until_s: refuses work while it loads weights.
+    :param move_runs_to: upstreams that take its runs over while it loads.
     :param closing_until_s: loads weights next; work should go to others.
     """
 
@@ -45,6 +46,7 @@
     version_seen: dict[str, int] = attrs.Factory(dict)
     blocked_until_s: float = 0.0
     closing_until_s: float = 0.0
+    move_runs_to: tuple[str, ...] = ()
 
     def version_of(self, model: str) -> int | None:
         """Return the newest weights of ``model`` it is known to run."""
@@ -54,6 +56,11 @@
             return listed if seen is None else seen
         return max(listed, seen)
 
+    def runs(self, version: int | None) -> bool:
+        """Return whether it runs ``version`` of a model."""
+        models = {named.model for named in self.upstream.weights}
+        return any(self.version_of(model) == version for model in models)
+
 
 class UpstreamDirectory:
     """Upstreams by id, kept in step with the platform's list.
--- a/src/kumquatseam/upstreams/_targets.py
+++ b/src/kumquatseam/upstreams/_targets.py
@@ -1,5 +1,6 @@
 """The weights that are to be in force, and since when."""
 
+import collections
 import time
 from collections.abc import Callable
 
@@ -10,6 +11,9 @@
 
 _log = part_logger("rollout")
 
+#: versions of a model whose naming is remembered; engines lag by a few.
+REMEMBERED_VERSIONS = 32
+
 
 @attrs.frozen
 class _Target:
@@ -20,7 +24,7 @@
 
 
 class WeightsTargets:
-    """The newest version named of each model.
+    """The versions named of each model, newest last.
 
     :param clock: monotonic clock in seconds.
     """
@@ -28,13 +32,19 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._targets: dict[str, _Target] = {}
+        self._named: dict[str, collections.deque[_Target]] = {}
 
     def take(self, named: WeightsNamed) -> None:
         """Take in named weights; older ones than known are ignored."""
         known = self._targets.get(named.model)
         if known is not None and named.version <= known.version:
             return
-        self._targets[named.model] = _Target(named.version, self._clock())
+        target = _Target(named.version, self._clock())
+        self._targets[named.model] = target
+        history = self._named.setdefault(
+            named.model, collections.deque(maxlen=REMEMBERED_VERSIONS)
+        )
+        history.append(target)
         _log.bind(
             model=named.model,
             version=named.version,
@@ -54,3 +64,13 @@
         """Return how long ago the newest version of ``model`` became known."""
         target = self._targets.get(model)
         return self._clock() - target.known_s if target else 0.0
+
+    def replaced_age_s(self, model: str, version: int) -> float | None:
+        """Return how long ago a version newer than ``version`` became known.
+
+        :returns: ``None`` if there is no newer one.
+        """
+        for target in self._named.get(model, ()):
+            if target.version > version:
+                return self._clock() - target.known_s
+        return None
