Whole-path features on stand-ins of the platform's wire

Found by them: an answer without the request's id that promises 'not run' (another life at a known address) was taken for a broken one and answered 502 instead of 503; now it is believed, since late answers to others carry ids.

--- a/features/environment.py
+++ b/features/environment.py
@@ -6,10 +6,13 @@
 def before_scenario(context, scenario):
     context.fleet = None
     context.folder = None
+    context.platform = None
 
 
 def after_scenario(context, scenario):
     if context.fleet:
         context.fleet.close()
+    if context.platform:
+        context.platform.close()
     if context.folder:
         shutil.rmtree(context.folder, ignore_errors=True)
--- /dev/null
+++ b/features/steps/platform_replica.py
@@ -0,0 +1,287 @@
+"""A stand-in replica that speaks the platform's wire, for the tests.
+
+One class serves as model replica (event streams, orders, reports, moves of
+runs) and as plain service. What it does wrong is scripted a request at a time:
+``script`` holds faults that are used up one by one.
+"""
+
+import collections
+import json
+import socket
+import struct
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import attrs
+
+SIGNATURE = "3e1b.07.5a2"
+
+
+@attrs.define
+class SeenRequest:
+    """A request as it reached the replica."""
+
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+    ran: bool = False
+    events_sent: int = 0
+    ended: str = ""
+
+
+class StandinReplica:
+    """One replica on a loopback port.
+
+    :param upstream_id: its id.
+    :param version: weights it starts with; ``None`` for a plain service.
+    :param events: events of a whole stream.
+    :param event_pause_s: pause between two events.
+    :param load_s: how long a load takes.
+    """
+
+    def __init__(
+        self, upstream_id, version=None, events=5, event_pause_s=0.01, load_s=0.1
+    ):
+        self.upstream_id = upstream_id
+        self.version = version
+        self.events = events
+        self.event_pause_s = event_pause_s
+        self.load_s = load_s
+        self.script = collections.deque()
+        self.seen: list[SeenRequest] = []
+        self.orders: list[dict] = []
+        self.moves: list[dict] = []
+        self.sequence = 0
+        self.fence = -1
+        self.loading = False
+        self.running = 0
+        self.stopped_runs: dict[str, int] = {}
+        self._lock = threading.Lock()
+        replica = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+            disable_nagle_algorithm = True
+
+            def log_message(self, *arguments):
+                pass
+
+            def do_GET(self):
+                replica.answer(self)
+
+            def do_POST(self):
+                replica.answer(self)
+
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self._server.daemon_threads = True
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+
+    def start(self):
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self._server.shutdown()
+        self._server.server_close()
+
+    def entry(self, service, **more) -> bytes:
+        """Return its entry in the list of replicas."""
+        fields = {
+            "service": service,
+            "address": self.address,
+            "zone": "kobanya",
+            "version": "v1",
+            "slots": 48,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "sequence": self.sequence,
+        }
+        if self.version is not None:
+            fields["models"] = [{"name": "m0", "version": self.version, "adapters": []}]
+        return json.dumps({**fields, **more}).encode()
+
+    # Answering.
+
+    def answer(self, http):
+        body = http.rfile.read(int(http.headers.get("Content-Length") or 0))
+        expected = http.headers.get("X-Expect-Instance")
+        if expected is not None and expected != self.upstream_id:
+            self._send(http, 421, b"", {"X-Replica-Id": self.upstream_id})
+        elif http.path == "/order":
+            self._take_order(http, json.loads(body))
+        elif http.path == "/report":
+            self._send(http, 200, json.dumps(self._report()).encode())
+        elif http.path == "/kv-move":
+            self._move(http, json.loads(body))
+        else:
+            self._serve(http, body)
+
+    def _send(self, http, status, body, headers=None):
+        http.send_response(status)
+        for name, value in (headers or {}).items():
+            http.send_header(name, value)
+        http.send_header("Content-Length", str(len(body)))
+        http.end_headers()
+        http.wfile.write(body)
+
+    def _own_headers(self, http):
+        headers = {
+            "X-Request-Id": http.headers.get("X-Request-Id", ""),
+            "X-Replica-Signature": f"{SIGNATURE}.{self.upstream_id}",
+        }
+        if self.version is not None:
+            headers["X-Weight-Versions"] = str(self.version)
+        return headers
+
+    def _serve(self, http, body):
+        seen = SeenRequest(http.command, http.path, dict(http.headers), body)
+        self.seen.append(seen)
+        fault = self.script.popleft() if self.script else ""
+        wanted = http.headers.get("X-Expect-Version")
+        headers = self._own_headers(http)
+        if fault == "refuse" or (self.version is not None and self.loading):
+            self._send(http, 503, b"", {**headers, "X-Not-Executed": "1"})
+            return
+        if wanted is not None and int(wanted) != self.version:
+            self._send(http, 421, b"", headers)
+            return
+        seen.ran = True
+        if fault == "reset":
+            self._reset(http)
+        elif fault == "hang":
+            self._hang(http, seen)
+        elif fault == "fail":
+            self._send(http, 500, b"broken", headers)
+        elif fault == "unsigned":
+            self._send(http, 200, b"whose?", {"X-Request-Id": headers["X-Request-Id"]})
+        elif fault == "garbage":
+            http.wfile.write(b"\x00\x01 this is no answer\r\n\r\n")
+            http.close_connection = True
+        elif fault == "truncate":
+            self._truncate(http, headers)
+        elif fault == "stray":
+            self._send(http, 200, b"stale", {**headers, "X-Request-Id": "somebody"})
+            self._send(http, 200, b"whole", headers)
+        elif fault == "extra":
+            self._send(http, 200, b"whole", headers)
+            self._send(http, 200, b"twice", headers)
+        elif self.version is not None:
+            self._stream(http, seen, headers, fault)
+        else:
+            self._send(http, 200, b"whole", headers)
+
+    def _reset(self, http):
+        linger = struct.pack("ii", 1, 0)
+        http.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        http.connection.close()
+        http.close_connection = True
+
+    def _hang(self, http, seen):
+        http.connection.settimeout(10)
+        try:
+            seen.ended = "left" if not http.connection.recv(1) else "bytes"
+        except OSError as error:
+            seen.ended = repr(error)
+        http.close_connection = True
+
+    def _truncate(self, http, headers):
+        http.send_response(200)
+        for name, value in headers.items():
+            http.send_header(name, value)
+        http.send_header("Content-Length", "100")
+        http.end_headers()
+        http.wfile.write(b"only a part")
+        http.close_connection = True
+
+    def _stream(self, http, seen, headers, fault):
+        """Send events; a ``break`` ends in the middle of the third one."""
+        first = int(http.headers.get("Last-Event-Id") or 0) + 1
+        request_id = headers["X-Request-Id"]
+        http.send_response(200)
+        for name, value in headers.items():
+            http.send_header(name, value)
+        http.send_header("Content-Type", "text/event-stream")
+        http.send_header("Transfer-Encoding", "chunked")
+        http.end_headers()
+        self.running += 1
+        try:
+            for number in range(first, self.events + 1):
+                if request_id in self.stopped_runs:
+                    self.stopped_runs[request_id] = number - 1
+                    http.close_connection = True
+                    http.connection.shutdown(socket.SHUT_RDWR)
+                    return
+                data = f"id: {number}\ndata: piece {number}\n\n".encode()
+                if fault == "break" and number == first + 2:
+                    self._chunk(http, data[:8])
+                    http.close_connection = True
+                    http.connection.shutdown(socket.SHUT_RDWR)
+                    return
+                self._chunk(http, data)
+                seen.events_sent += 1
+                time.sleep(self.event_pause_s)
+            http.wfile.write(b"0\r\n\r\n")
+            seen.ended = "whole"
+        except OSError as error:
+            seen.ended = repr(error)
+            http.close_connection = True
+        finally:
+            self.running -= 1
+
+    def _chunk(self, http, data):
+        http.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
+        http.wfile.flush()
+
+    # Orders.
+
+    def _report(self):
+        return {
+            "stage": "unified",
+            "models": [{"name": "m0", "version": self.version, "adapters": []}],
+            "busy": self.loading,
+            "sequence": self.sequence,
+            "waiting": 0,
+            "running": self.running,
+            "kvUsed": 0,
+            "kvTotal": 1,
+            "handles": 0,
+        }
+
+    def _take_order(self, http, order):
+        with self._lock:
+            self.orders.append(order)
+            if order["fence"] < self.fence:
+                self._send(http, 412, b"")
+                return
+            self.fence = order["fence"]
+            if self.loading or order.get("expect", self.sequence) != self.sequence:
+                self._send(http, 409, b"")
+                return
+            if order["version"] == self.version:
+                self._send(http, 200, b"")
+                return
+            self.loading = True
+            self.sequence += 1
+        fault = self.script.popleft() if "lose order" in list(self.script)[:1] else ""
+        threading.Thread(target=self._load, args=(order["version"],)).start()
+        if fault:
+            self._reset(http)
+        else:
+            self._send(http, 202, b"")
+
+    def _load(self, version):
+        while self.running:
+            time.sleep(0.01)
+        time.sleep(self.load_s)
+        self.version = version
+        self.loading = False
+
+    def _move(self, http, order):
+        self.moves.append(order)
+        self.stopped_runs[order["id"]] = -1
+        deadline_s = time.monotonic() + 2
+        while self.stopped_runs[order["id"]] < 0 and time.monotonic() < deadline_s:
+            time.sleep(0.005)
+        answer = {"handle": "h1", "createRevision": self.stopped_runs[order["id"]]}
+        self._send(http, 200, json.dumps(answer).encode())
--- /dev/null
+++ b/features/steps/platform_world.py
@@ -0,0 +1,247 @@
+"""A gateway on stand-ins of the users' platform, each on a loopback port."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import urllib3
+from platform_replica import StandinReplica
+
+from kumquatseam.bench import standin_program
+from kumquatseam.logservice import HttpLogService
+
+WAIT_S = 10.0
+HTTP = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(connect=2, read=15))
+KEY = "key-of-alpha"
+TEMPLATE = """
+[gateway]
+name = {name}
+zone = kobanya
+listen = 127.0.0.1:{front}
+health_listen = 127.0.0.1:{ready}
+metrics_listen = 127.0.0.1:{metrics}
+grace_s = 4
+[peers]
+address = 127.0.0.1:{peer}
+[log]
+address = 127.0.0.1:{log}
+[retries]
+ratio = 0.2
+window_s = 10
+slack = {slack}
+[rollout]
+lease_ms = 1000
+"""
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def wait_until(what, check, timeout_s=WAIT_S):
+    """Wait until ``check`` returns something true, and return it."""
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        found = check()
+        if found:
+            return found
+        time.sleep(0.02)
+    raise AssertionError(f"not within {timeout_s} s: {what}")
+
+
+class GatewayProcess:
+    """One gateway daemon as a process of its own."""
+
+    def __init__(self, folder: Path, name: str, log_port: int, slack=50):
+        self.name = name
+        self.ports = {p: free_port() for p in ("front", "ready", "metrics", "peer")}
+        self.settings = folder / f"{name}.ini"
+        self.log_path = folder / f"{name}.log"
+        self.settings.write_text(
+            TEMPLATE.format(name=name, log=log_port, slack=slack, **self.ports)
+        )
+        self.process = None
+
+    def start(self, stdout=None):
+        environment = {**os.environ, "KUMQUATSEAM_SETTINGS": str(self.settings)}
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "kumquatseam.platform"],
+                env=environment,
+                stdout=stdout or log,
+                stderr=log,
+            )
+
+    def is_ready(self) -> bool:
+        try:
+            url = f"http://127.0.0.1:{self.ports['ready']}/ready"
+            return HTTP.request("GET", url).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def close(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+    def lines(self) -> list[dict]:
+        """Return its log lines."""
+        found = []
+        for line in self.log_path.read_text().splitlines():
+            if line.startswith("{"):
+                found.append(json.loads(line))
+        return found
+
+
+class PlatformWorld:
+    """The store, replicas, and gateways of one scenario."""
+
+    def __init__(self, folder: Path):
+        self.folder = folder
+        self.log_port = free_port()
+        self.store_program = standin_program("log", self.log_port)
+        self.store = HttpLogService(f"http://127.0.0.1:{self.log_port}")
+        self.replicas: dict[str, StandinReplica] = {}
+        self.services: dict[str, str] = {}
+        self.gateways: list[GatewayProcess] = []
+        self.routes: list[dict] = []
+        self.keys = [KEY]
+        self.version = 0
+
+    def start(self):
+        self.store_program.start()
+
+    def close(self):
+        for gateway in self.gateways:
+            gateway.close()
+        for replica in self.replicas.values():
+            replica.close()
+        self.store.close()
+        self.store_program.close()
+
+    # What operators and replicas write.
+
+    def add_replica(self, service, upstream_id, **options) -> StandinReplica:
+        replica = StandinReplica(upstream_id, **options)
+        replica.start()
+        self.replicas[upstream_id] = replica
+        self.services[upstream_id] = service
+        self.list_replica(upstream_id)
+        return replica
+
+    def list_replica(self, upstream_id, **more):
+        replica = self.replicas[upstream_id]
+        value = replica.entry(self.services[upstream_id], **more)
+        self.store.append_keyed("keyed.servers", upstream_id, value)
+
+    def unlist_replica(self, upstream_id):
+        self.store.append_keyed("keyed.servers", upstream_id, b"")
+
+    def add_route(self, prefix, kind, service, **more):
+        route = {
+            "name": f"r{prefix.replace('/', '-')}",
+            "host": "a.example",
+            "pathPrefix": prefix,
+            "kind": kind,
+            "timeoutMs": 3000,
+            "targetLatencyMs": 600,
+            "priority": 1,
+            "service": service,
+            "maxAttempts": 2,
+            "public": False,
+            "resumable": False,
+            "gapAimMs": 300,
+        }
+        self.routes.append({**route, **more})
+
+    def put_configuration(self, version=None):
+        self.version = self.version + 3 if version is None else version
+        engine = {
+            "slots": 48,
+            "kvCapacityTokens": 100000,
+            "models": [{"name": "m0"}],
+            "maxConcurrent": 12,
+        }
+        value = {
+            "version": self.version,
+            "routes": self.routes,
+            "services": [
+                {"name": "engines", "healthPath": "/healthz", "engine": engine},
+                {"name": "plain", "healthPath": "/healthz"},
+                {"name": "other", "healthPath": "/healthz"},
+            ],
+            "limits": {
+                "maxHeaderBytes": 4096,
+                "maxBodyBytes": 20000,
+                "headerTimeoutMs": 800,
+                "idleTimeoutMs": 15000,
+            },
+            "tenants": [{"name": "alpha", "apiKeys": self.keys, "isolated": False}],
+        }
+        self.put_operator_record("config", json.dumps(value).encode())
+
+    def put_operator_record(self, key, value: bytes):
+        self.store.append_keyed("keyed.op", key, value)
+
+    def name_weights(self, version):
+        value = json.dumps({"model": "m0", "version": version}).encode()
+        self.put_operator_record("version/m0", value)
+
+    def set_store_faults(self, **faults):
+        url = f"http://127.0.0.1:{self.log_port}/standin/faults"
+        HTTP.request("PUT", url, body=json.dumps(faults).encode())
+
+    # Gateways and callers.
+
+    def add_gateway(self, wait=True, **options) -> GatewayProcess:
+        name = f"gateway-{len(self.gateways)}"
+        gateway = GatewayProcess(self.folder, name, self.log_port, **options)
+        gateway.start()
+        self.gateways.append(gateway)
+        if wait:
+            wait_until("the gateway is ready", gateway.is_ready)
+            wait_until("it knows the replicas", lambda: self.knows_replicas(gateway))
+        return gateway
+
+    def knows_replicas(self, gateway) -> bool:
+        listed = {
+            d["upstream"] for d in gateway.lines() if d["event"].endswith("listed.")
+        }
+        return set(self.replicas) <= listed
+
+    def send(self, path="/plain/x", method="POST", gateway=0, key=KEY, **options):
+        """Send one request of a caller; returns urllib3's response."""
+        headers = {
+            "Host": "a.example",
+            "X-Request-Id": options.pop("request_id", f"id-{time.monotonic_ns():x}"),
+            "X-Deadline-Ms": "5000",
+            **options.pop("headers", {}),
+        }
+        if key:
+            headers["Authorization"] = f"Token {key}"
+        port = self.gateways[gateway].ports["front"]
+        return HTTP.request(
+            method,
+            f"http://127.0.0.1:{port}{path}",
+            headers=headers,
+            body=options.pop("body", b"question" if method == "POST" else None),
+            redirect=False,
+            **options,
+        )
+
+    def stream_headers(self, part="5c1e07a2") -> dict:
+        return {
+            "X-Model": "m0",
+            "X-Token-Usage": "1460,80",
+            "X-Prompt-Prefix": f"{part}:800,91bd3f06:410,e4402b7d:250",
+        }
+
+    def runs(self) -> int:
+        """Return how often any replica ran a request."""
+        return sum(s.ran for r in self.replicas.values() for s in r.seen)
--- a/src/kumquatseam/bench/__init__.py
+++ b/src/kumquatseam/bench/__init__.py
@@ -15,6 +15,7 @@
     LocalFleet,
     run_fleet,
 )
+from kumquatseam.bench._processes import standin_program
 from kumquatseam.bench._workload import (
     NestedPromptWorkload,
     WorkloadRequest,
@@ -35,4 +36,5 @@
     "format_outcomes",
     "run_demo",
     "run_fleet",
+    "standin_program",
 ]
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -307,8 +307,12 @@
         )
         connection.send(self._request_bytes(placement))
         wait = self._wait(connection.address)
+        dialect = self._parts.dialect
         head = connection.read_head(
-            job.call.request_id, self._parts.dialect.request_id_header, wait
+            job.call.request_id,
+            dialect.request_id_header,
+            wait,
+            lambda head: dialect.read_answer(head).is_not_run,
         )
         traits = self._parts.dialect.read_answer(head)
         self._learn(placement, head, traits)
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -88,7 +88,11 @@
         self._write()
 
     def read_head(
-        self, request_id: str, id_header: bytes, wait: "Wait"
+        self,
+        request_id: str,
+        id_header: bytes,
+        wait: "Wait",
+        may_be_unnamed: Callable[[ResponseHead], bool] = lambda head: False,
     ) -> ResponseHead:
         """Return the head of the answer to ``request_id``.
 
@@ -96,6 +100,8 @@
         skipped: the id tells whose they are.
 
         :param wait: waits for bytes; may raise to end the exchange.
+        :param may_be_unnamed: whether an answer without an id is taken as the
+            one to this request; late answers to others carry their ids.
         :raises AnswerBrokenError: if no such answer comes.
         """
         strays = 0
@@ -105,6 +111,8 @@
             if head.headers.text(id_header) == request_id:
                 return head
             if not head.headers.get(id_header):
+                if may_be_unnamed(head):
+                    return head
                 raise AnswerBrokenError(self.address, "answer names no request")
             strays += 1
             if strays > _MAX_STRAY_ANSWERS or head.ends_with_connection:
