Runs move within their zone, and long ones stay: streams pause less

A move between zones takes twice as long, and the memory of a long prompt holds up ten others.

Change: the engines that keep runs are spread over the zones, runs move within their zone first, and runs of over 4,000 tokens finish where they are.

Some loads wait for long runs.

--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -145,6 +145,10 @@
         self._events = EventSplitter(job.call.resume_after)
         self._has_kept_connection = False
         self._next_placement: Placement | None = None
+        self._first_event_s: float | None = None
+        self._last_event_s: float | None = None
+        self._paused_since_s: float | None = None
+        self._sent_s = 0.0
 
     def run(self) -> tuple[bool, str]:
         """Serve the request.
@@ -309,6 +313,7 @@
         self._parts.index.note_read(
             placement.status.upstream.upstream_id, placement.salt, job.call.prompt
         )
+        self._sent_s = time.monotonic()
         connection.send(self._request_bytes(placement))
         wait = self._wait(connection.address)
         dialect = self._parts.dialect
@@ -465,6 +470,7 @@
                 self._send_events(head, keep, self._events.feed(data))
                 relocation.begin_if_due()
         except AnswerBrokenError:
+            self._paused_since_s = self._last_event_s
             moved = relocation.finish()
             if moved is None:
                 raise
@@ -481,6 +487,7 @@
     def _send_events(self, head: ResponseHead, keep: bool, data: bytes) -> None:
         if not data:
             return
+        self._note_event()
         if self._caller.has_answered:
             self._caller.send_part(data)
             return
@@ -490,6 +497,20 @@
             self._job.route.name, time.monotonic() - self._job.request.received_s
         )
 
+    def _note_event(self) -> None:
+        """Log how long the stream paused while it went elsewhere."""
+        now_s = time.monotonic()
+        if self._first_event_s is None:
+            self._first_event_s = now_s - self._job.request.received_s
+        if self._paused_since_s is not None:
+            _log.bind(
+                request=self._job.call.request_id,
+                pause_s=round(now_s - self._paused_since_s, 3),
+                went_on_s=round(now_s - self._sent_s, 3),
+            ).info("Stream went on.")
+            self._paused_since_s = None
+        self._last_event_s = now_s
+
     def _answer_fields(
         self, head: ResponseHead, keep: bool
     ) -> list[tuple[bytes, bytes]]:
@@ -504,6 +525,7 @@
             status=status,
             attempts=self._progress.attempts,
             refusals=self._progress.refusals,
+            first_event_s=self._first_event_s,
             took_s=round(time.monotonic() - self._job.request.received_s, 4),
         ).debug("Answered.")
 
--- a/src/kumquatseam/gateway/_relocation.py
+++ b/src/kumquatseam/gateway/_relocation.py
@@ -13,6 +13,10 @@
 
 _log = part_logger("relocation")
 
+#: longer runs stay where they are: their memory would hold up the moves of ten
+#: others for a tenth of a second and more, and they have few tokens to make.
+MAX_MOVED_TOKENS = 4_000
+
 
 class Relocation:
     """The move of one run, if it comes to that.
@@ -34,6 +38,8 @@
         source = self._placement.status
         if self._moving is not None or not source.move_runs_to:
             return
+        if self._job.call.tokens > MAX_MOVED_TOKENS:
+            return
         self._destination = self._parts.placer.destination(self._placement)
         if self._destination is None:
             return
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -24,6 +24,9 @@
 
 #: an upstream in another zone answers this much later, both ways.
 OTHER_ZONE_MS = 1.0
+#: a run moves to another zone only if the engines of its own have this many
+#: more requests: a move between zones takes twice as long.
+OTHER_ZONE_RUNS = 20
 #: requests may begin on weights that were just replaced at no loss for this
 #: long; later ones lose a fifth of their worth to the users.
 OLD_WEIGHTS_FREE_S = 1.2
@@ -132,7 +135,10 @@
             if status.held_out_until_s > now_s or not status.runs(placement.version):
                 continue
             load = status.running + self._peer_loads(upstream_id).running
-            if load < status.upstream.slots:
+            source_zone = placement.status.upstream.availability_zone
+            if status.upstream.availability_zone != source_zone:
+                load += OTHER_ZONE_RUNS
+            if load < status.upstream.slots + OTHER_ZONE_RUNS:
                 found.append((load, random.random(), status))
         if not found:
             return None
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -186,6 +186,7 @@
             upstream_id in self._given,
             status.running + self._peer_running(upstream_id),
             status.upstream.slots,
+            status.upstream.availability_zone,
         )
 
     def _ask_loading(
--- a/src/kumquatseam/rollouts/_plan.py
+++ b/src/kumquatseam/rollouts/_plan.py
@@ -6,6 +6,7 @@
 their runs have ended. New work goes to the engines that are ready.
 """
 
+import collections
 from collections.abc import Sequence
 
 import attrs
@@ -34,6 +35,7 @@
     :param is_loading: it was ordered to them and has not finished.
     :param running: requests on it, as far as known.
     :param slots: requests it runs at once.
+    :param availability_zone: where it is; runs move faster within one.
     """
 
     upstream_id: str
@@ -42,6 +44,7 @@
     is_loading: bool
     running: float
     slots: int
+    availability_zone: str = ""
 
 
 @attrs.frozen
@@ -91,18 +94,31 @@
     """Return the engines of each old version that keep its runs to the end.
 
     Runs move to these alone, so that none has to move twice. They are the
-    engines with the most runs, and as few as have the slots.
+    engines with the most runs, as few as have the slots, and in as many
+    availability zones as there are runs, since a move between two zones takes
+    twice as long.
     """
     keepers: list[EngineState] = []
     for version in {e.version for e in engines if not e.has_target}:
         group = [e for e in engines if e.version == version and not e.has_target]
         runs = sum(e.running for e in group)
-        open_engines = [e for e in group if not e.is_loading]
-        open_engines.sort(key=lambda engine: (-engine.running, engine.upstream_id))
+        zones = {e.availability_zone for e in group if e.running > DRAINED_RUNS}
         slots = 0.0
-        for engine in open_engines:
-            if slots and slots >= runs:
+        for engine in _zones_in_turn([e for e in group if not e.is_loading]):
+            if slots and slots >= runs and not zones:
                 break
+            zones.discard(engine.availability_zone)
             keepers.append(engine)
             slots += engine.slots * TAKE_OVER_SHARE
     return keepers
+
+
+def _zones_in_turn(engines: Sequence[EngineState]) -> list[EngineState]:
+    """Return engines with the most runs first, each zone in its turn."""
+    ordered = sorted(engines, key=lambda engine: (-engine.running, engine.upstream_id))
+    turns: collections.Counter[str] = collections.Counter()
+    placed = []
+    for engine in ordered:
+        placed.append((turns[engine.availability_zone], engine))
+        turns[engine.availability_zone] += 1
+    return [engine for _, engine in sorted(placed, key=lambda item: item[0])]
