Dark engines hold no rollout up; what cannot be in time is refused; explain

Change: orders and questions do not block the duty; unreachable engines take no place; one engine loads at a time when nobody has room for its runs; a request whose shortest wait is 0.7 of its time is refused with 503 and a time to come back; engines that fall silent in the middle of answers are left out; new weights wake the duty. `kumquatseam explain` tells a request's story from logs.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -77,3 +77,28 @@
     Then the run may move
     When weights 2 have been named for 7 seconds
     Then the run stays where it is
+
+  Scenario: Engines that cannot be reached hold no rollout up
+    Given 8 engines of 48 slots with 13 runs each on weights 1
+    And 2 of them cannot be reached
+    When weights 2 are named
+    Then 3 engines load, and their runs go to 2 engines that load last
+    And none of the engines that cannot be reached is among them
+
+  Scenario: A rollout goes on when no engine has room for the runs of another
+    Given 5 engines of 48 slots with 47 runs each on weights 1
+    And 2 more engines run weights 2
+    When weights 2 are named
+    Then 1 engines load
+
+  Scenario: What would wait for most of its time is refused at once
+    Given a team's request with 5 seconds left before engines with 30000 tokens to read
+    Then it is placed
+    Given a team's request with 5 seconds left before engines with 300000 tokens to read
+    Then it is refused, to come back in 1 to 5 seconds
+
+  Scenario: An engine that falls silent in the middle of its answers is left out
+    Given an engine with 3 answers under way that sent its last byte 1 second ago
+    Then it is left out
+    Given an engine with 3 prompts to read that sent its last byte 1 second ago
+    Then it is not left out
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -4,6 +4,7 @@
 import random
 import socket
 
+import attrs
 import gevent
 import gevent.socket
 from behave import given, then, when
@@ -12,6 +13,7 @@
 from hypothesis import strategies as st
 
 from kumquatseam.admission import RetryBudget
+from kumquatseam.errors import OverloadedError
 from kumquatseam.fleet import DutyLease
 from kumquatseam.gateway._events import EventSplitter
 from kumquatseam.http1 import (
@@ -58,9 +60,17 @@
         return self.now_s
 
 
-def engine(number, version, running, target=None, loading=False, slots=48):
+def engine(
+    number, version, running, target=None, loading=False, slots=48, reachable=True
+):
     return EngineState(
-        f"e{number:02}", version, version == target, loading, running, slots
+        f"e{number:02}",
+        version,
+        version == target,
+        loading,
+        running,
+        slots,
+        is_reachable=reachable,
     )
 
 
@@ -70,6 +80,7 @@
 @given("{count:d} engines of {slots:d} slots with {runs:d} runs each on weights 1")
 def step_engines(context, count, slots, runs):
     context.engines = [(1, runs, slots)] * count
+    context.unreachable = 0
 
 
 @given("{count:d} of them already run weights {version:d}")
@@ -83,6 +94,17 @@
     context.engines = context.engines + [(version, 10, 48)] * count
 
 
+@given("{count:d} of them cannot be reached")
+def step_unreachable(context, count):
+    context.unreachable = count
+
+
+@then("none of the engines that cannot be reached is among them")
+def step_none_unreachable(context):
+    gone = {f"e{i:02}" for i in range(context.unreachable)}
+    assert not gone & {*context.plan.order_now, *context.plan.destinations}
+
+
 @when("weights {version:d} are named")
 def step_named(context, version):
     context.target = version
@@ -96,7 +118,14 @@
 
 def _plan(context, age_s):
     context.states = [
-        engine(i, version, runs, context.target, slots=slots)
+        engine(
+            i,
+            version,
+            runs,
+            context.target,
+            slots=slots,
+            reachable=i >= context.unreachable,
+        )
         for i, (version, runs, slots) in enumerate(context.engines)
     ]
     context.plan = plan_loads(context.states, age_s)
@@ -462,3 +491,58 @@
 @then("the run stays where it is")
 def step_stays_there(context):
     assert context.placer.destination(context.run) is None
+
+
+@given(
+    "a team's request with {left_s:d} seconds left before engines with {tokens:d} "
+    "tokens to read"
+)
+def step_waiting(context, left_s, tokens):
+    context.clock = Clock()
+    directory = UpstreamDirectory(context.clock)
+    weights = (WeightsNamed("m0", 1),)
+    for number in range(3):
+        upstream = Upstream(f"e{number}", "engines", "a:1", slots=48, weights=weights)
+        directory.put(upstream)
+        directory.begin(directory.status(f"e{number}"), tokens)
+    targets = WeightsTargets(context.clock)
+    placer = Placer(directory, PromptIndex(), "z", targets, clock=context.clock)
+    try:
+        context.placement = placer.place(attrs.evolve(_request(), remaining_s=left_s))
+        context.refusal = None
+    except OverloadedError as error:
+        context.refusal = error
+
+
+@then("it is placed")
+def step_is_placed(context):
+    assert context.refusal is None and context.placement is not None
+
+
+@then("it is refused, to come back in {low_s:d} to {high_s:d} seconds")
+def step_is_refused(context, low_s, high_s):
+    assert low_s <= context.refusal.retry_after_s <= high_s, context.refusal
+
+
+@given("an engine with 3 {what} that sent its last byte 1 second ago")
+def step_silent(context, what):
+    context.clock = Clock()
+    directory = UpstreamDirectory(context.clock)
+    directory.put(Upstream("u", "engines", "a:1"))
+    context.status = directory.status("u")
+    for _ in range(3):
+        occupancy = directory.begin(context.status, 100)
+        if what == "answers under way":
+            occupancy.note_answering()
+    context.clock.now_s += 1
+    directory.sweep()
+
+
+@then("it is left out")
+def step_is_left_out(context):
+    assert context.status.held_out_until_s > context.clock.now_s
+
+
+@then("it is not left out")
+def step_is_not_left_out(context):
+    assert context.status.held_out_until_s <= context.clock.now_s
--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,44 @@
+"""Steps that ask the operator tool what became of a request."""
+
+import contextlib
+import json
+import subprocess
+import sys
+
+import urllib3
+from behave import then, when
+from platform_world import wait_until
+
+
+@when('request "{request_id}" is refused by every replica')
+def step_refused(context, request_id):
+    for replica in context.platform.replicas.values():
+        replica.script.extend(["refuse"] * 5)
+    context.platform.send(request_id=request_id)
+
+
+@when('request "{request_id}" meets a replica that resets its connection')
+def step_reset(context, request_id):
+    context.platform.replicas["p0"].script.append("reset")
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        context.platform.send(request_id=request_id)
+
+
+@when('request "{request_id}" is streamed')
+def step_streamed(context, request_id):
+    world = context.platform
+    world.send("/once/x", headers=world.stream_headers(), request_id=request_id)
+
+
+def _explain(context, request_id, *options):
+    files = [str(gateway.log_path) for gateway in context.platform.gateways]
+    command = [sys.executable, "-m", "kumquatseam.cli", "explain", request_id, *files]
+    return subprocess.run([*command, *options], capture_output=True, text=True)
+
+
+@then('the operators learn of "{request_id}" that "{text}"')
+@then('of "{request_id}" that "{text}"')
+def step_learn(context, request_id, text):
+    wait_until("the line", lambda: text in _explain(context, request_id).stdout)
+    story = json.loads(_explain(context, request_id, "--json").stdout)
+    assert story["request_id"] == request_id
--- a/src/kumquatseam/cli.py
+++ b/src/kumquatseam/cli.py
@@ -9,6 +9,7 @@
     kumquatseam bench --scenario hivatal   # seeded bench in modelled time
     kumquatseam slopes                     # the slopes behind docs/CAPACITY.md
     kumquatseam check-settings FILE.ini    # check a settings file
+    kumquatseam explain REQUEST_ID [FILES] # a request's story out of log lines
     kumquatseam standin engine|log|instances|weights|service ...
 
 Built on ``fire``; run ``kumquatseam COMMAND --help`` for each command's flags.
@@ -58,6 +59,26 @@
             f"{len(found.upstreams)} upstreams, {len(found.models)} models"
         )
 
+    def explain(self, request_id: str, *files: str, json: bool = False) -> None:
+        """Tell what happened to a request, out of gateways' log lines.
+
+        :param request_id: the request's id.
+        :param files: log files of any number of processes; none: standard input.
+        :param json: print one JSON object instead of text.
+        """
+        from kumquatseam.explain import read_lines, tell_story
+        from kumquatseam.explain.printing import story_json, story_text
+
+        try:
+            lines = list(read_lines(_texts(files)))
+        except OSError as error:
+            print(f"explain: cannot read {error.filename}: {error}", file=sys.stderr)
+            sys.exit(EXIT_SETTINGS)
+        story = tell_story(str(request_id), lines)
+        print(story_json(story) if json else story_text(story))
+        if not story.lines:
+            sys.exit(EXIT_UNAVAILABLE)
+
     def query(
         self,
         text: str,
@@ -192,6 +213,15 @@
             plot_report(report, plot)
 
 
+def _texts(files: tuple[str, ...]):
+    """Yield the lines of ``files``, or of standard input without any."""
+    if not files:
+        yield from sys.stdin
+    for name in files:
+        with open(name, encoding="utf-8", errors="replace") as file:
+            yield from file
+
+
 def _load(path: str | None) -> Settings:
     try:
         return load_settings(path)
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -1,11 +1,13 @@
 """Sending one request to upstreams until one of them answers it."""
 
+import math
 import time
 from collections.abc import Callable
 
 import attrs
 import gevent
 
+from kumquatseam.errors import OverloadedError
 from kumquatseam.gateway._call import Call, SendOptions
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._events import EventSplitter
@@ -195,17 +197,7 @@
         give_up_s = time.monotonic() + job.remaining_s * WAIT_SHARE
         while True:
             self._check_time()
-            placement = self._parts.placer.place(
-                PlacementRequest(
-                    job.call.request_id,
-                    job.service,
-                    job.team,
-                    job.call.model,
-                    job.call.prompt,
-                    frozenset(progress.excluded),
-                    progress.attempts + 1,
-                )
-            )
+            placement = self._ask_placer()
             if placement is not None:
                 return placement
             if progress.excluded and not progress.may_have_run:
@@ -215,6 +207,26 @@
             gevent.sleep(RECHECK_S)
             self._caller.check_present()
 
+    def _ask_placer(self) -> Placement | None:
+        job, progress = self._job, self._progress
+        is_first = not progress.attempts and not progress.refusals
+        request = PlacementRequest(
+            job.call.request_id,
+            job.service,
+            job.team,
+            job.call.model,
+            job.call.prompt,
+            frozenset(progress.excluded),
+            progress.attempts + 1,
+            job.remaining_s if is_first else math.inf,
+        )
+        try:
+            return self._parts.placer.place(request)
+        except OverloadedError as error:
+            raise RefusedError(
+                503, Reason.OVERLOADED, error.retry_after_s, str(error)
+            ) from error
+
     def _check_time(self) -> None:
         if self._job.remaining_s <= 0:
             self._give_up(Reason.TIMED_OUT, "out of time")
@@ -335,7 +347,7 @@
         if self._caller.has_answered and head.status != 200:
             raise AnswerBrokenError(connection.address, f"no resume: {head.status}")
         if job.route.is_stream and head.status == 200:
-            return self._pass_stream(placement, connection, head, traits, wait)
+            return self._pass_stream(placement, connection, head, occupancy, wait)
         return self._pass_whole(connection, head, traits, wait)
 
     def _request_bytes(self, placement: Placement) -> bytes:
@@ -458,7 +470,7 @@
         placement: Placement,
         connection: UpstreamConnection,
         head: ResponseHead,
-        traits,
+        occupancy: Occupancy,
         wait: Wait,
     ) -> tuple[bool, str]:
         """Pass whole events on as they come, so that it may go on elsewhere."""
@@ -466,6 +478,7 @@
         relocation = Relocation(self._parts, self._job, placement)
         try:
             while data := connection.read_body(wait):
+                occupancy.note_heard()
                 wait.until_s = self._body_until_s()
                 self._send_events(head, keep, self._events.feed(data))
                 relocation.begin_if_due()
@@ -480,7 +493,7 @@
         if not self._caller.has_answered:
             self._caller.begin_answer(200, self._answer_fields(head, keep), None)
         self._caller.end_answer()
-        self._keep(connection, traits)
+        self._keep(connection, self._parts.dialect.read_answer(head))
         self._log_answer(head.status)
         return keep, "answered_2xx"
 
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -43,6 +43,8 @@
 LOAD_INTERVAL_S = 0.02
 #: seconds between two looks at connections to peers.
 PEER_CHECK_INTERVAL_S = 0.5
+#: seconds between two looks for upstreams that fell silent.
+SILENCE_CHECK_INTERVAL_S = 0.1
 #: the duty of rolling out weights.
 ROLLOUT_DUTY = "weights"
 #: share of the fleet's retry budget that is used, to stay clear of its end.
@@ -110,6 +112,7 @@
             InstanceRegistry(self._log_service, self._bus),
             StepLoop(LOAD_INTERVAL_S, self._loads.step),
             StepLoop(PEER_CHECK_INTERVAL_S, self._bus.step),
+            StepLoop(SILENCE_CHECK_INTERVAL_S, self._directory.sweep),
             self._build_duty(),
             StepLoop(SWEEP_INTERVAL_S, self._pool.sweep),
             *self._health_servers(),
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -1,5 +1,6 @@
 """Gathering the upstreams that may take a request and choosing one."""
 
+import math
 import random
 import time
 from collections.abc import Callable
@@ -7,9 +8,10 @@
 import attrs
 import xxhash
 
+from kumquatseam.errors import OverloadedError
 from kumquatseam.logs import part_logger
 from kumquatseam.peers import UpstreamLoad
-from kumquatseam.placement._choice import Candidate, choose
+from kumquatseam.placement._choice import Candidate, choose, estimate_ms
 from kumquatseam.placement._prompt_index import PromptIndex
 from kumquatseam.prompts import PromptChain
 from kumquatseam.rollouts import MovedRun
@@ -38,6 +40,13 @@
 #: after this long no request may begin on replaced weights; a second before
 #: the users' bound, since a request also waits at its engine.
 OLD_WEIGHTS_LIMIT_S = 6.5
+#: a request that would wait for more than this share of its time is refused:
+#: the rest is about what reading its prompt and the first events take.
+MAX_WAIT_SHARE = 0.7
+#: it may come back when half of what waits has been read.
+RETRY_AFTER_SHARE = 0.5
+MIN_RETRY_AFTER_S = 0.3
+MAX_RETRY_AFTER_S = 5.0
 #: an engine that is about to load takes work only if the others are this much
 #: slower; with 250 ms the first engines that were ready had to read 40,000
 #: tokens before a new prompt, with 60 ms 15,000.
@@ -55,6 +64,7 @@
     :param prompt: its prompt.
     :param excluded: upstreams that already failed or refused it.
     :param attempt: from 1.
+    :param remaining_s: time left; a wait of most of it means a refusal.
     """
 
     request_id: str
@@ -64,6 +74,7 @@
     prompt: PromptChain
     excluded: frozenset[str]
     attempt: int
+    remaining_s: float = math.inf
 
 
 @attrs.frozen
@@ -118,7 +129,10 @@
         self._clock = clock
 
     def place(self, request: PlacementRequest) -> Placement | None:
-        """Return where ``request`` goes; ``None`` if nowhere now."""
+        """Return where ``request`` goes; ``None`` if nowhere now.
+
+        :raises OverloadedError: if it would wait for most of its time.
+        """
         open_statuses = self._open_statuses(request)
         if not open_statuses:
             return None
@@ -152,6 +166,20 @@
             return None
         return attrs.evolve(placement, status=min(found)[2])
 
+    def _check_wait(self, request: PlacementRequest, chosen: Candidate) -> None:
+        """Refuse what could not be answered in time anyway.
+
+        Its prompt would be read in vain and hold up others; a caller that
+        comes back when the engines have read what waits is served then.
+        """
+        wait_s = estimate_ms(chosen) / 1000.0
+        if wait_s <= request.remaining_s * MAX_WAIT_SHARE:
+            return
+        retry_after_s = wait_s * RETRY_AFTER_SHARE
+        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after_s))
+        team = request.team.name if request.team else ""
+        raise OverloadedError(team, request.service.name, retry_after_s)
+
     def _replaced_s(self, model: str, version: int) -> float:
         return self._targets.replaced_age_s(model, version) or 0.0
 
@@ -188,6 +216,7 @@
         if not candidates:
             return None
         chosen = choose(list(candidates.values()))
+        self._check_wait(request, chosen)
         status = self._directory.status(chosen.upstream_id)
         version = status.version_of(request.model)
         salt = cache_salt(version, request.team)
--- a/src/kumquatseam/platform/_orders.py
+++ b/src/kumquatseam/platform/_orders.py
@@ -56,6 +56,12 @@
             body["expect"] = order.expected_orders
         try:
             response = self._call("POST", upstream, "/order", json.dumps(body).encode())
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            self._log_lost(upstream, "order", error)
+            return OrderOutcome.UNREACHED
         except urllib3.exceptions.HTTPError as error:
             self._log_lost(upstream, "order", error)
             return OrderOutcome.UNANSWERED
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -5,6 +5,7 @@
 
 import attrs
 import gevent
+import gevent.event
 
 from kumquatseam.fleet import DutyLease
 from kumquatseam.logs import part_logger
@@ -55,6 +56,7 @@
     given_s: float
     patience_s: float = ORDER_PATIENCE_S
     asked_s: float = 0.0
+    is_asking: bool = False
 
 
 class RolloutDuty:
@@ -99,7 +101,9 @@
         self._given: dict[str, _Order] = {}
         self._notice_s = 0.0
         self._notice_key: tuple = ()
+        self._wake = gevent.event.Event()
         self._greenlet: gevent.Greenlet | None = None
+        targets.on_change(self._wake.set)
 
     def start(self) -> None:
         """Begin to contend for the duty."""
@@ -117,7 +121,8 @@
                 self.step()
             except Exception:  # noqa: BLE001 - logged; the duty goes on
                 _log.exception("A step of the rollout failed.")
-            gevent.sleep(ACTIVE_PAUSE_S if self._given else IDLE_PAUSE_S)
+            self._wake.clear()
+            self._wake.wait(ACTIVE_PAUSE_S if self._given else IDLE_PAUSE_S)
 
     def step(self) -> None:
         """Do what is due, if this instance holds the duty."""
@@ -141,12 +146,8 @@
         self._tell(weights, tuple(sorted(loading)), plan, ready)
         if plan.order_now:
             gevent.sleep(NOTICE_LEAD_S)
-            gevent.joinall(
-                [
-                    gevent.spawn(self._give, weights, self._directory.status(i))
-                    for i in plan.order_now
-                ]
-            )
+            for upstream_id in plan.order_now:
+                self._begin_order(weights, self._directory.status(upstream_id))
 
     def _engines_of(self, model: str) -> list[UpstreamStatus]:
         table = self._live.current
@@ -187,6 +188,7 @@
             status.running + self._peer_running(upstream_id),
             status.upstream.slots,
             status.upstream.availability_zone,
+            status.held_out_until_s <= self._clock(),
         )
 
     def _ask_loading(
@@ -194,18 +196,18 @@
     ) -> None:
         """Ask engines whose load should be done how they are."""
         now_s = self._clock()
-        due = []
         for status in statuses:
             order = self._given.get(status.upstream.upstream_id)
             if order is None or now_s - order.given_s < FIRST_QUESTION_S:
                 continue
-            if now_s - order.asked_s >= QUESTION_PAUSE_S:
+            if now_s - order.asked_s >= QUESTION_PAUSE_S and not order.is_asking:
                 order.asked_s = now_s
-                due.append(gevent.spawn(self._ask, weights.model, status))
-        gevent.joinall(due)
+                order.is_asking = True
+                gevent.spawn(self._ask, weights.model, status, order)
 
-    def _ask(self, model: str, status: UpstreamStatus) -> None:
+    def _ask(self, model: str, status: UpstreamStatus, order: _Order) -> None:
         report = self._orders.report(status.upstream)
+        order.is_asking = False
         if report is None or report.is_busy:
             return
         for named in report.weights:
@@ -243,28 +245,38 @@
         self._view.take(notice)
         self._bus.publish(notice)
 
-    def _give(self, weights: WeightsNamed, status: UpstreamStatus | None) -> None:
+    def _begin_order(
+        self, weights: WeightsNamed, status: UpstreamStatus | None
+    ) -> None:
+        """Give an order without waiting for its answer."""
         fence = self._lease.fence
         if fence is None or status is None:
             return
-        upstream = status.upstream
-        order = WeightsOrder(weights, self._bus.name, fence, None)
         given = _Order(weights.version, self._clock())
-        self._given[upstream.upstream_id] = given
+        self._given[status.upstream.upstream_id] = given
+        order = WeightsOrder(weights, self._bus.name, fence, None)
+        gevent.spawn(self._give, order, status, given)
+
+    def _give(self, order: WeightsOrder, status: UpstreamStatus, given: _Order) -> None:
+        upstream = status.upstream
         outcome = self._orders.order(upstream, order)
         _log.bind(
             upstream=upstream.upstream_id,
-            model=weights.model,
-            version=weights.version,
-            fence=fence,
+            model=order.weights.model,
+            version=order.weights.version,
+            fence=order.fence,
             outcome=outcome.value,
         ).info("Order given.")
+        if outcome is OrderOutcome.ACCEPTED:
+            return
+        given.patience_s = UNANSWERED_PATIENCE_S
         if outcome is OrderOutcome.ALREADY_HOLDS:
-            status.version_seen[weights.model] = weights.version
+            status.version_seen[order.weights.model] = order.weights.version
         elif outcome is OrderOutcome.FENCED:
             self._lease.give_up()
-        elif outcome is OrderOutcome.UNANSWERED or outcome is not OrderOutcome.ACCEPTED:
-            given.patience_s = UNANSWERED_PATIENCE_S
+        elif outcome is OrderOutcome.UNREACHED:
+            given.patience_s = 0.0
+            self._directory.note_broken(status, "order not delivered")
 
 
 def _has(status: UpstreamStatus, model: str, version: int) -> bool:
--- a/src/kumquatseam/rollouts/_orders.py
+++ b/src/kumquatseam/rollouts/_orders.py
@@ -35,6 +35,7 @@
     OTHER_LIFE = "other_life"
     REFUSED = "refused"
     UNANSWERED = "unanswered"
+    UNREACHED = "unreached"
 
 
 @attrs.frozen
--- a/src/kumquatseam/rollouts/_plan.py
+++ b/src/kumquatseam/rollouts/_plan.py
@@ -20,6 +20,9 @@
 #: whatever they still run; the users allow twelve seconds in all, and a run
 #: lasts up to seven.
 FORCE_AFTER_S = 4.0
+#: share of the engines that have to be ready before the others may wait for
+#: their runs to end: as many as carry the usual load.
+READY_SHARE = 0.5
 #: runs that the last engines may still have when they are ordered to load: a
 #: run that just ended is counted for as long as loads take to be shared.
 DRAINED_RUNS = 1
@@ -36,6 +39,8 @@
     :param running: requests on it, as far as known.
     :param slots: requests it runs at once.
     :param availability_zone: where it is; runs move faster within one.
+    :param is_reachable: whether it answers; one that does not takes no place
+        among those that load.
     """
 
     upstream_id: str
@@ -45,6 +50,7 @@
     running: float
     slots: int
     availability_zone: str = ""
+    is_reachable: bool = True
 
 
 @attrs.frozen
@@ -71,8 +77,11 @@
 
     :param age_s: how long ago the weights were named.
     """
+    limit = max_loading(len(engines))
+    engines = [engine for engine in engines if engine.is_reachable]
     old = [e for e in engines if not e.has_target and not e.is_loading]
     keepers = _keepers(engines)
+    ready = sum(1 for e in engines if e.has_target)
     ready_to_load = [
         e
         for e in old
@@ -80,12 +89,14 @@
     ]
     ready_to_load.sort(key=lambda engine: (engine.running, engine.upstream_id))
     loading = sum(1 for e in engines if e.is_loading)
-    room = max(0, max_loading(len(engines)) - loading)
+    if not ready_to_load and not loading and ready < len(engines) * READY_SHARE:
+        # Nobody has room for another's runs; the weights have to get on anyway.
+        ready_to_load = sorted(old, key=lambda engine: engine.running)[:1]
+    room = max(0, limit - loading)
     now = ready_to_load[:room]
-    any_ready = any(e.has_target for e in engines)
     return LoadPlan(
         tuple(e.upstream_id for e in now),
-        tuple(e.upstream_id for e in old if e not in now) if any_ready else (),
+        tuple(e.upstream_id for e in old if e not in now) if ready else (),
         tuple(e.upstream_id for e in keepers if e not in now),
     )
 
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -15,6 +15,10 @@
 HOLD_OUT_S = 0.5
 #: longest time out: a third of the shortest usual client deadline.
 MAX_HOLD_OUT_S = 4.0
+#: an engine sends an event of some answer every 40 ms; with answers under way
+#: and nothing for this long, it or the way to it is gone.
+SILENT_AFTER_S = 0.7
+SILENT_HOLD_OUT_S = 0.5
 #: a share of failures above this holds an upstream out, over recent answers.
 FAILURE_SHARE_LIMIT = 0.3
 #: weight of the newest answer in the failure share.
@@ -29,6 +33,8 @@
     :param running: requests of this process on it.
     :param pending_tokens: prompt tokens it still has to read for those of them
         that have not begun to answer.
+    :param answering: of those requests, the ones whose answer began.
+    :param heard_s: when an answer's bytes last came.
     :param failures_in_row: connection failures since the last answer.
     :param failure_share: recent share of failed answers, 0 to 1.
     :param held_out_until_s: takes no work before this time if others can.
@@ -41,6 +47,8 @@
     upstream: Upstream
     running: int = 0
     pending_tokens: int = 0
+    answering: int = 0
+    heard_s: float = 0.0
     failures_in_row: int = 0
     failure_share: float = 0.0
     held_out_until_s: float = 0.0
@@ -68,23 +76,40 @@
 
     :param status: the upstream.
     :param pending_tokens: prompt tokens it has to read.
+    :param clock: monotonic clock in seconds.
     """
 
-    def __init__(self, status: UpstreamStatus, pending_tokens: int) -> None:
+    def __init__(
+        self, status: UpstreamStatus, pending_tokens: int, clock: Callable[[], float]
+    ) -> None:
         self._status = status
         self._pending_tokens = pending_tokens
+        self._clock = clock
+        self._is_answering = False
         status.running += 1
         status.pending_tokens += pending_tokens
 
+    def note_heard(self) -> None:
+        """Note that bytes of the answer came."""
+        self._status.heard_s = self._clock()
+
     def note_answering(self) -> None:
         """Note that the prompt was read: the answer began."""
-        self._status.pending_tokens -= self._pending_tokens
-        self._pending_tokens = 0
+        self._read_prompt()
+        self._is_answering = True
+        self._status.answering += 1
+        self.note_heard()
 
     def end(self) -> None:
         """Note that the request is no longer on the upstream."""
-        self.note_answering()
+        self._read_prompt()
         self._status.running -= 1
+        if self._is_answering:
+            self._status.answering -= 1
+
+    def _read_prompt(self) -> None:
+        self._status.pending_tokens -= self._pending_tokens
+        self._pending_tokens = 0
 
 
 class UpstreamDirectory:
@@ -153,7 +178,7 @@
         :param pending_tokens: prompt tokens the upstream has to read for it.
         """
         self.changes += 1
-        return Occupancy(status, pending_tokens)
+        return Occupancy(status, pending_tokens, self._clock)
 
     def note_answer(self, status: UpstreamStatus, is_failure: bool) -> None:
         """Learn from an answer that came."""
@@ -169,6 +194,19 @@
         doubled_s = HOLD_OUT_S * 2 ** (status.failures_in_row - 1)
         self._hold_out(status, min(doubled_s, MAX_HOLD_OUT_S), reason)
 
+    def sweep(self) -> None:
+        """Leave out upstreams that fell silent in the middle of answers.
+
+        A dead one and a cut link send no reset; its requests would each wait
+        for a timeout of their own.
+        """
+        now_s = self._clock()
+        for status in self._statuses.values():
+            is_silent = now_s - status.heard_s > SILENT_AFTER_S
+            is_in_use = status.held_out_until_s <= now_s
+            if status.answering and is_silent and is_in_use:
+                self._hold_out(status, SILENT_HOLD_OUT_S, "silent")
+
     def block(self, status: UpstreamStatus, for_s: float) -> None:
         """Note that an upstream refuses work while it loads weights."""
         status.blocked_until_s = max(status.blocked_until_s, self._clock() + for_s)
--- a/src/kumquatseam/upstreams/_targets.py
+++ b/src/kumquatseam/upstreams/_targets.py
@@ -32,8 +32,13 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._targets: dict[str, _Target] = {}
+        self._listeners: list[Callable[[], None]] = []
         self._named: dict[str, collections.deque[_Target]] = {}
 
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` whenever new weights are named."""
+        self._listeners.append(listener)
+
     def take(self, named: WeightsNamed) -> None:
         """Take in named weights; older ones than known are ignored."""
         known = self._targets.get(named.model)
@@ -50,6 +55,8 @@
             version=named.version,
             before=known.version if known else None,
         ).info("Weights named.")
+        for listener in self._listeners:
+            listener()
 
     def all(self) -> list[WeightsNamed]:
         """Return the newest weights of each model."""
