--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -102,3 +102,38 @@
     Then it is left out
     Given an engine with 3 prompts to read that sent its last byte 1 second ago
     Then it is not left out
+
+  Scenario: A process that starts does not take old weights for newly replaced
+    Given an engine on weights 1, one on weights 2, and a process that has just read the newest
+    Then its requests go to the engine on weights 2 only
+    When it hears that weights 2 were named 1 seconds ago
+    Then its requests may go to the engine on weights 1 as well
+
+  Scenario: A process that starts before any engine has the newest weights serves all the same
+    Given an engine on weights 1, and a process that has just read the newest
+    Then the request goes to the engine on weights 1 for now
+    When weights 2 have been known for 4 seconds
+    Then the request goes nowhere
+
+  Scenario: Weights named while the store was out of reach are learnt from peers
+    Given an engine on weights 1 and one on weights 2 in a process that knows weights 1
+    When it hears that weights 2 were named 7 seconds ago
+    Then its requests go to the engine on weights 2 only
+
+  Scenario: An order carried out late is seen, whatever was known before
+    Given an engine known to run weights 3 after 2 orders
+    When its entry says weights 2 a moment later
+    Then it is known to run weights 3
+    When its report says weights 2 after 1 orders
+    Then it is known to run weights 3
+    When its report says weights 2 after 3 orders
+    Then it is known to run weights 2
+    When an answer of its names weights 4
+    Then it is known to run weights 4
+    When its entry says weights 3 two seconds later
+    Then it is known to run weights 3
+
+  Scenario: A prompt goes where a peer has just sent one that shares its parts
+    Given 2 instances before 9 engines that tell each other what their engines read
+    When the first sends 40 prompts of 40 openings under a load that moves them about
+    Then the second finds each opening held where the first sent it
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -95,7 +95,8 @@
             "slots": 48,
             "state": "ready",
             "coldLeftMs": 0,
-            "sequence": self.sequence,
+            # Counts heartbeats here, and orders in a report.
+            "sequence": 1000 + self.sequence,
         }
         if self.version is not None:
             fields["models"] = [{"name": "m0", "version": self.version, "adapters": []}]
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -395,7 +395,7 @@
     def _learn(self, placement: Placement, head: ResponseHead, traits) -> None:
         status, model = placement.status, self._job.call.model
         if model and traits.weights_version is not None:
-            status.version_seen[model] = traits.weights_version
+            status.note_answered(model, traits.weights_version, time.monotonic())
         if traits.is_not_run:
             _log.bind(
                 request=self._job.call.request_id,
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -15,7 +15,8 @@
 from kumquatseam.http1 import CallerLeftError, ConnectionPool, Request
 from kumquatseam.logs import part_logger
 from kumquatseam.metrics import GatewayMetrics
-from kumquatseam.placement import Placer, PromptIndex
+from kumquatseam.placement import Placer
+from kumquatseam.prompts import PromptIndex
 from kumquatseam.rollouts import OrderClient
 from kumquatseam.routes import LiveRouteTable, Route, RouteTable, TeamTraits
 from kumquatseam.upstreams import UpstreamDirectory
--- a/src/kumquatseam/gateway/_relocation.py
+++ b/src/kumquatseam/gateway/_relocation.py
@@ -6,6 +6,8 @@
 caller sees one stream.
 """
 
+import time
+
 import gevent
 
 from kumquatseam.logs import part_logger
@@ -16,6 +18,9 @@
 #: longer runs stay where they are: their memory would hold up the moves of ten
 #: others for a tenth of a second and more, and they have few tokens to make.
 MAX_MOVED_TOKENS = 4_000
+#: a run that no engine had room for is tried again after this: the engines that
+#: take runs get no new work, so some of theirs have ended by then.
+RETRY_PAUSE_S = 0.25
 
 
 class Relocation:
@@ -32,17 +37,19 @@
         self._placement = placement
         self._destination: Placement | None = None
         self._moving: gevent.Greenlet | None = None
+        self._began_s = 0.0
 
     def begin_if_due(self) -> None:
         """Begin to move the run if its engine is to be emptied."""
         source = self._placement.status
-        if self._moving is not None or not source.move_runs_to:
+        if not source.move_runs_to or not self._may_begin():
             return
         if self._job.call.tokens > MAX_MOVED_TOKENS:
             return
         self._destination = self._parts.placer.destination(self._placement)
         if self._destination is None:
             return
+        self._began_s = time.monotonic()
         self._moving = gevent.spawn(
             self._parts.orders.move_run,
             source.upstream,
@@ -50,6 +57,14 @@
             self._destination.status.upstream,
         )
 
+    def _may_begin(self) -> bool:
+        """Return whether no move is under way and none was tried just now."""
+        if self._moving is None:
+            return True
+        if not self._moving.ready() or self._moving.value is not None:
+            return False
+        return time.monotonic() >= self._began_s + RETRY_PAUSE_S
+
     def finish(self) -> Placement | None:
         """Return where the run goes on, after its stream stopped.
 
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -2,7 +2,6 @@
 
 import abc
 import time
-from collections.abc import Callable
 
 from kumquatseam.admission import RetryBudget
 from kumquatseam.fleet import DutyLease
@@ -21,11 +20,12 @@
     PeerBus,
     RolloutNotice,
 )
-from kumquatseam.placement import Placer, PromptIndex
+from kumquatseam.placement import Placer
+from kumquatseam.prompts import PromptIndex
 from kumquatseam.rollouts import OrderClient, RolloutDuty, RolloutView
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.settings import AdmissionSettings, GatewayFile
-from kumquatseam.upstreams import UpstreamDirectory, WeightsNamed, WeightsTargets
+from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
 
 _log = part_logger("gateway")
 
@@ -67,7 +67,7 @@
 
     @abc.abstractmethod
     def operator_listener(
-        self, live: LiveRouteTable, on_weights: Callable[[WeightsNamed], None]
+        self, live: LiveRouteTable, targets: WeightsTargets
     ) -> KeyedListener:
         """Return what puts operators' records in force."""
 
@@ -103,7 +103,7 @@
         self._targets = WeightsTargets()
         self._orders = adapter.order_client()
         self._bus = PeerBus(file.gateway.router_name, file.peers.address)
-        self._loads = LoadExchange(self._bus, self._directory)
+        self._loads = LoadExchange(self._bus, self._directory, self._index)
         self._server = self._build_server()
         self._parts = [
             self._log_service,
@@ -173,7 +173,7 @@
         return GatewayServer(gateway.listen, handler, self._read_limits, grace_s)
 
     def _build_duty(self) -> RolloutDuty:
-        view = RolloutView(self._directory)
+        view = RolloutView(self._directory, self._targets)
         self._bus.on_message(RolloutNotice, view.take)
         lease = DutyLease(
             self._log_service,
@@ -197,7 +197,7 @@
         operators = KeyedWatch(
             self._log_service,
             self._adapter.operator_topic,
-            self._adapter.operator_listener(self._live, self._targets.take),
+            self._adapter.operator_listener(self._live, self._targets),
             OPERATOR_WAIT_S,
         )
         upstreams = KeyedWatch(
--- a/src/kumquatseam/peers/__init__.py
+++ b/src/kumquatseam/peers/__init__.py
@@ -9,6 +9,7 @@
 from kumquatseam.peers._bus import PeerBus
 from kumquatseam.peers._loads import LoadExchange
 from kumquatseam.peers._messages import (
+    MESSAGE_CODEC,
     InstanceRecord,
     LoadSummary,
     RolloutNotice,
@@ -17,6 +18,7 @@
 from kumquatseam.peers._registry import InstanceRegistry
 
 __all__ = [
+    "MESSAGE_CODEC",
     "InstanceRecord",
     "InstanceRegistry",
     "LoadExchange",
--- a/src/kumquatseam/peers/_loads.py
+++ b/src/kumquatseam/peers/_loads.py
@@ -5,6 +5,7 @@
 
 from kumquatseam.peers._bus import PeerBus
 from kumquatseam.peers._messages import LoadSummary, UpstreamLoad
+from kumquatseam.prompts import PromptIndex
 from kumquatseam.upstreams import UpstreamDirectory
 
 #: a summary older than this no longer counts: its sender is away.
@@ -16,6 +17,9 @@
 #: 300 messages a second at most.
 MIN_PAUSE_S = 0.02
 PAUSE_PER_PEER_S = 0.0033
+#: prompts told in one summary at most, 60 bytes each; more are new only in a
+#: burst, and then the oldest are told first.
+MAX_READS = 32
 
 
 class LoadExchange:
@@ -23,6 +27,7 @@
 
     :param bus: carries the summaries.
     :param directory: knows this instance's own requests.
+    :param index: knows what upstreams read, and is told what peers gave them.
     :param clock: monotonic clock in seconds.
     """
 
@@ -30,10 +35,12 @@
         self,
         bus: PeerBus,
         directory: UpstreamDirectory,
+        index: PromptIndex,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._bus = bus
         self._directory = directory
+        self._index = index
         self._clock = clock
         self._heard: dict[str, tuple[float, dict[str, UpstreamLoad]]] = {}
         self._published_s = float("-inf")
@@ -55,12 +62,15 @@
             for s in self._directory.all()
             if s.running
         )
-        self._bus.publish(LoadSummary(self._bus.name, loads))
+        reads = tuple(self._index.take_fresh(MAX_READS))
+        self._bus.publish(LoadSummary(self._bus.name, loads, reads))
 
     def take(self, summary: LoadSummary) -> None:
         """Take in another instance's loads."""
         loads = {load.upstream_id: load for load in summary.loads}
         self._heard[summary.sender] = (self._clock(), loads)
+        for read in summary.reads:
+            self._index.note_peer_read(read)
 
     def on_upstream(self, upstream_id: str) -> UpstreamLoad:
         """Return what others have on an upstream, added up."""
--- a/src/kumquatseam/peers/_messages.py
+++ b/src/kumquatseam/peers/_messages.py
@@ -3,6 +3,7 @@
 import attrs
 
 from kumquatseam.codec import MessageCodec
+from kumquatseam.prompts import PromptRead
 
 
 @attrs.frozen
@@ -37,10 +38,12 @@
 
     :param sender: the instance.
     :param loads: upstreams with at least one.
+    :param reads: what upstreams were given to read since the last summary.
     """
 
     sender: str
     loads: tuple[UpstreamLoad, ...]
+    reads: tuple[PromptRead, ...] = ()
 
 
 @attrs.frozen
@@ -55,6 +58,7 @@
     :param closing: upstreams that load next and should get no new work.
     :param ready: upstreams that run the weights.
     :param destinations: upstreams that take the runs of those that load.
+    :param named_age_s: how long ago the weights were named, if known.
     """
 
     sender: str
@@ -65,6 +69,7 @@
     closing: tuple[str, ...]
     ready: tuple[str, ...]
     destinations: tuple[str, ...] = ()
+    named_age_s: float | None = None
 
 
 RECORD_CODEC = MessageCodec("instance record", {"instance": InstanceRecord})
--- a/src/kumquatseam/placement/__init__.py
+++ b/src/kumquatseam/placement/__init__.py
@@ -1,19 +1,16 @@
 """Where a request goes, decided apart from input and output.
 
 - :func:`choose` picks one :class:`Candidate`; a pure function.
-- :class:`PromptIndex` knows which prompt parts upstreams hold.
 - :class:`Placer` gathers the candidates for a request.
 """
 
 from kumquatseam.placement._choice import Candidate, choose
 from kumquatseam.placement._placer import Placement, PlacementRequest, Placer
-from kumquatseam.placement._prompt_index import PromptIndex
 
 __all__ = [
     "Candidate",
     "Placement",
     "PlacementRequest",
     "Placer",
-    "PromptIndex",
     "choose",
 ]
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -12,11 +12,11 @@
 from kumquatseam.logs import part_logger
 from kumquatseam.peers import UpstreamLoad
 from kumquatseam.placement._choice import Candidate, choose, estimate_ms
-from kumquatseam.placement._prompt_index import PromptIndex
-from kumquatseam.prompts import PromptChain
+from kumquatseam.prompts import PromptChain, PromptIndex
 from kumquatseam.rollouts import MovedRun
 from kumquatseam.routes import ServiceTraits, TeamTraits
 from kumquatseam.upstreams import (
+    UNKNOWN_AGE_S,
     UpstreamDirectory,
     UpstreamStatus,
     WeightsTargets,
@@ -32,6 +32,10 @@
 #: requests may begin on weights that were just replaced at no loss for this
 #: long; later ones lose a fifth of their worth to the users.
 OLD_WEIGHTS_FREE_S = 1.3
+#: a process that has just started and finds no engine on the newest weights
+#: uses the others for this long: they were named a moment ago, or a rollout
+#: would have brought the first engines that far.
+UNCERTAIN_LIMIT_S = 3.0
 #: what beginning on replaced weights costs after that, as a wait: half the
 #: shortest time to first token that is aimed at. A late answer loses three
 #: times as much as one on replaced weights; with 600 ms 11% of the long prompts
@@ -147,7 +151,8 @@
         requests may begin on these: a moved run counts as one that begins.
         """
         now_s = self._clock()
-        if self._replaced_s(placement.model, placement.version) > OLD_WEIGHTS_LIMIT_S:
+        replaced_s = self._targets.replaced_age_s(placement.model, placement.version)
+        if replaced_s > OLD_WEIGHTS_LIMIT_S:
             return None
         found = []
         for upstream_id in placement.status.move_runs_to:
@@ -180,8 +185,22 @@
         team = request.team.name if request.team else ""
         raise OverloadedError(team, request.service.name, retry_after_s)
 
-    def _replaced_s(self, model: str, version: int) -> float:
-        return self._targets.replaced_age_s(model, version) or 0.0
+    def _with_weights_in_time(
+        self, model: str, statuses: list[UpstreamStatus]
+    ) -> list[UpstreamStatus]:
+        """Return the engines whose weights a request may begin on."""
+        known = [s for s in statuses if s.version_of(model) is not None]
+        in_time = [
+            s
+            for s in known
+            if self._targets.replaced_age_s(model, s.version_of(model))
+            <= OLD_WEIGHTS_LIMIT_S
+        ]
+        is_uncertain = self._targets.age_s(model) == UNKNOWN_AGE_S
+        is_fresh = self._targets.learnt_age_s(model) <= UNCERTAIN_LIMIT_S
+        if not in_time and is_uncertain and is_fresh:
+            return known
+        return in_time
 
     def _open_statuses(self, request: PlacementRequest) -> list[UpstreamStatus]:
         """Return the upstreams that may take it, sound ones if there are any."""
@@ -200,22 +219,19 @@
         self, request: PlacementRequest, statuses: list[UpstreamStatus]
     ) -> Placement | None:
         order = _rank(request.prompt, [s.upstream.upstream_id for s in statuses])
-        candidates: dict[str, Candidate] = {}
-        for status in statuses:
+        candidates = []
+        for status in self._with_weights_in_time(request.model, statuses):
             version = status.version_of(request.model)
-            if version is None:
-                continue
-            age_s = self._replaced_s(request.model, version)
-            if age_s > OLD_WEIGHTS_LIMIT_S:
-                continue
+            age_s = self._targets.replaced_age_s(request.model, version)
             penalty_ms = old_weights_penalty_ms(age_s)
             if status.closing_until_s > self._clock():
                 penalty_ms += CLOSING_PENALTY_MS
-            candidate = self._candidate(request, status, version, order, penalty_ms)
-            candidates[candidate.upstream_id] = candidate
+            candidates.append(
+                self._candidate(request, status, version, order, penalty_ms)
+            )
         if not candidates:
             return None
-        chosen = choose(list(candidates.values()))
+        chosen = choose(candidates)
         self._check_wait(request, chosen)
         status = self._directory.status(chosen.upstream_id)
         version = status.version_of(request.model)
--- a/src/kumquatseam/platform/_decoding.py
+++ b/src/kumquatseam/platform/_decoding.py
@@ -191,7 +191,7 @@
         slots=int(raw.get("slots", 1)),
         is_leaving=raw.get("state") == "draining",
         weights=_weights(raw.get("models") or ()),
-        orders_accepted=int(raw.get("sequence", 0)),
+        # An entry's sequence counts heartbeats; a report's counts orders.
         cold_left_s=float(raw.get("coldLeftMs", 0)) / 1000.0,
     )
 
--- a/src/kumquatseam/platform/_topics.py
+++ b/src/kumquatseam/platform/_topics.py
@@ -11,7 +11,12 @@
     decode_weights,
 )
 from kumquatseam.routes import LiveRouteTable
-from kumquatseam.upstreams import Upstream, UpstreamDirectory, WeightsNamed
+from kumquatseam.upstreams import (
+    Upstream,
+    UpstreamDirectory,
+    WeightsNamed,
+    WeightsTargets,
+)
 
 OPERATOR_TOPIC = "keyed.op"
 UPSTREAM_TOPIC = "keyed.servers"
@@ -25,27 +30,29 @@
     """Puts operators' records in force.
 
     :param live: takes configurations.
-    :param on_weights: takes the weights named.
+    :param targets: takes the weights named.
     """
 
-    def __init__(
-        self, live: LiveRouteTable, on_weights: Callable[[WeightsNamed], None]
-    ) -> None:
+    def __init__(self, live: LiveRouteTable, targets: WeightsTargets) -> None:
         self._live = live
-        self._on_weights = on_weights
+        self._targets = targets
 
     def take_all(self, values: dict[str, bytes]) -> None:
         for key, value in values.items():
-            self.take(key, value)
+            self._take(key, value, self._targets.take_known)
 
     def take(self, key: str, value: bytes) -> None:
-        if not value:
-            return
+        if value:
+            self._take(key, value, self._targets.take)
+
+    def _take(
+        self, key: str, value: bytes, on_weights: Callable[[WeightsNamed], None]
+    ) -> None:
         try:
             if key == _CONFIGURATION_KEY:
                 self._live.apply(decode_route_table(value), "store")
             elif key.startswith(_WEIGHTS_PREFIX):
-                self._on_weights(decode_weights(value))
+                on_weights(decode_weights(value))
         except DecodingError as error:
             _log.bind(key=key, error=str(error)).error("Record ignored.")
 
--- a/src/kumquatseam/platform/adapter.py
+++ b/src/kumquatseam/platform/adapter.py
@@ -1,7 +1,5 @@
 """What the platform gives the composition root."""
 
-from collections.abc import Callable
-
 from kumquatseam.gateway import Dialect
 from kumquatseam.gateway.wiring import Adapter
 from kumquatseam.logservice import KeyedListener
@@ -15,7 +13,7 @@
 )
 from kumquatseam.rollouts import OrderClient
 from kumquatseam.routes import LiveRouteTable
-from kumquatseam.upstreams import UpstreamDirectory, WeightsNamed
+from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
 
 
 class PlatformAdapter(Adapter):
@@ -28,9 +26,9 @@
         return PlatformDialect()
 
     def operator_listener(
-        self, live: LiveRouteTable, on_weights: Callable[[WeightsNamed], None]
+        self, live: LiveRouteTable, targets: WeightsTargets
     ) -> KeyedListener:
-        return OperatorListener(live, on_weights)
+        return OperatorListener(live, targets)
 
     def order_client(self) -> OrderClient:
         return PlatformOrderClient()
--- a/src/kumquatseam/prompts.py
+++ b/src/kumquatseam/prompts/_chain.py
@@ -29,6 +29,11 @@
         """The parts that other requests may share."""
         return self.parts[:-1]
 
+    @property
+    def shared_tokens(self) -> int:
+        """The length of the parts that other requests may share."""
+        return sum(part.tokens for part in self.shared)
+
     @property
     def tokens(self) -> int:
         """The whole prompt's length."""
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -15,6 +15,7 @@
 from kumquatseam.rollouts._view import RolloutView
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.upstreams import (
+    UNKNOWN_AGE_S,
     UpstreamDirectory,
     UpstreamStatus,
     WeightsNamed,
@@ -208,12 +209,17 @@
     def _ask(self, model: str, status: UpstreamStatus, order: _Order) -> None:
         report = self._orders.report(status.upstream)
         order.is_asking = False
-        if report is None or report.is_busy:
+        if report is None:
+            return
+        if report.is_busy:
+            # Its weights are about to change; only the count is news.
+            status.orders_accepted = report.orders_accepted
             return
         for named in report.weights:
             if named.model == model:
-                seen = status.version_seen.get(model, 0)
-                status.version_seen[model] = max(seen, named.version)
+                status.note_report(
+                    model, named.version, report.orders_accepted, self._clock()
+                )
 
     def _tell(
         self,
@@ -232,6 +238,7 @@
         if fence is None or (key == self._notice_key and not is_due):
             return
         self._notice_key, self._notice_s = key, now_s
+        age_s = self._targets.age_s(weights.model)
         notice = RolloutNotice(
             self._bus.name,
             fence,
@@ -241,6 +248,7 @@
             closing,
             ready,
             destinations,
+            None if age_s == UNKNOWN_AGE_S else round(age_s, 3),
         )
         self._view.take(notice)
         self._bus.publish(notice)
@@ -254,7 +262,7 @@
             return
         given = _Order(weights.version, self._clock())
         self._given[status.upstream.upstream_id] = given
-        order = WeightsOrder(weights, self._bus.name, fence, None)
+        order = WeightsOrder(weights, self._bus.name, fence, status.orders_accepted)
         gevent.spawn(self._give, order, status, given)
 
     def _give(self, order: WeightsOrder, status: UpstreamStatus, given: _Order) -> None:
@@ -268,10 +276,16 @@
             outcome=outcome.value,
         ).info("Order given.")
         if outcome is OrderOutcome.ACCEPTED:
+            if order.expected_orders is not None:
+                status.orders_accepted = order.expected_orders + 1
             return
         given.patience_s = UNANSWERED_PATIENCE_S
         if outcome is OrderOutcome.ALREADY_HOLDS:
-            status.version_seen[order.weights.model] = order.weights.version
+            weights = order.weights
+            status.note_answered(weights.model, weights.version, self._clock())
+        elif outcome is OrderOutcome.BUSY:
+            # It carries out another order, or accepted one not known here.
+            self._ask(order.weights.model, status, given)
         elif outcome is OrderOutcome.FENCED:
             self._lease.give_up()
         elif outcome is OrderOutcome.UNREACHED:
--- a/src/kumquatseam/rollouts/_view.py
+++ b/src/kumquatseam/rollouts/_view.py
@@ -3,9 +3,16 @@
 import time
 from collections.abc import Callable
 
+import attrs
+
 from kumquatseam.logs import part_logger
 from kumquatseam.peers import RolloutNotice
-from kumquatseam.upstreams import UpstreamDirectory
+from kumquatseam.upstreams import (
+    UNKNOWN_AGE_S,
+    UpstreamDirectory,
+    WeightsNamed,
+    WeightsTargets,
+)
 
 _log = part_logger("rollout")
 
@@ -18,15 +25,18 @@
     """Keeps work away from engines that load.
 
     :param directory: the engines.
+    :param targets: the weights named.
     :param clock: monotonic clock in seconds.
     """
 
     def __init__(
         self,
         directory: UpstreamDirectory,
+        targets: WeightsTargets,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._directory = directory
+        self._targets = targets
         self._clock = clock
         self._fence = -1
         self._last: RolloutNotice | None = None
@@ -36,8 +46,11 @@
         if notice.fence < self._fence:
             return
         self._fence = notice.fence
-        if notice != self._last:
-            self._last = notice
+        age_s = UNKNOWN_AGE_S if notice.named_age_s is None else notice.named_age_s
+        self._targets.hear(WeightsNamed(notice.model, notice.version), age_s)
+        progress = attrs.evolve(notice, named_age_s=None)
+        if progress != self._last:
+            self._last = progress
             _log.bind(
                 holder=notice.sender,
                 fence=notice.fence,
@@ -59,5 +72,6 @@
         for upstream_id in notice.ready:
             status = self._directory.status(upstream_id)
             if status is not None:
-                seen = status.version_seen.get(notice.model, 0)
-                status.version_seen[notice.model] = max(seen, notice.version)
+                known = status.version_of(notice.model) or 0
+                version = max(known, notice.version)
+                status.note_answered(notice.model, version, self._clock())
--- a/src/kumquatseam/upstreams/__init__.py
+++ b/src/kumquatseam/upstreams/__init__.py
@@ -11,10 +11,11 @@
     UpstreamDirectory,
     UpstreamStatus,
 )
-from kumquatseam.upstreams._targets import WeightsTargets
+from kumquatseam.upstreams._targets import UNKNOWN_AGE_S, WeightsTargets
 from kumquatseam.upstreams._upstream import Upstream, WeightsNamed
 
 __all__ = [
+    "UNKNOWN_AGE_S",
     "Occupancy",
     "Upstream",
     "UpstreamDirectory",
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -15,6 +15,9 @@
 HOLD_OUT_S = 0.5
 #: longest time out: a third of the shortest usual client deadline.
 MAX_HOLD_OUT_S = 4.0
+#: an entry shows what an upstream was this long ago at most: the list's own lag
+#: and a pause between two reads.
+ENTRY_LAG_S = 1.5
 #: an engine sends an event of some answer every 40 ms; with answers under way
 #: and nothing for this long, it or the way to it is gone.
 SILENT_AFTER_S = 0.7
@@ -38,7 +41,7 @@
     :param failures_in_row: connection failures since the last answer.
     :param failure_share: recent share of failed answers, 0 to 1.
     :param held_out_until_s: takes no work before this time if others can.
-    :param version_seen: model to the weights its answers named last.
+    :param orders_accepted: orders it accepted in this life, if known.
     :param blocked_until_s: refuses work while it loads weights.
     :param move_runs_to: upstreams that take its runs over while it loads.
     :param closing_until_s: loads weights next; work should go to others.
@@ -52,18 +55,48 @@
     failures_in_row: int = 0
     failure_share: float = 0.0
     held_out_until_s: float = 0.0
-    version_seen: dict[str, int] = attrs.Factory(dict)
+    orders_accepted: int | None = None
+    _versions: dict[str, int] = attrs.Factory(dict)
+    _known_s: dict[str, float] = attrs.Factory(dict)
     blocked_until_s: float = 0.0
     closing_until_s: float = 0.0
     move_runs_to: tuple[str, ...] = ()
 
     def version_of(self, model: str) -> int | None:
-        """Return the newest weights of ``model`` it is known to run."""
-        listed = self.upstream.version_of(model)
-        seen = self.version_seen.get(model)
-        if listed is None or seen is None:
-            return listed if seen is None else seen
-        return max(listed, seen)
+        """Return the weights of ``model`` it is known to run."""
+        return self._versions.get(model)
+
+    def note_answered(self, model: str, version: int, now_s: float) -> None:
+        """Take what an answer named: it holds now, older or newer than known."""
+        self._versions[model] = version
+        self._known_s[model] = now_s
+
+    def note_report(
+        self, model: str, version: int, orders_accepted: int, now_s: float
+    ) -> None:
+        """Take what the engine said of itself some time ago.
+
+        After more orders than known it is news, whichever way the version
+        went: an order that was lost may be carried out late. After as many it
+        may be older than what is known, and after fewer it is.
+        """
+        known_orders = self.orders_accepted
+        if known_orders is not None and orders_accepted < known_orders:
+            return
+        known = self._versions.get(model)
+        is_news = orders_accepted != known_orders
+        if known is None or is_news or version > known:
+            self.note_answered(model, version, now_s)
+        self.orders_accepted = orders_accepted
+
+    def note_entry(self, upstream: Upstream, now_s: float) -> None:
+        """Take in a new entry, which lags behind what answers name."""
+        self.upstream = upstream
+        for named in upstream.weights:
+            known = self._versions.get(named.model)
+            known_for_s = now_s - self._known_s.get(named.model, 0.0)
+            if known is None or named.version > known or known_for_s > ENTRY_LAG_S:
+                self.note_answered(named.model, named.version, now_s)
 
     def runs(self, version: int | None) -> bool:
         """Return whether it runs ``version`` of a model."""
@@ -148,12 +181,14 @@
         self.listed_s = self._clock()
         known = self._statuses.get(upstream.upstream_id)
         if known is None:
-            self._statuses[upstream.upstream_id] = UpstreamStatus(upstream)
+            status = UpstreamStatus(upstream)
+            status.note_entry(upstream, self.listed_s)
+            self._statuses[upstream.upstream_id] = status
             self._log_change("listed", upstream)
             return
         if known.upstream.is_leaving != upstream.is_leaving:
             self._log_change("leaving" if upstream.is_leaving else "back", upstream)
-        known.upstream = upstream
+        known.note_entry(upstream, self.listed_s)
 
     def remove(self, upstream_id: str) -> None:
         """Drop an entry that left the list."""
--- a/src/kumquatseam/upstreams/_upstream.py
+++ b/src/kumquatseam/upstreams/_upstream.py
@@ -26,7 +26,6 @@
     :param slots: requests it runs at once.
     :param is_leaving: it announced that it leaves and takes no new work.
     :param weights: model name to the version it runs.
-    :param orders_accepted: orders it took in this life.
     :param cold_left_s: how much longer it is slow after its start.
     """
 
@@ -37,7 +36,6 @@
     slots: int = 1
     is_leaving: bool = False
     weights: tuple[WeightsNamed, ...] = ()
-    orders_accepted: int = 0
     cold_left_s: float = 0.0
 
     def version_of(self, model: str) -> int | None:
