--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -508,7 +508,9 @@
     targets = WeightsTargets(context.clock)
     placer = Placer(directory, PromptIndex(), "z", targets, clock=context.clock)
     try:
-        context.placement = placer.place(attrs.evolve(_request(), remaining_s=left_s))
+        context.placement = placer.place(
+            attrs.evolve(_request(), longest_wait_s=left_s * 0.7)
+        )
         context.refusal = None
     except OverloadedError as error:
         context.refusal = error
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -42,6 +42,13 @@
 STREAM_SILENCE_S = 1.2
 #: pause before looking again for an upstream that may take a request.
 RECHECK_S = 0.02
+#: a request that would wait for its first event longer than this many times
+#: what its route aims at is refused with a time to come back. Without it every
+#: request of an overload waits behind all others and all are late.
+MAX_WAIT_AIMS = 1.5
+#: and one that would wait for more than this share of its time, since reading
+#: its prompt and the first events take about the rest.
+MAX_WAIT_SHARE = 0.7
 #: share of its time a request waits for any upstream before it is refused.
 WAIT_SHARE = 0.25
 #: when to come back after every upstream was busy or loading; a load of new
@@ -218,7 +225,7 @@
             job.call.prompt,
             frozenset(progress.excluded),
             progress.attempts + 1,
-            job.remaining_s if is_first else math.inf,
+            self._longest_wait_s() if is_first else math.inf,
         )
         try:
             return self._parts.placer.place(request)
@@ -227,6 +234,12 @@
                 503, Reason.OVERLOADED, error.retry_after_s, str(error)
             ) from error
 
+    def _longest_wait_s(self) -> float:
+        """Return how long the request may wait for its first event."""
+        job = self._job
+        aimed_s = job.route.target_latency_s * MAX_WAIT_AIMS
+        return min(aimed_s, job.remaining_s * MAX_WAIT_SHARE)
+
     def _check_time(self) -> None:
         if self._job.remaining_s <= 0:
             self._give_up(Reason.TIMED_OUT, "out of time")
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -44,9 +44,6 @@
 #: after this long no request may begin on replaced weights; a second before
 #: the users' bound, since a request also waits at its engine.
 OLD_WEIGHTS_LIMIT_S = 6.5
-#: a request that would wait for more than this share of its time is refused:
-#: the rest is about what reading its prompt and the first events take.
-MAX_WAIT_SHARE = 0.7
 #: it may come back when half of what waits has been read.
 RETRY_AFTER_SHARE = 0.5
 MIN_RETRY_AFTER_S = 0.3
@@ -68,7 +65,7 @@
     :param prompt: its prompt.
     :param excluded: upstreams that already failed or refused it.
     :param attempt: from 1.
-    :param remaining_s: time left; a wait of most of it means a refusal.
+    :param longest_wait_s: a longer wait for its answer means a refusal.
     """
 
     request_id: str
@@ -78,7 +75,7 @@
     prompt: PromptChain
     excluded: frozenset[str]
     attempt: int
-    remaining_s: float = math.inf
+    longest_wait_s: float = math.inf
 
 
 @attrs.frozen
@@ -178,7 +175,7 @@
         comes back when the engines have read what waits is served then.
         """
         wait_s = estimate_ms(chosen) / 1000.0
-        if wait_s <= request.remaining_s * MAX_WAIT_SHARE:
+        if wait_s <= request.longest_wait_s:
             return
         retry_after_s = wait_s * RETRY_AFTER_SHARE
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after_s))
