--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -45,7 +45,7 @@
 #: a request that would wait for its first event longer than this many times
 #: what its route aims at is refused with a time to come back. Without it every
 #: request of an overload waits behind all others and all are late.
-MAX_WAIT_AIMS = 1.5
+MAX_WAIT_AIMS = 1.15
 #: and one that would wait for more than this share of its time, since reading
 #: its prompt and the first events take about the rest.
 MAX_WAIT_SHARE = 0.7
