--- a/src/kumquatseam/explain/_story.py
+++ b/src/kumquatseam/explain/_story.py
@@ -16,7 +16,7 @@
     "unknown_key": "the key is in no team of the configuration in force",
     "malformed": "a header could not be understood",
     "no_upstream": "no upstream took work: all were leaving, loading, failing or gone",
-    "overloaded": "the shortest wait at any engine was most of the time left",
+    "overloaded": "the wait at every engine was longer than its route bears",
     "all_refused": "several upstreams in a row refused it without running it",
     "retry_budget_spent": "it failed once and the retry budget was spent",
     "timed_out": "its time (the client's deadline or the route's) ran out",
