Notices close engines by model; one base class for background work

Cause: read as a newcomer: a notice about one model reopened engines that load another; starting and closing a greenlet stood in three places; a naming that came during a step of the duty was slept over.

Change: a notice reopens only engines that its own model's last notice concerned (a scenario that failed first); BackgroundTask owns start and close of StepLoop, KeyedWatch and RolloutDuty; the duty's wake-up is cleared after the wait.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -137,3 +137,10 @@
     Given 2 instances before 9 engines that tell each other what their engines read
     When the first sends 40 prompts of 40 openings under a load that moves them about
     Then the second finds each opening held where the first sent it
+
+  Scenario: A notice about one model leaves the engines of another closed
+    Given a process told that e0 loads weights of m0
+    When it is told that nothing loads weights of m1
+    Then e0 takes no work
+    When it is told that nothing loads weights of m0
+    Then e0 takes work again
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -23,7 +23,7 @@
     RequestLimits,
     RequestReader,
 )
-from kumquatseam.peers import MESSAGE_CODEC, LoadExchange
+from kumquatseam.peers import MESSAGE_CODEC, LoadExchange, RolloutNotice
 from kumquatseam.placement import (
     Candidate,
     PlacementRequest,
@@ -37,7 +37,7 @@
     decode_weights,
 )
 from kumquatseam.prompts import PromptChain, PromptIndex, PromptPart
-from kumquatseam.rollouts import EngineState, plan_loads
+from kumquatseam.rollouts import EngineState, RolloutView, plan_loads
 from kumquatseam.routes import EngineTraits, RouteTable, ServiceTraits
 from kumquatseam.settings import AdmissionSettings
 from kumquatseam.standins.logservice import LogStore, LogStoreLimits
@@ -703,3 +703,32 @@
     for upstream_id, chain in context.sent.values():
         assert index.held_tokens(upstream_id, "1", chain) == 6300
         assert index.held_tokens(upstream_id, "2", chain) == 0
+
+
+def _notice(context, model, loading):
+    context.view.take(RolloutNotice("a", 1, model, 2, loading, (), (), named_age_s=1.0))
+
+
+@given("a process told that e0 loads weights of m0")
+def step_told(context):
+    context.clock = Clock()
+    context.directory = UpstreamDirectory(context.clock)
+    context.directory.put(Upstream("e0", "engines", "a:1"))
+    targets = WeightsTargets(context.clock)
+    context.view = RolloutView(context.directory, targets, context.clock)
+    _notice(context, "m0", ("e0",))
+
+
+@when("it is told that nothing loads weights of {model}")
+def step_told_nothing(context, model):
+    _notice(context, model, ())
+
+
+@then("e0 takes no work")
+def step_blocked(context):
+    assert context.directory.status("e0").blocked_until_s > context.clock.now_s
+
+
+@then("e0 takes work again")
+def step_unblocked(context):
+    assert context.directory.status("e0").blocked_until_s <= context.clock.now_s
--- a/src/kumquatseam/logservice/_keyed_watch.py
+++ b/src/kumquatseam/logservice/_keyed_watch.py
@@ -11,6 +11,7 @@
 from kumquatseam.logservice._errors import LogRecordsExpiredError, LogServiceError
 from kumquatseam.logservice._framing import unframe_keyed
 from kumquatseam.logservice._service import LogService
+from kumquatseam.loops import BackgroundTask
 
 _log = part_logger("watch")
 
@@ -32,7 +33,7 @@
         """Take in one new value; empty when the key was dropped."""
 
 
-class KeyedWatch:
+class KeyedWatch(BackgroundTask):
     """Keeps a listener in step with a keyed topic.
 
     It reads everything once, then only what is new. History that the log no
@@ -57,6 +58,7 @@
         pause_s: float = 0.0,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        super().__init__()
         self._log_service = log
         self._topic = topic
         self._listener = listener
@@ -65,19 +67,8 @@
         self._clock = clock
         self._next_offset: int | None = None
         self._failures = 0
-        self._greenlet: gevent.Greenlet | None = None
         self.synced_s: float | None = None
 
-    def start(self) -> None:
-        """Begin to follow."""
-        self._greenlet = gevent.spawn(self._run)
-
-    def close(self) -> None:
-        """Stop following."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
-            self._greenlet = None
-
     def _run(self) -> None:
         while True:
             try:
--- a/src/kumquatseam/loops.py
+++ b/src/kumquatseam/loops.py
@@ -1,5 +1,6 @@
-"""Running steps at an interval on a greenlet of their own."""
+"""Work in the background, on a greenlet of its own."""
 
+import abc
 from collections.abc import Callable
 
 import gevent
@@ -9,38 +10,49 @@
 _log = part_logger("loop")
 
 
-class StepLoop:
-    """Runs steps in order, again and again.
-
-    :param interval_s: seconds between two rounds.
-    :param steps: called in order each round; a failure is logged and the loop
-        goes on, since nobody would notice that it had ended.
-    :param runs_at_once: begin with a round instead of a pause.
-    """
+class BackgroundTask(abc.ABC):
+    """Something that runs from ``start`` to ``close``."""
 
-    def __init__(
-        self, interval_s: float, *steps: Callable[[], None], runs_at_once: bool = False
-    ) -> None:
-        self._interval_s = interval_s
-        self._steps = steps
-        self._runs_at_once = runs_at_once
+    def __init__(self) -> None:
         self._greenlet: gevent.Greenlet | None = None
 
     @property
     def is_running(self) -> bool:
-        """Whether the loop was started and not closed."""
+        """Whether it was started and not closed."""
         return self._greenlet is not None
 
     def start(self) -> None:
-        """Begin the rounds."""
+        """Begin."""
         self._greenlet = gevent.spawn(self._run)
 
     def close(self) -> None:
-        """Stop; a round that is running is cut off."""
+        """Stop; what is under way is cut off."""
         if self._greenlet is not None:
             self._greenlet.kill()
             self._greenlet = None
 
+    @abc.abstractmethod
+    def _run(self) -> None:
+        """Do the work; called on the greenlet."""
+
+
+class StepLoop(BackgroundTask):
+    """Runs steps in order, again and again.
+
+    :param interval_s: seconds between two rounds.
+    :param steps: called in order each round; a failure is logged and the loop
+        goes on, since nobody would notice that it had ended.
+    :param runs_at_once: begin with a round instead of a pause.
+    """
+
+    def __init__(
+        self, interval_s: float, *steps: Callable[[], None], runs_at_once: bool = False
+    ) -> None:
+        super().__init__()
+        self._interval_s = interval_s
+        self._steps = steps
+        self._runs_at_once = runs_at_once
+
     def _run(self) -> None:
         if not self._runs_at_once:
             gevent.sleep(self._interval_s)
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -9,6 +9,7 @@
 
 from kumquatseam.fleet import DutyLease
 from kumquatseam.logs import part_logger
+from kumquatseam.loops import BackgroundTask
 from kumquatseam.peers import PeerBus, RolloutNotice
 from kumquatseam.rollouts._orders import OrderClient, OrderOutcome, WeightsOrder
 from kumquatseam.rollouts._plan import EngineState, LoadPlan, plan_loads
@@ -60,12 +61,12 @@
     is_asking: bool = False
 
 
-class RolloutDuty:
+class RolloutDuty(BackgroundTask):
     """Orders engines to the weights named, a few at a time.
 
     Only the holder of the lease gives orders, and each carries the lease's
     fencing token. Every instance is told which engines load before they are
-    ordered to.
+    ordered to. The lease lapses by itself after ``close``.
 
     :param lease: this instance's part in the duty.
     :param targets: the weights named.
@@ -90,6 +91,7 @@
         peer_running: Callable[[str], int],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        super().__init__()
         self._lease = lease
         self._targets = targets
         self._live = live
@@ -103,27 +105,16 @@
         self._notice_s = 0.0
         self._notice_key: tuple = ()
         self._wake = gevent.event.Event()
-        self._greenlet: gevent.Greenlet | None = None
         targets.on_change(self._wake.set)
 
-    def start(self) -> None:
-        """Begin to contend for the duty."""
-        self._greenlet = gevent.spawn(self._run)
-
-    def close(self) -> None:
-        """Stop; the lease lapses by itself."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
-            self._greenlet = None
-
     def _run(self) -> None:
         while True:
             try:
                 self.step()
             except Exception:  # noqa: BLE001 - logged; the duty goes on
                 _log.exception("A step of the rollout failed.")
-            self._wake.clear()
             self._wake.wait(ACTIVE_PAUSE_S if self._given else IDLE_PAUSE_S)
+            self._wake.clear()
 
     def step(self) -> None:
         """Do what is due, if this instance holds the duty."""
--- a/src/kumquatseam/rollouts/_view.py
+++ b/src/kumquatseam/rollouts/_view.py
@@ -39,7 +39,8 @@
         self._targets = targets
         self._clock = clock
         self._fence = -1
-        self._last: RolloutNotice | None = None
+        self._last: dict[str, RolloutNotice] = {}
+        self._concerned: dict[str, set[str]] = {}
 
     def take(self, notice: RolloutNotice) -> None:
         """Take in a notice; one with an older token is ignored."""
@@ -49,8 +50,8 @@
         age_s = UNKNOWN_AGE_S if notice.named_age_s is None else notice.named_age_s
         self._targets.hear(WeightsNamed(notice.model, notice.version), age_s)
         progress = attrs.evolve(notice, named_age_s=None)
-        if progress != self._last:
-            self._last = progress
+        if progress != self._last.get(notice.model):
+            self._last[notice.model] = progress
             _log.bind(
                 holder=notice.sender,
                 fence=notice.fence,
@@ -61,17 +62,29 @@
                 ready=len(notice.ready),
                 destinations=notice.destinations,
             ).info("Rollout moved on.")
-        until_s = self._clock() + NOTICE_TTL_S
-        loading, closing = set(notice.loading), set(notice.closing)
-        for status in self._directory.all():
-            upstream_id = status.upstream.upstream_id
-            status.blocked_until_s = until_s if upstream_id in loading else 0.0
-            status.closing_until_s = until_s if upstream_id in closing else 0.0
-            is_loading = upstream_id in loading
-            status.move_runs_to = notice.destinations if is_loading else ()
+        self._apply(notice)
         for upstream_id in notice.ready:
             status = self._directory.status(upstream_id)
             if status is not None:
                 known = status.version_of(notice.model) or 0
                 version = max(known, notice.version)
                 status.note_answered(notice.model, version, self._clock())
+
+    def _apply(self, notice: RolloutNotice) -> None:
+        """Close the engines that load, and reopen those that no longer do.
+
+        Only engines that this model's last notice concerned are reopened:
+        others may be loading another model.
+        """
+        until_s = self._clock() + NOTICE_TTL_S
+        loading, closing = set(notice.loading), set(notice.closing)
+        before = self._concerned.get(notice.model, set())
+        self._concerned[notice.model] = loading | closing
+        for upstream_id in before | loading | closing:
+            status = self._directory.status(upstream_id)
+            if status is None:
+                continue
+            is_loading = upstream_id in loading
+            status.blocked_until_s = until_s if is_loading else 0.0
+            status.closing_until_s = until_s if upstream_id in closing else 0.0
+            status.move_runs_to = notice.destinations if is_loading else ()
