The scenario of moved runs gives every engine one

Trace: its eight prompts shared a part, so all streams could be placed on the one engine that held it, which then loads last and has nothing to hand over: allowed. Change: its prompts share nothing; by their hashes every engine has a stream.

--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -239,7 +239,7 @@
         return {
             "X-Model": "m0",
             "X-Token-Usage": "1460,80",
-            "X-Prompt-Prefix": f"{part}:800,91bd3f06:410,e4402b7d:250",
+            "X-Prompt-Prefix": f"{part}:800,{part}b:410,e4402b7d:250",
         }
 
     def runs(self) -> int:
