A process that knows the newest weights alone knows nothing of older ones

Change: notices name the version that was replaced; engines older than that are taken for replaced long ago.

Ruled out: the lease or the orders (no lower token, engines ordered in time).

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -144,3 +144,8 @@
     Then e0 takes no work
     When it is told that nothing loads weights of m0
     Then e0 takes work again
+
+  Scenario: A process that knows the newest weights alone knows nothing of older ones
+    Given engines on weights 1, 3 and 4 and a process that has just read weights 4
+    When it hears that weights 4 were named 1 seconds ago in place of weights 3
+    Then its requests go to engines on weights 3 and 4 only
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -732,3 +732,24 @@
 @then("e0 takes work again")
 def step_unblocked(context):
     assert context.directory.status("e0").blocked_until_s <= context.clock.now_s
+
+
+@given("engines on weights 1, 3 and 4 and a process that has just read weights 4")
+def step_read_four(context):
+    context.clock = Clock()
+    entries = [("e0", 1), ("e1", 3), ("e2", 4)]
+    context.placer, context.targets = _placer(context.clock, entries)
+    context.targets.take_known(WeightsNamed("m0", 4))
+
+
+@when(
+    "it hears that weights 4 were named {age_s:d} seconds ago in place of weights "
+    "{before:d}"
+)
+def step_hears_before(context, age_s, before):
+    context.targets.hear(WeightsNamed("m0", 4), age_s, before)
+
+
+@then("its requests go to engines on weights 3 and 4 only")
+def step_three_and_four(context):
+    assert _versions_used(context) == {3, 4}
--- a/src/kumquatseam/peers/_messages.py
+++ b/src/kumquatseam/peers/_messages.py
@@ -59,6 +59,7 @@
     :param ready: upstreams that run the weights.
     :param destinations: upstreams that take the runs of those that load.
     :param named_age_s: how long ago the weights were named, if known.
+    :param replaced: the version they were named in place of, if known.
     """
 
     sender: str
@@ -70,6 +71,7 @@
     ready: tuple[str, ...]
     destinations: tuple[str, ...] = ()
     named_age_s: float | None = None
+    replaced: int | None = None
 
 
 RECORD_CODEC = MessageCodec("instance record", {"instance": InstanceRecord})
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -240,6 +240,7 @@
             ready,
             destinations,
             None if age_s == UNKNOWN_AGE_S else round(age_s, 3),
+            self._targets.replaced_version(weights.model),
         )
         self._view.take(notice)
         self._bus.publish(notice)
--- a/src/kumquatseam/rollouts/_view.py
+++ b/src/kumquatseam/rollouts/_view.py
@@ -48,7 +48,8 @@
             return
         self._fence = notice.fence
         age_s = UNKNOWN_AGE_S if notice.named_age_s is None else notice.named_age_s
-        self._targets.hear(WeightsNamed(notice.model, notice.version), age_s)
+        weights = WeightsNamed(notice.model, notice.version)
+        self._targets.hear(weights, age_s, notice.replaced)
         progress = attrs.evolve(notice, named_age_s=None)
         if progress != self._last.get(notice.model):
             self._last[notice.model] = progress
--- a/src/kumquatseam/upstreams/_targets.py
+++ b/src/kumquatseam/upstreams/_targets.py
@@ -24,11 +24,14 @@
     :param version: the version.
     :param learnt_s: when this process learnt of it.
     :param named_s: when it was named, if that is known.
+    :param replaced: the version it was named in place of, if a peer told; this
+        process then knows nothing of what replaced older ones.
     """
 
     version: int
     learnt_s: float
     named_s: float | None
+    replaced: int | None = None
 
 
 class WeightsTargets:
@@ -58,10 +61,13 @@
         """Take in weights that were named at an unknown time before."""
         self._add(named, None, "store, read whole")
 
-    def hear(self, named: WeightsNamed, age_s: float) -> None:
+    def hear(
+        self, named: WeightsNamed, age_s: float, replaced: int | None = None
+    ) -> None:
         """Take in what a peer knows of a naming.
 
         :param age_s: how long ago it was, or :data:`UNKNOWN_AGE_S`.
+        :param replaced: the version it was named in place of, if known.
         """
         named_s = None if age_s == UNKNOWN_AGE_S else self._clock() - age_s
         self._add(named, named_s, "peer")
@@ -69,7 +75,7 @@
         is_same = newest.version == named.version
         if is_same and newest.named_s is None and named_s is not None:
             namings = self._named[named.model]
-            namings[-1] = attrs.evolve(newest, named_s=named_s)
+            namings[-1] = attrs.evolve(newest, named_s=named_s, replaced=replaced)
 
     def all(self) -> list[WeightsNamed]:
         """Return the newest weights of each model."""
@@ -94,10 +100,21 @@
         :returns: 0 if there is none, :data:`UNKNOWN_AGE_S` if nobody knows.
         """
         for naming in self._named.get(model, ()):
-            if naming.version > version:
-                return self._age_s(naming)
+            if naming.version <= version:
+                continue
+            if naming.replaced is not None and version < naming.replaced:
+                # Something older replaced it, at a time nobody told.
+                return UNKNOWN_AGE_S
+            return self._age_s(naming)
         return 0.0
 
+    def replaced_version(self, model: str) -> int | None:
+        """Return the version that the newest was named in place of, if known."""
+        namings = self._named.get(model, ())
+        if len(namings) > 1:
+            return namings[-2].version
+        return namings[-1].replaced if namings else None
+
     def _newest(self, model: str) -> _Naming | None:
         namings = self._named.get(model)
         return namings[-1] if namings else None
