Read once more: one start-and-close, one INI reader, one latency histogram

Cause: the change wrote again what the project had, and kept what it no longer needed.

Change, behaviour as it was: - PartGroup (lifecycle) starts and closes the parts of both daemons; each had its own loop and exception group. - parse_ini and read_section serve both settings files; the gateway's had copies. - LatencyHistogram serves both kinds of figures; two had their own bounds. - ConfigurationFollower is a BackgroundTask like the other followers. - The rollout duty looked for finished orders twice a step; since questions no longer block, the second look saw nothing new. It and the placer take the same figure of peers' loads. - The kept store's address is found once a configuration, not twice a request by a scan of all services; an answer's head is read once, not again at its end; a peer list is sorted only when a summary may be due. - Gone: fields and methods nobody read (idle_since_s, is_reused, is_timeout, is_other_life, has_buffered), a factor of 1.0, TCP_NODELAY set a second time after urllib3's own options, a second removal from the busy set.

Ruled out: ConfigurationFollower on KeyedWatch (it seeds an empty topic and waits at its start: not the same logic); one type for the typed errors whose shapes are alike (their fields differ in meaning).

--- a/src/kumquatseam/fleet/_follower.py
+++ b/src/kumquatseam/fleet/_follower.py
@@ -39,6 +39,7 @@
     frame_keyed,
     unframe_keyed,
 )
+from kumquatseam.loops import BackgroundTask
 from kumquatseam.settings import Configuration, Entity, FieldFault
 
 _log = part_logger("config")
@@ -219,7 +220,7 @@
     return Configuration.of((kind, e) for (kind, _), e in entities.items())
 
 
-class ConfigurationFollower:
+class ConfigurationFollower(BackgroundTask):
     """Follows the configuration's topic and keeps it in force.
 
     :param log: the log service.
@@ -235,11 +236,11 @@
         poll_s: float,
         sleep: Callable[[float], None] = gevent.sleep,
     ) -> None:
+        super().__init__()
         self._log_service = log
         self._live = live
         self._poll_s = poll_s
         self._sleep = sleep
-        self._greenlet: gevent.Greenlet | None = None
         self._caught_up = gevent.event.Event()
 
     def start(self) -> None:
@@ -249,14 +250,9 @@
         configuration in the log. If the log does not answer within
         ``START_PATIENCE_S`` the router serves on what it has.
         """
-        self._greenlet = gevent.spawn(self._run)
+        super().start()
         self._caught_up.wait(START_PATIENCE_S)
 
-    def close(self) -> None:
-        """Stop following."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
-
     def catch_up(self) -> None:
         """Load the newest records, or seed an empty topic.
 
--- a/src/kumquatseam/gateway/_call.py
+++ b/src/kumquatseam/gateway/_call.py
@@ -66,16 +66,14 @@
 class AnswerTraits:
     """What the head of an upstream's answer says.
 
-    :param is_not_run: the upstream promises that it did not run the request.
-    :param is_other_life: another life of the upstream has the address, or its
-        weights are not the expected ones.
+    :param is_not_run: the upstream promises that it did not run the request:
+        it refused it, or another life or other weights answer there.
     :param weights_version: the weights that answered, if named.
     :param keep_alive_s: how long the idle connection will stay open, if named.
     :param is_signed: carries the upstream's signature.
     """
 
     is_not_run: bool
-    is_other_life: bool
     weights_version: int | None
     keep_alive_s: float | None
     is_signed: bool
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -8,7 +8,7 @@
 import gevent
 
 from kumquatseam.errors import OverloadedError
-from kumquatseam.gateway._call import Call, SendOptions
+from kumquatseam.gateway._call import AnswerTraits, Call, SendOptions
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._events import EventSplitter
 from kumquatseam.gateway._refusals import Reason, RefusedError
@@ -106,6 +106,22 @@
     body: bytes
 
 
+@attrs.frozen
+class _StreamReading:
+    """A stream whose head was read.
+
+    :param placement: where it runs.
+    :param connection: the connection it comes on.
+    :param traits: what its head says.
+    :param occupancy: its place on the upstream.
+    """
+
+    placement: Placement
+    connection: UpstreamConnection
+    traits: AnswerTraits
+    occupancy: Occupancy
+
+
 class _NotRunError(Exception):
     """The upstream promised that it did not run the request."""
 
@@ -351,7 +367,7 @@
             lambda head: dialect.read_answer(head).is_not_run,
         )
         occupancy.note_answering()
-        traits = self._parts.dialect.read_answer(head)
+        traits = dialect.read_answer(head)
         self._learn(placement, head, traits)
         wait.until_s = self._body_until_s()
         if traits.is_not_run:
@@ -362,18 +378,22 @@
         if self._caller.has_answered and head.status != 200:
             raise AnswerBrokenError(connection.address, f"no resume: {head.status}")
         if job.route.is_stream and head.status == 200:
-            return self._pass_stream(placement, connection, head, occupancy, wait)
+            reading = _StreamReading(placement, connection, traits, occupancy)
+            return self._pass_stream(reading, head, wait)
         return self._pass_whole(connection, head, traits, wait)
 
     def _request_bytes(self, placement: Placement) -> bytes:
         job = self._job
+        # Fetching a part from the store of kept parts takes half as long as
+        # reading it again, and a part read once then serves every engine.
+        store = job.table.cache_store_address if job.call.model else ""
         options = SendOptions(
             upstream_id=placement.status.upstream.upstream_id,
             remaining_s=job.remaining_s,
             team=job.team.name if job.team else "",
             cache_salt=placement.salt,
-            cache_source=self._cache_store(),
-            cache_target=self._cache_store(),
+            cache_source=store,
+            cache_target=store,
             expected_version=placement.version,
             resume_after=self._events.last_id,
             resume_run=_run_name(placement.moved_run),
@@ -382,17 +402,6 @@
         request = job.request
         return encode_request(request.method, request.target, fields, request.body)
 
-    def _cache_store(self) -> str:
-        """Return the address of the store of kept prompt parts, if one helps.
-
-        Fetching a part takes half as long as reading it again, and a part
-        read once then serves every engine.
-        """
-        if not self._job.call.model:
-            return ""
-        store = self._job.table.cache_store()
-        return store.cache_store_address if store is not None else ""
-
     def _wait(self, address: str) -> Wait:
         until_s = self._job.end_s
         attempts_left = self._job.route.max_attempts - self._progress.attempts
@@ -407,7 +416,9 @@
             until_s = min(until_s, time.monotonic() + STREAM_SILENCE_S)
         return until_s
 
-    def _learn(self, placement: Placement, head: ResponseHead, traits) -> None:
+    def _learn(
+        self, placement: Placement, head: ResponseHead, traits: AnswerTraits
+    ) -> None:
         status, model = placement.status, self._job.call.model
         if model and traits.weights_version is not None:
             status.note_answered(model, traits.weights_version, time.monotonic())
@@ -422,20 +433,26 @@
             return
         self._parts.directory.note_answer(status, head.status >= 500)
 
-    def _drain(self, connection: UpstreamConnection, wait: Wait, traits) -> None:
+    def _drain(
+        self, connection: UpstreamConnection, wait: Wait, traits: AnswerTraits
+    ) -> None:
         """Read a refusal's body so that the connection can be kept."""
         while connection.read_body(wait):
             pass
         self._keep(connection, traits)
 
-    def _keep(self, connection: UpstreamConnection, traits) -> None:
+    def _keep(self, connection: UpstreamConnection, traits: AnswerTraits) -> None:
         self._has_kept_connection = True
         self._parts.pool.give_back(connection, traits.keep_alive_s)
 
     # Passing answers on.
 
     def _pass_whole(
-        self, connection: UpstreamConnection, head: ResponseHead, traits, wait: Wait
+        self,
+        connection: UpstreamConnection,
+        head: ResponseHead,
+        traits: AnswerTraits,
+        wait: Wait,
     ) -> tuple[bool, str]:
         body = bytearray()
         while data := connection.read_body(wait):
@@ -465,7 +482,7 @@
         self,
         connection: UpstreamConnection,
         head: ResponseHead,
-        traits,
+        traits: AnswerTraits,
         wait: Wait,
         first: bytes,
     ) -> tuple[bool, str]:
@@ -481,19 +498,15 @@
         return keep, f"answered_{head.status // 100}xx"
 
     def _pass_stream(
-        self,
-        placement: Placement,
-        connection: UpstreamConnection,
-        head: ResponseHead,
-        occupancy: Occupancy,
-        wait: Wait,
+        self, reading: "_StreamReading", head: ResponseHead, wait: Wait
     ) -> tuple[bool, str]:
         """Pass whole events on as they come, so that it may go on elsewhere."""
         keep = self._may_keep()
-        relocation = Relocation(self._parts, self._job, placement)
+        connection = reading.connection
+        relocation = Relocation(self._parts, self._job, reading.placement)
         try:
             while data := connection.read_body(wait):
-                occupancy.note_heard()
+                reading.occupancy.note_heard()
                 wait.until_s = self._body_until_s()
                 self._send_events(head, keep, self._events.feed(data))
                 relocation.begin_if_due()
@@ -508,7 +521,7 @@
         if not self._caller.has_answered:
             self._caller.begin_answer(200, self._answer_fields(head, keep), None)
         self._caller.end_answer()
-        self._keep(connection, self._parts.dialect.read_answer(head))
+        self._keep(connection, reading.traits)
         self._log_answer(head.status)
         return keep, "answered_2xx"
 
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -74,7 +74,7 @@
         :raises CallerLeftError: if the caller closed its connection.
         """
         request_id = request.headers.text(self._parts.dialect.request_id_header)
-        kind, outcome, job = "none", "left", None
+        kind, outcome = "none", "left"
         try:
             job = self._admit(request)
             kind = job.route.name
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 import gevent
-import gevent.event
 import gevent.socket
 
 from kumquatseam.gateway._caller import CallerConnection
@@ -116,7 +115,6 @@
     def _serve_connection(self, connection) -> None:
         for option in silent_connection_options():
             connection.setsockopt(*option)
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         greenlet = gevent.getcurrent()
         reader = RequestReader(connection, self._read_limits())
         self._readers[greenlet] = reader
@@ -131,7 +129,6 @@
             self._refuse_bad(caller, error)
         finally:
             self._readers.pop(greenlet, None)
-            self._busy.discard(greenlet)
             connection.close()
 
     def _serve_next(
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -10,6 +10,7 @@
 from kumquatseam.gateway._health import HealthServer, MetricsServer
 from kumquatseam.gateway._server import GatewayServer
 from kumquatseam.http1 import ConnectionPool, RequestLimits
+from kumquatseam.lifecycle import PartGroup
 from kumquatseam.logs import part_logger
 from kumquatseam.logservice import HttpLogService, KeyedListener, KeyedWatch
 from kumquatseam.loops import StepLoop
@@ -105,7 +106,7 @@
         self._bus = PeerBus(file.gateway.router_name, file.peers.address)
         self._loads = LoadExchange(self._bus, self._directory, self._index)
         self._server = self._build_server()
-        self._parts = [
+        parts = [
             self._log_service,
             self._bus,
             *self._watches(),
@@ -117,12 +118,12 @@
             StepLoop(SWEEP_INTERVAL_S, self._pool.sweep),
             *self._health_servers(),
         ]
+        self._parts = PartGroup("gateway", parts)
         self._add_gauges()
 
     def start(self) -> None:
         """Start every part; callers are taken last."""
-        for part in self._parts:
-            part.start()
+        self._parts.start()
         self._server.start()
         _log.bind(zone=self._file.gateway.zone, listen=self._file.gateway.listen).info(
             "Started."
@@ -131,15 +132,10 @@
     def close(self) -> None:
         """Stop gracefully, callers first."""
         self._server.close()
-        failures = []
-        for part in reversed(self._parts):
-            try:
-                part.close()
-            except Exception as error:  # noqa: BLE001 - gathered and raised below
-                failures.append(error)
-        self._pool.close()
-        if failures:
-            raise ExceptionGroup("gateway: parts failed to close", failures)
+        try:
+            self._parts.close()
+        finally:
+            self._pool.close()
 
     def apply(self, file: GatewayFile) -> None:
         """Take in changed settings; addresses need a restart."""
@@ -190,7 +186,7 @@
             self._orders,
             self._bus,
             view,
-            lambda upstream_id: self._loads.on_upstream(upstream_id).running,
+            self._loads.on_upstream,
         )
 
     def _watches(self) -> list[KeyedWatch]:
@@ -259,7 +255,7 @@
             "upstream_list_age_seconds",
             lambda: time.monotonic() - (self._directory.listed_s or 0.0),
         )
-        metrics.gauge("peers_alive", lambda: len(self._bus.alive()))
+        metrics.gauge("peers_alive", self._count_instances)
         metrics.gauge("upstreams_held_out", self._count_held_out)
         metrics.gauge(
             "weights_version",
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -2,11 +2,9 @@
 
 import collections
 import select
-import socket
 import time
 from collections.abc import Callable
 
-import gevent
 import gevent.select
 import gevent.socket
 import httptools
@@ -33,7 +31,6 @@
     opened.settimeout(None)
     for option in silent_connection_options():
         opened.setsockopt(*option)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return UpstreamConnection(address, opened)
 
 
@@ -63,10 +60,8 @@
         self._unsent = b""
         self._garbled = ""
         self._ended = ""
-        self.idle_since_s = 0.0
         self.idle_limit_s: float | None = None
         self.has_sent = False
-        self.is_reused = False
 
     def close(self) -> None:
         """Close at once; an upstream at work on a request sees it."""
@@ -257,7 +252,7 @@
         while True:
             left_s = self.until_s - time.monotonic()
             if left_s <= 0:
-                raise AnswerBrokenError(self._address, "nothing in time", True)
+                raise AnswerBrokenError(self._address, "nothing in time")
             readers = [upstream] if self._caller is None else [upstream, self._caller]
             writers = [upstream] if wants_write else []
             readable, writable, _ = gevent.select.select(readers, writers, [], left_s)
--- a/src/kumquatseam/http1/_errors.py
+++ b/src/kumquatseam/http1/_errors.py
@@ -57,12 +57,10 @@
 
     :param address: host and port.
     :param detail: how it failed.
-    :param is_timeout: whether nothing came in time.
     """
 
     address: str
     detail: str
-    is_timeout: bool = False
 
     def __str__(self) -> str:
         return f"http: answer of {self.address} broken: {self.detail}"
--- a/src/kumquatseam/http1/_pool.py
+++ b/src/kumquatseam/http1/_pool.py
@@ -37,7 +37,6 @@
         while idle:
             connection = idle.pop()
             if now_s < connection.idle_limit_s and connection.is_quiet():
-                connection.is_reused = True
                 return connection
             connection.close()
         self.opened += 1
--- a/src/kumquatseam/http1/_request_reader.py
+++ b/src/kumquatseam/http1/_request_reader.py
@@ -4,15 +4,12 @@
 import time
 
 import gevent
-import gevent.socket
 import httptools
 
 from kumquatseam.http1._errors import BadRequestError, IdleConnectionError
 from kumquatseam.http1._messages import Headers, Request, RequestLimits
 
 _READ_BYTES = 65_536
-#: a body may come as slowly as this many header timeouts without progress.
-_BODY_STALL_TIMEOUTS = 1.0
 #: requests one connection may send ahead of their answers.
 _MAX_PIPELINED = 8
 
@@ -50,10 +47,6 @@
         """Apply ``limits`` from the next request on."""
         self._limits = limits
 
-    def has_buffered(self) -> bool:
-        """Return whether bytes of a further request were already read."""
-        return bool(self._messages)
-
     def read(self) -> Request:
         """Return the next whole request.
 
@@ -76,7 +69,8 @@
             self._raise_fault()
             begun = bool(self._messages) and self._messages[0].head_complete
             if begun:
-                self._receive(timeout_s * _BODY_STALL_TIMEOUTS)
+                # A body may pause for as long as a head may take.
+                self._receive(timeout_s)
                 continue
             left_s = started_s + timeout_s - time.monotonic()
             if left_s <= 0:
--- a/src/kumquatseam/metrics/_figures.py
+++ b/src/kumquatseam/metrics/_figures.py
@@ -1,11 +1,9 @@
 """Recording request figures in HDR histograms."""
 
 import attrs
-from hdrh.histogram import HdrHistogram
 
-#: time to first token is recorded in microseconds, from 1 us to 10 minutes.
-_TTFT_LOWEST_US = 1
-_TTFT_HIGHEST_US = 600_000_000
+from kumquatseam.metrics._latency import LatencyHistogram
+
 _SIGNIFICANT_DIGITS = 3
 
 
@@ -43,8 +41,8 @@
     """Accumulates figures request by request."""
 
     def __init__(self) -> None:
-        self._ttft_us = _ttft_histogram()
-        self._class_ttft_us: dict[str, HdrHistogram] = {}
+        self._ttft = LatencyHistogram(_SIGNIFICANT_DIGITS)
+        self._class_ttft: dict[str, LatencyHistogram] = {}
         self._requests = 0
         self._refused = 0
         self._prompt_tokens = 0
@@ -70,11 +68,13 @@
 
     def record_ttft(self, ttft_s: float, priority_class: str = "") -> None:
         """Record one request's time to first token."""
-        ttft_us = max(_TTFT_LOWEST_US, int(ttft_s * 1_000_000))
-        self._ttft_us.record_value(ttft_us)
+        self._ttft.record(ttft_s)
         if priority_class:
-            of_class = self._class_ttft_us.setdefault(priority_class, _ttft_histogram())
-            of_class.record_value(ttft_us)
+            of_class = self._class_ttft.get(priority_class)
+            if of_class is None:
+                of_class = LatencyHistogram(_SIGNIFICANT_DIGITS)
+                self._class_ttft[priority_class] = of_class
+            of_class.record(ttft_s)
 
     def record_tokens(
         self, prompt_tokens: int, cached_tokens: int, wasted_tokens: int = 0
@@ -88,8 +88,8 @@
     def class_ttft_ms(self, percentile: float) -> dict[str, float]:
         """Return a percentile of the time to first token, per priority class."""
         return {
-            name: histogram.get_value_at_percentile(percentile) / 1000.0
-            for name, histogram in self._class_ttft_us.items()
+            name: histogram.percentile_us(percentile) / 1000.0
+            for name, histogram in self._class_ttft.items()
         }
 
     def record_refusal(self) -> None:
@@ -110,8 +110,4 @@
         )
 
     def _percentile_ms(self, percentile: float) -> float:
-        return self._ttft_us.get_value_at_percentile(percentile) / 1000.0
-
-
-def _ttft_histogram() -> HdrHistogram:
-    return HdrHistogram(_TTFT_LOWEST_US, _TTFT_HIGHEST_US, _SIGNIFICANT_DIGITS)
+        return self._ttft.percentile_us(percentile) / 1000.0
--- a/src/kumquatseam/metrics/_gateway.py
+++ b/src/kumquatseam/metrics/_gateway.py
@@ -3,7 +3,6 @@
 import collections
 from collections.abc import Callable, Iterator
 
-from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
     CounterMetricFamily,
@@ -11,34 +10,14 @@
     SummaryMetricFamily,
 )
 
-#: latencies are recorded from 1 us to 10 minutes with two digits; a histogram
-#: then takes about 15 KB.
-_LOWEST_US = 1
-_HIGHEST_US = 600_000_000
+from kumquatseam.metrics._latency import LatencyHistogram
+
+#: significant digits of a latency: a histogram a route and kind stays small.
 _DIGITS = 2
 _QUANTILES = (50.0, 95.0, 99.0)
 _PREFIX = "kumquatseam_"
 
 
-class _Latency:
-    """One latency histogram with its sum."""
-
-    def __init__(self) -> None:
-        self._histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
-        self.sum_s = 0.0
-        self.count = 0
-
-    def record(self, latency_s: float) -> None:
-        """Record one latency."""
-        self._histogram.record_value(max(_LOWEST_US, int(latency_s * 1e6)))
-        self.sum_s += latency_s
-        self.count += 1
-
-    def quantile_s(self, percentile: float) -> float:
-        """Return the latency at ``percentile``."""
-        return self._histogram.get_value_at_percentile(percentile) / 1e6
-
-
 class GatewayMetrics:
     """What happened to requests, by route and outcome.
 
@@ -47,7 +26,7 @@
 
     def __init__(self) -> None:
         self._requests: collections.Counter[tuple[str, str]] = collections.Counter()
-        self._latency: dict[tuple[str, str], _Latency] = {}
+        self._latency: dict[tuple[str, str], LatencyHistogram] = {}
         self._counters: dict[str, Callable[[], float]] = {}
         self._gauges: dict[str, Callable[[], float]] = {}
         self._registry = CollectorRegistry()
@@ -91,7 +70,7 @@
     def _record(self, name: str, route: str, took_s: float) -> None:
         latency = self._latency.get((name, route))
         if latency is None:
-            latency = self._latency[name, route] = _Latency()
+            latency = self._latency[name, route] = LatencyHistogram(_DIGITS)
         latency.record(took_s)
 
     def _latency_families(self) -> Iterator[object]:
@@ -106,6 +85,8 @@
                 family.add_metric((route,), latency.count, latency.sum_s)
                 for percentile in _QUANTILES:
                     labels = (route, f"{percentile / 100:g}")
-                    quantiles.add_metric(labels, latency.quantile_s(percentile))
+                    quantiles.add_metric(
+                        labels, latency.percentile_us(percentile) / 1e6
+                    )
             yield family
             yield quantiles
--- /dev/null
+++ b/src/kumquatseam/metrics/_latency.py
@@ -0,0 +1,29 @@
+"""Latencies in an HDR histogram."""
+
+from hdrh.histogram import HdrHistogram
+
+#: latencies are recorded from 1 us to 10 minutes.
+_LOWEST_US = 1
+_HIGHEST_US = 600_000_000
+
+
+class LatencyHistogram:
+    """Latencies with their count and sum.
+
+    :param digits: significant digits kept; two take about 15 KB.
+    """
+
+    def __init__(self, digits: int) -> None:
+        self._histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, digits)
+        self.sum_s = 0.0
+        self.count = 0
+
+    def record(self, latency_s: float) -> None:
+        """Record one latency."""
+        self._histogram.record_value(max(_LOWEST_US, int(latency_s * 1_000_000)))
+        self.sum_s += latency_s
+        self.count += 1
+
+    def percentile_us(self, percentile: float) -> int:
+        """Return the latency at ``percentile`` in microseconds."""
+        return self._histogram.get_value_at_percentile(percentile)
--- a/src/kumquatseam/peers/_loads.py
+++ b/src/kumquatseam/peers/_loads.py
@@ -50,9 +50,10 @@
     def step(self) -> None:
         """Publish this instance's loads if it is time to."""
         now_s = self._clock()
-        pause_s = max(MIN_PAUSE_S, PAUSE_PER_PEER_S * len(self._bus.alive()))
         if self._directory.changes == self._published_changes:
             pause_s = HEARTBEAT_S
+        else:
+            pause_s = max(MIN_PAUSE_S, PAUSE_PER_PEER_S * len(self._bus.alive()))
         if now_s - self._published_s < pause_s:
             return
         self._published_s = now_s
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -83,10 +83,9 @@
 
     def read_answer(self, head: ResponseHead) -> AnswerTraits:
         headers = head.headers
-        is_other_life = head.status == 421
+        is_refused = headers.get(b"x-not-executed") is not None
         return AnswerTraits(
-            is_not_run=is_other_life or headers.get(b"x-not-executed") is not None,
-            is_other_life=is_other_life,
+            is_not_run=is_refused or head.status == 421,
             weights_version=_whole_number(headers.text(_VERSION)),
             keep_alive_s=_keep_alive_s(headers),
             is_signed=headers.get(b"x-replica-signature") is not None,
--- a/src/kumquatseam/pools.py
+++ b/src/kumquatseam/pools.py
@@ -68,7 +68,10 @@
 
 
 def silent_connection_options() -> list[tuple[int, int, int]]:
-    """Return socket options that end connections no one acknowledges."""
+    """Return socket options that end connections no one acknowledges.
+
+    urllib3's own come first: they send small writes at once.
+    """
     return [
         *HTTPConnection.default_socket_options,
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
--- a/src/kumquatseam/prompts/_index.py
+++ b/src/kumquatseam/prompts/_index.py
@@ -39,9 +39,10 @@
 
     def note_read(self, upstream_id: str, salt: str, chain: PromptChain) -> None:
         """Note that ``upstream_id`` reads the shared parts of ``chain``."""
+        read = PromptRead(upstream_id, salt, chain.shared)
         if self.held_tokens(upstream_id, salt, chain) < chain.shared_tokens:
-            self._fresh.append(PromptRead(upstream_id, salt, chain.shared))
-        self.note_peer_read(PromptRead(upstream_id, salt, chain.shared))
+            self._fresh.append(read)
+        self.note_peer_read(read)
 
     def take_fresh(self, limit: int) -> list[PromptRead]:
         """Return up to ``limit`` reads that peers were not yet told of."""
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -10,7 +10,7 @@
 from kumquatseam.fleet import DutyLease
 from kumquatseam.logs import part_logger
 from kumquatseam.loops import BackgroundTask
-from kumquatseam.peers import PeerBus, RolloutNotice
+from kumquatseam.peers import PeerBus, RolloutNotice, UpstreamLoad
 from kumquatseam.rollouts._orders import OrderClient, OrderOutcome, WeightsOrder
 from kumquatseam.rollouts._plan import EngineState, LoadPlan, plan_loads
 from kumquatseam.rollouts._view import RolloutView
@@ -52,6 +52,7 @@
     :param given_s: when.
     :param patience_s: when to give it again without effect.
     :param asked_s: when the engine was last asked about it.
+    :param is_asking: whether that question is still under way.
     """
 
     version: int
@@ -75,7 +76,7 @@
     :param orders: gives orders.
     :param bus: tells the other instances.
     :param view: tells this instance.
-    :param peer_running: requests that others have on an engine.
+    :param peer_loads: what others have on an engine.
     :param clock: monotonic clock in seconds.
     """
 
@@ -88,7 +89,7 @@
         orders: OrderClient,
         bus: PeerBus,
         view: RolloutView,
-        peer_running: Callable[[str], int],
+        peer_loads: Callable[[str], UpstreamLoad],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__()
@@ -99,7 +100,7 @@
         self._orders = orders
         self._bus = bus
         self._view = view
-        self._peer_running = peer_running
+        self._peer_loads = peer_loads
         self._clock = clock
         self._given: dict[str, _Order] = {}
         self._notice_s = 0.0
@@ -129,7 +130,6 @@
         statuses = self._engines_of(weights.model)
         self._drop_done(weights, statuses)
         self._ask_loading(weights, statuses)
-        self._drop_done(weights, statuses)
         states = [self._state(weights, status) for status in statuses]
         plan = plan_loads(states, self._targets.age_s(weights.model))
         loading = [s.upstream_id for s in states if s.is_loading]
@@ -177,7 +177,7 @@
             status.version_of(weights.model),
             _has(status, weights.model, weights.version),
             upstream_id in self._given,
-            status.running + self._peer_running(upstream_id),
+            status.running + self._peer_loads(upstream_id).running,
             status.upstream.slots,
             status.upstream.availability_zone,
             status.held_out_until_s <= self._clock(),
--- a/src/kumquatseam/routes/_table.py
+++ b/src/kumquatseam/routes/_table.py
@@ -147,6 +147,8 @@
     _by_host: dict[str, tuple[Route, ...]] = attrs.field(init=False, eq=False)
     _by_key: dict[str, TeamTraits] = attrs.field(init=False, eq=False)
     _by_service: dict[str, ServiceTraits] = attrs.field(init=False, eq=False)
+    #: address of the store of kept KV cache; ``""`` if there is none.
+    cache_store_address: str = attrs.field(init=False, eq=False)
 
     @_by_host.default
     def _index_hosts(self) -> dict[str, tuple[Route, ...]]:
@@ -163,6 +165,11 @@
     def _index_services(self) -> dict[str, ServiceTraits]:
         return {service.name: service for service in self.services}
 
+    @cache_store_address.default
+    def _find_cache_store(self) -> str:
+        stores = (s.cache_store_address for s in self.services)
+        return next(filter(None, stores), "")
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path`` on ``host``."""
         name = host.rsplit(":", 1)[0].lower()
@@ -179,11 +186,6 @@
         """Return the service called ``name``."""
         return self._by_service.get(name)
 
-    def cache_store(self) -> ServiceTraits | None:
-        """Return the store of kept KV cache, if there is one."""
-        stores = (s for s in self.services if s.cache_store_address)
-        return next(stores, None)
-
 
 def _longest_first(routes: Iterable[Route]) -> tuple[Route, ...]:
     return tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
--- a/src/kumquatseam/settings/_gateway.py
+++ b/src/kumquatseam/settings/_gateway.py
@@ -1,12 +1,12 @@
 """The settings of the gateway daemon, one class per INI section."""
 
-import configparser
 from pathlib import Path
 
 import attrs
 
 from kumquatseam.errors import SettingsError
-from kumquatseam.settings._fields import FieldFault, read_fields, setting
+from kumquatseam.settings._fields import setting
+from kumquatseam.settings._loading import parse_ini, read_section
 
 
 @attrs.frozen
@@ -121,21 +121,11 @@
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(path, "", "", f"cannot be read: {error}") from error
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text, source=path)
-    except configparser.Error as error:
-        raise SettingsError(path, "", "", f"not valid INI: {error}") from error
+    parser = parse_ini(text, path)
     for section in parser.sections():
         if section not in _SECTIONS:
             raise SettingsError(path, section, "", "unknown section")
-    return GatewayFile(path, **{name: _read(parser, path, name) for name in _SECTIONS})
-
-
-def _read(parser: configparser.ConfigParser, path: str, name: str):
-    raw = dict(parser[name]) if parser.has_section(name) else {}
-    cls = _SECTIONS[name]
-    try:
-        return cls(**read_fields(cls, raw))
-    except FieldFault as fault:
-        raise SettingsError(path, name, fault.key, fault.reason) from fault
+    sections = {
+        name: read_section(parser, path, name, cls) for name, cls in _SECTIONS.items()
+    }
+    return GatewayFile(path, **sections)
--- a/src/kumquatseam/settings/_loading.py
+++ b/src/kumquatseam/settings/_loading.py
@@ -61,23 +61,33 @@
     :returns: the checked settings.
     :raises SettingsError: on the first fault found.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text, source=source)
-    except configparser.Error as error:
-        raise SettingsError(source, "", "", f"not valid INI: {error}") from error
+    parser = parse_ini(text, source)
     _check_sections(parser, source)
     return Settings(
         source=source,
         daemon=_daemon(parser, source),
         configuration=_configuration(parser, source),
         **{
-            name: _section(parser, source, name, cls)
+            name: read_section(parser, source, name, cls)
             for name, cls in _OPTIONAL_SECTIONS.items()
         },
     )
 
 
+def parse_ini(text: str, source: str) -> configparser.ConfigParser:
+    """Return the sections of an INI document.
+
+    :param source: where it came from, used in error messages.
+    :raises SettingsError: if it is not one.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, source=source)
+    except configparser.Error as error:
+        raise SettingsError(source, "", "", f"not valid INI: {error}") from error
+    return parser
+
+
 def _check_sections(parser: configparser.ConfigParser, source: str) -> None:
     plain = {_DAEMON, *_OPTIONAL_SECTIONS}
     for section in parser.sections():
@@ -90,14 +100,18 @@
 def _daemon(parser: configparser.ConfigParser, source: str) -> DaemonSettings:
     if not parser.has_section(_DAEMON):
         raise SettingsError(source, _DAEMON, "", "missing section")
-    daemon = _section(parser, source, _DAEMON, DaemonSettings)
+    daemon = read_section(parser, source, _DAEMON, DaemonSettings)
     host, _, port = daemon.listen.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
         raise SettingsError(source, _DAEMON, "listen", "must be HOST:PORT")
     return daemon
 
 
-def _section(parser: configparser.ConfigParser, source: str, name: str, cls: type):
+def read_section(parser: configparser.ConfigParser, source: str, name: str, cls: type):
+    """Return section ``name`` as an instance of ``cls``; defaults if absent.
+
+    :raises SettingsError: at the first unknown, missing or malformed key.
+    """
     raw = dict(parser[name]) if parser.has_section(name) else {}
     try:
         return cls(**read_fields(cls, raw))
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -1,7 +1,7 @@
 """The composition root: builds every part of the daemon and owns their order.
 
 :func:`build_daemon` is the only place that constructs parts and hands them to
-each other. :class:`Daemon` starts them in dependency order and closes them in
+each other. :class:`PartGroup` starts them in dependency order and closes them in
 reverse; failures while closing are raised together as an exception group.
 """
 
@@ -40,6 +40,7 @@
     InstanceRegistration,
     InstanceWatcher,
 )
+from kumquatseam.lifecycle import PartGroup
 from kumquatseam.logs import part_logger
 from kumquatseam.logservice import HttpLogService
 from kumquatseam.loops import StepLoop
@@ -70,36 +71,7 @@
 WARM_STATE_BLOCKS = 12_000
 
 
-class Daemon:
-    """A running router daemon: its parts in start order.
-
-    :param parts: objects with ``start()`` and ``close()``, in start order.
-    """
-
-    def __init__(self, parts: list) -> None:
-        self._parts = parts
-
-    def start(self) -> None:
-        """Start every part; the caller interface comes late."""
-        for part in self._parts:
-            part.start()
-
-    def close(self) -> None:
-        """Close every part in reverse order.
-
-        :raises ExceptionGroup: of every part's failure to close, if any.
-        """
-        failures = []
-        for part in reversed(self._parts):
-            try:
-                part.close()
-            except Exception as error:  # noqa: BLE001 - gathered and raised below
-                failures.append(error)
-        if failures:
-            raise ExceptionGroup("daemon: parts failed to close", failures)
-
-
-def build_daemon(settings: Settings, policy_name: str | None = None) -> Daemon:
+def build_daemon(settings: Settings, policy_name: str | None = None) -> PartGroup:
     """Build a daemon from settings.
 
     :param settings: checked settings.
@@ -141,12 +113,13 @@
         self._control: ControlServer | None = None
         self._claims: ClaimLedger | None = None
 
-    def build(self) -> Daemon:
+    def build(self) -> PartGroup:
         """Return the daemon."""
         engines = self._engine_parts()
         fleet = self._fleet_parts()
         log = self._log_parts()
-        daemon = Daemon(
+        daemon = PartGroup(
+            "daemon",
             [
                 *engines,
                 self._services,
@@ -154,7 +127,7 @@
                 *fleet,
                 self._caller_interface(engines[0]),
                 *self._instance_parts(),
-            ]
+            ],
         )
         _log.info(
             "Built name={} policy={} engines={} log={} fleet={}.",
