A few instances read the store's topics and tell the others

Ruled out: a longer pause between reads (the bound for leaving replicas is two seconds); one reader that a lease appoints (its loss would stop all news for the lease's length, and each renewal costs a call). Change: `feeds`: an instance reads a topic while it hears of fewer than two others before it that do, and tells what was news; large values are told by key only. Each keeps a whole copy, notices gaps by offsets, reads by itself when its copy is stale, and asks another instance when it cannot read. The settings' seeds serve a start without the store. Entries that lapse in an outage of the list stay for 2.5 s. One request and reply over nng for both front ends.

--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies as st
 
 from kumquatseam.admission import RetryBudget
+from kumquatseam.codec import MessageCodec
 from kumquatseam.errors import OverloadedError
 from kumquatseam.fleet import DutyLease
 from kumquatseam.gateway._events import EventSplitter
@@ -23,7 +24,7 @@
     RequestLimits,
     RequestReader,
 )
-from kumquatseam.peers import MESSAGE_CODEC, LoadExchange, RolloutNotice
+from kumquatseam.peers import MESSAGE_KINDS, LoadExchange, RolloutNotice
 from kumquatseam.placement import (
     Candidate,
     PlacementRequest,
@@ -650,6 +651,8 @@
 class MemoryBus:
     """Hands messages to every handler, as peers would."""
 
+    _codec = MessageCodec("peer message", MESSAGE_KINDS, is_compact=True)
+
     def __init__(self, name):
         self.name = name
         self.peers = []
@@ -661,7 +664,7 @@
     def publish(self, message):
         for peer in self.peers:
             peer.handlers[type(message)](
-                MESSAGE_CODEC.decode(MESSAGE_CODEC.encode(message))
+                self._codec.decode(self._codec.encode(message))
             )
 
     def alive(self):
--- /dev/null
+++ b/features/steps/feeds_steps.py
@@ -0,0 +1,440 @@
+"""Steps for topics that instances follow together, in modelled time."""
+
+import random
+
+import attrs
+from behave import given, then, when
+from platform_steps import step_plain_gateway
+from platform_world import free_port, wait_until
+
+from kumquatseam.codec import MessageCodec
+from kumquatseam.feeds import (
+    FeedPeers,
+    ReadPace,
+    SharedWatch,
+    TopicCopy,
+    TopicUpdate,
+)
+from kumquatseam.logservice import (
+    KeyedBatch,
+    KeyedChange,
+    KeyedListener,
+    LogServiceError,
+)
+from kumquatseam.standins.logservice import (
+    InMemoryLogService,
+    LogFaults,
+    LogStore,
+    LogStoreLimits,
+)
+from kumquatseam.upstreams import Upstream, UpstreamDirectory
+
+TOPIC = "keyed.test"
+PACE = ReadPace(wait_s=0.0, pause_s=0.4, stale_after_s=1.1)
+STEP_S = 0.05
+CODEC = MessageCodec("update", {"topic": TopicUpdate}, is_compact=True)
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class Values(KeyedListener):
+    """Keeps the values; what ends in a dot changes nothing."""
+
+    def __init__(self):
+        self.values = {}
+
+    def take(self, key, value, learning):
+        self.values[key] = value
+        return not value.endswith(b".")
+
+
+class CountingLog(InMemoryLogService):
+    """One instance's way to the log."""
+
+    def __init__(self, world):
+        super().__init__(world.store, LogFaults())
+        self.world = world
+
+    def _enter(self):
+        self.world.calls += 1
+        if self.world.is_down:
+            self.faults.down = True
+        super()._enter()
+
+
+class ModelledInstance:
+    """An instance whose watch is stepped in modelled time."""
+
+    def __init__(self, world, name, link_mbps=0.0):
+        self.world = world
+        self.name = name
+        self.link_mbps = link_mbps
+        self.log = CountingLog(world)
+        self.is_frozen = False
+        self.is_cut = False
+        self.restart()
+
+    def restart(self):
+        self.listener = Values()
+        peers = FeedPeers(self.name, self._position, self._publish, self._ask)
+        self.watch = SharedWatch(
+            self.log,
+            TOPIC,
+            self.listener,
+            PACE,
+            peers,
+            self.link_mbps,
+            self.world.clock,
+        )
+        self.next_s = self.world.clock() + random.Random(self.name).random() * 0.3
+
+    def _position(self):
+        alive = [i.name for i in self.world.instances if not (i.is_frozen or i.is_cut)]
+        return sorted({*alive, self.name}).index(self.name)
+
+    def _publish(self, update):
+        self.world.publish(self, CODEC.encode(update))
+
+    def _ask(self, known_offset):
+        for other in self.world.instances:
+            if other is not self and not (other.is_cut or other.is_frozen):
+                batch = other.watch.copy.whole()
+                if batch is not None and batch.next_offset > known_offset:
+                    return batch, other.watch.copy.age_s()
+        return None
+
+    def step(self):
+        """Do what the watch's loop does, without sleeping."""
+        if self.is_frozen or self.world.clock() < self.next_s:
+            return
+        watch = self.watch
+        if not watch.should_read():
+            self.next_s = self.world.clock() + 0.1
+            return
+        try:
+            watch.read()
+            pause_s = PACE.pause_s if watch.is_reader else 0.1
+        except LogServiceError as error:
+            pause_s = watch.note_failure(error)
+            watch.learn_from_peer()
+        self.next_s = self.world.clock() + pause_s
+
+
+class FeedWorld:
+    """Instances around one log."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.store = LogStore(LogStoreLimits(), self.clock)
+        self.instances = []
+        self.calls = 0
+        self.is_down = False
+        self.told = []
+        self.lose_next_to = None
+        self.written = 0
+        self.newest = b""
+
+    def publish(self, sender, data):
+        if sender.is_cut:
+            return
+        self.told.append(data)
+        for other in self.instances:
+            if other is sender or other.is_frozen or other.is_cut:
+                continue
+            if other is self.lose_next_to:
+                self.lose_next_to = None
+                continue
+            other.watch.take_update(CODEC.decode(data))
+
+    def write(self, size=20, end=b""):
+        self.written += 1
+        self.newest = (b"%d " % self.written).ljust(size, b"x") + end
+        writer = InMemoryLogService(self.store)
+        writer.append_keyed(TOPIC, "k", self.newest)
+
+    def run(self, seconds):
+        end_s = self.clock.now_s + seconds
+        while self.clock.now_s < end_s:
+            self.clock.now_s += STEP_S
+            for instance in self.instances:
+                instance.step()
+
+    def readers(self):
+        return [i for i in self.instances if i.watch.is_reader]
+
+
+@given("{count:d} instances that follow a topic")
+@given("{count:d} instances that follow a topic, {fast:d} of them with faster links")
+def step_instances(context, count, fast=0):
+    context.world = FeedWorld()
+    context.world.write()
+    context.world.instances = [
+        ModelledInstance(context.world, f"i{n:02}", 100.0 if n < fast else 5.0)
+        for n in range(count)
+    ]
+
+
+@when("{seconds:g} seconds pass")
+def step_pass(context, seconds):
+    context.world.run(seconds)
+
+
+@when("{seconds:g} more seconds pass")
+def step_pass_counted(context, seconds):
+    context.world.calls = 0
+    context.world.run(seconds)
+
+
+@then("{count:d} instances read it")
+def step_readers(context, count):
+    readers = context.world.readers()
+    assert len(readers) == count, [i.name for i in readers]
+    context.before = readers
+
+
+@then("those that read have the faster links")
+def step_fast_readers(context):
+    assert all(i.link_mbps == 100.0 for i in context.before)
+
+
+@then("the log was called at most {count:d} times in these 10 seconds")
+def step_calls(context, count):
+    assert context.world.calls <= count, context.world.calls
+
+
+@when("a value is written")
+def step_write(context):
+    context.world.told.clear()
+    context.world.write()
+
+
+@when("a value is written that changes nothing")
+def step_write_same(context):
+    context.world.told.clear()
+    context.world.write(end=b".")
+
+
+@when("a value of {size:d} bytes is written")
+def step_write_large(context, size):
+    context.world.told.clear()
+    context.world.write(size)
+
+
+@then("all know the newest value")
+def step_all_know(context):
+    world = context.world
+    behind = [
+        i.name for i in world.instances if i.listener.values != {"k": world.newest}
+    ]
+    assert not behind, behind
+
+
+@then("all that can know the newest value do")
+def step_all_that_can(context):
+    world = context.world
+    fit = [i for i in world.instances if not (i.is_cut or i.is_frozen)]
+    behind = [i.name for i in fit if i.listener.values != {"k": world.newest}]
+    assert not behind, behind
+
+
+@then("no update carried it")
+def step_not_told(context):
+    told = [CODEC.decode(data) for data in context.world.told]
+    assert told
+    assert not any(update.batch.changes for update in told)
+    assert all(len(data) < 500 for data in context.world.told)
+
+
+@when("those that read are {fault}")
+def step_readers_fail(context, fault):
+    context.before = context.world.readers()
+    for instance in context.before:
+        instance.log.faults.down = True
+        instance.is_cut = fault == "cut off from all"
+        instance.is_frozen = fault == "frozen"
+
+
+@then("{count:d} other instances read it")
+def step_other_readers(context, count):
+    others = [i for i in context.world.readers() if i not in context.before]
+    assert len(others) == count, [i.name for i in others]
+
+
+@when("instances that do not read are cut off from the log")
+def step_cut_listeners(context):
+    for instance in context.world.instances:
+        if not instance.watch.is_reader:
+            instance.log.faults.down = True
+
+
+@when("the log goes down")
+def step_down(context):
+    context.world.is_down = True
+
+
+@when("one instance starts anew")
+def step_restart(context):
+    context.world.instances[3].restart()
+
+
+@when("the next update is lost on its way to one of them")
+def step_lose(context):
+    listeners = [i for i in context.world.instances if not i.watch.is_reader]
+    context.world.lose_next_to = listeners[0]
+
+
+# One copy.
+
+
+def _change(offset, value=b"v"):
+    return KeyedChange(offset, "k", value)
+
+
+def _copy(next_offset):
+    copy = TopicCopy(Values())
+    copy.take(KeyedBatch(0, next_offset, (_change(0),), is_whole=True))
+    return copy
+
+
+@given("a copy that took a change from another reader's update")
+def step_copy(context):
+    context.copy = _copy(5)
+    context.copy.take(KeyedBatch(5, 6, (_change(5),)))
+
+
+@when("its own next read begins before that change")
+def step_own_read(context):
+    known = context.copy.next_offset
+    news = context.copy.take(KeyedBatch(5, 7, (_change(5), _change(6, b"w"))))
+    assert [change.offset for change in news] == [6]
+    context.update = KeyedBatch(known, context.copy.next_offset, news)
+
+
+@then("its update is no gap to those who took the change")
+def step_no_gap(context):
+    assert _copy(6).follows(context.update)
+
+
+@then("a gap to those who did not")
+def step_gap(context):
+    assert not _copy(5).follows(context.update)
+
+
+@then("copies that get random reads, updates, repeats and losses never go wrong")
+def step_random(context):
+    draw = random.Random(5)
+    for _ in range(300):
+        _play_random_updates(draw)
+
+
+def _play_random_updates(draw):
+    """Two readers and a listener; the listener's copy must match the log's."""
+    log = [KeyedChange(0, "a", b"0")]
+    copies = [TopicCopy(Values()) for _ in range(3)]
+    for copy in copies:
+        copy.take(KeyedBatch(0, 1, tuple(log), is_whole=True))
+    on_the_way = []
+    for _ in range(60):
+        if draw.random() < 0.5:
+            key, value = draw.choice("abc"), b"%d" % len(log)
+            log.append(KeyedChange(len(log), key, value))
+        reader = draw.choice(copies[:2])
+        known = reader.next_offset
+        batch = KeyedBatch(known, len(log), tuple(log[known:]))
+        # Another reader's update may come while the read is under way.
+        if on_the_way and draw.random() < 0.5:
+            other = draw.choice(on_the_way)
+            if reader.follows(other):
+                reader.take(other)
+        known = reader.next_offset
+        news = reader.take(batch)
+        on_the_way.append(KeyedBatch(known, reader.next_offset, news))
+        for update in draw.sample(on_the_way, min(2, len(on_the_way))):
+            if copies[2].follows(update):
+                copies[2].take(update)
+        _check_against(log, copies[2])
+    for copy in copies:
+        _check_against(log, copy)
+
+
+def _check_against(log, copy):
+    expected = {change.key: change.value for change in log[: copy.next_offset]}
+    found = {change.key: change.value for change in copy.whole().changes}
+    assert found == expected, (found, expected)
+
+
+# Entries.
+
+
+@given("an upstream listed before an outage of the list")
+def step_listed(context):
+    context.clock = Clock()
+    context.directory = UpstreamDirectory(context.clock)
+    context.entry = Upstream("e0", "engines", "a:1")
+    context.directory.put(context.entry)
+
+
+@when("its entry is dropped {age_s:g} seconds after the outage")
+def step_dropped(context, age_s):
+    assert context.directory.remove("e0", age_s)
+
+
+@when("its entry is dropped long after the outage")
+def step_dropped_plainly(context):
+    assert context.directory.remove("e0")
+
+
+@when("its entry is written again")
+def step_written_again(context):
+    assert context.directory.put(attrs.evolve(context.entry))
+
+
+@when("{seconds:g} seconds go by")
+def step_go_by(context, seconds):
+    context.clock.now_s += seconds
+    context.directory.sweep()
+
+
+@then("the upstream still takes work")
+def step_still(context):
+    assert context.directory.status("e0") is not None
+
+
+@then("the upstream is gone")
+def step_gone(context):
+    assert context.directory.status("e0") is None
+
+
+# Processes.
+
+
+@given("two gateways before 1 plain replica, the second without the store")
+def step_two_gateways(context):
+    step_plain_gateway(context, 1)
+    world = context.platform
+    seed = f"127.0.0.1:{world.gateways[0].ports['state']}"
+    world.add_gateway(log_port=free_port(), seeds=seed)
+
+
+@then("the second serves requests as well")
+def step_second_serves(context):
+    assert context.platform.send(gateway=1).status == 200
+
+
+@then("within {seconds:d} seconds the second sends requests to the other service only")
+def step_second_moved(context, seconds):
+    world = context.platform
+    other = world.replicas["o0"]
+
+    def goes_there():
+        before = len(other.seen)
+        world.send(gateway=1)
+        return len(other.seen) > before
+
+    wait_until("the new route is in force", goes_there, seconds)
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -27,6 +27,8 @@
 grace_s = 4
 [peers]
 address = 127.0.0.1:{peer}
+state_address = 127.0.0.1:{state}
+seeds = {seeds}
 [log]
 address = 127.0.0.1:{log}
 [retries]
@@ -58,13 +60,17 @@
 class GatewayProcess:
     """One gateway daemon as a process of its own."""
 
-    def __init__(self, folder: Path, name: str, log_port: int, slack=50):
+    def __init__(self, folder: Path, name: str, log_port: int, slack=50, seeds=""):
         self.name = name
-        self.ports = {p: free_port() for p in ("front", "ready", "metrics", "peer")}
+        self.ports = {
+            p: free_port() for p in ("front", "ready", "metrics", "peer", "state")
+        }
         self.settings = folder / f"{name}.ini"
         self.log_path = folder / f"{name}.log"
         self.settings.write_text(
-            TEMPLATE.format(name=name, log=log_port, slack=slack, **self.ports)
+            TEMPLATE.format(
+                name=name, log=log_port, slack=slack, seeds=seeds, **self.ports
+            )
         )
         self.process = None
 
@@ -201,7 +207,8 @@
 
     def add_gateway(self, wait=True, **options) -> GatewayProcess:
         name = f"gateway-{len(self.gateways)}"
-        gateway = GatewayProcess(self.folder, name, self.log_port, **options)
+        log_port = options.pop("log_port", self.log_port)
+        gateway = GatewayProcess(self.folder, name, log_port, **options)
         gateway.start()
         self.gateways.append(gateway)
         if wait:
--- /dev/null
+++ b/src/kumquatseam/feeds/__init__.py
@@ -0,0 +1,37 @@
+"""Following topics of the log together with the other instances.
+
+A few instances read a topic and tell the others what is new; everyone keeps a
+whole copy and reads the log itself when it hears nothing, missed something or
+cannot tell how old its copy is. An instance that cannot reach the log at all
+takes a copy from another one.
+
+- :class:`TopicFeeds` follows topics and answers other instances.
+- :class:`ReadPace` says how often a topic is read.
+- :class:`TopicUpdate` is what instances tell each other.
+"""
+
+from kumquatseam.feeds._copy import TopicCopy
+from kumquatseam.feeds._feeds import TopicFeeds
+from kumquatseam.feeds._messages import (
+    QUESTION_CODEC,
+    TopicAnswer,
+    TopicQuestion,
+    TopicUpdate,
+)
+from kumquatseam.feeds._reader_choice import ReaderChoice, ReaderRank, reader_rank
+from kumquatseam.feeds._shared_watch import FeedPeers, ReadPace, SharedWatch
+
+__all__ = [
+    "QUESTION_CODEC",
+    "FeedPeers",
+    "ReadPace",
+    "ReaderChoice",
+    "ReaderRank",
+    "SharedWatch",
+    "TopicAnswer",
+    "TopicCopy",
+    "TopicFeeds",
+    "TopicQuestion",
+    "TopicUpdate",
+    "reader_rank",
+]
--- a/src/kumquatseam/fleet/__init__.py
+++ b/src/kumquatseam/fleet/__init__.py
@@ -5,7 +5,6 @@
 """
 
 from kumquatseam.fleet._changes import ChangeRefusedError, apply_changes
-from kumquatseam.fleet._control import ControlClient, ControlServer
 from kumquatseam.fleet._follower import (
     CONFIGURATION_TOPIC,
     Command,
@@ -28,6 +27,7 @@
     router_addresses,
 )
 from kumquatseam.fleet._messages import (
+    CONTROL_CODEC,
     ConfigurationRequest,
     ControlMessage,
     EngineBlocks,
@@ -58,6 +58,7 @@
 from kumquatseam.fleet._warm_start import WarmStart
 
 __all__ = [
+    "CONTROL_CODEC",
     "engine_id",
     "Command",
     "ConfigurationSnapshot",
@@ -72,9 +73,7 @@
     "ConfigurationFollower",
     "ConfigurationRequest",
     "ConfigurationState",
-    "ControlClient",
     "ControlMessage",
-    "ControlServer",
     "DEAD",
     "DROP",
     "DutyLease",
--- a/src/kumquatseam/fleet/_heartbeats.py
+++ b/src/kumquatseam/fleet/_heartbeats.py
@@ -5,9 +5,9 @@
 import gevent
 import gevent.pool
 
-from kumquatseam.fleet._control import ControlClient
 from kumquatseam.fleet._membership import Member, Membership
-from kumquatseam.fleet._messages import Heartbeat, RouterSummary
+from kumquatseam.fleet._messages import CONTROL_CODEC, Heartbeat, RouterSummary
+from kumquatseam.request_reply import ReplyClient
 from kumquatseam.settings import FleetSettings
 
 #: how much longer the interval is in a fleet too large to heartbeat everyone.
@@ -39,7 +39,7 @@
         self._read_offset = read_offset
         self._take_summary = take_summary
         self._on_heartbeat = on_heartbeat
-        self._clients: dict[str, ControlClient] = {}
+        self._clients: dict[str, ReplyClient] = {}
         self._pool = gevent.pool.Pool()
         self._greenlet: gevent.Greenlet | None = None
         self._closed_bytes = 0
@@ -85,7 +85,7 @@
     def _beat(self, member: Member, message: Heartbeat) -> None:
         client = self._clients.get(member.address)
         if client is None:
-            client = ControlClient(member.address)
+            client = ReplyClient(member.address, CONTROL_CODEC)
             self._clients[member.address] = client
         self._membership.note_asked(member.name)
         timeout_s = self._interval_s() * REPLY_SHARE
--- a/src/kumquatseam/fleet/_peer_configuration.py
+++ b/src/kumquatseam/fleet/_peer_configuration.py
@@ -9,10 +9,13 @@
 from collections.abc import Callable
 
 from kumquatseam.errors import KumquatseamError
-from kumquatseam.fleet._control import ControlClient
 from kumquatseam.fleet._live import LiveConfiguration
 from kumquatseam.fleet._membership import DEAD, Membership, router_addresses
-from kumquatseam.fleet._messages import ConfigurationRequest, ControlMessage
+from kumquatseam.fleet._messages import (
+    CONTROL_CODEC,
+    ConfigurationRequest,
+    ControlMessage,
+)
 from kumquatseam.fleet._records import (
     ConfigurationSnapshot,
     configuration_of,
@@ -20,6 +23,7 @@
 )
 from kumquatseam.instances import InstanceList, InstanceListError
 from kumquatseam.logs import part_logger
+from kumquatseam.request_reply import ask_once
 
 _log = part_logger("config")
 
@@ -33,11 +37,7 @@
 
 def ask_router(address: str, message: ControlMessage) -> ControlMessage | None:
     """Ask the router at ``address`` once."""
-    client = ControlClient(address)
-    try:
-        return client.ask(message, ASK_TIMEOUT_S)
-    finally:
-        client.close()
+    return ask_once(address, CONTROL_CODEC, message, ASK_TIMEOUT_S)
 
 
 class PeerConfiguration:
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -4,6 +4,7 @@
 import time
 
 from kumquatseam.admission import RetryBudget
+from kumquatseam.feeds import ReadPace, TopicFeeds, TopicUpdate
 from kumquatseam.fleet import DutyLease
 from kumquatseam.gateway._dialect import Dialect
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
@@ -12,10 +13,13 @@
 from kumquatseam.http1 import ConnectionPool, RequestLimits
 from kumquatseam.lifecycle import PartGroup
 from kumquatseam.logs import part_logger
-from kumquatseam.logservice import HttpLogService, KeyedListener, KeyedWatch
+from kumquatseam.logservice import HttpLogService, KeyedListener
 from kumquatseam.loops import StepLoop
 from kumquatseam.metrics import GatewayMetrics
 from kumquatseam.peers import (
+    INSTANCES_TOPIC,
+    MESSAGE_KINDS,
+    InstanceRecord,
     InstanceRegistry,
     LoadExchange,
     PeerBus,
@@ -30,14 +34,16 @@
 
 _log = part_logger("gateway")
 
-#: how long one read waits for an operator's record. A connection that went
-#: silent is noticed after this and the call's timeout, within the two seconds
-#: in which a configuration is to be in force.
-OPERATOR_WAIT_S = 1.2
-#: pause between reads of the upstreams' entries. They are rewritten by every
-#: heartbeat, so waiting would mean a call a heartbeat; an upstream that leaves
-#: may get work for two seconds.
-UPSTREAM_PAUSE_S = 0.4
+#: a configuration is to be in force within two seconds. A reader that fails is
+#: noticed after the last figure, and reading takes up to the call's timeout.
+OPERATOR_PACE = ReadPace(wait_s=0.5, pause_s=0.0, stale_after_s=1.2)
+#: upstreams' entries are rewritten by every heartbeat, so waiting would mean a
+#: call a heartbeat; an upstream that leaves may get work for two seconds.
+UPSTREAM_PACE = ReadPace(wait_s=0.0, pause_s=0.4, stale_after_s=1.1)
+#: nothing correct hangs on knowing of a new instance at once.
+INSTANCE_PACE = ReadPace(wait_s=0.0, pause_s=2.0, stale_after_s=9.0)
+#: what instances tell each other, by name on the wire.
+BUS_KINDS = {**MESSAGE_KINDS, "topic": TopicUpdate}
 #: seconds between two sweeps of idle connections.
 SWEEP_INTERVAL_S = 1.0
 #: seconds between two looks whether a summary of own loads is due.
@@ -103,14 +109,26 @@
         self._directory.on_gone(self._forget_upstream)
         self._targets = WeightsTargets()
         self._orders = adapter.order_client()
-        self._bus = PeerBus(file.gateway.router_name, file.peers.address)
+        self._record = InstanceRecord(
+            file.gateway.router_name, file.peers.address, file.peers.state_address
+        )
+        self._bus = PeerBus(self._record.name, self._record.address, BUS_KINDS)
+        self._feeds = TopicFeeds(
+            self._log_service,
+            self._bus,
+            self._record,
+            file.peers.seeds,
+            file.gateway.link_mbps,
+        )
+        registry = InstanceRegistry(self._log_service, self._bus, self._record)
+        self._follow_topics(registry)
         self._loads = LoadExchange(self._bus, self._directory, self._index)
         self._server = self._build_server()
         parts = [
             self._log_service,
             self._bus,
-            *self._watches(),
-            InstanceRegistry(self._log_service, self._bus),
+            registry,
+            self._feeds,
             StepLoop(LOAD_INTERVAL_S, self._loads.step),
             StepLoop(PEER_CHECK_INTERVAL_S, self._bus.step),
             StepLoop(SILENCE_CHECK_INTERVAL_S, self._directory.sweep),
@@ -189,21 +207,13 @@
             self._loads.on_upstream,
         )
 
-    def _watches(self) -> list[KeyedWatch]:
-        operators = KeyedWatch(
-            self._log_service,
-            self._adapter.operator_topic,
-            self._adapter.operator_listener(self._live, self._targets),
-            OPERATOR_WAIT_S,
-        )
-        upstreams = KeyedWatch(
-            self._log_service,
-            self._adapter.upstream_topic,
-            self._adapter.upstream_listener(self._directory),
-            0.0,
-            UPSTREAM_PAUSE_S,
-        )
-        return [operators, upstreams]
+    def _follow_topics(self, registry: InstanceRegistry) -> None:
+        adapter = self._adapter
+        operators = adapter.operator_listener(self._live, self._targets)
+        upstreams = adapter.upstream_listener(self._directory)
+        self._feeds.follow(adapter.operator_topic, operators, OPERATOR_PACE)
+        self._feeds.follow(adapter.upstream_topic, upstreams, UPSTREAM_PACE)
+        self._feeds.follow(INSTANCES_TOPIC, registry, INSTANCE_PACE)
 
     def _health_servers(self) -> list:
         gateway = self._file.gateway
--- a/src/kumquatseam/logservice/__init__.py
+++ b/src/kumquatseam/logservice/__init__.py
@@ -22,7 +22,12 @@
     unframe_records,
 )
 from kumquatseam.logservice._http import HttpLogService
-from kumquatseam.logservice._keyed_watch import KeyedListener, KeyedWatch
+from kumquatseam.logservice._keyed_listener import KeyedListener, Learning
+from kumquatseam.logservice._keyed_reader import (
+    KeyedBatch,
+    KeyedChange,
+    KeyedReader,
+)
 from kumquatseam.logservice._service import (
     KEYED_PREFIX,
     KeyedPage,
@@ -35,10 +40,13 @@
 __all__ = [
     "KEYED_PREFIX",
     "HttpLogService",
+    "KeyedBatch",
+    "KeyedChange",
     "KeyedListener",
     "KeyedPage",
+    "KeyedReader",
     "KeyedRecord",
-    "KeyedWatch",
+    "Learning",
     "LogAnswerLostError",
     "LogConflictError",
     "LogRecord",
--- /dev/null
+++ b/src/kumquatseam/logservice/_keyed_listener.py
@@ -0,0 +1,34 @@
+"""What takes in the values of a keyed topic."""
+
+import abc
+
+import attrs
+
+
+@attrs.frozen
+class Learning:
+    """How a value was learnt.
+
+    :param is_history: it was written at an unknown time before; otherwise it is
+        new.
+    :param outage_age_s: how long ago the log was last out of reach; ``None`` if
+        not lately.
+    """
+
+    is_history: bool = False
+    outage_age_s: float | None = None
+
+
+class KeyedListener(abc.ABC):
+    """Takes in what a keyed topic holds."""
+
+    @abc.abstractmethod
+    def take(self, key: str, value: bytes, learning: Learning) -> bool:
+        """Take in a new value; empty when the key was dropped.
+
+        :returns: whether it changed anything; what did not is not passed on to
+            other instances.
+        """
+
+    def note_synced(self) -> None:  # noqa: B027 - most listeners need not know
+        """Note that everything the topic held a moment ago was taken in."""
--- /dev/null
+++ b/src/kumquatseam/logservice/_keyed_reader.py
@@ -0,0 +1,100 @@
+"""Reading the newest records of a keyed topic, once whole and then what is new."""
+
+import attrs
+
+from kumquatseam.errors import CodecError
+from kumquatseam.logs import part_logger
+from kumquatseam.logservice._errors import LogRecordsExpiredError
+from kumquatseam.logservice._framing import unframe_keyed
+from kumquatseam.logservice._service import LogService
+
+_log = part_logger("log")
+
+
+@attrs.frozen
+class KeyedChange:
+    """A new value of one key.
+
+    :param offset: the offset of its record.
+    :param key: the key.
+    :param value: the value; empty when the key was dropped.
+    """
+
+    offset: int
+    key: str
+    value: bytes
+
+
+@attrs.frozen
+class KeyedBatch:
+    """What one read of a keyed topic returned.
+
+    :param from_offset: the first offset it covers.
+    :param next_offset: where to go on reading.
+    :param changes: in order of their offsets.
+    :param is_whole: the changes are everything the topic holds, and a key that
+        is not among them was dropped.
+    """
+
+    from_offset: int
+    next_offset: int
+    changes: tuple[KeyedChange, ...] = ()
+    is_whole: bool = False
+
+
+class KeyedReader:
+    """Reads one keyed topic.
+
+    :param log: the log service.
+    :param topic: the keyed topic.
+    """
+
+    def __init__(self, log: LogService, topic: str) -> None:
+        self._log_service = log
+        self._topic = topic
+
+    def read(self, from_offset: int | None, wait_s: float = 0.0) -> KeyedBatch:
+        """Return what is new since ``from_offset``.
+
+        History that the log no longer keeps, or an end that went back, means
+        reading everything again.
+
+        :param from_offset: ``None`` to read everything.
+        :param wait_s: how long to wait if there is nothing new.
+        :raises LogServiceError: if the log does not answer.
+        """
+        if from_offset is None:
+            return self._read_whole()
+        try:
+            found = self._log_service.read(self._topic, from_offset, wait_s)
+        except LogRecordsExpiredError:
+            return self._read_whole()
+        if found.end_offset < from_offset:
+            return self._read_whole()
+        changes = (
+            self._change(record.offset, record.payload) for record in found.records
+        )
+        return KeyedBatch(
+            from_offset,
+            from_offset + len(found.records),
+            tuple(change for change in changes if change is not None),
+        )
+
+    def _read_whole(self) -> KeyedBatch:
+        page = self._log_service.newest(self._topic)
+        changes = tuple(
+            KeyedChange(record.offset, record.key, record.value)
+            for record in page.records
+            if record.value
+        )
+        return KeyedBatch(0, page.end_offset, changes, is_whole=True)
+
+    def _change(self, offset: int, payload: bytes) -> KeyedChange | None:
+        try:
+            key, value = unframe_keyed(payload)
+        except (CodecError, UnicodeDecodeError) as error:
+            _log.bind(topic=self._topic, offset=offset, error=str(error)).warning(
+                "Bad record."
+            )
+            return None
+        return KeyedChange(offset, key, value)
--- a/src/kumquatseam/operators/_console.py
+++ b/src/kumquatseam/operators/_console.py
@@ -8,9 +8,9 @@
 
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.fleet import (
+    CONTROL_CODEC,
     Command,
     ConfigurationState,
-    ControlClient,
     QueryAnswer,
     QueryRequest,
     Row,
@@ -22,6 +22,7 @@
 from kumquatseam.operators._parsing import LanguageError, parse
 from kumquatseam.operators._statements import Commands, Query
 from kumquatseam.operators._subjects import SUBJECT_COLUMNS
+from kumquatseam.request_reply import ask_once
 from kumquatseam.settings import Configuration
 
 #: routers asked at once.
@@ -184,9 +185,6 @@
         return dict(zip(asked, answers, strict=True))
 
     def _ask(self, address: str, text: str) -> QueryAnswer | None:
-        client = ControlClient(address)
-        try:
-            reply = client.ask(QueryRequest(text), self._timeout_s)
-        finally:
-            client.close()
+        question = QueryRequest(text)
+        reply = ask_once(address, CONTROL_CODEC, question, self._timeout_s)
         return reply if isinstance(reply, QueryAnswer) else None
--- a/src/kumquatseam/peers/__init__.py
+++ b/src/kumquatseam/peers/__init__.py
@@ -9,16 +9,17 @@
 from kumquatseam.peers._bus import PeerBus
 from kumquatseam.peers._loads import LoadExchange
 from kumquatseam.peers._messages import (
-    MESSAGE_CODEC,
+    MESSAGE_KINDS,
     InstanceRecord,
     LoadSummary,
     RolloutNotice,
     UpstreamLoad,
 )
-from kumquatseam.peers._registry import InstanceRegistry
+from kumquatseam.peers._registry import INSTANCES_TOPIC, InstanceRegistry
 
 __all__ = [
-    "MESSAGE_CODEC",
+    "INSTANCES_TOPIC",
+    "MESSAGE_KINDS",
     "InstanceRecord",
     "InstanceRegistry",
     "LoadExchange",
--- a/src/kumquatseam/peers/_bus.py
+++ b/src/kumquatseam/peers/_bus.py
@@ -1,15 +1,16 @@
 """Publishing to every other instance and hearing from them, over pynng."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import gevent
 import pynng
 
+from kumquatseam.codec import MessageCodec
 from kumquatseam.errors import CodecError
 from kumquatseam.logs import part_logger
 from kumquatseam.nng import receive_forever
-from kumquatseam.peers._messages import MESSAGE_CODEC
+from kumquatseam.peers._messages import InstanceRecord
 
 _log = part_logger("peers")
 
@@ -30,9 +31,11 @@
 
     :param name: this instance's name.
     :param address: ``host:port`` this instance publishes at.
+    :param kinds: the messages' classes by their names on the wire.
     """
 
-    def __init__(self, name: str, address: str) -> None:
+    def __init__(self, name: str, address: str, kinds: Mapping[str, type]) -> None:
+        self._codec = MessageCodec("peer message", kinds, is_compact=True)
         self.name = name
         self.address = address
         self._publisher = pynng.Pub0(send_buffer_size=QUEUE_MESSAGES)
@@ -56,18 +59,20 @@
     def publish(self, message: object) -> None:
         """Send ``message`` to every instance that listens; never waits."""
         try:
-            self._publisher.send(MESSAGE_CODEC.encode(message), block=False)
+            self._publisher.send(self._codec.encode(message), block=False)
         except pynng.NNGException as error:
             _log.bind(error=repr(error)).warning("Message not published.")
 
-    def follow(self, name: str, address: str) -> None:
+    def follow(self, record: InstanceRecord) -> None:
         """Listen to an instance."""
-        known = self._subscribers.get(name)
-        if name == self.name or (known is not None and known.address == address):
+        known = self._subscribers.get(record.name)
+        if record.name == self.name or (known is not None and known.record == record):
             return
-        self.unfollow(name)
-        self._subscribers[name] = _Subscription(name, address, self._receive)
-        _log.bind(peer=name, address=address).info("Following an instance.")
+        self.unfollow(record.name)
+        self._subscribers[record.name] = _Subscription(record, self._receive)
+        _log.bind(peer=record.name, address=record.address).info(
+            "Following an instance."
+        )
 
     def unfollow(self, name: str) -> None:
         """Stop listening to an instance."""
@@ -85,6 +90,11 @@
         ]
         return sorted([*heard, self.name])
 
+    def state_addresses(self) -> list[str]:
+        """Return where the instances heard from lately answer questions."""
+        records = (self._subscribers[n].record for n in self.alive() if n != self.name)
+        return [record.state_address for record in records if record.state_address]
+
     def step(self) -> None:
         """Open connections anew that have been silent for too long."""
         now_s = time.monotonic()
@@ -93,9 +103,11 @@
 
     def _receive(self, subscription: "_Subscription", data: bytes) -> None:
         try:
-            message = MESSAGE_CODEC.decode(data)
+            message = self._codec.decode(data)
         except CodecError as error:
-            _log.bind(peer=subscription.name, error=str(error)).warning("Bad message.")
+            _log.bind(peer=subscription.record.name, error=str(error)).warning(
+                "Bad message."
+            )
             return
         handler = self._handlers.get(type(message))
         if handler is not None:
@@ -105,14 +117,12 @@
 class _Subscription:
     """The connection to one instance.
 
-    :param name: the instance.
-    :param address: ``host:port`` it publishes at.
+    :param record: the instance.
     :param receive: called with this subscription and each message.
     """
 
-    def __init__(self, name: str, address: str, receive: Callable) -> None:
-        self.name = name
-        self.address = address
+    def __init__(self, record: InstanceRecord, receive: Callable) -> None:
+        self.record = record
         self.heard_s = float("-inf")
         self._receive = receive
         self._socket: pynng.Sub0 | None = None
@@ -125,7 +135,7 @@
         is_away = now_s - self.heard_s >= AWAY_AFTER_S
         if is_away and not self._is_away:
             self._is_away = True
-            _log.bind(peer=self.name).info("Instance not heard from.")
+            _log.bind(peer=self.record.name).info("Instance not heard from.")
         if now_s - max(self.heard_s, self._opened_s) >= REDIAL_AFTER_S:
             self.close()
             self._open()
@@ -141,12 +151,12 @@
         self._socket.subscribe(b"")
         self._socket.reconnect_time_min = RECONNECT_MIN_MS
         self._socket.reconnect_time_max = RECONNECT_MAX_MS
-        self._socket.dial(f"tcp://{self.address}", block=False)
+        self._socket.dial(f"tcp://{self.record.address}", block=False)
         self._reader = gevent.spawn(receive_forever, self._socket, self._take)
 
     def _take(self, data: bytes) -> None:
         self.heard_s = time.monotonic()
         if self._is_away:
             self._is_away = False
-            _log.bind(peer=self.name).info("Instance heard from.")
+            _log.bind(peer=self.record.name).info("Instance heard from.")
         self._receive(self, data)
--- a/src/kumquatseam/peers/_messages.py
+++ b/src/kumquatseam/peers/_messages.py
@@ -11,11 +11,13 @@
     """Where an instance publishes.
 
     :param name: the instance's name.
-    :param address: ``host:port``.
+    :param address: ``host:port`` it publishes at.
+    :param state_address: ``host:port`` it answers questions at, if it does.
     """
 
     name: str
     address: str
+    state_address: str = ""
 
 
 @attrs.frozen
@@ -75,6 +77,5 @@
 
 
 RECORD_CODEC = MessageCodec("instance record", {"instance": InstanceRecord})
-MESSAGE_CODEC = MessageCodec(
-    "peer message", {"load": LoadSummary, "rollout": RolloutNotice}, is_compact=True
-)
+#: what this package's parts tell each other, by name on the wire.
+MESSAGE_KINDS = {"load": LoadSummary, "rollout": RolloutNotice}
--- a/src/kumquatseam/platform/_topics.py
+++ b/src/kumquatseam/platform/_topics.py
@@ -1,9 +1,7 @@
 """What the operators and the upstreams write to the platform's store."""
 
-from collections.abc import Callable
-
 from kumquatseam.logs import part_logger
-from kumquatseam.logservice import KeyedListener
+from kumquatseam.logservice import KeyedListener, Learning
 from kumquatseam.platform._decoding import (
     DecodingError,
     decode_route_table,
@@ -37,24 +35,23 @@
         self._live = live
         self._targets = targets
 
-    def take_all(self, values: dict[str, bytes]) -> None:
-        for key, value in values.items():
-            self._take(key, value, self._targets.take_known)
-
-    def take(self, key: str, value: bytes) -> None:
-        if value:
-            self._take(key, value, self._targets.take)
-
-    def _take(
-        self, key: str, value: bytes, on_weights: Callable[[WeightsNamed], None]
-    ) -> None:
+    def take(self, key: str, value: bytes, learning: Learning) -> bool:
+        if not value:
+            return False
         try:
             if key == _CONFIGURATION_KEY:
                 self._live.apply(decode_route_table(value), "store")
             elif key.startswith(_WEIGHTS_PREFIX):
-                on_weights(decode_weights(value))
+                self._take_weights(decode_weights(value), learning)
         except DecodingError as error:
             _log.bind(key=key, error=str(error)).error("Record ignored.")
+        return True
+
+    def _take_weights(self, named: WeightsNamed, learning: Learning) -> None:
+        if learning.is_history:
+            self._targets.take_known(named)
+        else:
+            self._targets.take(named)
 
 
 class UpstreamListener(KeyedListener):
@@ -66,17 +63,14 @@
     def __init__(self, directory: UpstreamDirectory) -> None:
         self._directory = directory
 
-    def take_all(self, values: dict[str, bytes]) -> None:
-        found = (self._decode(key, value) for key, value in values.items())
-        self._directory.replace_all(u for u in found if u is not None)
-
-    def take(self, key: str, value: bytes) -> None:
+    def take(self, key: str, value: bytes, learning: Learning) -> bool:
         if not value:
-            self._directory.remove(key)
-            return
+            return self._directory.remove(key, learning.outage_age_s)
         upstream = self._decode(key, value)
-        if upstream is not None:
-            self._directory.put(upstream)
+        return upstream is not None and self._directory.put(upstream)
+
+    def note_synced(self) -> None:
+        self._directory.note_listed()
 
     def _decode(self, key: str, value: bytes) -> Upstream | None:
         try:
--- a/src/kumquatseam/fleet/_control.py
+++ b/src/kumquatseam/request_reply.py
@@ -1,29 +1,38 @@
-"""Request and reply between our own processes over nng."""
+"""Request and reply between our own processes over nng.
+
+Use it for what is asked now and then; what all are told goes over publish and
+subscribe.
+"""
 
 from collections.abc import Callable
 
 import gevent
 import pynng
 
+from kumquatseam.codec import MessageCodec
 from kumquatseam.errors import CodecError, KumquatseamError
-from kumquatseam.fleet._messages import CONTROL_CODEC, ControlMessage
 from kumquatseam.logs import part_logger
 from kumquatseam.nng import receive_forever, receive_within
 
 _log = part_logger("control")
 
 
-class ControlServer:
-    """Answers peers and operators at this router's control address.
+class ReplyServer:
+    """Answers what other processes ask at one address.
 
     :param address: nng address to listen on.
+    :param codec: encodes questions and replies.
     :param handler: returns the reply to a message.
     """
 
     def __init__(
-        self, address: str, handler: Callable[[ControlMessage], ControlMessage]
+        self,
+        address: str,
+        codec: MessageCodec,
+        handler: Callable[[object], object],
     ) -> None:
         self._address = address
+        self._codec = codec
         self._handler = handler
         self._socket: pynng.Rep0 | None = None
         self._greenlet: gevent.Greenlet | None = None
@@ -45,7 +54,7 @@
     def _answer(self, data: bytes) -> None:
         self.bytes_exchanged += len(data)
         try:
-            reply = CONTROL_CODEC.encode(self._handler(CONTROL_CODEC.decode(data)))
+            reply = self._codec.encode(self._handler(self._codec.decode(data)))
         except KumquatseamError as error:
             _log.warning("Left a message unanswered: {}.", error)
             return
@@ -56,14 +65,16 @@
             _log.warning("Could not answer: {!r}.", error)
 
 
-class ControlClient:
-    """Asks one router, keeping its connection.
+class ReplyClient:
+    """Asks one process, keeping its connection.
 
-    :param address: the router's control address.
+    :param address: the nng address it answers at.
+    :param codec: encodes questions and replies.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, codec: MessageCodec) -> None:
         self.address = address
+        self._codec = codec
         self._socket = pynng.Req0(reconnect_time_min=100, reconnect_time_max=1000)
         self._socket.dial(address, block=False)
         self.bytes_exchanged = 0
@@ -72,12 +83,12 @@
         """Close the connection."""
         self._socket.close()
 
-    def ask(self, message: ControlMessage, timeout_s: float) -> ControlMessage | None:
-        """Return the router's reply, or ``None`` if none came in time.
+    def ask(self, message: object, timeout_s: float) -> object | None:
+        """Return the process's reply, or ``None`` if none came in time.
 
         Asking again gives up the request before.
         """
-        data = CONTROL_CODEC.encode(message)
+        data = self._codec.encode(message)
         with gevent.Timeout(timeout_s, False):
             while not self._send(data):
                 gevent.sleep(0.01)
@@ -87,7 +98,7 @@
                 return None
             self.bytes_exchanged += len(reply)
             try:
-                return CONTROL_CODEC.decode(reply)
+                return self._codec.decode(reply)
             except CodecError as error:
                 _log.warning("Dropped a reply of {}: {}.", self.address, error)
         return None
@@ -98,3 +109,14 @@
         except pynng.TryAgain:
             return False
         return True
+
+
+def ask_once(
+    address: str, codec: MessageCodec, message: object, timeout_s: float
+) -> object | None:
+    """Ask the process at ``address`` once; ``None`` if it does not reply in time."""
+    client = ReplyClient(address, codec)
+    try:
+        return client.ask(message, timeout_s)
+    finally:
+        client.close()
--- a/src/kumquatseam/settings/_gateway.py
+++ b/src/kumquatseam/settings/_gateway.py
@@ -23,6 +23,7 @@
     :param grace_s: time from SIGTERM to SIGKILL.
     :param connect_timeout_s: timeout to open a connection to an upstream.
     :param log_level: lowest level written.
+    :param link_mbps: speed of the instance's link; 0 if it is not known.
     """
 
     router_name: str = setting(key="name")
@@ -35,6 +36,7 @@
     grace_s: float = setting(positive=True, default=8.0)
     connect_timeout_s: float = setting(positive=True, default=0.3)
     log_level: str = setting(default="DEBUG")
+    link_mbps: float = setting(default=0.0)
 
 
 @attrs.frozen
@@ -42,9 +44,14 @@
     """How instances talk to each other (section ``[peers]``).
 
     :param address: HOST:PORT this instance publishes at.
+    :param state_address: HOST:PORT it answers other instances' questions at.
+    :param seeds: HOST:PORT at which some instances answer, for a start while
+        the log is out of reach; they may be stale.
     """
 
     address: str = setting()
+    state_address: str = setting(default="")
+    seeds: tuple[str, ...] = setting(default=())
 
 
 @attrs.frozen
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -1,7 +1,7 @@
 """The upstreams known to this process and what its traffic showed of them."""
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import attrs
 
@@ -15,9 +15,14 @@
 HOLD_OUT_S = 0.5
 #: longest time out: a third of the shortest usual client deadline.
 MAX_HOLD_OUT_S = 4.0
-#: an entry shows what an upstream was this long ago at most: the list's own lag
-#: and a pause between two reads.
+#: an entry that was just written shows what an upstream was this long ago at
+#: most: the list's own lag and a pause between two reads.
 ENTRY_LAG_S = 1.5
+#: and one that was not changed since, a heartbeat more.
+UNCHANGED_ENTRY_LAG_S = 3.0
+#: an entry that lapsed in an outage of the list is back this long after its end
+#: if the upstream lives: the platform's two seconds and a pause between reads.
+LAPSE_GRACE_S = 2.5
 #: an engine sends an event of some answer every 40 ms; with answers under way
 #: and nothing for this long, it or the way to it is gone.
 SILENT_AFTER_S = 0.7
@@ -45,6 +50,7 @@
     :param blocked_until_s: refuses work while it loads weights.
     :param move_runs_to: upstreams that take its runs over while it loads.
     :param closing_until_s: loads weights next; work should go to others.
+    :param lapses_s: when it counts as gone, if its entry lapsed in an outage.
     """
 
     upstream: Upstream
@@ -60,6 +66,7 @@
     _known_s: dict[str, float] = attrs.Factory(dict)
     blocked_until_s: float = 0.0
     closing_until_s: float = 0.0
+    lapses_s: float | None = None
     move_runs_to: tuple[str, ...] = ()
 
     def version_of(self, model: str) -> int | None:
@@ -89,13 +96,18 @@
             self.note_answered(model, version, now_s)
         self.orders_accepted = orders_accepted
 
-    def note_entry(self, upstream: Upstream, now_s: float) -> None:
-        """Take in a new entry, which lags behind what answers name."""
+    def note_entry(
+        self, upstream: Upstream, now_s: float, lag_s: float = ENTRY_LAG_S
+    ) -> None:
+        """Take in an entry, which lags behind what answers name.
+
+        :param lag_s: by how much at most.
+        """
         self.upstream = upstream
         for named in upstream.weights:
             known = self._versions.get(named.model)
             known_for_s = now_s - self._known_s.get(named.model, 0.0)
-            if known is None or named.version > known or known_for_s > ENTRY_LAG_S:
+            if known is None or named.version > known or known_for_s > lag_s:
                 self.note_answered(named.model, named.version, now_s)
 
     def runs(self, version: int | None) -> bool:
@@ -176,36 +188,58 @@
         found = [s for s in self._statuses.values() if s.upstream.service == service]
         return sorted(found, key=lambda status: status.upstream.upstream_id)
 
-    def put(self, upstream: Upstream) -> None:
-        """Take in a new or changed entry."""
-        self.listed_s = self._clock()
+    def put(self, upstream: Upstream) -> bool:
+        """Take in a new or changed entry; return whether it says anything new."""
+        now_s = self._clock()
         known = self._statuses.get(upstream.upstream_id)
         if known is None:
             status = UpstreamStatus(upstream)
-            status.note_entry(upstream, self.listed_s)
+            status.note_entry(upstream, now_s)
             self._statuses[upstream.upstream_id] = status
             self._log_change("listed", upstream)
-            return
+            return True
         if known.upstream.is_leaving != upstream.is_leaving:
             self._log_change("leaving" if upstream.is_leaving else "back", upstream)
-        known.note_entry(upstream, self.listed_s)
+        has_lapsed = known.lapses_s is not None
+        known.lapses_s = None
+        is_news = has_lapsed or upstream != known.upstream
+        known.note_entry(upstream, now_s)
+        return is_news
+
+    def remove(self, upstream_id: str, outage_age_s: float | None = None) -> bool:
+        """Drop an entry that left the list.
+
+        Entries lapse while the list is out of reach, although their upstreams
+        live; dropping them all at its return would leave requests nowhere to go.
 
-    def remove(self, upstream_id: str) -> None:
-        """Drop an entry that left the list."""
-        known = self._statuses.pop(upstream_id, None)
+        :param outage_age_s: how long ago the list was last out of reach, if
+            lately: the upstream then stays until it had time to be listed again.
+        :returns: whether it was known.
+        """
+        known = self._statuses.get(upstream_id)
         if known is None:
-            return
-        self._log_change("gone", known.upstream)
-        for listener in self._on_gone:
-            listener(known.upstream)
+            return False
+        is_in_outage = outage_age_s is not None and outage_age_s < LAPSE_GRACE_S
+        if not is_in_outage or known.upstream.is_leaving:
+            self._drop(known)
+            return True
+        if known.lapses_s is None:
+            self._log_change("lapsed in an outage", known.upstream)
+        known.lapses_s = self._clock() + LAPSE_GRACE_S - outage_age_s
+        return True
+
+    def note_listed(self) -> None:
+        """Note that every entry was up to date a moment ago."""
+        now_s = self._clock()
+        self.listed_s = now_s
+        for status in self._statuses.values():
+            status.note_entry(status.upstream, now_s, UNCHANGED_ENTRY_LAG_S)
 
-    def replace_all(self, upstreams: Iterable[Upstream]) -> None:
-        """Take in the whole list; what is not on it is gone."""
-        newest = {upstream.upstream_id: upstream for upstream in upstreams}
-        for upstream_id in set(self._statuses) - set(newest):
-            self.remove(upstream_id)
-        for upstream in newest.values():
-            self.put(upstream)
+    def _drop(self, status: UpstreamStatus) -> None:
+        del self._statuses[status.upstream.upstream_id]
+        self._log_change("gone", status.upstream)
+        for listener in self._on_gone:
+            listener(status.upstream)
 
     def begin(self, status: UpstreamStatus, pending_tokens: int) -> "Occupancy":
         """Count a request that is about to be sent.
@@ -230,13 +264,16 @@
         self._hold_out(status, min(doubled_s, MAX_HOLD_OUT_S), reason)
 
     def sweep(self) -> None:
-        """Leave out upstreams that fell silent in the middle of answers.
+        """Leave out upstreams that fell silent, and drop those that lapsed.
 
         A dead one and a cut link send no reset; its requests would each wait
         for a timeout of their own.
         """
         now_s = self._clock()
-        for status in self._statuses.values():
+        for status in list(self._statuses.values()):
+            if status.lapses_s is not None and now_s >= status.lapses_s:
+                self._drop(status)
+                continue
             is_silent = now_s - status.heard_s > SILENT_AFTER_S
             is_in_use = status.held_out_until_s <= now_s
             if status.answering and is_silent and is_in_use:
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -17,8 +17,8 @@
     HttpEngineOrderClient,
 )
 from kumquatseam.fleet import (
+    CONTROL_CODEC,
     ConfigurationFollower,
-    ControlServer,
     DutyLease,
     HeartbeatLoop,
     LiveConfiguration,
@@ -46,6 +46,7 @@
 from kumquatseam.loops import StepLoop
 from kumquatseam.metrics import RequestFigures
 from kumquatseam.operators import AnswerSources, QueryAnswerer
+from kumquatseam.request_reply import ReplyServer
 from kumquatseam.routing import PeerSummaries, Router, build_policy
 from kumquatseam.services import HttpServiceClient
 from kumquatseam.serving import (
@@ -110,7 +111,7 @@
                 settings.fleet,
             )
         self._heartbeats: HeartbeatLoop | None = None
-        self._control: ControlServer | None = None
+        self._control: ReplyServer | None = None
         self._claims: ClaimLedger | None = None
 
     def build(self) -> PartGroup:
@@ -225,7 +226,7 @@
             summaries.take,
             handler.receive_reply,
         )
-        self._control = ControlServer(settings.control, handler.reply)
+        self._control = ReplyServer(settings.control, CONTROL_CODEC, handler.reply)
         parts: list = [self._control]
         if self._instances is not None:
             parts.append(
