Leaders tell the totals of loads; parts of prompts planned over all stores

Ruled out: longer pauses between summaries (loads 0.5 s old send bursts to the same engines). Change: from 13 instances on all listen to two leaders only, which tell totals; leaders are the first two of the order that are heard from, fast links first. Loads are added up as they come (placing a prompt among 70 engines took 1.0 ms, 0.7 of it adding). An item's parts go to one of the stores; what a store has is not sent again; an engine that has a part is a source as well; holders' parts are forgotten by their last use; reading what another engine has read counts twice.

--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -24,7 +24,14 @@
     RequestLimits,
     RequestReader,
 )
-from kumquatseam.peers import MESSAGE_KINDS, LoadExchange, RolloutNotice
+from kumquatseam.peers import (
+    MESSAGE_KINDS,
+    FleetView,
+    Hearing,
+    InstanceRecord,
+    LoadExchange,
+    RolloutNotice,
+)
 from kumquatseam.placement import (
     Candidate,
     PlacementRequest,
@@ -215,7 +222,7 @@
             Upstream(upstream_id, "engines", "127.0.0.1:1", slots=48, weights=weights)
         )
     targets = WeightsTargets(clock)
-    return Placer(directory, PromptIndex(), "z", targets, clock=clock), targets
+    return Placer(directory, PromptIndex(clock), "z", targets, clock=clock), targets
 
 
 def _request(opening="o", own="x"):
@@ -507,7 +514,8 @@
         directory.put(upstream)
         directory.begin(directory.status(f"e{number}"), tokens)
     targets = WeightsTargets(context.clock)
-    placer = Placer(directory, PromptIndex(), "z", targets, clock=context.clock)
+    index = PromptIndex(context.clock)
+    placer = Placer(directory, index, "z", targets, clock=context.clock)
     try:
         context.placement = placer.place(
             attrs.evolve(_request(), longest_wait_s=left_s * 0.7)
@@ -667,8 +675,12 @@
                 self._codec.decode(self._codec.encode(message))
             )
 
-    def alive(self):
-        return [self.name]
+    def view(self):
+        records = [InstanceRecord(name, "a:1") for name in ("a", "b")]
+        return FleetView(records, self.name, lambda name: Hearing.ALIVE)
+
+    def heard(self):
+        return [r for r in self.view().records if r.name != self.name]
 
 
 @given("2 instances before 9 engines that tell each other what their engines read")
@@ -679,7 +691,7 @@
     context.sides = []
     for bus in buses:
         directory = UpstreamDirectory(context.clock)
-        index = PromptIndex()
+        index = PromptIndex(context.clock)
         exchange = LoadExchange(bus, directory, index, context.clock)
         context.sides.append((directory, index, exchange))
 
@@ -704,12 +716,16 @@
 def step_finds(context):
     _, index, _ = context.sides[1]
     for upstream_id, chain in context.sent.values():
-        assert index.held_tokens(upstream_id, "1", chain) == 6300
-        assert index.held_tokens(upstream_id, "2", chain) == 0
+        assert index.look_up("1", chain).held_tokens(upstream_id) == 6300
+        assert index.look_up("2", chain).held_tokens(upstream_id) == 0
 
 
 def _notice(context, model, loading):
-    context.view.take(RolloutNotice("a", 1, model, 2, loading, (), (), named_age_s=1.0))
+    context.notices = getattr(context, "notices", 0) + 1
+    notice = RolloutNotice(
+        "a", 1, context.notices, model, 2, loading, (), (), named_age_s=1.0
+    )
+    assert context.view.take(notice)
 
 
 @given("a process told that e0 loads weights of m0")
--- a/features/steps/feeds_steps.py
+++ b/features/steps/feeds_steps.py
@@ -21,6 +21,7 @@
     KeyedListener,
     LogServiceError,
 )
+from kumquatseam.peers import FleetView, Hearing, InstanceRecord, order_key
 from kumquatseam.standins.logservice import (
     InMemoryLogService,
     LogFaults,
@@ -82,21 +83,29 @@
 
     def restart(self):
         self.listener = Values()
-        peers = FeedPeers(self.name, self._position, self._publish, self._ask)
+        peers = FeedPeers(
+            self.name,
+            lambda: self._view().preceding(),
+            lambda: self._view().position,
+            self._publish,
+            self._ask,
+        )
         self.watch = SharedWatch(
-            self.log,
-            TOPIC,
-            self.listener,
-            PACE,
-            peers,
-            self.link_mbps,
-            self.world.clock,
+            self.log, TOPIC, self.listener, PACE, peers, self.world.clock
         )
         self.next_s = self.world.clock() + random.Random(self.name).random() * 0.3
 
-    def _position(self):
-        alive = [i.name for i in self.world.instances if not (i.is_frozen or i.is_cut)]
-        return sorted({*alive, self.name}).index(self.name)
+    def _view(self):
+        records = [
+            InstanceRecord(i.name, "a:1", link_mbps=i.link_mbps)
+            for i in self.world.instances
+        ]
+        away = {i.name for i in self.world.instances if i.is_frozen or i.is_cut}
+        return FleetView(
+            sorted(records, key=order_key),
+            self.name,
+            lambda name: Hearing.AWAY if name in away else Hearing.ALIVE,
+        )
 
     def _publish(self, update):
         self.world.publish(self, CODEC.encode(update))
--- a/src/kumquatseam/feeds/__init__.py
+++ b/src/kumquatseam/feeds/__init__.py
@@ -18,7 +18,7 @@
     TopicQuestion,
     TopicUpdate,
 )
-from kumquatseam.feeds._reader_choice import ReaderChoice, ReaderRank, reader_rank
+from kumquatseam.feeds._reader_choice import ReaderChoice
 from kumquatseam.feeds._shared_watch import FeedPeers, ReadPace, SharedWatch
 
 __all__ = [
@@ -26,12 +26,10 @@
     "FeedPeers",
     "ReadPace",
     "ReaderChoice",
-    "ReaderRank",
     "SharedWatch",
     "TopicAnswer",
     "TopicCopy",
     "TopicFeeds",
     "TopicQuestion",
     "TopicUpdate",
-    "reader_rank",
 ]
--- a/src/kumquatseam/feeds/_feeds.py
+++ b/src/kumquatseam/feeds/_feeds.py
@@ -3,8 +3,6 @@
 import random
 from collections.abc import Callable
 
-import xxhash
-
 from kumquatseam.errors import CodecError
 from kumquatseam.feeds._messages import (
     QUESTION_CODEC,
@@ -32,7 +30,6 @@
     :param record: this instance's own record.
     :param seeds: ``HOST:PORT`` at which some instances answer questions, for a
         start while the log is out of reach; may be stale.
-    :param link_mbps: speed of this instance's link.
     :param ask: asks the process at an address.
     """
 
@@ -42,14 +39,12 @@
         bus: PeerBus,
         record: InstanceRecord,
         seeds: tuple[str, ...] = (),
-        link_mbps: float = 0.0,
         ask: Callable = ask_once,
     ) -> None:
         self._log_service = log
         self._bus = bus
         self._record = record
         self._seeds = tuple(seed for seed in seeds if seed != record.state_address)
-        self._link_mbps = link_mbps
         self._ask = ask
         self._watches: dict[str, SharedWatch] = {}
         bus.on_message(TopicUpdate, self.take_update)
@@ -65,13 +60,12 @@
         """Keep ``listener`` in step with ``topic`` from :meth:`start` on."""
         peers = FeedPeers(
             self._bus.name,
-            lambda: self._position(topic),
+            lambda: self._bus.view().preceding(),
+            lambda: self._bus.view().position,
             self._bus.publish,
             lambda known_offset: self._ask_others(topic, known_offset),
         )
-        watch = SharedWatch(
-            self._log_service, topic, listener, pace, peers, self._link_mbps
-        )
+        watch = SharedWatch(self._log_service, topic, listener, pace, peers)
         self._watches[topic] = watch
         return watch
 
@@ -104,8 +98,7 @@
         if not isinstance(question, TopicQuestion):
             kind = type(question).__name__
             raise CodecError("topic question", f"no question: {kind}")
-        asker = question.asker
-        self._bus.follow(asker)
+        self._bus.add(question.asker)
         watch = self._watches.get(question.topic)
         if watch is None:
             return TopicAnswer(0.0)
@@ -113,19 +106,11 @@
             return TopicAnswer(watch.copy.age_s())
         return TopicAnswer(watch.copy.age_s(), watch.copy.whole())
 
-    def _position(self, topic: str) -> int:
-        """Return this instance's place among those alive."""
-        names = sorted(
-            self._bus.alive(),
-            key=lambda name: xxhash.xxh3_64_intdigest(f"{topic}|{name}".encode()),
-        )
-        return names.index(self._bus.name)
-
     def _ask_others(
         self, topic: str, known_offset: int
     ) -> tuple[KeyedBatch, float] | None:
         """Ask a few instances until one knows the topic beyond an offset."""
-        known = self._bus.state_addresses()
+        known = [r.state_address for r in self._bus.heard() if r.state_address]
         addresses = random.sample(known, min(MAX_ASKED, len(known)))
         if not addresses:
             addresses = random.sample(self._seeds, min(MAX_ASKED, len(self._seeds)))
--- a/src/kumquatseam/feeds/_messages.py
+++ b/src/kumquatseam/feeds/_messages.py
@@ -3,7 +3,6 @@
 import attrs
 
 from kumquatseam.codec import MessageCodec
-from kumquatseam.feeds._reader_choice import ReaderRank
 from kumquatseam.logservice import KeyedBatch
 from kumquatseam.peers import InstanceRecord
 
@@ -13,7 +12,6 @@
     """What one read of a topic brought, told by the instance that read it.
 
     :param sender: that instance.
-    :param rank: its place in the topic's order.
     :param topic: the topic.
     :param batch: what is new, without what changed nothing.
     :param oversize: keys of new values too large to be told; who needs them
@@ -23,7 +21,6 @@
     """
 
     sender: str
-    rank: ReaderRank
     topic: str
     batch: KeyedBatch
     oversize: tuple[str, ...] = ()
--- a/src/kumquatseam/feeds/_reader_choice.py
+++ b/src/kumquatseam/feeds/_reader_choice.py
@@ -3,13 +3,12 @@
 Every instance could read the log by itself, but calls to it are limited and
 priced: sixty instances that read three topics make three hundred calls a
 second. So a few read, and tell the others what is new. Nobody appoints them: an
-instance reads while it hears of too few that stand before it in the topic's own
-order, and stops when it hears of enough. Instances that disagree for a moment
+instance reads while it hears of too few that stand before it in the order of
+instances, and stops when it hears of enough. Instances that disagree for a moment
 read once too often, never too seldom.
 """
 
-import attrs
-import xxhash
+from collections.abc import Collection
 
 #: instances that read a topic. One that fails is noticed only after its updates
 #: are overdue; the second one keeps the others up to date meanwhile.
@@ -21,61 +20,31 @@
 MAX_DELAY_S = 1.5
 
 
-@attrs.frozen
-class ReaderRank:
-    """A place in a topic's order of instances; the smallest reads first.
-
-    Links come first, since a reader sends every change to all others.
-
-    :param slowness: minus the speed of its link, in Mbit/s.
-    :param draw: a hash of topic and instance, to spread topics.
-    """
-
-    slowness: float
-    draw: int
-
-
-def reader_rank(topic: str, instance: str, link_mbps: float) -> ReaderRank:
-    """Return the place of ``instance`` in the order of ``topic``."""
-    draw = xxhash.xxh3_64_intdigest(f"{topic}|{instance}".encode())
-    return ReaderRank(-link_mbps, draw)
-
-
-@attrs.define
-class _HeardReader:
-    """Another instance that reads the topic."""
-
-    rank: ReaderRank
-    heard_s: float
-
-
 class ReaderChoice:
     """Whether this instance reads a topic for the others.
 
-    :param rank: this instance's place.
     :param fresh_s: a reader counts while its last update is younger.
     """
 
-    def __init__(self, rank: ReaderRank, fresh_s: float) -> None:
-        self._rank = rank
+    def __init__(self, fresh_s: float) -> None:
         self._fresh_s = fresh_s
-        self._readers: dict[str, _HeardReader] = {}
+        self._heard_s: dict[str, float] = {}
         self._lacking_since_s: float | None = None
         self.is_reader = False
 
-    def note_reader(self, name: str, rank: ReaderRank, now_s: float) -> None:
+    def note_reader(self, name: str, now_s: float) -> None:
         """Note an update of another instance that reads."""
-        self._readers[name] = _HeardReader(rank, now_s)
+        self._heard_s[name] = now_s
 
-    def decide(self, position: int, now_s: float) -> bool:
+    def decide(self, preceding: Collection[str], position: int, now_s: float) -> bool:
         """Return whether to read now.
 
-        :param position: this instance's place among those alive, from 0.
+        :param preceding: the instances that stand before this one.
+        :param position: how many of them are not known to be away.
         """
         oldest_s = now_s - self._fresh_s
-        fresh = [r for r in self._readers.values() if r.heard_s >= oldest_s]
-        before = sum(1 for reader in fresh if _key(reader.rank) < _key(self._rank))
-        if before >= READERS:
+        fresh = {name for name, heard_s in self._heard_s.items() if heard_s >= oldest_s}
+        if len(fresh.intersection(preceding)) >= READERS:
             self._lacking_since_s = None
             self.is_reader = False
         elif not self.is_reader:
@@ -84,7 +53,3 @@
             delay_s = min(MAX_DELAY_S, position * STEP_S)
             self.is_reader = now_s - self._lacking_since_s >= delay_s
         return self.is_reader
-
-
-def _key(rank: ReaderRank) -> tuple[float, int]:
-    return rank.slowness, rank.draw
--- a/src/kumquatseam/feeds/_shared_watch.py
+++ b/src/kumquatseam/feeds/_shared_watch.py
@@ -1,7 +1,7 @@
 """Following one topic, by reading the log or by what other instances read."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 import gevent
@@ -9,7 +9,7 @@
 
 from kumquatseam.feeds._copy import TopicCopy
 from kumquatseam.feeds._messages import TopicUpdate
-from kumquatseam.feeds._reader_choice import ReaderChoice, ReaderRank, reader_rank
+from kumquatseam.feeds._reader_choice import ReaderChoice
 from kumquatseam.logs import part_logger
 from kumquatseam.logservice import (
     KeyedBatch,
@@ -72,13 +72,15 @@
     """The other instances, as one topic's watch sees them.
 
     :param name: this instance.
-    :param position: returns its place among those alive, in the topic's order.
+    :param preceding: returns the names of those that stand before it.
+    :param position: returns how many of these are not known to be away.
     :param publish: tells them an update.
     :param ask: asks some of them for all they know of the topic, if that goes
         beyond an offset; returns the batch and how old it is, or ``None``.
     """
 
     name: str
+    preceding: Callable[[], Collection[str]]
     position: Callable[[], int]
     publish: Callable[[TopicUpdate], None]
     ask: Callable[[int], tuple[KeyedBatch, float] | None]
@@ -92,7 +94,6 @@
     :param listener: takes in the values.
     :param pace: how often it is read.
     :param peers: the other instances.
-    :param link_mbps: speed of this instance's link.
     :param clock: monotonic clock in seconds.
     """
 
@@ -103,7 +104,6 @@
         listener: KeyedListener,
         pace: ReadPace,
         peers: FeedPeers,
-        link_mbps: float,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__()
@@ -113,8 +113,7 @@
         self._pace = pace
         self._peers = peers
         self._clock = clock
-        self._rank: ReaderRank = reader_rank(topic, peers.name, link_mbps)
-        self._choice = ReaderChoice(self._rank, pace.reader_fresh_s)
+        self._choice = ReaderChoice(pace.reader_fresh_s)
         self._wake = gevent.event.Event()
         self._first_ask: gevent.Greenlet | None = None
         self._has_gap = False
@@ -131,7 +130,7 @@
     def take_update(self, update: TopicUpdate) -> None:
         """Take in what another instance read."""
         now_s = self._clock()
-        self._choice.note_reader(update.sender, update.rank, now_s)
+        self._choice.note_reader(update.sender, now_s)
         if update.outage_age_s is not None:
             self._note_outage(now_s - update.outage_age_s)
         batch = update.batch
@@ -181,7 +180,10 @@
     def should_read(self) -> bool:
         """Return whether this instance has to read the log now."""
         was_reader = self.is_reader
-        is_reader = self._choice.decide(self._peers.position(), self._clock())
+        peers = self._peers
+        is_reader = self._choice.decide(
+            peers.preceding(), peers.position(), self._clock()
+        )
         if is_reader != was_reader:
             _log.bind(topic=self.topic, is_reader=is_reader).info(
                 "Reads the topic for the others."
@@ -225,7 +227,6 @@
         self._peers.publish(
             TopicUpdate(
                 self._peers.name,
-                self._rank,
                 self.topic,
                 batch,
                 oversize,
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -244,6 +244,7 @@
             frozenset(progress.excluded),
             progress.attempts + 1,
             self._longest_wait_s() if is_first else math.inf,
+            job.table.cache_stores,
         )
         try:
             return self._parts.placer.place(request)
@@ -334,8 +335,7 @@
     def _attempt(self, placement: Placement) -> tuple[bool, str]:
         job, status = self._job, placement.status
         connection = self._parts.pool.take(status.upstream.address, job.remaining_s)
-        missing_tokens = job.call.prompt.tokens - placement.held_tokens
-        occupancy = self._parts.directory.begin(status, missing_tokens)
+        occupancy = self._parts.directory.begin(status, placement.read_tokens)
         self._has_kept_connection = False
         try:
             return self._converse(placement, connection, occupancy)
@@ -354,7 +354,10 @@
         if placement.moved_run is None:
             self._progress.attempts += 1
         self._parts.index.note_read(
-            placement.status.upstream.upstream_id, placement.salt, job.call.prompt
+            placement.status.upstream.upstream_id,
+            placement.salt,
+            job.call.prompt,
+            placement.cache_target,
         )
         self._sent_s = time.monotonic()
         connection.send(self._request_bytes(placement))
@@ -384,16 +387,13 @@
 
     def _request_bytes(self, placement: Placement) -> bytes:
         job = self._job
-        # Fetching a part from the store of kept parts takes half as long as
-        # reading it again, and a part read once then serves every engine.
-        store = job.table.cache_store_address if job.call.model else ""
         options = SendOptions(
             upstream_id=placement.status.upstream.upstream_id,
             remaining_s=job.remaining_s,
             team=job.team.name if job.team else "",
             cache_salt=placement.salt,
-            cache_source=store,
-            cache_target=store,
+            cache_source=placement.cache_source,
+            cache_target=placement.cache_target,
             expected_version=placement.version,
             resume_after=self._events.last_id,
             resume_run=_run_name(placement.moved_run),
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -23,12 +23,16 @@
     InstanceRegistry,
     LoadExchange,
     PeerBus,
-    RolloutNotice,
 )
 from kumquatseam.placement import Placer
 from kumquatseam.prompts import PromptIndex
-from kumquatseam.rollouts import OrderClient, RolloutDuty, RolloutView
-from kumquatseam.routes import LiveRouteTable
+from kumquatseam.rollouts import (
+    NoticeRelay,
+    OrderClient,
+    RolloutDuty,
+    RolloutView,
+)
+from kumquatseam.routes import LiveRouteTable, RouteTable
 from kumquatseam.settings import AdmissionSettings, GatewayFile
 from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
 
@@ -49,7 +53,7 @@
 #: seconds between two looks whether a summary of own loads is due.
 LOAD_INTERVAL_S = 0.02
 #: seconds between two looks at connections to peers.
-PEER_CHECK_INTERVAL_S = 0.5
+PEER_CHECK_INTERVAL_S = 0.25
 #: seconds between two looks for upstreams that fell silent.
 SILENCE_CHECK_INTERVAL_S = 0.1
 #: the duty of rolling out weights.
@@ -107,18 +111,21 @@
             f"http://{file.log.address}", file.log.timeout_s
         )
         self._directory.on_gone(self._forget_upstream)
+        self._live.on_change(self._size_index)
         self._targets = WeightsTargets()
         self._orders = adapter.order_client()
         self._record = InstanceRecord(
-            file.gateway.router_name, file.peers.address, file.peers.state_address
+            file.gateway.router_name,
+            file.peers.address,
+            file.peers.state_address,
+            file.gateway.link_mbps,
         )
-        self._bus = PeerBus(self._record.name, self._record.address, BUS_KINDS)
+        self._bus = PeerBus(self._record, BUS_KINDS)
         self._feeds = TopicFeeds(
             self._log_service,
             self._bus,
             self._record,
             file.peers.seeds,
-            file.gateway.link_mbps,
         )
         registry = InstanceRegistry(self._log_service, self._bus, self._record)
         self._follow_topics(registry)
@@ -188,13 +195,13 @@
 
     def _build_duty(self) -> RolloutDuty:
         view = RolloutView(self._directory, self._targets)
-        self._bus.on_message(RolloutNotice, view.take)
+        NoticeRelay(self._bus, view)
         lease = DutyLease(
             self._log_service,
             ROLLOUT_DUTY,
             self._bus.name,
             self._file.rollout.lease_s,
-            lambda: self._bus.alive().index(self._bus.name),
+            lambda: self._bus.view().position,
         )
         return RolloutDuty(
             lease,
@@ -249,12 +256,20 @@
         return budget
 
     def _count_instances(self) -> int:
-        return len(self._bus.alive())
+        return self._loads.count_instances()
 
     def _forget_upstream(self, upstream) -> None:
         self._index.forget(upstream.upstream_id)
         self._pool.drop(upstream.address)
 
+    def _size_index(self, table: RouteTable) -> None:
+        for store in table.cache_stores:
+            self._index.set_capacity(store.address, store.cache_tokens)
+        engines = [s.engine for s in table.services if s.engine is not None]
+        if engines:
+            smallest = min(engine.cache_tokens for engine in engines)
+            self._index.set_engine_capacity(smallest)
+
     def _add_gauges(self) -> None:
         metrics, live = self._metrics, self._live
         metrics.gauge(
--- a/src/kumquatseam/peers/__init__.py
+++ b/src/kumquatseam/peers/__init__.py
@@ -1,7 +1,8 @@
 """Instances of the gateway telling each other what changes quickly.
 
-- :class:`PeerBus` publishes messages to every other instance and hands on
+- :class:`PeerBus` publishes messages to the instances that listen and hands on
   theirs; nothing on it is needed for correctness, only for better choices.
+- :class:`FleetView` is the order of the instances: who listens to whom.
 - :class:`InstanceRegistry` finds the instances through the log service.
 - :class:`LoadExchange` shares how many requests each has on each upstream.
 """
@@ -10,16 +11,21 @@
 from kumquatseam.peers._loads import LoadExchange
 from kumquatseam.peers._messages import (
     MESSAGE_KINDS,
+    FleetSummary,
     InstanceRecord,
     LoadSummary,
     RolloutNotice,
     UpstreamLoad,
 )
+from kumquatseam.peers._order import FleetView, Hearing, order_key
 from kumquatseam.peers._registry import INSTANCES_TOPIC, InstanceRegistry
 
 __all__ = [
     "INSTANCES_TOPIC",
     "MESSAGE_KINDS",
+    "FleetSummary",
+    "FleetView",
+    "Hearing",
     "InstanceRecord",
     "InstanceRegistry",
     "LoadExchange",
@@ -27,4 +33,5 @@
     "PeerBus",
     "RolloutNotice",
     "UpstreamLoad",
+    "order_key",
 ]
--- a/src/kumquatseam/peers/_bus.py
+++ b/src/kumquatseam/peers/_bus.py
@@ -1,4 +1,4 @@
-"""Publishing to every other instance and hearing from them, over pynng."""
+"""Publishing to other instances and hearing from them, over pynng."""
 
 import time
 from collections.abc import Callable, Mapping
@@ -11,6 +11,7 @@
 from kumquatseam.logs import part_logger
 from kumquatseam.nng import receive_forever
 from kumquatseam.peers._messages import InstanceRecord
+from kumquatseam.peers._order import FleetView, Hearing, order_key
 
 _log = part_logger("peers")
 
@@ -29,31 +30,39 @@
 class PeerBus:
     """Publish and subscribe among the instances.
 
-    :param name: this instance's name.
-    :param address: ``host:port`` this instance publishes at.
+    Whom this instance listens to follows from :class:`FleetView`; whoever
+    listens to it hears what it publishes.
+
+    :param record: this instance.
     :param kinds: the messages' classes by their names on the wire.
     """
 
-    def __init__(self, name: str, address: str, kinds: Mapping[str, type]) -> None:
+    def __init__(self, record: InstanceRecord, kinds: Mapping[str, type]) -> None:
         self._codec = MessageCodec("peer message", kinds, is_compact=True)
-        self.name = name
-        self.address = address
+        self.record = record
         self._publisher = pynng.Pub0(send_buffer_size=QUEUE_MESSAGES)
+        self._known: dict[str, InstanceRecord] = {record.name: record}
+        self._ordered: list[InstanceRecord] = [record]
         self._subscribers: dict[str, _Subscription] = {}
         self._handlers: dict[type, Callable] = {}
 
+    @property
+    def name(self) -> str:
+        """This instance's name."""
+        return self.record.name
+
     def on_message(self, kind: type, handler: Callable) -> None:
         """Call ``handler`` with every message of class ``kind``."""
         self._handlers[kind] = handler
 
     def start(self) -> None:
         """Publish at this instance's address."""
-        self._publisher.listen(f"tcp://{self.address}")
+        self._publisher.listen(f"tcp://{self.record.address}")
 
     def close(self) -> None:
         """Close every connection."""
         for name in list(self._subscribers):
-            self.unfollow(name)
+            self._unsubscribe(name)
         self._publisher.close()
 
     def publish(self, message: object) -> None:
@@ -63,44 +72,63 @@
         except pynng.NNGException as error:
             _log.bind(error=repr(error)).warning("Message not published.")
 
-    def follow(self, record: InstanceRecord) -> None:
-        """Listen to an instance."""
-        known = self._subscribers.get(record.name)
-        if record.name == self.name or (known is not None and known.record == record):
+    def add(self, record: InstanceRecord) -> None:
+        """Take in an instance's record."""
+        if record.name == self.name or self._known.get(record.name) == record:
             return
-        self.unfollow(record.name)
-        self._subscribers[record.name] = _Subscription(record, self._receive)
-        _log.bind(peer=record.name, address=record.address).info(
-            "Following an instance."
-        )
-
-    def unfollow(self, name: str) -> None:
-        """Stop listening to an instance."""
-        subscription = self._subscribers.pop(name, None)
-        if subscription is not None:
-            subscription.close()
-
-    def alive(self) -> list[str]:
-        """Return the names of the instances heard from lately, sorted."""
-        now_s = time.monotonic()
-        heard = [
-            name
+        self._known[record.name] = record
+        self._reorder()
+        _log.bind(peer=record.name, address=record.address).info("Instance known.")
+
+    def remove(self, name: str) -> None:
+        """Forget an instance."""
+        if name != self.name and self._known.pop(name, None) is not None:
+            self._reorder()
+            _log.bind(peer=name).info("Instance forgotten.")
+
+    def view(self) -> FleetView:
+        """Return the order of the instances as of now."""
+        return FleetView(self._ordered, self.name, self._hearing)
+
+    def heard(self) -> list[InstanceRecord]:
+        """Return the other instances heard from lately."""
+        return [
+            subscription.record
             for name, subscription in self._subscribers.items()
-            if now_s - subscription.heard_s < AWAY_AFTER_S
+            if self._hearing(name) is Hearing.ALIVE
         ]
-        return sorted([*heard, self.name])
-
-    def state_addresses(self) -> list[str]:
-        """Return where the instances heard from lately answer questions."""
-        records = (self._subscribers[n].record for n in self.alive() if n != self.name)
-        return [record.state_address for record in records if record.state_address]
 
     def step(self) -> None:
-        """Open connections anew that have been silent for too long."""
+        """Listen to those that are due, and open silent connections anew."""
         now_s = time.monotonic()
+        followed = {record.name: record for record in self.view().followed()}
+        for name, subscription in list(self._subscribers.items()):
+            if followed.get(name) != subscription.record:
+                self._unsubscribe(name)
+        for name, record in followed.items():
+            if name not in self._subscribers:
+                self._subscribers[name] = _Subscription(record, self._receive)
         for subscription in self._subscribers.values():
             subscription.check(now_s)
 
+    def _reorder(self) -> None:
+        self._ordered = sorted(self._known.values(), key=order_key)
+
+    def _hearing(self, name: str) -> Hearing:
+        subscription = self._subscribers.get(name)
+        if subscription is None:
+            return Hearing.UNKNOWN
+        now_s = time.monotonic()
+        if now_s - subscription.heard_s < AWAY_AFTER_S:
+            return Hearing.ALIVE
+        is_new = now_s - subscription.since_s < AWAY_AFTER_S
+        return Hearing.UNKNOWN if is_new else Hearing.AWAY
+
+    def _unsubscribe(self, name: str) -> None:
+        subscription = self._subscribers.pop(name, None)
+        if subscription is not None:
+            subscription.close()
+
     def _receive(self, subscription: "_Subscription", data: bytes) -> None:
         try:
             message = self._codec.decode(data)
@@ -123,6 +151,7 @@
 
     def __init__(self, record: InstanceRecord, receive: Callable) -> None:
         self.record = record
+        self.since_s = time.monotonic()
         self.heard_s = float("-inf")
         self._receive = receive
         self._socket: pynng.Sub0 | None = None
--- a/src/kumquatseam/peers/_messages.py
+++ b/src/kumquatseam/peers/_messages.py
@@ -13,11 +13,13 @@
     :param name: the instance's name.
     :param address: ``host:port`` it publishes at.
     :param state_address: ``host:port`` it answers questions at, if it does.
+    :param link_mbps: speed of its link; 0 if it is not known.
     """
 
     name: str
     address: str
     state_address: str = ""
+    link_mbps: float = 0.0
 
 
 @attrs.frozen
@@ -48,12 +50,30 @@
     reads: tuple[PromptRead, ...] = ()
 
 
+@attrs.frozen
+class FleetSummary:
+    """Every request that all instances have on upstreams, told by a leader.
+
+    :param own: the leader's own part.
+    :param instances: how many instances it hears from, itself included.
+    :param totals: upstreams with at least one request, ``None`` if another
+        leader tells them.
+    :param reads: what upstreams were given to read since the last summary.
+    """
+
+    own: LoadSummary
+    instances: int
+    totals: tuple[UpstreamLoad, ...] | None = None
+    reads: tuple[PromptRead, ...] = ()
+
+
 @attrs.frozen
 class RolloutNotice:
     """How far a rollout of weights is.
 
     :param sender: the instance that gives the orders.
     :param fence: its fencing token; a lower one is out of date.
+    :param sequence: counts the notices under one token.
     :param model: the model.
     :param version: the weights being rolled out.
     :param loading: upstreams that refuse work of the model for now.
@@ -66,6 +86,7 @@
 
     sender: str
     fence: int
+    sequence: int
     model: str
     version: int
     loading: tuple[str, ...]
@@ -78,4 +99,8 @@
 
 RECORD_CODEC = MessageCodec("instance record", {"instance": InstanceRecord})
 #: what this package's parts tell each other, by name on the wire.
-MESSAGE_KINDS = {"load": LoadSummary, "rollout": RolloutNotice}
+MESSAGE_KINDS = {
+    "load": LoadSummary,
+    "fleet": FleetSummary,
+    "rollout": RolloutNotice,
+}
--- a/src/kumquatseam/peers/_registry.py
+++ b/src/kumquatseam/peers/_registry.py
@@ -45,14 +45,14 @@
 
     def take(self, key: str, value: bytes, learning: Learning) -> bool:
         if not value:
-            self._bus.unfollow(key)
+            self._bus.remove(key)
             return True
         try:
             record = RECORD_CODEC.decode(value)
         except CodecError as error:
             _log.bind(instance=key, error=str(error)).warning("Record ignored.")
             return False
-        self._bus.follow(record)
+        self._bus.add(record)
         return True
 
     def _register(self) -> None:
--- a/src/kumquatseam/placement/_choice.py
+++ b/src/kumquatseam/placement/_choice.py
@@ -6,6 +6,9 @@
 
 #: prompt tokens an engine reads in a millisecond, from the users' sheets.
 PREFILL_TOKENS_PER_MS = 51.1
+#: what reading a part again costs that another engine has read, as a share of
+#: the time it takes: the reading also holds up whatever else the engine reads.
+REPEAT_SHARE = 1.0
 #: added wait for each request already on an engine: it shares its steps.
 LOAD_MS_PER_REQUEST = 2.0
 #: what a place further down the order of a prompt's engines costs; keeps a
@@ -20,31 +23,36 @@
     """An upstream that may take a request.
 
     :param upstream_id: its id.
-    :param missing_tokens: prompt tokens it would have to read.
+    :param read_tokens: prompt tokens it would have to read.
     :param running: requests on it, as far as known.
     :param slots: requests it runs at once.
     :param rank: its place in the prompt's own order of upstreams, from 0; the
         same in every process, without shared state.
     :param pending_tokens: prompt tokens it has to read first for others.
+    :param repeated_tokens: tokens to read that another engine has read.
+    :param fetch_ms: time to fetch parts it does not have to read.
     :param penalty_ms: further expected wait, e.g. after recent failures.
     """
 
     upstream_id: str
-    missing_tokens: int
+    read_tokens: int
     running: float
     slots: int
     rank: int
     penalty_ms: float = 0.0
     pending_tokens: int = 0
+    repeated_tokens: int = 0
+    fetch_ms: float = 0.0
 
 
 def estimate_ms(candidate: Candidate) -> float:
     """Return the modelled time to the first token on ``candidate``."""
-    unread_tokens = candidate.missing_tokens + candidate.pending_tokens
+    unread_tokens = candidate.read_tokens + candidate.pending_tokens
     prefill_ms = unread_tokens / PREFILL_TOKENS_PER_MS
     beyond_slots = max(0.0, candidate.running + 1 - candidate.slots)
     return (
         prefill_ms
+        + candidate.fetch_ms
         + candidate.running * LOAD_MS_PER_REQUEST
         + beyond_slots * QUEUE_MS_PER_REQUEST
         + candidate.rank * RANK_MS
@@ -53,8 +61,12 @@
 
 
 def choose(candidates: Sequence[Candidate]) -> Candidate:
-    """Return the candidate with the shortest expected wait.
+    """Return the candidate with the shortest expected wait and least waste.
 
     :param candidates: never empty.
     """
-    return min(candidates, key=lambda c: (estimate_ms(c), c.rank))
+    return min(candidates, key=lambda c: (estimate_ms(c) + _waste_ms(c), c.rank))
+
+
+def _waste_ms(candidate: Candidate) -> float:
+    return candidate.repeated_tokens / PREFILL_TOKENS_PER_MS * REPEAT_SHARE
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -11,10 +11,16 @@
 from kumquatseam.errors import OverloadedError
 from kumquatseam.logs import part_logger
 from kumquatseam.peers import UpstreamLoad
+from kumquatseam.placement._cache_plan import (
+    CachePlan,
+    CachePlanner,
+    CacheSource,
+    store_for,
+)
 from kumquatseam.placement._choice import Candidate, choose, estimate_ms
 from kumquatseam.prompts import PromptChain, PromptIndex
 from kumquatseam.rollouts import MovedRun
-from kumquatseam.routes import ServiceTraits, TeamTraits
+from kumquatseam.routes import CacheStore, ServiceTraits, TeamTraits
 from kumquatseam.upstreams import (
     UNKNOWN_AGE_S,
     UpstreamDirectory,
@@ -66,6 +72,7 @@
     :param excluded: upstreams that already failed or refused it.
     :param attempt: from 1.
     :param longest_wait_s: a longer wait for its answer means a refusal.
+    :param cache_stores: the stores of kept KV cache.
     """
 
     request_id: str
@@ -76,6 +83,7 @@
     excluded: frozenset[str]
     attempt: int
     longest_wait_s: float = math.inf
+    cache_stores: tuple[CacheStore, ...] = ()
 
 
 @attrs.frozen
@@ -86,7 +94,9 @@
     :param model: the model it asks for, ``""`` for plain services.
     :param version: weights the request must run on, if it names a model.
     :param salt: the scope of its cached parts.
-    :param held_tokens: leading tokens the upstream probably holds.
+    :param read_tokens: prompt tokens it has to read.
+    :param cache_source: where it fetches parts; ``""`` for nowhere.
+    :param cache_target: where it sends the parts it reads; ``""`` for nowhere.
     :param moved_run: a run that goes on there from a copy of its memory.
     """
 
@@ -94,7 +104,9 @@
     model: str = ""
     version: int | None = None
     salt: str = ""
-    held_tokens: int = 0
+    read_tokens: int = 0
+    cache_source: str = ""
+    cache_target: str = ""
     moved_run: MovedRun | None = None
 
     def going_on_from(self, moved: MovedRun) -> "Placement":
@@ -216,15 +228,25 @@
         self, request: PlacementRequest, statuses: list[UpstreamStatus]
     ) -> Placement | None:
         order = _rank(request.prompt, [s.upstream.upstream_id for s in statuses])
+        store = store_for(request.prompt, request.cache_stores)
+        planners: dict[int, CachePlanner] = {}
+        plans: dict[str, CachePlan] = {}
         candidates = []
         for status in self._with_weights_in_time(request.model, statuses):
             version = status.version_of(request.model)
+            if version not in planners:
+                planners[version] = self._planner(request, version, store)
+            upstream = status.upstream
+            plan = planners[version].plan(
+                upstream.upstream_id, upstream.availability_zone
+            )
+            plans[upstream.upstream_id] = plan
             age_s = self._targets.replaced_age_s(request.model, version)
             penalty_ms = old_weights_penalty_ms(age_s)
             if status.closing_until_s > self._clock():
                 penalty_ms += CLOSING_PENALTY_MS
             candidates.append(
-                self._candidate(request, status, version, order, penalty_ms)
+                self._candidate(status, plan, order[upstream.upstream_id], penalty_ms)
             )
         if not candidates:
             return None
@@ -232,31 +254,74 @@
         self._check_wait(request, chosen)
         status = self._directory.status(chosen.upstream_id)
         version = status.version_of(request.model)
+        plan = plans[chosen.upstream_id]
+        self._log_choice(request, chosen, len(candidates), version, plan)
+        return Placement(
+            status,
+            request.model,
+            version,
+            cache_salt(version, request.team),
+            plan.read_tokens,
+            self._cache_source(plan, store),
+            self._cache_target(request, version, store),
+        )
+
+    def _planner(
+        self, request: PlacementRequest, version: int, store: CacheStore | None
+    ) -> CachePlanner:
+        """Return what plans for the engines on one version."""
         salt = cache_salt(version, request.team)
-        held = request.prompt.tokens - chosen.missing_tokens
-        self._log_choice(request, chosen, len(candidates), version, held)
-        return Placement(status, request.model, version, salt, held)
+        holders = self._index.look_up(salt, request.prompt)
+        sources = []
+        if store is not None:
+            address, zone = store.address, store.availability_zone
+            sources.append(CacheSource(address, address, zone))
+        for holder in holders.holders():
+            status = self._directory.status(holder)
+            if status is not None:
+                upstream = status.upstream
+                sources.append(
+                    CacheSource(holder, upstream.address, upstream.availability_zone)
+                )
+        return CachePlanner(request.prompt, holders, sources, request.service.engine)
+
+    @staticmethod
+    def _cache_source(plan: CachePlan, store: CacheStore | None) -> str:
+        """Return where to fetch; a store may have more than this process knows."""
+        if plan.source is not None:
+            return plan.source.address
+        return store.address if store is not None else ""
+
+    def _cache_target(
+        self, request: PlacementRequest, version: int, store: CacheStore | None
+    ) -> str:
+        """Return the store to send the parts to, unless it has them.
+
+        An engine sends the whole prompt, also what nobody else will ask for, and
+        what a store takes in drives out other parts.
+        """
+        if store is None:
+            return ""
+        salt = cache_salt(version, request.team)
+        holders = self._index.look_up(salt, request.prompt)
+        has_all = holders.held_tokens(store.address) >= request.prompt.shared_tokens
+        return "" if has_all else store.address
 
     def _candidate(
-        self,
-        request: PlacementRequest,
-        status: UpstreamStatus,
-        version: int,
-        order: dict[str, int],
-        penalty_ms: float,
+        self, status: UpstreamStatus, plan: CachePlan, rank: int, penalty_ms: float
     ) -> Candidate:
         upstream_id = status.upstream.upstream_id
-        salt = cache_salt(version, request.team)
-        held = self._index.held_tokens(upstream_id, salt, request.prompt)
         peers = self._peer_loads(upstream_id)
         return Candidate(
             upstream_id,
-            request.prompt.tokens - held,
+            plan.read_tokens,
             status.running + peers.running,
             status.upstream.slots,
-            order[upstream_id],
+            rank,
             penalty_ms,
             status.pending_tokens + peers.pending_tokens,
+            plan.repeated_tokens,
+            plan.fetch_ms,
         )
 
     def _place_plainly(
@@ -274,7 +339,7 @@
             for status in statuses
         ]
         chosen = choose(candidates)
-        self._log_choice(request, chosen, len(candidates), None, 0)
+        self._log_choice(request, chosen, len(candidates), None, None)
         return Placement(self._directory.status(chosen.upstream_id))
 
     def _distance_ms(self, status: UpstreamStatus) -> float:
@@ -287,7 +352,7 @@
         chosen: Candidate,
         count: int,
         version: int | None,
-        held: int,
+        plan: CachePlan | None,
     ) -> None:
         _log.bind(
             request=request.request_id,
@@ -298,7 +363,8 @@
             running=chosen.running,
             pending_tokens=chosen.pending_tokens,
             version=version,
-            held_tokens=held,
+            held_tokens=plan.held_tokens if plan else 0,
+            fetched_tokens=plan.fetched_tokens if plan else 0,
             prompt_tokens=request.prompt.tokens,
             list_age_s=round(self._clock() - (self._directory.listed_s or 0.0), 2),
         ).debug("Placed.")
--- a/src/kumquatseam/platform/_decoding.py
+++ b/src/kumquatseam/platform/_decoding.py
@@ -9,6 +9,7 @@
 from kumquatseam.http1 import RequestLimits
 from kumquatseam.rollouts import EngineReport, MovedRun
 from kumquatseam.routes import (
+    CacheStore,
     EngineTraits,
     Repeatability,
     Route,
@@ -148,17 +149,27 @@
         name=raw["name"],
         max_connections=int(raw.get("maxConnections", 0)),
         engine=_engine(engine) if engine else None,
-        cache_store_address=raw.get("kvStoreAddr") or "",
+        cache_store=_cache_store(raw) if raw.get("kvStoreAddr") else None,
+    )
+
+
+def _cache_store(raw: Mapping) -> CacheStore:
+    return CacheStore(
+        address=raw["kvStoreAddr"],
         availability_zone=raw.get("zone") or "",
+        cache_tokens=int(raw.get("kvCapacityTokens", 0)),
     )
 
 
 def _engine(raw: Mapping) -> EngineTraits:
+    defaults = EngineTraits(1, 0)
     return EngineTraits(
         slots=int(raw["slots"]),
         cache_tokens=int(raw["kvCapacityTokens"]),
         models=tuple(item["name"] for item in raw.get("models") or ()),
         event_pollers=int(raw.get("maxConcurrent", 0)),
+        cache_token_bytes=int(raw.get("kvTokenBytes") or defaults.cache_token_bytes),
+        link_mbps=float(raw.get("linkMbps") or defaults.link_mbps),
     )
 
 
--- a/src/kumquatseam/rollouts/__init__.py
+++ b/src/kumquatseam/rollouts/__init__.py
@@ -2,7 +2,8 @@
 
 - :func:`plan_loads` decides which engines load next; a pure function.
 - :class:`RolloutDuty` gives the orders while this instance holds the lease.
-- :class:`RolloutView` applies what the holder tells every instance.
+- :class:`RolloutView` applies what the holder tells every instance, and
+  :class:`NoticeRelay` hands it on where not all hear the holder.
 - :class:`OrderClient` is the interface to engines' orders and reports.
 """
 
@@ -15,13 +16,14 @@
     WeightsOrder,
 )
 from kumquatseam.rollouts._plan import EngineState, LoadPlan, plan_loads
-from kumquatseam.rollouts._view import RolloutView
+from kumquatseam.rollouts._view import NoticeRelay, RolloutView
 
 __all__ = [
     "EngineReport",
     "EngineState",
     "LoadPlan",
     "MovedRun",
+    "NoticeRelay",
     "OrderClient",
     "OrderOutcome",
     "RolloutDuty",
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -103,8 +103,8 @@
         self._peer_loads = peer_loads
         self._clock = clock
         self._given: dict[str, _Order] = {}
-        self._notice_s = 0.0
-        self._notice_key: tuple = ()
+        self._told: dict[str, tuple[float, tuple]] = {}
+        self._notices = 0
         self._wake = gevent.event.Event()
         targets.on_change(self._wake.set)
 
@@ -225,14 +225,17 @@
         destinations = tuple(sorted(plan.destinations)) if loading else ()
         key = (weights, loading, closing, ready, destinations)
         fence = self._lease.fence
-        is_due = now_s - self._notice_s >= NOTICE_PAUSE_S and (loading or closing)
-        if fence is None or (key == self._notice_key and not is_due):
+        told_s, told_key = self._told.get(weights.model, (0.0, ()))
+        is_due = now_s - told_s >= NOTICE_PAUSE_S and (loading or closing)
+        if fence is None or (key == told_key and not is_due):
             return
-        self._notice_key, self._notice_s = key, now_s
+        self._told[weights.model] = (now_s, key)
         age_s = self._targets.age_s(weights.model)
+        self._notices += 1
         notice = RolloutNotice(
             self._bus.name,
             fence,
+            self._notices,
             weights.model,
             weights.version,
             loading,
--- a/src/kumquatseam/rollouts/_view.py
+++ b/src/kumquatseam/rollouts/_view.py
@@ -6,7 +6,7 @@
 import attrs
 
 from kumquatseam.logs import part_logger
-from kumquatseam.peers import RolloutNotice
+from kumquatseam.peers import PeerBus, RolloutNotice
 from kumquatseam.upstreams import (
     UNKNOWN_AGE_S,
     UpstreamDirectory,
@@ -38,19 +38,20 @@
         self._directory = directory
         self._targets = targets
         self._clock = clock
-        self._fence = -1
+        self._newest = (-1, -1)
         self._last: dict[str, RolloutNotice] = {}
         self._concerned: dict[str, set[str]] = {}
 
-    def take(self, notice: RolloutNotice) -> None:
-        """Take in a notice; one with an older token is ignored."""
-        if notice.fence < self._fence:
-            return
-        self._fence = notice.fence
+    def take(self, notice: RolloutNotice) -> bool:
+        """Take in a notice; return whether it was newer than those before."""
+        number = (notice.fence, notice.sequence)
+        if number <= self._newest:
+            return False
+        self._newest = number
         age_s = UNKNOWN_AGE_S if notice.named_age_s is None else notice.named_age_s
         weights = WeightsNamed(notice.model, notice.version)
         self._targets.hear(weights, age_s, notice.replaced)
-        progress = attrs.evolve(notice, named_age_s=None)
+        progress = attrs.evolve(notice, named_age_s=None, sequence=0)
         if progress != self._last.get(notice.model):
             self._last[notice.model] = progress
             _log.bind(
@@ -70,6 +71,7 @@
                 known = status.version_of(notice.model) or 0
                 version = max(known, notice.version)
                 status.note_answered(notice.model, version, self._clock())
+        return True
 
     def _apply(self, notice: RolloutNotice) -> None:
         """Close the engines that load, and reopen those that no longer do.
@@ -89,3 +91,23 @@
             status.blocked_until_s = until_s if is_loading else 0.0
             status.closing_until_s = until_s if upstream_id in closing else 0.0
             status.move_runs_to = notice.destinations if is_loading else ()
+
+
+class NoticeRelay:
+    """Takes in notices, and hands them on if this instance leads a large fleet.
+
+    The holder of the duty may be an instance that only the leaders listen to.
+
+    :param bus: where notices come from and go to.
+    :param view: applies them.
+    """
+
+    def __init__(self, bus: PeerBus, view: RolloutView) -> None:
+        self._bus = bus
+        self._view = view
+        bus.on_message(RolloutNotice, self.take)
+
+    def take(self, notice: RolloutNotice) -> None:
+        """Take in a notice."""
+        if self._view.take(notice) and self._bus.view().is_leader:
+            self._bus.publish(notice)
--- a/src/kumquatseam/routes/__init__.py
+++ b/src/kumquatseam/routes/__init__.py
@@ -7,6 +7,7 @@
 
 from kumquatseam.routes._live import LiveRouteTable
 from kumquatseam.routes._table import (
+    CacheStore,
     EngineTraits,
     Repeatability,
     Route,
@@ -17,6 +18,7 @@
 )
 
 __all__ = [
+    "CacheStore",
     "EngineTraits",
     "LiveRouteTable",
     "Repeatability",
--- a/src/kumquatseam/routes/_table.py
+++ b/src/kumquatseam/routes/_table.py
@@ -86,12 +86,35 @@
     :param cache_tokens: KV cache of an engine, in tokens.
     :param models: the models it serves.
     :param event_pollers: cache-event calls an engine answers at once.
+    :param cache_token_bytes: KV cache of one token.
+    :param link_mbps: speed of an engine's link to others and to stores.
     """
 
     slots: int
     cache_tokens: int
     models: tuple[str, ...] = ()
     event_pollers: int = 0
+    cache_token_bytes: int = 163_840
+    link_mbps: float = 130_000.0
+
+    @property
+    def transfer_ms_per_token(self) -> float:
+        """Time to move one token's KV cache over a link."""
+        return self.cache_token_bytes * 8 / (self.link_mbps * 1000.0)
+
+
+@attrs.frozen
+class CacheStore:
+    """A store of kept KV cache, beside the engines.
+
+    :param address: ``host:port`` for engines to fetch from and send to.
+    :param availability_zone: where it is.
+    :param cache_tokens: how much it keeps, in tokens.
+    """
+
+    address: str
+    availability_zone: str = ""
+    cache_tokens: int = 0
 
 
 @attrs.frozen
@@ -101,15 +124,13 @@
     :param name: its name.
     :param max_connections: connections one upstream accepts from everyone.
     :param engine: set for services of model engines.
-    :param cache_store_address: set for a store of kept KV cache.
-    :param availability_zone: where that store is.
+    :param cache_store: set for a store of kept KV cache.
     """
 
     name: str
     max_connections: int = 0
     engine: EngineTraits | None = None
-    cache_store_address: str = ""
-    availability_zone: str = ""
+    cache_store: CacheStore | None = None
 
 
 @attrs.frozen
@@ -147,8 +168,8 @@
     _by_host: dict[str, tuple[Route, ...]] = attrs.field(init=False, eq=False)
     _by_key: dict[str, TeamTraits] = attrs.field(init=False, eq=False)
     _by_service: dict[str, ServiceTraits] = attrs.field(init=False, eq=False)
-    #: address of the store of kept KV cache; ``""`` if there is none.
-    cache_store_address: str = attrs.field(init=False, eq=False)
+    #: the stores of kept KV cache.
+    cache_stores: tuple[CacheStore, ...] = attrs.field(init=False, eq=False)
 
     @_by_host.default
     def _index_hosts(self) -> dict[str, tuple[Route, ...]]:
@@ -165,10 +186,9 @@
     def _index_services(self) -> dict[str, ServiceTraits]:
         return {service.name: service for service in self.services}
 
-    @cache_store_address.default
-    def _find_cache_store(self) -> str:
-        stores = (s.cache_store_address for s in self.services)
-        return next(filter(None, stores), "")
+    @cache_stores.default
+    def _find_cache_stores(self) -> tuple[CacheStore, ...]:
+        return tuple(s.cache_store for s in self.services if s.cache_store is not None)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path`` on ``host``."""
