Tests: ports below those of connections, a block a process; failed steps are printed

Cause: the scenario 'A refused request' failed once in a run of the tests: its gateway did not become ready. Ruled out: a slow start, a lost configuration (the logs show neither). Change: ports come from below the range of outgoing connections, a locked block a process; the test script prints steps that failed with their tracebacks, and a gateway that does not start shows its log.

--- /dev/null
+++ b/features/steps/cache_plan_steps.py
@@ -0,0 +1,256 @@
+"""Steps for where engines get the parts of prompts from."""
+
+import collections
+
+from behave import given, then, when
+from modelled_clock import Clock
+
+from kumquatseam.placement import (
+    CachePlanner,
+    CacheSource,
+    PlacementRequest,
+    Placer,
+    store_for,
+)
+from kumquatseam.prompts import PromptChain, PromptIndex, PromptPart
+from kumquatseam.routes import CacheStore, EngineTraits, ServiceTraits
+from kumquatseam.upstreams import (
+    Upstream,
+    UpstreamDirectory,
+    WeightsNamed,
+    WeightsTargets,
+)
+
+STORE = CacheSource("store:1", "store:1", "z0")
+TRAITS = EngineTraits(48, 100_000, ("m0",))
+ZONES = {"e0": "z0", "e1": "z1", "e2": "z1"}
+
+
+def chain(shared=6000, own=2000, item="item"):
+    common = shared // 3
+    return PromptChain(
+        (
+            PromptPart("common", common),
+            PromptPart(item, shared - common),
+            PromptPart(f"own-{item}", own),
+        )
+    )
+
+
+@given("an engine e0 that read a prompt of {shared:d} shared and {own:d} own tokens")
+def step_read(context, shared, own):
+    context.clock = Clock()
+    context.index = PromptIndex(context.clock)
+    context.prompt = chain(shared, own)
+    context.index.note_read("e0", "1", context.prompt)
+
+
+@given("it sent them to the store")
+def step_sent(context):
+    context.index.note_read("e0", "1", context.prompt, STORE.address)
+
+
+@given("engine e1 read it too")
+def step_read_too(context):
+    context.index.note_read("e1", "1", context.prompt)
+
+
+def _plan(context, engine, salt="1"):
+    holders = context.index.look_up(salt, context.prompt)
+    sources = [STORE, *(CacheSource(n, f"{n}:1", z) for n, z in ZONES.items())]
+    planner = CachePlanner(context.prompt, holders, sources, TRAITS)
+    context.plan = planner.plan(engine, ZONES[engine])
+
+
+@when("the prompt is planned for {engine} a second later")
+def step_plan_later(context, engine):
+    context.clock.now_s += 1
+    _plan(context, engine.split(",")[0])
+
+
+@when("the prompt is planned for {engine} at once")
+def step_plan_at_once(context, engine):
+    _plan(context, engine)
+
+
+@when("the prompt is planned for {engine} on other weights")
+def step_plan_other(context, engine):
+    context.clock.now_s += 1
+    _plan(context, engine, salt="2")
+
+
+@then("it has {held:d} tokens, fetches {fetched:d} and reads {read:d}")
+def step_planned(context, held, fetched, read):
+    plan = context.plan
+    found = (plan.held_tokens, plan.fetched_tokens, plan.read_tokens)
+    assert found == (held, fetched, read), found
+
+
+@then("it fetches them from {source}")
+def step_source(context, source):
+    expected = STORE.address if source == "the store" else f"{source}:1"
+    assert context.plan.source.address == expected, context.plan.source
+
+
+@then("{count:d} of them would be read twice")
+def step_repeated(context, count):
+    assert context.plan.repeated_tokens == count, context.plan
+
+
+@given("an engine e0 whose first part was driven out by others")
+def step_driven_out(context):
+    context.clock = Clock()
+    context.index = PromptIndex(context.clock)
+    context.prompt = chain()
+    context.index.note_read("e0", "1", context.prompt)
+    first = context.prompt.shared[0]
+    context.index._drop(("1", first.part_id), "e0")
+
+
+@given(
+    "an engine with memory for {capacity:d} tokens that read {count:d} prompts of "
+    "{tokens:d} tokens"
+)
+def step_full(context, capacity, count, tokens):
+    context.index = PromptIndex(Clock())
+    context.index.set_engine_capacity(capacity)
+    context.chains = [
+        PromptChain((PromptPart(f"p{n}", tokens), PromptPart("own", 1)))
+        for n in range(count)
+    ]
+    for prompt in context.chains:
+        context.index.note_read("e0", "1", prompt)
+
+
+@then("it is believed to hold the last {count:d} of them")
+def step_believed(context, count):
+    held = [
+        context.index.look_up("1", prompt).held_tokens("e0") > 0
+        for prompt in context.chains
+    ]
+    assert held == [False] * (len(held) - count) + [True] * count, held
+
+
+@given("{count:d} stores")
+def step_stores(context, count):
+    context.stores = [CacheStore(f"s{n}:1", f"z{n}", 1_000_000) for n in range(count)]
+
+
+@when(
+    "{prompts:d} prompts of {items:d} items are sent, by 2 instances that list the "
+    "stores in another order"
+)
+def step_told_apart(context, prompts, items):
+    context.chosen = collections.defaultdict(set)
+    for number in range(prompts):
+        prompt = chain(item=f"item-{number % items}")
+        for stores in (context.stores, context.stores[::-1]):
+            context.chosen[number % items].add(store_for(prompt, stores))
+
+
+@then("each item's parts go to one store")
+def step_one_store(context):
+    assert all(len(stores) == 1 for stores in context.chosen.values())
+
+
+@then("each store has between {fewest:d} and {most:d} of the items")
+def step_balanced(context, fewest, most):
+    counts = collections.Counter(next(iter(s)) for s in context.chosen.values())
+    assert len(counts) == len(context.stores)
+    assert all(fewest <= count <= most for count in counts.values()), counts
+
+
+def _placer(context, engines):
+    context.clock = Clock()
+    directory = UpstreamDirectory(context.clock)
+    weights = (WeightsNamed("m0", 1),)
+    for number in range(engines):
+        directory.put(
+            Upstream(f"e{number}", "engines", f"e{number}:1", "z0", 48, False, weights)
+        )
+    targets = WeightsTargets(context.clock)
+    targets.take(weights[0])
+    context.directory = directory
+    context.index = PromptIndex(context.clock)
+    context.placer = Placer(
+        directory, context.index, "z0", targets, clock=context.clock
+    )
+
+
+def _place(context, prompt):
+    """Place a prompt and send it; returns its placement."""
+    service = ServiceTraits("engines", engine=TRAITS)
+    stores = (CacheStore(STORE.address, "z0", 1_000_000),)
+    request = PlacementRequest(
+        "id", service, None, "m0", prompt, frozenset(), 1, cache_stores=stores
+    )
+    placement = context.placer.place(request)
+    upstream_id = placement.status.upstream.upstream_id
+    context.index.note_read(upstream_id, placement.salt, prompt, placement.cache_target)
+    context.directory.begin(placement.status, placement.read_tokens)
+    return placement
+
+
+@given("an instance whose engine sent a prompt to the store")
+def step_sent_prompt(context):
+    _placer(context, 1)
+    assert _place(context, chain()).cache_target == STORE.address
+    context.clock.now_s += 1
+
+
+@when("the same prompt comes again")
+def step_again(context):
+    context.placement = _place(context, chain())
+
+
+@then("it is not sent to the store")
+def step_not_sent(context):
+    assert context.placement.cache_target == ""
+    assert context.placement.cache_source == STORE.address
+
+
+@then("another prompt is")
+def step_other_sent(context):
+    assert _place(context, chain(item="other")).cache_target == STORE.address
+
+
+@given("{count:d} engines that just began on new weights")
+def step_new_weights(context, count):
+    _placer(context, count)
+
+
+def _burst(context, count, tag):
+    readers = set()
+    for number in range(count):
+        context.clock.now_s += 0.2 / count
+        prompt = PromptChain(
+            (PromptPart("opening", 4000), PromptPart(f"{tag}{number}", 300))
+        )
+        before = context.index.look_up("1", prompt)
+        placement = _place(context, prompt)
+        upstream_id = placement.status.upstream.upstream_id
+        can_fetch = before.settled_tokens(STORE.address) > 0
+        if not before.held_tokens(upstream_id) and not can_fetch:
+            readers.add(upstream_id)
+    return readers
+
+
+@when("{count:d} prompts of one opening of 4000 tokens come within 200 ms")
+def step_burst(context, count):
+    context.readers = _burst(context, count, "a")
+
+
+@then("at most {count:d} engines read the opening")
+def step_few_readers(context, count):
+    assert 1 <= len(context.readers) <= count, context.readers
+
+
+@when("{count:d} more come a second later")
+def step_more_later(context, count):
+    context.clock.now_s += 1
+    context.readers = _burst(context, count, "b")
+
+
+@then("no engine reads the opening again")
+def step_none_again(context):
+    assert not context.readers, context.readers
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -39,6 +39,10 @@
 @then('the operators learn of "{request_id}" that "{text}"')
 @then('of "{request_id}" that "{text}"')
 def step_learn(context, request_id, text):
-    wait_until("the line", lambda: text in _explain(context, request_id).stdout)
+    try:
+        wait_until("the line", lambda: text in _explain(context, request_id).stdout)
+    except AssertionError as error:
+        told = _explain(context, request_id)
+        raise AssertionError(f"{error}; told: {told.stdout}{told.stderr}") from error
     story = json.loads(_explain(context, request_id, "--json").stdout)
     assert story["request_id"] == request_id
--- a/features/steps/feeds_steps.py
+++ b/features/steps/feeds_steps.py
@@ -4,9 +4,11 @@
 
 import attrs
 from behave import given, then, when
+from modelled_clock import Clock
 from platform_steps import step_plain_gateway
-from platform_world import free_port, wait_until
+from platform_world import wait_until
 
+from kumquatseam.bench import free_port
 from kumquatseam.codec import MessageCodec
 from kumquatseam.feeds import (
     FeedPeers,
@@ -36,14 +38,6 @@
 CODEC = MessageCodec("update", {"topic": TopicUpdate}, is_compact=True)
 
 
-class Clock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
-
-
 class Values(KeyedListener):
     """Keeps the values; what ends in a dot changes nothing."""
 
--- a/features/steps/matrix_world.py
+++ b/features/steps/matrix_world.py
@@ -5,6 +5,7 @@
 """
 
 import attrs
+from modelled_clock import Clock
 
 from kumquatseam.admission import RetryBudget, TeamLimiter
 from kumquatseam.engines import (
@@ -58,19 +59,6 @@
 )
 
 
-class Clock:
-    """Modelled time."""
-
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self) -> float:
-        return self.now_s
-
-    def sleep(self, pause_s: float) -> None:
-        self.now_s += pause_s
-
-
 class RouterKilled(Exception):
     """The router's process ends here; its caller sees a broken connection."""
 
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -2,7 +2,6 @@
 
 import json
 import os
-import socket
 import subprocess
 import sys
 import time
@@ -11,7 +10,7 @@
 import urllib3
 from platform_replica import StandinReplica
 
-from kumquatseam.bench import standin_program
+from kumquatseam.bench import free_port, standin_program
 from kumquatseam.logservice import HttpLogService
 
 WAIT_S = 10.0
@@ -40,12 +39,6 @@
 """
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def wait_until(what, check, timeout_s=WAIT_S):
     """Wait until ``check`` returns something true, and return it."""
     deadline_s = time.monotonic() + timeout_s
@@ -212,8 +205,12 @@
         gateway.start()
         self.gateways.append(gateway)
         if wait:
-            wait_until("the gateway is ready", gateway.is_ready)
-            wait_until("it knows the replicas", lambda: self.knows_replicas(gateway))
+            try:
+                wait_until("the gateway is ready", gateway.is_ready)
+                wait_until("it knows them", lambda: self.knows_replicas(gateway))
+            except AssertionError as error:
+                tail = gateway.log_path.read_text()[-3000:]
+                raise AssertionError(f"{error}; its log ends:\n{tail}") from error
         return gateway
 
     def knows_replicas(self, gateway) -> bool:
--- /dev/null
+++ b/features/steps/rollout_steps.py
@@ -0,0 +1,165 @@
+"""Steps for which engines load new weights, and who is told."""
+
+from behave import given, then, when
+from modelled_clock import Clock
+
+from kumquatseam.peers import (
+    RolloutNotice,
+)
+from kumquatseam.rollouts import EngineState, RolloutView, plan_loads
+from kumquatseam.upstreams import (
+    Upstream,
+    UpstreamDirectory,
+    WeightsTargets,
+)
+
+
+def engine(
+    number, version, running, target=None, loading=False, slots=48, reachable=True
+):
+    return EngineState(
+        f"e{number:02}",
+        version,
+        version == target,
+        loading,
+        running,
+        slots,
+        is_reachable=reachable,
+    )
+
+
+@given("{count:d} engines of {slots:d} slots with {runs:d} runs each on weights 1")
+def step_engines(context, count, slots, runs):
+    context.engines = [(1, runs, slots)] * count
+    context.unreachable = 0
+
+
+@given("{count:d} of them already run weights {version:d}")
+def step_some_ready(context, count, version):
+    runs, slots = context.engines[0][1:]
+    context.engines[:count] = [(version, runs, slots)] * count
+
+
+@given("{count:d} more engines run weights {version:d}")
+def step_more(context, count, version):
+    context.engines = context.engines + [(version, 10, 48)] * count
+
+
+@given("{count:d} of them cannot be reached")
+def step_unreachable(context, count):
+    context.unreachable = count
+
+
+@then("none of the engines that cannot be reached is among them")
+def step_none_unreachable(context):
+    gone = {f"e{i:02}" for i in range(context.unreachable)}
+    assert not gone & {*context.plan.order_now, *context.plan.destinations}
+
+
+@when("weights {version:d} are named")
+def step_named(context, version):
+    context.target = version
+    _plan(context, 0.1)
+
+
+@when("{age_s:g} seconds have passed")
+def step_passed(context, age_s):
+    _plan(context, age_s)
+
+
+def _plan(context, age_s):
+    context.states = [
+        engine(
+            i,
+            version,
+            runs,
+            context.target,
+            slots=slots,
+            reachable=i >= context.unreachable,
+        )
+        for i, (version, runs, slots) in enumerate(context.engines)
+    ]
+    context.plan = plan_loads(context.states, age_s)
+
+
+@then("{count:d} engines load, and their runs go to {kept:d} engines that load last")
+def step_waves(context, count, kept):
+    plan = context.plan
+    assert len(plan.order_now) == count, plan
+    assert len(plan.destinations) == kept, plan
+    assert not set(plan.order_now) & set(plan.destinations), plan
+
+
+@then("{count:d} engines load")
+def step_load_count(context, count):
+    assert len(context.plan.order_now) == count, context.plan
+
+
+@then("no engine loads")
+def step_none_load(context):
+    assert not context.plan.order_now, context.plan
+
+
+@then("no engine is closed to new work yet")
+def step_none_closed(context):
+    assert not context.plan.closing, context.plan
+
+
+@then("the {count:d} engines that do not load yet are closed to new work")
+def step_last_closed(context, count):
+    plan = context.plan
+    assert len(plan.closing) == count, plan
+    assert not set(plan.closing) & set(plan.order_now), plan
+    assert set(plan.destinations) <= set(plan.closing), plan
+
+
+@then("the engines that load all ran weights {version:d}")
+def step_loaded_version(context, version):
+    versions = {e.upstream_id: e.version for e in context.states}
+    assert context.plan.order_now
+    assert {versions[i] for i in context.plan.order_now} == {version}, context.plan
+
+
+@then("of any number of engines up to 80 at most 0.4 load at once, and all get there")
+def step_any_size(context):
+    for count in range(1, 81):
+        states = {f"e{i:02}": engine(i, 1, 5) for i in range(count)}
+        for round_number in range(200):
+            plan = plan_loads(list(states.values()), 0.05 * round_number)
+            assert len(plan.order_now) <= max(1, int(count * 0.4)), plan
+            for upstream_id in plan.order_now:
+                states[upstream_id] = engine(int(upstream_id[1:]), 2, 0, 2)
+        assert all(state.has_target for state in states.values()), count
+
+
+def _notice(context, model, loading):
+    context.notices = getattr(context, "notices", 0) + 1
+    notice = RolloutNotice(
+        "a", 1, context.notices, model, 2, loading, (), (), named_age_s=1.0
+    )
+    assert context.view.take(notice)
+
+
+@given("a process told that e0 loads weights of m0")
+def step_told(context):
+    context.clock = Clock()
+    context.directory = UpstreamDirectory(context.clock)
+    context.directory.put(Upstream("e0", "engines", "a:1"))
+    targets = WeightsTargets(context.clock)
+    context.view = RolloutView(context.directory, targets, context.clock)
+    _notice(context, "m0", ("e0",))
+
+
+@when("it is told that nothing loads weights of {model}")
+def step_told_nothing(context, model):
+    _notice(context, model, ())
+
+
+@then("e0 takes no work")
+def step_blocked(context):
+    assert context.directory.status("e0").blocked_until_s > context.clock.now_s
+
+
+@then("e0 takes work again")
+def step_unblocked(context):
+    assert context.directory.status("e0").blocked_until_s <= context.clock.now_s
--- a/src/kumquatseam/bench/__init__.py
+++ b/src/kumquatseam/bench/__init__.py
@@ -15,6 +15,7 @@
     LocalFleet,
     run_fleet,
 )
+from kumquatseam.bench._ports import free_port
 from kumquatseam.bench._processes import standin_program
 from kumquatseam.bench._workload import (
     NestedPromptWorkload,
@@ -34,6 +35,7 @@
     "WorkloadRequest",
     "WorkloadTeam",
     "format_outcomes",
+    "free_port",
     "run_demo",
     "run_fleet",
     "standin_program",
--- a/src/kumquatseam/bench/_fleet.py
+++ b/src/kumquatseam/bench/_fleet.py
@@ -6,7 +6,6 @@
 
 import configparser
 import signal
-import socket
 import tempfile
 from pathlib import Path
 
@@ -14,6 +13,7 @@
 import gevent
 import gevent.event
 
+from kumquatseam.bench._ports import free_port
 from kumquatseam.bench._processes import Program, daemon_program, standin_program
 
 MODEL = "zaras-7b"
@@ -262,13 +262,6 @@
         return sections
 
 
-def free_port() -> int:
-    """Return a TCP port on loopback that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def run_fleet(routers: int, engines: int, log_dir: str | None) -> None:
     """Run a fleet until interrupted, printing what to try on it."""
     folder = Path(log_dir or tempfile.mkdtemp(prefix="kumquatseam-fleet-"))
