--- a/features/explain.feature
+++ b/features/explain.feature
@@ -11,7 +11,7 @@
     Given a gateway before 1 plain replica
     When request "lost-2" meets a replica that resets its connection
     Then the operators learn of "lost-2" that "the upstream's answer broke off and it may not run again"
-    And of "lost-2" that "p0: "
+    And of "lost-2" that "p0@1700000000000: "
 
   Scenario: A slow request
     Given a gateway before 1 engines that stream 5 events
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -42,7 +42,7 @@
                 Candidate("holds", 2890, 0, 48, 0, 0.0, pending),
                 Candidate("lacks", 9190, 0, 48, 1),
             ]
-        ).upstream_id
+        ).incarnation_id
     )
 
 
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -18,12 +18,9 @@
     RequestLimits,
     RequestReader,
 )
-from kumquatseam.platform._decoding import (
-    DecodingError,
-    decode_route_table,
-    decode_upstream,
-    decode_weights,
-)
+from kumquatseam.platform._entries import decode_upstream
+from kumquatseam.platform._records import decode_route_table, decode_weights
+from kumquatseam.platform._values import DecodingError
 from kumquatseam.routes import RouteTable
 
 FUZZ = fuzz_settings(derandomize=True, deadline=None, max_examples=300, database=None)
--- /dev/null
+++ b/features/steps/own_fault_steps.py
@@ -0,0 +1,176 @@
+"""Steps for faults of the router itself."""
+
+import time
+
+import gevent
+import gevent.socket
+from behave import given, then, when
+from log_capture import captured_lines
+
+from kumquatseam.admission import RetryBudget
+from kumquatseam.gateway._caller import CallerConnection
+from kumquatseam.gateway._handler import HandlerParts, RequestHandler
+from kumquatseam.http1 import ConnectionPool, Headers, Request
+from kumquatseam.http1._connection import open_connection
+from kumquatseam.metrics import GatewayMetrics
+from kumquatseam.placement import Placement
+from kumquatseam.platform._headers import PlatformDialect
+from kumquatseam.prompts import PromptIndex
+from kumquatseam.routes import (
+    LiveRouteTable,
+    Repeatability,
+    Route,
+    RouteTable,
+    ServiceTraits,
+    TrafficShare,
+)
+from kumquatseam.settings import AdmissionSettings
+from kumquatseam.upstreams import Upstream, UpstreamDirectory
+
+ROUTE = Route(
+    "r", "h", "/", Repeatability.NON_IDEMPOTENT, (TrafficShare("plain", 1.0),)
+)
+
+
+class FailingPlacer:
+    def place(self, request):
+        raise RuntimeError("no choice")
+
+
+class FixedPlacer:
+    def __init__(self, placement):
+        self.placement = placement
+
+    def place(self, request):
+        return self.placement
+
+
+class FailingConnection:
+    """Takes a request and fails in an unexpected way."""
+
+    address = "10.0.0.1:1"
+
+    def send(self, data):
+        raise RuntimeError("after sending")
+
+    def close(self):
+        pass
+
+
+class OnePool:
+    def __init__(self, connection):
+        self.connection = connection
+
+    def take(self, address, timeout_s):
+        return self.connection
+
+    def drop(self, address):
+        pass
+
+
+def _build(context, placer, pool):
+    live = LiveRouteTable()
+    live.apply(RouteTable(1, (ROUTE,), (ServiceTraits("plain"),)), "test")
+    context.directory = getattr(context, "directory", None) or UpstreamDirectory()
+    budget = RetryBudget(AdmissionSettings())
+    context.handler = RequestHandler(
+        HandlerParts(
+            live,
+            PlatformDialect(),
+            placer,
+            context.directory,
+            PromptIndex(),
+            pool,
+            lambda service: budget,
+            GatewayMetrics(),
+            None,
+        )
+    )
+
+
+@given("a router whose choice of an upstream fails unexpectedly")
+def step_failing_choice(context):
+    _build(context, FailingPlacer(), ConnectionPool(0.1))
+
+
+@given("a router that fails unexpectedly after it has sent a request")
+def step_failing_after(context):
+    context.directory = UpstreamDirectory()
+    context.directory.put(Upstream("p0", "plain", "10.0.0.1:1"))
+    placement = Placement(context.directory.status("p0"))
+    _build(context, FixedPlacer(placement), OnePool(FailingConnection()))
+
+
+@when("a caller's request is handled")
+def step_handled(context):
+    ours, theirs = gevent.socket.socketpair()
+    fields = [(b"Host", b"h"), (b"X-Request-Id", b"r1"), (b"X-Deadline-Ms", b"2000")]
+    request = Request(b"POST", b"/x", Headers(fields), b"", True, time.monotonic())
+    with captured_lines() as context.lines:
+        context.handler.handle(request, CallerConnection(ours), lambda: False)
+    ours.close()
+    context.answer = theirs.recv(65_536).decode()
+
+
+@then("it is answered 503, to come back soon")
+def step_503(context):
+    assert context.answer.startswith("HTTP/1.1 503"), context.answer
+    (line,) = [x for x in context.answer.splitlines() if x.startswith("Retry-After")]
+    assert 0 < float(line.partition(":")[2]) <= 1, line
+
+
+@then("it is answered 502")
+def step_502(context):
+    assert context.answer.startswith("HTTP/1.1 502"), context.answer
+    assert "Retry-After" not in context.answer
+
+
+@then("the fault is logged with the request's id")
+def step_fault_logged(context):
+    found = [x for x in context.lines if x["message"] == "Serving failed unexpectedly."]
+    assert [x["extra"]["request"] for x in found] == ["r1"], found
+
+
+@given("3 idle connections, the newest of them closed by the upstream")
+def step_idle(context):
+    listener = gevent.socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(8)
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    context.pool = ConnectionPool(1.0)
+    context.listener, context.address, context.accepted = listener, address, []
+    idle = []
+    for _ in range(3):
+        idle.append(open_connection(address, 1.0))
+        context.accepted.append(listener.accept()[0])
+    for connection in idle:
+        connection.idle_limit_s = time.monotonic() + 10
+    context.accepted[-1].close()
+    gevent.sleep(0.02)
+    context.pool._idle[address] = idle
+
+
+@when("a request takes a connection while another one drops them all")
+def step_take_and_drop(context):
+    dropping = gevent.spawn(context.pool.drop, context.address)
+    context.taken = context.pool.take(context.address, 1.0)
+    dropping.join()
+
+
+@then("it gets an open connection that nobody closed")
+def step_open(context):
+    assert context.taken._socket.fileno() >= 0
+    assert context.taken.is_quiet()
+    context.taken.close()
+    context.listener.close()
+
+
+@when("{count:d} requests are sent")
+def step_many(context, count):
+    context.answers = [context.platform.send().status for _ in range(count)]
+
+
+@then("all are served, and at most {count:d} of them were sent to that address")
+def step_few_misdirected(context, count):
+    assert set(context.answers) == {200}, context.answers
+    assert context.platform.replicas["p0"].misdirected <= count
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import contextlib
 import json
 import socket
 import struct
@@ -45,6 +46,7 @@
         self, upstream_id, version=None, events=5, event_pause_s=0.01, load_s=0.1
     ):
         self.upstream_id = upstream_id
+        self.born_ms = 1_700_000_000_000
         self.version = version
         self.events = events
         self.event_pause_s = event_pause_s
@@ -58,6 +60,13 @@
         self.loading = False
         self.running = 0
         self.stopped_runs: dict[str, int] = {}
+        #: handles of runs copied to this replica; each good for one use.
+        self.copies: set[str] = set()
+        #: finds another replica by its address, to copy a run there.
+        self.find = lambda address: None
+        self.incarnations = 1
+        self.misdirected = 0
+        self._connections: set[socket.socket] = set()
         self._lock = threading.Lock()
         replica = self
 
@@ -68,6 +77,14 @@
             def log_message(self, *arguments):
                 pass
 
+            def setup(self):
+                super().setup()
+                replica._connections.add(self.connection)
+
+            def finish(self):
+                replica._connections.discard(self.connection)
+                super().finish()
+
             def do_GET(self):
                 replica.answer(self)
 
@@ -81,6 +98,22 @@
     def start(self):
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
+    def restart(self):
+        """Start again under the same id: nothing of before is left.
+
+        Open connections break, which tells callers of them that it crashed.
+        """
+        self.born_ms += 1000
+        self.sequence = 0
+        self.fence = -1
+        self.loading = False
+        self.stopped_runs.clear()
+        self.copies.clear()
+        self.incarnations += 1
+        for connection in list(self._connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
     def close(self):
         self._server.shutdown()
         self._server.server_close()
@@ -97,6 +130,7 @@
             "coldLeftMs": 0,
             # Counts heartbeats here, and orders in a report.
             "sequence": 1000 + self.sequence,
+            "born": self.born_ms,
         }
         if self.version is not None:
             fields["models"] = [{"name": "m0", "version": self.version, "adapters": []}]
@@ -108,6 +142,7 @@
         body = http.rfile.read(int(http.headers.get("Content-Length") or 0))
         expected = http.headers.get("X-Expect-Instance")
         if expected is not None and expected != self.upstream_id:
+            self.misdirected += 1
             self._send(http, 421, b"", {"X-Replica-Id": self.upstream_id})
         elif http.path == "/order":
             self._take_order(http, json.loads(body))
@@ -144,6 +179,11 @@
         if fault == "refuse" or (self.version is not None and self.loading):
             self._send(http, 503, b"", {**headers, "X-Not-Executed": "1"})
             return
+        copy = http.headers.get("Kv-From")
+        if copy is not None and copy not in self.copies:
+            self._send(http, 503, b"", {**headers, "X-Not-Executed": "1"})
+            return
+        self.copies.discard(copy)
         if wanted is not None and int(wanted) != self.version:
             self._send(http, 421, b"", headers)
             return
@@ -242,6 +282,7 @@
             "models": [{"name": "m0", "version": self.version, "adapters": []}],
             "busy": self.loading,
             "sequence": self.sequence,
+            "born": self.born_ms,
             "waiting": 0,
             "running": self.running,
             "kvUsed": 0,
@@ -272,9 +313,12 @@
             self._send(http, 202, b"")
 
     def _load(self, version):
+        incarnation = self.incarnations
         while self.running:
             time.sleep(0.01)
         time.sleep(self.load_s)
+        if incarnation != self.incarnations:
+            return
         self.version = version
         self.loading = False
 
@@ -284,5 +328,9 @@
         deadline_s = time.monotonic() + 2
         while self.stopped_runs[order["id"]] < 0 and time.monotonic() < deadline_s:
             time.sleep(0.005)
-        answer = {"handle": "h1", "createRevision": self.stopped_runs[order["id"]]}
+        handle = f"h-{order['id']}"
+        destination = self.find(order["to"])
+        if destination is not None:
+            destination.copies.add(f"{self.address}/{handle}")
+        answer = {"handle": handle, "createRevision": self.stopped_runs[order["id"]]}
         self._send(http, 200, json.dumps(answer).encode())
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -128,12 +128,19 @@
 
     def add_replica(self, service, upstream_id, **options) -> StandinReplica:
         replica = StandinReplica(upstream_id, **options)
+        replica.find = self._find_replica
         replica.start()
         self.replicas[upstream_id] = replica
         self.services[upstream_id] = service
         self.list_replica(upstream_id)
         return replica
 
+    def _find_replica(self, address):
+        for replica in self.replicas.values():
+            if replica.address == address:
+                return replica
+        return None
+
     def list_replica(self, upstream_id, **more):
         replica = self.replicas[upstream_id]
         value = replica.entry(self.services[upstream_id], **more)
@@ -215,7 +222,9 @@
 
     def knows_replicas(self, gateway) -> bool:
         listed = {
-            d["upstream"] for d in gateway.lines() if d["event"].endswith("listed.")
+            d["upstream"].partition("@")[0]
+            for d in gateway.lines()
+            if d["event"].endswith("listed.")
         }
         return set(self.replicas) <= listed
 
--- /dev/null
+++ b/features/steps/restart_steps.py
@@ -0,0 +1,372 @@
+"""Steps for upstreams that start again under their id, in modelled time."""
+
+import re
+import threading
+import time
+
+import attrs
+import gevent
+from behave import given, then, when
+from decision_steps import MemoryBus
+from modelled_clock import Clock
+from platform_steps import step_streams_in_rollout
+
+from kumquatseam.peers import LoadExchange, LoadSummary, RolloutNotice, UpstreamLoad
+from kumquatseam.prompts import PromptChain, PromptIndex, PromptPart, PromptRead
+from kumquatseam.rollouts import (
+    EngineReport,
+    OrderClient,
+    OrderOutcome,
+    RolloutDuty,
+    RolloutView,
+)
+from kumquatseam.routes import EngineTraits, LiveRouteTable, RouteTable, ServiceTraits
+from kumquatseam.upstreams import (
+    Upstream,
+    UpstreamDirectory,
+    WeightsNamed,
+    WeightsTargets,
+)
+
+MODEL = "m0"
+PROMPT = PromptChain((PromptPart("opening", 4000), PromptPart("own", 300)))
+
+
+def incarnation(born_ms, version=1):
+    weights = (WeightsNamed(MODEL, version),)
+    return Upstream("e0", "engines", "a:1", weights=weights, born_ms=born_ms)
+
+
+class Side:
+    """What one instance knows."""
+
+    def __init__(self, clock, bus=None):
+        self.directory = UpstreamDirectory(clock)
+        self.index = PromptIndex(clock)
+        self.directory.on_gone(lambda u: self.index.forget(u.incarnation_id))
+        self.bus = bus or MemoryBus("a")
+        self.loads = LoadExchange(self.bus, self.directory, self.index, clock)
+
+    def status(self):
+        (status,) = self.directory.of_service("engines")
+        return status
+
+    def held_tokens(self):
+        holder = self.status().upstream.incarnation_id
+        return self.index.look_up("1", PROMPT).held_tokens(holder)
+
+
+# What is known ends with the incarnation.
+
+
+@given("an engine started at {born_ms:d} that is known to hold, run and fail")
+def step_known(context, born_ms):
+    context.clock = Clock()
+    side = context.side = Side(context.clock)
+    side.directory.put(incarnation(born_ms))
+    status = side.status()
+    side.index.note_read(status.upstream.incarnation_id, "1", PROMPT)
+    side.directory.begin(status, 4300)
+    side.directory.note_broken(status, "test")
+    status.note_orders(5)
+    status.note_answered(MODEL, 9, context.clock())
+    assert side.held_tokens() == 4000
+
+
+@when("its entry says that it started at {born_ms:d}")
+def step_entry_started(context, born_ms):
+    assert context.side.directory.put(incarnation(born_ms))
+
+
+@then("nothing of before is known of it")
+def step_nothing_known(context):
+    status = context.side.status()
+    assert context.side.held_tokens() == 0
+    assert (status.running, status.pending_tokens) == (0, 0)
+    assert status.held_out_until_s == 0 and status.failures_in_row == 0
+    assert status.orders_accepted is None
+    assert status.version_of(MODEL) == 1
+
+
+@then("it is listed once")
+def step_once(context):
+    assert len(context.side.directory.all()) == 1
+
+
+# Peers.
+
+
+@given("2 instances that know what an engine started at {born_ms:d} holds and runs")
+def step_two(context, born_ms):
+    context.clock = Clock()
+    buses = [MemoryBus("a"), MemoryBus("b")]
+    buses[0].peers, buses[1].peers = [buses[1]], [buses[0]]
+    context.sides = [Side(context.clock, bus) for bus in buses]
+    context.earlier = incarnation(born_ms).incarnation_id
+    for side in context.sides:
+        side.directory.put(incarnation(born_ms))
+    _tell_of_earlier(context)
+    second = context.sides[1]
+    assert second.held_tokens() == 4000
+    assert second.loads.on_upstream(context.earlier).running == 3
+
+
+def _tell_of_earlier(context):
+    read = PromptRead(context.earlier, "1", PROMPT.shared)
+    loads = (UpstreamLoad(context.earlier, 3, 900),)
+    for side in context.sides:
+        side.bus.publish(LoadSummary(side.bus.name, loads, (read,)))
+
+
+@when("both learn that it started again at {born_ms:d}")
+def step_both_learn(context, born_ms):
+    for side in context.sides:
+        side.directory.put(incarnation(born_ms))
+
+
+@when("the first repeats what the earlier incarnation holds and runs")
+def step_repeats(context):
+    _tell_of_earlier(context)
+
+
+@then("neither takes it to hold or to run anything")
+def step_neither(context):
+    for side in context.sides:
+        assert side.held_tokens() == 0
+        current = side.status().upstream.incarnation_id
+        assert side.loads.on_upstream(current).running == 0
+
+
+# What comes late.
+
+
+@given(
+    "an engine started at {born_ms:d} on weights {version:d} after {orders:d} orders"
+)
+def step_engine(context, born_ms, version, orders):
+    context.clock = Clock()
+    context.side = Side(context.clock)
+    context.targets = WeightsTargets(context.clock)
+    directory = context.side.directory
+    context.view = RolloutView(directory, context.targets, context.clock)
+    context.client = ScriptedClient()
+    context.duty = build_duty(context, context.client)
+    if born_ms > 1000:
+        directory.put(incarnation(1000))
+    context.earlier = context.side.status() if born_ms > 1000 else None
+    directory.put(incarnation(born_ms, version))
+    context.side.status().note_orders(orders)
+
+
+class ScriptedClient(OrderClient):
+    """Takes orders and gives the report it was told to give."""
+
+    def __init__(self):
+        self.report_next = None
+        self.orders = []
+        self.outcome = OrderOutcome.ACCEPTED
+
+    def order(self, upstream, order):
+        self.orders.append((upstream, order))
+        return self.outcome
+
+    def report(self, upstream):
+        return self.report_next
+
+    def move_run(self, source, request_id, destination):
+        return None
+
+
+class HeldLease:
+    """A lease that is held."""
+
+    fence = 7
+
+    def step(self):
+        pass
+
+    def give_up(self):
+        raise AssertionError("nobody refused it")
+
+
+def build_duty(context, client):
+    live = LiveRouteTable()
+    traits = ServiceTraits("engines", engine=EngineTraits(48, 100_000, (MODEL,)))
+    live.apply(RouteTable(1, services=(traits,)), "test")
+    side = context.side
+    return RolloutDuty(
+        HeldLease(),
+        context.targets,
+        live,
+        side.directory,
+        client,
+        side.bus,
+        context.view,
+        side.loads.on_upstream,
+        context.clock,
+    )
+
+
+def _ask(context, status, report):
+    """Let the holder hear ``report`` as the answer to a question."""
+    context.client.report_next = report
+    context.duty.ask(MODEL, status)
+
+
+def _report(born_ms, version, orders):
+    weights = (WeightsNamed(MODEL, version),)
+    return EngineReport(weights, False, orders, 0, 0, born_ms)
+
+
+@when("{news} of the incarnation started at 1000 comes late")
+def step_late(context, news):
+    now_s = context.clock()
+    directory = context.side.directory
+    earlier = context.earlier
+    if news == "an entry with weights 4":
+        assert not directory.put(incarnation(1000, 4))
+    elif news == "a report with weights 4":
+        _ask(context, context.side.status(), _report(1000, 4, 9))
+    elif news == "an answer with weights 4":
+        earlier.note_answered(MODEL, 4, now_s)
+    elif news == "an order's acceptance":
+        earlier.note_orders(8)
+    elif news == "a notice of being ready":
+        name = earlier.upstream.incarnation_id
+        notice = RolloutNotice("b", 9, 1, MODEL, 4, (name,), (name,), (name,))
+        assert context.view.take(notice)
+    else:
+        assert news == "a broken connection", news
+        directory.note_broken(earlier, "test")
+
+
+@when(
+    "its report says that it started at {born_ms:d}, on weights {version:d} after "
+    "{orders:d} orders"
+)
+def step_report_started(context, born_ms, version, orders):
+    _ask(context, context.side.status(), _report(born_ms, version, orders))
+
+
+@then(
+    "it is known to run weights {version:d} after {orders:d} orders, started at "
+    "{born_ms:d}"
+)
+def step_known_as(context, version, orders, born_ms):
+    status = context.side.status()
+    assert status.upstream.born_ms == born_ms, status.upstream
+    assert status.version_of(MODEL) == version, status
+    assert (status.orders_accepted or 0) == orders, status
+    assert status.held_out_until_s <= context.clock()
+    assert status.blocked_until_s <= context.clock()
+
+
+# Orders.
+
+
+@given("the holder of the duty before an engine started at {born_ms:d}")
+def step_holder(context, born_ms):
+    step_engine(context, born_ms, 1, 0)
+    context.side.status().orders_accepted = None
+
+
+@when("weights 2 are to be in force and the engine is ordered to load them")
+def step_ordered(context):
+    context.targets.take(WeightsNamed(MODEL, 2))
+    _run_duty(context)
+    assert len(context.client.orders) == 1, context.client.orders
+
+
+def _run_duty(context):
+    context.duty.step()
+    # Orders go out on greenlets of their own.
+    gevent.sleep(0.05)
+
+
+@when("the engine starts again at {born_ms:d} on weights 1 before it has")
+def step_starts_again(context, born_ms):
+    context.side.directory.put(incarnation(born_ms, 1))
+    context.clock.now_s += 0.1
+    _run_duty(context)
+
+
+@then("it is ordered again, expecting {orders:d} orders before")
+def step_ordered_again(context, orders):
+    first, second = context.client.orders
+    assert second[0].born_ms > first[0].born_ms
+    assert second[1].expected_orders == orders
+
+
+@then("that order expected {orders:d} orders before")
+def step_expected(context, orders):
+    ((_, order),) = context.client.orders
+    assert order.expected_orders == orders, order
+
+
+@when("the engine has loaded them")
+def step_loaded(context):
+    status = context.side.status()
+    status.note_answered(MODEL, 2, context.clock())
+    context.told = []
+    context.side.bus.publish = context.told.append
+    context.clock.now_s += 0.3
+    _run_duty(context)
+
+
+@then("another instance knows that the engine accepted {orders:d} order")
+def step_successor(context, orders):
+    other = Side(context.clock)
+    other.directory.put(incarnation(1000))
+    view = RolloutView(other.directory, WeightsTargets(context.clock), context.clock)
+    for notice in context.told:
+        view.take(attrs.evolve(notice))
+    assert other.status().orders_accepted == orders
+
+
+# Processes.
+
+
+@when("engine {upstream_id} starts again under its id")
+def step_restart_engine(context, upstream_id):
+    world = context.platform
+    world.replicas[upstream_id].restart()
+    world.list_replica(upstream_id)
+
+
+@when("the operators name weights {version:d}")
+def step_name(context, version):
+    context.platform.name_weights(version)
+
+
+@then("engine {upstream_id} accepted {count:d} order since it started again")
+def step_accepted(context, upstream_id, count):
+    assert context.platform.replicas[upstream_id].sequence == count
+
+
+@when(
+    '{count:d} callers stream from "{path}" and new weights are named meanwhile, and '
+    "each engine that takes a run over starts again"
+)
+def step_restart_destinations(context, count, path):
+    world = context.platform
+    restarted = set()
+
+    def restart_destinations():
+        by_address = {r.address: r for r in world.replicas.values()}
+        deadline_s = time.monotonic() + 6
+        while time.monotonic() < deadline_s:
+            for source in list(world.replicas.values()):
+                for move in list(source.moves):
+                    found = by_address[move["to"]]
+                    if found not in restarted:
+                        restarted.add(found)
+                        found.restart()
+                        world.list_replica(found.upstream_id)
+            time.sleep(0.005)
+
+    thread = threading.Thread(target=restart_destinations)
+    thread.start()
+    step_streams_in_rollout(context, count, path)
+    thread.join()
+    assert restarted
+    assert all(re.match(r"e\d", replica.upstream_id) for replica in restarted)
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -115,7 +115,7 @@
 
 @then("the engines that load all ran weights {version:d}")
 def step_loaded_version(context, version):
-    versions = {e.upstream_id: e.version for e in context.states}
+    versions = {e.incarnation_id: e.version for e in context.states}
     assert context.plan.order_now
     assert {versions[i] for i in context.plan.order_now} == {version}, context.plan
 
--- a/src/kumquatseam/gateway/_call.py
+++ b/src/kumquatseam/gateway/_call.py
@@ -38,7 +38,7 @@
 class SendOptions:
     """What the router sets on a request it passes on.
 
-    :param upstream_id: the only life that may run it.
+    :param upstream_id: the only upstream that may run it.
     :param remaining_s: how long the caller still waits.
     :param team: the team it belongs to; ``""`` for public routes.
     :param cache_salt: scope within which cached parts are shared.
@@ -67,7 +67,9 @@
     """What the head of an upstream's answer says.
 
     :param is_not_run: the upstream promises that it did not run the request:
-        it refused it, or another life or other weights answer there.
+        it refused it, or another upstream or other weights answer there.
+    :param answering_id: the upstream that answers there, if it says that it is
+        not the one expected.
     :param weights_version: the weights that answered, if named.
     :param keep_alive_s: how long the idle connection will stay open, if named.
     :param is_signed: carries the upstream's signature.
@@ -77,3 +79,4 @@
     weights_version: int | None
     keep_alive_s: float | None
     is_signed: bool
+    answering_id: str = ""
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -94,6 +94,7 @@
     attempts: int = 0
     refusals: int = 0
     may_have_run: bool = False
+    has_sent: bool = False
     excluded: set[str] = attrs.Factory(set)
     kept_failure: "_WholeAnswer | None" = None
 
@@ -177,6 +178,11 @@
         self._paused_since_s: float | None = None
         self._sent_s = 0.0
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether any of it may have reached an upstream."""
+        return self._progress.has_sent
+
     def run(self) -> tuple[bool, str]:
         """Serve the request.
 
@@ -285,7 +291,7 @@
             progress.may_have_run = True
             self._give_up(Reason.BROKEN, "refused after a move")
         progress.refusals += 1
-        progress.excluded.add(placement.status.upstream.upstream_id)
+        progress.excluded.add(placement.status.upstream.incarnation_id)
         if progress.refusals >= MAX_REFUSALS:
             self._give_up(Reason.ALL_REFUSED, f"{progress.refusals} refusals")
         self._spend_retry()
@@ -294,7 +300,7 @@
         self, placement: Placement, error: ConnectFailedError
     ) -> None:
         self._parts.directory.note_broken(placement.status, "connect failed")
-        self._progress.excluded.add(placement.status.upstream.upstream_id)
+        self._progress.excluded.add(placement.status.upstream.incarnation_id)
         self._log_failure(placement, str(error))
 
     def _after_broken(self, placement: Placement, error: AnswerBrokenError) -> None:
@@ -307,7 +313,7 @@
         """Go on elsewhere if the request may be repeated."""
         job, progress = self._job, self._progress
         progress.may_have_run = True
-        progress.excluded.add(placement.status.upstream.upstream_id)
+        progress.excluded.add(placement.status.upstream.incarnation_id)
         self._log_failure(placement, detail)
         self._check_time()
         can_go_on = not self._caller.has_answered or job.route.is_resumable
@@ -324,7 +330,7 @@
     def _log_failure(self, placement: Placement, detail: str) -> None:
         _log.bind(
             request=self._job.call.request_id,
-            upstream=placement.status.upstream.upstream_id,
+            upstream=placement.status.upstream.incarnation_id,
             attempt=self._progress.attempts,
             remaining_s=round(self._job.remaining_s, 3),
             detail=detail,
@@ -354,13 +360,15 @@
         if placement.moved_run is None:
             self._progress.attempts += 1
         self._parts.index.note_read(
-            placement.status.upstream.upstream_id,
+            placement.status.upstream.incarnation_id,
             placement.salt,
             job.call.prompt,
             placement.cache_target,
         )
         self._sent_s = time.monotonic()
-        connection.send(self._request_bytes(placement))
+        request_bytes = self._request_bytes(placement)
+        self._progress.has_sent = True
+        connection.send(request_bytes)
         wait = self._wait(connection.address)
         dialect = self._parts.dialect
         head = connection.read_head(
@@ -425,11 +433,14 @@
         if traits.is_not_run:
             _log.bind(
                 request=self._job.call.request_id,
-                upstream=status.upstream.upstream_id,
+                upstream=status.upstream.incarnation_id,
                 status=head.status,
                 version=traits.weights_version,
             ).info("Refused by the upstream.")
-            self._parts.directory.block(status, REFUSED_BLOCK_S)
+            if traits.answering_id not in ("", status.upstream.upstream_id):
+                self._parts.directory.note_replaced(status, traits.answering_id)
+            else:
+                self._parts.directory.block(status, REFUSED_BLOCK_S)
             return
         self._parts.directory.note_answer(status, head.status >= 500)
 
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -28,6 +28,9 @@
 #: when a caller is told to come back before the first configuration is known:
 #: about the time reading it takes.
 UNCONFIGURED_RETRY_S = 0.5
+#: when to come back after a fault of the router's own; another instance may
+#: take the request, so soon.
+FAULT_RETRY_S = 0.1
 
 
 @attrs.frozen
@@ -75,10 +78,12 @@
         """
         request_id = request.headers.text(self._parts.dialect.request_id_header)
         kind, outcome = "none", "left"
+        exchange = None
         try:
             job = self._admit(request)
             kind = job.route.name
-            is_whole, outcome = Exchange(self._parts, job, caller, may_keep).run()
+            exchange = Exchange(self._parts, job, caller, may_keep)
+            is_whole, outcome = exchange.run()
             return is_whole
         except RefusedError as error:
             outcome = error.reason.value
@@ -89,7 +94,7 @@
         except Exception:  # noqa: BLE001 - logged; the caller still gets an answer
             _log.bind(request=request_id).exception("Serving failed unexpectedly.")
             outcome = Reason.FAULT.value
-            fault = RefusedError(502, Reason.FAULT)
+            fault = self._fault(exchange is not None and exchange.has_sent)
             return self._refuse(request_id, caller, may_keep, fault)
         finally:
             took_s = time.monotonic() - request.received_s
@@ -116,6 +121,16 @@
         end_s = request.received_s + min(deadline_s, route.timeout_s)
         return Job(request, call, route, service, team, end_s, table)
 
+    @staticmethod
+    def _fault(has_sent: bool) -> RefusedError:
+        """Return the answer to a request that a fault of the router ended.
+
+        Before anything was sent it has not run, so the caller may come back.
+        """
+        if has_sent:
+            return RefusedError(502, Reason.FAULT)
+        return RefusedError(503, Reason.FAULT, FAULT_RETRY_S, "nothing was sent")
+
     def _read_call(self, request: Request) -> Call:
         try:
             return self._parts.dialect.read_call(request)
--- a/src/kumquatseam/gateway/_relocation.py
+++ b/src/kumquatseam/gateway/_relocation.py
@@ -75,8 +75,8 @@
         moved = self._moving.get()
         _log.bind(
             request=self._job.call.request_id,
-            source=self._placement.status.upstream.upstream_id,
-            destination=self._destination.status.upstream.upstream_id,
+            source=self._placement.status.upstream.incarnation_id,
+            destination=self._destination.status.upstream.incarnation_id,
             events=moved.events if moved else None,
         ).info("Run moved." if moved else "Run lost in a move.")
         if moved is None:
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -259,7 +259,7 @@
         return self._loads.count_instances()
 
     def _forget_upstream(self, upstream) -> None:
-        self._index.forget(upstream.upstream_id)
+        self._index.forget(upstream.incarnation_id)
         self._pool.drop(upstream.address)
 
     def _size_index(self, table: RouteTable) -> None:
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -1,7 +1,7 @@
 """One connection to an upstream, carrying one request at a time."""
 
 import collections
-import select
+import socket
 import time
 from collections.abc import Callable
 
@@ -68,9 +68,18 @@
         self._socket.close()
 
     def is_quiet(self) -> bool:
-        """Return whether the idle connection is open with nothing to read."""
-        readable, _, _ = select.select([self._socket.fileno()], [], [], 0)
-        return not readable
+        """Return whether the idle connection is open with nothing to read.
+
+        Looks without giving way to other greenlets: one that closed the idle
+        connections meanwhile would leave a closed one in the caller's hands.
+        """
+        try:
+            self._socket._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
 
     def send(self, data: bytes) -> None:
         """Begin to send a request; the rest goes out while reading.
--- a/src/kumquatseam/peers/__init__.py
+++ b/src/kumquatseam/peers/__init__.py
@@ -14,6 +14,7 @@
     FleetSummary,
     InstanceRecord,
     LoadSummary,
+    OrderCount,
     RolloutNotice,
     UpstreamLoad,
 )
@@ -30,6 +31,7 @@
     "InstanceRegistry",
     "LoadExchange",
     "LoadSummary",
+    "OrderCount",
     "PeerBus",
     "RolloutNotice",
     "UpstreamLoad",
--- a/src/kumquatseam/peers/_loads.py
+++ b/src/kumquatseam/peers/_loads.py
@@ -78,9 +78,9 @@
         self._parts.clear()
         self._sums.clear()
 
-    def on(self, upstream_id: str) -> _Sum:
+    def on(self, incarnation_id: str) -> _Sum:
         """Return what all have on an upstream."""
-        return self._sums.get(upstream_id, _NOTHING)
+        return self._sums.get(incarnation_id, _NOTHING)
 
     def all(self) -> Iterable[tuple[str, _Sum]]:
         """Return what all have on each upstream."""
@@ -88,11 +88,11 @@
 
     def _add(self, loads: tuple[UpstreamLoad, ...], sign: int) -> None:
         for load in loads:
-            found = self._sums.get(load.upstream_id, _NOTHING).plus(load, sign)
+            found = self._sums.get(load.incarnation_id, _NOTHING).plus(load, sign)
             if found == _NOTHING:
-                self._sums.pop(load.upstream_id, None)
+                self._sums.pop(load.incarnation_id, None)
             else:
-                self._sums[load.upstream_id] = found
+                self._sums[load.incarnation_id] = found
 
 
 class LoadExchange:
@@ -142,7 +142,7 @@
         own = LoadSummary(
             self._bus.name,
             tuple(
-                UpstreamLoad(s.upstream.upstream_id, s.running, s.pending_tokens)
+                UpstreamLoad(s.upstream.incarnation_id, s.running, s.pending_tokens)
                 for s in self._directory.all()
                 if s.running
             ),
@@ -186,10 +186,10 @@
         self._totals.clear()
         self._totals.put(summary.own.sender, others, now_s)
 
-    def on_upstream(self, upstream_id: str) -> UpstreamLoad:
+    def on_upstream(self, incarnation_id: str) -> UpstreamLoad:
         """Return what others have on an upstream, added up."""
-        found = self._totals.on(upstream_id)
-        return UpstreamLoad(upstream_id, found.running, found.pending_tokens)
+        found = self._totals.on(incarnation_id)
+        return UpstreamLoad(incarnation_id, found.running, found.pending_tokens)
 
     def _pause_s(self, is_leader: bool) -> float:
         if self._directory.changes == self._published_changes and not is_leader:
@@ -207,11 +207,11 @@
             return FleetSummary(own, instances)
         sums = dict(self._totals.all())
         for load in own.loads:
-            found = sums.get(load.upstream_id, _NOTHING)
-            sums[load.upstream_id] = found.plus(load, 1)
+            found = sums.get(load.incarnation_id, _NOTHING)
+            sums[load.incarnation_id] = found.plus(load, 1)
         totals = tuple(
-            UpstreamLoad(upstream_id, found.running, found.pending_tokens)
-            for upstream_id, found in sums.items()
+            UpstreamLoad(incarnation_id, found.running, found.pending_tokens)
+            for incarnation_id, found in sums.items()
         )
         reads = (*self._reads, *own.reads)
         self._reads.clear()
@@ -229,15 +229,15 @@
             if sent_s > now_s - ECHO_S:
                 break
             known = loads
-        return {load.upstream_id: load for load in known}
+        return {load.incarnation_id: load for load in known}
 
     @staticmethod
     def _without(load: UpstreamLoad, own: dict[str, UpstreamLoad]) -> UpstreamLoad:
-        mine = own.get(load.upstream_id)
+        mine = own.get(load.incarnation_id)
         if mine is None:
             return load
         return UpstreamLoad(
-            load.upstream_id,
+            load.incarnation_id,
             max(0, load.running - mine.running),
             max(0, load.pending_tokens - mine.pending_tokens),
         )
--- a/src/kumquatseam/peers/_messages.py
+++ b/src/kumquatseam/peers/_messages.py
@@ -26,12 +26,12 @@
 class UpstreamLoad:
     """Requests of one instance on one upstream.
 
-    :param upstream_id: the upstream.
+    :param incarnation_id: the incarnation of an upstream.
     :param running: requests.
     :param pending_tokens: prompt tokens it still has to read for them.
     """
 
-    upstream_id: str
+    incarnation_id: str
     running: int
     pending_tokens: int = 0
 
@@ -67,6 +67,18 @@
     reads: tuple[PromptRead, ...] = ()
 
 
+@attrs.frozen
+class OrderCount:
+    """How many orders an engine accepted.
+
+    :param incarnation_id: the incarnation of the engine.
+    :param accepted: orders accepted since it started.
+    """
+
+    incarnation_id: str
+    accepted: int
+
+
 @attrs.frozen
 class RolloutNotice:
     """How far a rollout of weights is.
@@ -76,12 +88,13 @@
     :param sequence: counts the notices under one token.
     :param model: the model.
     :param version: the weights being rolled out.
-    :param loading: upstreams that refuse work of the model for now.
-    :param closing: upstreams that load next and should get no new work.
-    :param ready: upstreams that run the weights.
-    :param destinations: upstreams that take the runs of those that load.
+    :param loading: incarnations of upstreams that refuse work of the model for now.
+    :param closing: those that load next and should get no new work.
+    :param ready: those that run the weights.
+    :param destinations: those that take the runs of those that load.
     :param named_age_s: how long ago the weights were named, if known.
     :param replaced: the version they were named in place of, if known.
+    :param orders: orders that engines accepted; a successor expects as many.
     """
 
     sender: str
@@ -95,6 +108,7 @@
     destinations: tuple[str, ...] = ()
     named_age_s: float | None = None
     replaced: int | None = None
+    orders: tuple[OrderCount, ...] = ()
 
 
 RECORD_CODEC = MessageCodec("instance record", {"instance": InstanceRecord})
--- a/src/kumquatseam/placement/_choice.py
+++ b/src/kumquatseam/placement/_choice.py
@@ -22,7 +22,7 @@
 class Candidate:
     """An upstream that may take a request.
 
-    :param upstream_id: its id.
+    :param incarnation_id: names it.
     :param read_tokens: prompt tokens it would have to read.
     :param running: requests on it, as far as known.
     :param slots: requests it runs at once.
@@ -34,7 +34,7 @@
     :param penalty_ms: further expected wait, e.g. after recent failures.
     """
 
-    upstream_id: str
+    incarnation_id: str
     read_tokens: int
     running: float
     slots: int
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -164,13 +164,13 @@
         if replaced_s > OLD_WEIGHTS_LIMIT_S:
             return None
         found = []
-        for upstream_id in placement.status.move_runs_to:
-            status = self._directory.status(upstream_id)
+        for incarnation_id in placement.status.move_runs_to:
+            status = self._directory.status(incarnation_id)
             if status is None or status.blocked_until_s > now_s:
                 continue
             if status.held_out_until_s > now_s or not status.runs(placement.version):
                 continue
-            load = status.running + self._peer_loads(upstream_id).running
+            load = status.running + self._peer_loads(incarnation_id).running
             source_zone = placement.status.upstream.availability_zone
             if status.upstream.availability_zone != source_zone:
                 load += OTHER_ZONE_RUNS
@@ -218,7 +218,7 @@
             status
             for status in self._directory.of_service(request.service.name)
             if not status.upstream.is_leaving
-            and status.upstream.upstream_id not in request.excluded
+            and status.upstream.incarnation_id not in request.excluded
             and status.blocked_until_s <= now_s
         ]
         sound = [s for s in listed if s.held_out_until_s <= now_s]
@@ -238,9 +238,9 @@
                 planners[version] = self._planner(request, version, store)
             upstream = status.upstream
             plan = planners[version].plan(
-                upstream.upstream_id, upstream.availability_zone
+                upstream.incarnation_id, upstream.availability_zone
             )
-            plans[upstream.upstream_id] = plan
+            plans[upstream.incarnation_id] = plan
             age_s = self._targets.replaced_age_s(request.model, version)
             penalty_ms = old_weights_penalty_ms(age_s)
             if status.closing_until_s > self._clock():
@@ -252,9 +252,9 @@
             return None
         chosen = choose(candidates)
         self._check_wait(request, chosen)
-        status = self._directory.status(chosen.upstream_id)
+        status = self._directory.status(chosen.incarnation_id)
         version = status.version_of(request.model)
-        plan = plans[chosen.upstream_id]
+        plan = plans[chosen.incarnation_id]
         self._log_choice(request, chosen, len(candidates), version, plan)
         return Placement(
             status,
@@ -310,10 +310,10 @@
     def _candidate(
         self, status: UpstreamStatus, plan: CachePlan, rank: int, penalty_ms: float
     ) -> Candidate:
-        upstream_id = status.upstream.upstream_id
-        peers = self._peer_loads(upstream_id)
+        incarnation_id = status.upstream.incarnation_id
+        peers = self._peer_loads(incarnation_id)
         return Candidate(
-            upstream_id,
+            incarnation_id,
             plan.read_tokens,
             status.running + peers.running,
             status.upstream.slots,
@@ -329,9 +329,10 @@
     ) -> Placement:
         candidates = [
             Candidate(
-                status.upstream.upstream_id,
+                status.upstream.incarnation_id,
                 0,
-                status.running + self._peer_loads(status.upstream.upstream_id).running,
+                status.running
+                + self._peer_loads(status.upstream.incarnation_id).running,
                 status.upstream.slots,
                 0,
                 self._distance_ms(status) + 100.0 * status.failure_share,
@@ -340,7 +341,7 @@
         ]
         chosen = choose(candidates)
         self._log_choice(request, chosen, len(candidates), None, None)
-        return Placement(self._directory.status(chosen.upstream_id))
+        return Placement(self._directory.status(chosen.incarnation_id))
 
     def _distance_ms(self, status: UpstreamStatus) -> float:
         is_near = status.upstream.availability_zone == self._zone
@@ -358,7 +359,7 @@
             request=request.request_id,
             attempt=request.attempt,
             service=request.service.name,
-            upstream=chosen.upstream_id,
+            upstream=chosen.incarnation_id,
             candidates=count,
             running=chosen.running,
             pending_tokens=chosen.pending_tokens,
--- /dev/null
+++ b/src/kumquatseam/platform/_entries.py
@@ -0,0 +1,163 @@
+"""Decoding what a replica says of itself, whoever wrote it.
+
+Entries may come from other writers: each field is checked for its type and
+range, and one that does not hold makes the whole entry name no upstream.
+"""
+
+import ipaddress
+import math
+import re
+from collections.abc import Callable, Mapping
+
+from kumquatseam.platform._values import decode_json
+from kumquatseam.rollouts import EngineReport, MovedRun
+from kumquatseam.upstreams import Upstream, WeightsNamed
+
+#: larger figures are nonsense; a thousand times what engines have.
+_MAX_SLOTS = 65_536
+#: an hour; upstreams are slow for seconds after their start.
+_MAX_COLD_MS = 3_600_000
+#: whole numbers up to here are exact in every JSON library.
+_MAX_COUNT = 2**53
+_MAX_PORT = 65_535
+_PORT = re.compile(r"[0-9]{1,5}")
+#: an id is sent in a header, so it must not hold spaces or line ends.
+_ID = re.compile(r"[\x21-\x7e]{1,128}")
+_LEAVING_BY_STATE = {"ready": False, "draining": True}
+
+
+def decode_upstream(upstream_id: str, value: bytes) -> Upstream:
+    """Return an upstream's entry.
+
+    :raises DecodingError: if it is not one.
+    """
+    return decode_json("upstream", value, lambda raw: _upstream(upstream_id, raw))
+
+
+def decode_report(value: bytes) -> EngineReport:
+    """Return an engine's report of itself.
+
+    :raises DecodingError: if it is not one.
+    """
+    return decode_json("report", value, _report)
+
+
+def decode_moved_run(source: str, value: bytes) -> MovedRun:
+    """Return a run that an engine stopped and copied.
+
+    :raises DecodingError: if it is not one.
+    """
+    return decode_json("moved run", value, lambda raw: _moved_run(source, raw))
+
+
+def _upstream(upstream_id: str, raw: Mapping) -> Upstream:
+    _text(raw, "version")
+    # An entry's sequence counts heartbeats; a report's counts orders.
+    _count(raw, "sequence")
+    if not _ID.fullmatch(upstream_id) or raw.get("id", upstream_id) != upstream_id:
+        raise ValueError(f"id: {raw.get('id')!r} under key {upstream_id[:80]!r}")
+    return Upstream(
+        upstream_id=upstream_id,
+        service=_text(raw, "service"),
+        address=_address(raw),
+        availability_zone=_text(raw, "zone"),
+        slots=_count(raw, "slots", 1, _MAX_SLOTS),
+        is_leaving=_is_leaving(raw),
+        weights=_weights(raw.get("models", [])),
+        cold_left_s=_number(raw, "coldLeftMs", _MAX_COLD_MS) / 1000.0,
+        born_ms=_born_ms(raw),
+    )
+
+
+def _report(raw: Mapping) -> EngineReport:
+    return EngineReport(
+        weights=_weights(raw["models"]),
+        is_busy=_checked(raw, "busy", lambda value: isinstance(value, bool)),
+        orders_accepted=_count(raw, "sequence"),
+        waiting=_count(raw, "waiting"),
+        running=_count(raw, "running"),
+        born_ms=_born_ms(raw),
+    )
+
+
+def _moved_run(source: str, raw: Mapping) -> MovedRun:
+    # The field counts the events made so far; it is no revision of anything.
+    return MovedRun(source, _text(raw, "handle"), _count(raw, "createRevision"))
+
+
+def _weights(models: object) -> tuple[WeightsNamed, ...]:
+    if not isinstance(models, list):
+        raise ValueError(f"models: {models!r}")
+    return tuple(
+        WeightsNamed(_text(item, "name"), _count(item, "version")) for item in models
+    )
+
+
+def _is_leaving(raw: Mapping) -> bool:
+    state = _text(raw, "state")
+    if state not in _LEAVING_BY_STATE:
+        raise ValueError(f"state: {state!r}")
+    return _LEAVING_BY_STATE[state]
+
+
+def _born_ms(raw: Mapping) -> int:
+    """Return when it started; some replicas do not say."""
+    return _count(raw, "born", 1) if "born" in raw else 0
+
+
+def _address(raw: Mapping) -> str:
+    address = _text(raw, "address")
+    host, _, port = address.rpartition(":")
+    if _is_host(host) and _PORT.fullmatch(port) and 0 < int(port) <= _MAX_PORT:
+        return address
+    raise ValueError(f"address: {address[:80]!r}")
+
+
+def _is_host(host: str) -> bool:
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def _text(raw: Mapping, name: str) -> str:
+    return _checked(raw, name, lambda value: isinstance(value, str) and value)
+
+
+def _count(raw: Mapping, name: str, least: int = 0, most: int = _MAX_COUNT) -> int:
+    return _checked(
+        raw,
+        name,
+        # A JSON true is an int in Python.
+        lambda value: (
+            isinstance(value, int)
+            and not isinstance(value, bool)
+            and least <= value <= most
+        ),
+    )
+
+
+def _number(raw: Mapping, name: str, most: float) -> float:
+    return _checked(
+        raw,
+        name,
+        lambda value: (
+            isinstance(value, int | float)
+            and not isinstance(value, bool)
+            and math.isfinite(value)
+            and 0 <= value <= most
+        ),
+    )
+
+
+def _checked(raw: Mapping, name: str, is_sound: Callable[[object], object]):
+    """Return a field's value.
+
+    :raises KeyError: if it is missing.
+    :raises ValueError: if it is not sound.
+    """
+    value = raw[name]
+    if not is_sound(value):
+        raise ValueError(f"{name}: {str(value)[:80]!r}")
+    return value
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -89,6 +89,7 @@
             weights_version=_whole_number(headers.text(_VERSION)),
             keep_alive_s=_keep_alive_s(headers),
             is_signed=headers.get(b"x-replica-signature") is not None,
+            answering_id=headers.text(b"x-replica-id") if head.status == 421 else "",
         )
 
 
--- a/src/kumquatseam/platform/_orders.py
+++ b/src/kumquatseam/platform/_orders.py
@@ -5,11 +5,8 @@
 import urllib3
 
 from kumquatseam.logs import part_logger
-from kumquatseam.platform._decoding import (
-    DecodingError,
-    decode_moved_run,
-    decode_report,
-)
+from kumquatseam.platform._entries import decode_moved_run, decode_report
+from kumquatseam.platform._values import DecodingError
 from kumquatseam.pools import AddressPools
 from kumquatseam.rollouts import (
     EngineReport,
@@ -51,9 +48,8 @@
             "mode": "queue",
             "holder": order.holder,
             "fence": order.fence,
+            "expect": order.expected_orders,
         }
-        if order.expected_orders is not None:
-            body["expect"] = order.expected_orders
         try:
             response = self._call("POST", upstream, "/order", json.dumps(body).encode())
         except (
@@ -91,9 +87,9 @@
             self._log_lost(source, "move", error)
             return None
         _log.bind(
-            upstream=source.upstream_id,
+            upstream=source.incarnation_id,
             request=request_id,
-            destination=destination.upstream_id,
+            destination=destination.incarnation_id,
             status=response.status,
         ).info("Run not moved.")
         return None
@@ -119,6 +115,6 @@
         )
 
     def _log_lost(self, upstream: Upstream, call: str, error: Exception) -> None:
-        _log.bind(upstream=upstream.upstream_id, call=call, error=repr(error)).warning(
-            "No answer."
-        )
+        _log.bind(
+            upstream=upstream.incarnation_id, call=call, error=repr(error)
+        ).warning("No answer.")
--- a/src/kumquatseam/platform/_decoding.py
+++ b/src/kumquatseam/platform/_records.py
@@ -1,13 +1,9 @@
-"""Decoding the platform's JSON values into the project's types."""
+"""Decoding the operators' JSON records into the project's types."""
 
-import json
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Mapping
 
-import attrs
-
-from kumquatseam.errors import KumquatseamError
 from kumquatseam.http1 import RequestLimits
-from kumquatseam.rollouts import EngineReport, MovedRun
+from kumquatseam.platform._values import decode_json
 from kumquatseam.routes import (
     CacheStore,
     EngineTraits,
@@ -18,31 +14,7 @@
     TeamTraits,
     TrafficShare,
 )
-from kumquatseam.upstreams import Upstream, WeightsNamed
-
-
-@attrs.define(frozen=True, eq=False)
-class DecodingError(KumquatseamError):
-    """A value from the platform's store cannot be understood.
-
-    :param what: the kind of value.
-    :param reason: what is wrong, with the field.
-    """
-
-    what: str
-    reason: str
-
-    def __str__(self) -> str:
-        return f"platform: cannot decode {self.what}: {self.reason}"
-
-
-def _decode(what: str, value: bytes, build: Callable[[Mapping], object]):
-    try:
-        return build(json.loads(value))
-    except KeyError as error:
-        raise DecodingError(what, f"field {error} is missing") from error
-    except (ValueError, TypeError, AttributeError) as error:
-        raise DecodingError(what, repr(error)) from error
+from kumquatseam.upstreams import WeightsNamed
 
 
 def decode_route_table(value: bytes) -> RouteTable:
@@ -50,15 +22,7 @@
 
     :raises DecodingError: if it is not one.
     """
-    return _decode("configuration", value, _route_table)
-
-
-def decode_upstream(upstream_id: str, value: bytes) -> Upstream:
-    """Return an upstream's entry.
-
-    :raises DecodingError: if it is not one.
-    """
-    return _decode("upstream", value, lambda raw: _upstream(upstream_id, raw))
+    return decode_json("configuration", value, _route_table)
 
 
 def decode_weights(value: bytes) -> WeightsNamed:
@@ -66,42 +30,11 @@
 
     :raises DecodingError: if there are none.
     """
-    return _decode(
+    return decode_json(
         "weights", value, lambda raw: WeightsNamed(raw["model"], int(raw["version"]))
     )
 
 
-def decode_report(value: bytes) -> EngineReport:
-    """Return an engine's report of itself.
-
-    :raises DecodingError: if it is not one.
-    """
-    return _decode("report", value, _report)
-
-
-def decode_moved_run(source: str, value: bytes) -> MovedRun:
-    """Return a run that an engine stopped and copied.
-
-    :raises DecodingError: if it is not one.
-    """
-    return _decode("moved run", value, lambda raw: _moved_run(source, raw))
-
-
-def _moved_run(source: str, raw: Mapping) -> MovedRun:
-    # The field counts the events made so far; it is no revision of anything.
-    return MovedRun(source, str(raw["handle"]), int(raw["createRevision"]))
-
-
-def _report(raw: Mapping) -> EngineReport:
-    return EngineReport(
-        weights=_weights(raw["models"]),
-        is_busy=bool(raw["busy"]),
-        orders_accepted=int(raw["sequence"]),
-        waiting=int(raw["waiting"]),
-        running=int(raw["running"]),
-    )
-
-
 def _route_table(raw: Mapping) -> RouteTable:
     return RouteTable(
         version=int(raw["version"]),
@@ -191,21 +124,3 @@
         float(raw.get("headerTimeoutMs", defaults.header_timeout_s * 1000)) / 1000.0,
         float(raw.get("idleTimeoutMs", defaults.idle_timeout_s * 1000)) / 1000.0,
     )
-
-
-def _upstream(upstream_id: str, raw: Mapping) -> Upstream:
-    return Upstream(
-        upstream_id=upstream_id,
-        service=raw["service"],
-        address=raw["address"],
-        availability_zone=raw.get("zone") or "",
-        slots=int(raw.get("slots", 1)),
-        is_leaving=raw.get("state") == "draining",
-        weights=_weights(raw.get("models") or ()),
-        # An entry's sequence counts heartbeats; a report's counts orders.
-        cold_left_s=float(raw.get("coldLeftMs", 0)) / 1000.0,
-    )
-
-
-def _weights(models: Iterable[Mapping]) -> tuple[WeightsNamed, ...]:
-    return tuple(WeightsNamed(item["name"], int(item["version"])) for item in models)
--- a/src/kumquatseam/platform/_topics.py
+++ b/src/kumquatseam/platform/_topics.py
@@ -2,15 +2,11 @@
 
 from kumquatseam.logs import part_logger
 from kumquatseam.logservice import KeyedListener, Learning
-from kumquatseam.platform._decoding import (
-    DecodingError,
-    decode_route_table,
-    decode_upstream,
-    decode_weights,
-)
+from kumquatseam.platform._entries import decode_upstream
+from kumquatseam.platform._records import decode_route_table, decode_weights
+from kumquatseam.platform._values import DecodingError
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.upstreams import (
-    Upstream,
     UpstreamDirectory,
     WeightsNamed,
     WeightsTargets,
@@ -21,6 +17,11 @@
 _CONFIGURATION_KEY = "config"
 _WEIGHTS_PREFIX = "version/"
 
+#: unreadable entries logged; a list of rubbish costs no more.
+MAX_UNREADABLE_KEYS = 1024
+#: characters of a key that a log line shows.
+MAX_KEY_LOGGED = 80
+
 _log = part_logger("platform")
 
 
@@ -62,19 +63,30 @@
 
     def __init__(self, directory: UpstreamDirectory) -> None:
         self._directory = directory
+        self._unreadable: set[str] = set()
 
     def take(self, key: str, value: bytes, learning: Learning) -> bool:
         if not value:
+            self._unreadable.discard(key)
             return self._directory.remove(key, learning.outage_age_s)
-        upstream = self._decode(key, value)
-        return upstream is not None and self._directory.put(upstream)
+        try:
+            upstream = decode_upstream(key, value)
+        except DecodingError as error:
+            self._note_unreadable(key, error)
+            return self._directory.close_unreadable(key)
+        self._unreadable.discard(key)
+        return self._directory.put(upstream)
 
     def note_synced(self) -> None:
         self._directory.note_listed()
 
-    def _decode(self, key: str, value: bytes) -> Upstream | None:
-        try:
-            return decode_upstream(key, value)
-        except DecodingError as error:
-            _log.bind(upstream=key, error=str(error)).error("Entry ignored.")
-            return None
+    def _note_unreadable(self, key: str, error: DecodingError) -> None:
+        """Log an entry that turned unreadable once, not at each rewrite."""
+        if key in self._unreadable or len(self._unreadable) > MAX_UNREADABLE_KEYS:
+            return
+        self._unreadable.add(key)
+        _log.bind(upstream=key[:MAX_KEY_LOGGED], error=str(error)).error(
+            "Entry ignored."
+        )
+        if len(self._unreadable) > MAX_UNREADABLE_KEYS:
+            _log.error("Further entries that cannot be read are not logged.")
--- a/src/kumquatseam/prompts/_index.py
+++ b/src/kumquatseam/prompts/_index.py
@@ -30,14 +30,14 @@
 class PromptRead:
     """Prompt parts that an engine was just given to read.
 
-    :param upstream_id: the engine.
+    :param incarnation_id: the incarnation of an engine.
     :param salt: the scope of its cached parts.
     :param parts: the parts that requests may share, in prompt order.
     :param kept_at: address of the store that the engine sends them to; ``""``
         for none.
     """
 
-    upstream_id: str
+    incarnation_id: str
     salt: str
     parts: tuple[PromptPart, ...]
     kept_at: str = ""
@@ -128,14 +128,14 @@
         self._holder(holder).capacity_tokens = capacity_tokens
 
     def note_read(
-        self, upstream_id: str, salt: str, chain: PromptChain, kept_at: str = ""
+        self, incarnation_id: str, salt: str, chain: PromptChain, kept_at: str = ""
     ) -> None:
         """Note that an engine reads the shared parts of ``chain``.
 
         :param kept_at: address of the store it sends them to, if it does.
         """
-        read = PromptRead(upstream_id, salt, chain.shared, kept_at)
-        held = self.look_up(salt, chain).held_tokens(upstream_id)
+        read = PromptRead(incarnation_id, salt, chain.shared, kept_at)
+        held = self.look_up(salt, chain).held_tokens(incarnation_id)
         if kept_at or held < chain.shared_tokens:
             self._fresh.append(read)
         self.note_peer_read(read)
@@ -147,7 +147,7 @@
 
     def note_peer_read(self, read: PromptRead) -> None:
         """Note what an engine reads, as a peer says."""
-        for holder in filter(None, (read.upstream_id, read.kept_at)):
+        for holder in filter(None, (read.incarnation_id, read.kept_at)):
             self._note(holder, read)
 
     def look_up(self, salt: str, chain: PromptChain) -> PromptHolders:
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -10,7 +10,7 @@
 from kumquatseam.fleet import DutyLease
 from kumquatseam.logs import part_logger
 from kumquatseam.loops import BackgroundTask
-from kumquatseam.peers import PeerBus, RolloutNotice, UpstreamLoad
+from kumquatseam.peers import OrderCount, PeerBus, RolloutNotice, UpstreamLoad
 from kumquatseam.rollouts._orders import OrderClient, OrderOutcome, WeightsOrder
 from kumquatseam.rollouts._plan import EngineState, LoadPlan, plan_loads
 from kumquatseam.rollouts._view import RolloutView
@@ -132,14 +132,14 @@
         self._ask_loading(weights, statuses)
         states = [self._state(weights, status) for status in statuses]
         plan = plan_loads(states, self._targets.age_s(weights.model))
-        loading = [s.upstream_id for s in states if s.is_loading]
+        loading = [s.incarnation_id for s in states if s.is_loading]
         loading += plan.order_now
-        ready = tuple(s.upstream_id for s in states if s.has_target)
+        ready = tuple(s.incarnation_id for s in states if s.has_target)
         self._tell(weights, tuple(sorted(loading)), plan, ready)
         if plan.order_now:
             gevent.sleep(NOTICE_LEAD_S)
-            for upstream_id in plan.order_now:
-                self._begin_order(weights, self._directory.status(upstream_id))
+            for incarnation_id in plan.order_now:
+                self._begin_order(weights, self._directory.status(incarnation_id))
 
     def _engines_of(self, model: str) -> list[UpstreamStatus]:
         table = self._live.current
@@ -156,28 +156,28 @@
     def _drop_done(self, weights: WeightsNamed, statuses: list[UpstreamStatus]) -> None:
         """Forget orders that took effect, lapsed or lost their engine."""
         now_s = self._clock()
-        known = {status.upstream.upstream_id: status for status in statuses}
-        for upstream_id, order in list(self._given.items()):
-            status = known.get(upstream_id)
+        known = {status.upstream.incarnation_id: status for status in statuses}
+        for incarnation_id, order in list(self._given.items()):
+            status = known.get(incarnation_id)
             done = status is None or _has(status, weights.model, order.version)
             if done:
                 _log.bind(
-                    upstream=upstream_id,
+                    upstream=incarnation_id,
                     version=order.version,
                     took_s=round(now_s - order.given_s, 3),
                     is_listed=status is not None,
                 ).info("Order done.")
             if done or now_s - order.given_s > order.patience_s:
-                del self._given[upstream_id]
+                del self._given[incarnation_id]
 
     def _state(self, weights: WeightsNamed, status: UpstreamStatus) -> EngineState:
-        upstream_id = status.upstream.upstream_id
+        incarnation_id = status.upstream.incarnation_id
         return EngineState(
-            upstream_id,
+            incarnation_id,
             status.version_of(weights.model),
             _has(status, weights.model, weights.version),
-            upstream_id in self._given,
-            status.running + self._peer_loads(upstream_id).running,
+            incarnation_id in self._given,
+            status.running + self._peer_loads(incarnation_id).running,
             status.upstream.slots,
             status.upstream.availability_zone,
             status.held_out_until_s <= self._clock(),
@@ -189,22 +189,30 @@
         """Ask engines whose load should be done how they are."""
         now_s = self._clock()
         for status in statuses:
-            order = self._given.get(status.upstream.upstream_id)
+            order = self._given.get(status.upstream.incarnation_id)
             if order is None or now_s - order.given_s < FIRST_QUESTION_S:
                 continue
             if now_s - order.asked_s >= QUESTION_PAUSE_S and not order.is_asking:
                 order.asked_s = now_s
                 order.is_asking = True
-                gevent.spawn(self._ask, weights.model, status, order)
+                gevent.spawn(self._ask_about, order, weights.model, status)
 
-    def _ask(self, model: str, status: UpstreamStatus, order: _Order) -> None:
+    def _ask_about(self, order: _Order, model: str, status: UpstreamStatus) -> None:
+        try:
+            self.ask(model, status)
+        finally:
+            order.is_asking = False
+
+    def ask(self, model: str, status: UpstreamStatus) -> None:
+        """Ask an engine what it runs and how many orders it accepted."""
         report = self._orders.report(status.upstream)
-        order.is_asking = False
-        if report is None:
+        if report is None or report.born_ms < status.upstream.born_ms:
             return
+        if report.born_ms > status.upstream.born_ms:
+            status = self._directory.note_started(status, report.born_ms)
         if report.is_busy:
             # Its weights are about to change; only the count is news.
-            status.orders_accepted = report.orders_accepted
+            status.note_orders(report.orders_accepted)
             return
         for named in report.weights:
             if named.model == model:
@@ -244,10 +252,19 @@
             destinations,
             None if age_s == UNKNOWN_AGE_S else round(age_s, 3),
             self._targets.replaced_version(weights.model),
+            self._order_counts(weights.model),
         )
         self._view.take(notice)
         self._bus.publish(notice)
 
+    def _order_counts(self, model: str) -> tuple[OrderCount, ...]:
+        """Return how many orders each engine accepted, for a successor."""
+        return tuple(
+            OrderCount(status.upstream.incarnation_id, status.orders_accepted)
+            for status in self._engines_of(model)
+            if status.orders_accepted
+        )
+
     def _begin_order(
         self, weights: WeightsNamed, status: UpstreamStatus | None
     ) -> None:
@@ -256,23 +273,24 @@
         if fence is None or status is None:
             return
         given = _Order(weights.version, self._clock())
-        self._given[status.upstream.upstream_id] = given
-        order = WeightsOrder(weights, self._bus.name, fence, status.orders_accepted)
+        self._given[status.upstream.incarnation_id] = given
+        order = WeightsOrder(
+            weights, self._bus.name, fence, status.orders_accepted or 0
+        )
         gevent.spawn(self._give, order, status, given)
 
     def _give(self, order: WeightsOrder, status: UpstreamStatus, given: _Order) -> None:
         upstream = status.upstream
         outcome = self._orders.order(upstream, order)
         _log.bind(
-            upstream=upstream.upstream_id,
+            upstream=upstream.incarnation_id,
             model=order.weights.model,
             version=order.weights.version,
             fence=order.fence,
             outcome=outcome.value,
         ).info("Order given.")
         if outcome is OrderOutcome.ACCEPTED:
-            if order.expected_orders is not None:
-                status.orders_accepted = order.expected_orders + 1
+            status.note_orders(order.expected_orders + 1)
             return
         given.patience_s = UNANSWERED_PATIENCE_S
         if outcome is OrderOutcome.ALREADY_HOLDS:
@@ -280,7 +298,9 @@
             status.note_answered(weights.model, weights.version, self._clock())
         elif outcome is OrderOutcome.BUSY:
             # It carries out another order, or accepted one not known here.
-            self._ask(order.weights.model, status, given)
+            self.ask(order.weights.model, status)
+            if (status.orders_accepted or 0) > order.expected_orders:
+                given.patience_s = 0.0
         elif outcome is OrderOutcome.FENCED:
             self._lease.give_up()
         elif outcome is OrderOutcome.UNREACHED:
--- a/src/kumquatseam/rollouts/_orders.py
+++ b/src/kumquatseam/rollouts/_orders.py
@@ -22,7 +22,7 @@
     weights: WeightsNamed
     holder: str
     fence: int
-    expected_orders: int | None
+    expected_orders: int
 
 
 class OrderOutcome(enum.Enum):
@@ -44,9 +44,11 @@
 
     :param weights: the weights it runs.
     :param is_busy: whether it carries out an order.
-    :param orders_accepted: orders accepted in this life.
+    :param orders_accepted: orders accepted in this incarnation.
     :param waiting: requests in its queue.
     :param running: requests it runs.
+    :param born_ms: when this incarnation started, as in
+        :class:`~kumquatseam.upstreams.Upstream`.
     """
 
     weights: tuple[WeightsNamed, ...]
@@ -54,6 +56,7 @@
     orders_accepted: int
     waiting: int
     running: int
+    born_ms: int = 0
 
 
 @attrs.frozen
@@ -75,7 +78,7 @@
 
     @abc.abstractmethod
     def order(self, upstream: Upstream, order: WeightsOrder) -> OrderOutcome:
-        """Give an order to one life of an engine."""
+        """Give an order to one engine."""
 
     @abc.abstractmethod
     def report(self, upstream: Upstream) -> EngineReport | None:
--- a/src/kumquatseam/rollouts/_plan.py
+++ b/src/kumquatseam/rollouts/_plan.py
@@ -32,7 +32,7 @@
 class EngineState:
     """An engine as the holder of the duty sees it.
 
-    :param upstream_id: its id.
+    :param incarnation_id: names it.
     :param version: the weights it runs; ``None`` if unknown.
     :param has_target: they are the ones that are to be in force.
     :param is_loading: it was ordered to them and has not finished.
@@ -43,7 +43,7 @@
         among those that load.
     """
 
-    upstream_id: str
+    incarnation_id: str
     version: int | None
     has_target: bool
     is_loading: bool
@@ -87,7 +87,7 @@
         for e in old
         if e.running <= DRAINED_RUNS or age_s > FORCE_AFTER_S or e not in keepers
     ]
-    ready_to_load.sort(key=lambda engine: (engine.running, engine.upstream_id))
+    ready_to_load.sort(key=lambda engine: (engine.running, engine.incarnation_id))
     loading = sum(1 for e in engines if e.is_loading)
     if not ready_to_load and not loading and ready < len(engines) * READY_SHARE:
         # Nobody has room for another's runs; the weights have to get on anyway.
@@ -95,9 +95,9 @@
     room = max(0, limit - loading)
     now = ready_to_load[:room]
     return LoadPlan(
-        tuple(e.upstream_id for e in now),
-        tuple(e.upstream_id for e in old if e not in now) if ready else (),
-        tuple(e.upstream_id for e in keepers if e not in now),
+        tuple(e.incarnation_id for e in now),
+        tuple(e.incarnation_id for e in old if e not in now) if ready else (),
+        tuple(e.incarnation_id for e in keepers if e not in now),
     )
 
 
@@ -126,7 +126,9 @@
 
 def _zones_in_turn(engines: Sequence[EngineState]) -> list[EngineState]:
     """Return engines with the most runs first, each zone in its turn."""
-    ordered = sorted(engines, key=lambda engine: (-engine.running, engine.upstream_id))
+    ordered = sorted(
+        engines, key=lambda engine: (-engine.running, engine.incarnation_id)
+    )
     turns: collections.Counter[str] = collections.Counter()
     placed = []
     for engine in ordered:
--- a/src/kumquatseam/rollouts/_view.py
+++ b/src/kumquatseam/rollouts/_view.py
@@ -51,7 +51,7 @@
         age_s = UNKNOWN_AGE_S if notice.named_age_s is None else notice.named_age_s
         weights = WeightsNamed(notice.model, notice.version)
         self._targets.hear(weights, age_s, notice.replaced)
-        progress = attrs.evolve(notice, named_age_s=None, sequence=0)
+        progress = attrs.evolve(notice, named_age_s=None, sequence=0, orders=())
         if progress != self._last.get(notice.model):
             self._last[notice.model] = progress
             _log.bind(
@@ -65,12 +65,16 @@
                 destinations=notice.destinations,
             ).info("Rollout moved on.")
         self._apply(notice)
-        for upstream_id in notice.ready:
-            status = self._directory.status(upstream_id)
+        for incarnation_id in notice.ready:
+            status = self._directory.status(incarnation_id)
             if status is not None:
                 known = status.version_of(notice.model) or 0
                 version = max(known, notice.version)
                 status.note_answered(notice.model, version, self._clock())
+        for count in notice.orders:
+            status = self._directory.status(count.incarnation_id)
+            if status is not None:
+                status.note_orders(count.accepted)
         return True
 
     def _apply(self, notice: RolloutNotice) -> None:
@@ -83,13 +87,13 @@
         loading, closing = set(notice.loading), set(notice.closing)
         before = self._concerned.get(notice.model, set())
         self._concerned[notice.model] = loading | closing
-        for upstream_id in before | loading | closing:
-            status = self._directory.status(upstream_id)
+        for incarnation_id in before | loading | closing:
+            status = self._directory.status(incarnation_id)
             if status is None:
                 continue
-            is_loading = upstream_id in loading
+            is_loading = incarnation_id in loading
             status.blocked_until_s = until_s if is_loading else 0.0
-            status.closing_until_s = until_s if upstream_id in closing else 0.0
+            status.closing_until_s = until_s if incarnation_id in closing else 0.0
             status.move_runs_to = notice.destinations if is_loading else ()
 
 
--- a/src/kumquatseam/upstreams/__init__.py
+++ b/src/kumquatseam/upstreams/__init__.py
@@ -6,11 +6,8 @@
 - :class:`WeightsTargets` holds the weights that are to be in force.
 """
 
-from kumquatseam.upstreams._directory import (
-    Occupancy,
-    UpstreamDirectory,
-    UpstreamStatus,
-)
+from kumquatseam.upstreams._directory import UpstreamDirectory
+from kumquatseam.upstreams._status import Occupancy, UpstreamStatus
 from kumquatseam.upstreams._targets import UNKNOWN_AGE_S, WeightsTargets
 from kumquatseam.upstreams._upstream import Upstream, WeightsNamed
 
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -6,6 +6,11 @@
 import attrs
 
 from kumquatseam.logs import part_logger
+from kumquatseam.upstreams._status import (
+    UNCHANGED_ENTRY_LAG_S,
+    Occupancy,
+    UpstreamStatus,
+)
 from kumquatseam.upstreams._upstream import Upstream
 
 _log = part_logger("upstreams")
@@ -15,14 +20,12 @@
 HOLD_OUT_S = 0.5
 #: longest time out: a third of the shortest usual client deadline.
 MAX_HOLD_OUT_S = 4.0
-#: an entry that was just written shows what an upstream was this long ago at
-#: most: the list's own lag and a pause between two reads.
-ENTRY_LAG_S = 1.5
-#: and one that was not changed since, a heartbeat more.
-UNCHANGED_ENTRY_LAG_S = 3.0
 #: an entry that lapsed in an outage of the list is back this long after its end
 #: if the upstream lives: the platform's two seconds and a pause between reads.
 LAPSE_GRACE_S = 2.5
+#: an upstream whose entry turned unreadable is forgotten after this long: three
+#: of the usual heartbeats, after which a silent one's entry is removed as well.
+UNREADABLE_GRACE_S = 3.6
 #: an engine sends an event of some answer every 40 ms; with answers under way
 #: and nothing for this long, it or the way to it is gone.
 SILENT_AFTER_S = 0.7
@@ -33,130 +36,6 @@
 FAILURE_WEIGHT = 0.1
 
 
-@attrs.define
-class UpstreamStatus:
-    """An upstream and what this process learnt of it.
-
-    :param upstream: its newest entry.
-    :param running: requests of this process on it.
-    :param pending_tokens: prompt tokens it still has to read for those of them
-        that have not begun to answer.
-    :param answering: of those requests, the ones whose answer began.
-    :param heard_s: when an answer's bytes last came.
-    :param failures_in_row: connection failures since the last answer.
-    :param failure_share: recent share of failed answers, 0 to 1.
-    :param held_out_until_s: takes no work before this time if others can.
-    :param orders_accepted: orders it accepted in this life, if known.
-    :param blocked_until_s: refuses work while it loads weights.
-    :param move_runs_to: upstreams that take its runs over while it loads.
-    :param closing_until_s: loads weights next; work should go to others.
-    :param lapses_s: when it counts as gone, if its entry lapsed in an outage.
-    """
-
-    upstream: Upstream
-    running: int = 0
-    pending_tokens: int = 0
-    answering: int = 0
-    heard_s: float = 0.0
-    failures_in_row: int = 0
-    failure_share: float = 0.0
-    held_out_until_s: float = 0.0
-    orders_accepted: int | None = None
-    _versions: dict[str, int] = attrs.Factory(dict)
-    _known_s: dict[str, float] = attrs.Factory(dict)
-    blocked_until_s: float = 0.0
-    closing_until_s: float = 0.0
-    lapses_s: float | None = None
-    move_runs_to: tuple[str, ...] = ()
-
-    def version_of(self, model: str) -> int | None:
-        """Return the weights of ``model`` it is known to run."""
-        return self._versions.get(model)
-
-    def note_answered(self, model: str, version: int, now_s: float) -> None:
-        """Take what an answer named: it holds now, older or newer than known."""
-        self._versions[model] = version
-        self._known_s[model] = now_s
-
-    def note_report(
-        self, model: str, version: int, orders_accepted: int, now_s: float
-    ) -> None:
-        """Take what the engine said of itself some time ago.
-
-        After more orders than known it is news, whichever way the version
-        went: an order that was lost may be carried out late. After as many it
-        may be older than what is known, and after fewer it is.
-        """
-        known_orders = self.orders_accepted
-        if known_orders is not None and orders_accepted < known_orders:
-            return
-        known = self._versions.get(model)
-        is_news = orders_accepted != known_orders
-        if known is None or is_news or version > known:
-            self.note_answered(model, version, now_s)
-        self.orders_accepted = orders_accepted
-
-    def note_entry(
-        self, upstream: Upstream, now_s: float, lag_s: float = ENTRY_LAG_S
-    ) -> None:
-        """Take in an entry, which lags behind what answers name.
-
-        :param lag_s: by how much at most.
-        """
-        self.upstream = upstream
-        for named in upstream.weights:
-            known = self._versions.get(named.model)
-            known_for_s = now_s - self._known_s.get(named.model, 0.0)
-            if known is None or named.version > known or known_for_s > lag_s:
-                self.note_answered(named.model, named.version, now_s)
-
-    def runs(self, version: int | None) -> bool:
-        """Return whether it runs ``version`` of a model."""
-        models = {named.model for named in self.upstream.weights}
-        return any(self.version_of(model) == version for model in models)
-
-
-class Occupancy:
-    """A request's place on an upstream, until :meth:`end`.
-
-    :param status: the upstream.
-    :param pending_tokens: prompt tokens it has to read.
-    :param clock: monotonic clock in seconds.
-    """
-
-    def __init__(
-        self, status: UpstreamStatus, pending_tokens: int, clock: Callable[[], float]
-    ) -> None:
-        self._status = status
-        self._pending_tokens = pending_tokens
-        self._clock = clock
-        self._is_answering = False
-        status.running += 1
-        status.pending_tokens += pending_tokens
-
-    def note_heard(self) -> None:
-        """Note that bytes of the answer came."""
-        self._status.heard_s = self._clock()
-
-    def note_answering(self) -> None:
-        """Note that the prompt was read: the answer began."""
-        self._read_prompt()
-        self._is_answering = True
-        self._status.answering += 1
-        self.note_heard()
-
-    def end(self) -> None:
-        """Note that the request is no longer on the upstream."""
-        self._read_prompt()
-        self._status.running -= 1
-        if self._is_answering:
-            self._status.answering -= 1
-
-    def _read_prompt(self) -> None:
-        self._status.pending_tokens -= self._pending_tokens
-        self._pending_tokens = 0
-
-
 class UpstreamDirectory:
     """Upstreams by id, kept in step with the platform's list.
 
@@ -165,47 +44,65 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self._statuses: dict[str, UpstreamStatus] = {}
+        self._by_id: dict[str, UpstreamStatus] = {}
+        self._by_incarnation: dict[str, UpstreamStatus] = {}
         self._on_gone: list[Callable[[Upstream], None]] = []
         self.listed_s: float | None = None
         #: counts requests sent; tells whether own loads grew.
         self.changes = 0
 
     def on_gone(self, listener: Callable[[Upstream], None]) -> None:
-        """Call ``listener`` with each upstream that left the list."""
+        """Call ``listener`` with each incarnation that ended or left the list."""
         self._on_gone.append(listener)
 
-    def status(self, upstream_id: str) -> UpstreamStatus | None:
-        """Return what is known of one upstream."""
-        return self._statuses.get(upstream_id)
+    def status(self, incarnation_id: str) -> UpstreamStatus | None:
+        """Return what is known of one incarnation, unless it is gone."""
+        return self._by_incarnation.get(incarnation_id)
 
     def all(self) -> list[UpstreamStatus]:
         """Return every upstream known."""
-        return list(self._statuses.values())
+        return list(self._by_id.values())
 
     def of_service(self, service: str) -> list[UpstreamStatus]:
         """Return the upstreams of ``service``, in order of their ids."""
-        found = [s for s in self._statuses.values() if s.upstream.service == service]
+        found = [s for s in self._by_id.values() if s.upstream.service == service]
         return sorted(found, key=lambda status: status.upstream.upstream_id)
 
     def put(self, upstream: Upstream) -> bool:
-        """Take in a new or changed entry; return whether it says anything new."""
-        now_s = self._clock()
-        known = self._statuses.get(upstream.upstream_id)
+        """Take in a new or changed entry; return whether it says anything new.
+
+        An entry of a later incarnation ends the one known so far, with all that
+        was learnt of it; one of an earlier incarnation came late.
+        """
+        known = self._by_id.get(upstream.upstream_id)
         if known is None:
-            status = UpstreamStatus(upstream)
-            status.note_entry(upstream, now_s)
-            self._statuses[upstream.upstream_id] = status
-            self._log_change("listed", upstream)
+            self._add(upstream, "listed")
             return True
+        if upstream.born_ms != known.upstream.born_ms:
+            return self._replace(known, upstream)
         if known.upstream.is_leaving != upstream.is_leaving:
             self._log_change("leaving" if upstream.is_leaving else "back", upstream)
         has_lapsed = known.lapses_s is not None
         known.lapses_s = None
         is_news = has_lapsed or upstream != known.upstream
-        known.note_entry(upstream, now_s)
+        known.note_entry(upstream, self._clock())
         return is_news
 
+    def note_started(self, status: UpstreamStatus, born_ms: int) -> UpstreamStatus:
+        """Take in when an upstream says that it started.
+
+        It may say so itself before its entry does: one that starts again behind
+        a cut cannot write to the list.
+
+        :returns: what is known of the newest incarnation.
+        """
+        upstream = status.upstream
+        if born_ms > upstream.born_ms and status is self._by_id.get(
+            upstream.upstream_id
+        ):
+            self._replace(status, attrs.evolve(upstream, born_ms=born_ms, weights=()))
+        return self._by_id.get(upstream.upstream_id, status)
+
     def remove(self, upstream_id: str, outage_age_s: float | None = None) -> bool:
         """Drop an entry that left the list.
 
@@ -216,28 +113,61 @@
             lately: the upstream then stays until it had time to be listed again.
         :returns: whether it was known.
         """
-        known = self._statuses.get(upstream_id)
+        known = self._by_id.get(upstream_id)
         if known is None:
             return False
         is_in_outage = outage_age_s is not None and outage_age_s < LAPSE_GRACE_S
         if not is_in_outage or known.upstream.is_leaving:
-            self._drop(known)
+            self._drop(known, "gone")
             return True
         if known.lapses_s is None:
             self._log_change("lapsed in an outage", known.upstream)
         known.lapses_s = self._clock() + LAPSE_GRACE_S - outage_age_s
         return True
 
+    def close_unreadable(self, upstream_id: str) -> bool:
+        """Give an upstream no new work: its entry cannot be understood any more.
+
+        Whoever wrote that, the entry names no upstream to use. What is known of
+        the upstream is kept for a while: its next heartbeat may mend the entry.
+
+        :returns: whether it was known.
+        """
+        known = self._by_id.get(upstream_id)
+        if known is None:
+            return False
+        if known.lapses_s is None:
+            known.lapses_s = self._clock() + UNREADABLE_GRACE_S
+            self._log_change("unreadable", known.upstream)
+        known.upstream = attrs.evolve(known.upstream, is_leaving=True)
+        return True
+
     def note_listed(self) -> None:
         """Note that every entry was up to date a moment ago."""
         now_s = self._clock()
         self.listed_s = now_s
-        for status in self._statuses.values():
+        for status in self._by_id.values():
             status.note_entry(status.upstream, now_s, UNCHANGED_ENTRY_LAG_S)
 
-    def _drop(self, status: UpstreamStatus) -> None:
-        del self._statuses[status.upstream.upstream_id]
-        self._log_change("gone", status.upstream)
+    def _add(self, upstream: Upstream, change: str) -> None:
+        status = UpstreamStatus(upstream)
+        status.note_entry(upstream, self._clock())
+        self._by_id[upstream.upstream_id] = status
+        self._by_incarnation[upstream.incarnation_id] = status
+        self._log_change(change, upstream)
+
+    def _replace(self, known: UpstreamStatus, upstream: Upstream) -> bool:
+        """Put a later incarnation in the place of the one known."""
+        if upstream.born_ms < known.upstream.born_ms:
+            return False
+        self._drop(known, "ended")
+        self._add(upstream, "started again")
+        return True
+
+    def _drop(self, status: UpstreamStatus, change: str) -> None:
+        del self._by_id[status.upstream.upstream_id]
+        del self._by_incarnation[status.upstream.incarnation_id]
+        self._log_change(change, status.upstream)
         for listener in self._on_gone:
             listener(status.upstream)
 
@@ -263,6 +193,18 @@
         doubled_s = HOLD_OUT_S * 2 ** (status.failures_in_row - 1)
         self._hold_out(status, min(doubled_s, MAX_HOLD_OUT_S), reason)
 
+    def note_replaced(self, status: UpstreamStatus, answering_id: str) -> None:
+        """Note that another upstream answers at this one's address.
+
+        Its entry may still be listed, or be written once more by a heartbeat
+        that came late; without this every request placed there is refused.
+        """
+        _log.bind(upstream=status.upstream.incarnation_id, answering=answering_id).info(
+            "Another upstream answers at its address."
+        )
+        self._hold_out(status, MAX_HOLD_OUT_S, "replaced")
+        self.block(status, MAX_HOLD_OUT_S)
+
     def sweep(self) -> None:
         """Leave out upstreams that fell silent, and drop those that lapsed.
 
@@ -270,9 +212,9 @@
         for a timeout of their own.
         """
         now_s = self._clock()
-        for status in list(self._statuses.values()):
+        for status in list(self._by_id.values()):
             if status.lapses_s is not None and now_s >= status.lapses_s:
-                self._drop(status)
+                self._drop(status, "gone")
                 continue
             is_silent = now_s - status.heard_s > SILENT_AFTER_S
             is_in_use = status.held_out_until_s <= now_s
@@ -292,7 +234,7 @@
         if until_s > status.held_out_until_s:
             status.held_out_until_s = until_s
             _log.bind(
-                upstream=status.upstream.upstream_id,
+                upstream=status.upstream.incarnation_id,
                 reason=reason,
                 in_row=status.failures_in_row,
                 share=round(status.failure_share, 3),
@@ -301,7 +243,7 @@
 
     def _log_change(self, change: str, upstream: Upstream) -> None:
         _log.bind(
-            upstream=upstream.upstream_id,
+            upstream=upstream.incarnation_id,
             service=upstream.service,
             address=upstream.address,
             zone=upstream.availability_zone,
