A request that comes while idle connections are closed is answered

Cause: a stopping process ended idle connections by a kill that was only scheduled. Between the look and the kill the event loop could hand the greenlet its request, and the kill struck in the middle of it: the caller got neither an answer nor a refusal.

Ruled out: the upstream (it had not run it), the close crossing the request on its way (the request had been passed on).

Change: the event loop looks and ends the connection in one go, and leaves one alone whose bytes wait to be read.

Before: both new scenarios fail. After: they pass.

--- a/features/own_faults.feature
+++ b/features/own_faults.feature
@@ -24,3 +24,14 @@
     When the address of replica p0 goes to another life
     And 20 requests are sent
     Then all are served, and at most 2 of them were sent to that address
+
+  Scenario: A request that comes while idle connections are closed is answered
+    Given a server that is stopping, with one idle connection
+    When the idle connections are closed and a request begins before that is done
+    Then the request is answered
+    And the connection is closed once it is idle again
+
+  Scenario: A request whose bytes were not read yet keeps its connection open
+    Given a server that is stopping, with one idle connection
+    When a request is sent and the idle connections are closed at once
+    Then the request is answered
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -97,9 +97,20 @@
             self._listener.close()
 
     def _close_idle(self) -> None:
+        loop = gevent.get_hub().loop
         for greenlet, reader in list(self._readers.items()):
-            if greenlet not in self._busy and not reader.is_reading:
-                greenlet.kill(block=False)
+            loop.run_callback(self._end_if_idle, greenlet, reader)
+
+    def _end_if_idle(self, greenlet: gevent.Greenlet, reader: RequestReader) -> None:
+        """End a connection that waits for a request; called by the event loop.
+
+        Looks and ends it in one go. An end that was only scheduled would reach
+        the greenlet later, in the middle of a request that came meanwhile, and
+        its caller would get neither an answer nor a refusal.
+        """
+        is_idle = greenlet not in self._busy and not reader.is_reading
+        if is_idle and not greenlet.dead and not reader.has_bytes():
+            greenlet.throw(IdleConnectionError())
 
     def _accept_forever(self) -> None:
         while True:
--- a/src/kumquatseam/http1/_request_reader.py
+++ b/src/kumquatseam/http1/_request_reader.py
@@ -1,6 +1,7 @@
 """Reading callers' requests from one connection."""
 
 import collections
+import socket
 import time
 
 import gevent
@@ -47,6 +48,15 @@
         """Apply ``limits`` from the next request on."""
         self._limits = limits
 
+    def has_bytes(self) -> bool:
+        """Return whether bytes of the caller wait to be read."""
+        if self._messages:
+            return True
+        try:
+            return bool(self._connection._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def read(self) -> Request:
         """Return the next whole request.
 
