--- a/features/cache_plan.feature
+++ b/features/cache_plan.feature
@@ -66,3 +66,21 @@
     Then at most 2 engines read the opening
     When 40 more come a second later
     Then no engine reads the opening again
+
+  Scenario Outline: A store is sent as much as it keeps until it is asked for
+    Given a full store whose least recently used part is <age> seconds old
+    And it has <held> of a prompt's shared parts
+    Then an engine that reads the prompt <sends> it to the store
+
+    Examples:
+      | age | held      | sends         |
+      | 30  | none      | sends         |
+      | 30  | the first | sends         |
+      | 3   | none      | sends         |
+      | 3   | the first | does not send |
+      | 30  | all       | does not send |
+
+  Scenario: Of equal sources an engine is taken before the store
+    Given a prompt that an engine and the store of its zone keep
+    When an engine of that zone without it is planned for
+    Then it fetches from the engine
--- a/features/steps/cache_plan_steps.py
+++ b/features/steps/cache_plan_steps.py
@@ -8,11 +8,15 @@
 from kumquatseam.placement import (
     CachePlanner,
     CacheSource,
+    DirectWork,
+    EngineComparison,
+    HolderScope,
+    Option,
     PlacementRequest,
     Placer,
     store_for,
 )
-from kumquatseam.prompts import PromptChain, PromptIndex, PromptPart
+from kumquatseam.prompts import HeldPart, PromptChain, PromptIndex, PromptPart
 from kumquatseam.routes import CacheStore, EngineTraits, ServiceTraits
 from kumquatseam.upstreams import (
     Upstream,
@@ -254,3 +258,74 @@
 @then("no engine reads the opening again")
 def step_none_again(context):
     assert not context.readers, context.readers
+
+
+@given("a full store whose least recently used part is {age_s:d} seconds old")
+def step_full_store(context, age_s):
+    context.clock = Clock()
+    context.index = PromptIndex(context.clock)
+    context.index.set_capacity(STORE.address, 50_000)
+    old = [HeldPart("0", f"old-{n}", 4000) for n in range(12)]
+    context.index.note_said(STORE.address, old)
+    context.clock.now_s += age_s
+
+
+@given("it has {which} of a prompt's shared parts")
+def step_store_has(context, which):
+    context.prompt = chain()
+    shared = context.prompt.shared
+    kept = {"none": (), "the first": shared[:1], "all": shared}[which]
+    held = [HeldPart("1", part.part_id, part.tokens) for part in kept]
+    context.index.note_said(STORE.address, held)
+
+
+def _choice(context, zones):
+    directory = UpstreamDirectory(context.clock)
+    weights = (WeightsNamed("m0", 1),)
+    options = []
+    for name, zone in zones.items():
+        upstream = Upstream(name, "engines", f"{name}:1", zone, 48, weights=weights)
+        directory.put(upstream)
+        options.append(Option(directory.status(name), 1))
+    request = PlacementRequest(
+        "r",
+        ServiceTraits("engines", engine=TRAITS),
+        None,
+        "m0",
+        context.prompt,
+        frozenset(),
+        1,
+        cache_stores=(CacheStore(STORE.address, "z0", 50_000),),
+    )
+    work = DirectWork(directory, context.index)
+    comparison = EngineComparison(request, work, directory)
+    return comparison, comparison.best(options)
+
+
+@then("an engine that reads the prompt {outcome} it to the store")
+def step_sends_to_store(context, outcome):
+    comparison, choice = _choice(context, {"e0": "z0"})
+    expected = STORE.address if outcome == "sends" else ""
+    assert comparison.cache_target(choice) == expected
+
+
+@given("a prompt that an engine and the store of its zone keep")
+def step_both_keep(context):
+    context.clock = Clock()
+    context.index = PromptIndex(context.clock)
+    context.prompt = chain()
+    context.index.note_read("e0", "1", context.prompt, STORE.address)
+    context.clock.now_s += 1
+
+
+@when("an engine of that zone without it is planned for")
+def step_without(context):
+    context.comparison, _ = _choice(context, {"e0": "z0", "e9": "z0"})
+    scopes = [HolderScope("e0", "1"), HolderScope(STORE.address, "1")]
+    view = context.comparison._work.view(context.prompt, scopes)
+    context.source = context.comparison._planner(1, view).plan("e9", "z0").source
+
+
+@then("it fetches from the engine")
+def step_from_engine(context):
+    assert context.source.holder == "e0", context.source
--- /dev/null
+++ b/features/steps/starts_steps.py
@@ -0,0 +1,223 @@
+"""Steps for what a start costs, in modelled time where time matters."""
+
+import json
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import attrs
+from behave import given, then, when
+from feeds_steps import FeedWorld, ModelledInstance
+from modelled_clock import Clock
+from platform_world import TEMPLATE
+
+from kumquatseam.errors import SettingsError
+from kumquatseam.leases import DutyLease
+from kumquatseam.settings import load_gateway_settings
+from kumquatseam.standins.logservice import (
+    InMemoryLogService,
+    LogFaults,
+    LogStore,
+    LogStoreLimits,
+)
+
+_LIST_MODULES = """
+import json, sys
+import kumquatseam.platform.__main__
+print(json.dumps(sorted(sys.modules)))
+"""
+
+
+@when("the gateway's program is loaded")
+def step_loaded(context):
+    command = [sys.executable, "-c", _LIST_MODULES]
+    found = subprocess.run(command, capture_output=True, check=True, text=True)
+    context.modules = json.loads(found.stdout)
+
+
+@then("none of these was loaded: {names}")
+def step_not_loaded(context, names):
+    unneeded = [name.strip() for name in names.split(",")]
+    assert not set(unneeded) & set(context.modules)
+
+
+@then("at most {most:d} modules of our own were loaded")
+def step_own_modules(context, most):
+    own = [name for name in context.modules if name.startswith("kumquatseam")]
+    assert len(own) <= most, len(own)
+
+
+class LateInstance(ModelledInstance):
+    """An instance that takes itself for the only one until it knows the others."""
+
+    def restart(self):
+        super().restart()
+        peers = attrs.evolve(self.watch._peers, may_read=self._may_read)
+        self.watch._peers = peers
+
+    def _is_known(self):
+        return self.world.clock() >= self.world.known_s
+
+    def _may_read(self):
+        return self._is_known() and self._view().is_in_council
+
+    def _view(self):
+        if self._is_known():
+            return super()._view()
+        view = super()._view()
+        own = [record for record in view.records if record.name == self.name]
+        return attrs.evolve(view, records=own)
+
+
+@given(
+    "{count:d} instances that start together and know each other after "
+    "{seconds:g} seconds"
+)
+def step_together(context, count, seconds):
+    world = context.world = FeedWorld()
+    world.write()
+    world.known_s = world.clock() + seconds
+    world.instances = [
+        LateInstance(world, f"i{n:03}", 100.0 if n < 5 else 5.0) for n in range(count)
+    ]
+
+
+@then("the log was called at most {calls:d} times in all")
+def step_called(context, calls):
+    assert context.world.calls <= calls, context.world.calls
+
+
+@then("all readers are in the council")
+def step_readers_council(context):
+    readers = [i for i in context.world.readers() if i not in context.before]
+    assert readers
+    assert all(i._view().is_in_council for i in readers)
+
+
+# The duty.
+
+
+class CountedLog(InMemoryLogService):
+    def __init__(self, store):
+        super().__init__(store, LogFaults())
+        self.calls = 0
+
+    def _enter(self):
+        self.calls += 1
+        super()._enter()
+
+
+def _build_duty(context):
+    context.clock = Clock()
+    store = LogStore(LogStoreLimits(), context.clock)
+    context.logs = {name: CountedLog(store) for name in ("holder", "contender")}
+    context.leases = {}
+    for rank, (name, log) in enumerate(context.logs.items()):
+        context.leases[name] = DutyLease(
+            log,
+            "d",
+            name,
+            3.0,
+            lambda rank=rank: rank,
+            context.clock,
+            lambda fence, name=name: _tell(context, name, fence),
+        )
+
+
+def _tell(context, teller, fence):
+    for name, lease in context.leases.items():
+        if name != teller:
+            lease.note_held(fence)
+
+
+@given("a holder of a duty that tells of its renewals, and a contender")
+def step_duty(context):
+    _build_duty(context)
+    context.leases["holder"].step()
+    assert context.leases["holder"].fence is not None
+
+
+@when("{seconds:d} seconds of renewals pass")
+def step_renewals(context, seconds):
+    for _ in range(seconds * 10):
+        context.clock.now_s += 0.1
+        for lease in context.leases.values():
+            lease.step()
+    assert context.leases["holder"].fence is not None
+
+
+@then("the contender called the log at most once")
+def step_seldom(context):
+    assert context.logs["contender"].calls <= 1, context.logs["contender"].calls
+
+
+@when("the holder falls silent")
+def step_silent(context):
+    context.silent_s = context.clock()
+
+
+@then(
+    "the contender holds the duty within {most_s:d} seconds, and not before {least_s:d}"
+)
+def step_takes_over(context, most_s, least_s):
+    contender = context.leases["contender"]
+    while contender.fence is None:
+        context.clock.now_s += 0.1
+        assert context.clock() - context.silent_s <= most_s
+        contender.step()
+    assert context.leases["holder"].fence is None
+    assert context.clock() - context.silent_s >= least_s - 1.3
+
+
+@given("an instance that may not hold a duty")
+def step_no_contender(context):
+    context.clock = Clock()
+    context.log = CountedLog(LogStore(LogStoreLimits(), context.clock))
+    context.lease = DutyLease(context.log, "d", "me", 3.0, lambda: None, context.clock)
+
+
+@when("it steps for {seconds:d} seconds")
+def step_steps(context, seconds):
+    for _ in range(seconds * 10):
+        context.clock.now_s += 0.1
+        context.lease.step()
+
+
+@then("it called the log {calls:d} times")
+def step_called_log(context, calls):
+    assert context.log.calls == calls
+    assert context.lease.fence is None
+
+
+# Settings.
+
+
+@given('gateway settings with "{line}"')
+def step_settings(context, line):
+    ports = dict.fromkeys(("front", "ready", "metrics", "peer", "state"), 1)
+    text = TEMPLATE.format(name="g", log=1, slack=50, seeds="", **ports)
+    text = text.replace("[peers]", f"[peers]\n{line}")
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "gateway.ini"
+        path.write_text(text)
+        try:
+            context.settings, context.fault = load_gateway_settings(str(path)), None
+        except SettingsError as error:
+            context.settings, context.fault = None, error
+
+
+@then("they are read, and it is the first start")
+def step_first_start(context):
+    assert context.settings.peers.is_first_start is True
+
+
+@then("they are read, and it is no first start")
+def step_no_first_start(context):
+    assert context.settings.peers.is_first_start is False
+
+
+@then("they are refused, naming the section and key")
+def step_refused_settings(context):
+    text = str(context.fault)
+    assert "peers" in text and "is_first_start" in text, text
--- a/src/kumquatseam/feeds/_shared_watch.py
+++ b/src/kumquatseam/feeds/_shared_watch.py
@@ -170,7 +170,7 @@
 
     def _step(self) -> None:
         if not self.should_read():
-            self._wake.wait(CHECK_S)
+            self._wake.wait(self._next_check_s())
             self._wake.clear()
             return
         try:
@@ -183,6 +183,12 @@
         if self.is_reader and self._pace.pause_s:
             gevent.sleep(self._pace.pause_s)
 
+    def _next_check_s(self) -> float:
+        """Return how long nothing but an update can make this instance read."""
+        if self._peers.may_read():
+            return CHECK_S
+        return max(CHECK_S, self._pace.stale_after_s - self.copy.age_s())
+
     def should_read(self) -> bool:
         """Return whether this instance has to read the log now."""
         was_reader = self.is_reader
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -91,8 +91,6 @@
 SWEEP_INTERVAL_S = 1.0
 #: seconds between two looks at connections to peers.
 PEER_CHECK_INTERVAL_S = 0.25
-#: seconds between two looks for upstreams that fell silent.
-SILENCE_CHECK_INTERVAL_S = 0.1
 #: the duty of rolling out weights.
 ROLLOUT_DUTY = "weights"
 #: share of the fleet's retry budget that is used, to stay clear of its end.
@@ -195,7 +193,7 @@
             StepLoop(CACHE_CHECK_INTERVAL_S, self._cache_feeds.step),
             StepLoop(self._loads.next_step_s, self._loads.step),
             StepLoop(PEER_CHECK_INTERVAL_S, self._bus.step),
-            StepLoop(SILENCE_CHECK_INTERVAL_S, self._directory.sweep),
+            StepLoop(self._directory.next_sweep_s, self._directory.sweep),
             self._build_duty(),
             StepLoop(SWEEP_INTERVAL_S, self._pool.sweep),
             *self._health_servers(),
--- a/src/kumquatseam/logs.py
+++ b/src/kumquatseam/logs.py
@@ -17,6 +17,7 @@
 import time
 
 import gevent
+import gevent.event
 from loguru import logger
 
 LINE_FORMAT = (
@@ -81,6 +82,7 @@
         self._second = 0
         self._lines_in_second: collections.Counter[str] = collections.Counter()
         self._greenlet: gevent.Greenlet | None = None
+        self._has_lines = gevent.event.Event()
         self.left_out = 0
 
     def start(self) -> None:
@@ -123,6 +125,7 @@
             return
         self._pending.append(data)
         self._pending_bytes += len(data)
+        self._has_lines.set()
 
     def _has_budget(self, part: str) -> bool:
         second = int(time.monotonic())
@@ -134,7 +137,10 @@
 
     def _run(self) -> None:
         while True:
+            # An idle process does not wake up twenty times a second for nothing.
+            self._has_lines.wait()
             gevent.sleep(FLUSH_INTERVAL_S)
+            self._has_lines.clear()
             self._flush()
 
     def _flush(self) -> None:
@@ -152,4 +158,5 @@
             return
         if written < len(data):
             self._pending.append(data[written:])
+            self._has_lines.set()
         self._pending_bytes = len(data) - written
--- a/src/kumquatseam/peers/_loads.py
+++ b/src/kumquatseam/peers/_loads.py
@@ -16,6 +16,8 @@
 STALE_AFTER_S = 1.0
 #: seconds between two summaries while nothing changes.
 HEARTBEAT_S = 0.25
+#: seconds between two looks of an instance that has nothing to tell.
+STANDBY_PAUSE_S = 1.0
 #: seconds between two summaries while requests come, and what each instance
 #: that listens adds to them, so that hearing all costs the same at any size:
 #: 300 messages a second.
@@ -144,7 +146,10 @@
 
     def next_step_s(self) -> float:
         """Return how long until the next step may have something to do."""
-        return MIN_PAUSE_S if self._bus.view().is_direct else HEARTBEAT_S
+        view = self._bus.view()
+        if view.is_direct:
+            return MIN_PAUSE_S
+        return HEARTBEAT_S if view.is_in_council else STANDBY_PAUSE_S
 
     def _publish_loads(self) -> None:
         self._published_changes = self._directory.changes
--- a/src/kumquatseam/placement/_comparison.py
+++ b/src/kumquatseam/placement/_comparison.py
@@ -16,6 +16,10 @@
 from kumquatseam.routes import TeamTraits
 from kumquatseam.upstreams import UpstreamDirectory
 
+#: parts asked for again within this time are worth keeping: ten times as long as
+#: a caller waits for an answer.
+REUSED_WITHIN_S = 10.0
+
 
 @attrs.frozen
 class EngineChoice:
@@ -25,15 +29,14 @@
     :param version: the weights it runs.
     :param plan: what it would do for the prompt.
     :param compared: how many engines were compared.
-    :param store_has_all: whether the store keeps every part that others may ask
-        for.
+    :param sends_to_store: whether the engine sends the parts it reads to the store.
     """
 
     candidate: Candidate
     version: int
     plan: CachePlan
     compared: int
-    store_has_all: bool = False
+    sends_to_store: bool = False
 
 
 class EngineComparison:
@@ -96,15 +99,29 @@
             version,
             plans[chosen.incarnation_id],
             len(candidates),
-            self._store_has_all(version, view),
+            self._sends_to_store(version, view),
         )
 
-    def _store_has_all(self, version: int, view: WorkView) -> bool:
-        if self.store is None:
+    def _sends_to_store(self, version: int, view: WorkView) -> bool:
+        """Return whether the store should be sent what the engine reads.
+
+        An engine sends the whole prompt, also what nobody else will ask for, and
+        what a store takes in drives out other parts. A store that is sent more
+        than it keeps until it is asked for again serves nobody, and its link is
+        taken from those that fetch; so it is then sent only what it lacks from
+        the start, which most prompts share.
+        """
+        shared = self._request.prompt.shared
+        if self.store is None or not shared:
             return False
-        prompt = self._request.prompt
+        address = self.store.address
         holders = view.holders(cache_salt(version, self._request.team))
-        return holders.held_tokens(self.store.address) >= prompt.shared_tokens
+        held_tokens = holders.held_tokens(address)
+        if held_tokens >= self._request.prompt.shared_tokens:
+            return False
+        if held_tokens < shared[0].tokens:
+            return True
+        return view.kept_s(address) >= REUSED_WITHIN_S
 
     def _scopes(self, options: Sequence[Option]) -> list[HolderScope]:
         """Return the holders whose parts count: the engines and the store."""
@@ -122,17 +139,19 @@
         """Return what plans for the engines on one version."""
         request, store = self._request, self.store
         holders = view.holders(cache_salt(version, request.team))
+        # Engines come before the store: of equals the first is taken, and the
+        # store's link is shared by all engines that fetch.
         sources = []
-        if store is not None:
-            address, zone = store.address, store.availability_zone
-            sources.append(CacheSource(address, address, zone, store.link_mbps))
-        for holder in holders.holders():
+        for holder in sorted(holders.holders()):
             status = self._directory.status(holder)
             if status is not None:
                 upstream = status.upstream
                 sources.append(
                     CacheSource(holder, upstream.address, upstream.availability_zone)
                 )
+        if store is not None:
+            address, zone = store.address, store.availability_zone
+            sources.append(CacheSource(address, address, zone, store.link_mbps))
         return CachePlanner(request.prompt, holders, sources, request.service.engine)
 
     def _candidate(self, option: Option, plan: CachePlan, view: WorkView) -> Candidate:
@@ -154,14 +173,8 @@
         )
 
     def cache_target(self, choice: EngineChoice) -> str:
-        """Return the store to send the parts to, unless it has them.
-
-        An engine sends the whole prompt, also what nobody else will ask for, and
-        what a store takes in drives out other parts.
-        """
-        if self.store is None or choice.store_has_all:
-            return ""
-        return self.store.address
+        """Return the address of the store to send the parts to, if any."""
+        return self.store.address if choice.sends_to_store else ""
 
     def cache_source(self, plan: CachePlan) -> str:
         """Return where to fetch; a store may have more than this process knows."""
--- a/src/kumquatseam/placement/_work.py
+++ b/src/kumquatseam/placement/_work.py
@@ -102,6 +102,10 @@
     def holders(self, salt: str) -> PartHolders:
         """Return who holds how much of the request's prompt within a scope."""
 
+    @abc.abstractmethod
+    def kept_s(self, holder: str) -> float:
+        """Return how long a holder keeps a part that nobody asks for."""
+
 
 class WorkSource(abc.ABC):
     """Where the work of other instances is known from."""
@@ -200,3 +204,6 @@
 
     def holders(self, salt: str) -> PartHolders:
         return self._index.look_up(salt, self._prompt)
+
+    def kept_s(self, holder: str) -> float:
+        return self._index.kept_s(holder)
--- a/src/kumquatseam/prompts/_index.py
+++ b/src/kumquatseam/prompts/_index.py
@@ -224,6 +224,19 @@
         """Return whether anybody is believed to hold a part."""
         return (salt, part_id) in self._by_part
 
+    def kept_s(self, holder: str) -> float:
+        """Return how long a holder keeps a part that nobody asks for.
+
+        As far as its least recently used part shows: a full holder has dropped
+        everything older, and one with room drops nothing.
+        """
+        known = self._by_holder.get(holder)
+        if known is None or not known.parts:
+            return float("inf")
+        least_recent = next(iter(known.parts.values()))
+        is_full = known.tokens > known.capacity_tokens * KEPT_SHARE
+        return self._clock() - least_recent.since_s if is_full else float("inf")
+
     def look_up(self, salt: str, chain: PromptChain) -> PromptHolders:
         """Return who holds the shared parts of ``chain``."""
         return self.look_up_parts(salt, chain.shared)
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -39,9 +39,11 @@
 UNANSWERED_PATIENCE_S = 0.6
 #: seconds between two notices while engines load.
 NOTICE_PAUSE_S = 0.25
-#: steps of the duty while engines load, and while there is nothing to do.
+#: steps of the duty while engines load, while there is nothing to do, and while
+#: another instance holds it: a tenth of the shortest usual lease.
 ACTIVE_PAUSE_S = 0.03
 IDLE_PAUSE_S = 0.1
+STANDBY_PAUSE_S = 0.3
 
 
 @attrs.define
@@ -115,9 +117,14 @@
                 self.step()
             except Exception:  # noqa: BLE001 - logged; the duty goes on
                 _log.exception("A step of the rollout failed.")
-            self._wake.wait(ACTIVE_PAUSE_S if self._given else IDLE_PAUSE_S)
+            self._wake.wait(self._pause_s())
             self._wake.clear()
 
+    def _pause_s(self) -> float:
+        if self._lease.fence is None:
+            return STANDBY_PAUSE_S
+        return ACTIVE_PAUSE_S if self._given else IDLE_PAUSE_S
+
     def step(self) -> None:
         """Do what is due, if this instance holds the duty."""
         self._lease.step()
--- a/src/kumquatseam/trackers/_messages.py
+++ b/src/kumquatseam/trackers/_messages.py
@@ -32,6 +32,7 @@
     :param memory_tokens: memory they take, in tokens.
     :param held_tokens: leading tokens of the prompt it has or is reading.
     :param settled_tokens: those of them that can be fetched from it.
+    :param kept_s: how long it keeps a part that nobody asks for.
     """
 
     holder: str
@@ -41,6 +42,7 @@
     memory_tokens: int = 0
     held_tokens: int = 0
     settled_tokens: int = 0
+    kept_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/kumquatseam/trackers/_tracker.py
+++ b/src/kumquatseam/trackers/_tracker.py
@@ -96,4 +96,5 @@
             work.memory_tokens,
             holders.held_tokens(holder),
             holders.settled_tokens(holder),
+            self._index.kept_s(holder),
         )
--- a/src/kumquatseam/trackers/_work.py
+++ b/src/kumquatseam/trackers/_work.py
@@ -178,6 +178,10 @@
             return KnownWork(status.running, status.pending_tokens)
         return KnownWork(load.running, load.pending_tokens, load.memory_tokens)
 
+    def kept_s(self, holder: str) -> float:
+        load = self._by_holder.get(holder)
+        return load.kept_s if load is not None else float("inf")
+
     def holders(self, salt: str) -> PartHolders:
         return _TrackedHolders(
             {
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -31,6 +31,10 @@
 #: and nothing for this long, it or the way to it is gone.
 SILENT_AFTER_S = 0.7
 SILENT_HOLD_OUT_S = 0.5
+#: seconds between two looks for upstreams that fell silent, while answers are under
+#: way and otherwise.
+BUSY_SWEEP_S = 0.1
+IDLE_SWEEP_S = 0.4
 #: a share of failures above this holds an upstream out, over recent answers.
 FAILURE_SHARE_LIMIT = 0.3
 #: weight of the newest answer in the failure share.
@@ -228,6 +232,11 @@
             if status.answering and is_silent and is_in_use:
                 self._hold_out(status, SILENT_HOLD_OUT_S, "silent")
 
+    def next_sweep_s(self) -> float:
+        """Return how long until the next sweep may have something to do."""
+        is_busy = any(s.answering or s.lapses_s for s in self._by_id.values())
+        return BUSY_SWEEP_S if is_busy else IDLE_SWEEP_S
+
     def block(self, status: UpstreamStatus, for_s: float) -> None:
         """Note that an upstream refuses work while it loads weights."""
         status.blocked_until_s = max(status.blocked_until_s, self._clock() + for_s)
