An instance forgets holders that it no longer tracks

What an instance of a large fleet keeps of prompt parts is bounded by its share of the holders then; before, parts of every engine it ever tracked stayed. Scenario with it.

--- a/features/cache_feeds.feature
+++ b/features/cache_feeds.feature
@@ -98,6 +98,17 @@
     And 20 seconds pass for them
     Then it was asked at most 9 times
 
+  Scenario: Of a large fleet's holders an instance follows those it tracks alone
+    Given an instance that tracks 2 of 6 holders of 20 shared prompts each
+    When 4 seconds pass for them
+    Then it knows what these 2 keep, and nothing of the others
+    When it tracks 1 other holder instead
+    And 4 seconds pass for them
+    Then it knows what this 1 keeps, and nothing of the others
+    When it tracks the first 2 again
+    And 4 seconds pass for them
+    Then it knows what these 2 keep, and nothing of the others
+
   Scenario: A store behind a slow link is no better than an engine near by
     Given a prompt that an engine and a store behind a slow link keep
     Then another engine fetches it from the engine
--- a/features/steps/cache_feeds_steps.py
+++ b/features/steps/cache_feeds_steps.py
@@ -177,6 +177,7 @@
             lambda: 16,
             world.clock,
             lambda *arguments: ModelledReader(self, *arguments),
+            lambda: self.world.tracked,
         )
 
     def step(self):
@@ -190,6 +191,7 @@
 class CacheWorld:
     def __init__(self, instances, holders, prompts):
         self.clock = Clock()
+        self.tracked = None
         self.holders = [ModelledHolder(n, prompts) for n in range(holders)]
         self.instances = []
         for number in range(instances):
@@ -407,3 +409,39 @@
     first, second = wait_until("both placed", placed)
     assert first["upstream"] == second["upstream"], (first, second)
     assert second["held_tokens"] == second["shared_tokens"] == 1210, second
+
+
+# A large fleet.
+
+
+@given(
+    "an instance that tracks {tracked:d} of {holders:d} holders of {prompts:d} shared "
+    "prompts each"
+)
+def step_tracks(context, tracked, holders, prompts):
+    context.cache_world = CacheWorld(1, holders, prompts)
+    step_tracks_first(context, tracked)
+
+
+@when("it tracks the first {tracked:d} again")
+def step_tracks_first(context, tracked):
+    context.cache_world.tracked = {f"h{n}" for n in range(tracked)}
+
+
+@when("it tracks 1 other holder instead")
+def step_tracks_other(context):
+    context.cache_world.tracked = {"h5"}
+
+
+@then("it knows what these {count:d} keep, and nothing of the others")
+@then("it knows what this {count:d} keeps, and nothing of the others")
+def step_knows_tracked(context, count):
+    world = context.cache_world
+    (instance,) = world.instances
+    assert len(world.tracked) == count
+    for holder in world.holders:
+        name = holder.info.holder
+        known = {p.part_id for p in instance.index.said_parts(name)}
+        expected = set(holder.kept) if name in world.tracked else set()
+        assert known == expected, (name, len(known), len(expected))
+    assert instance.feeds.asked_holders == world.tracked
--- a/src/kumquatseam/cachefeeds/_feeds.py
+++ b/src/kumquatseam/cachefeeds/_feeds.py
@@ -108,9 +108,16 @@
     def _follow_only(
         self, holders: Mapping[str, CacheHolder], tracked: Collection[str]
     ) -> None:
-        """Ask the holders that are tracked here, and no others."""
+        """Ask the holders that are tracked here, and forget all others.
+
+        What an instance keeps is bounded by its share of the holders then. One
+        that comes back to it is listed anew, since events alone do not say what
+        was kept before.
+        """
         for name in set(self._readers) - set(tracked):
             self._readers.pop(name).close()
+            self._known.pop(name, None)
+            self._index.forget(name)
         for name in set(tracked) & set(holders) - set(self._readers):
             self._begin_to_ask(name, holders[name])
 
