--- a/features/moves.feature
+++ b/features/moves.feature
@@ -20,3 +20,10 @@
     When the caller's request is served
     Then another engine was asked to go on after event 2
     And the caller's stream is whole, with 4 events
+
+  Scenario: A resumable stream waits for an engine that just loads
+    Given a resumable stream that is moved to an engine that cannot be reached
+    And no other engine takes it for a moment
+    When the caller's request is served
+    Then another engine was asked to go on after event 2
+    And the caller's stream is whole, with 4 events
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -101,7 +101,10 @@
         self.places = ["source", "other"]
 
     def place(self, request):
-        return Placement(self.directory.status(self.places.pop(0)), "m0", 1, "1")
+        place = self.places.pop(0)
+        if place is None:
+            return None
+        return Placement(self.directory.status(place), "m0", 1, "1")
 
     def destination(self, placement):
         return attrs.evolve(placement, status=self.directory.status("target"))
@@ -132,12 +135,13 @@
         directory.put(Upstream(name, "engines", address, weights=weights))
     directory.status("source").move_runs_to = ("target",)
     context.pool = ScriptedPool(unreached)
+    context.placer = ScriptedPlacer(directory)
     budget = RetryBudget(AdmissionSettings())
     context.handler = RequestHandler(
         HandlerParts(
             live,
             PlatformDialect(),
-            ScriptedPlacer(directory),
+            context.placer,
             directory,
             DirectWork(directory, PromptIndex()),
             context.pool,
@@ -163,6 +167,11 @@
     _build(context, 99, is_resumable=True)
 
 
+@given("no other engine takes it for a moment")
+def step_nobody(context):
+    context.placer.places[1:1] = [None, None, None]
+
+
 @when("the caller's request is served")
 def step_served(context):
     ours, theirs = gevent.socket.socketpair()
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -237,7 +237,10 @@
                 return placement
             if progress.excluded and not progress.may_have_run:
                 progress.excluded.clear()
-            if time.monotonic() >= give_up_s or progress.may_have_run:
+            # A resumable stream may wait for an engine that just loads; whatever
+            # else may have run has been tried wherever it may go.
+            may_wait = not progress.may_have_run or job.route.is_resumable
+            if time.monotonic() >= give_up_s or not may_wait:
                 self._give_up(Reason.NO_UPSTREAM, "no upstream takes it")
             gevent.sleep(RECHECK_S)
             self._caller.check_present()
