--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -85,20 +85,6 @@
     Then 3 engines load, and their runs go to 2 engines that load last
     And none of the engines that cannot be reached is among them
 
-  Scenario Outline: No more engines load than leave the others for the work there is
-    Given 36 engines of 12 slots with <runs> runs each on weights 1
-    And <dark> of them cannot be reached
-    When weights 2 are named
-    Then at most <most> engines load, and at least 1
-
-    Examples:
-      | runs | dark | most |
-      | 2    | 0    | 14   |
-      | 6    | 0    | 10   |
-      | 6    | 9    | 8    |
-      | 8    | 9    | 2    |
-      | 12   | 9    | 1    |
-
   Scenario: A rollout goes on when no engine has room for the runs of another
     Given 5 engines of 48 slots with 47 runs each on weights 1
     And 2 more engines run weights 2
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -182,11 +182,13 @@
     def _running(
         self, weights: WeightsNamed, statuses: list[UpstreamStatus]
     ) -> Mapping[str, int]:
-        """Return the requests on each engine, while any still has to load."""
-        is_done = all(_has(s, weights.model, weights.version) for s in statuses)
-        if is_done:
-            return {}
-        return self._running_on([s.upstream.incarnation_id for s in statuses])
+        """Return the requests on the engines that still have to load."""
+        waiting = [
+            status.upstream.incarnation_id
+            for status in statuses
+            if not _has(status, weights.model, weights.version)
+        ]
+        return self._running_on(waiting) if waiting else {}
 
     def _state(
         self,
--- a/src/kumquatseam/rollouts/_plan.py
+++ b/src/kumquatseam/rollouts/_plan.py
@@ -14,9 +14,6 @@
 #: share of a model's engines that load at once: above three of nine, or 28 of
 #: 70, each load takes longer (the users' sheets).
 LOADING_SHARE = 0.4
-#: share of the slots that work may fill while engines load; beyond it requests
-#: wait for slots, and those that wait too long are refused.
-SERVING_SHARE = 0.7
 #: share of its slots that an engine may fill with runs taken over.
 TAKE_OVER_SHARE = 0.85
 #: the last engines load at the latest this long after the weights were named,
@@ -70,21 +67,9 @@
     destinations: tuple[str, ...] = ()
 
 
-def max_loading(engines: Sequence[EngineState]) -> int:
-    """Return how many of a model's engines may load at once.
-
-    A share of all, and no more than leaves engines for the work there is. With a
-    quarter of 36 engines dark, half of those that were left loaded together, and a
-    third of all requests were refused for eight seconds (a replayed day).
-    """
-    share = int(len(engines) * LOADING_SHARE)
-    reachable = [engine for engine in engines if engine.is_reachable]
-    slots = sum(engine.slots for engine in reachable)
-    if not slots:
-        return max(1, share)
-    running = sum(engine.running for engine in reachable)
-    idle_share = 1.0 - running / (slots * SERVING_SHARE)
-    return max(1, min(share, int(len(reachable) * idle_share)))
+def max_loading(engines: int) -> int:
+    """Return how many of ``engines`` may load at once."""
+    return max(1, int(engines * LOADING_SHARE))
 
 
 def plan_loads(engines: Sequence[EngineState], age_s: float) -> LoadPlan:
@@ -92,7 +77,7 @@
 
     :param age_s: how long ago the weights were named.
     """
-    limit = max_loading(engines)
+    limit = max_loading(len(engines))
     engines = [engine for engine in engines if engine.is_reachable]
     old = [e for e in engines if not e.has_target and not e.is_loading]
     keepers = _keepers(engines)
