An upstream that closes while others are asked gets nothing; news of work taken in by class

Asking trackers takes some milliseconds, in which the chosen upstream may be told to load or leave, or change its weights; what was sent to it then was refused and counted as a retry.

--- a/features/steps/trackers_steps.py
+++ b/features/steps/trackers_steps.py
@@ -4,6 +4,7 @@
 import socket
 import time
 
+import attrs
 import gevent
 from behave import given, then, when
 from decision_world import build_request
@@ -215,7 +216,7 @@
     fleet = context.tracked
     tracker = fleet.first_tracker("e0").tracker
     for number in range(12):
-        tracker.take_began(began(number, "e0", own=8_000, lasts_s=60.0))
+        tracker.take(began(number, "e0", own=8_000, lasts_s=60.0))
 
 
 @then("the next prompt goes to the other engine")
@@ -231,7 +232,7 @@
     for number, upstream in enumerate(fleet.upstreams[1:]):
         engine = upstream.incarnation_id
         work = began(number, engine, pending=tokens, own=10, lasts_s=60.0)
-        fleet.first_tracker(engine).tracker.take_began(work)
+        fleet.first_tracker(engine).tracker.take(work)
 
 
 @then(
@@ -246,6 +247,41 @@
         assert placement.status.upstream.incarnation_id == "e0"
 
 
+def _close(side, engine, change):
+    status = side.directory.status(engine)
+    if change == "begins to load":
+        side.directory.block(status, 5.0)
+    elif change == "leaves":
+        side.directory.put(attrs.evolve(status.upstream, is_leaving=True))
+    elif change == "is gone":
+        side.directory.remove(engine)
+    else:
+        status.note_answered("m0", 2, side.fleet.clock())
+
+
+@when("an engine {change} while others are asked about it")
+def step_closes(context, change):
+    fleet = context.tracked
+    # Wherever this prompt would go, that engine closes while answers are on the way.
+    context.closed = fleet.place(1, "o", ends=True).status.upstream.incarnation_id
+    side = context.side = fleet.sides[7]
+    wait = fleet.net.wait
+
+    def wait_and_close(event, timeout_s):
+        wait(event, timeout_s)
+        if side.directory.status(context.closed) is not None:
+            _close(side, context.closed, change)
+
+    side.client._wait = wait_and_close
+    context.placement = side.placer.place(build_request("o", "x"))
+
+
+@then("the prompt is not placed on it")
+def step_not_on_it(context):
+    placed = context.placement and context.placement.status.upstream.incarnation_id
+    assert placed != context.closed, placed
+
+
 # Waiting for answers.
 
 
--- a/features/trackers.feature
+++ b/features/trackers.feature
@@ -101,6 +101,18 @@
     When every engine but one has 90000 tokens to read
     Then 20 requests that may wait 0.6 seconds are placed and none is refused
 
+  Scenario Outline: An upstream that closes while others are asked gets nothing
+    Given 61 instances before 20 engines, 5 of them with faster links
+    When an engine <change> while others are asked about it
+    Then the prompt is not placed on it
+
+    Examples:
+      | change             |
+      | begins to load     |
+      | leaves             |
+      | is gone            |
+      | runs other weights |
+
   Scenario: Answers are waited for about as long as they take
     Given answers that take 3 milliseconds
     Then the next one is waited for between 12 and 20 milliseconds
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -187,9 +187,8 @@
         if best is None:
             return None
         self._check_wait(request, best.candidate)
-        status = self._directory.status(best.candidate.incarnation_id)
-        if status is None:
-            # It left while others were asked what they have on it.
+        status = self._still_open(best.candidate)
+        if status is None or status.version_of(request.model) != best.version:
             return None
         self._log_choice(request, best.candidate, best.compared, best)
         return Placement(
@@ -247,12 +246,23 @@
             for option in options
         ]
         chosen = choose(candidates)
-        status = self._directory.status(chosen.incarnation_id)
+        status = self._still_open(chosen)
         if status is None:
             return None
         self._log_choice(request, chosen, len(candidates), None)
         return Placement(status, prompt=request.prompt)
 
+    def _still_open(self, chosen: Candidate) -> UpstreamStatus | None:
+        """Return the upstream chosen, if it still takes work.
+
+        Others are asked what they have on it for some milliseconds, and it may be
+        told to load or to leave meanwhile; a refused arrival counts as a retry.
+        """
+        status = self._directory.status(chosen.incarnation_id)
+        if status is None or status.upstream.is_leaving:
+            return None
+        return status if status.blocked_until_s <= self._clock() else None
+
     def _distance_ms(self, status: UpstreamStatus) -> float:
         is_near = status.upstream.availability_zone == self._zone
         return 0.0 if is_near else OTHER_ZONE_MS
--- a/src/kumquatseam/trackers/_client.py
+++ b/src/kumquatseam/trackers/_client.py
@@ -13,15 +13,7 @@
 from kumquatseam.placement import HolderScope
 from kumquatseam.prompts import PromptPart
 from kumquatseam.trackers._datagrams import DatagramLink
-from kumquatseam.trackers._messages import (
-    LoadAnswer,
-    LoadQuestion,
-    PartsGiven,
-    TrackedLoad,
-    WorkBegan,
-    WorkEnded,
-    WorkRead,
-)
+from kumquatseam.trackers._messages import LoadAnswer, LoadQuestion, TrackedLoad
 from kumquatseam.trackers._order import TrackerOrder
 from kumquatseam.trackers._round_trip import RoundTripEstimate
 from kumquatseam.trackers._tracker import LoadTracker
@@ -99,10 +91,8 @@
         self.unanswered = 0
         link.on_message(LoadQuestion, self._take_question)
         link.on_message(LoadAnswer, self._take_answer)
-        link.on_message(WorkBegan, lambda work, _: tracker.take_began(work))
-        link.on_message(WorkRead, lambda read, _: tracker.take_read(read))
-        link.on_message(WorkEnded, lambda ended, _: tracker.take_ended(ended))
-        link.on_message(PartsGiven, lambda given, _: tracker.take_given(given))
+        for kind in tracker.news:
+            link.on_message(kind, lambda message, _: tracker.take(message))
 
     def tracker_of(self, holder: str) -> InstanceRecord | None:
         """Return the first instance that may track ``holder`` and is not silent.
@@ -141,16 +131,10 @@
 
     def tell_instance(self, record: InstanceRecord, message: object) -> None:
         """Tell one instance something; it may get lost."""
-        if record.name != self._name:
+        if record.name == self._name:
+            self._tracker.take(message)
+        else:
             self._link.send(record.address, message)
-        elif isinstance(message, WorkBegan):
-            self._tracker.take_began(message)
-        elif isinstance(message, WorkRead):
-            self._tracker.take_read(message)
-        elif isinstance(message, WorkEnded):
-            self._tracker.take_ended(message)
-        elif isinstance(message, PartsGiven):
-            self._tracker.take_given(message)
 
     def _by_tracker(
         self, scopes: Sequence[HolderScope]
--- a/src/kumquatseam/trackers/_tracker.py
+++ b/src/kumquatseam/trackers/_tracker.py
@@ -1,7 +1,7 @@
 """Knowing the work on the upstreams that this instance tracks."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from kumquatseam.prompts import PromptIndex, PromptRead
 from kumquatseam.trackers._book import WorkBook
@@ -43,7 +43,13 @@
         self._clock = clock
         self._book = WorkBook(clock)
         self._tracked_s: dict[str, float] = {}
-        self.answered = 0
+        #: what takes in each class of news.
+        self.news: Mapping[type, Callable[[object], None]] = {
+            WorkBegan: self._take_began,
+            WorkRead: lambda read: self._book.read(read.work_id),
+            WorkEnded: lambda ended: self._book.end(ended.work_id),
+            PartsGiven: self._take_given,
+        }
 
     def tracked_holders(self) -> set[str]:
         """Return the holders tracked here, for following their cache events."""
@@ -55,7 +61,6 @@
 
     def answer(self, question: LoadQuestion) -> LoadAnswer:
         """Return what is known of the holders asked about."""
-        self.answered += 1
         salts = question.salts or ("",) * len(question.holders)
         loads = tuple(
             self._load(holder, salt, question)
@@ -63,24 +68,18 @@
         )
         return LoadAnswer(question.number, self._name, loads)
 
-    def take_began(self, work: WorkBegan) -> None:
-        """Take in that a request was sent."""
+    def take(self, message: object) -> None:
+        """Take in news of a class in :attr:`news`."""
+        self.news[type(message)](message)
+
+    def _take_began(self, work: WorkBegan) -> None:
         self._tracked_s[work.holder] = self._clock()
         self._book.begin(work)
         if work.parts:
             read = PromptRead(work.holder, work.salt, work.parts)
             self._index.note_peer_read(read)
 
-    def take_read(self, read: WorkRead) -> None:
-        """Take in that a request's prompt was read."""
-        self._book.read(read.work_id)
-
-    def take_ended(self, ended: WorkEnded) -> None:
-        """Take in that a request ended."""
-        self._book.end(ended.work_id)
-
-    def take_given(self, given: PartsGiven) -> None:
-        """Take in that a store is sent parts."""
+    def _take_given(self, given: PartsGiven) -> None:
         self._tracked_s[given.holder] = self._clock()
         self._index.note_peer_read(PromptRead(given.holder, given.salt, given.parts))
 
