--- a/features/starts.feature
+++ b/features/starts.feature
@@ -25,6 +25,13 @@
     And 3 seconds pass
     Then all readers are in the council
 
+  Scenario: An instance that does not know the others yet looks again soon
+    Given 13 instances that start together and know each other after 0.6 seconds
+    When 0.3 seconds pass
+    Then each looks again within 0.2 seconds whether to read
+    When 3 seconds pass
+    Then those outside the council look again when their copies grow old
+
   Scenario: A contender that hears of renewals does not look at the log
     Given a holder of a duty that tells of its renewals, and a contender
     When 10 seconds of renewals pass
--- a/features/steps/starts_steps.py
+++ b/features/steps/starts_steps.py
@@ -95,6 +95,21 @@
     assert all(i._view().is_in_council for i in readers)
 
 
+@then("each looks again within {most_s:g} seconds whether to read")
+def step_looks_soon(context, most_s):
+    for instance in context.world.instances:
+        assert instance.watch._next_check_s() <= most_s, instance.name
+
+
+@then("those outside the council look again when their copies grow old")
+def step_looks_late(context):
+    others = [i for i in context.world.instances if not i._view().is_in_council]
+    assert others
+    for instance in others:
+        left_s = 1.1 - instance.watch.copy.age_s()
+        assert abs(instance.watch._next_check_s() - left_s) < 0.01, instance.name
+
+
 # The duty.
 
 
--- a/src/kumquatseam/feeds/_reader_choice.py
+++ b/src/kumquatseam/feeds/_reader_choice.py
@@ -38,6 +38,11 @@
         """Note an update of another instance that reads."""
         self._heard_s[name] = now_s
 
+    def hears_reader(self, now_s: float) -> bool:
+        """Return whether another instance reads."""
+        oldest_s = now_s - self._fresh_s
+        return any(heard_s >= oldest_s for heard_s in self._heard_s.values())
+
     def stop(self) -> None:
         """Leave reading to the others."""
         self._lacking_since_s = None
--- a/src/kumquatseam/feeds/_shared_watch.py
+++ b/src/kumquatseam/feeds/_shared_watch.py
@@ -185,7 +185,10 @@
 
     def _next_check_s(self) -> float:
         """Return how long nothing but an update can make this instance read."""
-        if self._peers.may_read():
+        # Where nobody reads yet, this instance may just be about to: right after a
+        # start it does not know the others.
+        is_told = self._choice.hears_reader(self._clock())
+        if self._peers.may_read() or not is_told:
             return CHECK_S
         return max(CHECK_S, self._pace.stale_after_s - self.copy.age_s())
 
