Weights that end every engine are tried by one engine at a time, ever more seldom

What callers saw: weights that no engine can load ended each engine ordered to them, again and again, with all that ran there (features/weights_that_crash).

Cause: the holder of the duty forgot an order with the engine that ended.

Ruled out: blocking a version by the number of crashes alone. Engines crash of other things during rollouts, and a figure for "too many" would depend on the fleet.

Change: LoadTrials remembers what became of each engine ordered. The first one that runs the weights proves that they load; before, after a first wave that ended, one engine at a time tries, at once, after 3 s, 24 s and so on up to ten minutes. Holders tell the number of failed tries, so that a successor goes on from there.

--- a/features/steps/weights_that_crash_steps.py
+++ b/features/steps/weights_that_crash_steps.py
@@ -13,6 +13,8 @@
 #: an engine's entry leaves the list this long after its end, and it is back then.
 LAPSE_S = 1.0
 RESTART_S = 3.0
+#: how long a load takes.
+LOAD_S = 0.6
 
 
 class CrashingClient(OrderClient):
@@ -26,11 +28,18 @@
         self.side = side
         self.clock = clock
         self.crashed_s = []
+        #: orders that crash their engines, by number; all of them if not said.
+        self.crashing = None
+        self.orders = 0
         #: what happens later, by when.
         self.due = []
 
     def order(self, upstream, order):
         now_s = self.clock()
+        self.orders += 1
+        if self.crashing is not None and self.orders not in self.crashing:
+            self.due.append((now_s + LOAD_S, "loaded", upstream))
+            return OrderOutcome.ACCEPTED
         self.crashed_s.append(now_s)
         self.due.append((now_s + LAPSE_S, "lapse", upstream))
         self.due.append((now_s + RESTART_S, "start", upstream))
@@ -48,6 +57,9 @@
         for at_s, what, upstream in self.due:
             if at_s > now_s:
                 left.append((at_s, what, upstream))
+            elif what == "loaded":
+                status = self.side.directory.status(upstream.incarnation_id)
+                status.note_answered(MODEL, 2, now_s)
             elif what == "lapse":
                 self.side.directory.remove(upstream.upstream_id)
             else:
@@ -74,6 +86,24 @@
     context.targets.take(WeightsNamed(MODEL, 2))
 
 
+@when("weights 2 are to be in force, and 3 engines crash of something else meanwhile")
+def step_some_crash(context):
+    context.client.crashing = {2, 5, 7}
+    context.targets.take(WeightsNamed(MODEL, 2))
+
+
+@when("weights 2 are to be in force, and the first 3 engines ordered crash")
+def step_first_crash(context):
+    context.client.crashing = {1, 2, 3}
+    context.targets.take(WeightsNamed(MODEL, 2))
+
+
+@when("another instance takes the duty over from what it was told")
+def step_taken_over(context):
+    # The view is what every instance knows of the rollout.
+    context.duty = build_duty(context, context.client)
+
+
 @when("{for_s:d} seconds pass, in which engines that ended start again")
 def step_pass(context, for_s):
     end_s = context.clock() + for_s
@@ -87,3 +117,9 @@
 def step_crashed(context, most):
     crashed = len(context.client.crashed_s)
     assert crashed <= most, crashed
+
+
+@then("every engine runs weights {version:d}")
+def step_all_run(context, version):
+    versions = [s.version_of(MODEL) for s in context.side.directory.all()]
+    assert len(versions) == 9 and set(versions) == {version}, versions
--- a/src/kumquatseam/peers/_messages.py
+++ b/src/kumquatseam/peers/_messages.py
@@ -103,6 +103,8 @@
     :param named_age_s: how long ago the weights were named, if known.
     :param replaced: the version they were named in place of, if known.
     :param orders: orders that engines accepted; a successor expects as many.
+    :param failed_tries: how many tries to load the weights ended their engines,
+        none having loaded them.
     """
 
     sender: str
@@ -117,6 +119,7 @@
     named_age_s: float | None = None
     replaced: int | None = None
     orders: tuple[OrderCount, ...] = ()
+    failed_tries: int = 0
 
 
 RECORD_CODEC = MessageCodec("instance record", {"instance": InstanceRecord})
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -11,6 +11,7 @@
 from kumquatseam.logs import part_logger
 from kumquatseam.loops import BackgroundTask
 from kumquatseam.peers import OrderCount, PeerBus, RolloutNotice
+from kumquatseam.rollouts._load_trials import LoadTrials
 from kumquatseam.rollouts._orders import OrderClient, OrderOutcome, WeightsOrder
 from kumquatseam.rollouts._plan import EngineState, LoadPlan, plan_loads
 from kumquatseam.rollouts._view import RolloutView
@@ -106,6 +107,7 @@
         self._running_on = running_on
         self._clock = clock
         self._given: dict[str, _Order] = {}
+        self._trials = LoadTrials(clock)
         self._told: dict[str, tuple[float, tuple]] = {}
         self._notices = 0
         self._wake = gevent.event.Event()
@@ -137,10 +139,15 @@
     def _step_model(self, weights: WeightsNamed) -> None:
         statuses = self._engines_of(weights.model)
         self._drop_done(weights, statuses)
+        self._follow_trials(weights, statuses)
         self._ask_loading(weights, statuses)
         running = self._running(weights, statuses)
         states = [self._state(weights, status, running) for status in statuses]
-        plan = plan_loads(states, self._targets.age_s(weights.model))
+        plan = plan_loads(
+            states,
+            self._targets.age_s(weights.model),
+            self._trials.most_loading(weights),
+        )
         loading = [s.incarnation_id for s in states if s.is_loading]
         loading += plan.order_now
         ready = tuple(s.incarnation_id for s in states if s.has_target)
@@ -179,6 +186,27 @@
             if done or now_s - order.given_s > order.patience_s:
                 del self._given[incarnation_id]
 
+    def _follow_trials(
+        self, weights: WeightsNamed, statuses: list[UpstreamStatus]
+    ) -> None:
+        """Learn from what became of the engines that were ordered to load."""
+        trials = self._trials
+        trials.hear(weights, self._view.failed_tries(weights))
+        if any(_has(status, weights.model, weights.version) for status in statuses):
+            trials.note_loaded(weights)
+        for incarnation_id in trials.open_outcomes(weights):
+            status = self._directory.status(incarnation_id)
+            if status is None:
+                trials.note_ended(weights, incarnation_id)
+                _log.bind(
+                    upstream=incarnation_id,
+                    model=weights.model,
+                    version=weights.version,
+                    failed_tries=trials.failed_tries(weights),
+                ).warning("Engine ended after it was ordered to load.")
+            elif status.upstream.is_leaving:
+                trials.forget(weights, incarnation_id)
+
     def _running(
         self, weights: WeightsNamed, statuses: list[UpstreamStatus]
     ) -> Mapping[str, int]:
@@ -256,7 +284,8 @@
         now_s = self._clock()
         closing = tuple(sorted(plan.closing))
         destinations = tuple(sorted(plan.destinations)) if loading else ()
-        key = (weights, loading, closing, ready, destinations)
+        failed_tries = self._trials.failed_tries(weights)
+        key = (weights, loading, closing, ready, destinations, failed_tries)
         fence = self._lease.fence
         told_s, told_key = self._told.get(weights.model, (0.0, ()))
         is_due = now_s - told_s >= NOTICE_PAUSE_S and (loading or closing)
@@ -278,6 +307,7 @@
             None if age_s == UNKNOWN_AGE_S else round(age_s, 3),
             self._targets.replaced_version(weights.model),
             self._order_counts(weights.model),
+            failed_tries,
         )
         self._view.take(notice)
         self._bus.publish(notice)
@@ -299,6 +329,7 @@
             return
         given = _Order(weights.version, self._clock())
         self._given[status.upstream.incarnation_id] = given
+        self._trials.note_ordered(weights, status.upstream.incarnation_id)
         order = WeightsOrder(
             weights, self._bus.name, fence, status.orders_accepted or 0
         )
--- a/src/kumquatseam/rollouts/_plan.py
+++ b/src/kumquatseam/rollouts/_plan.py
@@ -72,12 +72,18 @@
     return max(1, int(engines * LOADING_SHARE))
 
 
-def plan_loads(engines: Sequence[EngineState], age_s: float) -> LoadPlan:
+def plan_loads(
+    engines: Sequence[EngineState], age_s: float, most_loading: int | None = None
+) -> LoadPlan:
     """Return what is due for the engines of one model.
 
     :param age_s: how long ago the weights were named.
+    :param most_loading: how many may load at once while it is not known whether
+        the weights load at all.
     """
-    limit = max_loading(len(engines))
+    limit = max_loading(len(engines)) if most_loading is None else most_loading
+    if limit == 0:
+        return LoadPlan()
     engines = [engine for engine in engines if engine.is_reachable]
     old = [e for e in engines if not e.has_target and not e.is_loading]
     keepers = _keepers(engines)
--- a/src/kumquatseam/rollouts/_view.py
+++ b/src/kumquatseam/rollouts/_view.py
@@ -77,6 +77,13 @@
                 status.note_orders(count.accepted)
         return True
 
+    def failed_tries(self, weights: WeightsNamed) -> int:
+        """Return how many tries to load some weights failed, as was told."""
+        last = self._last.get(weights.model)
+        if last is None or last.version != weights.version:
+            return 0
+        return last.failed_tries
+
     def _apply(self, notice: RolloutNotice) -> None:
         """Close the engines that load, and reopen those that no longer do.
 
