Teams stay within their quotas over all instances, in requests or in tokens

What callers saw: nothing limited a team.

Cause: nothing read a team's limit, its unit or what plain requests count.

Change: package quotas. A team's quota has a keeper, first by rendezvous hashing; an instance asks it for what a request needs (one round trip of datagrams), and for more ahead where it sees many requests of the team. What is lent lapses within a second and goes back, as does what was taken and did not run. The next instance in order is told what was lent. Fleets of more than 200 instances divide quotas among several keepers. A bucket lets each request begin while anything is left in it, so large requests have the same chance as small ones. Beyond the quota, within a third of what the operators let the fleet exceed it by, a request runs only where it would wait less than half of its aim. Limits travel with questions and the higher configuration version counts.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -23,6 +23,15 @@
     Then the caller's answer has status 401
     And the replicas ran 1 request
 
+  Scenario: A team over its quota is refused at once, as not run
+    Given a gateway before 1 plain replica
+    And the team has a quota of 1 requests a second and a burst of 2
+    When its caller sends 6 requests one after the other
+    Then the first 2 are answered and at least 2 are refused with 429
+    And each refused one is told when to come back within 5 seconds
+    And the replicas ran as many requests as were answered
+    And the metrics count the refusals of quotas
+
   Scenario Outline: What may not be repeated runs once
     Given a gateway before 2 plain replicas
     When a caller sends "POST" to "/plain/x" and one replica's script is "<fault>"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -523,3 +523,60 @@
     context.platform.send(request_id="told")
     events = wait_until("its lines", story)
     assert events == ["Placed.", "Answered."], json.dumps(events)
+
+
+# Quotas.
+
+
+@given("the team has a quota of {rate:d} requests a second and a burst of {burst:d}")
+def step_quota(context, rate, burst):
+    world = context.platform
+    world.quota = {"ratePerS": rate, "burst": burst}
+    world.put_configuration()
+    gateway = world.gateways[0]
+
+    def is_in_force():
+        return any(
+            line["event"] == "Configuration in force."
+            and line["version"] == world.version
+            for line in gateway.lines()
+        )
+
+    wait_until("the quota is in force", is_in_force)
+
+
+@when("its caller sends {count:d} requests one after the other")
+def step_send_many(context, count):
+    context.answers = [context.platform.send() for _ in range(count)]
+
+
+@then("the first {served:d} are answered and at least {refused:d} are refused with 429")
+def step_refused_429(context, served, refused):
+    statuses = [answer.status for answer in context.answers]
+    assert statuses[:served] == [200] * served, statuses
+    assert set(statuses) <= {200, 429}, statuses
+    assert statuses.count(429) >= refused, statuses
+
+
+@then("each refused one is told when to come back within {within_s:g} seconds")
+def step_told_when(context, within_s):
+    for answer in context.answers:
+        if answer.status == 429:
+            assert 0 < float(answer.headers["Retry-After"]) <= within_s
+
+
+@then("the replicas ran as many requests as were answered")
+def step_ran_as_answered(context):
+    answered = sum(answer.status == 200 for answer in context.answers)
+    assert context.platform.runs() == answered
+
+
+@then("the metrics count the refusals of quotas")
+def step_quota_metrics(context):
+    port = context.platform.gateways[0].ports["metrics"]
+    text = urllib3.request("GET", f"http://127.0.0.1:{port}/metrics").data.decode()
+    (line,) = [
+        x for x in text.splitlines() if "quota_refusals_total " in x and x[0] != "#"
+    ]
+    refused = sum(answer.status == 429 for answer in context.answers)
+    assert float(line.split()[-1]) == refused, line
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -111,6 +111,8 @@
         self.gateways: list[GatewayProcess] = []
         self.routes: list[dict] = []
         self.keys = [KEY]
+        #: fields of the team's quota.
+        self.quota: dict = {}
         self.version = 0
         #: called first when the scenario ends.
         self.on_close = []
@@ -192,7 +194,14 @@
                 "headerTimeoutMs": 800,
                 "idleTimeoutMs": 15000,
             },
-            "tenants": [{"name": "alpha", "apiKeys": self.keys, "isolated": False}],
+            "tenants": [
+                {
+                    "name": "alpha",
+                    "apiKeys": self.keys,
+                    "isolated": False,
+                    **self.quota,
+                }
+            ],
         }
         self.put_operator_record("config", json.dumps(value).encode())
 
--- a/features/steps/trackers_steps.py
+++ b/features/steps/trackers_steps.py
@@ -13,13 +13,12 @@
 
 from kumquatseam.bench import free_port
 from kumquatseam.errors import OverloadedError
-from kumquatseam.peers import DatagramSocket, RendezvousOrder
+from kumquatseam.peers import DatagramSocket, RendezvousOrder, RoundTripEstimate
 from kumquatseam.placement import HolderScope
 from kumquatseam.trackers import (
     TRACKER_KINDS,
     LoadAnswer,
     LoadQuestion,
-    RoundTripEstimate,
 )
 
 
--- a/src/kumquatseam/explain/_story.py
+++ b/src/kumquatseam/explain/_story.py
@@ -22,6 +22,7 @@
     "timed_out": "its time (the client's deadline or the route's) ran out",
     "answer_broken": "the upstream's answer broke off and it may not run again",
     "quarantined": "upstreams crashed under the same request before",
+    "over_quota": "its team had used up its quota; the keeper's line has the figures",
     "internal_fault": "the router itself failed; see the trace in its line",
 }
 
--- a/src/kumquatseam/gateway/_call.py
+++ b/src/kumquatseam/gateway/_call.py
@@ -16,6 +16,7 @@
     :param prompt: the prompt's parts.
     :param prompt_tokens: tokens to read, as the caller counts them.
     :param max_output_tokens: tokens to generate at most.
+    :param names_tokens: whether the caller says how many tokens it uses.
     :param resume_after: id of the last event the caller already has.
     """
 
@@ -26,6 +27,7 @@
     prompt: PromptChain = PromptChain()
     prompt_tokens: int = 0
     max_output_tokens: int = 0
+    names_tokens: bool = False
     resume_after: str = ""
 
     @property
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -60,6 +60,8 @@
 #: engines of nine gone, a replayed day earned 0.57 of its worth without a limit,
 #: 0.68 at 1.5 aims and 0.74 at 1.15, with 0.4% of its requests refused.
 MAX_WAIT_AIMS = 1.15
+#: the same for a request beyond its team's quota: nobody is to wait for it.
+MAX_OVER_QUOTA_AIMS = 0.5
 #: and one that would wait for more than this share of its time, since reading
 #: its prompt and the first events take about the rest.
 MAX_WAIT_SHARE = 0.7
@@ -197,6 +199,10 @@
         try:
             return self._parts.placer.place(request)
         except OverloadedError as error:
+            if job.is_over_quota:
+                raise RefusedError(
+                    429, Reason.OVER_QUOTA, error.retry_after_s, str(error)
+                ) from error
             raise RefusedError(
                 503, Reason.OVERLOADED, error.retry_after_s, str(error)
             ) from error
@@ -204,7 +210,8 @@
     def _longest_wait_s(self) -> float:
         """Return how long the request may wait for its first event."""
         job = self._job
-        aimed_s = job.route.target_latency_s * MAX_WAIT_AIMS
+        aims = MAX_OVER_QUOTA_AIMS if job.is_over_quota else MAX_WAIT_AIMS
+        aimed_s = job.route.target_latency_s * aims
         return min(aimed_s, job.remaining_s * MAX_WAIT_SHARE)
 
     def _check_time(self) -> None:
--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -10,6 +10,7 @@
 from kumquatseam.metrics import GatewayMetrics
 from kumquatseam.peers import DatagramSocket, PeerBus
 from kumquatseam.quarantine import Quarantine
+from kumquatseam.quotas import TeamQuotas
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.trackers import LoadTracker, TrackerClient
 from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
@@ -30,6 +31,7 @@
     datagrams: DatagramSocket
     tracker_client: TrackerClient
     tracker: LoadTracker
+    quotas: TeamQuotas
 
 
 def add_gauges(metrics: GatewayMetrics, parts: GaugeParts) -> None:
@@ -59,6 +61,7 @@
         lambda: _count_on_newest_weights(directory, targets),
     )
     metrics.gauge("requests_suspected", lambda: len(parts.quarantine.suspects))
+    metrics.gauge("quotas_kept", lambda: len(parts.quotas.keeper))
     metrics.gauge("holders_tracked", lambda: len(parts.tracker.tracked_holders()))
 
 
@@ -66,6 +69,10 @@
     """Add what this instance opened, sent, received and asked."""
     client = parts.tracker_client
     metrics.counter("suspects_tried", lambda: parts.quarantine.trials)
+    metrics.counter("quota_refusals", lambda: parts.quotas.refused)
+    metrics.counter("quota_questions", lambda: parts.quotas.calls.asked)
+    metrics.counter("quota_keepers_silent", lambda: parts.quotas.calls.unanswered)
+    metrics.counter("quota_decided_alone", lambda: parts.quotas.unkept)
     metrics.counter("upstream_connections", lambda: parts.pool.opened)
     metrics.counter("caller_connections", lambda: parts.server.accepted)
     metrics.counter("log_calls", lambda: parts.log_service.calls)
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -18,6 +18,7 @@
 from kumquatseam.metrics import GatewayMetrics
 from kumquatseam.placement import Placer, WorkSource
 from kumquatseam.quarantine import Quarantine, fingerprint
+from kumquatseam.quotas import QuotaExceededError, QuotaGrant, TeamQuotas
 from kumquatseam.rollouts import OrderClient
 from kumquatseam.routes import LiveRouteTable, Route, RouteTable, TeamTraits
 from kumquatseam.upstreams import UpstreamDirectory
@@ -48,6 +49,7 @@
     :param metrics: counters and latencies.
     :param orders: moves runs between engines.
     :param quarantine: keeps upstreams from requests that crash them.
+    :param quotas: keeps teams within their quotas.
     """
 
     live: LiveRouteTable
@@ -60,6 +62,7 @@
     metrics: GatewayMetrics
     orders: OrderClient
     quarantine: Quarantine
+    quotas: TeamQuotas
 
 
 class RequestHandler:
@@ -81,23 +84,32 @@
         """
         request_id = request.headers.text(self._parts.dialect.request_id_header)
         kind, outcome = "none", "left"
-        exchange = None
+        exchange = grant = None
         try:
             job = self._admit(request)
             kind = job.route.name
+            grant = self._take_quota(job)
+            if grant is not None and grant.is_over:
+                job = attrs.evolve(job, is_over_quota=True)
             exchange = Exchange(self._parts, job, caller, may_keep)
             is_whole, outcome = exchange.run()
             return is_whole
         except RefusedError as error:
             outcome = error.reason.value
+            if error.is_not_run:
+                self._give_back(grant)
             return self._refuse(request_id, caller, may_keep, error)
         except CallerLeftError:
+            if exchange is not None and not exchange.has_sent:
+                self._give_back(grant)
             _log.bind(request=request_id).info("The caller left.")
             raise
         except Exception:  # noqa: BLE001 - logged; the caller still gets an answer
             _log.bind(request=request_id).exception("Serving failed unexpectedly.")
             outcome = Reason.FAULT.value
             fault = self._fault(exchange is not None and exchange.has_sent)
+            if fault.is_not_run:
+                self._give_back(grant)
             return self._refuse(request_id, caller, may_keep, fault)
         finally:
             took_s = time.monotonic() - request.received_s
@@ -131,6 +143,29 @@
         )
         return Job(request, call, route, service, team, end_s, table, asked)
 
+    def _take_quota(self, job: Job) -> QuotaGrant | None:
+        """Take what a request needs of its team's quota.
+
+        :raises RefusedError: if nothing is left.
+        """
+        if job.team is None or job.team.quota is None:
+            return None
+        call = job.call
+        tokens = call.tokens if call.names_tokens else None
+        try:
+            return self._parts.quotas.take(
+                job.team, tokens, job.table.version, call.request_id
+            )
+        except QuotaExceededError as error:
+            raise RefusedError(
+                429, Reason.OVER_QUOTA, error.retry_after_s, str(error)
+            ) from error
+
+    def _give_back(self, grant: QuotaGrant | None) -> None:
+        """Give back what a request took that has not run."""
+        if grant is not None:
+            self._parts.quotas.give_back(grant)
+
     @staticmethod
     def _fault(has_sent: bool) -> RefusedError:
         """Return the answer to a request that a fault of the router ended.
--- a/src/kumquatseam/gateway/_job.py
+++ b/src/kumquatseam/gateway/_job.py
@@ -21,6 +21,8 @@
     :param end_s: monotonic time by which it needs its final answer.
     :param table: the configuration that admitted it.
     :param fingerprint: what it has in common with its repeats.
+    :param is_over_quota: its team is over its quota; it runs if nobody has to wait
+        for it.
     """
 
     request: Request
@@ -31,6 +33,7 @@
     end_s: float
     table: RouteTable
     fingerprint: str = ""
+    is_over_quota: bool = False
 
     @property
     def remaining_s(self) -> float:
--- a/src/kumquatseam/gateway/_refusals.py
+++ b/src/kumquatseam/gateway/_refusals.py
@@ -22,6 +22,7 @@
     TIMED_OUT = "timed_out"
     BROKEN = "answer_broken"
     QUARANTINED = "quarantined"
+    OVER_QUOTA = "over_quota"
     FAULT = "internal_fault"
 
 
@@ -29,7 +30,7 @@
 class RefusedError(KumquatseamError):
     """A request that ends with an answer of the router's own.
 
-    :param status: 503 promises that it has not run and never will; 502 and
+    :param status: 503 and 429 promise that it has not run and never will; 502 and
         504 promise nothing.
     :param reason: why.
     :param retry_after_s: when to come back, if that helps.
@@ -44,6 +45,11 @@
     def __str__(self) -> str:
         return f"gateway: {self.status} {self.reason.value}: {self.detail}"
 
+    @property
+    def is_not_run(self) -> bool:
+        """Whether the request has not run and never will."""
+        return self.status in (429, 503)
+
     def fields(self) -> list[tuple[bytes, bytes]]:
         """Return the answer's header fields."""
         fields = [(b"Content-Type", b"application/json")]
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -2,7 +2,7 @@
 
 import time
 
-from kumquatseam import cachefeeds, feeds, quarantine
+from kumquatseam import cachefeeds, feeds, quarantine, quotas
 from kumquatseam.admission import RetryBudget
 from kumquatseam.cachefeeds import (
     MIN_TOLD_SHARE,
@@ -49,6 +49,7 @@
     Quarantine,
     QuarantineParts,
 )
+from kumquatseam.quotas import QuotaParts, QuotaTolerance, TeamQuotas
 from kumquatseam.rollouts import NoticeRelay, RolloutDuty, RolloutView
 from kumquatseam.routes import LiveRouteTable, RouteTable
 from kumquatseam.settings import AdmissionSettings, GatewayFile
@@ -66,7 +67,11 @@
 #: what instances tell each other, by name on the wire.
 BUS_KINDS = {**MESSAGE_KINDS, **quarantine.BUS_KINDS, "topic": TopicUpdate}
 #: what they tell and ask each other over datagrams.
-DATAGRAM_KINDS = {**TRACKER_KINDS, **quarantine.DATAGRAM_KINDS}
+DATAGRAM_KINDS = {
+    **TRACKER_KINDS,
+    **quarantine.DATAGRAM_KINDS,
+    **quotas.DATAGRAM_KINDS,
+}
 #: what they ask each other.
 QUESTION_KINDS = {**feeds.QUESTION_KINDS, **cachefeeds.QUESTION_KINDS}
 #: seconds between two looks whether an engine or store has somebody to ask it.
@@ -131,6 +136,18 @@
         self._datagrams = DatagramSocket(file.peers.address, DATAGRAM_KINDS)
         self._tracker = LoadTracker(self._bus.name, self._index)
         self._quarantine = self._build_quarantine()
+        self._quotas = TeamQuotas(
+            QuotaParts(
+                self._bus.name,
+                lambda: self._bus.records,
+                self._datagrams,
+                lambda: self._live.current,
+                QuotaTolerance(
+                    file.quotas.window_s, file.quotas.over, file.quotas.slack
+                ),
+                lambda: self._instances.copy.synced_s is not None,
+            )
+        )
         registry = InstanceRegistry(self._log_service, self._bus, self._record)
         self._follow_topics(registry)
         self._cache_feeds = self._build_cache_feeds()
@@ -151,6 +168,7 @@
             WarmStart(
                 self._cache_feeds, self._questions, self._bus.name, self._is_small
             ),
+            StepLoop(quotas.SWEEP_INTERVAL_S, self._quotas.sweep),
             StepLoop(CACHE_CHECK_INTERVAL_S, self._cache_feeds.step),
             StepLoop(self._loads.next_step_s, self._loads.step),
             StepLoop(PEER_CHECK_INTERVAL_S, self._bus.step),
@@ -207,6 +225,7 @@
                 self._metrics,
                 self._orders,
                 self._quarantine,
+                self._quotas,
             )
         )
         grace_s = max(1.0, gateway.grace_s - GRACE_MARGIN_S)
@@ -396,6 +415,7 @@
             self._datagrams,
             self._tracker_client,
             self._tracker,
+            self._quotas,
         )
         add_gauges(self._metrics, parts)
         self._metrics.gauge("peers_alive", self._count_instances)
--- a/src/kumquatseam/peers/__init__.py
+++ b/src/kumquatseam/peers/__init__.py
@@ -8,10 +8,12 @@
   what upstreams keep of prompts, in a fleet small enough for that.
 - :class:`Questions` are asked one instance at a time.
 - :class:`DatagramSocket` carries small messages that may be lost.
+- :class:`DatagramCalls` asks one instance over them, and waits for its answer.
 - :class:`RendezvousOrder` says which instance looks after something for all.
 """
 
 from kumquatseam.peers._bus import PeerBus
+from kumquatseam.peers._calls import DatagramCalls
 from kumquatseam.peers._datagrams import DatagramLink, DatagramSocket, NoDatagrams
 from kumquatseam.peers._loads import HeldNews, LoadExchange
 from kumquatseam.peers._messages import (
@@ -28,10 +30,13 @@
 from kumquatseam.peers._questions import Questions
 from kumquatseam.peers._registry import INSTANCES_TOPIC, InstanceRegistry
 from kumquatseam.peers._rendezvous import RendezvousOrder
+from kumquatseam.peers._round_trip import RoundTripEstimate
+from kumquatseam.peers._silences import Silences
 
 __all__ = [
     "INSTANCES_TOPIC",
     "MESSAGE_KINDS",
+    "DatagramCalls",
     "DatagramLink",
     "DatagramSocket",
     "DutyHeld",
@@ -49,6 +54,8 @@
     "Questions",
     "RendezvousOrder",
     "RolloutNotice",
+    "RoundTripEstimate",
+    "Silences",
     "UpstreamLoad",
     "order_key",
 ]
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -47,7 +47,8 @@
         request_id = headers.text(self.request_id_header)
         if not request_id:
             raise MalformedCallError("X-Request-Id", "missing")
-        prompt_tokens, max_output_tokens = _usage(headers)
+        usage = _usage(headers)
+        prompt_tokens, max_output_tokens = usage or (0, 0)
         return Call(
             request_id=request_id,
             key=_key(headers),
@@ -56,6 +57,7 @@
             prompt=_prompt(headers),
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
+            names_tokens=usage is not None,
             resume_after=headers.text(b"last-event-id"),
         )
 
@@ -110,15 +112,19 @@
         raise MalformedCallError("X-Deadline-Ms", f"no number: {text!r}") from error
 
 
-def _usage(headers: Headers) -> tuple[int, int]:
+def _usage(headers: Headers) -> tuple[int, int] | None:
+    """Return the prompt's tokens and the most to generate, if they are named."""
     text = headers.text(_USAGE)
     if not text:
-        return 0, 0
+        return None
+    prompt_tokens, _, output_tokens = text.partition(",")
     try:
-        prompt_tokens, _, output_tokens = text.partition(",")
-        return int(prompt_tokens), int(output_tokens or 0)
+        usage = int(prompt_tokens), int(output_tokens or 0)
     except ValueError as error:
         raise MalformedCallError("X-Token-Usage", f"no numbers: {text!r}") from error
+    if min(usage) < 0:
+        raise MalformedCallError("X-Token-Usage", f"below zero: {text!r}")
+    return usage
 
 
 def _prompt(headers: Headers) -> PromptChain:
--- a/src/kumquatseam/platform/_records.py
+++ b/src/kumquatseam/platform/_records.py
@@ -11,11 +11,15 @@
     Route,
     RouteTable,
     ServiceTraits,
+    TeamQuota,
     TeamTraits,
     TrafficShare,
 )
 from kumquatseam.upstreams import WeightsNamed
 
+#: the unit of a quota that counts tokens; any other one counts requests.
+_COUNTED_IN_TOKENS = "token_stream"
+
 
 def decode_route_table(value: bytes) -> RouteTable:
     """Return the configuration in an operator's record.
@@ -114,6 +118,20 @@
         keys=tuple(raw.get("apiKeys") or ()),
         priority=None if priority is None else int(priority),
         is_isolated=bool(raw.get("isolated")),
+        quota=_quota(raw),
+    )
+
+
+def _quota(raw: Mapping) -> TeamQuota | None:
+    """Return a team's quota; a rate of 0, or none, means no limit."""
+    rate_per_s = float(raw.get("ratePerS") or 0)
+    if rate_per_s <= 0:
+        return None
+    return TeamQuota(
+        rate_per_s,
+        max(0.0, float(raw.get("burst") or 0)),
+        is_in_tokens=raw.get("unit") == _COUNTED_IN_TOKENS,
+        plain_tokens=max(0, int(raw.get("plainTokens") or 0)),
     )
 
 
--- a/src/kumquatseam/routes/__init__.py
+++ b/src/kumquatseam/routes/__init__.py
@@ -13,6 +13,7 @@
     Route,
     RouteTable,
     ServiceTraits,
+    TeamQuota,
     TeamTraits,
     TrafficShare,
 )
@@ -25,6 +26,7 @@
     "Route",
     "RouteTable",
     "ServiceTraits",
+    "TeamQuota",
     "TeamTraits",
     "TrafficShare",
 ]
--- a/src/kumquatseam/routes/_table.py
+++ b/src/kumquatseam/routes/_table.py
@@ -143,6 +143,31 @@
     cache_store: CacheStore | None = None
 
 
+@attrs.frozen
+class TeamQuota:
+    """What a team may use over all instances.
+
+    :param rate_per_s: requests or tokens a second.
+    :param burst: requests or tokens beyond that at once.
+    :param is_in_tokens: whether tokens are counted, not requests.
+    :param plain_tokens: tokens of a request that does not say how many it uses.
+    """
+
+    rate_per_s: float
+    burst: float
+    is_in_tokens: bool = False
+    plain_tokens: int = 0
+
+    def cost(self, tokens: int | None) -> int:
+        """Return what a request takes of the quota.
+
+        :param tokens: the tokens it says that it uses; ``None`` if it does not.
+        """
+        if not self.is_in_tokens:
+            return 1
+        return self.plain_tokens if tokens is None else tokens
+
+
 @attrs.frozen
 class TeamTraits:
     """A team and its keys.
@@ -151,12 +176,14 @@
     :param keys: keys that authenticate it.
     :param priority: goes before the priority of the route, if set.
     :param is_isolated: shares cached work with no other team.
+    :param quota: what it may use; ``None`` without a limit.
     """
 
     name: str
     keys: tuple[str, ...] = ()
     priority: int | None = None
     is_isolated: bool = False
+    quota: TeamQuota | None = None
 
 
 @attrs.frozen
@@ -178,6 +205,7 @@
     _by_host: dict[str, tuple[Route, ...]] = attrs.field(init=False, eq=False)
     _by_key: dict[str, TeamTraits] = attrs.field(init=False, eq=False)
     _by_service: dict[str, ServiceTraits] = attrs.field(init=False, eq=False)
+    _by_team: dict[str, TeamTraits] = attrs.field(init=False, eq=False)
     #: the stores of kept KV cache.
     cache_stores: tuple[CacheStore, ...] = attrs.field(init=False, eq=False)
 
@@ -196,6 +224,10 @@
     def _index_services(self) -> dict[str, ServiceTraits]:
         return {service.name: service for service in self.services}
 
+    @_by_team.default
+    def _index_teams(self) -> dict[str, TeamTraits]:
+        return {team.name: team for team in self.teams}
+
     @cache_stores.default
     def _find_cache_stores(self) -> tuple[CacheStore, ...]:
         return tuple(s.cache_store for s in self.services if s.cache_store is not None)
@@ -212,6 +244,11 @@
         """Return the team that ``key`` authenticates."""
         return self._by_key.get(key)
 
+    def quota_of(self, team_name: str) -> TeamQuota | None:
+        """Return a team's quota; ``None`` without a limit."""
+        team = self._by_team.get(team_name)
+        return team.quota if team is not None else None
+
     def service(self, name: str) -> ServiceTraits | None:
         """Return the service called ``name``."""
         return self._by_service.get(name)
--- a/src/kumquatseam/settings/_gateway.py
+++ b/src/kumquatseam/settings/_gateway.py
@@ -116,6 +116,20 @@
     slack: float = setting(default=50.0)
 
 
+@attrs.frozen
+class QuotaSettings:
+    """Quotas of teams (section ``[quotas]``).
+
+    :param window_s: the time over which it is looked at whether a quota holds.
+    :param over: share by which all instances together may exceed it then.
+    :param slack: and by how many requests or tokens more.
+    """
+
+    window_s: float = setting(positive=True, default=10.0)
+    over: float = setting(default=0.0)
+    slack: float = setting(default=0.0)
+
+
 @attrs.frozen
 class RolloutSettings:
     """Rolling new weights out (section ``[rollout]``).
@@ -145,6 +159,7 @@
     feeds: FeedSettings
     prompts: PromptSettings
     retries: RetrySettings
+    quotas: QuotaSettings
     rollout: RolloutSettings
 
 
@@ -155,6 +170,7 @@
     "feeds": FeedSettings,
     "prompts": PromptSettings,
     "retries": RetrySettings,
+    "quotas": QuotaSettings,
     "rollout": RolloutSettings,
 }
 
--- a/src/kumquatseam/trackers/__init__.py
+++ b/src/kumquatseam/trackers/__init__.py
@@ -27,7 +27,6 @@
     WorkEnded,
     WorkRead,
 )
-from kumquatseam.trackers._round_trip import RoundTripEstimate
 from kumquatseam.trackers._tracker import LoadTracker
 from kumquatseam.trackers._work import FleetWork, TrackedWork
 
@@ -38,7 +37,6 @@
     "LoadQuestion",
     "LoadTracker",
     "PartsGiven",
-    "RoundTripEstimate",
     "TrackedLoad",
     "TrackedWork",
     "TrackerClient",
--- a/src/kumquatseam/trackers/_client.py
+++ b/src/kumquatseam/trackers/_client.py
@@ -9,36 +9,24 @@
 import gevent.event
 
 from kumquatseam.logs import part_logger
-from kumquatseam.peers import DatagramLink, InstanceRecord, RendezvousOrder
+from kumquatseam.peers import (
+    DatagramLink,
+    InstanceRecord,
+    RendezvousOrder,
+    RoundTripEstimate,
+    Silences,
+)
 from kumquatseam.placement import HolderScope
 from kumquatseam.prompts import PromptPart
 from kumquatseam.trackers._messages import LoadAnswer, LoadQuestion, TrackedLoad
-from kumquatseam.trackers._round_trip import RoundTripEstimate
 from kumquatseam.trackers._tracker import LoadTracker
 
 _log = part_logger("trackers")
 
-#: a tracker that does not answer is passed over for this long, doubling with
-#: each silence in a row up to the second figure. A single lost datagram should
-#: not split what is known of an upstream for long.
-SILENT_S = 0.25
-MAX_SILENT_S = 8.0
 #: holders asked about in one datagram; more would not fit into one packet.
 MAX_HOLDERS = 12
 
 
-@attrs.define
-class _Silence:
-    """A tracker that did not answer.
-
-    :param in_row: silences since it was last heard.
-    :param until_s: passed over until then.
-    """
-
-    in_row: int = 0
-    until_s: float = 0.0
-
-
 @attrs.define
 class _Question:
     """A question that waits for answers.
@@ -82,7 +70,7 @@
         self._clock = clock
         self._wait = wait
         self._round_trip = RoundTripEstimate()
-        self._silences: dict[str, _Silence] = {}
+        self._silences = Silences(clock)
         self._questions: dict[int, _Question] = {}
         self._number = random.getrandbits(48)
         self.asked = 0
@@ -97,10 +85,8 @@
 
         :returns: ``None`` if all of them are silent.
         """
-        now_s = self._clock()
         for record in self._order.of(holder):
-            silence = self._silences.get(record.name)
-            if silence is None or silence.until_s <= now_s:
+            if not self._silences.is_silent(record.name):
                 return record
         return None
 
@@ -174,7 +160,7 @@
         self._link.send(sender, self._tracker.answer(question))
 
     def _take_answer(self, answer: LoadAnswer, _: str) -> None:
-        self._silences.pop(answer.sender, None)
+        self._silences.note_heard(answer.sender)
         question = self._questions.pop(answer.number, None)
         if question is None:
             return
@@ -186,13 +172,9 @@
 
     def _note_silent(self, record: InstanceRecord) -> None:
         self.unanswered += 1
-        silence = self._silences.setdefault(record.name, _Silence())
-        silence.in_row += 1
-        pause_s = min(MAX_SILENT_S, SILENT_S * 2 ** (silence.in_row - 1))
-        silence.until_s = self._clock() + pause_s
+        pause_s = self._silences.note_silent(record.name)
         _log.bind(
             peer=record.name,
-            in_row=silence.in_row,
             for_s=pause_s,
             timeout_s=round(self._round_trip.timeout_s, 4),
         ).debug("Tracker silent.")
