A log service that returns from an older copy: positions carry their era

What callers would see: after a drill in which the store goes on from a copy some seconds old, offsets are given out a second time. The lease's fencing token was the record's offset: a new holder got a token that engines had seen before, and an old one went on believing in a lease that was gone. A copy of a topic whose old offset had been passed meanwhile never saw that records were lost.

Cause: offsets were taken for lasting, in: fencing tokens and what contenders saw of a lease; copies of topics, and what instances tell and ask each other about them; conditional appends and their read-back; pages of one listing; the list of instances; records of suspected requests; the configuration that others are told.

Change: a position is an offset with the era of the service (Store-Era), one number ordered by the era first, so that everything that compares them is right without knowing of eras; in the first era it is the offset itself. A read from another era's position counts as expired. Whoever learns of a return waits a whole lease; a holder whose record is lost takes it anew while it still holds it. A whole batch of a new era does not put an older value in the place of a newer one, entries of upstreams get the grace of an outage, suspects and the own record are written again. The stand-in store copies its records and returns from the copy (PUT /standin/copy, /standin/return).

Ruled out: a field for the era beside each offset (every message, comparison and record would have to carry it, and one forgotten place is wrong silently). Giving the duty up at each return (a gap of a lease and more where nobody orders).

With processes: a gateway goes on serving and has the next configuration within 3 s.

Left: a router of the product's own interface puts an older configuration in force until the operators' commands are written again; a process that starts just then reads the older configuration from the log; a topic emptied by the return is taken at once.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -172,6 +172,15 @@
     Then requests are served all the same
     And a gateway that starts now is not ready and refuses with 503
 
+  Scenario: The store returns from an older copy
+    Given a gateway before 1 plain replica
+    And the store is copied
+    And the configuration is written 3 more times
+    When the store returns from the copy
+    And the configuration is written again, newer than before
+    Then it is in force within 3 seconds
+    And a caller's request is answered meanwhile and afterwards
+
   Scenario Outline: Settings are checked
     When the gateway starts with the setting "<line>"
     Then it ends with code 2 and says "<text>"
--- /dev/null
+++ b/features/steps/log_return_steps.py
@@ -0,0 +1,480 @@
+"""Steps for a log service that returns from an older copy, in modelled time."""
+
+import base64
+import contextlib
+import json
+import random
+
+import gevent
+import urllib3
+from behave import given, then, when
+from feeds_steps import TOPIC, FeedWorld, ModelledInstance
+from modelled_clock import Clock
+from quarantine_world import lone_quarantine
+
+from kumquatseam.feeds import TopicCopy
+from kumquatseam.leases import DutyLease
+from kumquatseam.logservice import (
+    HttpLogService,
+    KeyedReader,
+    LogServiceError,
+    era_of,
+    frame_slice,
+)
+from kumquatseam.peers import INSTANCES_TOPIC, InstanceRecord, InstanceRegistry
+from kumquatseam.platform._topics import OperatorListener, UpstreamListener
+from kumquatseam.quarantine import SUSPECTS_TOPIC
+from kumquatseam.quarantine._crashes import Crashes
+from kumquatseam.quarantine._messages import RECORD_CODEC, CrashRecord
+from kumquatseam.routes import LiveRouteTable
+from kumquatseam.standins.logservice import (
+    InMemoryLogService,
+    LogFaults,
+    LogStore,
+    LogStoreLimits,
+)
+from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
+
+DUTY = "d"
+DUTY_TOPIC = "kumquatseam.duty.d"
+STEP_S = 0.05
+#: records in a page of answers.
+PAGE_RECORDS = 500
+
+
+class Contender:
+    """A router that contends for the duty."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.number = number
+        self.faults = LogFaults()
+        self.down_until_s = 0.0
+        self.start()
+
+    def start(self):
+        log = InMemoryLogService(self.world.store, self.faults)
+        self.lease = DutyLease(
+            log,
+            DUTY,
+            f"r{self.number}",
+            3.0,
+            lambda: self.number,
+            self.world.clock,
+            lambda fence: self.world.tell(self, fence),
+        )
+
+
+class DutyWorld:
+    """Routers, the log and what was seen of the duty."""
+
+    def __init__(self, count):
+        self.clock = Clock()
+        limits = LogStoreLimits(appends_per_s=10_000)
+        self.store = LogStore(limits, self.clock)
+        self.tokens = []
+        self.two_at_once = []
+        self.held_steps = self.steps = 0
+        self.holders = []
+        self.draw = random.Random(0)
+        self.routers = [Contender(self, n) for n in range(count)]
+
+    def tell(self, teller, fence):
+        for router in self.routers:
+            # Half of what is told gets lost.
+            if router is not teller and self.draw.random() < 0.5:
+                router.lease.note_held(fence)
+
+    def step(self):
+        self.clock.now_s += STEP_S
+        for router in self.routers:
+            if router.down_until_s <= self.clock():
+                router.lease.step()
+        held = [r for r in self.routers if r.lease.fence is not None]
+        if len(held) > 1:
+            self.two_at_once.append((self.clock(), [r.number for r in held]))
+        self.steps += 1
+        self.held_steps += bool(held)
+        for router in held:
+            last = self.tokens[-1] if self.tokens else None
+            if last is None or last != (router.number, router.lease.fence):
+                self.tokens.append((router.number, router.lease.fence))
+
+    def run(self, for_s):
+        end_s = self.clock() + for_s
+        while self.clock() < end_s:
+            self.step()
+
+
+@given("{count:d} routers that contend for a duty with a lease of 3 seconds")
+def step_contend(context, count):
+    context.duty = DutyWorld(count)
+    context.duty.run(5.0)
+    assert context.duty.tokens
+
+
+@when(
+    "{for_s:d} seconds pass with returns of the log, cuts and restarts, seed {seed:d}"
+)
+def step_explore(context, for_s, seed):
+    world = context.duty
+    draw = world.draw = random.Random(seed)
+    end_s = world.clock() + for_s
+    kept = world.store.copy_topics()
+    while world.clock() < end_s:
+        event = draw.choice(("copy", "return", "cut", "restart", "noise", "heal"))
+        router = draw.choice(world.routers)
+        if event == "copy":
+            kept = world.store.copy_topics()
+        elif event == "return":
+            world.store.return_from(kept)
+        elif event == "cut":
+            router.faults.down = True
+        elif event == "restart":
+            router.start()
+            router.down_until_s = world.clock() + draw.uniform(0.0, 2.0)
+        elif event == "noise":
+            with contextlib.suppress(LogServiceError):
+                world.store.append("other", [b"x"])
+        else:
+            for other in world.routers:
+                other.faults.down = False
+        world.run(draw.uniform(0.1, 4.0))
+
+
+@when("the log returns from a copy 2 seconds old while one of them holds it")
+def step_return_held(context):
+    world = context.duty
+    world.run(2.0)
+    kept = world.store.copy_topics()
+    world.run(2.0)
+    world.store.return_from(kept)
+    context.before = world.tokens[-1]
+    steps, held = world.steps, world.held_steps
+    world.run(10.0)
+    context.is_always_held = world.steps - steps == world.held_steps - held
+
+
+@then("the same router holds it all the time, with a higher token")
+def step_same_holder(context):
+    number, token = context.duty.tokens[-1]
+    assert context.is_always_held
+    assert number == context.before[0] and token > context.before[1]
+    assert era_of(token) == era_of(context.before[1]) + 1
+
+
+@when("the log returns from a copy 2 seconds old and others append {count:d} records")
+def step_return_grown(context, count):
+    world = context.duty
+    kept = world.store.copy_topics()
+    world.run(2.0)
+    world.store.return_from(kept)
+    # Records of a router that is gone; what they hold cannot be read either.
+    for _ in range(count):
+        world.store.append(DUTY_TOPIC, [b"x"])
+    world.run(20.0)
+
+
+@then("no two routers ever held the duty at once")
+def step_one_holder(context):
+    assert not context.duty.two_at_once, context.duty.two_at_once[:5]
+
+
+@then("each holder's token was above all tokens before")
+def step_tokens_rise(context):
+    tokens = [token for _, token in context.duty.tokens]
+    assert len(tokens) > 2
+    assert tokens == sorted(set(tokens)), tokens
+
+
+@then("the duty was held for at least {share:g} of the time")
+def step_held_share(context, share):
+    world = context.duty
+    assert world.held_steps / world.steps >= share, world.held_steps / world.steps
+
+
+# Topics.
+
+
+@given("3 instances that follow a topic of the log together")
+def step_follow(context):
+    world = context.feed = FeedWorld()
+    world.instances = [ModelledInstance(world, f"i{n}") for n in range(3)]
+    log = InMemoryLogService(world.store)
+    for number in range(5):
+        log.append_keyed(TOPIC, f"k{number}", b"first")
+    _run_feed(world, 5.0)
+
+
+def _run_feed(world, for_s):
+    end_s = world.clock() + for_s
+    while world.clock() < end_s:
+        world.clock.now_s += STEP_S
+        for instance in world.instances:
+            instance.step()
+
+
+@when("one of them is cut off from the log")
+def step_cut_one(context):
+    context.feed.instances[1].log.faults.down = True
+
+
+@when('the value "lost" is written, read by all and lost in a return from a copy')
+def step_lost(context):
+    world = context.feed
+    kept = world.store.copy_topics()
+    log = InMemoryLogService(world.store)
+    for key in ("k1", "only"):
+        log.append_keyed(TOPIC, key, b"lost")
+    _run_feed(world, 4.0)
+    assert all(i.listener.values.get("only") == b"lost" for i in world.instances)
+    world.store.return_from(kept)
+
+
+@when('the value "new" is written under other keys until the end is past the old one')
+def step_new(context):
+    world = context.feed
+    log = InMemoryLogService(world.store)
+    for number in range(6):
+        log.append_keyed(TOPIC, f"new{number}", b"new")
+    _run_feed(world, 8.0)
+
+
+@then("all instances know exactly what the log holds")
+def step_know(context):
+    world = context.feed
+    page = InMemoryLogService(world.store).newest(TOPIC)
+    expected = {record.key: record.value for record in page.records}
+    for instance in world.instances:
+        known = {k: v for k, v in instance.listener.values.items() if v}
+        assert known == expected, (instance.name, known, expected)
+        assert instance.watch.copy.next_offset == page.end_offset
+
+
+# What listeners make of it.
+
+
+class Side:
+    """An instance that follows one topic by itself."""
+
+    def __init__(self, topic, listener):
+        self.clock = Clock()
+        self.store = LogStore(LogStoreLimits(), self.clock)
+        self.log = InMemoryLogService(self.store)
+        self.topic = topic
+        self.copy = TopicCopy(listener, self.clock)
+        self.reader = KeyedReader(self.log, topic)
+
+    def write(self, key, value):
+        self.log.append_keyed(self.topic, key, value)
+
+    def read(self):
+        self.copy.take(self.reader.read(self.copy.next_offset))
+
+
+def _configuration(version):
+    return b'{"version": %d, "routes": [], "services": []}' % version
+
+
+@given("an instance with configuration 7 in force, read from the log")
+def step_in_force(context):
+    context.live = LiveRouteTable()
+    listener = OperatorListener(context.live, WeightsTargets())
+    side = context.side = Side("keyed.op", listener)
+    side.write("config", _configuration(4))
+    context.kept = side.store.copy_topics()
+    side.write("config", _configuration(7))
+    side.read()
+    assert context.live.current.version == 7
+
+
+@when("the log returns from a copy that holds configuration 4")
+def step_return_old(context):
+    context.side.store.return_from(context.kept)
+    context.side.read()
+
+
+@then("configuration 7 stays in force, and others are told configuration 7")
+def step_stays(context):
+    assert context.live.current.version == 7
+    (change,) = context.side.copy.whole().changes
+    assert change.value == _configuration(7), change
+
+
+@when("configuration 9 is written")
+def step_written(context):
+    context.side.write("config", _configuration(9))
+    context.side.read()
+
+
+@then("configuration 9 is in force")
+def step_nine(context):
+    assert context.live.current.version == 9
+    (change,) = context.side.copy.whole().changes
+    assert change.value == _configuration(9), change
+
+
+ENTRY = (
+    b'{"service": "s", "address": "10.0.0.1:80", "zone": "z", "version": "1",'
+    b' "slots": 4, "state": "ready", "coldLeftMs": 0, "sequence": 1}'
+)
+
+
+@given("an instance that knows an upstream from the log")
+def step_upstream(context):
+    directory = UpstreamDirectory(Clock())
+    side = context.side = Side("keyed.servers", UpstreamListener(directory))
+    directory._clock = side.clock
+    context.directory = directory
+    context.kept = side.store.copy_topics()
+    side.write("u1", ENTRY)
+    side.read()
+    assert len(directory.all()) == 1
+
+
+@when("the log returns from a copy without its entry")
+@when("the log returns from a copy without its record")
+def step_return_without(context):
+    context.side.store.return_from(context.kept)
+    context.side.read()
+
+
+@then("the upstream whose entry is lost still takes work")
+def step_still(context):
+    (status,) = context.directory.all()
+    assert not status.upstream.is_leaving
+
+
+@when("its entry does not come back within 3 seconds")
+def step_not_back(context):
+    context.side.clock.now_s += 3.0
+    context.directory.sweep()
+
+
+@then("the upstream whose entry is lost is gone")
+def step_gone(context):
+    assert not context.directory.all()
+
+
+@given("an instance that knows a suspected request from the log")
+def step_suspect(context):
+    quarantine = lone_quarantine()
+    side = context.side = Side(SUSPECTS_TOPIC, quarantine.suspects)
+    context.suspects = quarantine.suspects
+    context.kept = side.store.copy_topics()
+    record = RECORD_CODEC.encode(CrashRecord(Crashes(("e1", "e2", "e3"))))
+    side.write("f1", record)
+    side.read()
+    assert not context.suspects.unwritten()
+
+
+@then("the request is still suspected and has to be written again")
+def step_suspected(context):
+    assert context.suspects.is_suspected("f1")
+    assert context.suspects.unwritten() == ["f1"]
+
+
+class OneBus:
+    """A bus of one instance."""
+
+    def add(self, record):
+        pass
+
+    def remove(self, name):
+        raise AssertionError(f"{name} was forgotten")
+
+
+@given("an instance that is registered in the log")
+def step_registered(context):
+    record = InstanceRecord("me", "10.0.0.9:1")
+    side = context.side = Side(INSTANCES_TOPIC, None)
+    context.registry = InstanceRegistry(side.log, OneBus(), record)
+    side.copy = TopicCopy(context.registry, side.clock)
+    context.kept = side.store.copy_topics()
+    context.registry.start()
+    gevent.sleep(0.01)
+    side.read()
+    assert side.copy.whole().changes
+
+
+@then("its record is in the log again")
+def step_again(context):
+    gevent.sleep(0.01)
+    context.registry.close()
+    page = context.side.log.newest(INSTANCES_TOPIC)
+    assert [record.key for record in page.records] == ["me"]
+
+
+# The client.
+
+
+class PagedAnswers(HttpLogService):
+    """Answers as the log service does, a page at a time.
+
+    :param store: the records.
+    :param after_page: called after the first page.
+    """
+
+    def __init__(self, store, after_page=lambda: None):
+        super().__init__("http://unused")
+        self.store = store
+        self.after_page = after_page
+        self.pages = 0
+
+    def _call(self, method, path, fields, topic, body=None, extra_s=0.0):
+        era = {"Store-Era": str(self.store.era)}
+        if path == "/log-read":
+            return urllib3.HTTPResponse(frame_slice(0, 0, []), era)
+        found = self.store.newest(topic)
+        left = [r for r in found.records if r.key > fields.get("after", "")]
+        items = [
+            {
+                "key": record.key,
+                "value": base64.b64encode(record.value).decode(),
+                "offset": record.offset,
+            }
+            for record in left[:PAGE_RECORDS]
+        ]
+        has_more = len(left) > PAGE_RECORDS
+        page = {"items": items, "hasMore": has_more, "end": found.end_offset}
+        self.pages += 1
+        if self.pages == 1:
+            self.after_page()
+        return urllib3.HTTPResponse(json.dumps(page).encode(), era)
+
+
+@given("a log service holding {count:d} records that returns from a copy between pages")
+def step_two_pages(context, count):
+    store = LogStore(LogStoreLimits(appends_per_s=10_000))
+    log = InMemoryLogService(store)
+    for number in range(count):
+        log.append_keyed(TOPIC, f"k{number:04}", b"kept")
+    kept = store.copy_topics()
+    for number in range(count):
+        log.append_keyed(TOPIC, f"k{number:04}", b"lost")
+    context.log = PagedAnswers(store, lambda: store.return_from(kept))
+
+
+@then("what is read is what the copy holds, {count:d} records")
+def step_copy_read(context, count):
+    page = context.log.newest(TOPIC)
+    assert len(page.records) == count, len(page.records)
+    assert {record.value for record in page.records} == {b"kept"}
+    assert era_of(page.end_offset) == 1
+
+
+@given('a log service that names the era "{text}"')
+def step_bad_era(context, text):
+    store = LogStore(LogStoreLimits())
+    store.era = text
+    context.log = PagedAnswers(store)
+
+
+@then('a read fails with "{words}"')
+def step_read_fails(context, words):
+    try:
+        context.log.read(TOPIC, 0)
+        found = ""
+    except LogServiceError as error:
+        found = str(error)
+    assert words in found, found
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -533,16 +533,14 @@
     world = context.platform
     world.quota = {"ratePerS": rate, "burst": burst}
     world.put_configuration()
-    gateway = world.gateways[0]
+    wait_until("the quota is in force", lambda: _is_in_force(world))
 
-    def is_in_force():
-        return any(
-            line["event"] == "Configuration in force."
-            and line["version"] == world.version
-            for line in gateway.lines()
-        )
 
-    wait_until("the quota is in force", is_in_force)
+def _is_in_force(world):
+    return any(
+        line["event"] == "Configuration in force." and line["version"] == world.version
+        for line in world.gateways[0].lines()
+    )
 
 
 @when("its caller sends {count:d} requests one after the other")
@@ -580,3 +578,42 @@
     ]
     refused = sum(answer.status == 429 for answer in context.answers)
     assert float(line.split()[-1]) == refused, line
+
+
+# A store that returns from an older copy.
+
+
+@given("the store is copied")
+def step_copied(context):
+    context.platform.change_store("copy")
+
+
+@given("the configuration is written {count:d} more times")
+def step_written_more(context, count):
+    world = context.platform
+    for _ in range(count):
+        world.put_configuration()
+        wait_until("it is in force", lambda: _is_in_force(world))
+
+
+@when("the store returns from the copy")
+def step_returns(context):
+    context.platform.change_store("return")
+    context.answer_meanwhile = context.platform.send()
+
+
+@when("the configuration is written again, newer than before")
+def step_written_again(context):
+    context.platform.put_configuration()
+
+
+@then("it is in force within {within_s:g} seconds")
+def step_in_force_within(context, within_s):
+    world = context.platform
+    wait_until("it is in force", lambda: _is_in_force(world), within_s)
+
+
+@then("a caller's request is answered meanwhile and afterwards")
+def step_answered_both(context):
+    assert context.answer_meanwhile.status == 200
+    assert context.platform.send().status == 200
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -216,6 +216,10 @@
         url = f"http://127.0.0.1:{self.log_port}/standin/faults"
         HTTP.request("PUT", url, body=json.dumps(faults).encode())
 
+    def change_store(self, what):
+        """Have the store make a copy, or return from it."""
+        HTTP.request("PUT", f"http://127.0.0.1:{self.log_port}/standin/{what}")
+
     # Gateways and callers.
 
     def add_gateway(self, wait=True, **options) -> GatewayProcess:
--- a/src/kumquatseam/feeds/_copy.py
+++ b/src/kumquatseam/feeds/_copy.py
@@ -3,7 +3,13 @@
 import time
 from collections.abc import Callable
 
-from kumquatseam.logservice import KeyedBatch, KeyedChange, KeyedListener, Learning
+from kumquatseam.logservice import (
+    KeyedBatch,
+    KeyedChange,
+    KeyedListener,
+    Learning,
+    era_of,
+)
 
 
 class TopicCopy:
@@ -46,7 +52,12 @@
         """Return whether nothing is missing between this copy and ``batch``."""
         if batch.is_whole:
             return True
-        return self.next_offset is not None and batch.from_offset <= self.next_offset
+        if self.next_offset is None:
+            return False
+        if self._is_restored(batch):
+            # What is new was told to those who had known exactly as much.
+            return batch.from_offset == self.next_offset
+        return batch.from_offset <= self.next_offset
 
     def take(
         self, batch: KeyedBatch, outage_age_s: float | None = None, age_s: float = 0.0
@@ -59,7 +70,11 @@
         """
         if self.next_offset is not None and batch.next_offset < self.next_offset:
             return ()
-        learning = Learning(batch.is_whole, outage_age_s)
+        is_restored = self._is_restored(batch)
+        if is_restored:
+            # Entries that are missing are written again if their owners live.
+            outage_age_s = 0.0
+        learning = Learning(batch.is_whole, outage_age_s, is_restored)
         changes = self._missing(batch)
         news = tuple(change for change in changes if self._store(change, learning))
         self.next_offset = batch.next_offset
@@ -80,9 +95,18 @@
         changes += [c for c in batch.changes if self._values.get(c.key) != c.value]
         return changes
 
+    def _is_restored(self, batch: KeyedBatch) -> bool:
+        """Return whether the log returned from an older copy before ``batch``."""
+        known = self.next_offset
+        return known is not None and era_of(batch.next_offset) > era_of(known)
+
     def _store(self, change: KeyedChange, learning: Learning) -> bool:
+        is_news = self._listener.take(change.key, change.value, learning)
+        if learning.is_restored and not is_news and change.key in self._values:
+            # Others are told of what was known and will be written again.
+            return False
         if change.value:
             self._values[change.key] = change.value
         else:
             self._values.pop(change.key, None)
-        return self._listener.take(change.key, change.value, learning)
+        return is_news
--- a/src/kumquatseam/feeds/_shared_watch.py
+++ b/src/kumquatseam/feeds/_shared_watch.py
@@ -18,6 +18,7 @@
     KeyedReader,
     LogService,
     LogServiceError,
+    era_of,
 )
 from kumquatseam.loops import BackgroundTask
 
@@ -225,6 +226,13 @@
         self._note_success()
         self._has_gap = False
         known_offset = self.copy.next_offset
+        if known_offset is not None and era_of(batch.next_offset) > era_of(
+            known_offset
+        ):
+            _log.bind(topic=self.topic, era=era_of(batch.next_offset)).warning(
+                "The log returned from an older copy."
+            )
+            self._note_outage(self._clock())
         news = self.copy.take(batch, self._outage_age_s())
         if self.is_reader:
             self._tell(known_offset, news)
--- a/src/kumquatseam/fleet/_follower.py
+++ b/src/kumquatseam/fleet/_follower.py
@@ -37,6 +37,7 @@
     LogServiceError,
     append_once,
     frame_keyed,
+    offset_of,
     unframe_keyed,
 )
 from kumquatseam.loops import BackgroundTask
@@ -146,7 +147,7 @@
     :raises LogServiceError: if the log did not answer.
     """
     state = load_newest(log)
-    if state.next_offset == 0:
+    if offset_of(state.next_offset) == 0:
         state = _seed(log, seed_configuration)
     return read_state(log, state)
 
--- a/src/kumquatseam/leases/_lease.py
+++ b/src/kumquatseam/leases/_lease.py
@@ -1,13 +1,17 @@
 """A lease on a fleet duty, kept in the log service.
 
-The newest record of the duty's topic names its holder; its offset is the
-fencing token. A contender may take the lease once no newer record appeared
-for ``lease_s`` since it first saw the newest one, which needs no agreement
-of clocks. The append is conditional, so of racing contenders one wins. The
-holder counts its own lease from before it began the append, so it always
-stops acting before anyone may take over; a holder that was paused past its
-lease finds it lapsed before it acts, and an order it had already sent
-carries a token that is no longer the newest.
+The newest record of the duty's topic names its holder; its position is the
+fencing token. Positions never go back, also when the log service returns from an
+older copy and has lost the newest records. Whoever learns of such a return waits a
+whole lease from then on, since the lost records may be a renewal; a holder whose
+own record is lost takes the lease anew while it still holds it.
+
+A contender may take the lease once no newer record appeared for ``lease_s`` since
+it first saw the newest one, which needs no agreement of clocks. The append is
+conditional, so of racing contenders one wins. The holder counts its own lease from
+before it began the append, so it always stops acting before anyone may take over; a
+holder that was paused past its lease finds it lapsed before it acts, and an order it
+had already sent carries a token that is no longer the newest.
 """
 
 import time
@@ -17,6 +21,7 @@
 import attrs
 
 from kumquatseam.codec import MessageCodec
+from kumquatseam.errors import CodecError
 from kumquatseam.logs import part_logger
 from kumquatseam.logservice import (
     LogConflictError,
@@ -24,6 +29,8 @@
     LogService,
     LogServiceError,
     append_once,
+    era_of,
+    offset_of,
 )
 
 _log = part_logger("duty")
@@ -109,14 +116,13 @@
     def note_held(self, fence: int) -> None:
         """Take in that another router holds the lease, as it says itself.
 
-        That router's record is at the offset ``fence``, so this one need not look
+        That router's record is at the position ``fence``, so this one need not look
         at the log for as long as a look would have been worth. Three contenders
         that look all the time made a quarter of a small fleet's calls to the log.
         """
         if fence < self._next_offset:
             return
-        self._next_offset = fence + 1
-        self._newest_seen_s = self._clock()
+        self._note_seen(fence + 1)
         self._look_at_s = self._clock() + self._lease_s * HEARD_LOOK_SHARE
 
     def step(self) -> None:
@@ -143,7 +149,7 @@
             return
         silent_s = now_s - self._newest_seen_s
         patience_s = self._lease_s + rank * RANK_DELAY_S
-        if not self._next_offset or silent_s >= patience_s:
+        if not offset_of(self._next_offset) or silent_s >= patience_s:
             self._take()
 
     def _look(self) -> None:
@@ -152,32 +158,76 @@
             found = self._log_service.read(self._topic, self._next_offset)
         except LogRecordsExpiredError as expired:
             # Records this router never saw are gone: one may be a renewal.
-            self._newest_seen_s = self._clock()
-            self._next_offset = expired.first_offset
+            self._note_seen(expired.first_offset)
             found = self._log_service.read(self._topic, self._next_offset)
         if found.end_offset > self._next_offset:
-            self._next_offset = found.end_offset
-            self._newest_seen_s = self._clock()
+            self._note_seen(found.end_offset)
 
     def _take(self) -> None:
         """Append a lease record at the end this router has seen."""
         began_s = self._clock()
-        payload = _CODEC.encode(LeaseRecord(uuid.uuid4().hex, self._holder))
         try:
-            offset = append_once(
-                self._log_service, self._topic, [payload], self._next_offset, attempts=2
-            )
-        except LogConflictError:
-            _log.info("Another router holds duty={}.", self._duty)
-            self._fence = None
-            return
+            offset = self._append(self._next_offset)
+        except LogConflictError as conflict:
+            offset = self._take_anew(conflict)
         except LogServiceError as error:
             _log.warning("Cannot take duty={}: {}.", self._duty, error)
             return
+        if offset is None:
+            _log.info("Another router holds duty={}.", self._duty)
+            self._fence = None
+            return
         if self._fence is None:
             _log.info("Took duty={} fence={}.", self._duty, offset)
         self._fence = offset
-        self._next_offset = offset + 1
-        self._newest_seen_s = self._clock()
+        self._note_seen(offset + 1)
         self._held_until_s = began_s + self._lease_s
         self._on_held(offset)
+
+    def _append(self, at: int) -> int | None:
+        """Append a lease record; return its position.
+
+        :returns: ``None`` if the topic happens to end there after a return from a
+            copy: the record then follows others than this router has seen.
+        :raises LogConflictError: if the topic does not end at ``at``.
+        """
+        payload = _CODEC.encode(LeaseRecord(uuid.uuid4().hex, self._holder))
+        offset = append_once(self._log_service, self._topic, [payload], at, attempts=2)
+        if era_of(offset) == era_of(at) or not offset_of(at):
+            return offset
+        self._note_seen(offset + 1)
+        return None
+
+    def _take_anew(self, conflict: LogConflictError) -> int | None:
+        """Append again if this router holds the lease and its record was lost.
+
+        Nobody else can have taken the lease since: all wait a whole lease after
+        they learnt of the return, and this one ends before.
+
+        :returns: the position, or ``None`` if it is not so.
+        """
+        end_offset = conflict.end_offset
+        is_return = era_of(end_offset) > era_of(self._next_offset)
+        if not is_return or self.fence is None:
+            return None
+        try:
+            found = self._log_service.read(self._topic, end_offset - 1)
+            if not found.records or not self._is_own(found.records[-1].payload):
+                return None
+            _log.info("Takes duty={} anew: the log lost its record.", self._duty)
+            return self._append(found.end_offset)
+        except LogServiceError as error:
+            _log.warning("Cannot take duty={} anew: {}.", self._duty, error)
+            return None
+
+    def _is_own(self, payload: bytes) -> bool:
+        try:
+            return _CODEC.decode(payload).holder == self._holder
+        except CodecError as error:
+            _log.warning("Bad record of duty={}: {}.", self._duty, error)
+            return False
+
+    def _note_seen(self, next_offset: int) -> None:
+        """Note that there may have been a renewal just now."""
+        self._next_offset = next_offset
+        self._newest_seen_s = self._clock()
--- a/src/kumquatseam/logservice/__init__.py
+++ b/src/kumquatseam/logservice/__init__.py
@@ -28,6 +28,7 @@
     KeyedChange,
     KeyedReader,
 )
+from kumquatseam.logservice._positions import check_era, era_of, offset_of, position
 from kumquatseam.logservice._service import (
     KEYED_PREFIX,
     KeyedPage,
@@ -56,9 +57,13 @@
     "LogSlice",
     "LogUnavailableError",
     "append_once",
+    "check_era",
+    "era_of",
     "frame_keyed",
     "frame_records",
     "frame_slice",
+    "offset_of",
+    "position",
     "unframe_keyed",
     "unframe_records",
 ]
--- a/src/kumquatseam/logservice/_append_once.py
+++ b/src/kumquatseam/logservice/_append_once.py
@@ -31,7 +31,7 @@
     yet take effect, and appending again under the same condition is then
     safe, since only one append can ever land at ``at``.
 
-    :returns: ``at``.
+    :returns: the offset of the first payload; see :meth:`LogService.append`.
     :raises LogConflictError: if another record holds offset ``at``; ours are
         not in the log and never will be.
     :raises LogUnavailableError: if nothing was done in every attempt.
--- a/src/kumquatseam/logservice/_http.py
+++ b/src/kumquatseam/logservice/_http.py
@@ -19,6 +19,7 @@
     frame_records,
     unframe_slice,
 )
+from kumquatseam.logservice._positions import check_era, era_of, offset_of, position
 from kumquatseam.logservice._service import (
     KeyedPage,
     KeyedRecord,
@@ -31,6 +32,8 @@
 _CONFLICT = 412
 _GONE = 410
 _OK = 200
+#: names the era of the log service; it rises when it returned from an older copy.
+_ERA_HEADER = "Store-Era"
 #: the most a single read may return.
 MAX_READ_KB = 1024
 
@@ -60,10 +63,10 @@
     ) -> int:
         fields = {"topic": topic, "part": 0}
         if at is not None:
-            fields["at"] = at
+            fields["at"] = offset_of(at)
         body = frame_records(payloads)
         answer = self._call("POST", "/log-append", fields, topic, body=body)
-        return _field(answer, "offset")
+        return position(_era(answer), _field(answer.data, "offset"))
 
     def append_keyed(
         self, topic: str, key: str, value: bytes, at: int | None = None
@@ -74,20 +77,22 @@
         fields = {
             "topic": topic,
             "part": 0,
-            "from": from_offset,
+            "from": offset_of(from_offset),
             "maxKb": MAX_READ_KB,
             "waitMs": int(wait_s * 1000),
         }
         answer = self._call("GET", "/log-read", fields, topic, extra_s=wait_s)
         try:
-            end_offset, first_offset, payloads = unframe_slice(answer)
+            end_offset, first_offset, payloads = unframe_slice(answer.data)
         except CodecError as error:
             raise LogAnswerLostError(str(error)) from error
+        era = _era(answer)
+        check_era(topic, from_offset, era, first_offset)
+        begin = position(era, offset_of(from_offset))
         records = tuple(
-            LogRecord(from_offset + index, payload)
-            for index, payload in enumerate(payloads)
+            LogRecord(begin + index, payload) for index, payload in enumerate(payloads)
         )
-        return LogSlice(first_offset, end_offset, records)
+        return LogSlice(position(era, first_offset), position(era, end_offset), records)
 
     def newest(self, topic: str) -> KeyedPage:
         records: list[KeyedRecord] = []
@@ -95,19 +100,27 @@
         fields = {"topic": topic, "part": 0}
         while True:
             answer = self._call("GET", "/log-newest", fields, topic)
-            for item in _field(answer, "items"):
+            era = _era(answer)
+            if end_offset is not None and era_of(end_offset) != era:
+                # The pages before are of another history.
+                records, end_offset = [], None
+                del fields["after"]
+                continue
+            for item in _field(answer.data, "items"):
                 value = base64.b64decode(item["value"])
-                records.append(KeyedRecord(item["key"], value, item["offset"]))
+                at = position(era, item["offset"])
+                records.append(KeyedRecord(item["key"], value, at))
             # Pages are no snapshot: what changes meanwhile lies past the end
             # of the first page, from where a reader goes on.
-            end_offset = _field(answer, "end") if end_offset is None else end_offset
-            if not _field(answer, "hasMore"):
+            if end_offset is None:
+                end_offset = position(era, _field(answer.data, "end"))
+            if not _field(answer.data, "hasMore"):
                 return KeyedPage(tuple(records), end_offset)
             fields["after"] = records[-1].key
 
     def _call(
         self, method: str, path: str, fields, topic: str, body=None, extra_s=0.0
-    ) -> bytes:
+    ) -> urllib3.BaseHTTPResponse:
         self.calls += 1
         timeout = urllib3.Timeout(
             connect=self._timeout_s, read=self._timeout_s + extra_s
@@ -128,14 +141,28 @@
         except urllib3.exceptions.HTTPError as error:
             raise LogAnswerLostError(repr(error)) from error
         if response.status == _OK:
-            return response.data
+            return response
+        era = _era(response)
         if response.status == _CONFLICT:
-            raise LogConflictError(topic, _field(response.data, "end"))
+            end_offset = position(era, _field(response.data, "end"))
+            raise LogConflictError(topic, end_offset)
         if response.status == _GONE:
-            raise LogRecordsExpiredError(topic, _field(response.data, "first"))
+            first_offset = position(era, _field(response.data, "first"))
+            raise LogRecordsExpiredError(topic, first_offset)
         raise LogUnavailableError(f"HTTP {response.status}")
 
 
+def _era(response: urllib3.BaseHTTPResponse) -> int:
+    """Return the era that an answer names; 0 if it names none.
+
+    :raises LogAnswerLostError: if it cannot be read.
+    """
+    text = response.headers.get(_ERA_HEADER, "0")
+    if not text.isdecimal():
+        raise LogAnswerLostError(f"unreadable era: {text[:80]!r}")
+    return int(text)
+
+
 def _field(answer: bytes, name: str):
     """Return a field of a JSON answer.
 
--- a/src/kumquatseam/logservice/_keyed_listener.py
+++ b/src/kumquatseam/logservice/_keyed_listener.py
@@ -13,10 +13,13 @@
         new.
     :param outage_age_s: how long ago the log was last out of reach; ``None`` if
         not lately.
+    :param is_restored: the log returned from an older copy: the value may be older
+        than the one known, and a dropped key may be lost.
     """
 
     is_history: bool = False
     outage_age_s: float | None = None
+    is_restored: bool = False
 
 
 class KeyedListener(abc.ABC):
@@ -27,7 +30,8 @@
         """Take in a new value; empty when the key was dropped.
 
         :returns: whether it changed anything; what did not is not passed on to
-            other instances.
+            other instances, and after a return of the log from a copy does not take
+            the place of the value before.
         """
 
     def note_synced(self) -> None:  # noqa: B027 - most listeners need not know
--- a/src/kumquatseam/logservice/_service.py
+++ b/src/kumquatseam/logservice/_service.py
@@ -1,4 +1,8 @@
-"""The interface to the log service and the records it returns."""
+"""The interface to the log service and the records it returns.
+
+Every offset here is a position: an offset with the era of the log service, see
+:mod:`kumquatseam.logservice._positions`.
+"""
 
 import abc
 import time
@@ -77,7 +81,8 @@
 
         :param topic: created on first use.
         :param at: append only if the topic ends at this offset.
-        :returns: the offset of the first record.
+        :returns: the offset of the first record. It is of a later era than ``at`` if
+            the service returned from a copy meanwhile and happened to end there.
         :raises LogConflictError: if the topic does not end at ``at``.
         :raises LogUnavailableError: if nothing was done.
         :raises LogAnswerLostError: if it may have been done.
@@ -88,7 +93,8 @@
         """Return records from ``from_offset`` on, waiting for the first.
 
         :param wait_s: how long to wait if the topic ends there.
-        :raises LogRecordsExpiredError: if they are no longer kept.
+        :raises LogRecordsExpiredError: if they are no longer kept, or the service
+            returned from a copy since ``from_offset`` was given out.
         :raises LogServiceError: if the service did not answer.
         """
 
--- a/src/kumquatseam/peers/_registry.py
+++ b/src/kumquatseam/peers/_registry.py
@@ -47,8 +47,7 @@
 
     def take(self, key: str, value: bytes, learning: Learning) -> bool:
         if not value:
-            self._bus.remove(key)
-            return True
+            return self._take_dropped(key, learning)
         try:
             record = RECORD_CODEC.decode(value)
         except CodecError as error:
@@ -57,6 +56,22 @@
         self._bus.add(record)
         return True
 
+    def _take_dropped(self, key: str, learning: Learning) -> bool:
+        if key == self._record.name:
+            self._register_again()
+            return False
+        if learning.is_restored:
+            # Its instance lives as before, and writes it again.
+            return False
+        self._bus.remove(key)
+        return True
+
+    def _register_again(self) -> None:
+        """Write the record again: without it new instances do not find this one."""
+        if self._registering is not None and self._registering.ready():
+            _log.bind(instance=self._record.name).warning("Record lost.")
+            self.start()
+
     def _register(self) -> None:
         value = RECORD_CODEC.encode(self._record)
         pause_s = RETRY_PAUSE_S
--- a/src/kumquatseam/platform/_topics.py
+++ b/src/kumquatseam/platform/_topics.py
@@ -41,7 +41,9 @@
             return False
         try:
             if key == _CONFIGURATION_KEY:
-                self._live.apply(decode_route_table(value), "store")
+                is_newer = self._live.apply(decode_route_table(value), "store")
+                # After a return from a copy an older one is no news to anyone.
+                return is_newer or not learning.is_restored
             elif key.startswith(_WEIGHTS_PREFIX):
                 self._take_weights(decode_weights(value), learning)
         except DecodingError as error:
--- a/src/kumquatseam/quarantine/_list.py
+++ b/src/kumquatseam/quarantine/_list.py
@@ -56,7 +56,8 @@
     def take(self, key: str, value: bytes, learning: Learning) -> bool:
         self._written.pop(key, None)
         if not value:
-            return self.drop(key)
+            # A record that the log lost is still known, and is written again.
+            return not learning.is_restored and self.drop(key)
         try:
             record = RECORD_CODEC.decode(value)
         except CodecError as error:
--- a/src/kumquatseam/standins/logservice/_memory.py
+++ b/src/kumquatseam/standins/logservice/_memory.py
@@ -5,12 +5,18 @@
 
 from kumquatseam.logservice import (
     KeyedPage,
+    KeyedRecord,
     LogAnswerLostError,
     LogConflictError,
+    LogRecord,
+    LogRecordsExpiredError,
     LogService,
     LogSlice,
     LogUnavailableError,
+    check_era,
     frame_keyed,
+    offset_of,
+    position,
 )
 from kumquatseam.standins.logservice._faults import LogFaults
 from kumquatseam.standins.logservice._store import LogStore
@@ -43,7 +49,7 @@
         late, self._late = self._late, []
         for topic, payloads, at in late:
             with contextlib.suppress(LogConflictError, LogUnavailableError):
-                self.store.append(topic, payloads, at)
+                self._append(topic, payloads, at)
 
     def append(
         self, topic: str, payloads: Sequence[bytes], at: int | None = None
@@ -54,7 +60,7 @@
         if self.faults.take_late_append():
             self._late.append((topic, payloads, at))
             raise LogAnswerLostError("append held up on the way")
-        offset = self.store.append(topic, payloads, at)
+        offset = self._append(topic, payloads, at)
         if self.faults.take_lost_answer():
             raise LogAnswerLostError("answer lost on the way")
         return offset
@@ -66,11 +72,34 @@
 
     def read(self, topic: str, from_offset: int, wait_s: float = 0.0) -> LogSlice:
         self._enter()
-        return self.store.read(topic, from_offset)
+        era = self.store.era
+        try:
+            found = self.store.read(topic, offset_of(from_offset))
+        except LogRecordsExpiredError as error:
+            first_offset = position(era, error.first_offset)
+            raise LogRecordsExpiredError(topic, first_offset) from error
+        check_era(topic, from_offset, era, found.first_offset)
+        records = (LogRecord(position(era, r.offset), r.payload) for r in found.records)
+        first_offset = position(era, found.first_offset)
+        return LogSlice(first_offset, position(era, found.end_offset), tuple(records))
 
     def newest(self, topic: str) -> KeyedPage:
         self._enter()
-        return self.store.newest(topic)
+        era = self.store.era
+        page = self.store.newest(topic)
+        records = (
+            KeyedRecord(r.key, r.value, position(era, r.offset)) for r in page.records
+        )
+        return KeyedPage(tuple(records), position(era, page.end_offset))
+
+    def _append(self, topic: str, payloads: Sequence[bytes], at: int | None) -> int:
+        era = self.store.era
+        offset = None if at is None else offset_of(at)
+        try:
+            return position(era, self.store.append(topic, payloads, offset))
+        except LogConflictError as error:
+            end_offset = position(era, error.end_offset)
+            raise LogConflictError(topic, end_offset) from error
 
     def _enter(self) -> None:
         if self.faults.down:
--- a/src/kumquatseam/standins/logservice/_server.py
+++ b/src/kumquatseam/standins/logservice/_server.py
@@ -32,7 +32,8 @@
     """Serves a :class:`LogStore` over HTTP, with faults on request.
 
     ``PUT /standin/faults`` with the fields of :class:`LogFaults` sets what is
-    wrong; tests and experiments use it.
+    wrong; tests and experiments use it. ``PUT /standin/copy`` makes a copy of the
+    records, and ``PUT /standin/return`` goes on from the last one.
 
     :param port: TCP port on 127.0.0.1.
     :param store: the records.
@@ -43,10 +44,13 @@
         self.faults = LogFaults()
         self._grown = gevent.event.Event()
         app = bottle.Bottle()
-        app.post("/log-append", callback=self._append)
-        app.get("/log-read", callback=self._read)
-        app.get("/log-newest", callback=self._newest)
+        self._copy = store.copy_topics()
+        app.post("/log-append", callback=self._in_era(self._append))
+        app.get("/log-read", callback=self._in_era(self._read))
+        app.get("/log-newest", callback=self._in_era(self._newest))
         app.put("/standin/faults", callback=self._set_faults)
+        app.put("/standin/copy", callback=self._copy_records)
+        app.put("/standin/return", callback=self._return_from_copy)
         app.get("/standin/stats", callback=lambda: {"appends": self.store.appends})
         self._server = StandinServer(app, host, port)
 
@@ -65,6 +69,32 @@
         _log.info("Faults set: {}.", self.faults)
         return attrs.asdict(self.faults)
 
+    def _copy_records(self):
+        self._copy = self.store.copy_topics()
+        return {"era": self.store.era}
+
+    def _return_from_copy(self):
+        self.store.return_from(self._copy)
+        _log.info("Returned from a copy, era {}.", self.store.era)
+        # Whoever waits at an offset that is gone is answered.
+        self._grown.set()
+        self._grown.clear()
+        return {"era": self.store.era}
+
+    def _in_era(self, callback):
+        """Return ``callback`` with its answers naming the era."""
+
+        def answer():
+            found = callback()
+            era = str(self.store.era)
+            if isinstance(found, bottle.HTTPResponse):
+                found.set_header("Store-Era", era)
+            else:
+                bottle.response.set_header("Store-Era", era)
+            return found
+
+        return answer
+
     def _enter(self) -> bottle.HTTPResponse | None:
         if self.faults.slow_s:
             gevent.sleep(self.faults.slow_s)
--- a/src/kumquatseam/standins/logservice/_store.py
+++ b/src/kumquatseam/standins/logservice/_store.py
@@ -1,6 +1,7 @@
 """The log service's records: topics, offsets, retention and the append limit."""
 
 import collections
+import copy
 import time
 from collections.abc import Callable, Sequence
 
@@ -61,6 +62,17 @@
         self._topics: dict[str, _Topic] = collections.defaultdict(_Topic)
         self._recent_appends: collections.deque = collections.deque()
         self.appends = 0
+        #: rises by one with each return from a copy.
+        self.era = 0
+
+    def copy_topics(self) -> dict[str, _Topic]:
+        """Return a copy to return from later."""
+        return copy.deepcopy(self._topics)
+
+    def return_from(self, topics: dict[str, _Topic]) -> None:
+        """Go on from a copy: what was written since is lost."""
+        self._topics = copy.deepcopy(topics)
+        self.era += 1
 
     def append(
         self, topic: str, payloads: Sequence[bytes], at: int | None = None
@@ -91,7 +103,7 @@
         """
         found = self._topics[topic]
         self._expire(found)
-        if from_offset < found.first_offset:
+        if not found.first_offset <= from_offset <= found.end_offset:
             raise LogRecordsExpiredError(topic, found.first_offset)
         skipped = from_offset - found.first_offset
         records = tuple(
