What is let in goes by how long first events really take

What callers saw: at the worst load most requests that were let in came just too late.

Cause: the believed wait adds tokens to read at the best speed of an engine, and the limit was 1.15 times the aim on what is believed. Nothing corrected it.

Change: WaitEstimate learns the line from what was believed to when first events came (the last 40 or so answers of the instance weigh most); a request is refused if its first event is expected after its aim. Retry-After goes by the expected wait too.

Not tried: waiting at the instance, steps and memory as terms of their own, pooling what is learnt among instances.

Also: notes on how values were chosen left the comments of _exchange, _choice, _placer, trackers, _reader_choice and _lease.

--- a/src/kumquatseam/feeds/_reader_choice.py
+++ b/src/kumquatseam/feeds/_reader_choice.py
@@ -11,9 +11,8 @@
 from collections.abc import Collection
 
 #: instances that read a topic. One that fails is missed when its updates are
-#: overdue, and the next in order reads well before a copy is too old. A second
-#: one that reads all the time doubled the calls: 14.7 a second in all, and their
-#: price was half of all that a calm day of 24 instances lost.
+#: overdue, and the next in order reads well before a copy is too old; a second one
+#: that reads all the time would double the calls.
 READERS = 1
 #: seconds an instance waits per place in the order before it begins to read, so
 #: that the next in order begins first and the others hear of it.
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -54,12 +54,10 @@
 STREAM_SILENCE_S = 1.2
 #: pause before looking again for an upstream that may take a request.
 RECHECK_S = 0.02
-#: a request that would wait for its first event longer than this many times
-#: what its route aims at is refused with a time to come back. Without it every
-#: request of an overload waits behind all others and all are late: with three
-#: engines of nine gone, a replayed day earned 0.57 of its worth without a limit,
-#: 0.68 at 1.5 aims and 0.74 at 1.15, with 0.4% of its requests refused.
-MAX_WAIT_AIMS = 1.15
+#: a request whose first event is expected later than this many times what its route
+#: aims at is refused with a time to come back. Without a limit all requests of an
+#: overload wait behind each other, and all are late.
+MAX_WAIT_AIMS = 1.0
 #: the same for a request beyond its team's quota: nobody is to wait for it.
 MAX_OVER_QUOTA_AIMS = 0.5
 #: and one that would wait for more than this share of its time, since reading
@@ -100,6 +98,7 @@
         self._paused_since_s: float | None = None
         self._sent_s: float | None = None
         self._attempt_first_event_s: float | None = None
+        self._placement: Placement | None = None
 
     @property
     def has_sent(self) -> bool:
@@ -351,6 +350,7 @@
     def _attempt(self, placement: Placement) -> tuple[bool, str]:
         address = placement.status.upstream.address
         self._sent_s = self._attempt_first_event_s = None
+        self._placement = placement
         connection = self._parts.pool.take(address, self._job.remaining_s)
         occupancy = self._parts.work.begin(placement.new_work(self._job.remaining_s))
         self._has_kept_connection = False
@@ -562,6 +562,7 @@
         if self._attempt_first_event_s is None:
             self._attempt_first_event_s = now_s
         if self._first_event_s is None:
+            self._placement.note_first_event(now_s - self._sent_s)
             self._first_event_s = now_s - self._job.request.received_s
         if self._paused_since_s is not None:
             _log.bind(
--- a/src/kumquatseam/leases/_lease.py
+++ b/src/kumquatseam/leases/_lease.py
@@ -117,8 +117,7 @@
         """Take in that another router holds the lease, as it says itself.
 
         That router's record is at the position ``fence``, so this one need not look
-        at the log for as long as a look would have been worth. Three contenders
-        that look all the time made a quarter of a small fleet's calls to the log.
+        at the log for as long as a look would have been worth: calls are limited.
         """
         if fence < self._next_offset:
             return
--- a/src/kumquatseam/placement/__init__.py
+++ b/src/kumquatseam/placement/__init__.py
@@ -18,6 +18,7 @@
 from kumquatseam.placement._comparison import EngineComparison, cache_salt
 from kumquatseam.placement._placer import Placer
 from kumquatseam.placement._request import Placement, PlacementRequest
+from kumquatseam.placement._wait_estimate import WaitEstimate
 from kumquatseam.placement._work import (
     DirectWork,
     HolderScope,
@@ -42,6 +43,7 @@
     "Placement",
     "PlacementRequest",
     "Placer",
+    "WaitEstimate",
     "WorkSource",
     "WorkView",
     "cache_salt",
--- a/src/kumquatseam/placement/_choice.py
+++ b/src/kumquatseam/placement/_choice.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-#: prompt tokens an engine reads in a millisecond, from the users' sheets.
+#: prompt tokens that an engine is believed to read in a millisecond; what really
+#: passes until the first event is learnt by :class:`WaitEstimate`.
 PREFILL_TOKENS_PER_MS = 51.1
 #: what reading a part again costs that another engine has read, as a share of
 #: the time it takes: the reading also holds up whatever else the engine reads.
@@ -79,9 +80,8 @@
 
     A penalty says which of two engines is better, not how long one takes: an
     engine on replaced weights that stands idle serves in time, while a ready one
-    has 25,000 tokens to read. Counted as waits, penalties had 99 requests a
-    second refused while two of four engines were idle (a replayed rollout with
-    one engine dark).
+    has long prompts to read. Counted as waits, penalties would have requests
+    refused while engines are idle.
 
     :param candidates: never empty.
     :param longest_wait_ms: waits beyond this are late; if all are, the shortest
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -18,6 +18,7 @@
     cache_salt,
 )
 from kumquatseam.placement._request import Placement, PlacementRequest
+from kumquatseam.placement._wait_estimate import WaitEstimate
 from kumquatseam.placement._work import DirectWork, HolderScope, Option, WorkSource
 from kumquatseam.prompts import PromptChain, PromptIndex
 from kumquatseam.upstreams import (
@@ -44,10 +45,8 @@
 #: uses the others for this long: they were named a moment ago, or a rollout
 #: would have brought the first engines that far.
 UNCERTAIN_LIMIT_S = 3.0
-#: what beginning on replaced weights costs after that, as a wait: half the
-#: shortest time to first token that is aimed at. A late answer loses three
-#: times as much as one on replaced weights; with 600 ms 11% of the long prompts
-#: were late in a replayed day of five rollouts, with 300 ms 3%.
+#: what beginning on replaced weights costs after that, as a wait: a late answer
+#: loses more than one on replaced weights.
 OLD_WEIGHTS_PENALTY_MS = 300.0
 #: after this long no request may begin on replaced weights; a second before
 #: the users' bound, since a request also waits at its engine.
@@ -57,8 +56,7 @@
 MIN_RETRY_AFTER_S = 0.3
 MAX_RETRY_AFTER_S = 5.0
 #: an engine that is about to load takes work only if the others are this much
-#: slower; with 250 ms the first engines that were ready had to read 40,000
-#: tokens before a new prompt, with 60 ms 15,000.
+#: slower; more would crowd the first engines that are ready.
 CLOSING_PENALTY_MS = 60.0
 
 
@@ -93,6 +91,8 @@
         self._work = work or DirectWork(directory, index, peer_loads)
         self._clock = clock
         self._reuse_window_s = reuse_window_s
+        #: how long first events really take.
+        self.waits = WaitEstimate()
 
     def place(self, request: PlacementRequest) -> Placement | None:
         """Return where ``request`` goes; ``None`` if nowhere now.
@@ -145,9 +145,10 @@
         Its prompt would be read in vain and hold up others; a caller that
         comes back when the engines have read what waits is served then.
         """
-        wait_s = wait_ms(chosen) / 1000.0
-        if wait_s <= request.longest_wait_s:
+        believed_ms = wait_ms(chosen)
+        if believed_ms <= request.longest_wait_s * 1000.0:
             return
+        wait_s = self.waits.expected_ms(believed_ms) / 1000.0
         retry_after_s = wait_s * RETRY_AFTER_SHARE
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after_s))
         team = request.team.name if request.team else ""
@@ -186,6 +187,8 @@
     def _place_on_engine(
         self, request: PlacementRequest, statuses: list[UpstreamStatus]
     ) -> Placement | None:
+        longest_ms = self.waits.believed_ms(request.longest_wait_s * 1000.0)
+        request = attrs.evolve(request, longest_wait_s=longest_ms / 1000.0)
         comparison = EngineComparison(
             request, self._work, self._directory, self._reuse_window_s
         )
@@ -207,6 +210,8 @@
             comparison.cache_target(best),
             prompt=request.prompt,
             own_tokens=request.own_tokens,
+            believed_ms=wait_ms(best.candidate),
+            waits=self.waits,
         )
 
     def _engine_options(
@@ -288,6 +293,7 @@
             upstream=chosen.incarnation_id,
             candidates=count,
             running=chosen.running,
+            expected_ms=round(self.waits.expected_ms(wait_ms(chosen))),
             pending_tokens=chosen.pending_tokens,
             version=choice.version if choice else None,
             held_tokens=plan.held_tokens if plan else 0,
--- a/src/kumquatseam/placement/_request.py
+++ b/src/kumquatseam/placement/_request.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from kumquatseam.placement._wait_estimate import WaitEstimate
 from kumquatseam.placement._work import NewWork
 from kumquatseam.prompts import PromptChain
 from kumquatseam.rollouts import MovedRun
@@ -58,6 +59,8 @@
     :param moved_run: a run that goes on there from a copy of its memory.
     :param prompt: the request's prompt.
     :param own_tokens: memory it takes beyond the parts that requests share.
+    :param believed_ms: how long its first event is believed to take.
+    :param waits: learns how long it takes.
     """
 
     status: UpstreamStatus
@@ -70,6 +73,13 @@
     moved_run: MovedRun | None = None
     prompt: PromptChain = PromptChain()
     own_tokens: int = 0
+    believed_ms: float = 0.0
+    waits: WaitEstimate | None = None
+
+    def note_first_event(self, took_s: float) -> None:
+        """Learn from how long the first event took after the request was sent."""
+        if self.waits is not None and self.moved_run is None:
+            self.waits.note(self.believed_ms, took_s * 1000.0)
 
     def going_on_from(self, moved: MovedRun) -> "Placement":
         """Return this placement for a run that was moved to it.
--- a/src/kumquatseam/trackers/__init__.py
+++ b/src/kumquatseam/trackers/__init__.py
@@ -3,10 +3,7 @@
 Each upstream has a tracker: the instance that all others ask what is on it, and
 tell what they send to it. What an instance does for the fleet's sake then depends
 on its own requests and on its share of the upstreams, not on how many instances
-there are. Where leaders told all what all have, news was 0.3 s old in a fleet of
-195; asked for instead, long prompts had their first event after 331 ms in the
-median, not 846, and engines refused 2% of arrivals, not 24% (one replayed day of
-restarts and rollouts).
+there are, and what it places by is one round trip old.
 
 - :class:`LoadTracker` knows the work on the upstreams tracked here, kept in a
   :class:`WorkBook`.
