A prompt that takes longer than its aim runs where nobody is before it

And if all that came were long prompts, nothing would be let in that could correct the estimate again.

Cause: one limit for the time to the first event, whether others' work or the request's own reading makes it.

Change: WaitLimit allows a wait up to the aim, or, where next to nothing is before the request (20 ms or a tenth of the limit), up to 0.7 of the time its caller has left.

Ruled out: a lower bound of the learnt limit: it would be a figure for one kind of engine.

Tests: features/wait_estimate, two scenarios; decision_steps names the limit by its type.

--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -21,6 +21,7 @@
 from kumquatseam.placement import (
     Candidate,
     Placer,
+    WaitLimit,
     choose,
     wait_ms,
 )
@@ -67,7 +68,7 @@
             Candidate("ready", 300, 20, 48, 0, 0.0, pending),
             Candidate("replaced", 300, 20, 48, 1, 360.0, replaced),
         ],
-        575.0,
+        WaitLimit(575.0),
     )
     context.pending = ready
 
--- a/features/steps/wait_estimate_steps.py
+++ b/features/steps/wait_estimate_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from kumquatseam.placement import WaitEstimate
+from kumquatseam.placement import Candidate, WaitEstimate, WaitLimit
 
 #: tokens read in a millisecond that are believed.
 BELIEVED_SPEED = 51.1
@@ -116,3 +116,52 @@
         context.learning, context.believing, strict=True
     ):
         assert learning > believing, (context.learning, context.believing)
+
+
+# Prompts longer than any aim.
+
+
+def _allows(context, pending_tokens):
+    candidate = Candidate("e", context.tokens, 2, 16, 0, pending_tokens=pending_tokens)
+    return context.limit.allows(candidate)
+
+
+@given(
+    "a prompt of {tokens:d} tokens that may wait {longest_ms:d} ms, or {alone_ms:d} ms "
+    "alone"
+)
+def step_long_prompt(context, tokens, longest_ms, alone_ms):
+    context.tokens = tokens
+    context.limit = WaitLimit(longest_ms, alone_ms)
+
+
+@when("its caller has {alone_ms:d} ms left for it")
+def step_less_left(context, alone_ms):
+    longest_ms = min(context.limit.longest_ms, alone_ms * 0.7)
+    context.limit = WaitLimit(longest_ms, alone_ms * 0.7)
+
+
+@then("it may run on an engine with 2 requests and nothing to read")
+@then("it still may run on an engine with 2 requests and nothing to read")
+def step_may_run(context):
+    assert _allows(context, 0)
+
+
+@then("it may not run on an engine with 2 requests and nothing to read")
+def step_may_not_run(context):
+    assert not _allows(context, 0)
+
+
+@then("it may not run on an engine with {pending:d} tokens to read before it")
+def step_may_not_wait(context, pending):
+    assert not _allows(context, pending)
+
+
+@then("a prompt of {tokens:d} tokens is expected after {aim_ms:d} ms everywhere")
+def step_late_everywhere(context, tokens, aim_ms):
+    assert context.waits.expected_ms(tokens / BELIEVED_SPEED) > aim_ms
+    context.tokens = tokens
+    deadline_ms = 5000 * 0.7
+    context.limit = WaitLimit(
+        context.waits.believed_ms(aim_ms), context.waits.believed_ms(deadline_ms)
+    )
--- a/features/wait_estimate.feature
+++ b/features/wait_estimate.feature
@@ -39,3 +39,16 @@
     When requests come for 40 seconds
     Then at least 0.75 of what was let in after 10 seconds is in aim
     And more requests are in aim than with a limit on what is believed
+
+  Scenario: A prompt that takes longer than is aimed at runs where nobody is before it
+    Given a prompt of 39000 tokens that may wait 635 ms, or 3500 ms alone
+    Then it may run on an engine with 2 requests and nothing to read
+    And it may not run on an engine with 12000 tokens to read before it
+    When its caller has 900 ms left for it
+    Then it may not run on an engine with 2 requests and nothing to read
+
+  Scenario: Engines that turn too slow for every aim go on being tried
+    Given an estimate of waits that nobody corrected yet
+    When 200 first events come from engines that read 8 tokens a millisecond
+    Then a prompt of 9200 tokens is expected after 635 ms everywhere
+    And it still may run on an engine with 2 requests and nothing to read
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -192,6 +192,7 @@
             frozenset(progress.excluded),
             progress.attempts + 1,
             self._longest_wait_s() if is_first else math.inf,
+            job.remaining_s * MAX_WAIT_SHARE,
             job.table.cache_stores,
             job.call.max_output_tokens,
         )
--- a/src/kumquatseam/placement/__init__.py
+++ b/src/kumquatseam/placement/__init__.py
@@ -14,7 +14,7 @@
     CacheSource,
     store_for,
 )
-from kumquatseam.placement._choice import Candidate, choose, wait_ms
+from kumquatseam.placement._choice import Candidate, WaitLimit, choose, wait_ms
 from kumquatseam.placement._comparison import EngineComparison, cache_salt
 from kumquatseam.placement._placer import Placer
 from kumquatseam.placement._request import Placement, PlacementRequest
@@ -44,6 +44,7 @@
     "PlacementRequest",
     "Placer",
     "WaitEstimate",
+    "WaitLimit",
     "WorkSource",
     "WorkView",
     "cache_salt",
--- a/src/kumquatseam/placement/_choice.py
+++ b/src/kumquatseam/placement/_choice.py
@@ -19,6 +19,10 @@
 #: added for every request beyond an engine's slots or memory: it waits for one
 #: to end.
 QUEUE_MS_PER_REQUEST = 40.0
+#: an upstream has next to no work before a request if that takes so long at most, or
+#: this share of what the request may wait.
+ALONE_MS = 20.0
+ALONE_SHARE = 0.1
 
 
 @attrs.frozen
@@ -65,6 +69,36 @@
     )
 
 
+def queue_ms(candidate: Candidate) -> float:
+    """Return how much of the modelled time goes by with the work of others."""
+    own_ms = candidate.read_tokens / PREFILL_TOKENS_PER_MS + candidate.fetch_ms
+    return wait_ms(candidate) - own_ms
+
+
+@attrs.frozen
+class WaitLimit:
+    """How long a request may wait for its first event, as is believed.
+
+    A long prompt can take longer than is aimed at where nobody is before it. It is
+    served late then: refused, it would never be served, and nothing would be learnt
+    of engines that are believed too slow.
+
+    :param longest_ms: how long it may take.
+    :param alone_ms: how long it may take on an upstream that has next to no work.
+    """
+
+    longest_ms: float = math.inf
+    alone_ms: float = 0.0
+
+    def allows(self, candidate: Candidate) -> bool:
+        """Return whether the request may wait as long as on ``candidate``."""
+        longest_ms = self.longest_ms
+        if wait_ms(candidate) <= longest_ms:
+            return True
+        is_alone = queue_ms(candidate) <= max(ALONE_MS, longest_ms * ALONE_SHARE)
+        return is_alone and wait_ms(candidate) <= self.alone_ms
+
+
 def cost_ms(candidate: Candidate) -> float:
     """Return the wait and what else speaks against ``candidate``, as a wait."""
     waste_ms = candidate.repeated_tokens / PREFILL_TOKENS_PER_MS * REPEAT_SHARE
@@ -74,7 +108,7 @@
 
 
 def choose(
-    candidates: Sequence[Candidate], longest_wait_ms: float = math.inf
+    candidates: Sequence[Candidate], limit: WaitLimit | None = None
 ) -> Candidate:
     """Return the candidate with the least cost among those that are in time.
 
@@ -84,10 +118,10 @@
     refused while engines are idle.
 
     :param candidates: never empty.
-    :param longest_wait_ms: waits beyond this are late; if all are, the shortest
-        wait is chosen.
+    :param limit: what is allowed; if nothing is, the shortest wait is chosen.
     """
-    in_time = [c for c in candidates if wait_ms(c) <= longest_wait_ms]
+    limit = limit or WaitLimit()
+    in_time = [c for c in candidates if limit.allows(c)]
     if not in_time:
         return min(candidates, key=lambda c: (wait_ms(c), c.rank))
     return min(in_time, key=lambda c: (cost_ms(c), c.rank))
--- a/src/kumquatseam/placement/_comparison.py
+++ b/src/kumquatseam/placement/_comparison.py
@@ -10,7 +10,7 @@
     CacheSource,
     store_for,
 )
-from kumquatseam.placement._choice import Candidate, choose, wait_ms
+from kumquatseam.placement._choice import Candidate, WaitLimit, choose
 from kumquatseam.placement._request import PlacementRequest
 from kumquatseam.placement._work import HolderScope, Option, WorkSource, WorkView
 from kumquatseam.routes import TeamTraits
@@ -43,6 +43,7 @@
     """Compares engines for one prompt.
 
     :param request: the request.
+    :param limit: how long it may wait.
     :param work: knows the work on engines.
     :param directory: the engines.
     :param reuse_window_s: parts asked for again within this time are worth keeping.
@@ -51,11 +52,13 @@
     def __init__(
         self,
         request: PlacementRequest,
+        limit: WaitLimit,
         work: WorkSource,
         directory: UpstreamDirectory,
         reuse_window_s: float = DEFAULT_REUSE_WINDOW_S,
     ) -> None:
         self._request = request
+        self._limit = limit
         self._work = work
         self._directory = directory
         self._reuse_window_s = reuse_window_s
@@ -78,8 +81,7 @@
 
     def is_in_time(self, choice: EngineChoice) -> bool:
         """Return whether the prompt would wait no longer than it may."""
-        longest_ms = self._request.longest_wait_s * 1000.0
-        return wait_ms(choice.candidate) <= longest_ms
+        return self._limit.allows(choice.candidate)
 
     def _compare(self, options: Sequence[Option]) -> EngineChoice | None:
         if not options:
@@ -97,7 +99,7 @@
             )
             plans[option.incarnation_id] = plan
             candidates.append(self._candidate(option, plan, view))
-        chosen = choose(candidates, self._request.longest_wait_s * 1000.0)
+        chosen = choose(candidates, self._limit)
         versions = {option.incarnation_id: option.version for option in options}
         version = versions[chosen.incarnation_id]
         return EngineChoice(
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -10,7 +10,7 @@
 from kumquatseam.errors import OverloadedError
 from kumquatseam.logs import part_logger
 from kumquatseam.peers import UpstreamLoad
-from kumquatseam.placement._choice import Candidate, choose, wait_ms
+from kumquatseam.placement._choice import Candidate, WaitLimit, choose, wait_ms
 from kumquatseam.placement._comparison import (
     DEFAULT_REUSE_WINDOW_S,
     EngineChoice,
@@ -139,16 +139,17 @@
             return None
         return attrs.evolve(placement, status=min(found)[2])
 
-    def _check_wait(self, request: PlacementRequest, chosen: Candidate) -> None:
+    def _check_wait(
+        self, request: PlacementRequest, limit: WaitLimit, chosen: Candidate
+    ) -> None:
         """Refuse what could not be answered in time anyway.
 
         Its prompt would be read in vain and hold up others; a caller that
         comes back when the engines have read what waits is served then.
         """
-        believed_ms = wait_ms(chosen)
-        if believed_ms <= request.longest_wait_s * 1000.0:
+        if limit.allows(chosen):
             return
-        wait_s = self.waits.expected_ms(believed_ms) / 1000.0
+        wait_s = self.waits.expected_ms(wait_ms(chosen)) / 1000.0
         retry_after_s = wait_s * RETRY_AFTER_SHARE
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after_s))
         team = request.team.name if request.team else ""
@@ -187,15 +188,17 @@
     def _place_on_engine(
         self, request: PlacementRequest, statuses: list[UpstreamStatus]
     ) -> Placement | None:
-        longest_ms = self.waits.believed_ms(request.longest_wait_s * 1000.0)
-        request = attrs.evolve(request, longest_wait_s=longest_ms / 1000.0)
+        limit = WaitLimit(
+            self.waits.believed_ms(request.longest_wait_s * 1000.0),
+            self.waits.believed_ms(request.longest_alone_s * 1000.0),
+        )
         comparison = EngineComparison(
-            request, self._work, self._directory, self._reuse_window_s
+            request, limit, self._work, self._directory, self._reuse_window_s
         )
         best = comparison.best(self._engine_options(request, statuses))
         if best is None:
             return None
-        self._check_wait(request, best.candidate)
+        self._check_wait(request, limit, best.candidate)
         status = self._still_open(best.candidate)
         if status is None or status.version_of(request.model) != best.version:
             return None
--- a/src/kumquatseam/placement/_request.py
+++ b/src/kumquatseam/placement/_request.py
@@ -23,7 +23,9 @@
     :param prompt: its prompt.
     :param excluded: upstreams that already failed or refused it.
     :param attempt: from 1.
-    :param longest_wait_s: a longer wait for its answer means a refusal.
+    :param longest_wait_s: a longer wait for its answer means a refusal,
+    :param longest_alone_s: but where next to nothing is before it only a wait longer
+        than this.
     :param cache_stores: the stores of kept KV cache.
     :param output_tokens: tokens it may generate at most.
     """
@@ -36,6 +38,7 @@
     excluded: frozenset[str]
     attempt: int
     longest_wait_s: float = math.inf
+    longest_alone_s: float = 0.0
     cache_stores: tuple[CacheStore, ...] = ()
     output_tokens: int = 0
 
