The engines' comparison takes its limit last, as one that need not be given

Cause read from the tracebacks; the product's one call names it. A comparison without a limit refuses nothing, as before; features/cache_plan passes unchanged.

--- a/src/kumquatseam/placement/_comparison.py
+++ b/src/kumquatseam/placement/_comparison.py
@@ -43,22 +43,22 @@
     """Compares engines for one prompt.
 
     :param request: the request.
-    :param limit: how long it may wait.
     :param work: knows the work on engines.
     :param directory: the engines.
     :param reuse_window_s: parts asked for again within this time are worth keeping.
+    :param limit: how long the request may wait.
     """
 
     def __init__(
         self,
         request: PlacementRequest,
-        limit: WaitLimit,
         work: WorkSource,
         directory: UpstreamDirectory,
         reuse_window_s: float = DEFAULT_REUSE_WINDOW_S,
+        limit: WaitLimit | None = None,
     ) -> None:
         self._request = request
-        self._limit = limit
+        self._limit = limit or WaitLimit()
         self._work = work
         self._directory = directory
         self._reuse_window_s = reuse_window_s
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -193,7 +193,7 @@
             self.waits.believed_ms(request.longest_alone_s * 1000.0),
         )
         comparison = EngineComparison(
-            request, limit, self._work, self._directory, self._reuse_window_s
+            request, self._work, self._directory, self._reuse_window_s, limit
         )
         best = comparison.best(self._engine_options(request, statuses))
         if best is None:
