Rollout logs say what an order expected and what an engine reported

The timeline could not tell an engine that is at work on an order from one whose count of orders differs from the one expected: both answer busy. Order given. now has the count expected and the count known, Engine reported. the engine's own words whenever they change, Placed. since when the weights chosen are replaced. No logic is changed.

--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -299,6 +299,7 @@
             expected_ms=round(self.waits.expected_ms(wait_ms(chosen))),
             pending_tokens=chosen.pending_tokens,
             version=choice.version if choice else None,
+            replaced_s=self._replaced_s(request.model, choice),
             held_tokens=plan.held_tokens if plan else 0,
             fetched_tokens=plan.fetched_tokens if plan else 0,
             repeated_tokens=plan.repeated_tokens if plan else 0,
@@ -308,6 +309,12 @@
             list_age_s=round(self._clock() - (self._directory.listed_s or 0.0), 2),
         ).debug("Placed.")
 
+    def _replaced_s(self, model: str, choice: EngineChoice | None) -> float | None:
+        """Return how long the weights chosen are known to be replaced."""
+        if choice is None:
+            return None
+        return round(self._targets.replaced_age_s(model, choice.version), 3)
+
 
 def old_weights_penalty_ms(age_s: float) -> float:
     """Return what beginning on replaced weights costs, as a wait.
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -12,7 +12,12 @@
 from kumquatseam.loops import BackgroundTask
 from kumquatseam.peers import OrderCount, PeerBus, RolloutNotice
 from kumquatseam.rollouts._load_trials import LoadTrials
-from kumquatseam.rollouts._orders import OrderClient, OrderOutcome, WeightsOrder
+from kumquatseam.rollouts._orders import (
+    EngineReport,
+    OrderClient,
+    OrderOutcome,
+    WeightsOrder,
+)
 from kumquatseam.rollouts._plan import EngineState, LoadPlan, plan_loads
 from kumquatseam.rollouts._view import RolloutView
 from kumquatseam.routes import LiveRouteTable
@@ -56,6 +61,7 @@
     :param patience_s: when to give it again without effect.
     :param asked_s: when the engine was last asked about it.
     :param is_asking: whether that question is still under way.
+    :param heard: what the engine said last, to log only what is new.
     """
 
     version: int
@@ -63,6 +69,7 @@
     patience_s: float = ORDER_PATIENCE_S
     asked_s: float = 0.0
     is_asking: bool = False
+    heard: EngineReport | None = None
 
 
 class RolloutDuty(BackgroundTask):
@@ -252,13 +259,20 @@
 
     def _ask_about(self, order: _Order, model: str, status: UpstreamStatus) -> None:
         try:
-            self.ask(model, status)
+            self.ask(model, status, order)
         finally:
             order.is_asking = False
 
-    def ask(self, model: str, status: UpstreamStatus) -> None:
-        """Ask an engine what it runs and how many orders it accepted."""
+    def ask(
+        self, model: str, status: UpstreamStatus, order: _Order | None = None
+    ) -> None:
+        """Ask an engine what it runs and how many orders it accepted.
+
+        :param order: the order it is asked about, if any.
+        """
         report = self._orders.report(status.upstream)
+        if report is not None and order is not None:
+            _log_report(status, order, report)
         if report is None or report.born_ms < status.upstream.born_ms:
             return
         if report.born_ms > status.upstream.born_ms:
@@ -343,6 +357,8 @@
             model=order.weights.model,
             version=order.weights.version,
             fence=order.fence,
+            expected_orders=order.expected_orders,
+            known_orders=status.orders_accepted,
             outcome=outcome.value,
         ).info("Order given.")
         if outcome is OrderOutcome.ACCEPTED:
@@ -354,7 +370,7 @@
             status.note_answered(weights.model, weights.version, self._clock())
         elif outcome is OrderOutcome.BUSY:
             # It carries out another order, or accepted one not known here.
-            self.ask(order.weights.model, status)
+            self.ask(order.weights.model, status, given)
             if (status.orders_accepted or 0) > order.expected_orders:
                 given.patience_s = 0.0
         elif outcome is OrderOutcome.FENCED:
@@ -364,6 +380,24 @@
             self._directory.note_broken(status, "order not delivered")
 
 
+def _log_report(status: UpstreamStatus, order: _Order, report: EngineReport) -> None:
+    """Log what an engine says of itself, unless it said the same before."""
+    heard = attrs.evolve(report, waiting=0, running=0)
+    if heard == order.heard:
+        return
+    order.heard = heard
+    _log.bind(
+        upstream=status.upstream.incarnation_id,
+        ordered_version=order.version,
+        weights={named.model: named.version for named in report.weights},
+        is_busy=report.is_busy,
+        orders_accepted=report.orders_accepted,
+        known_orders=status.orders_accepted,
+        waiting=report.waiting,
+        running=report.running,
+    ).debug("Engine reported.")
+
+
 def _has(status: UpstreamStatus, model: str, version: int) -> bool:
     known = status.version_of(model)
     return known is not None and known >= version
