Failing test: engines that are told an order twice are left on old weights

Modelled: engines that load for longer than an order's patience; three of nine load, six are never ordered, since the reports of the first three are dropped as old.

--- /dev/null
+++ b/features/steps/rollout_world.py
@@ -0,0 +1,138 @@
+"""Engines that load weights when they are ordered to, in modelled time.
+
+They take orders as their protocol says: an order that is already being carried out
+is accepted again and not counted again, any other is refused while one is under way
+or if it expects another count, and a report is some hundred milliseconds old.
+"""
+
+import attrs
+import gevent
+from restart_steps import MODEL
+
+from kumquatseam.rollouts import EngineReport, OrderClient, OrderOutcome
+from kumquatseam.upstreams import Upstream, WeightsNamed
+
+#: how old a report is.
+REPORT_AGE_S = 0.3
+#: pause between two steps of the duty.
+STEP_S = 0.1
+
+
+@attrs.frozen
+class EngineMoment:
+    """An engine as it was at some time.
+
+    :param at_s: when.
+    :param version: the weights it ran.
+    :param is_busy: whether it carried out an order.
+    :param accepted: orders it had accepted.
+    """
+
+    at_s: float
+    version: int
+    is_busy: bool
+    accepted: int
+
+
+class LoadingEngine:
+    """An engine that loads the weights it is ordered to.
+
+    :param upstream: its entry.
+    :param load_s: how long a load takes.
+    """
+
+    def __init__(self, upstream, version, load_s):
+        self.upstream = upstream
+        self.version = version
+        self.load_s = load_s
+        self.accepted = 0
+        self.loading = None
+        self.loaded_s = 0.0
+        #: refuses every order, as one does that knows no such weights.
+        self.refuses = False
+        self.moments = [EngineMoment(0.0, version, False, 0)]
+
+    def order(self, order, now_s):
+        if self.refuses:
+            return OrderOutcome.REFUSED
+        if order.expected_orders != self.accepted:
+            return OrderOutcome.BUSY
+        version = order.weights.version
+        if self.loading is not None:
+            is_same = version == self.loading
+            return OrderOutcome.ACCEPTED if is_same else OrderOutcome.BUSY
+        if version == self.version:
+            return OrderOutcome.ALREADY_HOLDS
+        self.accepted += 1
+        self.loading = version
+        self.loaded_s = now_s + self.load_s
+        self._note(now_s)
+        return OrderOutcome.ACCEPTED
+
+    def pass_time(self, now_s):
+        if self.loading is not None and now_s >= self.loaded_s:
+            self.version = self.loading
+            self.loading = None
+            self._note(now_s)
+
+    def report(self, now_s):
+        moment = [m for m in self.moments if m.at_s <= now_s - REPORT_AGE_S][-1]
+        return EngineReport(
+            (WeightsNamed(MODEL, moment.version),),
+            moment.is_busy,
+            moment.accepted,
+            0,
+            0,
+            self.upstream.born_ms,
+        )
+
+    def _note(self, now_s):
+        self.moments.append(
+            EngineMoment(now_s, self.version, self.loading is not None, self.accepted)
+        )
+
+
+class LoadingEngines(OrderClient):
+    """Gives orders to engines that carry them out.
+
+    :param clock: modelled seconds.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.engines = {}
+        self.orders = 0
+
+    def add(self, number, version, load_s):
+        """Add an engine and return its entry."""
+        weights = (WeightsNamed(MODEL, version),)
+        upstream = Upstream(
+            f"e{number}", "engines", f"a:{number}", slots=48, weights=weights
+        )
+        self.engines[upstream.upstream_id] = LoadingEngine(upstream, version, load_s)
+        return upstream
+
+    def order(self, upstream, order):
+        self.orders += 1
+        return self.engines[upstream.upstream_id].order(order, self.clock())
+
+    def report(self, upstream):
+        return self.engines[upstream.upstream_id].report(self.clock())
+
+    def move_run(self, source, request_id, destination):
+        return None
+
+    def pass_time(self):
+        for engine in self.engines.values():
+            engine.pass_time(self.clock())
+
+
+def pass_time(context, for_s):
+    """Let the holder of the duty work for a while."""
+    end_s = context.clock() + for_s
+    while context.clock() < end_s:
+        context.duty.step()
+        # Orders and questions go out on greenlets of their own.
+        gevent.sleep(0.03)
+        context.clock.sleep(STEP_S)
+        context.client.pass_time()
