An engine's own report corrects the count of its orders

Cause: an order names how many the engine accepted before. Each acceptance added one to the count believed, also when the engine was already carrying the order out and did not count it again. The count only grew and a report with a smaller one was dropped as older, so nothing could correct it: every later order was refused, in vain, for the rest of the engine's life, and a successor was told the same count. Class: a conclusion from one's own action is kept as a fact, merged so that it only grows, and the evidence against it is taken for late news. Now an order that is given again concludes nothing, and a report that cannot be older than what is known is taken as it is, up or down. A refused order whose report differs is given again at once with the count reported. Ruled out: taking reports alone. An order soon after a load that an answer showed done would be refused once, each time.

--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -69,7 +69,7 @@
     side.index.note_read(status.upstream.incarnation_id, "1", PROMPT)
     side.directory.begin(status, 4300)
     side.directory.note_broken(status, "test")
-    status.note_orders(5)
+    status.note_orders(5, context.clock())
     status.note_answered(MODEL, 9, context.clock())
     assert side.held_tokens() == 4000
 
@@ -156,7 +156,7 @@
         directory.put(incarnation(1000))
     context.earlier = context.side.status() if born_ms > 1000 else None
     directory.put(incarnation(born_ms, version))
-    context.side.status().note_orders(orders)
+    context.side.status().note_orders(orders, context.clock())
 
 
 class ScriptedClient(OrderClient):
@@ -231,7 +231,7 @@
     elif news == "an answer with weights 4":
         earlier.note_answered(MODEL, 4, now_s)
     elif news == "an order's acceptance":
-        earlier.note_orders(8)
+        earlier.note_orders(8, now_s)
     elif news == "a notice of being ready":
         name = earlier.upstream.incarnation_id
         notice = RolloutNotice("b", 9, 1, MODEL, 4, (name,), (name,), (name,))
--- a/features/steps/weights_left_behind_steps.py
+++ b/features/steps/weights_left_behind_steps.py
@@ -42,7 +42,8 @@
 @when("the holder believes {count:d} more orders of each engine than there were")
 def step_believes(context, count):
     for status in context.side.directory.all():
-        status.note_orders((status.orders_accepted or 0) + count)
+        known = status.orders_accepted or 0
+        status.note_orders(known + count, context.clock())
 
 
 @then("{count:d} engines run weights {version:d}")
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -58,6 +58,8 @@
 
     :param version: the weights ordered.
     :param given_s: when.
+    :param is_repeat: it was given before without a known effect. The engine may be
+        carrying it out already and then accepts it without counting it again.
     :param patience_s: when to give it again without effect.
     :param asked_s: when the engine was last asked about it.
     :param is_asking: whether that question is still under way.
@@ -66,6 +68,7 @@
 
     version: int
     given_s: float
+    is_repeat: bool = False
     patience_s: float = ORDER_PATIENCE_S
     asked_s: float = 0.0
     is_asking: bool = False
@@ -114,6 +117,8 @@
         self._running_on = running_on
         self._clock = clock
         self._given: dict[str, _Order] = {}
+        #: the version of each engine's last order that showed no effect.
+        self._without_effect: dict[str, int] = {}
         self._trials = LoadTrials(clock)
         self._told: dict[str, tuple[float, tuple]] = {}
         self._notices = 0
@@ -139,6 +144,7 @@
         self._lease.step()
         if self._lease.fence is None:
             self._given.clear()
+            self._without_effect.clear()
             return
         for weights in self._targets.all():
             self._step_model(weights)
@@ -190,8 +196,13 @@
                     took_s=round(now_s - order.given_s, 3),
                     is_listed=status is not None,
                 ).info("Order done.")
-            if done or now_s - order.given_s > order.patience_s:
-                del self._given[incarnation_id]
+            if done:
+                self._without_effect.pop(incarnation_id, None)
+            elif now_s - order.given_s > order.patience_s:
+                self._without_effect[incarnation_id] = order.version
+            else:
+                continue
+            del self._given[incarnation_id]
 
     def _follow_trials(
         self, weights: WeightsNamed, statuses: list[UpstreamStatus]
@@ -279,7 +290,7 @@
             status = self._directory.note_started(status, report.born_ms)
         if report.is_busy:
             # Its weights are about to change; only the count is news.
-            status.note_orders(report.orders_accepted)
+            status.note_reported_orders(report.orders_accepted, self._clock())
             return
         for named in report.weights:
             if named.model == model:
@@ -341,9 +352,11 @@
         fence = self._lease.fence
         if fence is None or status is None:
             return
-        given = _Order(weights.version, self._clock())
-        self._given[status.upstream.incarnation_id] = given
-        self._trials.note_ordered(weights, status.upstream.incarnation_id)
+        incarnation_id = status.upstream.incarnation_id
+        is_repeat = self._without_effect.get(incarnation_id) == weights.version
+        given = _Order(weights.version, self._clock(), is_repeat)
+        self._given[incarnation_id] = given
+        self._trials.note_ordered(weights, incarnation_id)
         order = WeightsOrder(
             weights, self._bus.name, fence, status.orders_accepted or 0
         )
@@ -362,7 +375,8 @@
             outcome=outcome.value,
         ).info("Order given.")
         if outcome is OrderOutcome.ACCEPTED:
-            status.note_orders(order.expected_orders + 1)
+            if not given.is_repeat:
+                status.note_orders(order.expected_orders + 1, self._clock())
             return
         given.patience_s = UNANSWERED_PATIENCE_S
         if outcome is OrderOutcome.ALREADY_HOLDS:
@@ -371,7 +385,7 @@
         elif outcome is OrderOutcome.BUSY:
             # It carries out another order, or accepted one not known here.
             self.ask(order.weights.model, status, given)
-            if (status.orders_accepted or 0) > order.expected_orders:
+            if (status.orders_accepted or 0) != order.expected_orders:
                 given.patience_s = 0.0
         elif outcome is OrderOutcome.FENCED:
             self._lease.give_up()
--- a/src/kumquatseam/rollouts/_view.py
+++ b/src/kumquatseam/rollouts/_view.py
@@ -74,7 +74,7 @@
         for count in notice.orders:
             status = self._directory.status(count.incarnation_id)
             if status is not None:
-                status.note_orders(count.accepted)
+                status.note_orders(count.accepted, self._clock())
         return True
 
     def failed_tries(self, weights: WeightsNamed) -> int:
--- a/src/kumquatseam/upstreams/_status.py
+++ b/src/kumquatseam/upstreams/_status.py
@@ -1,6 +1,7 @@
 """What this process learnt of one incarnation of an upstream."""
 
 import abc
+import math
 from collections.abc import Callable
 
 import attrs
@@ -12,6 +13,8 @@
 ENTRY_LAG_S = 1.5
 #: and one that was not changed since, a heartbeat more.
 UNCHANGED_ENTRY_LAG_S = 3.0
+#: a report shows what an engine was this long ago at most: its own age and the way.
+REPORT_LAG_S = 1.5
 
 
 @attrs.define
@@ -45,6 +48,7 @@
     orders_accepted: int | None = None
     _versions: dict[str, int] = attrs.Factory(dict)
     _known_s: dict[str, float] = attrs.Factory(dict)
+    _orders_known_s: float = -math.inf
     blocked_until_s: float = 0.0
     closing_until_s: float = 0.0
     lapses_s: float | None = None
@@ -64,22 +68,41 @@
     ) -> None:
         """Take what the engine said of itself some time ago.
 
-        After more orders than known it is news, whichever way the version
-        went: an order that was lost may be carried out late. After as many it
-        may be older than what is known, and after fewer it is.
+        After another number of orders than known it is news, whichever way the
+        version went: an order that was lost may be carried out late. After as many
+        it may be older than what is known.
         """
         known_orders = self.orders_accepted
-        if known_orders is not None and orders_accepted < known_orders:
+        if not self.note_reported_orders(orders_accepted, now_s):
             return
         known = self._versions.get(model)
         is_news = orders_accepted != known_orders
         if known is None or is_news or version > known:
             self.note_answered(model, version, now_s)
-        self.note_orders(orders_accepted)
 
-    def note_orders(self, accepted: int) -> None:
-        """Take in how many orders it accepted, which only grows."""
-        self.orders_accepted = max(accepted, self.orders_accepted or 0)
+    def note_reported_orders(self, accepted: int, now_s: float) -> bool:
+        """Take in how many orders it says it accepted.
+
+        :returns: whether the report is as new as what is known. One with fewer
+            orders is older if more became known lately; else what was concluded
+            from an answer, or told by an instance, was wrong.
+        """
+        known = self.orders_accepted
+        is_recent = now_s - self._orders_known_s <= REPORT_LAG_S
+        if known is not None and accepted < known and is_recent:
+            return False
+        self.orders_accepted = accepted
+        self._orders_known_s = now_s
+        return True
+
+    def note_orders(self, accepted: int, now_s: float) -> None:
+        """Take in how many orders it must have accepted, until it reports itself.
+
+        Concluded from an answer to an order, or told by an instance.
+        """
+        if self.orders_accepted is None or accepted > self.orders_accepted:
+            self.orders_accepted = accepted
+            self._orders_known_s = now_s
 
     def note_entry(
         self, upstream: Upstream, now_s: float, lag_s: float = ENTRY_LAG_S
