Engines that refuse an order hold no place among those that load

Cause: whatever was ordered counted as loading until its patience ended, and the same engines came first again. Ruled out: a longer patience, which only holds the place longer. Now an engine whose report says that it carries nothing out takes work, and is ordered again after 0.3 s, doubling to 2.4 s; at once if what it refused is known, a wrong count. Failed before: six engines that load and three that refuse every order, none of nine on weights 2 after 11 s. The third scenario moves the count believed by two, up and down.

--- a/features/steps/rollout_world.py
+++ b/features/steps/rollout_world.py
@@ -5,6 +5,8 @@
 or if it expects another count, and a report is some hundred milliseconds old.
 """
 
+import collections
+
 import attrs
 import gevent
 from restart_steps import MODEL
@@ -50,9 +52,11 @@
         self.loaded_s = 0.0
         #: refuses every order, as one does that knows no such weights.
         self.refuses = False
+        self.orders = 0
         self.moments = [EngineMoment(0.0, version, False, 0)]
 
     def order(self, order, now_s):
+        self.orders += 1
         if self.refuses:
             return OrderOutcome.REFUSED
         if order.expected_orders != self.accepted:
@@ -101,7 +105,6 @@
     def __init__(self, clock):
         self.clock = clock
         self.engines = {}
-        self.orders = 0
 
     def add(self, number, version, load_s):
         """Add an engine and return its entry."""
@@ -113,7 +116,6 @@
         return upstream
 
     def order(self, upstream, order):
-        self.orders += 1
         return self.engines[upstream.upstream_id].order(order, self.clock())
 
     def report(self, upstream):
@@ -128,11 +130,20 @@
 
 
 def pass_time(context, for_s):
-    """Let the holder of the duty work for a while."""
+    """Let the holder of the duty work for a while.
+
+    Counts the steps after which each engine took no work.
+    """
     end_s = context.clock() + for_s
+    context.steps = 0
+    context.blocked_steps = collections.Counter()
     while context.clock() < end_s:
         context.duty.step()
         # Orders and questions go out on greenlets of their own.
         gevent.sleep(0.03)
         context.clock.sleep(STEP_S)
         context.client.pass_time()
+        context.steps += 1
+        for status in context.side.directory.all():
+            is_blocked = status.blocked_until_s > context.clock()
+            context.blocked_steps[status.upstream.upstream_id] += is_blocked
--- a/features/steps/weights_left_behind_steps.py
+++ b/features/steps/weights_left_behind_steps.py
@@ -39,6 +39,12 @@
         engine.load_s = load_s
 
 
+@when("the holder believes {count:d} fewer orders of each engine than there were")
+def step_believes_fewer(context, count):
+    for status in context.side.directory.all():
+        status.orders_accepted -= count
+
+
 @when("the holder believes {count:d} more orders of each engine than there were")
 def step_believes(context, count):
     for status in context.side.directory.all():
@@ -50,3 +56,18 @@
 def step_run(context, count, version):
     versions = sorted(e.version for e in context.client.engines.values())
     assert versions.count(version) == count, versions
+
+
+@then("the engines that refuse took work most of the time")
+def step_took_work(context):
+    for engine in context.client.engines.values():
+        if engine.refuses:
+            blocked = context.blocked_steps[engine.upstream.upstream_id]
+            assert blocked < context.steps / 2, (blocked, context.steps)
+
+
+@then("each of them was ordered at most {most:d} times")
+def step_ordered_most(context, most):
+    refusing = [e for e in context.client.engines.values() if e.refuses]
+    counts = [engine.orders for engine in refusing]
+    assert max(counts) <= most, counts
--- a/features/weights_left_behind.feature
+++ b/features/weights_left_behind.feature
@@ -9,3 +9,21 @@
     When loads take 0.6 s from now on
     And weights 3 are to be in force, and 8 seconds pass
     Then 9 engines run weights 3
+
+  Scenario: Engines that refuse every order hold no place among those that load
+    Given the holder of the duty before 9 engines that load within 0.6 s
+    And 3 of them refuse every order
+    When weights 2 are to be in force, and 11 seconds pass
+    Then 6 engines run weights 2
+    And the engines that refuse took work most of the time
+    And each of them was ordered at most 12 times
+
+  Scenario: A wrong count of orders is corrected, whichever way
+    Given the holder of the duty before 9 engines that load within 0.6 s
+    When weights 2 are to be in force, and 8 seconds pass
+    And the holder believes 2 more orders of each engine than there were
+    And weights 3 are to be in force, and 11 seconds pass
+    Then 9 engines run weights 3
+    When the holder believes 2 fewer orders of each engine than there were
+    And weights 4 are to be in force, and 11 seconds pass
+    Then 9 engines run weights 4
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -41,8 +41,13 @@
 QUESTION_PAUSE_S = 0.06
 #: an order that shows no effect for this long is given again.
 ORDER_PATIENCE_S = 3.0
-#: an order without an answer is given again sooner: it may not have arrived.
+#: an order without an answer is given again sooner: it may not have arrived. So is
+#: one that an engine refused while it carried out another.
 UNANSWERED_PATIENCE_S = 0.6
+#: an engine that refuses orders and carries none out is ordered again after this
+#: long, and after twice as long each further time.
+REFUSED_PAUSE_S = 0.3
+MAX_REFUSED_PAUSE_S = 2.4
 #: seconds between two notices while engines load.
 NOTICE_PAUSE_S = 0.25
 #: steps of the duty while engines load, while there is nothing to do, and while
@@ -75,6 +80,20 @@
     heard: EngineReport | None = None
 
 
+@attrs.define
+class _Refusal:
+    """An engine that refused an order and carries none out.
+
+    :param version: the weights ordered.
+    :param in_row: how often it refused them in a row.
+    :param until_s: it is not ordered to them before.
+    """
+
+    version: int
+    in_row: int = 0
+    until_s: float = 0.0
+
+
 class RolloutDuty(BackgroundTask):
     """Orders engines to the weights named, a few at a time.
 
@@ -119,6 +138,7 @@
         self._given: dict[str, _Order] = {}
         #: the version of each engine's last order that showed no effect.
         self._without_effect: dict[str, int] = {}
+        self._refused: dict[str, _Refusal] = {}
         self._trials = LoadTrials(clock)
         self._told: dict[str, tuple[float, tuple]] = {}
         self._notices = 0
@@ -145,6 +165,7 @@
         if self._lease.fence is None:
             self._given.clear()
             self._without_effect.clear()
+            self._refused.clear()
             return
         for weights in self._targets.all():
             self._step_model(weights)
@@ -203,6 +224,10 @@
             else:
                 continue
             del self._given[incarnation_id]
+        for incarnation_id, refusal in list(self._refused.items()):
+            status = known.get(incarnation_id)
+            if status is None or _has(status, weights.model, refusal.version):
+                del self._refused[incarnation_id]
 
     def _follow_trials(
         self, weights: WeightsNamed, statuses: list[UpstreamStatus]
@@ -252,8 +277,16 @@
             status.upstream.slots,
             status.upstream.availability_zone,
             status.held_out_until_s <= self._clock(),
+            self._may_be_ordered(weights, incarnation_id),
         )
 
+    def _may_be_ordered(self, weights: WeightsNamed, incarnation_id: str) -> bool:
+        """Return whether an engine did not just refuse these weights."""
+        refusal = self._refused.get(incarnation_id)
+        if refusal is None or refusal.version != weights.version:
+            return True
+        return self._clock() >= refusal.until_s
+
     def _ask_loading(
         self, weights: WeightsNamed, statuses: list[UpstreamStatus]
     ) -> None:
@@ -276,27 +309,29 @@
 
     def ask(
         self, model: str, status: UpstreamStatus, order: _Order | None = None
-    ) -> None:
+    ) -> EngineReport | None:
         """Ask an engine what it runs and how many orders it accepted.
 
         :param order: the order it is asked about, if any.
+        :returns: its report, unless it gave none or an earlier incarnation did.
         """
         report = self._orders.report(status.upstream)
         if report is not None and order is not None:
             _log_report(status, order, report)
         if report is None or report.born_ms < status.upstream.born_ms:
-            return
+            return None
         if report.born_ms > status.upstream.born_ms:
             status = self._directory.note_started(status, report.born_ms)
         if report.is_busy:
             # Its weights are about to change; only the count is news.
             status.note_reported_orders(report.orders_accepted, self._clock())
-            return
+            return report
         for named in report.weights:
             if named.model == model:
                 status.note_report(
                     model, named.version, report.orders_accepted, self._clock()
                 )
+        return report
 
     def _tell(
         self,
@@ -383,15 +418,45 @@
             weights = order.weights
             status.note_answered(weights.model, weights.version, self._clock())
         elif outcome is OrderOutcome.BUSY:
-            # It carries out another order, or accepted one not known here.
-            self.ask(order.weights.model, status, given)
-            if (status.orders_accepted or 0) != order.expected_orders:
-                given.patience_s = 0.0
+            # It carries out another order, or accepted another number of them.
+            report = self.ask(order.weights.model, status, given)
+            if report is not None and not report.is_busy:
+                has_other_count = status.orders_accepted != order.expected_orders
+                self._note_refused(order, status, given, has_other_count)
         elif outcome is OrderOutcome.FENCED:
             self._lease.give_up()
         elif outcome is OrderOutcome.UNREACHED:
             given.patience_s = 0.0
             self._directory.note_broken(status, "order not delivered")
+        elif outcome is not OrderOutcome.UNANSWERED:
+            self._note_refused(order, status, given, False)
+
+    def _note_refused(
+        self,
+        order: WeightsOrder,
+        status: UpstreamStatus,
+        given: _Order,
+        has_other_count: bool,
+    ) -> None:
+        """Note that an engine refused an order and carries none out.
+
+        It takes no place among those that load, and work again.
+
+        :param given: the order, as long as no other was given since.
+        :param has_other_count: what it refused is known: the number of orders.
+        """
+        incarnation_id = status.upstream.incarnation_id
+        version = order.weights.version
+        if self._given.get(incarnation_id) is given:
+            del self._given[incarnation_id]
+        refusal = self._refused.get(incarnation_id)
+        if refusal is None or refusal.version != version:
+            refusal = self._refused[incarnation_id] = _Refusal(version)
+        refusal.in_row += 1
+        if has_other_count and refusal.in_row == 1:
+            return
+        pause_s = REFUSED_PAUSE_S * 2 ** (refusal.in_row - 1)
+        refusal.until_s = self._clock() + min(MAX_REFUSED_PAUSE_S, pause_s)
 
 
 def _log_report(status: UpstreamStatus, order: _Order, report: EngineReport) -> None:
--- a/src/kumquatseam/rollouts/_plan.py
+++ b/src/kumquatseam/rollouts/_plan.py
@@ -41,6 +41,7 @@
     :param availability_zone: where it is; runs move faster within one.
     :param is_reachable: whether it answers; one that does not takes no place
         among those that load.
+    :param may_be_ordered: whether it did not just refuse to.
     """
 
     incarnation_id: str
@@ -51,6 +52,7 @@
     slots: int
     availability_zone: str = ""
     is_reachable: bool = True
+    may_be_ordered: bool = True
 
 
 @attrs.frozen
@@ -86,18 +88,19 @@
         return LoadPlan()
     engines = [engine for engine in engines if engine.is_reachable]
     old = [e for e in engines if not e.has_target and not e.is_loading]
+    orderable = [e for e in old if e.may_be_ordered]
     keepers = _keepers(engines)
     ready = sum(1 for e in engines if e.has_target)
     ready_to_load = [
         e
-        for e in old
+        for e in orderable
         if e.running <= DRAINED_RUNS or age_s > FORCE_AFTER_S or e not in keepers
     ]
     ready_to_load.sort(key=lambda engine: (engine.running, engine.incarnation_id))
     loading = sum(1 for e in engines if e.is_loading)
     if not ready_to_load and not loading and ready < len(engines) * READY_SHARE:
         # Nobody has room for another's runs; the weights have to get on anyway.
-        ready_to_load = sorted(old, key=lambda engine: engine.running)[:1]
+        ready_to_load = sorted(orderable, key=lambda engine: engine.running)[:1]
     room = max(0, limit - loading)
     now = ready_to_load[:room]
     return LoadPlan(
