Orders to the engines of one model outlast the steps of another

Found by reading, in search of the same cause: with several models the step for one of them took the engines of the others for gone and forgot their orders, so each was ordered twice, and counted twice, within a load. Orders and refusals now carry their model. Failed before: seven of eight engines of two models ordered twice.

--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -190,10 +190,10 @@
         raise AssertionError("nobody refused it")
 
 
-def build_duty(context, client):
+def build_duty(context, client, services=None):
     live = LiveRouteTable()
     traits = ServiceTraits("engines", engine=EngineTraits(48, 100_000, (MODEL,)))
-    live.apply(RouteTable(1, services=(traits,)), "test")
+    live.apply(RouteTable(1, services=tuple(services or (traits,))), "test")
     side = context.side
     return RolloutDuty(
         HeldLease(),
--- a/features/steps/rollout_world.py
+++ b/features/steps/rollout_world.py
@@ -82,7 +82,7 @@
     def report(self, now_s):
         moment = [m for m in self.moments if m.at_s <= now_s - REPORT_AGE_S][-1]
         return EngineReport(
-            (WeightsNamed(MODEL, moment.version),),
+            (WeightsNamed(self.upstream.weights[0].model, moment.version),),
             moment.is_busy,
             moment.accepted,
             0,
@@ -106,11 +106,11 @@
         self.clock = clock
         self.engines = {}
 
-    def add(self, number, version, load_s):
+    def add(self, number, version, load_s, model=MODEL, service="engines"):
         """Add an engine and return its entry."""
-        weights = (WeightsNamed(MODEL, version),)
+        weights = (WeightsNamed(model, version),)
         upstream = Upstream(
-            f"e{number}", "engines", f"a:{number}", slots=48, weights=weights
+            f"e{number}", service, f"a:{number}", slots=48, weights=weights
         )
         self.engines[upstream.upstream_id] = LoadingEngine(upstream, version, load_s)
         return upstream
--- a/features/steps/weights_left_behind_steps.py
+++ b/features/steps/weights_left_behind_steps.py
@@ -6,19 +6,42 @@
 from rollout_world import LoadingEngines, pass_time
 
 from kumquatseam.rollouts import RolloutView
+from kumquatseam.routes import EngineTraits, ServiceTraits
 from kumquatseam.upstreams import WeightsNamed, WeightsTargets
 
 
-@given("the holder of the duty before {count:d} engines that load within {load_s:g} s")
-def step_holder(context, count, load_s):
+def build_world(context, models):
     context.clock = Clock()
     context.side = Side(context.clock)
     context.targets = WeightsTargets(context.clock)
     context.view = RolloutView(context.side.directory, context.targets, context.clock)
     context.client = LoadingEngines(context.clock)
+    traits = [
+        ServiceTraits(f"engines of {model}", engine=EngineTraits(48, 100_000, (model,)))
+        for model in models
+    ]
+    context.duty = build_duty(context, context.client, traits)
+
+
+@given("the holder of the duty before {count:d} engines that load within {load_s:g} s")
+def step_holder(context, count, load_s):
+    build_world(context, [MODEL])
     for number in range(count):
-        context.side.directory.put(context.client.add(number, 1, load_s))
-    context.duty = build_duty(context, context.client)
+        entry = context.client.add(number, 1, load_s, MODEL, f"engines of {MODEL}")
+        context.side.directory.put(entry)
+
+
+@given(
+    "the holder of the duty before {count:d} engines of each of {models:d} models that "
+    "load within {load_s:g} s"
+)
+def step_models(context, count, models, load_s):
+    names = [f"m{number}" for number in range(models)]
+    build_world(context, names)
+    for number in range(count * models):
+        model = names[number % models]
+        entry = context.client.add(number, 1, load_s, model, f"engines of {model}")
+        context.side.directory.put(entry)
 
 
 @given("{count:d} of them refuse every order")
@@ -33,6 +56,15 @@
     pass_time(context, for_s)
 
 
+@when(
+    "weights {version:d} of {models:d} models are to be in force, and {for_s:g} s pass"
+)
+def step_all_named(context, version, models, for_s):
+    for number in range(models):
+        context.targets.take(WeightsNamed(f"m{number}", version))
+    pass_time(context, for_s)
+
+
 @when("loads take {load_s:g} s from now on")
 def step_loads_take(context, load_s):
     for engine in context.client.engines.values():
@@ -66,6 +98,12 @@
             assert blocked < context.steps / 2, (blocked, context.steps)
 
 
+@then("every engine was ordered {count:d} time")
+def step_ordered(context, count):
+    counts = [engine.orders for engine in context.client.engines.values()]
+    assert set(counts) == {count}, counts
+
+
 @then("each of them was ordered at most {most:d} times")
 def step_ordered_most(context, most):
     refusing = [e for e in context.client.engines.values() if e.refuses]
--- a/features/weights_left_behind.feature
+++ b/features/weights_left_behind.feature
@@ -27,3 +27,9 @@
     When the holder believes 2 fewer orders of each engine than there were
     And weights 4 are to be in force, and 11 seconds pass
     Then 9 engines run weights 4
+
+  Scenario: Orders to the engines of one model outlast the steps of another
+    Given the holder of the duty before 4 engines of each of 2 models that load within 2 s
+    When weights 2 of 2 models are to be in force, and 11 s pass
+    Then 8 engines run weights 2
+    And every engine was ordered 1 time
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -61,7 +61,7 @@
 class _Order:
     """An order that was given.
 
-    :param version: the weights ordered.
+    :param weights: the weights ordered.
     :param given_s: when.
     :param is_repeat: it was given before without a known effect. The engine may be
         carrying it out already and then accepts it without counting it again.
@@ -71,7 +71,7 @@
     :param heard: what the engine said last, to log only what is new.
     """
 
-    version: int
+    weights: WeightsNamed
     given_s: float
     is_repeat: bool = False
     patience_s: float = ORDER_PATIENCE_S
@@ -84,12 +84,12 @@
 class _Refusal:
     """An engine that refused an order and carries none out.
 
-    :param version: the weights ordered.
+    :param weights: the weights ordered.
     :param in_row: how often it refused them in a row.
     :param until_s: it is not ordered to them before.
     """
 
-    version: int
+    weights: WeightsNamed
     in_row: int = 0
     until_s: float = 0.0
 
@@ -136,8 +136,8 @@
         self._running_on = running_on
         self._clock = clock
         self._given: dict[str, _Order] = {}
-        #: the version of each engine's last order that showed no effect.
-        self._without_effect: dict[str, int] = {}
+        #: the weights of each engine's last order that showed no effect.
+        self._without_effect: dict[str, WeightsNamed] = {}
         self._refused: dict[str, _Refusal] = {}
         self._trials = LoadTrials(clock)
         self._told: dict[str, tuple[float, tuple]] = {}
@@ -208,25 +208,28 @@
         now_s = self._clock()
         known = {status.upstream.incarnation_id: status for status in statuses}
         for incarnation_id, order in list(self._given.items()):
+            if order.weights.model != weights.model:
+                continue
             status = known.get(incarnation_id)
-            done = status is None or _has(status, weights.model, order.version)
+            done = status is None or _has(status, order.weights)
             if done:
                 _log.bind(
                     upstream=incarnation_id,
-                    version=order.version,
+                    version=order.weights.version,
                     took_s=round(now_s - order.given_s, 3),
                     is_listed=status is not None,
                 ).info("Order done.")
-            if done:
                 self._without_effect.pop(incarnation_id, None)
             elif now_s - order.given_s > order.patience_s:
-                self._without_effect[incarnation_id] = order.version
+                self._without_effect[incarnation_id] = order.weights
             else:
                 continue
             del self._given[incarnation_id]
         for incarnation_id, refusal in list(self._refused.items()):
+            if refusal.weights.model != weights.model:
+                continue
             status = known.get(incarnation_id)
-            if status is None or _has(status, weights.model, refusal.version):
+            if status is None or _has(status, refusal.weights):
                 del self._refused[incarnation_id]
 
     def _follow_trials(
@@ -235,7 +238,7 @@
         """Learn from what became of the engines that were ordered to load."""
         trials = self._trials
         trials.hear(weights, self._view.failed_tries(weights))
-        if any(_has(status, weights.model, weights.version) for status in statuses):
+        if any(_has(status, weights) for status in statuses):
             trials.note_loaded(weights)
         for incarnation_id in trials.open_outcomes(weights):
             status = self._directory.status(incarnation_id)
@@ -257,7 +260,7 @@
         waiting = [
             status.upstream.incarnation_id
             for status in statuses
-            if not _has(status, weights.model, weights.version)
+            if not _has(status, weights)
         ]
         return self._running_on(waiting) if waiting else {}
 
@@ -271,7 +274,7 @@
         return EngineState(
             incarnation_id,
             status.version_of(weights.model),
-            _has(status, weights.model, weights.version),
+            _has(status, weights),
             incarnation_id in self._given,
             running.get(incarnation_id, status.running),
             status.upstream.slots,
@@ -283,7 +286,7 @@
     def _may_be_ordered(self, weights: WeightsNamed, incarnation_id: str) -> bool:
         """Return whether an engine did not just refuse these weights."""
         refusal = self._refused.get(incarnation_id)
-        if refusal is None or refusal.version != weights.version:
+        if refusal is None or refusal.weights != weights:
             return True
         return self._clock() >= refusal.until_s
 
@@ -388,8 +391,8 @@
         if fence is None or status is None:
             return
         incarnation_id = status.upstream.incarnation_id
-        is_repeat = self._without_effect.get(incarnation_id) == weights.version
-        given = _Order(weights.version, self._clock(), is_repeat)
+        is_repeat = self._without_effect.get(incarnation_id) == weights
+        given = _Order(weights, self._clock(), is_repeat)
         self._given[incarnation_id] = given
         self._trials.note_ordered(weights, incarnation_id)
         order = WeightsOrder(
@@ -446,12 +449,11 @@
         :param has_other_count: what it refused is known: the number of orders.
         """
         incarnation_id = status.upstream.incarnation_id
-        version = order.weights.version
         if self._given.get(incarnation_id) is given:
             del self._given[incarnation_id]
         refusal = self._refused.get(incarnation_id)
-        if refusal is None or refusal.version != version:
-            refusal = self._refused[incarnation_id] = _Refusal(version)
+        if refusal is None or refusal.weights != order.weights:
+            refusal = self._refused[incarnation_id] = _Refusal(order.weights)
         refusal.in_row += 1
         if has_other_count and refusal.in_row == 1:
             return
@@ -467,7 +469,7 @@
     order.heard = heard
     _log.bind(
         upstream=status.upstream.incarnation_id,
-        ordered_version=order.version,
+        ordered_version=order.weights.version,
         weights={named.model: named.version for named in report.weights},
         is_busy=report.is_busy,
         orders_accepted=report.orders_accepted,
@@ -477,6 +479,6 @@
     ).debug("Engine reported.")
 
 
-def _has(status: UpstreamStatus, model: str, version: int) -> bool:
-    known = status.version_of(model)
-    return known is not None and known >= version
+def _has(status: UpstreamStatus, weights: WeightsNamed) -> bool:
+    known = status.version_of(weights.model)
+    return known is not None and known >= weights.version
