Replaced weights are used as long as the settings say, less the wait

What callers would see: a request that is placed in time waits at its engine and begins on weights that were replaced longer ago than the users allow (VERSION). Where the users allow 10 or 12 s, engines on replaced weights were left unused from 6.5 s on, and requests were refused meanwhile.

Cause: the limit was a constant, 6.5 s, whatever the bound in the settings; nothing was reckoned for how long a request is expected to wait for its first token, beside 1.5 s for everything. Class: a bound of the users typed in.

The placer keeps back of begin_ms how late an instance may learn of a naming (when a copy of the operators' records counts as stale, 1.2 s at a bound of 2 s for configurations), and compares the rest with the wait that is expected on each engine: those on which the request would begin too late are not compared. A moved run keeps back 0.3 s more. At 8 s and an idle engine the limit is 6.8 s, at 6.5 s with 0.3 s to wait; at 12 s and 3 s for configurations 10.2 s.

--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -41,7 +41,7 @@
     Questions,
     RendezvousOrder,
 )
-from kumquatseam.placement import DirectWork, Placer
+from kumquatseam.placement import BeginBound, DirectWork, Placer
 from kumquatseam.prompts import PromptIndex
 from kumquatseam.quarantine import (
     SUSPECTS_TOPIC,
@@ -212,6 +212,10 @@
             self._targets,
             work=self._work,
             reuse_window_s=self._file.prompts.reuse_window_s,
+            begin_bound=BeginBound(
+                self._file.rollout.begin_s,
+                operator_pace(self._file.feeds).stale_after_s,
+            ),
         )
         handler = RequestHandler(
             HandlerParts(
--- a/src/kumquatseam/placement/__init__.py
+++ b/src/kumquatseam/placement/__init__.py
@@ -1,6 +1,7 @@
 """Where a request goes, decided apart from input and output.
 
 - :func:`choose` picks one :class:`Candidate`; a pure function.
+- :class:`BeginBound` says how long replaced weights may be begun on.
 - :class:`CachePlanner` says what each engine would have, fetch and read.
 - :class:`EngineComparison` compares the engines that may take a prompt.
 - :class:`Placer` gathers the candidates for a request.
@@ -8,6 +9,7 @@
   :class:`DirectWork` is for fleets in which everyone is told everything.
 """
 
+from kumquatseam.placement._begin_bound import BeginBound
 from kumquatseam.placement._cache_plan import (
     CachePlan,
     CachePlanner,
@@ -30,6 +32,7 @@
 )
 
 __all__ = [
+    "BeginBound",
     "CachePlan",
     "CachePlanner",
     "CacheSource",
--- a/src/kumquatseam/placement/_comparison.py
+++ b/src/kumquatseam/placement/_comparison.py
@@ -10,7 +10,7 @@
     CacheSource,
     store_for,
 )
-from kumquatseam.placement._choice import Candidate, WaitLimit, choose
+from kumquatseam.placement._choice import Candidate, WaitLimit, choose, wait_ms
 from kumquatseam.placement._request import PlacementRequest
 from kumquatseam.placement._work import HolderScope, Option, WorkSource, WorkView
 from kumquatseam.routes import TeamTraits
@@ -68,14 +68,15 @@
         """Return the best engine for the prompt, if there is any.
 
         The engines that few have work on are compared first. A refusal must not
-        rest on these alone, so the others are looked at before one.
+        rest on these alone, so the others are looked at before one. An engine on
+        which the prompt would begin too late for its weights is none of them.
         """
         shortlist = self._work.shortlist(options)
         best = self._compare(shortlist)
-        if best is not None and not self.is_in_time(best):
+        if shortlist and (best is None or not self.is_in_time(best)):
             passed = {option.incarnation_id for option in shortlist}
             others = self._compare(self._work.shortlist(options, passed))
-            if others is not None and self.is_in_time(others):
+            if others is not None and (best is None or self.is_in_time(others)):
                 return others
         return best
 
@@ -98,7 +99,11 @@
                 upstream.incarnation_id, upstream.availability_zone
             )
             plans[option.incarnation_id] = plan
-            candidates.append(self._candidate(option, plan, view))
+            candidate = self._candidate(option, plan, view)
+            if wait_ms(candidate) <= option.begin_within_ms:
+                candidates.append(candidate)
+        if not candidates:
+            return None
         chosen = choose(candidates, self._limit)
         versions = {option.incarnation_id: option.version for option in options}
         version = versions[chosen.incarnation_id]
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -1,5 +1,6 @@
 """Gathering the upstreams that may take a request and choosing one."""
 
+import math
 import random
 import time
 from collections.abc import Callable
@@ -10,6 +11,7 @@
 from kumquatseam.errors import OverloadedError
 from kumquatseam.logs import part_logger
 from kumquatseam.peers import UpstreamLoad
+from kumquatseam.placement._begin_bound import BeginBound
 from kumquatseam.placement._choice import Candidate, WaitLimit, choose, wait_ms
 from kumquatseam.placement._comparison import (
     DEFAULT_REUSE_WINDOW_S,
@@ -48,9 +50,8 @@
 #: what beginning on replaced weights costs after that, as a wait: a late answer
 #: loses more than one on replaced weights.
 OLD_WEIGHTS_PENALTY_MS = 300.0
-#: after this long no request may begin on replaced weights; a second before
-#: the users' bound, since a request also waits at its engine.
-OLD_WEIGHTS_LIMIT_S = 6.5
+#: kept back of the bound for the way of a run that moves.
+MOVE_S = 0.3
 #: it may come back when half of what waits has been read.
 RETRY_AFTER_SHARE = 0.5
 MIN_RETRY_AFTER_S = 0.3
@@ -72,6 +73,7 @@
     :param work: knows the work on upstreams; by default what ``peer_loads`` and
         ``index`` say.
     :param reuse_window_s: parts asked for again within this time are worth keeping.
+    :param begin_bound: how long requests may begin on replaced weights.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         clock: Callable[[], float] = time.monotonic,
         work: WorkSource | None = None,
         reuse_window_s: float = DEFAULT_REUSE_WINDOW_S,
+        begin_bound: BeginBound | None = None,
     ) -> None:
         self._directory = directory
         self._zone = zone
@@ -91,6 +94,7 @@
         self._work = work or DirectWork(directory, index, peer_loads)
         self._clock = clock
         self._reuse_window_s = reuse_window_s
+        self._begin_bound = begin_bound or BeginBound()
         #: how long first events really take.
         self.waits = WaitEstimate()
 
@@ -113,8 +117,7 @@
         requests may begin on these: a moved run counts as one that begins.
         """
         now_s = self._clock()
-        replaced_s = self._targets.replaced_age_s(placement.model, placement.version)
-        if replaced_s > OLD_WEIGHTS_LIMIT_S:
+        if self._begin_left_s(placement.model, placement.version) < MOVE_S:
             return None
         open_to_it = [
             status
@@ -160,11 +163,11 @@
     ) -> list[UpstreamStatus]:
         """Return the engines whose weights a request may begin on."""
         known = [s for s in statuses if s.version_of(model) is not None]
+        shortest_s = self.waits.expected_ms(0.0) / 1000.0
         in_time = [
             s
             for s in known
-            if self._targets.replaced_age_s(model, s.version_of(model))
-            <= OLD_WEIGHTS_LIMIT_S
+            if self._begin_left_s(model, s.version_of(model)) >= shortest_s
         ]
         is_uncertain = self._targets.age_s(model) == UNKNOWN_AGE_S
         is_fresh = self._targets.learnt_age_s(model) <= UNCERTAIN_LIMIT_S
@@ -172,6 +175,10 @@
             return known
         return in_time
 
+    def _begin_left_s(self, model: str, version: int) -> float:
+        """Return how much longer requests may begin on ``version``."""
+        return self._begin_bound.left_s(self._targets.replaced_age_s(model, version))
+
     def _open_statuses(self, request: PlacementRequest) -> list[UpstreamStatus]:
         """Return the upstreams that may take it, sound ones if there are any."""
         now_s = self._clock()
@@ -231,9 +238,23 @@
             if status.closing_until_s > now_s:
                 penalty_ms += CLOSING_PENALTY_MS
             rank = order[status.upstream.upstream_id]
-            options.append(Option(status, version, rank, penalty_ms))
+            options.append(
+                Option(
+                    status,
+                    version,
+                    rank,
+                    penalty_ms,
+                    self._begin_within_ms(age_s),
+                )
+            )
         return options
 
+    def _begin_within_ms(self, replaced_s: float) -> float:
+        """Return the longest modelled wait after which a request may still begin."""
+        if replaced_s == UNKNOWN_AGE_S:
+            return math.inf
+        return self.waits.believed_ms(self._begin_bound.left_s(replaced_s) * 1000.0)
+
     def _place_plainly(
         self, request: PlacementRequest, statuses: list[UpstreamStatus]
     ) -> Placement | None:
--- a/src/kumquatseam/placement/_work.py
+++ b/src/kumquatseam/placement/_work.py
@@ -7,6 +7,7 @@
 """
 
 import abc
+import math
 from collections.abc import Callable, Collection, Mapping, Sequence
 
 import attrs
@@ -25,12 +26,15 @@
     :param version: the weights it would run the request on, if any.
     :param rank: its place in the prompt's own order of upstreams, from 0.
     :param penalty_ms: what speaks against it, as a wait.
+    :param begin_within_ms: longest modelled wait after which the request may still
+        begin on its weights.
     """
 
     status: UpstreamStatus
     version: int | None = None
     rank: int = 0
     penalty_ms: float = 0.0
+    begin_within_ms: float = math.inf
 
     @property
     def incarnation_id(self) -> str:
--- a/src/kumquatseam/settings/_gateway.py
+++ b/src/kumquatseam/settings/_gateway.py
@@ -135,15 +135,30 @@
     """Rolling new weights out (section ``[rollout]``).
 
     :param lease_ms: how long a holder of the duty may act after a renewal.
+    :param begin_ms: how long after a naming requests may begin on replaced weights.
+    :param complete_ms: time from a naming until every engine has to run what was
+        named.
     """
 
     lease_ms: float = setting(positive=True, default=3000.0)
+    begin_ms: float = setting(positive=True, default=8000.0)
+    complete_ms: float = setting(positive=True, default=11000.0)
 
     @property
     def lease_s(self) -> float:
         """The lease in seconds."""
         return self.lease_ms / 1000.0
 
+    @property
+    def begin_s(self) -> float:
+        """The bound of beginning on replaced weights in seconds."""
+        return self.begin_ms / 1000.0
+
+    @property
+    def complete_s(self) -> float:
+        """The bound of a rollout in seconds."""
+        return self.complete_ms / 1000.0
+
 
 @attrs.frozen
 class GatewayFile:
