Engines at work on an order are not told it again

Patience now starts afresh with each report of an engine that accepted the order and is at work. Failed before: each of nine engines ordered twice within loads of 4 s.

--- a/features/steps/rollout_world.py
+++ b/features/steps/rollout_world.py
@@ -52,6 +52,7 @@
         self.loaded_s = 0.0
         #: refuses every order, as one does that knows no such weights.
         self.refuses = False
+        self.reports_while_loading = True
         self.orders = 0
         self.moments = [EngineMoment(0.0, version, False, 0)]
 
@@ -80,6 +81,8 @@
             self._note(now_s)
 
     def report(self, now_s):
+        if self.loading is not None and not self.reports_while_loading:
+            return None
         moment = [m for m in self.moments if m.at_s <= now_s - REPORT_AGE_S][-1]
         return EngineReport(
             (WeightsNamed(self.upstream.weights[0].model, moment.version),),
--- a/features/steps/weights_left_behind_steps.py
+++ b/features/steps/weights_left_behind_steps.py
@@ -44,6 +44,12 @@
         context.side.directory.put(entry)
 
 
+@given("their reports are lost while they load")
+def step_reports_lost(context):
+    for engine in context.client.engines.values():
+        engine.reports_while_loading = False
+
+
 @given("{count:d} of them refuse every order")
 def step_refuse(context, count):
     for engine in list(context.client.engines.values())[:count]:
--- a/features/weights_left_behind.feature
+++ b/features/weights_left_behind.feature
@@ -10,6 +10,21 @@
     And weights 3 are to be in force, and 8 seconds pass
     Then 9 engines run weights 3
 
+  Scenario: Engines that were told an order twice, and whose reports are lost, take the next one
+    Given the holder of the duty before 9 engines that load within 4 s
+    And their reports are lost while they load
+    When weights 2 are to be in force, and 15 seconds pass
+    Then 9 engines run weights 2
+    When loads take 0.6 s from now on
+    And weights 3 are to be in force, and 8 seconds pass
+    Then 9 engines run weights 3
+
+  Scenario: Engines at work on an order are not told it again
+    Given the holder of the duty before 9 engines that load within 4 s
+    When weights 2 are to be in force, and 15 seconds pass
+    Then 9 engines run weights 2
+    And every engine was ordered 1 time
+
   Scenario: Engines that refuse every order hold no place among those that load
     Given the holder of the duty before 9 engines that load within 0.6 s
     And 3 of them refuse every order
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -66,6 +66,7 @@
     :param is_repeat: it was given before without a known effect. The engine may be
         carrying it out already and then accepts it without counting it again.
     :param patience_s: when to give it again without effect.
+    :param is_accepted: whether the engine accepted it.
     :param asked_s: when the engine was last asked about it.
     :param is_asking: whether that question is still under way.
     :param heard: what the engine said last, to log only what is new.
@@ -75,6 +76,7 @@
     given_s: float
     is_repeat: bool = False
     patience_s: float = ORDER_PATIENCE_S
+    is_accepted: bool = False
     asked_s: float = 0.0
     is_asking: bool = False
     heard: EngineReport | None = None
@@ -327,7 +329,11 @@
             status = self._directory.note_started(status, report.born_ms)
         if report.is_busy:
             # Its weights are about to change; only the count is news.
-            status.note_reported_orders(report.orders_accepted, self._clock())
+            now_s = self._clock()
+            status.note_reported_orders(report.orders_accepted, now_s)
+            if order is not None and order.is_accepted:
+                # It is at work on it, or finishes its runs first.
+                order.patience_s = now_s - order.given_s + ORDER_PATIENCE_S
             return report
         for named in report.weights:
             if named.model == model:
@@ -413,6 +419,7 @@
             outcome=outcome.value,
         ).info("Order given.")
         if outcome is OrderOutcome.ACCEPTED:
+            given.is_accepted = True
             if not given.is_repeat:
                 status.note_orders(order.expected_orders + 1, self._clock())
             return
