Rollouts: orders given have a module of their own

OpenOrders gives orders, asks about them and knows what was refused; the duty plans, tells the instances and follows trials.

--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -211,7 +211,7 @@
 def _ask(context, status, report):
     """Let the holder hear ``report`` as the answer to a question."""
     context.client.report_next = report
-    context.duty.ask(MODEL, status)
+    context.duty.orders.ask(MODEL, status)
 
 
 def _report(born_ms, version, orders):
--- /dev/null
+++ b/src/kumquatseam/rollouts/_open_orders.py
@@ -0,0 +1,294 @@
+"""Orders given to engines, until they take effect or are given again."""
+
+import time
+from collections.abc import Callable, Sequence
+
+import attrs
+import gevent
+
+from kumquatseam.logs import part_logger
+from kumquatseam.rollouts._orders import (
+    EngineReport,
+    OrderClient,
+    OrderOutcome,
+    WeightsOrder,
+)
+from kumquatseam.upstreams import UpstreamDirectory, UpstreamStatus, WeightsNamed
+
+_log = part_logger("rollout")
+
+#: time from an order to the first question whether it is carried out.
+FIRST_QUESTION_S = 0.5
+#: pause between two questions.
+QUESTION_PAUSE_S = 0.06
+#: an order that shows no effect for this long is given again.
+ORDER_PATIENCE_S = 3.0
+#: an order without an answer is given again sooner: it may not have arrived. So is
+#: one that an engine refused while it carried out another.
+UNANSWERED_PATIENCE_S = 0.6
+#: an engine that refuses orders and carries none out is ordered again after this
+#: long, and after twice as long each further time.
+REFUSED_PAUSE_S = 0.3
+MAX_REFUSED_PAUSE_S = 2.4
+
+
+@attrs.define
+class _Order:
+    """An order that was given.
+
+    :param weights: the weights ordered.
+    :param given_s: when.
+    :param is_repeat: it was given before without a known effect. The engine may be
+        carrying it out already and then accepts it without counting it again.
+    :param patience_s: when to give it again without effect.
+    :param is_accepted: whether the engine accepted it.
+    :param asked_s: when the engine was last asked about it.
+    :param is_asking: whether that question is still under way.
+    :param heard: what the engine said last, to log only what is new.
+    """
+
+    weights: WeightsNamed
+    given_s: float
+    is_repeat: bool = False
+    patience_s: float = ORDER_PATIENCE_S
+    is_accepted: bool = False
+    asked_s: float = 0.0
+    is_asking: bool = False
+    heard: EngineReport | None = None
+
+
+@attrs.define
+class _Refusal:
+    """An engine that refused an order and carries none out.
+
+    :param weights: the weights ordered.
+    :param in_row: how often it refused them in a row.
+    :param until_s: it is not ordered to them before.
+    """
+
+    weights: WeightsNamed
+    in_row: int = 0
+    until_s: float = 0.0
+
+
+class OpenOrders:
+    """Gives orders to engines and follows what becomes of them.
+
+    An engine accepts an order, finishes its runs and loads; or refuses it, does not
+    answer, or ends. What it reports of itself tells which.
+
+    :param client: speaks to engines.
+    :param directory: the engines.
+    :param on_fenced: called when an engine has seen a newer holder of the duty.
+    :param clock: monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        client: OrderClient,
+        directory: UpstreamDirectory,
+        on_fenced: Callable[[], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._client = client
+        self._directory = directory
+        self._on_fenced = on_fenced
+        self._clock = clock
+        self._given: dict[str, _Order] = {}
+        #: the weights of each engine's last order that showed no effect.
+        self._without_effect: dict[str, WeightsNamed] = {}
+        self._refused: dict[str, _Refusal] = {}
+
+    def __len__(self) -> int:
+        return len(self._given)
+
+    def clear(self) -> None:
+        """Forget every order: another instance gives them now."""
+        self._given.clear()
+        self._without_effect.clear()
+        self._refused.clear()
+
+    def is_open(self, incarnation_id: str) -> bool:
+        """Return whether an engine has an order that it may be carrying out."""
+        return incarnation_id in self._given
+
+    def may_give(self, weights: WeightsNamed, incarnation_id: str) -> bool:
+        """Return whether an engine did not just refuse these weights."""
+        refusal = self._refused.get(incarnation_id)
+        if refusal is None or refusal.weights != weights:
+            return True
+        return self._clock() >= refusal.until_s
+
+    def drop_done(
+        self, weights: WeightsNamed, statuses: Sequence[UpstreamStatus]
+    ) -> None:
+        """Forget orders that took effect, lapsed or lost their engine."""
+        now_s = self._clock()
+        known = {status.upstream.incarnation_id: status for status in statuses}
+        for incarnation_id, order in list(self._given.items()):
+            if order.weights.model != weights.model:
+                continue
+            status = known.get(incarnation_id)
+            done = status is None or has_weights(status, order.weights)
+            if done:
+                _log.bind(
+                    upstream=incarnation_id,
+                    version=order.weights.version,
+                    took_s=round(now_s - order.given_s, 3),
+                    is_listed=status is not None,
+                ).info("Order done.")
+                self._without_effect.pop(incarnation_id, None)
+            elif now_s - order.given_s > order.patience_s:
+                self._without_effect[incarnation_id] = order.weights
+            else:
+                continue
+            del self._given[incarnation_id]
+        for incarnation_id, refusal in list(self._refused.items()):
+            if refusal.weights.model != weights.model:
+                continue
+            status = known.get(incarnation_id)
+            if status is None or has_weights(status, refusal.weights):
+                del self._refused[incarnation_id]
+
+    def ask_due(
+        self, weights: WeightsNamed, statuses: Sequence[UpstreamStatus]
+    ) -> None:
+        """Ask the engines of a model whose load should be done how they are."""
+        now_s = self._clock()
+        for status in statuses:
+            order = self._given.get(status.upstream.incarnation_id)
+            if order is None or now_s - order.given_s < FIRST_QUESTION_S:
+                continue
+            if now_s - order.asked_s >= QUESTION_PAUSE_S and not order.is_asking:
+                order.asked_s = now_s
+                order.is_asking = True
+                gevent.spawn(self._ask_about, order, weights.model, status)
+
+    def _ask_about(self, order: _Order, model: str, status: UpstreamStatus) -> None:
+        try:
+            self.ask(model, status, order)
+        finally:
+            order.is_asking = False
+
+    def ask(
+        self, model: str, status: UpstreamStatus, order: _Order | None = None
+    ) -> EngineReport | None:
+        """Ask an engine what it runs and how many orders it accepted.
+
+        :param order: the order it is asked about, if any.
+        :returns: its report, unless it gave none or an earlier incarnation did.
+        """
+        report = self._client.report(status.upstream)
+        if report is not None and order is not None:
+            _log_report(status, order, report)
+        if report is None or report.born_ms < status.upstream.born_ms:
+            return None
+        if report.born_ms > status.upstream.born_ms:
+            status = self._directory.note_started(status, report.born_ms)
+        if report.is_busy:
+            # Its weights are about to change; only the count is news.
+            now_s = self._clock()
+            status.note_reported_orders(report.orders_accepted, now_s)
+            if order is not None and order.is_accepted:
+                # It is at work on it, or finishes its runs first.
+                order.patience_s = now_s - order.given_s + ORDER_PATIENCE_S
+            return report
+        for named in report.weights:
+            if named.model == model:
+                status.note_report(
+                    model, named.version, report.orders_accepted, self._clock()
+                )
+        return report
+
+    def give(self, order: WeightsOrder, status: UpstreamStatus) -> None:
+        """Give an order without waiting for its answer."""
+        incarnation_id = status.upstream.incarnation_id
+        is_repeat = self._without_effect.get(incarnation_id) == order.weights
+        given = _Order(order.weights, self._clock(), is_repeat)
+        self._given[incarnation_id] = given
+        gevent.spawn(self._give, order, status, given)
+
+    def _give(self, order: WeightsOrder, status: UpstreamStatus, given: _Order) -> None:
+        upstream = status.upstream
+        outcome = self._client.order(upstream, order)
+        _log.bind(
+            upstream=upstream.incarnation_id,
+            model=order.weights.model,
+            version=order.weights.version,
+            fence=order.fence,
+            expected_orders=order.expected_orders,
+            known_orders=status.orders_accepted,
+            outcome=outcome.value,
+        ).info("Order given.")
+        if outcome is OrderOutcome.ACCEPTED:
+            given.is_accepted = True
+            if not given.is_repeat:
+                status.note_orders(order.expected_orders + 1, self._clock())
+            return
+        given.patience_s = UNANSWERED_PATIENCE_S
+        if outcome is OrderOutcome.ALREADY_HOLDS:
+            weights = order.weights
+            status.note_answered(weights.model, weights.version, self._clock())
+        elif outcome is OrderOutcome.BUSY:
+            # It carries out another order, or accepted another number of them.
+            report = self.ask(order.weights.model, status, given)
+            if report is not None and not report.is_busy:
+                has_other_count = status.orders_accepted != order.expected_orders
+                self._note_refused(order, status, given, has_other_count)
+        elif outcome is OrderOutcome.FENCED:
+            self._on_fenced()
+        elif outcome is OrderOutcome.UNREACHED:
+            given.patience_s = 0.0
+            self._directory.note_broken(status, "order not delivered")
+        elif outcome is not OrderOutcome.UNANSWERED:
+            self._note_refused(order, status, given, False)
+
+    def _note_refused(
+        self,
+        order: WeightsOrder,
+        status: UpstreamStatus,
+        given: _Order,
+        has_other_count: bool,
+    ) -> None:
+        """Note that an engine refused an order and carries none out.
+
+        It takes no place among those that load, and work again.
+
+        :param given: the order, as long as no other was given since.
+        :param has_other_count: what it refused is known: the number of orders.
+        """
+        incarnation_id = status.upstream.incarnation_id
+        if self._given.get(incarnation_id) is given:
+            del self._given[incarnation_id]
+        refusal = self._refused.get(incarnation_id)
+        if refusal is None or refusal.weights != order.weights:
+            refusal = self._refused[incarnation_id] = _Refusal(order.weights)
+        refusal.in_row += 1
+        if has_other_count and refusal.in_row == 1:
+            return
+        pause_s = REFUSED_PAUSE_S * 2 ** (refusal.in_row - 1)
+        refusal.until_s = self._clock() + min(MAX_REFUSED_PAUSE_S, pause_s)
+
+
+def _log_report(status: UpstreamStatus, order: _Order, report: EngineReport) -> None:
+    """Log what an engine says of itself, unless it said the same before."""
+    heard = attrs.evolve(report, waiting=0, running=0)
+    if heard == order.heard:
+        return
+    order.heard = heard
+    _log.bind(
+        upstream=status.upstream.incarnation_id,
+        ordered_version=order.weights.version,
+        weights={named.model: named.version for named in report.weights},
+        is_busy=report.is_busy,
+        orders_accepted=report.orders_accepted,
+        known_orders=status.orders_accepted,
+        waiting=report.waiting,
+        running=report.running,
+    ).debug("Engine reported.")
+
+
+def has_weights(status: UpstreamStatus, weights: WeightsNamed) -> bool:
+    """Return whether an engine is known to run some weights, or newer ones."""
+    known = status.version_of(weights.model)
+    return known is not None and known >= weights.version
