--- a/src/kumquatseam/rollouts/_open_orders.py
+++ b/src/kumquatseam/rollouts/_open_orders.py
@@ -143,6 +143,9 @@
             else:
                 continue
             del self._given[incarnation_id]
+        for incarnation_id in list(self._without_effect):
+            if self._directory.status(incarnation_id) is None:
+                del self._without_effect[incarnation_id]
         for incarnation_id, refusal in list(self._refused.items()):
             if refusal.weights.model != weights.model:
                 continue
