Weights that are named again and again reach the engines that lag most

Cause: when an engine has to load whatever it runs counted from the newest naming, so a naming every four seconds put it off for ever; and what was loaded next went by runs, so engines that had just loaded were loaded again (9 to 15 of 20 to 27 orders) while others stayed on the oldest weights. Each old version had its keepers, in each zone, so that places to load stood empty (11 of 15 s with one engine loading). Now an engine's time counts from when its own weights were replaced, the oldest weights are loaded first, engines that lag behind others are closed to new work also while no engine has the newest, and engines on whose weights nothing may begin any more are ordered at once: a limit on loading keeps no capacity there. Failed before: four patterns of namings, 15.8 to 17.0 s until all engines but one of nine had a version; allowed are 11. The scenarios of the plan pass with their checks unchanged; they say per engine how long ago its weights were replaced.

--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -2,13 +2,14 @@
 
 import math
 
+import attrs
 from behave import given, then, when
 from modelled_clock import Clock
 
 from kumquatseam.peers import (
     RolloutNotice,
 )
-from kumquatseam.rollouts import EngineState, RolloutView, plan_loads
+from kumquatseam.rollouts import EngineState, RolloutBounds, RolloutView, plan_loads
 from kumquatseam.upstreams import (
     Upstream,
     UpstreamDirectory,
@@ -17,7 +18,14 @@
 
 
 def engine(
-    number, version, running, target=None, loading=False, slots=48, reachable=True
+    number,
+    version,
+    running,
+    target=None,
+    loading=False,
+    slots=48,
+    reachable=True,
+    age_s=0.0,
 ):
     return EngineState(
         f"e{number:02}",
@@ -27,6 +35,7 @@
         running,
         slots,
         is_reachable=reachable,
+        replaced_s=0.0 if version == target else age_s,
     )
 
 
@@ -87,10 +96,11 @@
             context.target,
             slots=slots,
             reachable=i >= context.unreachable,
+            age_s=age_s,
         )
         for i, (version, runs, slots) in enumerate(context.engines)
     ]
-    context.plan = plan_loads(context.states, age_s, complete_s=complete_s)
+    context.plan = plan_loads(context.states, RolloutBounds(complete_s=complete_s))
 
 
 @then("{count:d} engines load, and their runs go to {kept:d} engines that load last")
@@ -136,7 +146,12 @@
     for count in range(1, 81):
         states = {f"e{i:02}": engine(i, 1, 5) for i in range(count)}
         for round_number in range(200):
-            plan = plan_loads(list(states.values()), 0.05 * round_number)
+            for upstream_id, state in states.items():
+                if not state.has_target:
+                    states[upstream_id] = attrs.evolve(
+                        state, replaced_s=0.05 * round_number
+                    )
+            plan = plan_loads(list(states.values()), RolloutBounds())
             assert len(plan.order_now) <= max(1, int(count * 0.4)), plan
             for upstream_id in plan.order_now:
                 states[upstream_id] = engine(int(upstream_id[1:]), 2, 0, 2)
--- a/features/steps/rollout_world.py
+++ b/features/steps/rollout_world.py
@@ -50,6 +50,8 @@
         self.accepted = 0
         self.loading = None
         self.loaded_s = 0.0
+        #: requests on it while it takes work; it finishes them before it loads.
+        self.runs = 0
         #: refuses every order, as one does that knows no such weights.
         self.refuses = False
         self.reports_while_loading = True
@@ -132,14 +134,18 @@
             engine.pass_time(self.clock())
 
 
-def pass_time(context, for_s):
+def pass_time(context, for_s, look=None):
     """Let the holder of the duty work for a while.
 
     Counts the steps after which each engine took no work.
+
+    :param look: called after each step.
     """
     end_s = context.clock() + for_s
     context.steps = 0
     context.blocked_steps = collections.Counter()
+    for status in context.side.directory.all():
+        status.running = context.client.engines[status.upstream.upstream_id].runs
     while context.clock() < end_s:
         context.duty.step()
         # Orders and questions go out on greenlets of their own.
@@ -147,6 +153,8 @@
         context.clock.sleep(STEP_S)
         context.client.pass_time()
         context.steps += 1
+        if look is not None:
+            look()
         for status in context.side.directory.all():
             is_blocked = status.blocked_until_s > context.clock()
             context.blocked_steps[status.upstream.upstream_id] += is_blocked
--- a/features/steps/weights_left_behind_steps.py
+++ b/features/steps/weights_left_behind_steps.py
@@ -1,5 +1,6 @@
 """Steps for engines that stay on old weights, in modelled time."""
 
+import attrs
 from behave import given, then, when
 from modelled_clock import Clock
 from restart_steps import MODEL, Side, build_duty
@@ -44,6 +45,15 @@
         context.side.directory.put(entry)
 
 
+@given("each engine has {runs:d} runs, in {zones:d} availability zones")
+def step_runs(context, runs, zones):
+    for number, status in enumerate(context.side.directory.all()):
+        status.upstream = attrs.evolve(
+            status.upstream, availability_zone=f"z{number % zones}"
+        )
+        context.client.engines[status.upstream.upstream_id].runs = runs
+
+
 @given("their reports are lost while they load")
 def step_reports_lost(context):
     for engine in context.client.engines.values():
@@ -71,6 +81,28 @@
     pass_time(context, for_s)
 
 
+@when(
+    "weights are named {count:d} times, {pause_s:g} s apart, and {for_s:g} seconds pass"
+)
+def step_named_often(context, count, pause_s, for_s):
+    # When each version was named, and when at most one engine was older.
+    context.named_s = {}
+    context.reached_s = {}
+    for version in range(2, 2 + count):
+        context.targets.take(WeightsNamed(MODEL, version))
+        context.named_s[version] = context.clock()
+        pass_time(context, pause_s, lambda: note_reached(context))
+    pass_time(context, for_s - pause_s, lambda: note_reached(context))
+
+
+def note_reached(context):
+    versions = [engine.version for engine in context.client.engines.values()]
+    for version in context.named_s:
+        older = sum(known < version for known in versions)
+        if older <= 1:
+            context.reached_s.setdefault(version, context.clock())
+
+
 @when("loads take {load_s:g} s from now on")
 def step_loads_take(context, load_s):
     for engine in context.client.engines.values():
@@ -115,3 +147,12 @@
     refusing = [e for e in context.client.engines.values() if e.refuses]
     counts = [engine.orders for engine in refusing]
     assert max(counts) <= most, counts
+
+
+@then("each reached all engines but one within {bound_s:g} s")
+def step_reached(context, bound_s):
+    took_s = {
+        version: round(context.reached_s[version] - named_s, 1)
+        for version, named_s in context.named_s.items()
+    }
+    assert max(took_s.values()) <= bound_s, took_s
--- a/features/weights_left_behind.feature
+++ b/features/weights_left_behind.feature
@@ -48,3 +48,16 @@
     When weights 2 of 2 models are to be in force, and 11 s pass
     Then 8 engines run weights 2
     And every engine was ordered 1 time
+
+  Scenario Outline: Weights that are named again and again reach the engines that lag most
+    Given the holder of the duty before 9 engines that load within <load_s> s
+    And each engine has 13 runs, in 4 availability zones
+    When weights are named <count> times, <pause_s> s apart, and 14 seconds pass
+    Then each reached all engines but one within 11 s
+
+    Examples:
+      | load_s | count | pause_s |
+      | 0.8    | 4     | 3.5     |
+      | 2      | 4     | 3.5     |
+      | 1.5    | 6     | 2       |
+      | 2      | 8     | 1       |
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -50,7 +50,12 @@
     QuarantineParts,
 )
 from kumquatseam.quotas import QuotaParts, QuotaTolerance, TeamQuotas
-from kumquatseam.rollouts import NoticeRelay, RolloutDuty, RolloutView
+from kumquatseam.rollouts import (
+    NoticeRelay,
+    RolloutBounds,
+    RolloutDuty,
+    RolloutView,
+)
 from kumquatseam.routes import LiveRouteTable, RouteTable
 from kumquatseam.settings import AdmissionSettings, GatewayFile
 from kumquatseam.trackers import (
@@ -267,7 +272,9 @@
             self._bus,
             view,
             lambda engines: self._work.running_on(engines, ROLLOUT_LOAD_MAX_AGE_S),
-            complete_s=self._file.rollout.complete_s,
+            bounds=RolloutBounds(
+                self._file.rollout.begin_s, self._file.rollout.complete_s
+            ),
         )
 
     def _duty_rank(self) -> int | None:
--- a/src/kumquatseam/rollouts/__init__.py
+++ b/src/kumquatseam/rollouts/__init__.py
@@ -15,7 +15,12 @@
     OrderOutcome,
     WeightsOrder,
 )
-from kumquatseam.rollouts._plan import EngineState, LoadPlan, plan_loads
+from kumquatseam.rollouts._plan import (
+    EngineState,
+    LoadPlan,
+    RolloutBounds,
+    plan_loads,
+)
 from kumquatseam.rollouts._view import NoticeRelay, RolloutView
 
 __all__ = [
@@ -26,6 +31,7 @@
     "NoticeRelay",
     "OrderClient",
     "OrderOutcome",
+    "RolloutBounds",
     "RolloutDuty",
     "RolloutView",
     "WeightsOrder",
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -1,6 +1,5 @@
 """Giving the orders of a rollout while this instance holds the lease."""
 
-import math
 import time
 from collections.abc import Callable, Mapping, Sequence
 
@@ -14,7 +13,12 @@
 from kumquatseam.rollouts._load_trials import LoadTrials
 from kumquatseam.rollouts._open_orders import OpenOrders, has_weights
 from kumquatseam.rollouts._orders import OrderClient, WeightsOrder
-from kumquatseam.rollouts._plan import EngineState, LoadPlan, plan_loads
+from kumquatseam.rollouts._plan import (
+    EngineState,
+    LoadPlan,
+    RolloutBounds,
+    plan_loads,
+)
 from kumquatseam.rollouts._view import RolloutView
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.upstreams import (
@@ -56,7 +60,7 @@
     :param running_on: how many requests each of some engines has, by
         incarnation; those nobody knows of are missing.
     :param clock: monotonic clock in seconds.
-    :param complete_s: how long after a naming all engines have to run the weights.
+    :param bounds: what is allowed after weights were named.
     """
 
     def __init__(
@@ -70,10 +74,10 @@
         view: RolloutView,
         running_on: Callable[[Sequence[str]], Mapping[str, int]],
         clock: Callable[[], float] = time.monotonic,
-        complete_s: float = math.inf,
+        bounds: RolloutBounds | None = None,
     ) -> None:
         super().__init__()
-        self._complete_s = complete_s
+        self._bounds = bounds or RolloutBounds()
         self._lease = lease
         self._targets = targets
         self._live = live
@@ -120,12 +124,7 @@
         self.orders.ask_due(weights, statuses)
         running = self._running(weights, statuses)
         states = [self._state(weights, status, running) for status in statuses]
-        plan = plan_loads(
-            states,
-            self._targets.age_s(weights.model),
-            self._trials.most_loading(weights),
-            self._complete_s,
-        )
+        plan = plan_loads(states, self._bounds, self._trials.most_loading(weights))
         loading = [s.incarnation_id for s in states if s.is_loading]
         loading += plan.order_now
         ready = tuple(s.incarnation_id for s in states if s.has_target)
@@ -196,8 +195,16 @@
             status.upstream.availability_zone,
             status.held_out_until_s <= self._clock(),
             self.orders.may_give(weights, incarnation_id),
+            self._replaced_s(weights.model, status),
         )
 
+    def _replaced_s(self, model: str, status: UpstreamStatus) -> float:
+        """Return how long ago an engine's weights were replaced."""
+        version = status.version_of(model)
+        if version is None:
+            return self._targets.age_s(model)
+        return self._targets.replaced_age_s(model, version)
+
     def _tell(
         self,
         weights: WeightsNamed,
--- a/src/kumquatseam/rollouts/_plan.py
+++ b/src/kumquatseam/rollouts/_plan.py
@@ -17,8 +17,8 @@
 LOADING_SHARE = 0.4
 #: share of its slots that an engine may fill with runs taken over.
 TAKE_OVER_SHARE = 0.85
-#: the last engines load at the latest this long after the weights were named,
-#: whatever they still run, or after this share of the time allowed for all.
+#: an engine loads at the latest this long after its weights were replaced, whatever
+#: it still runs, or after this share of the time allowed for all.
 FORCE_AFTER_S = 4.0
 FORCE_SHARE = 0.4
 #: share of the engines that have to be ready before the others may wait for
@@ -43,6 +43,7 @@
     :param is_reachable: whether it answers; one that does not takes no place
         among those that load.
     :param may_be_ordered: whether it did not just refuse to.
+    :param replaced_s: how long ago its weights were replaced; 0 if they were not.
     """
 
     incarnation_id: str
@@ -54,6 +55,7 @@
     availability_zone: str = ""
     is_reachable: bool = True
     may_be_ordered: bool = True
+    replaced_s: float = 0.0
 
 
 @attrs.frozen
@@ -75,47 +77,86 @@
     return max(1, int(engines * LOADING_SHARE))
 
 
+@attrs.frozen
+class RolloutBounds:
+    """What is allowed after weights were named.
+
+    :param begin_s: how long requests may begin on the weights replaced.
+    :param complete_s: how long until every engine has to run the new ones.
+    """
+
+    begin_s: float = math.inf
+    complete_s: float = math.inf
+
+    @property
+    def force_after_s(self) -> float:
+        """How long an engine may go on with its runs."""
+        return min(FORCE_AFTER_S, self.complete_s * FORCE_SHARE)
+
+
 def plan_loads(
     engines: Sequence[EngineState],
-    age_s: float,
+    bounds: RolloutBounds,
     most_loading: int | None = None,
-    complete_s: float = math.inf,
 ) -> LoadPlan:
     """Return what is due for the engines of one model.
 
-    :param age_s: how long ago the weights were named.
+    Each engine's time counts from when its own weights were replaced, and those on
+    the oldest weights come first: while weights are named again and again, the time
+    since the newest naming says nothing of the engines that lag most.
+
+    :param bounds: what is allowed after a naming.
     :param most_loading: how many may load at once while it is not known whether
         the weights load at all.
-    :param complete_s: how long after the naming all engines have to run them.
     """
-    force_after_s = min(FORCE_AFTER_S, complete_s * FORCE_SHARE)
     limit = max_loading(len(engines)) if most_loading is None else most_loading
     if limit == 0:
         return LoadPlan()
     engines = [engine for engine in engines if engine.is_reachable]
     old = [e for e in engines if not e.has_target and not e.is_loading]
-    orderable = [e for e in old if e.may_be_ordered]
+    orderable = sorted((e for e in old if e.may_be_ordered), key=_urgency)
     keepers = _keepers(engines)
     ready = sum(1 for e in engines if e.has_target)
     ready_to_load = [
         e
         for e in orderable
-        if e.running <= DRAINED_RUNS or age_s > force_after_s or e not in keepers
+        if e.running <= DRAINED_RUNS
+        or e.replaced_s > bounds.force_after_s
+        or e not in keepers
     ]
-    ready_to_load.sort(key=lambda engine: (engine.running, engine.incarnation_id))
     loading = sum(1 for e in engines if e.is_loading)
     if not ready_to_load and not loading and ready < len(engines) * READY_SHARE:
         # Nobody has room for another's runs; the weights have to get on anyway.
-        ready_to_load = sorted(orderable, key=lambda engine: engine.running)[:1]
-    room = max(0, limit - loading)
-    now = ready_to_load[:room]
+        ready_to_load = orderable[:1]
+    now = ready_to_load[: max(0, limit - loading)]
+    if most_loading is None:
+        # Nothing may begin on these, so the limit keeps no engine for callers.
+        now += [e for e in orderable if _is_useless(e, bounds) and e not in now]
     return LoadPlan(
         tuple(e.incarnation_id for e in now),
-        tuple(e.incarnation_id for e in old if e not in now) if ready else (),
+        tuple(e.incarnation_id for e in _lagging(engines, old) if e not in now),
         tuple(e.incarnation_id for e in keepers if e not in now),
     )
 
 
+def _urgency(engine: EngineState) -> tuple[int, float, str]:
+    """Return what engines to load are ordered by."""
+    return engine.version or 0, engine.running, engine.incarnation_id
+
+
+def _is_useless(engine: EngineState, bounds: RolloutBounds) -> bool:
+    """Return whether no request may begin on an engine's weights any more."""
+    return bounds.begin_s < engine.replaced_s < math.inf
+
+
+def _lagging(
+    engines: Sequence[EngineState], old: Sequence[EngineState]
+) -> list[EngineState]:
+    """Return the old engines while others have newer weights and take work."""
+    newest = max((e.version or 0 for e in engines if not e.is_loading), default=0)
+    return [e for e in old if (e.version or 0) < newest]
+
+
 def _keepers(engines: Sequence[EngineState]) -> list[EngineState]:
     """Return the engines of each old version that keep its runs to the end.
 
