A naming is as old as the first instance that knew of it says

Callers: an instance that learns of a naming late (frozen, cut off, its copy of the topic stale) goes on placing requests on replaced weights for as long as if they had been replaced when it learnt of it.

Cause and class: WeightsTargets dated a naming from when it was read. Notices carry the age, but `hear` only filled in an unknown one; and a naming missed between two others was dropped. A belief that no evidence could correct.

Change: an age is made older by whoever knew of the naming sooner, and never younger: a notice that waited in a socket, or comes from a holder that was late itself, says too little, the next says more. A naming read after a later one is kept and is at least as old as that one. Corrections over half a second are logged.

Tests: features/weights_begun_late.feature. On the code before, "An instance that learnt of a naming late ..." and "A notice that waited ..." failed; the other two guard the change.

--- /dev/null
+++ b/features/weights_begun_late.feature
@@ -0,0 +1,35 @@
+Feature: Requests begin on replaced weights for too long
+  Weights that were replaced take no requests after a while. An instance that hears
+  of their successor late counts that while from when it was named, not from when
+  it heard of it.
+
+  Scenario: An instance that learnt of a naming late begins requests for too long
+    Given an instance before an engine on weights 1
+    When it stands still for 5 seconds, in which weights 2 are named at once
+    Then requests may begin on weights 1
+    When the holder of the duty says that they were named 5 seconds ago
+    And 2 more seconds go by
+    Then requests may not begin on weights 1
+
+  Scenario: What a peer learnt late makes a naming young again
+    Given an instance before an engine on weights 1
+    When the log says that weights 2 are named, and 5 seconds go by
+    And the holder of the duty says that they were named 0.1 seconds ago
+    And 2 more seconds go by
+    Then requests may not begin on weights 1
+
+  Scenario: A notice that waited while an instance stood still sets the age for good
+    Given an instance before an engine on weights 1
+    When it stands still for 5 seconds, in which weights 2 are named at once
+    And the holder of the duty says that they were named 0.3 seconds ago
+    And the holder of the duty says that they were named 0.6 seconds ago
+    And the holder of the duty says that they were named 5 seconds ago
+    And 2 more seconds go by
+    Then requests may not begin on weights 1
+
+  Scenario: A naming that was missed is as old as the one that came after it
+    Given an instance before an engine on weights 1
+    When the holder of the duty says that weights 3 were named 5 seconds ago after 2
+    And the log says that weights 2 are named
+    And 2 more seconds go by
+    Then requests may not begin on weights 1
--- a/src/kumquatseam/upstreams/_targets.py
+++ b/src/kumquatseam/upstreams/_targets.py
@@ -1,6 +1,5 @@
 """The weights that are to be in force, and since when."""
 
-import collections
 import time
 from collections.abc import Callable
 
@@ -15,6 +14,8 @@
 REMEMBERED_VERSIONS = 32
 #: stands for the age of a naming that happened at an unknown time.
 UNKNOWN_AGE_S = float("inf")
+#: an age that is corrected by more than this is logged.
+LOGGED_CORRECTION_S = 0.5
 
 
 @attrs.frozen
@@ -23,7 +24,8 @@
 
     :param version: the version.
     :param learnt_s: when this process learnt of it.
-    :param named_s: when it was named, if that is known.
+    :param named_s: when anybody first knew of it, as far as was told; ``None`` if
+        nobody told.
     :param replaced: the version it was named in place of, if a peer told; this
         process then knows nothing of what replaced older ones.
     """
@@ -41,13 +43,17 @@
     named. It takes that for long ago until a peer says otherwise: engines that
     still run older weights may have had their time.
 
+    A naming is as old as the first instance that knew of it says: one that learns
+    of it late is told by others, and no age is made younger again.
+
     :param clock: monotonic clock in seconds.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._listeners: list[Callable[[], None]] = []
-        self._named: dict[str, collections.deque[_Naming]] = {}
+        #: the namings of each model, in order of their versions.
+        self._named: dict[str, list[_Naming]] = {}
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` whenever new weights are named."""
@@ -66,16 +72,16 @@
     ) -> None:
         """Take in what a peer knows of a naming.
 
-        :param age_s: how long ago it was, or :data:`UNKNOWN_AGE_S`.
+        :param age_s: how long ago it was at least, or :data:`UNKNOWN_AGE_S`.
         :param replaced: the version it was named in place of, if known.
         """
         named_s = None if age_s == UNKNOWN_AGE_S else self._clock() - age_s
+        known = self._find(named)
+        if known is not None and known.named_s is None and named_s is not None:
+            known = attrs.evolve(known, named_s=named_s, replaced=replaced)
+            self._put(named.model, known)
+            return
         self._add(named, named_s, "peer")
-        newest = self._newest(named.model)
-        is_same = newest.version == named.version
-        if is_same and newest.named_s is None and named_s is not None:
-            namings = self._named[named.model]
-            namings[-1] = attrs.evolve(newest, named_s=named_s, replaced=replaced)
 
     def all(self) -> list[WeightsNamed]:
         """Return the newest weights of each model."""
@@ -99,14 +105,17 @@
 
         :returns: 0 if there is none, :data:`UNKNOWN_AGE_S` if nobody knows.
         """
-        for naming in self._named.get(model, ()):
-            if naming.version <= version:
-                continue
-            if naming.replaced is not None and version < naming.replaced:
-                # Something older replaced it, at a time nobody told.
-                return UNKNOWN_AGE_S
-            return self._age_s(naming)
-        return 0.0
+        newest = self._newest(model)
+        if newest is None or newest.version <= version:
+            return 0.0
+        newer = [n for n in self._named[model] if n.version > version]
+        first = newer[0]
+        if first.replaced is not None and version < first.replaced:
+            # Something older replaced it, at a time nobody told.
+            return UNKNOWN_AGE_S
+        # What was named later may have become known sooner.
+        later = [self._age_s(n) for n in newer[1:] if n.named_s is not None]
+        return max([self._age_s(first), *later])
 
     def replaced_version(self, model: str) -> int | None:
         """Return the version that the newest was named in place of, if known."""
@@ -124,14 +133,34 @@
             return UNKNOWN_AGE_S
         return self._clock() - naming.named_s
 
-    def _add(self, named: WeightsNamed, named_s: float | None, source: str) -> None:
+    def _find(self, named: WeightsNamed) -> _Naming | None:
+        for naming in self._named.get(named.model, ()):
+            if naming.version == named.version:
+                return naming
+        return None
+
+    def _put(self, model: str, naming: _Naming) -> None:
+        """Remember a naming in place of what was known of its version."""
+        others = [n for n in self._named.get(model, ()) if n.version != naming.version]
+        namings = sorted([*others, naming], key=lambda n: n.version)
+        self._named[model] = namings[-REMEMBERED_VERSIONS:]
+
+    def _add(
+        self,
+        named: WeightsNamed,
+        named_s: float | None,
+        source: str,
+    ) -> None:
+        known = self._find(named)
+        if known is not None:
+            self._make_older(named, known, named_s, source)
+            return
         newest = self._newest(named.model)
-        if newest is not None and named.version <= newest.version:
+        naming = _Naming(named.version, self._clock(), named_s)
+        if newest is not None and named.version < newest.version:
+            self._put_missed(named.model, naming)
             return
-        namings = self._named.setdefault(
-            named.model, collections.deque(maxlen=REMEMBERED_VERSIONS)
-        )
-        namings.append(_Naming(named.version, self._clock(), named_s))
+        self._put(named.model, naming)
         _log.bind(
             model=named.model,
             version=named.version,
@@ -140,3 +169,29 @@
         ).info("Weights named.")
         for listener in self._listeners:
             listener()
+
+    def _put_missed(self, model: str, naming: _Naming) -> None:
+        """Remember a naming that became known after a later one.
+
+        Of those before the first that this process knows, nothing is known.
+        """
+        is_between = naming.version > self._named[model][0].version
+        if is_between and naming.named_s is not None:
+            self._put(model, naming)
+
+    def _make_older(
+        self, named: WeightsNamed, known: _Naming, named_s: float | None, source: str
+    ) -> None:
+        """Correct when a version was named, if somebody knew of it sooner."""
+        if named_s is None or known.named_s is None or named_s >= known.named_s:
+            return
+        self._put(named.model, attrs.evolve(known, named_s=named_s))
+        if known.named_s - named_s > LOGGED_CORRECTION_S:
+            now_s = self._clock()
+            _log.bind(
+                model=named.model,
+                version=named.version,
+                age_s=round(now_s - named_s, 3),
+                believed_s=round(now_s - known.named_s, 3),
+                source=source,
+            ).info("Weights were named earlier than believed.")
