A starting process that hears of weights first from a peer knows nothing of older ones

Callers: of a process that hears the holder's notice before it has read the topic, requests begin on weights that were replaced by something older than what it heard of, as if that had been their first replacement.

Cause and class: the notice's `replaced` was only kept if the naming was known already, at an unknown time; the same gap as for a topic read whole, by another way.

Change: kept as well if the notice is the first that the process hears of the model.

Test: "A process that starts takes weights long replaced for new ones" failed before. Read in the code; not seen in a play.

--- a/features/weights_begun_late.feature
+++ b/features/weights_begun_late.feature
@@ -33,3 +33,8 @@
     And the log says that weights 2 are named
     And 2 more seconds go by
     Then requests may not begin on weights 1
+
+  Scenario: A process that starts takes weights long replaced for new ones
+    Given an instance that knows of no weights before an engine on weights 1
+    When the holder of the duty says that weights 3 were named 1 seconds ago after 2
+    Then requests may not begin on weights 1
--- a/src/kumquatseam/upstreams/_targets.py
+++ b/src/kumquatseam/upstreams/_targets.py
@@ -81,7 +81,7 @@
             known = attrs.evolve(known, named_s=named_s, replaced=replaced)
             self._put(named.model, known)
             return
-        self._add(named, named_s, "peer")
+        self._add(named, named_s, "peer", replaced)
 
     def all(self) -> list[WeightsNamed]:
         """Return the newest weights of each model."""
@@ -150,13 +150,17 @@
         named: WeightsNamed,
         named_s: float | None,
         source: str,
+        replaced: int | None = None,
     ) -> None:
         known = self._find(named)
         if known is not None:
             self._make_older(named, known, named_s, source)
             return
         newest = self._newest(named.model)
-        naming = _Naming(named.version, self._clock(), named_s)
+        if newest is not None:
+            # What it was named in place of is known, or will be read.
+            replaced = None
+        naming = _Naming(named.version, self._clock(), named_s, replaced)
         if newest is not None and named.version < newest.version:
             self._put_missed(named.model, naming)
             return
