What arrives after a standstill may be as old as the standstill

Callers: an instance that was frozen goes on placing requests on weights that were replaced while it stood still, for as long as if they had been replaced as it went on; others correct it only if a rollout's notice comes after.

Cause and class: what was sent to a frozen process waits in its sockets and is taken in as if it were new. Nothing told a naming that had waited from one just read; the first update taken in after a freeze, an empty one, even makes the copy of the topic look current. The same, up to a second and a half, if the instance that reads the topic stops: its successor reads late. And a topic that was read anew as a whole left the newest naming's age unknown, so that after three seconds nothing could begin on older weights, though the copy before told that it was no older than that.

Change: a process notes every 0.2 s that it runs. What arrives within a second after a standstill may have been written since before it (Learning.unseen_s); so may what arrives after more silence than a reader leaves, up to the time after which every instance would have read by itself, for in a longer outage nobody writes. A naming has two ages: what somebody proved, which is told to others and makes theirs older, and what it may be at most, by which only this instance keeps requests off old weights.

Ruled out: counting every gap of the copy in full (after an outage of the log all instances would refuse all engines on weights that were replaced a moment ago), and telling others the longest possible age (one frozen instance would make it theirs).

Tests: seven scenarios in features/weights_begun_late.feature.

--- a/features/steps/weights_begun_late_steps.py
+++ b/features/steps/weights_begun_late_steps.py
@@ -1,12 +1,57 @@
 """Steps for requests that begin on replaced weights too late, in modelled time."""
 
+import json
+from types import SimpleNamespace
+
 from behave import given, then, when
 from decision_world import build_placer, build_request
 from modelled_clock import Clock
 
+from kumquatseam.feeds import ReadPace, TopicFeeds, TopicUpdate
+from kumquatseam.logservice import KeyedBatch, KeyedChange
+from kumquatseam.platform._topics import OperatorListener
+from kumquatseam.routes import LiveRouteTable
 from kumquatseam.upstreams import WeightsNamed
 
 MODEL = "m0"
+TOPIC = "keyed.op"
+#: a reader waits this long for news; without it others read after a second.
+PACE = ReadPace(wait_s=0.4, pause_s=0.0, stale_after_s=1.2)
+#: how often a process that runs notes that it does.
+PULSE_S = 0.2
+
+
+class QuietBus:
+    """A bus on which nobody else is heard."""
+
+    name = "i0"
+
+    def on_message(self, kind, handler):
+        pass
+
+    def publish(self, message):
+        pass
+
+    def view(self):
+        return SimpleNamespace(is_leader=False)
+
+
+class QuietQuestions:
+    """Nobody asks."""
+
+    def on_question(self, kind, answer):
+        pass
+
+
+def _weights(offset, version):
+    value = json.dumps({"model": MODEL, "version": version}).encode()
+    return KeyedChange(offset, f"version/{MODEL}", value)
+
+
+def _update(context, *changes):
+    known = context.watch.copy.next_offset
+    batch = KeyedBatch(known, known + len(changes), changes)
+    context.feeds.take_update(TopicUpdate("i1", TOPIC, batch))
 
 
 def _name(context, version):
@@ -68,3 +113,54 @@
 @then("requests may not begin on weights 1")
 def step_not_begin(context):
     assert context.placer.place(build_request()) is None
+
+
+@given("an instance before an engine on weights 1, which follows the operators' topic")
+def step_instance_follows(context):
+    step_instance(context)
+    clock = context.clock
+    context.feeds = TopicFeeds(
+        None, QuietBus(), None, QuietQuestions(), clock=context.clock
+    )
+    listener = OperatorListener(LiveRouteTable(), context.targets)
+    context.watch = context.feeds.follow(TOPIC, listener, PACE)
+    context.watch.copy.take(KeyedBatch(0, 5, (_weights(4, 1),), is_whole=True))
+    # Weights 1 were named long ago.
+    for _ in range(50):
+        clock.sleep(PULSE_S)
+        context.feeds.standstills.note_running()
+        _update(context)
+
+
+@when("it stands still for {for_s:g} seconds")
+def step_stand_still(context, for_s):
+    context.clock.sleep(for_s)
+
+
+@when("it goes on, and no update arrives for {for_s:g} seconds")
+def step_no_update(context, for_s):
+    for _ in range(round(for_s / PULSE_S)):
+        context.clock.sleep(PULSE_S)
+        context.feeds.standstills.note_running()
+
+
+@when("an update without news arrives")
+def step_empty_update(context):
+    _update(context)
+
+
+@when("an update that names weights {version:d} arrives")
+def step_update(context, version):
+    _update(context, _weights(context.watch.copy.next_offset, version))
+
+
+@when("the topic is read as a whole and names weights {version:d}")
+def step_read_whole(context, version):
+    offset = context.watch.copy.next_offset
+    batch = KeyedBatch(0, offset + 1, (_weights(offset, version),), is_whole=True)
+    context.watch.copy.take(batch)
+
+
+@then("it tells others that weights 2 were named {age_s:g} seconds ago")
+def step_tells(context, age_s):
+    assert context.targets.age_s(MODEL) == age_s, context.targets.age_s(MODEL)
--- a/features/weights_begun_late.feature
+++ b/features/weights_begun_late.feature
@@ -38,3 +38,53 @@
     Given an instance that knows of no weights before an engine on weights 1
     When the holder of the duty says that weights 3 were named 1 seconds ago after 2
     Then requests may not begin on weights 1
+
+  Scenario: Updates that waited while an instance stood still are taken for new ones
+    Given an instance before an engine on weights 1, which follows the operators' topic
+    When it stands still for 5 seconds
+    And an update without news arrives
+    And an update that names weights 2 arrives
+    And 2 more seconds go by
+    Then requests may not begin on weights 1
+
+  Scenario: A notice that waited hides that the update waited as well
+    Given an instance before an engine on weights 1, which follows the operators' topic
+    When it stands still for 5 seconds
+    And the holder of the duty says that they were named 0.3 seconds ago
+    And an update that names weights 2 arrives
+    And 2 more seconds go by
+    Then requests may not begin on weights 1
+
+  Scenario: Weights named while nobody read the topic are taken for new ones
+    Given an instance before an engine on weights 1, which follows the operators' topic
+    When it goes on, and no update arrives for 1.4 seconds
+    And an update that names weights 2 arrives
+    And 5.4 more seconds go by
+    Then requests may not begin on weights 1
+
+  Scenario: Weights named right after an outage of the log are not as old as the outage
+    Given an instance before an engine on weights 1, which follows the operators' topic
+    When it goes on, and no update arrives for 10 seconds
+    And an update that names weights 2 arrives
+    And 4 more seconds go by
+    Then requests may begin on weights 1
+
+  Scenario: An instance that is told at once counts from then on
+    Given an instance before an engine on weights 1, which follows the operators' topic
+    When it goes on, and no update arrives for 0.4 seconds
+    And an update that names weights 2 arrives
+    And 6.4 more seconds go by
+    Then requests may begin on weights 1
+
+  Scenario: Nothing may begin on old weights after the topic was read anew as a whole
+    Given an instance before an engine on weights 1, which follows the operators' topic
+    When it goes on, and no update arrives for 0.4 seconds
+    And the topic is read as a whole and names weights 2
+    And 5 more seconds go by
+    Then requests may begin on weights 1
+
+  Scenario: What an instance may have missed is not told to others as an age
+    Given an instance before an engine on weights 1, which follows the operators' topic
+    When it stands still for 5 seconds
+    And an update that names weights 2 arrives
+    Then it tells others that weights 2 were named 0 seconds ago
--- a/src/kumquatseam/feeds/_copy.py
+++ b/src/kumquatseam/feeds/_copy.py
@@ -60,12 +60,17 @@
         return batch.from_offset <= self.next_offset
 
     def take(
-        self, batch: KeyedBatch, outage_age_s: float | None = None, age_s: float = 0.0
+        self,
+        batch: KeyedBatch,
+        outage_age_s: float | None = None,
+        age_s: float = 0.0,
+        unseen_s: float = 0.0,
     ) -> tuple[KeyedChange, ...]:
         """Take in a batch that follows.
 
         :param outage_age_s: how long ago the log was last out of reach.
         :param age_s: how long ago the batch was known to be complete.
+        :param unseen_s: for how long what is new may have gone unnoticed here.
         :returns: the changes that were news to the listener.
         """
         if self.next_offset is not None and batch.next_offset < self.next_offset:
@@ -74,7 +79,9 @@
         if is_restored:
             # Entries that are missing are written again if their owners live.
             outage_age_s = 0.0
-        learning = Learning(batch.is_whole, outage_age_s, is_restored)
+        # Whoever has had a copy before knows about how long a value was not there.
+        is_history = batch.is_whole and self.synced_s is None
+        learning = Learning(is_history, outage_age_s, is_restored, max(unseen_s, age_s))
         changes = self._missing(batch)
         news = tuple(change for change in changes if self._store(change, learning))
         self.next_offset = batch.next_offset
--- a/src/kumquatseam/feeds/_feeds.py
+++ b/src/kumquatseam/feeds/_feeds.py
@@ -1,13 +1,16 @@
 """The topics this instance follows, and what it tells others of them."""
 
+import time
 from collections.abc import Callable
 
 import attrs
 
 from kumquatseam.feeds._messages import TopicAnswer, TopicQuestion, TopicUpdate
 from kumquatseam.feeds._shared_watch import FeedPeers, ReadPace, SharedWatch
+from kumquatseam.feeds._standstills import PULSE_S, Standstills
 from kumquatseam.lifecycle import PartGroup
 from kumquatseam.logservice import KeyedBatch, KeyedListener, LogService
+from kumquatseam.loops import StepLoop
 from kumquatseam.peers import InstanceRecord, PeerBus, Questions
 
 
@@ -21,6 +24,7 @@
     :param are_peers_known: whether it is known who the other instances are. Right
         after a start each would take itself for the first of all, and all would
         read for the others.
+    :param clock: monotonic clock in seconds.
     """
 
     def __init__(
@@ -30,7 +34,10 @@
         record: InstanceRecord,
         questions: Questions,
         are_peers_known: Callable[[], bool] = lambda: True,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock = clock
+        self.standstills = Standstills(clock)
         self._log_service = log
         self._are_peers_known = are_peers_known
         self._bus = bus
@@ -53,7 +60,15 @@
             lambda known_offset: self._ask_others(topic, known_offset),
             lambda: self._are_peers_known() and self._bus.view().is_in_council,
         )
-        watch = SharedWatch(self._log_service, topic, listener, pace, peers)
+        watch = SharedWatch(
+            self._log_service,
+            topic,
+            listener,
+            pace,
+            peers,
+            self._clock,
+            self.standstills,
+        )
         self._watches[topic] = watch
         return watch
 
@@ -64,7 +79,8 @@
 
     def start(self) -> None:
         """Begin to follow."""
-        self._parts = PartGroup("feeds", [*self._watches.values()])
+        pulse = StepLoop(PULSE_S, self.standstills.note_running, runs_at_once=True)
+        self._parts = PartGroup("feeds", [pulse, *self._watches.values()])
         self._parts.start()
 
     def close(self) -> None:
--- a/src/kumquatseam/feeds/_shared_watch.py
+++ b/src/kumquatseam/feeds/_shared_watch.py
@@ -10,6 +10,7 @@
 from kumquatseam.feeds._copy import TopicCopy
 from kumquatseam.feeds._messages import TopicUpdate
 from kumquatseam.feeds._reader_choice import ReaderChoice
+from kumquatseam.feeds._standstills import Standstills
 from kumquatseam.logs import part_logger
 from kumquatseam.logservice import (
     KeyedBatch,
@@ -69,6 +70,11 @@
         """How old a reader's last update may be while it counts as reading."""
         return READER_FRESH_PACES * (self.wait_s + self.pause_s)
 
+    @property
+    def overdue_s(self) -> float:
+        """How long no update may come before each instance has read by itself."""
+        return self.stale_after_s + self.wait_s
+
 
 @attrs.frozen
 class FeedPeers:
@@ -100,6 +106,8 @@
     :param pace: how often it is read.
     :param peers: the other instances.
     :param clock: monotonic clock in seconds.
+    :param standstills: knows whether updates may have waited here; ``None`` if
+        nobody watches that.
     """
 
     def __init__(
@@ -110,6 +118,7 @@
         pace: ReadPace,
         peers: FeedPeers,
         clock: Callable[[], float] = time.monotonic,
+        standstills: Standstills | None = None,
     ) -> None:
         super().__init__()
         self.topic = topic
@@ -118,6 +127,7 @@
         self._pace = pace
         self._peers = peers
         self._clock = clock
+        self._standstills = standstills
         self._choice = ReaderChoice(pace.reader_fresh_s)
         self._wake = gevent.event.Event()
         self._first_ask: gevent.Greenlet | None = None
@@ -143,7 +153,7 @@
             self.copy.next_offset or 0
         )
         if self.copy.follows(batch) and is_told:
-            self.copy.take(batch, self._outage_age_s())
+            self._take(batch)
             return
         self._has_gap = True
         self._wake.set()
@@ -233,10 +243,26 @@
                 "The log returned from an older copy."
             )
             self._note_outage(self._clock())
-        news = self.copy.take(batch, self._outage_age_s())
+        news = self._take(batch)
         if self.is_reader:
             self._tell(known_offset, news)
 
+    def _take(self, batch: KeyedBatch, age_s: float = 0.0) -> tuple[KeyedChange, ...]:
+        unseen_s = self._unseen_s()
+        return self.copy.take(batch, self._outage_age_s(), age_s, unseen_s)
+
+    def _unseen_s(self) -> float:
+        """Return for how long what is new now may have gone unnoticed.
+
+        While the log is out of everybody's reach nothing is written, so a long
+        silence counts only up to when each instance would have read it by itself.
+        """
+        waited_s = self._standstills.unseen_s() if self._standstills else 0.0
+        silent_s = self.copy.age_s()
+        if silent_s <= self._pace.reader_fresh_s:
+            return waited_s
+        return max(waited_s, min(silent_s, self._pace.overdue_s))
+
     def _tell(self, known_offset: int | None, news: tuple[KeyedChange, ...]) -> None:
         """Tell the others what is new; an empty update says that nothing is.
 
@@ -307,7 +333,7 @@
         batch, age_s = answer
         if batch.next_offset <= (self.copy.next_offset or 0):
             return
-        self.copy.take(batch, self._outage_age_s(), age_s)
+        self._take(batch, age_s)
         self._has_gap = False
         _log.bind(
             topic=self.topic, next_offset=batch.next_offset, age_s=round(age_s, 2)
--- a/src/kumquatseam/logservice/_keyed_listener.py
+++ b/src/kumquatseam/logservice/_keyed_listener.py
@@ -15,11 +15,14 @@
         not lately.
     :param is_restored: the log returned from an older copy: the value may be older
         than the one known, and a dropped key may be lost.
+    :param unseen_s: what is new may have been written this long before it was
+        learnt: this instance stood still, or nobody read the log.
     """
 
     is_history: bool = False
     outage_age_s: float | None = None
     is_restored: bool = False
+    unseen_s: float = 0.0
 
 
 class KeyedListener(abc.ABC):
--- a/src/kumquatseam/platform/_topics.py
+++ b/src/kumquatseam/platform/_topics.py
@@ -54,7 +54,7 @@
         if learning.is_history:
             self._targets.take_known(named)
         else:
-            self._targets.take(named)
+            self._targets.take(named, learning.unseen_s)
 
 
 class UpstreamListener(KeyedListener):
--- a/src/kumquatseam/upstreams/_targets.py
+++ b/src/kumquatseam/upstreams/_targets.py
@@ -26,6 +26,8 @@
     :param learnt_s: when this process learnt of it.
     :param named_s: when anybody first knew of it, as far as was told; ``None`` if
         nobody told.
+    :param unseen_since_s: when it may have been named already without being noticed
+        here.
     :param replaced: the version it was named in place of, if a peer told; this
         process then knows nothing of what replaced older ones.
     """
@@ -33,6 +35,7 @@
     version: int
     learnt_s: float
     named_s: float | None
+    unseen_since_s: float
     replaced: int | None = None
 
 
@@ -59,13 +62,21 @@
         """Call ``listener`` whenever new weights are named."""
         self._listeners.append(listener)
 
-    def take(self, named: WeightsNamed) -> None:
-        """Take in weights that were named just now."""
-        self._add(named, self._clock(), "store")
+    def take(self, named: WeightsNamed, unseen_s: float = 0.0) -> None:
+        """Take in weights that were named just now.
+
+        :param unseen_s: they may have been named this long ago without being
+            noticed here.
+        """
+        now_s = self._clock()
+        naming = _Naming(named.version, now_s, now_s, now_s - unseen_s)
+        self._add(named.model, naming, "store")
 
     def take_known(self, named: WeightsNamed) -> None:
         """Take in weights that were named at an unknown time before."""
-        self._add(named, None, "store, read whole")
+        now_s = self._clock()
+        naming = _Naming(named.version, now_s, None, now_s)
+        self._add(named.model, naming, "store, read whole")
 
     def hear(
         self, named: WeightsNamed, age_s: float, replaced: int | None = None
@@ -75,13 +86,15 @@
         :param age_s: how long ago it was at least, or :data:`UNKNOWN_AGE_S`.
         :param replaced: the version it was named in place of, if known.
         """
-        named_s = None if age_s == UNKNOWN_AGE_S else self._clock() - age_s
-        known = self._find(named)
+        now_s = self._clock()
+        named_s = None if age_s == UNKNOWN_AGE_S else now_s - age_s
+        since_s = now_s if named_s is None else named_s
+        naming = _Naming(named.version, now_s, named_s, since_s, replaced)
+        known = self._find(named.model, named.version)
         if known is not None and known.named_s is None and named_s is not None:
-            known = attrs.evolve(known, named_s=named_s, replaced=replaced)
-            self._put(named.model, known)
+            self._put(named.model, attrs.evolve(naming, learnt_s=known.learnt_s))
             return
-        self._add(named, named_s, "peer", replaced)
+        self._add(named.model, naming, "peer")
 
     def all(self) -> list[WeightsNamed]:
         """Return the newest weights of each model."""
@@ -91,7 +104,7 @@
         ]
 
     def age_s(self, model: str) -> float:
-        """Return how long ago the newest version of ``model`` was named."""
+        """Return how long ago the newest version of ``model`` was named at least."""
         newest = self._newest(model)
         return self._age_s(newest) if newest is not None else 0.0
 
@@ -101,7 +114,7 @@
         return self._clock() - newest.learnt_s if newest is not None else 0.0
 
     def replaced_age_s(self, model: str, version: int) -> float:
-        """Return how long ago a version newer than ``version`` was named.
+        """Return how long ago a version newer than ``version`` may have been named.
 
         :returns: 0 if there is none, :data:`UNKNOWN_AGE_S` if nobody knows.
         """
@@ -114,8 +127,8 @@
             # Something older replaced it, at a time nobody told.
             return UNKNOWN_AGE_S
         # What was named later may have become known sooner.
-        later = [self._age_s(n) for n in newer[1:] if n.named_s is not None]
-        return max([self._age_s(first), *later])
+        later = [self._longest_s(n) for n in newer[1:] if n.named_s is not None]
+        return max([self._longest_s(first), *later])
 
     def replaced_version(self, model: str) -> int | None:
         """Return the version that the newest was named in place of, if known."""
@@ -133,9 +146,13 @@
             return UNKNOWN_AGE_S
         return self._clock() - naming.named_s
 
-    def _find(self, named: WeightsNamed) -> _Naming | None:
-        for naming in self._named.get(named.model, ()):
-            if naming.version == named.version:
+    def _longest_s(self, naming: _Naming) -> float:
+        unseen_s = self._clock() - naming.unseen_since_s
+        return max(self._age_s(naming), unseen_s)
+
+    def _find(self, model: str, version: int) -> _Naming | None:
+        for naming in self._named.get(model, ()):
+            if naming.version == version:
                 return naming
         return None
 
@@ -145,31 +162,25 @@
         namings = sorted([*others, naming], key=lambda n: n.version)
         self._named[model] = namings[-REMEMBERED_VERSIONS:]
 
-    def _add(
-        self,
-        named: WeightsNamed,
-        named_s: float | None,
-        source: str,
-        replaced: int | None = None,
-    ) -> None:
-        known = self._find(named)
+    def _add(self, model: str, naming: _Naming, source: str) -> None:
+        known = self._find(model, naming.version)
         if known is not None:
-            self._make_older(named, known, named_s, source)
+            self._make_older(model, known, naming, source)
             return
-        newest = self._newest(named.model)
+        newest = self._newest(model)
         if newest is not None:
             # What it was named in place of is known, or will be read.
-            replaced = None
-        naming = _Naming(named.version, self._clock(), named_s, replaced)
-        if newest is not None and named.version < newest.version:
-            self._put_missed(named.model, naming)
+            naming = attrs.evolve(naming, replaced=None)
+        if newest is not None and naming.version < newest.version:
+            self._put_missed(model, naming)
             return
-        self._put(named.model, naming)
+        self._put(model, naming)
         _log.bind(
-            model=named.model,
-            version=named.version,
+            model=model,
+            version=naming.version,
             before=newest.version if newest else None,
             source=source,
+            unseen_s=round(naming.learnt_s - naming.unseen_since_s, 3),
         ).info("Weights named.")
         for listener in self._listeners:
             listener()
@@ -184,18 +195,25 @@
             self._put(model, naming)
 
     def _make_older(
-        self, named: WeightsNamed, known: _Naming, named_s: float | None, source: str
+        self, model: str, known: _Naming, told: _Naming, source: str
     ) -> None:
-        """Correct when a version was named, if somebody knew of it sooner."""
-        if named_s is None or known.named_s is None or named_s >= known.named_s:
+        """Correct when a version was named, if it was sooner than believed."""
+        if told.named_s is None or known.named_s is None:
+            return
+        naming = attrs.evolve(
+            known,
+            named_s=min(known.named_s, told.named_s),
+            unseen_since_s=min(known.unseen_since_s, told.unseen_since_s),
+        )
+        if naming == known:
             return
-        self._put(named.model, attrs.evolve(known, named_s=named_s))
-        if known.named_s - named_s > LOGGED_CORRECTION_S:
-            now_s = self._clock()
+        before_s = self._longest_s(known)
+        self._put(model, naming)
+        if self._longest_s(naming) - before_s > LOGGED_CORRECTION_S:
             _log.bind(
-                model=named.model,
-                version=named.version,
-                age_s=round(now_s - named_s, 3),
-                believed_s=round(now_s - known.named_s, 3),
+                model=model,
+                version=naming.version,
+                age_s=round(self._longest_s(naming), 3),
+                believed_s=round(before_s, 3),
                 source=source,
             ).info("Weights were named earlier than believed.")
