Permissions and beliefs run out while the machine is suspended

Callers: after a suspension, requests begin on weights that were replaced before it or in it for as long as the machine slept longer than allowed; and an instance that held the duty of rolling weights out when it was suspended goes on giving orders with a token that another instance has followed up, which engines that check no tokens obey.

Cause and class: time.monotonic stands still while a machine is suspended. The ages of namings, the lease of a duty and the age of a topic's copy were counted by it, so all three were too young by the suspension; a standstill was not noticed either.

Change: clocks.elapsed_s counts CLOCK_BOOTTIME where the platform has it. Used where the lifetime of a permission or belief is counted: WeightsTargets, DutyLease, feeds. Sockets, loops and gevent's deadlines keep the monotonic clock. None of these parts takes or gives times of the clock, only ages (checked by grep: fence, age_s, replaced_age_s, outage_age_s; synced_s is only compared with None outside), so no value of one clock meets the other.

Tests: six scenarios in features/weights_begun_late.feature, with the clock that counts suspensions moved on and no other. On the code before, four failed ("A machine that was suspended takes a naming ...", "... its copy of a topic ...", "A suspension is no standstill ...", "A holder that was suspended past its lease ..."); the contender's guards what holds already, the last guards platforms without such a clock.

--- a/features/steps/weights_begun_late_steps.py
+++ b/features/steps/weights_begun_late_steps.py
@@ -1,17 +1,26 @@
 """Steps for requests that begin on replaced weights too late, in modelled time."""
 
 import json
+import time
 from types import SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 from decision_world import build_placer, build_request
 from modelled_clock import Clock
 
-from kumquatseam.feeds import ReadPace, TopicFeeds, TopicUpdate
+from kumquatseam import clocks
+from kumquatseam.feeds import ReadPace, TopicCopy, TopicFeeds, TopicUpdate
+from kumquatseam.leases import DutyLease
 from kumquatseam.logservice import KeyedBatch, KeyedChange
 from kumquatseam.platform._topics import OperatorListener
 from kumquatseam.routes import LiveRouteTable
-from kumquatseam.upstreams import WeightsNamed
+from kumquatseam.standins.logservice import (
+    InMemoryLogService,
+    LogStore,
+    LogStoreLimits,
+)
+from kumquatseam.upstreams import WeightsNamed, WeightsTargets
 
 MODEL = "m0"
 TOPIC = "keyed.op"
@@ -19,6 +28,8 @@
 PACE = ReadPace(wait_s=0.4, pause_s=0.0, stale_after_s=1.2)
 #: how often a process that runs notes that it does.
 PULSE_S = 0.2
+#: what a step itself may take by the machine's own clocks.
+STEP_MOST_S = 1.0
 
 
 class QuietBus:
@@ -164,3 +175,119 @@
 @then("it tells others that weights 2 were named {age_s:g} seconds ago")
 def step_tells(context, age_s):
     assert context.targets.age_s(MODEL) == age_s, context.targets.age_s(MODEL)
+
+
+# Suspensions.
+
+
+@given("weights that were named just now, by this machine's own clocks")
+def step_named_now(context):
+    context.targets = WeightsTargets()
+    _name(context, 1)
+    _name(context, 2)
+
+
+@given("a copy of a topic that was read just now, by this machine's own clocks")
+def step_copy_now(context):
+    listener = OperatorListener(LiveRouteTable(), WeightsTargets())
+    context.copy = TopicCopy(listener)
+    context.copy.take(KeyedBatch(0, 5, is_whole=True))
+
+
+@given("an instance that follows the operators' topic by this machine's own clocks")
+def step_follows_now(context):
+    context.targets = WeightsTargets()
+    _name(context, 1)
+    context.feeds = TopicFeeds(None, QuietBus(), None, QuietQuestions())
+    listener = OperatorListener(LiveRouteTable(), context.targets)
+    context.watch = context.feeds.follow(TOPIC, listener, PACE)
+    context.watch.copy.take(KeyedBatch(0, 5, is_whole=True))
+    context.feeds.standstills.note_running()
+
+
+def _contender(context, name):
+    log = InMemoryLogService(context.store)
+    return DutyLease(log, "d", name, 3.0)
+
+
+@given("a holder of a duty with a lease of 3 seconds, by this machine's own clocks")
+def step_lease_now(context):
+    context.store = LogStore(LogStoreLimits())
+    context.holder = _contender(context, "holder")
+    context.holder.step()
+    assert context.holder.fence is not None
+
+
+@given("a contender that knows of it")
+def step_contender_now(context):
+    context.contender = _contender(context, "contender")
+    context.contender.step()
+    assert context.contender.fence is None
+
+
+@when("the machine is suspended for {for_s:g} seconds")
+def step_suspend(context, for_s):
+    """Let the clock pass that counts suspensions, and no other."""
+    read = time.clock_gettime
+
+    def read_later(clock_id):
+        is_suspend_aware = clock_id == time.CLOCK_BOOTTIME
+        return read(clock_id) + (for_s if is_suspend_aware else 0.0)
+
+    patch = mock.patch("time.clock_gettime", read_later)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when("the holder looks after its lease")
+def step_holder_looks(context):
+    context.holder.step()
+
+
+@when("the contender looks after the lease")
+def step_contender_looks(context):
+    context.contender.step()
+
+
+def _assert_about(found_s, expected_s):
+    assert expected_s <= found_s <= expected_s + STEP_MOST_S, found_s
+
+
+@then("they are {age_s:g} seconds old")
+def step_they_are(context, age_s):
+    _assert_about(context.targets.age_s(MODEL), age_s)
+    _assert_about(context.targets.replaced_age_s(MODEL, 1), age_s)
+
+
+@then("the copy is {age_s:g} seconds old")
+def step_copy_is(context, age_s):
+    _assert_about(context.copy.age_s(), age_s)
+
+
+@then("weights 1 may have been replaced {age_s:g} seconds ago")
+def step_may_be_replaced(context, age_s):
+    _assert_about(context.targets.replaced_age_s(MODEL, 1), age_s)
+
+
+@then("it does not hold the duty")
+def step_not_held(context):
+    assert context.holder.fence is None
+
+
+@then("the holder alone holds the duty")
+def step_holder_alone(context):
+    assert context.contender.fence is None
+    assert context.holder.fence is not None
+
+
+@given("a platform without a clock that counts suspensions")
+def step_no_clock(context):
+    patch = mock.patch.object(clocks, "_SUSPEND_AWARE_CLOCK", None)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@then("seconds pass as by the monotonic clock")
+def step_monotonic(context):
+    began_s = time.monotonic()
+    assert began_s <= clocks.elapsed_s() <= time.monotonic()
--- a/features/weights_begun_late.feature
+++ b/features/weights_begun_late.feature
@@ -88,3 +88,37 @@
     When it stands still for 5 seconds
     And an update that names weights 2 arrives
     Then it tells others that weights 2 were named 0 seconds ago
+
+  Scenario: A machine that was suspended takes a naming for younger than it is
+    Given weights that were named just now, by this machine's own clocks
+    When the machine is suspended for 7 seconds
+    Then they are 7 seconds old
+
+  Scenario: A machine that was suspended takes its copy of a topic for current
+    Given a copy of a topic that was read just now, by this machine's own clocks
+    When the machine is suspended for 4 seconds
+    Then the copy is 4 seconds old
+
+  Scenario: A suspension is no standstill to whoever finds new weights after it
+    Given an instance that follows the operators' topic by this machine's own clocks
+    When the machine is suspended for 5 seconds
+    And an update that names weights 2 arrives
+    Then weights 1 may have been replaced 5 seconds ago
+
+  Scenario: A holder that was suspended past its lease goes on giving orders
+    Given a holder of a duty with a lease of 3 seconds, by this machine's own clocks
+    When the machine is suspended for 4 seconds
+    Then it does not hold the duty
+
+  Scenario: A contender that was suspended takes a lease that was renewed meanwhile
+    Given a holder of a duty with a lease of 3 seconds, by this machine's own clocks
+    And a contender that knows of it
+    When the machine is suspended for 2 seconds
+    And the holder looks after its lease
+    And the machine is suspended for 2 seconds
+    And the contender looks after the lease
+    Then the holder alone holds the duty
+
+  Scenario: A platform that does not count suspensions has no clock at all
+    Given a platform without a clock that counts suspensions
+    Then seconds pass as by the monotonic clock
--- a/src/kumquatseam/feeds/_copy.py
+++ b/src/kumquatseam/feeds/_copy.py
@@ -1,8 +1,8 @@
 """This process's copy of a keyed topic."""
 
-import time
 from collections.abc import Callable
 
+from kumquatseam.clocks import elapsed_s
 from kumquatseam.logservice import (
     KeyedBatch,
     KeyedChange,
@@ -19,11 +19,11 @@
     is taken in once.
 
     :param listener: is given every value once.
-    :param clock: monotonic clock in seconds.
+    :param clock: seconds that also pass while the machine is suspended.
     """
 
     def __init__(
-        self, listener: KeyedListener, clock: Callable[[], float] = time.monotonic
+        self, listener: KeyedListener, clock: Callable[[], float] = elapsed_s
     ) -> None:
         self._listener = listener
         self._clock = clock
--- a/src/kumquatseam/feeds/_feeds.py
+++ b/src/kumquatseam/feeds/_feeds.py
@@ -1,10 +1,10 @@
 """The topics this instance follows, and what it tells others of them."""
 
-import time
 from collections.abc import Callable
 
 import attrs
 
+from kumquatseam.clocks import elapsed_s
 from kumquatseam.feeds._messages import TopicAnswer, TopicQuestion, TopicUpdate
 from kumquatseam.feeds._shared_watch import FeedPeers, ReadPace, SharedWatch
 from kumquatseam.feeds._standstills import PULSE_S, Standstills
@@ -24,7 +24,7 @@
     :param are_peers_known: whether it is known who the other instances are. Right
         after a start each would take itself for the first of all, and all would
         read for the others.
-    :param clock: monotonic clock in seconds.
+    :param clock: seconds that also pass while the machine is suspended.
     """
 
     def __init__(
@@ -34,7 +34,7 @@
         record: InstanceRecord,
         questions: Questions,
         are_peers_known: Callable[[], bool] = lambda: True,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = elapsed_s,
     ) -> None:
         self._clock = clock
         self.standstills = Standstills(clock)
--- a/src/kumquatseam/feeds/_shared_watch.py
+++ b/src/kumquatseam/feeds/_shared_watch.py
@@ -1,12 +1,12 @@
 """Following one topic, by reading the log or by what other instances read."""
 
-import time
 from collections.abc import Callable, Collection
 
 import attrs
 import gevent
 import gevent.event
 
+from kumquatseam.clocks import elapsed_s
 from kumquatseam.feeds._copy import TopicCopy
 from kumquatseam.feeds._messages import TopicUpdate
 from kumquatseam.feeds._reader_choice import ReaderChoice
@@ -105,7 +105,7 @@
     :param listener: takes in the values.
     :param pace: how often it is read.
     :param peers: the other instances.
-    :param clock: monotonic clock in seconds.
+    :param clock: seconds that also pass while the machine is suspended.
     :param standstills: knows whether updates may have waited here; ``None`` if
         nobody watches that.
     """
@@ -117,7 +117,7 @@
         listener: KeyedListener,
         pace: ReadPace,
         peers: FeedPeers,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = elapsed_s,
         standstills: Standstills | None = None,
     ) -> None:
         super().__init__()
--- a/src/kumquatseam/feeds/_standstills.py
+++ b/src/kumquatseam/feeds/_standstills.py
@@ -1,8 +1,8 @@
 """Noticing that this process stood still, and what arrived meanwhile waited."""
 
-import time
 from collections.abc import Callable
 
+from kumquatseam.clocks import elapsed_s
 from kumquatseam.logs import part_logger
 
 _log = part_logger("feeds")
@@ -23,10 +23,10 @@
     A process that was frozen finds everything that was sent to it meanwhile in its
     sockets, as if it had been sent just now.
 
-    :param clock: monotonic clock in seconds.
+    :param clock: seconds that also pass while the machine is suspended.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, clock: Callable[[], float] = elapsed_s) -> None:
         self._clock = clock
         self._running_s: float | None = None
         self._began_s = self._ended_s = float("-inf")
--- a/src/kumquatseam/leases/_lease.py
+++ b/src/kumquatseam/leases/_lease.py
@@ -14,12 +14,12 @@
 had already sent carries a token that is no longer the newest.
 """
 
-import time
 import uuid
 from collections.abc import Callable
 
 import attrs
 
+from kumquatseam.clocks import elapsed_s
 from kumquatseam.codec import MessageCodec
 from kumquatseam.errors import CodecError
 from kumquatseam.logs import part_logger
@@ -73,7 +73,7 @@
     :param lease_s: how long a lease lasts.
     :param read_rank: this router's place in the order of contenders; ``None``
         while it does not contend.
-    :param clock: monotonic clock in seconds.
+    :param clock: seconds that also pass while the machine is suspended.
     :param on_held: called with the fencing token of each record of this router.
     """
 
@@ -84,7 +84,7 @@
         holder: str,
         lease_s: float,
         read_rank: Callable[[], int | None] = lambda: 0,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = elapsed_s,
         on_held: Callable[[int], None] = lambda fence: None,
     ) -> None:
         self._on_held = on_held
--- a/src/kumquatseam/upstreams/_targets.py
+++ b/src/kumquatseam/upstreams/_targets.py
@@ -1,10 +1,10 @@
 """The weights that are to be in force, and since when."""
 
-import time
 from collections.abc import Callable
 
 import attrs
 
+from kumquatseam.clocks import elapsed_s
 from kumquatseam.logs import part_logger
 from kumquatseam.upstreams._upstream import WeightsNamed
 
@@ -49,10 +49,10 @@
     A naming is as old as the first instance that knew of it says: one that learns
     of it late is told by others, and no age is made younger again.
 
-    :param clock: monotonic clock in seconds.
+    :param clock: seconds that also pass while the machine is suspended.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, clock: Callable[[], float] = elapsed_s) -> None:
         self._clock = clock
         self._listeners: list[Callable[[], None]] = []
         #: the namings of each model, in order of their versions.
