A refused order: what it says is believed on a second look, or without a report

One that tells of no work, asked right after a refusal, let an engine that had just begun to load take work, and its place go to others: six of nine loaded at once where three may. It is believed when the engine refuses once more. - A holder that loses its lease for a moment takes its orders for given once more when it has it again, instead of counting them twice (guarded; the report corrected it). - An order is asked about by the step of its own model.

--- a/features/steps/rollout_world.py
+++ b/features/steps/rollout_world.py
@@ -55,6 +55,10 @@
         #: refuses every order, as one does that knows no such weights.
         self.refuses = False
         self.reports_while_loading = True
+        self.reports = True
+        #: an order is carried out this long after it was given, unanswered.
+        self.late_s = None
+        self.late_order = None
         self.orders = 0
         self.moments = [EngineMoment(0.0, version, False, 0)]
 
@@ -62,6 +66,13 @@
         self.orders += 1
         if self.refuses:
             return OrderOutcome.REFUSED
+        if self.late_s is not None:
+            self.late_order = (now_s + self.late_s, order)
+            self.late_s = None
+            return OrderOutcome.UNANSWERED
+        return self._take(order, now_s)
+
+    def _take(self, order, now_s):
         if order.expected_orders != self.accepted:
             return OrderOutcome.BUSY
         version = order.weights.version
@@ -77,13 +88,17 @@
         return OrderOutcome.ACCEPTED
 
     def pass_time(self, now_s):
+        if self.late_order is not None and now_s >= self.late_order[0]:
+            self._take(self.late_order[1], now_s)
+            self.late_order = None
         if self.loading is not None and now_s >= self.loaded_s:
             self.version = self.loading
             self.loading = None
             self._note(now_s)
 
     def report(self, now_s):
-        if self.loading is not None and not self.reports_while_loading:
+        is_silent = self.loading is not None and not self.reports_while_loading
+        if is_silent or not self.reports:
             return None
         moment = [m for m in self.moments if m.at_s <= now_s - REPORT_AGE_S][-1]
         return EngineReport(
@@ -144,6 +159,7 @@
     end_s = context.clock() + for_s
     context.steps = 0
     context.blocked_steps = collections.Counter()
+    context.most_loading = context.open_while_loading = 0
     for status in context.side.directory.all():
         status.running = context.client.engines[status.upstream.upstream_id].runs
     while context.clock() < end_s:
@@ -157,4 +173,8 @@
             look()
         for status in context.side.directory.all():
             is_blocked = status.blocked_until_s > context.clock()
+            engine = context.client.engines[status.upstream.upstream_id]
             context.blocked_steps[status.upstream.upstream_id] += is_blocked
+            context.open_while_loading += engine.loading is not None and not is_blocked
+        loading = [e for e in context.client.engines.values() if e.loading is not None]
+        context.most_loading = max(context.most_loading, len(loading))
--- a/features/steps/weights_left_behind_steps.py
+++ b/features/steps/weights_left_behind_steps.py
@@ -45,6 +45,48 @@
         context.side.directory.put(entry)
 
 
+@given(
+    "the first order to {count:d} of them is carried out {late_s:g} s later, unanswered"
+)
+def step_first_late(context, count, late_s):
+    for engine in list(context.client.engines.values())[:count]:
+        engine.late_s = late_s
+
+
+@given("the reports of {count:d} of them never come")
+def step_no_reports(context, count):
+    for engine in list(context.client.engines.values())[:count]:
+        engine.reports = False
+
+
+@when("the lease is lost for {for_s:g} seconds")
+def step_lease_lost(context, for_s):
+    lease = context.duty._lease
+    lease.fence = None
+    pass_time(context, for_s)
+    lease.fence = 8
+
+
+@when("{for_s:g} seconds pass, and the list shows what each engine runs")
+def step_listed(context, for_s):
+    pass_time(context, for_s, lambda: list_engines(context))
+
+
+def list_engines(context):
+    for status in context.side.directory.all():
+        engine = context.client.engines[status.upstream.upstream_id]
+        weights = (WeightsNamed(MODEL, engine.version),)
+        context.side.directory.put(attrs.evolve(status.upstream, weights=weights))
+    context.side.directory.note_listed()
+
+
+@when("an engine is believed to run weights {version:d}, as {name} was told")
+def step_believed(context, version, name):
+    assert name == "every instance", name
+    status = context.side.directory.all()[0]
+    status.note_answered(MODEL, version, context.clock())
+
+
 @given("each engine has {runs:d} runs, in {zones:d} availability zones")
 def step_runs(context, runs, zones):
     for number, status in enumerate(context.side.directory.all()):
@@ -156,3 +198,10 @@
         for version, named_s in context.named_s.items()
     }
     assert max(took_s.values()) <= bound_s, took_s
+
+
+@then("at most {most:d} engines loaded at once, and none took work meanwhile")
+def step_loaded_at_once(context, most):
+    assert context.most_loading <= most, context.most_loading
+    # A notice may go out a step after an engine began to load.
+    assert context.open_while_loading <= most, context.open_while_loading
--- a/features/weights_left_behind.feature
+++ b/features/weights_left_behind.feature
@@ -61,3 +61,30 @@
       | 2      | 4     | 3.5     |
       | 1.5    | 6     | 2       |
       | 2      | 8     | 1       |
+
+  Scenario: Engines whose reports never come take the next order all the same
+    Given the holder of the duty before 9 engines that load within 0.6 s
+    And the first order to 3 of them is carried out 30 s later, unanswered
+    And the reports of 3 of them never come
+    When weights 2 are to be in force, and 0 seconds pass
+    And 11 seconds pass, and the list shows what each engine runs
+    Then 9 engines run weights 2
+    When weights 3 are to be in force, and 0 seconds pass
+    And 11 seconds pass, and the list shows what each engine runs
+    Then 9 engines run weights 3
+
+  Scenario: An engine that refuses while it begins to load keeps its place
+    Given the holder of the duty before 9 engines that load within 2 s
+    And the first order to 9 of them is carried out 0.65 s later, unanswered
+    When weights 2 are to be in force, and 11 seconds pass
+    Then 9 engines run weights 2
+    And at most 3 engines loaded at once, and none took work meanwhile
+
+  Scenario: A holder that loses its lease for a moment counts no order twice
+    Given the holder of the duty before 9 engines that load within 1.2 s
+    When weights 2 are to be in force, and 0.5 seconds pass
+    And the lease is lost for 0.2 seconds
+    And 11 seconds pass, and the list shows what each engine runs
+    Then 9 engines run weights 2
+    When weights 3 are to be in force, and 11 seconds pass
+    Then 9 engines run weights 3
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -261,6 +261,9 @@
             return
         self._trials.note_ordered(weights, status.upstream.incarnation_id)
         order = WeightsOrder(
-            weights, self._bus.name, fence, status.orders_accepted or 0
+            weights,
+            self._bus.name,
+            fence,
+            self.orders.expected_orders(weights, status),
         )
         self.orders.give(order, status)
--- a/src/kumquatseam/rollouts/_open_orders.py
+++ b/src/kumquatseam/rollouts/_open_orders.py
@@ -30,6 +30,8 @@
 #: long, and after twice as long each further time.
 REFUSED_PAUSE_S = 0.3
 MAX_REFUSED_PAUSE_S = 2.4
+#: refusals in a row that a wrong count of orders may explain.
+MAX_CORRECTIONS = 3
 
 
 @attrs.define
@@ -64,11 +66,14 @@
     :param weights: the weights ordered.
     :param in_row: how often it refused them in a row.
     :param until_s: it is not ordered to them before.
+    :param more_orders: orders it may have accepted beyond those known: it does not
+        report, and one that was lost or given twice may count.
     """
 
     weights: WeightsNamed
     in_row: int = 0
     until_s: float = 0.0
+    more_orders: int = 0
 
 
 class OpenOrders:
@@ -97,15 +102,21 @@
         self._given: dict[str, _Order] = {}
         #: the weights of each engine's last order that showed no effect.
         self._without_effect: dict[str, WeightsNamed] = {}
-        self._refused: dict[str, _Refusal] = {}
+        #: by incarnation and model.
+        self._refused: dict[tuple[str, str], _Refusal] = {}
 
     def __len__(self) -> int:
         return len(self._given)
 
     def clear(self) -> None:
-        """Forget every order: another instance gives them now."""
+        """Forget every order: another instance gives them now.
+
+        What was given may still take effect, so it counts as given if this instance
+        orders the same once more.
+        """
+        for incarnation_id, order in self._given.items():
+            self._without_effect[incarnation_id] = order.weights
         self._given.clear()
-        self._without_effect.clear()
         self._refused.clear()
 
     def is_open(self, incarnation_id: str) -> bool:
@@ -114,11 +125,17 @@
 
     def may_give(self, weights: WeightsNamed, incarnation_id: str) -> bool:
         """Return whether an engine did not just refuse these weights."""
-        refusal = self._refused.get(incarnation_id)
+        refusal = self._refused.get((incarnation_id, weights.model))
         if refusal is None or refusal.weights != weights:
             return True
         return self._clock() >= refusal.until_s
 
+    def expected_orders(self, weights: WeightsNamed, status: UpstreamStatus) -> int:
+        """Return how many orders an engine is taken to have accepted."""
+        known = status.orders_accepted or 0
+        refusal = self._refused.get((status.upstream.incarnation_id, weights.model))
+        return known + (refusal.more_orders if refusal is not None else 0)
+
     def drop_done(
         self, weights: WeightsNamed, statuses: Sequence[UpstreamStatus]
     ) -> None:
@@ -146,12 +163,12 @@
         for incarnation_id in list(self._without_effect):
             if self._directory.status(incarnation_id) is None:
                 del self._without_effect[incarnation_id]
-        for incarnation_id, refusal in list(self._refused.items()):
-            if refusal.weights.model != weights.model:
+        for (incarnation_id, model), refusal in list(self._refused.items()):
+            if model != weights.model:
                 continue
             status = known.get(incarnation_id)
             if status is None or has_weights(status, refusal.weights):
-                del self._refused[incarnation_id]
+                del self._refused[incarnation_id, model]
 
     def ask_due(
         self, weights: WeightsNamed, statuses: Sequence[UpstreamStatus]
@@ -160,7 +177,9 @@
         now_s = self._clock()
         for status in statuses:
             order = self._given.get(status.upstream.incarnation_id)
-            if order is None or now_s - order.given_s < FIRST_QUESTION_S:
+            if order is None or order.weights.model != weights.model:
+                continue
+            if now_s - order.given_s < FIRST_QUESTION_S:
                 continue
             if now_s - order.asked_s >= QUESTION_PAUSE_S and not order.is_asking:
                 order.asked_s = now_s
@@ -225,53 +244,68 @@
         ).info("Order given.")
         if outcome is OrderOutcome.ACCEPTED:
             given.is_accepted = True
-            if not given.is_repeat:
-                status.note_orders(order.expected_orders + 1, self._clock())
+            counted = 0 if given.is_repeat else 1
+            status.note_orders(order.expected_orders + counted, self._clock())
             return
         given.patience_s = UNANSWERED_PATIENCE_S
         if outcome is OrderOutcome.ALREADY_HOLDS:
             weights = order.weights
             status.note_answered(weights.model, weights.version, self._clock())
         elif outcome is OrderOutcome.BUSY:
-            # It carries out another order, or accepted another number of them.
-            report = self.ask(order.weights.model, status, given)
-            if report is not None and not report.is_busy:
-                has_other_count = status.orders_accepted != order.expected_orders
-                self._note_refused(order, status, given, has_other_count)
+            self._after_busy(order, status, given)
         elif outcome is OrderOutcome.FENCED:
             self._on_fenced()
         elif outcome is OrderOutcome.UNREACHED:
             given.patience_s = 0.0
             self._directory.note_broken(status, "order not delivered")
         elif outcome is not OrderOutcome.UNANSWERED:
-            self._note_refused(order, status, given, False)
+            self._pause(self._note_refused(order, status), status, given)
 
-    def _note_refused(
-        self,
-        order: WeightsOrder,
-        status: UpstreamStatus,
-        given: _Order,
-        has_other_count: bool,
+    def _after_busy(
+        self, order: WeightsOrder, status: UpstreamStatus, given: _Order
     ) -> None:
-        """Note that an engine refused an order and carries none out.
-
-        It takes no place among those that load, and work again.
+        """Learn why an engine refused: it is at work, or counts its orders otherwise.
 
-        :param given: the order, as long as no other was given since.
-        :param has_other_count: what it refused is known: the number of orders.
+        A report is older than the refusal, so one that tells of no work is believed
+        when the engine refuses once more.
         """
-        incarnation_id = status.upstream.incarnation_id
-        if self._given.get(incarnation_id) is given:
-            del self._given[incarnation_id]
-        refusal = self._refused.get(incarnation_id)
+        refusal = self._note_refused(order, status)
+        report = self.ask(order.weights.model, status, given)
+        if report is not None and report.is_busy:
+            refusal.in_row = 0
+            return
+        if report is None:
+            refusal.more_orders = 1 - refusal.more_orders
+        else:
+            refusal.more_orders = 0
+            is_explained = status.orders_accepted != order.expected_orders
+            if is_explained and refusal.in_row <= MAX_CORRECTIONS:
+                self._forget(status, given)
+                return
+        if refusal.in_row > 1:
+            self._pause(refusal, status, given)
+
+    def _note_refused(self, order: WeightsOrder, status: UpstreamStatus) -> _Refusal:
+        """Count that an engine refused an order."""
+        key = (status.upstream.incarnation_id, order.weights.model)
+        refusal = self._refused.get(key)
         if refusal is None or refusal.weights != order.weights:
-            refusal = self._refused[incarnation_id] = _Refusal(order.weights)
+            refusal = self._refused[key] = _Refusal(order.weights)
         refusal.in_row += 1
-        if has_other_count and refusal.in_row == 1:
-            return
+        return refusal
+
+    def _pause(self, refusal: _Refusal, status: UpstreamStatus, given: _Order) -> None:
+        """Give the place of an engine that carries nothing out to others."""
+        self._forget(status, given)
         pause_s = REFUSED_PAUSE_S * 2 ** (refusal.in_row - 1)
         refusal.until_s = self._clock() + min(MAX_REFUSED_PAUSE_S, pause_s)
 
+    def _forget(self, status: UpstreamStatus, given: _Order) -> None:
+        """Forget an order, unless another was given since."""
+        incarnation_id = status.upstream.incarnation_id
+        if self._given.get(incarnation_id) is given:
+            del self._given[incarnation_id]
+
 
 def _log_report(status: UpstreamStatus, order: _Order, report: EngineReport) -> None:
     """Log what an engine says of itself, unless it said the same before."""
