Tries to load weights count only if nothing else explains them

What callers would see: requests run on old weights long after new ones were named. An engine that ended while it had an order counted as a failed try to load, whatever had ended it and even if the order never reached it; after the third such end no engine was ordered for 24 s, then for 192 s, unless one had loaded by then. The users allow eleven seconds in all.

Cause and class: one observation (an engine with an order ended) was taken as proof of one cause. It has two: the weights, or what ends engines without an order as well. Now an end counts if the engine had accepted the order, and a failed try is taken back if a third as many engines as the model has ended within 10 s of it without being at work on an order. Each end explains one try only, so weights that really end every engine stay bounded: by the bound of before, and by one try more for each third of the fleet that ends of something else. Ends seen before a newer version was named go on to count; orders that did not reach their engine, or were refused, are no evidence.

--- a/features/steps/weights_that_crash_steps.py
+++ b/features/steps/weights_that_crash_steps.py
@@ -1,5 +1,7 @@
 """Steps for weights that no engine can load, in modelled time."""
 
+import random
+
 import attrs
 from behave import given, then, when
 from modelled_clock import Clock
@@ -15,6 +17,8 @@
 RESTART_S = 3.0
 #: how long a load takes.
 LOAD_S = 0.6
+#: a first crash comes this long after weights were named.
+FIRST_CRASH_S = 0.7
 
 
 class CrashingClient(OrderClient):
@@ -31,19 +35,43 @@
         #: orders that crash their engines, by number; all of them if not said.
         self.crashing = None
         self.orders = 0
+        self.load_s = LOAD_S
         #: what happens later, by when.
         self.due = []
+        #: incarnations that ended; those that are still listed answer nothing.
+        self.ended = set()
+        #: until then engines crash before an order reaches them.
+        self.dead_until_s = 0.0
 
     def order(self, upstream, order):
         now_s = self.clock()
+        if now_s < self.dead_until_s and self.runs(upstream):
+            self.end(upstream)
+        if upstream.incarnation_id in self.ended:
+            return OrderOutcome.UNREACHED
         self.orders += 1
         if self.crashing is not None and self.orders not in self.crashing:
-            self.due.append((now_s + LOAD_S, "loaded", upstream))
+            self.due.append((now_s + self.load_s, "loaded", upstream))
             return OrderOutcome.ACCEPTED
         self.crashed_s.append(now_s)
+        self.end(upstream)
+        return OrderOutcome.ACCEPTED
+
+    def end(self, upstream):
+        """Let an engine crash; it starts again on the weights that it ran."""
+        now_s = self.clock()
+        self.ended.add(upstream.incarnation_id)
         self.due.append((now_s + LAPSE_S, "lapse", upstream))
         self.due.append((now_s + RESTART_S, "start", upstream))
-        return OrderOutcome.ACCEPTED
+
+    def end_later(self, after_s, upstream_id):
+        """Let the engine of an id crash of something else, if it runs then."""
+        self.due.append((self.clock() + after_s, "crash", upstream_id))
+
+    def runs(self, upstream):
+        """Return whether an incarnation has not ended."""
+        is_listed = self.side.directory.status(upstream.incarnation_id) is not None
+        return is_listed and upstream.incarnation_id not in self.ended
 
     def report(self, upstream):
         return None
@@ -57,9 +85,15 @@
         for at_s, what, upstream in self.due:
             if at_s > now_s:
                 left.append((at_s, what, upstream))
+            elif what == "crash":
+                for status in self.side.directory.all():
+                    known = status.upstream
+                    if known.upstream_id == upstream and self.runs(known):
+                        self.end(known)
             elif what == "loaded":
-                status = self.side.directory.status(upstream.incarnation_id)
-                status.note_answered(MODEL, 2, now_s)
+                if self.runs(upstream):
+                    weights = (WeightsNamed(MODEL, 2),)
+                    self.side.directory.put(attrs.evolve(upstream, weights=weights))
             elif what == "lapse":
                 self.side.directory.remove(upstream.upstream_id)
             else:
@@ -81,6 +115,31 @@
     context.duty = build_duty(context, context.client)
 
 
+@given("{count:d} engines crash every {pause_s:d} s for {for_s:d} s, drawn by {seed:d}")
+def step_waves(context, count, pause_s, for_s, seed):
+    draws = random.Random(seed)
+    ids = [s.upstream.upstream_id for s in context.side.directory.all()]
+    for after_s in range(0, for_s + 1, pause_s):
+        for upstream_id in draws.sample(ids, count):
+            context.client.end_later(after_s + FIRST_CRASH_S, upstream_id)
+
+
+@given("engines crash just before they are ordered, for {for_s:d} s")
+def step_dead(context, for_s):
+    context.client.dead_until_s = context.clock() + for_s
+
+
+@given("a load takes {load_s:d} s")
+def step_load_takes(context, load_s):
+    context.client.load_s = load_s
+
+
+@when("weights 2 are to be in force")
+def step_good_named(context):
+    context.client.crashing = set()
+    context.targets.take(WeightsNamed(MODEL, 2))
+
+
 @when("weights 2 are to be in force, and crash each engine that begins to load them")
 def step_named(context):
     context.targets.take(WeightsNamed(MODEL, 2))
--- a/features/weights_that_crash.feature
+++ b/features/weights_that_crash.feature
@@ -30,3 +30,42 @@
     When weights 2 are to be in force, and the first 3 engines ordered crash
     And 10 seconds pass, in which engines that ended start again
     Then every engine runs weights 2
+
+  Scenario Outline: Engines that crash wave after wave do not hold a rollout up
+    Given the holder of the duty before 9 engines on weights 1
+    And 4 engines crash every <pause_s> s for <for_s> s, drawn by <seed>
+    And a load takes <load_s> s
+    When weights 2 are to be in force
+    And <for_s> seconds pass, in which engines that ended start again
+    And 11 seconds pass, in which engines that ended start again
+    Then every engine runs weights 2
+
+    Examples:
+      | pause_s | for_s | load_s | seed |
+      | 1       | 12    | 1      | 1    |
+      | 1       | 12    | 2      | 2    |
+      | 1       | 12    | 2      | 14   |
+      | 1       | 6     | 2      | 36   |
+      | 2       | 16    | 2      | 37   |
+      | 3       | 12    | 3      | 42   |
+
+  Scenario: Engines that were dead when they were ordered do not stop a rollout
+    Given the holder of the duty before 9 engines on weights 1
+    And engines crash just before they are ordered, for 6 s
+    And a load takes 2 s
+    When weights 2 are to be in force
+    And 6 seconds pass, in which engines that ended start again
+    And 11 seconds pass, in which engines that ended start again
+    Then every engine runs weights 2
+
+  Scenario Outline: Crashes of other engines do not excuse weights for long
+    Given the holder of the duty before 9 engines on weights 1
+    And <count> engines crash every <pause_s> s for <for_s> s, drawn by 1
+    When weights 2 are to be in force, and crash each engine that begins to load them
+    And 60 seconds pass, in which engines that ended start again
+    Then at most <most> engines crashed
+
+    Examples:
+      | count | pause_s | for_s | most |
+      | 1     | 10      | 60    | 9    |
+      | 4     | 60      | 1     | 10   |
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -82,13 +82,15 @@
         self._targets = targets
         self._live = live
         self._directory = directory
+        self._trials = LoadTrials(clock)
         #: the orders given and not yet done.
-        self.orders = OpenOrders(orders, directory, lease.give_up, clock)
+        self.orders = OpenOrders(
+            orders, directory, lease.give_up, self._trials.note_outcome, clock
+        )
         self._bus = bus
         self._view = view
         self._running_on = running_on
         self._clock = clock
-        self._trials = LoadTrials(clock)
         self._told: dict[str, tuple[float, tuple]] = {}
         self._notices = 0
         self._wake = gevent.event.Event()
@@ -113,6 +115,7 @@
         self._lease.step()
         if self._lease.fence is None:
             self.orders.clear()
+            self._trials.stand_by()
             return
         for weights in self._targets.all():
             self._step_model(weights)
@@ -154,18 +157,17 @@
         trials.hear(weights, self._view.failed_tries(weights))
         if any(has_weights(status, weights) for status in statuses):
             trials.note_loaded(weights)
-        for incarnation_id in trials.open_outcomes(weights):
-            status = self._directory.status(incarnation_id)
-            if status is None:
-                trials.note_ended(weights, incarnation_id)
+        listed = [status.upstream.incarnation_id for status in statuses]
+        for incarnation_id in trials.look(weights, listed):
+            if self._directory.status(incarnation_id) is not None:
+                trials.forget(weights, incarnation_id)
+            elif trials.note_ended(weights, incarnation_id):
                 _log.bind(
                     upstream=incarnation_id,
                     model=weights.model,
                     version=weights.version,
                     failed_tries=trials.failed_tries(weights),
                 ).warning("Engine ended after it was ordered to load.")
-            elif status.upstream.is_leaving:
-                trials.forget(weights, incarnation_id)
 
     def _running(
         self, weights: WeightsNamed, statuses: list[UpstreamStatus]
--- a/src/kumquatseam/rollouts/_load_trials.py
+++ b/src/kumquatseam/rollouts/_load_trials.py
@@ -3,15 +3,18 @@
 Weights that cannot be loaded end every engine that tries. Engines also end for
 other reasons while they load, and a rollout must not stop for those. The two are
 told apart by the first engine that runs the weights: from then on they are known
-to load. Until then one engine at a time tries after the first ones ended, with a
-pause that grows from try to try.
+to load. Until then a try whose engines ended says that the weights are the cause,
+unless many others, which were not loading, ended about then. While tries say so, one
+engine at a time tries, with a pause that grows from try to try.
 """
 
+import collections
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
+from kumquatseam.rollouts._orders import OrderOutcome
 from kumquatseam.upstreams import WeightsNamed
 
 #: pause before the second try after the first one; the one right after the first
@@ -22,6 +25,33 @@
 #: an engine that neither ended nor loaded for this long after its order is no
 #: longer expected to: longer than an order may be held up on the way.
 OUTCOME_WITHIN_S = 15.0
+#: ends of one cause become known up to this far apart: an entry lapses late after
+#: an outage, and a restart behind a cut shows when the cut has ended.
+SAME_CAUSE_WITHIN_S = 10.0
+#: other engines that have to end to explain a try, as a share of a model's engines:
+#: fewer hardly ever hit the one that loads, try after try.
+EXPLAINING_SHARE = 1 / 3
+#: outcomes of an order that the engine did not take and will not carry out later.
+_NOT_TAKEN = {
+    OrderOutcome.FENCED,
+    OrderOutcome.OTHER_LIFE,
+    OrderOutcome.REFUSED,
+    OrderOutcome.UNREACHED,
+}
+
+
+@attrs.define
+class _OpenOrder:
+    """An order whose outcome is open.
+
+    :param number: the try it belongs to.
+    :param ordered_s: when it was given last.
+    :param is_accepted: the engine said that it carries it out.
+    """
+
+    number: int
+    ordered_s: float
+    is_accepted: bool = False
 
 
 @attrs.define
@@ -29,18 +59,21 @@
     """What is known of one version of a model's weights.
 
     :param version: the version.
-    :param has_loaded: some engine runs it.
-    :param failed_tries: how many tries ended their engines, a wave being one.
+    :param has_loaded: some engine ran it.
+    :param tries: how many tries ended their engines, a wave being one.
+    :param failed_tries: those of them that nothing else explains.
+    :param failed_s: when the last one of these became known.
     :param next_s: no engine is ordered before.
-    :param ordered: the engines whose outcome is open, by incarnation, with the
-        try they belong to and when they were ordered.
+    :param ordered: the orders whose outcome is open, by incarnation.
     """
 
     version: int
     has_loaded: bool = False
+    tries: int = 0
     failed_tries: int = 0
+    failed_s: float = 0.0
     next_s: float = 0.0
-    ordered: dict[str, tuple[int, float]] = attrs.Factory(dict)
+    ordered: dict[str, _OpenOrder] = attrs.Factory(dict)
 
 
 class LoadTrials:
@@ -52,6 +85,13 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._trials: dict[str, _Trial] = {}
+        #: a model's engines when they were last looked at.
+        self._listed: dict[str, frozenset[str]] = {}
+        #: when engines of a model ended that were not loading; those that explain
+        #: a try are taken out.
+        self._other_ends_s: dict[str, collections.deque[float]] = (
+            collections.defaultdict(collections.deque)
+        )
 
     def most_loading(self, weights: WeightsNamed) -> int | None:
         """Return how many engines may load now; ``None`` without a limit."""
@@ -61,10 +101,16 @@
         return 1 if self._clock() >= trial.next_s else 0
 
     def failed_tries(self, weights: WeightsNamed) -> int:
-        """Return how many tries to load some weights ended their engines."""
+        """Return how many tries failed that only the weights explain."""
         trial = self._trial(weights)
         return 0 if trial.has_loaded else trial.failed_tries
 
+    def stand_by(self) -> None:
+        """Note that another instance may hold the duty from now on."""
+        self._listed.clear()
+        for trial in self._trials.values():
+            trial.ordered.clear()
+
     def hear(self, weights: WeightsNamed, failed_tries: int) -> None:
         """Take in how many tries failed under the holder before this one."""
         trial = self._trial(weights)
@@ -72,9 +118,26 @@
             self._note_failed(trial, failed_tries)
 
     def note_ordered(self, weights: WeightsNamed, incarnation_id: str) -> None:
-        """Note that an engine is ordered to load weights."""
+        """Note that an engine is ordered to load weights, maybe once more."""
         trial = self._trial(weights)
-        trial.ordered[incarnation_id] = (trial.failed_tries, self._clock())
+        now_s = self._clock()
+        order = trial.ordered.setdefault(incarnation_id, _OpenOrder(trial.tries, now_s))
+        order.ordered_s = now_s
+
+    def note_outcome(
+        self, weights: WeightsNamed, incarnation_id: str, outcome: OrderOutcome
+    ) -> None:
+        """Note how an engine took the order."""
+        trial = self._trials.get(weights.model)
+        if trial is None or trial.version != weights.version:
+            return
+        order = trial.ordered.get(incarnation_id)
+        if order is None:
+            return
+        if outcome is OrderOutcome.ACCEPTED:
+            order.is_accepted = True
+        elif outcome in _NOT_TAKEN and not order.is_accepted:
+            del trial.ordered[incarnation_id]
 
     def note_loaded(self, weights: WeightsNamed) -> None:
         """Note that some engine runs the weights."""
@@ -82,22 +145,29 @@
         trial.has_loaded = True
         trial.ordered.clear()
 
-    def open_outcomes(self, weights: WeightsNamed) -> list[str]:
-        """Return the engines that were ordered and have neither loaded nor ended."""
-        trial = self._trial(weights)
-        oldest_s = self._clock() - OUTCOME_WITHIN_S
-        for incarnation_id, (_, ordered_s) in list(trial.ordered.items()):
-            if ordered_s < oldest_s:
-                del trial.ordered[incarnation_id]
-        return list(trial.ordered)
-
-    def note_ended(self, weights: WeightsNamed, incarnation_id: str) -> None:
-        """Note that an engine ended after it was ordered to load weights."""
+    def look(self, weights: WeightsNamed, listed: Iterable[str]) -> list[str]:
+        """Return the model's engines that are no longer there since the last look.
+
+        :param listed: those that are there.
+        """
+        before = self._listed.get(weights.model, frozenset())
+        now = self._listed[weights.model] = frozenset(listed)
+        return sorted(before - now)
+
+    def note_ended(self, weights: WeightsNamed, incarnation_id: str) -> bool:
+        """Note that an engine ended; return whether it was ordered to load."""
         trial = self._trial(weights)
-        number, _ = trial.ordered.pop(incarnation_id, (-1, 0.0))
+        order = trial.ordered.pop(incarnation_id, None)
+        now_s = self._clock()
+        is_due = order is not None and now_s - order.ordered_s <= OUTCOME_WITHIN_S
+        if trial.has_loaded or not is_due:
+            self._other_ends_s[weights.model].append(now_s)
         # The others of a wave belong to the same try.
-        if number == trial.failed_tries:
+        elif order.is_accepted and order.number == trial.tries:
+            trial.tries += 1
             self._note_failed(trial, trial.failed_tries + 1)
+        self._explain(weights.model, trial)
+        return is_due
 
     def forget(self, weights: WeightsNamed, incarnation_id: str) -> None:
         """Note that an engine's end will tell nothing: it leaves as planned."""
@@ -111,6 +181,21 @@
 
     def _note_failed(self, trial: _Trial, failed_tries: int) -> None:
         trial.failed_tries = failed_tries
-        if failed_tries > 1:
-            pause_s = FIRST_PAUSE_S * PAUSE_FACTOR ** (failed_tries - 2)
-            trial.next_s = self._clock() + min(MAX_PAUSE_S, pause_s)
+        trial.failed_s = self._clock()
+        if trial.failed_tries > 1:
+            pause_s = FIRST_PAUSE_S * PAUSE_FACTOR ** (trial.failed_tries - 2)
+            trial.next_s = trial.failed_s + min(MAX_PAUSE_S, pause_s)
+
+    def _explain(self, model: str, trial: _Trial) -> None:
+        """Take back the last failed try if enough others ended about then."""
+        now_s = self._clock()
+        ends_s = self._other_ends_s[model]
+        while ends_s and now_s - ends_s[0] > SAME_CAUSE_WITHIN_S:
+            ends_s.popleft()
+        needed = max(1, int(len(self._listed[model]) * EXPLAINING_SHARE))
+        is_recent = now_s - trial.failed_s <= SAME_CAUSE_WITHIN_S
+        if trial.failed_tries and is_recent and len(ends_s) >= needed:
+            for _ in range(needed):
+                ends_s.popleft()
+            trial.failed_tries -= 1
+            trial.next_s = now_s
--- a/src/kumquatseam/rollouts/_open_orders.py
+++ b/src/kumquatseam/rollouts/_open_orders.py
@@ -85,6 +85,7 @@
     :param client: speaks to engines.
     :param directory: the engines.
     :param on_fenced: called when an engine has seen a newer holder of the duty.
+    :param on_outcome: called with how an engine took an order.
     :param clock: monotonic clock in seconds.
     """
 
@@ -93,11 +94,13 @@
         client: OrderClient,
         directory: UpstreamDirectory,
         on_fenced: Callable[[], None],
+        on_outcome: Callable[[WeightsNamed, str, OrderOutcome], None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._client = client
         self._directory = directory
         self._on_fenced = on_fenced
+        self._on_outcome = on_outcome
         self._clock = clock
         self._given: dict[str, _Order] = {}
         #: the weights of each engine's last order that showed no effect.
@@ -242,6 +245,7 @@
             known_orders=status.orders_accepted,
             outcome=outcome.value,
         ).info("Order given.")
+        self._on_outcome(order.weights, upstream.incarnation_id, outcome)
         if outcome is OrderOutcome.ACCEPTED:
             given.is_accepted = True
             counted = 0 if given.is_repeat else 1
