A pause after failed tries does not begin anew with each holder

What callers would see: after tries to load weights failed, each instance that took the duty over waited the whole pause again (24 s after three tries, 192 s after four), however much of it was over. With holders that change more often than that no engine was ordered at all: requests ran on old weights for as long.

Cause and class: a successor was told how many tries failed, not when, and took the time of hearing for the time of the failure; and it took the larger of its own count and what it heard at every step, its own last notice among it, so that a count that had come down could go up again. Now a holder takes in what others saw once, when it takes over, whichever way it differs from its own count, and waits the first pause of 3 s: one try too many costs one engine its work.

Evidence, modelled time: with the first five engines crashing, a takeover at 10 s and weights that are fine, all nine engines still ran weights 1 ten seconds later on the code before (the new scenario fails there); now all run weights 2.

--- a/features/steps/weights_that_crash_steps.py
+++ b/features/steps/weights_that_crash_steps.py
@@ -151,9 +151,9 @@
     context.targets.take(WeightsNamed(MODEL, 2))
 
 
-@when("weights 2 are to be in force, and the first 3 engines ordered crash")
-def step_first_crash(context):
-    context.client.crashing = {1, 2, 3}
+@when("weights 2 are to be in force, and the first {count:d} engines ordered crash")
+def step_first_crash(context, count):
+    context.client.crashing = set(range(1, count + 1))
     context.targets.take(WeightsNamed(MODEL, 2))
 
 
--- a/features/weights_that_crash.feature
+++ b/features/weights_that_crash.feature
@@ -69,3 +69,11 @@
       | count | pause_s | for_s | most |
       | 1     | 10      | 60    | 9    |
       | 4     | 60      | 1     | 10   |
+
+  Scenario: A pause after failed tries does not begin anew with each holder
+    Given the holder of the duty before 9 engines on weights 1
+    When weights 2 are to be in force, and the first 5 engines ordered crash
+    And 10 seconds pass, in which engines that ended start again
+    And another instance takes the duty over from what it was told
+    And 10 seconds pass, in which engines that ended start again
+    Then every engine runs weights 2
--- a/src/kumquatseam/rollouts/_load_trials.py
+++ b/src/kumquatseam/rollouts/_load_trials.py
@@ -60,6 +60,7 @@
 
     :param version: the version.
     :param has_loaded: some engine ran it.
+    :param is_heard: what other holders saw of it is taken in.
     :param tries: how many tries ended their engines, a wave being one.
     :param failed_tries: those of them that nothing else explains.
     :param failed_s: when the last one of these became known.
@@ -69,6 +70,7 @@
 
     version: int
     has_loaded: bool = False
+    is_heard: bool = False
     tries: int = 0
     failed_tries: int = 0
     failed_s: float = 0.0
@@ -109,13 +111,22 @@
         """Note that another instance may hold the duty from now on."""
         self._listed.clear()
         for trial in self._trials.values():
+            trial.is_heard = False
             trial.ordered.clear()
 
     def hear(self, weights: WeightsNamed, failed_tries: int) -> None:
-        """Take in how many tries failed under the holder before this one."""
+        """Take in, after taking over, how many tries failed under other holders.
+
+        How much of the pause is over is not known. One try too many costs less
+        than a pause that begins anew with each holder.
+        """
         trial = self._trial(weights)
-        if failed_tries > trial.failed_tries:
-            self._note_failed(trial, failed_tries)
+        if trial.is_heard:
+            return
+        trial.is_heard = True
+        trial.failed_tries = failed_tries
+        trial.tries = max(trial.tries, failed_tries)
+        trial.next_s = self._clock() + (FIRST_PAUSE_S if failed_tries > 1 else 0.0)
 
     def note_ordered(self, weights: WeightsNamed, incarnation_id: str) -> None:
         """Note that an engine is ordered to load weights, maybe once more."""
@@ -165,7 +176,7 @@
         # The others of a wave belong to the same try.
         elif order.is_accepted and order.number == trial.tries:
             trial.tries += 1
-            self._note_failed(trial, trial.failed_tries + 1)
+            self._note_failed(trial)
         self._explain(weights.model, trial)
         return is_due
 
@@ -179,8 +190,8 @@
             trial = self._trials[weights.model] = _Trial(weights.version)
         return trial
 
-    def _note_failed(self, trial: _Trial, failed_tries: int) -> None:
-        trial.failed_tries = failed_tries
+    def _note_failed(self, trial: _Trial) -> None:
+        trial.failed_tries += 1
         trial.failed_s = self._clock()
         if trial.failed_tries > 1:
             pause_s = FIRST_PAUSE_S * PAUSE_FACTOR ** (trial.failed_tries - 2)
