Weights that seem not to load are tried once a minute

What callers would see: after four failed tries to load weights no engine was ordered for 192 s, then for 600 s. If the tries misled, all requests ran on old weights for as long.

Cause and class: the longest pause weighed only what a try costs. A try costs one engine its work for the seconds it takes to start again, three in modelled time: a twentieth of one engine of nine at one try a minute. Waiting, if the weights can be loaded, costs the whole fleet its credit.

Evidence, modelled time: with the first six engines ordered crashing and weights that are fine, all nine engines ran weights 1 a hundred seconds later on the code before (the new scenario fails there); now all run weights 2. Weights that end every engine: at most 6 of nine in the first 60 s as before; after that one a minute instead of one in three to ten minutes.

--- a/features/steps/weights_that_crash_steps.py
+++ b/features/steps/weights_that_crash_steps.py
@@ -172,6 +172,11 @@
         context.client.pass_time(context.clock())
 
 
+@when("nothing happens for {for_s:d} seconds")
+def step_nothing(context, for_s):
+    context.clock.sleep(for_s)
+
+
 @then("at most {most:d} engines crashed")
 def step_crashed(context, most):
     crashed = len(context.client.crashed_s)
--- a/features/weights_that_crash.feature
+++ b/features/weights_that_crash.feature
@@ -77,3 +77,11 @@
     And another instance takes the duty over from what it was told
     And 10 seconds pass, in which engines that ended start again
     Then every engine runs weights 2
+
+  Scenario: A rollout that was taken for a failed one goes on soon
+    Given the holder of the duty before 9 engines on weights 1
+    When weights 2 are to be in force, and the first 6 engines ordered crash
+    And 35 seconds pass, in which engines that ended start again
+    And nothing happens for 55 seconds
+    And 10 seconds pass, in which engines that ended start again
+    Then every engine runs weights 2
--- a/src/kumquatseam/rollouts/_load_trials.py
+++ b/src/kumquatseam/rollouts/_load_trials.py
@@ -21,7 +21,9 @@
 #: wave ended has none, since its engines may have ended for another reason.
 FIRST_PAUSE_S = 3.0
 PAUSE_FACTOR = 8.0
-MAX_PAUSE_S = 600.0
+#: a try costs one engine the seconds it takes to start again: a twentieth of its
+#: time. Waiting leaves the whole fleet on old weights if the tries misled.
+MAX_PAUSE_S = 60.0
 #: an engine that neither ended nor loaded for this long after its order is no
 #: longer expected to: longer than an order may be held up on the way.
 OUTCOME_WITHIN_S = 15.0
