A slow engine is expected to begin as late as it does

What callers saw: 502 for requests that must not run twice, or had no attempts left, called back from slow engines on replaced weights that they were sent to a second or two before.

Cause: how long a first event takes is learnt over all engines of an instance together, so an engine eight times slower than the others is expected to be as fast: 0.7 s expected, 2 to 3 s waited. Class: a mean over unequal things.

The change: beside that, each engine's own factor is learnt from the requests of the instance: from how late first events came, and from requests that wait there now, since these tell first that an engine has turned slow. It counts only where a request must begin before a bound; what else is chosen, and refused, stays as it was.

Tests: two more scenarios in features/weights_waited_for.feature. On the code before the first fails ("the next request goes to the other engine"), the second ends in an error, as there is nothing to tell of a request that was sent.

--- a/features/steps/waiting_world.py
+++ b/features/steps/waiting_world.py
@@ -128,9 +128,9 @@
         index = PromptIndex()
         budget = RetryBudget(AdmissionSettings())
         placer = Placer(self.directory, index, "z", self.targets, begin_bound=BOUND)
-        # Engines begin at once where they are not told otherwise.
+        # First events are expected after some 60 ms.
         for _ in range(40):
-            placer.waits.note(100.0, 10.0)
+            placer.waits.note(10.0, 60.0)
         self._handler = RequestHandler(
             HandlerParts(
                 live,
--- a/features/steps/weights_waited_for_steps.py
+++ b/features/steps/weights_waited_for_steps.py
@@ -193,3 +193,49 @@
 @then("no other engine was sent the request")
 def step_not_sent(context):
     assert context.world.engines["e1"].taken == 0
+
+
+# Engines that are slower than the others.
+
+
+@given("a resumable stream and an engine on weights 1 that begins after {after_s:g} s")
+def step_slow_engine(context, after_s):
+    _build_world(context, True, WaitingEngine(1, after_s))
+
+
+@given("{count:d} requests were served by it")
+def step_served_before(context, count):
+    for _ in range(count):
+        context.answer = context.world.serve()
+        step_whole(context)
+    context.taken = context.world.engines["e0"].taken
+
+
+@when(
+    "weights 2 were named {age_s:g} s ago, and another engine on weights 1 begins "
+    "at once"
+)
+def step_named_before(context, age_s):
+    context.world.name_weights(2)
+    context.world.add_engine("e1", WaitingEngine(1, 0.01))
+    gevent.sleep(age_s)
+
+
+@then("the next request goes to the other engine")
+def step_next_goes(context):
+    context.answer = context.world.serve()
+    step_whole(context)
+    assert context.world.engines["e0"].taken == context.taken
+    assert context.world.engines["e1"].taken == 1
+
+
+@when("a request has waited at the engine for {waited_s:g} s")
+def step_has_waited(context, waited_s):
+    placement = context.placer.place(build_request())
+    context.sent_request = placement.note_sent()
+    context.clock.now_s += waited_s
+
+
+@when("that request is over")
+def step_request_over(context):
+    context.sent_request.end()
--- a/features/weights_waited_for.feature
+++ b/features/weights_waited_for.feature
@@ -60,3 +60,18 @@
     And the engine is known to run weights 2 from 0.2 s after they are named
     When weights 2 are named while the request waits
     Then the caller's answer is whole
+
+  Scenario: An engine that is slower than the others is expected to begin too late
+    Given a resumable stream and an engine on weights 1 that begins after 0.3 s
+    And 6 requests were served by it
+    When weights 2 were named 0.35 s ago, and another engine on weights 1 begins at once
+    Then the next request goes to the other engine
+
+  Scenario: An engine that has turned slow is expected to begin too late
+    Given an engine on weights 1 and a bound of 8 s for beginning on them
+    When the engine has to read 0.4 s of prompts for others first
+    And a request has waited at the engine for 1.6 s
+    And weights 2 were named 5.5 s ago
+    Then no request goes to the engine
+    When that request is over
+    Then a request goes to the engine
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -34,7 +34,7 @@
     encode_request,
 )
 from kumquatseam.logs import part_logger
-from kumquatseam.placement import Placement, PlacementRequest
+from kumquatseam.placement import Placement, PlacementRequest, SentRequest
 from kumquatseam.quarantine import QuarantinedError, RunPermission, RunUpstream
 from kumquatseam.rollouts import MovedRun
 from kumquatseam.upstreams import Occupancy
@@ -103,6 +103,7 @@
         self._sent_s: float | None = None
         self._attempt_first_event_s: float | None = None
         self._placement: Placement | None = None
+        self._sent_request: SentRequest | None = None
 
     @property
     def has_sent(self) -> bool:
@@ -374,6 +375,7 @@
         address = placement.status.upstream.address
         self._sent_s = self._attempt_first_event_s = None
         self._placement = placement
+        self._sent_request = None
         connection = self._parts.pool.take(address, self._job.remaining_s)
         occupancy = self._parts.work.begin(placement.new_work(self._job.remaining_s))
         self._has_kept_connection = False
@@ -381,6 +383,8 @@
             return self._converse(placement, connection, occupancy)
         finally:
             occupancy.end()
+            if self._sent_request is not None:
+                self._sent_request.end()
             if not self._has_kept_connection:
                 connection.close()
 
@@ -397,6 +401,7 @@
         request_bytes = self._request_bytes(placement)
         self._progress.has_sent = True
         self._permission.note_sent()
+        self._sent_request = placement.note_sent()
         connection.send(request_bytes)
         wait = self._wait(placement)
         dialect = self._parts.dialect
@@ -599,6 +604,8 @@
             self._attempt_first_event_s = now_s
         if self._first_event_s is None:
             self._placement.note_first_event(now_s - self._sent_s)
+            if self._sent_request is not None:
+                self._sent_request.note_begun()
             self._first_event_s = now_s - self._job.request.received_s
         if self._paused_since_s is not None:
             _log.bind(
--- a/src/kumquatseam/placement/__init__.py
+++ b/src/kumquatseam/placement/__init__.py
@@ -18,6 +18,7 @@
 )
 from kumquatseam.placement._choice import Candidate, WaitLimit, choose, wait_ms
 from kumquatseam.placement._comparison import EngineComparison, cache_salt
+from kumquatseam.placement._engine_pace import EnginePace, SentRequest
 from kumquatseam.placement._placer import Placer
 from kumquatseam.placement._request import Placement, PlacementRequest
 from kumquatseam.placement._wait_estimate import WaitEstimate
@@ -39,6 +40,7 @@
     "Candidate",
     "DirectWork",
     "EngineComparison",
+    "EnginePace",
     "HolderScope",
     "KnownWork",
     "NewWork",
@@ -46,6 +48,7 @@
     "Placement",
     "PlacementRequest",
     "Placer",
+    "SentRequest",
     "WaitEstimate",
     "WaitLimit",
     "WorkSource",
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -1,5 +1,6 @@
 """Gathering the upstreams that may take a request and choosing one."""
 
+import math
 import random
 import time
 from collections.abc import Callable
@@ -18,6 +19,7 @@
     EngineComparison,
     cache_salt,
 )
+from kumquatseam.placement._engine_pace import EnginePace
 from kumquatseam.placement._request import Placement, PlacementRequest
 from kumquatseam.placement._wait_estimate import WaitEstimate
 from kumquatseam.placement._work import DirectWork, HolderScope, Option, WorkSource
@@ -94,6 +96,8 @@
         self._clock = clock
         self._reuse_window_s = reuse_window_s
         self._begin_limit = BeginLimit(targets, begin_bound or BeginBound())
+        self._paces: dict[str, EnginePace] = {}
+        directory.on_gone(lambda gone: self._paces.pop(gone.incarnation_id, None))
         #: how long first events really take.
         self.waits = WaitEstimate()
 
@@ -219,6 +223,7 @@
             believed_ms=wait_ms(best.candidate),
             waits=self.waits,
             begin_limit=self._begin_limit,
+            pace=self._pace(best.candidate.incarnation_id),
         )
 
     def _engine_options(
@@ -235,11 +240,22 @@
             if status.closing_until_s > now_s:
                 penalty_ms += CLOSING_PENALTY_MS
             rank = order[status.upstream.upstream_id]
-            left_s = self._begin_limit.sent_left_s(request.model, version)
-            begin_within_ms = self.waits.believed_ms(left_s * 1000.0)
+            begin_within_ms = self._begin_within_ms(request.model, status)
             options.append(Option(status, version, rank, penalty_ms, begin_within_ms))
         return options
 
+    def _begin_within_ms(self, model: str, status: UpstreamStatus) -> float:
+        """Return the longest modelled wait after which a request may still begin."""
+        left_s = self._begin_limit.sent_left_s(model, status.version_of(model))
+        if left_s == math.inf:
+            return math.inf
+        factor = self._pace(status.upstream.incarnation_id).factor()
+        return self.waits.believed_ms(left_s * 1000.0 / factor)
+
+    def _pace(self, incarnation_id: str) -> EnginePace:
+        """Return what is learnt of an engine's pace."""
+        return self._paces.setdefault(incarnation_id, EnginePace(self._clock))
+
     def _place_plainly(
         self, request: PlacementRequest, statuses: list[UpstreamStatus]
     ) -> Placement | None:
--- a/src/kumquatseam/placement/_request.py
+++ b/src/kumquatseam/placement/_request.py
@@ -5,6 +5,7 @@
 import attrs
 
 from kumquatseam.placement._begin_bound import BeginLimit
+from kumquatseam.placement._engine_pace import EnginePace, SentRequest
 from kumquatseam.placement._wait_estimate import WaitEstimate
 from kumquatseam.placement._work import NewWork
 from kumquatseam.prompts import PromptChain
@@ -66,6 +67,7 @@
     :param believed_ms: how long its first event is believed to take.
     :param waits: learns how long it takes.
     :param begin_limit: how long it may wait for that on replaced weights.
+    :param pace: learns how long the engine takes.
     """
 
     status: UpstreamStatus
@@ -81,6 +83,14 @@
     believed_ms: float = 0.0
     waits: WaitEstimate | None = None
     begin_limit: BeginLimit | None = None
+    pace: EnginePace | None = None
+
+    def note_sent(self) -> SentRequest | None:
+        """Note that the request was sent; return what is to be told how it goes on."""
+        if self.pace is None or self.waits is None or self.moved_run is not None:
+            return None
+        expected_ms = self.waits.expected_ms(self.believed_ms)
+        return self.pace.note_sent(expected_ms / 1000.0)
 
     def note_first_event(self, took_s: float) -> None:
         """Learn from how long the first event took after the request was sent."""
