Engines that end after they accepted an order give their places to others

An engine that answers no question about its order for 0.6 s is ordered again, which tells whether it is there; one whose address another answers at is held out like one that is not reached. Failed before: none of nine engines on weights 2 after 2.5 s, three of them ended as they accepted.

--- a/features/steps/rollout_world.py
+++ b/features/steps/rollout_world.py
@@ -59,6 +59,8 @@
         self.refuses = False
         self.reports_while_loading = True
         self.reports = True
+        self.ends_on_order = False
+        self.has_ended = False
         #: an order is carried out this long after it was given, unanswered.
         self.late_s = None
         self.late_order = None
@@ -67,6 +69,11 @@
 
     def order(self, order, now_s):
         self.orders += 1
+        if self.has_ended:
+            return OrderOutcome.UNREACHED
+        if self.ends_on_order:
+            self.has_ended = True
+            return OrderOutcome.ACCEPTED
         if self.refuses:
             return OrderOutcome.REFUSED
         if self.late_s is not None:
@@ -105,7 +112,7 @@
 
     def report(self, now_s):
         is_silent = self.loading is not None and not self.reports_while_loading
-        if is_silent or not self.reports:
+        if is_silent or self.has_ended or not self.reports:
             return None
         moment = [m for m in self.moments if m.at_s <= now_s - REPORT_AGE_S][-1]
         return EngineReport(
--- a/features/steps/weights_left_behind_steps.py
+++ b/features/steps/weights_left_behind_steps.py
@@ -118,6 +118,12 @@
         engine.runs_end_s = runs_end_s
 
 
+@given("{count:d} of them end, unnoticed, as they accept an order")
+def step_end(context, count):
+    for engine in list(context.client.engines.values())[:count]:
+        engine.ends_on_order = True
+
+
 @given("their reports are lost while they load")
 def step_reports_lost(context):
     for engine in context.client.engines.values():
--- a/features/weights_left_behind.feature
+++ b/features/weights_left_behind.feature
@@ -113,3 +113,11 @@
       | 2          | 0    |
       | 4          | 6    |
       | 8          | 6    |
+
+  Scenario: Engines that end after they accepted an order give their places to others
+    Given the holder of the duty before 9 engines that load within 0.6 s
+    And 3 of them end, unnoticed, as they accept an order
+    When weights 2 are to be in force, and 2.5 seconds pass
+    Then 3 engines run weights 2
+    When 8.5 seconds pass, and the list shows what each engine runs
+    Then 6 engines run weights 2
--- a/src/kumquatseam/rollouts/_open_orders.py
+++ b/src/kumquatseam/rollouts/_open_orders.py
@@ -49,6 +49,7 @@
     :param patience_s: when to give it again without effect.
     :param is_accepted: whether the engine accepted it.
     :param asked_s: when the engine was last asked about it.
+    :param heard_s: when it last answered that.
     :param is_asking: whether that question is still under way.
     :param heard: what the engine said last, to log only what is new.
     """
@@ -59,6 +60,7 @@
     patience_s: float = ORDER_PATIENCE_S
     is_accepted: bool = False
     asked_s: float = 0.0
+    heard_s: float = 0.0
     is_asking: bool = False
     heard: EngineReport | None = None
 
@@ -224,8 +226,8 @@
         :returns: its report, unless it gave none or an earlier incarnation did.
         """
         report = self._client.report(status.upstream)
-        if report is not None and order is not None:
-            _log_report(status, order, report)
+        if order is not None:
+            self._note_asked(status, order, report)
         if report is None or report.born_ms < status.upstream.born_ms:
             return None
         if report.born_ms > status.upstream.born_ms:
@@ -245,6 +247,22 @@
                 )
         return report
 
+    def _note_asked(
+        self, status: UpstreamStatus, order: _Order, report: EngineReport | None
+    ) -> None:
+        """Note whether an engine answers questions about an order.
+
+        One that answers none may have ended: it is ordered again, which tells.
+        """
+        now_s = self._clock()
+        if report is not None:
+            order.heard_s = now_s
+            _log_report(status, order, report)
+            return
+        silent_since_s = max(order.heard_s, order.given_s + FIRST_QUESTION_S)
+        if now_s - silent_since_s > UNANSWERED_PATIENCE_S:
+            order.patience_s = 0.0
+
     def give(self, order: WeightsOrder, status: UpstreamStatus) -> None:
         """Give an order without waiting for its answer."""
         incarnation_id = status.upstream.incarnation_id
@@ -280,9 +298,9 @@
             self._after_busy(order, status, given)
         elif outcome is OrderOutcome.FENCED:
             self._on_fenced()
-        elif outcome is OrderOutcome.UNREACHED:
+        elif outcome in (OrderOutcome.UNREACHED, OrderOutcome.OTHER_LIFE):
             given.patience_s = 0.0
-            self._directory.note_broken(status, "order not delivered")
+            self._directory.note_broken(status, f"order {outcome.value}")
         elif outcome is not OrderOutcome.UNANSWERED:
             self._pause(self._note_refused(order, status), status, given)
 
