Engines whose runs neither end nor move load under them, and these are never moved

Two parts that need each other. So it is decided when the order is given: an engine whose time is up, that got no new work for a while and is full all the same, and whose runs no engine of its weights has room for, loads under them. Instances are now told which engines let their runs go on; these are not moved, then or later, parts read again there are not fetched, and an order given again says what the first one said. Failed before: full engines ordered to finish their runs first; the run moved off an engine that changed weights under it.

--- a/features/moves.feature
+++ b/features/moves.feature
@@ -27,3 +27,8 @@
     When the caller's request is served
     Then another engine was asked to go on after event 2
     And the caller's stream is whole, with 4 events
+
+  Scenario: A run whose engine changed its weights under it is not moved
+    Given a stream that could move, whose engine is known to run other weights by now
+    When the caller's request is served
+    Then only its own engine was tried
--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -99,6 +99,26 @@
     When weights 2 were named 1.5 seconds ago, and all have to run them within 30
     Then no engine loads
 
+  Scenario: Engines that stay full and whose runs have nowhere to go load at once when their time is up
+    Given 3 engines of 48 slots with 45 runs each on weights 1
+    And 6 more engines run weights 2
+    When weights 2 were named 4.5 seconds ago, and all have to run them within 11
+    Then 3 engines load, 3 of them at once
+    When weights 2 were named 1 seconds ago, and all have to run them within 11
+    Then no engine loads
+
+  Scenario: Engines whose runs end finish them before they load
+    Given 3 engines of 48 slots with 30 runs each on weights 1
+    And 6 more engines run weights 2
+    When weights 2 were named 4.5 seconds ago, and all have to run them within 11
+    Then 3 engines load, 0 of them at once
+
+  Scenario: Runs that go on under the weights loaded are not moved
+    Given a process told that e0 loads weights of m0, and that e1 takes its runs
+    Then runs of e0 move to e1
+    When it is told that e0 loads weights of m0 under its runs
+    Then runs of e0 stay where they are
+
   Scenario: What would wait for most of its time is refused at once
     Given a team's request with 5 seconds left before engines with 30000 tokens to read
     Then it is placed
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -161,6 +161,17 @@
     _build(context, 99)
 
 
+@given("a stream that could move, whose engine is known to run other weights by now")
+def step_changed_under_it(context):
+    _build(context, 0)
+    context.placer.directory.status("source").note_answered("m0", 2, time.monotonic())
+
+
+@then("only its own engine was tried")
+def step_own_only(context):
+    assert set(context.pool.tried) == {ADDRESSES["source"]}, context.pool.tried
+
+
 @given("a stream that is moved to an engine reached at attempt {attempt:d}")
 def step_reached_late(context, attempt):
     _build(context, attempt - 1)
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -56,6 +56,13 @@
     context.engines = context.engines + [(version, 10, 48)] * count
 
 
+@then("{count:d} engines load, {at_once:d} of them at once")
+def step_load_at_once(context, count, at_once):
+    assert len(context.plan.order_now) == count, context.plan
+    assert len(context.plan.at_once) == at_once, context.plan
+    assert set(context.plan.at_once) <= set(context.plan.order_now), context.plan
+
+
 @given("{count:d} of them cannot be reached")
 def step_unreachable(context, count):
     context.unreachable = count
@@ -158,10 +165,20 @@
         assert all(state.has_target for state in states.values()), count
 
 
-def _notice(context, model, loading):
+def _notice(context, model, loading, destinations=(), keep_runs=()):
     context.notices = getattr(context, "notices", 0) + 1
     notice = RolloutNotice(
-        "a", 1, context.notices, model, 2, loading, (), (), named_age_s=1.0
+        "a",
+        1,
+        context.notices,
+        model,
+        2,
+        loading,
+        (),
+        (),
+        destinations,
+        named_age_s=1.0,
+        keep_runs=keep_runs,
     )
     assert context.view.take(notice)
 
@@ -189,3 +206,24 @@
 @then("e0 takes work again")
 def step_unblocked(context):
     assert context.directory.status("e0").blocked_until_s <= context.clock.now_s
+
+
+@given("a process told that e0 loads weights of m0, and that e1 takes its runs")
+def step_told_destination(context):
+    step_told(context)
+    _notice(context, "m0", ("e0",), ("e1",))
+
+
+@when("it is told that e0 loads weights of m0 under its runs")
+def step_told_keeps(context):
+    _notice(context, "m0", ("e0",), ("e1",), ("e0",))
+
+
+@then("runs of e0 move to e1")
+def step_moves(context):
+    assert context.directory.status("e0").move_runs_to == ("e1",)
+
+
+@then("runs of e0 stay where they are")
+def step_stay(context):
+    assert context.directory.status("e0").move_runs_to == ()
--- a/src/kumquatseam/gateway/_relocation.py
+++ b/src/kumquatseam/gateway/_relocation.py
@@ -44,6 +44,9 @@
         source = self._placement.status
         if not source.move_runs_to or not self._may_begin():
             return
+        if source.version_of(self._placement.model) != self._placement.version:
+            # Its weights were changed under it: no engine has what its memory needs.
+            return
         if self._job.call.tokens > MAX_MOVED_TOKENS:
             return
         self._destination = self._parts.placer.destination(self._placement)
--- a/src/kumquatseam/peers/_messages.py
+++ b/src/kumquatseam/peers/_messages.py
@@ -103,8 +103,9 @@
     :param named_age_s: how long ago the weights were named, if known.
     :param replaced: the version they were named in place of, if known.
     :param orders: orders that engines accepted; a successor expects as many.
-    :param failed_tries: how many tries to load the weights ended their engines,
-        none having loaded them.
+    :param failed_tries: how many tries to load the weights ended their engines, none
+        having loaded them and nothing else explaining it.
+    :param keep_runs: those of ``loading`` whose runs go on under the weights loaded.
     """
 
     sender: str
@@ -120,6 +121,7 @@
     replaced: int | None = None
     orders: tuple[OrderCount, ...] = ()
     failed_tries: int = 0
+    keep_runs: tuple[str, ...] = ()
 
 
 RECORD_CODEC = MessageCodec("instance record", {"instance": InstanceRecord})
--- a/src/kumquatseam/placement/_comparison.py
+++ b/src/kumquatseam/placement/_comparison.py
@@ -157,7 +157,8 @@
         sources = []
         for holder in sorted(holders.holders()):
             status = self._directory.status(holder)
-            if status is not None:
+            # A run that went on under other weights may have read parts again there.
+            if status is not None and status.version_of(request.model) == version:
                 upstream = status.upstream
                 sources.append(
                     CacheSource(holder, upstream.address, upstream.availability_zone)
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -133,16 +133,16 @@
             self._trials.most_loading(weights),
             self.orders.expected_s(),
         )
-        loading = [s.incarnation_id for s in states if s.is_loading]
-        loading += plan.order_now
-        ready = tuple(s.incarnation_id for s in states if s.has_target)
-        self._tell(weights, tuple(sorted(loading)), plan, ready)
+        modes = {
+            incarnation_id: self.orders.mode_of(
+                weights, incarnation_id, incarnation_id in plan.at_once
+            )
+            for incarnation_id in plan.order_now
+        }
+        self._tell(weights, states, plan, modes)
         if plan.order_now:
             gevent.sleep(NOTICE_LEAD_S)
-            for incarnation_id in plan.order_now:
-                mode = LoadMode.AFTER_RUNS
-                if incarnation_id in plan.at_once:
-                    mode = LoadMode.UNDER_RUNS
+            for incarnation_id, mode in modes.items():
                 status = self._directory.status(incarnation_id)
                 self._begin_order(weights, status, mode)
 
@@ -219,16 +219,22 @@
     def _tell(
         self,
         weights: WeightsNamed,
-        loading: tuple[str, ...],
+        states: Sequence[EngineState],
         plan: LoadPlan,
-        ready: tuple[str, ...],
+        modes: Mapping[str, LoadMode],
     ) -> None:
         """Tell every instance, when something changed and now and then."""
         now_s = self._clock()
+        ready = tuple(s.incarnation_id for s in states if s.has_target)
+        at_work = [s.incarnation_id for s in states if s.is_loading]
+        loading = tuple(sorted([*at_work, *plan.order_now]))
         closing = tuple(sorted(plan.closing))
         destinations = tuple(sorted(plan.destinations)) if loading else ()
+        keep_runs = [i for i in at_work if self.orders.keeps_runs(i)]
+        keep_runs += [i for i, mode in modes.items() if mode is LoadMode.UNDER_RUNS]
+        kept = tuple(sorted(keep_runs))
         failed_tries = self._trials.failed_tries(weights)
-        key = (weights, loading, closing, ready, destinations, failed_tries)
+        key = (weights, loading, closing, ready, destinations, failed_tries, kept)
         fence = self._lease.fence
         told_s, told_key = self._told.get(weights.model, (0.0, ()))
         is_due = now_s - told_s >= NOTICE_PAUSE_S and (loading or closing)
@@ -251,6 +257,7 @@
             self._targets.replaced_version(weights.model),
             self._order_counts(weights.model),
             failed_tries,
+            kept,
         )
         self._view.take(notice)
         self._bus.publish(notice)
--- a/src/kumquatseam/rollouts/_open_orders.py
+++ b/src/kumquatseam/rollouts/_open_orders.py
@@ -10,6 +10,7 @@
 from kumquatseam.logs import part_logger
 from kumquatseam.rollouts._orders import (
     EngineReport,
+    LoadMode,
     OrderClient,
     OrderOutcome,
     WeightsOrder,
@@ -43,6 +44,7 @@
     """An order that was given.
 
     :param weights: the weights ordered.
+    :param mode: what becomes of the engine's runs.
     :param given_s: when.
     :param is_repeat: it was given before without a known effect. The engine may be
         carrying it out already and then accepts it without counting it again.
@@ -55,6 +57,7 @@
     """
 
     weights: WeightsNamed
+    mode: LoadMode
     given_s: float
     is_repeat: bool = False
     patience_s: float = ORDER_PATIENCE_S
@@ -109,8 +112,8 @@
         self._on_outcome = on_outcome
         self._clock = clock
         self._given: dict[str, _Order] = {}
-        #: the weights of each engine's last order that showed no effect.
-        self._without_effect: dict[str, WeightsNamed] = {}
+        #: each engine's last order that showed no effect.
+        self._without_effect: dict[str, _Order] = {}
         #: how long the last orders took.
         self._took_s: collections.deque[float] = collections.deque(
             maxlen=REMEMBERED_ORDERS
@@ -128,7 +131,7 @@
         orders the same once more.
         """
         for incarnation_id, order in self._given.items():
-            self._without_effect[incarnation_id] = order.weights
+            self._without_effect[incarnation_id] = order
         self._given.clear()
         self._refused.clear()
 
@@ -136,6 +139,31 @@
         """Return whether an engine has an order that it may be carrying out."""
         return incarnation_id in self._given
 
+    def keeps_runs(self, incarnation_id: str) -> bool:
+        """Return whether an engine's order lets its runs go on."""
+        given = self._given.get(incarnation_id)
+        return given is not None and given.mode is LoadMode.UNDER_RUNS
+
+    def mode_of(
+        self, weights: WeightsNamed, incarnation_id: str, is_at_once: bool
+    ) -> LoadMode:
+        """Return how an engine is to be ordered to load.
+
+        An order that is given again may be carried out already, and runs may be
+        moving away for it, so it says the same.
+
+        :param is_at_once: it cannot wait until its runs end.
+        """
+        last = self._last(incarnation_id, weights)
+        if last is not None:
+            return last.mode
+        return LoadMode.UNDER_RUNS if is_at_once else LoadMode.AFTER_RUNS
+
+    def _last(self, incarnation_id: str, weights: WeightsNamed) -> _Order | None:
+        """Return the engine's last order without effect, if it was to these weights."""
+        last = self._without_effect.get(incarnation_id)
+        return last if last is not None and last.weights == weights else None
+
     def may_give(self, weights: WeightsNamed, incarnation_id: str) -> bool:
         """Return whether an engine did not just refuse these weights."""
         refusal = self._refused.get((incarnation_id, weights.model))
@@ -181,7 +209,7 @@
                 if status is not None:
                     self._took_s.append(now_s - order.given_s)
             elif now_s - order.given_s > order.patience_s:
-                self._without_effect[incarnation_id] = order.weights
+                self._without_effect[incarnation_id] = order
             else:
                 continue
             del self._given[incarnation_id]
@@ -266,8 +294,8 @@
     def give(self, order: WeightsOrder, status: UpstreamStatus) -> None:
         """Give an order without waiting for its answer."""
         incarnation_id = status.upstream.incarnation_id
-        is_repeat = self._without_effect.get(incarnation_id) == order.weights
-        given = _Order(order.weights, self._clock(), is_repeat)
+        is_repeat = self._last(incarnation_id, order.weights) is not None
+        given = _Order(order.weights, order.mode, self._clock(), is_repeat)
         self._given[incarnation_id] = given
         gevent.spawn(self._give, order, status, given)
 
--- a/src/kumquatseam/rollouts/_plan.py
+++ b/src/kumquatseam/rollouts/_plan.py
@@ -145,11 +145,33 @@
             e.incarnation_id
             for e in now
             if e.running > DRAINED_RUNS
-            and bounds.complete_s < e.replaced_s + order_takes_s < math.inf
+            and (
+                bounds.complete_s < e.replaced_s + order_takes_s < math.inf
+                or _is_stuck(e, [m for m in engines if m not in now], bounds)
+            )
         ),
     )
 
 
+def _is_stuck(
+    engine: EngineState, others: Sequence[EngineState], bounds: RolloutBounds
+) -> bool:
+    """Return whether an engine's time is up, and its runs neither end nor can move.
+
+    It got no new work for a while and is full all the same, so its runs would keep
+    it out of service for much longer than runs usually last.
+    """
+    is_full = engine.running > engine.slots * TAKE_OVER_SHARE
+    if not is_full or engine.replaced_s <= bounds.force_after_s:
+        return False
+    room = sum(
+        max(0.0, other.slots * TAKE_OVER_SHARE - other.running)
+        for other in others
+        if other.version == engine.version and not other.is_loading
+    )
+    return room < engine.running
+
+
 def _urgency(engine: EngineState) -> tuple[int, float, str]:
     """Return what engines to load are ordered by."""
     return engine.version or 0, engine.running, engine.incarnation_id
--- a/src/kumquatseam/rollouts/_view.py
+++ b/src/kumquatseam/rollouts/_view.py
@@ -99,7 +99,8 @@
             is_loading = incarnation_id in loading
             status.blocked_until_s = until_s if is_loading else 0.0
             status.closing_until_s = until_s if incarnation_id in closing else 0.0
-            status.move_runs_to = notice.destinations if is_loading else ()
+            moves_runs = is_loading and incarnation_id not in notice.keep_runs
+            status.move_runs_to = notice.destinations if moves_runs else ()
 
 
 class NoticeRelay:
