Engines that accept and never load keep no others waiting, with the routers' own interface

Three engines that accept orders and show nothing were ordered first again and again, each time their patience ended, and held all three places: after 120 s the six others had never been ordered. What was ordered last comes last now. Failed before: none of the six loaded within 11 s.

--- /dev/null
+++ b/features/steps/fleet_rollout_steps.py
@@ -0,0 +1,102 @@
+"""Steps for the rollout of the routers' own interface, in modelled time."""
+
+from behave import given, then, when
+from modelled_clock import Clock
+
+from kumquatseam.engines import EngineOrderClient, ModelVersion
+from kumquatseam.fleet._rollout import EngineReports, WeightsRollout
+
+LOAD_S = 1.0
+STEP_S = 0.1
+
+
+class UpstreamStub:
+    role = "serving"
+    models = ("m0",)
+    url = "http://engine"
+
+    def __init__(self, name):
+        self.name = name
+
+
+class ModelStub:
+    adapters = ()
+
+
+class ConfigurationStub:
+    """Wants every engine on version 2."""
+
+    def __init__(self, count):
+        self.upstreams = [UpstreamStub(f"e{number}") for number in range(count)]
+
+    def desired_version(self, upstream, model):
+        return "2"
+
+    def model(self, name):
+        return ModelStub
+
+    def upstream(self, name):
+        return next(upstream for upstream in self.upstreams if upstream.name == name)
+
+
+class LiveStub:
+    def __init__(self, count):
+        self.current = ConfigurationStub(count)
+
+
+class HeldLease:
+    fence = 1
+
+
+class ModelledEngines(EngineReports, EngineOrderClient):
+    """Engines that load when they are ordered to, but for some that never do."""
+
+    def __init__(self, clock, names, never):
+        self.clock = clock
+        self.versions = dict.fromkeys(names, "1")
+        self.never = never
+        self.loaded_s = {}
+
+    def epoch(self, engine):
+        return "epoch"
+
+    def named_model(self, engine, model):
+        return ModelVersion(model, self.versions[engine], ())
+
+    def role(self, engine):
+        return "serving"
+
+    def give(self, target, order):
+        if target.name not in self.never:
+            self.loaded_s.setdefault(target.name, self.clock() + LOAD_S)
+
+    def pass_time(self):
+        for name, loaded_s in self.loaded_s.items():
+            if self.clock() >= loaded_s:
+                self.versions[name] = "2"
+
+
+@given("{count:d} engines that are to load, {never:d} of which accept and never do")
+def step_engines(context, count, never):
+    context.clock = Clock()
+    live = LiveStub(count)
+    names = [upstream.name for upstream in live.current.upstreams]
+    context.engines = ModelledEngines(context.clock, names, set(names[:never]))
+    context.rollout = WeightsRollout(
+        live, HeldLease(), context.engines, context.engines, "r1", context.clock
+    )
+
+
+@when("the router that holds the duty goes on for {for_s:g} s")
+def step_go_on(context, for_s):
+    end_s = context.clock() + for_s
+    while context.clock() < end_s:
+        context.rollout.step()
+        context.clock.sleep(STEP_S)
+        context.engines.pass_time()
+
+
+@then("the other {count:d} engines have loaded")
+def step_loaded(context, count):
+    versions = list(context.engines.versions.values())
+    assert versions.count("2") == count, context.engines.versions
--- a/features/weights_left_behind.feature
+++ b/features/weights_left_behind.feature
@@ -121,3 +121,8 @@
     Then 3 engines run weights 2
     When 8.5 seconds pass, and the list shows what each engine runs
     Then 6 engines run weights 2
+
+  Scenario: Engines that accept and never load keep no router's engines waiting
+    Given 9 engines that are to load, 3 of which accept and never do
+    When the router that holds the duty goes on for 11 s
+    Then the other 6 engines have loaded
--- a/src/kumquatseam/fleet/_rollout.py
+++ b/src/kumquatseam/fleet/_rollout.py
@@ -9,6 +9,7 @@
 """
 
 import abc
+import math
 import time
 from collections.abc import Callable, Iterator
 
@@ -105,6 +106,8 @@
         pending = {
             d for d, s in self._ordered_s.items() if now_s - s < ORDER_PATIENCE_S
         }
+        # Engines that accept and show nothing must not keep the others from loading.
+        due.sort(key=lambda order: self._ordered_s.get(order, -math.inf))
         for order in due:
             if len(pending) >= MAX_LOADS:
                 return
