Log and count the request limits that upstreams announce

Responses' limits are decoded in the adapter and kept per incarnation (AnnouncedLimits), newest observation first: responses overtake each other, so a limit is lifted or raised only by the response to a request that was sent after the last one with the limit had arrived. 'Limit of an upstream changed.' is logged at each change, 'Placed.' names the limit and its age, two metrics count limited upstreams and the requests sent to them. No decision changes.

--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -33,7 +33,12 @@
     TrafficShare,
 )
 from kumquatseam.settings import AdmissionSettings
-from kumquatseam.upstreams import Upstream, UpstreamDirectory, WeightsVersion
+from kumquatseam.upstreams import (
+    AnnouncedLimits,
+    Upstream,
+    UpstreamDirectory,
+    WeightsVersion,
+)
 
 EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 5)]
 ADDRESSES = {"source": "10.0.0.1:1", "target": "10.0.0.2:1", "other": "10.0.0.3:1"}
@@ -152,6 +157,7 @@
             MovingOrders(),
             single_instance_quarantine(),
             single_instance_quotas(),
+            AnnouncedLimits(),
         )
     )
 
--- a/features/steps/own_fault_steps.py
+++ b/features/steps/own_fault_steps.py
@@ -27,7 +27,7 @@
     TrafficShare,
 )
 from kumquatseam.settings import AdmissionSettings
-from kumquatseam.upstreams import Upstream, UpstreamDirectory
+from kumquatseam.upstreams import AnnouncedLimits, Upstream, UpstreamDirectory
 
 ROUTE = Route(
     "r", "h", "/", Repeatability.NON_IDEMPOTENT, (TrafficShare("plain", 1.0),)
@@ -88,6 +88,7 @@
             None,
             single_instance_quarantine(),
             single_instance_quotas(),
+            AnnouncedLimits(),
         )
     )
 
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -63,6 +63,8 @@
         self.event_pause_s = event_pause_s
         self.load_s = load_s
         self.crashes_on = crashes_on
+        #: requests a second that it announces to accept; ``None`` for no limit.
+        self.limit_per_s = None
         #: called with this replica after it crashed.
         self.on_crash = lambda replica: None
         self.script = collections.deque()
@@ -207,6 +209,8 @@
         }
         if self.version is not None:
             headers["X-Weight-Versions"] = str(self.version)
+        if self.limit_per_s is not None:
+            headers["Server-Limit"] = f"{self.limit_per_s:g}"
         return headers
 
     def _serve(self, http, body):
--- /dev/null
+++ b/features/steps/upstream_limits_steps.py
@@ -0,0 +1,104 @@
+"""Steps for the limits that upstreams announce."""
+
+import math
+
+from behave import given, then, when
+from platform_world import HTTP, wait_until
+
+from kumquatseam.http1 import Headers, ResponseHead
+from kumquatseam.platform._headers import PlatformDialect
+from kumquatseam.upstreams import NO_LIMIT_PER_S, AnnouncedLimits, LimitObservation
+
+
+def _rate(text):
+    return NO_LIMIT_PER_S if text == "none" else float(text)
+
+
+@when('a response announces the limit "{text}"')
+def step_response(context, text):
+    head = ResponseHead(200, Headers([(b"Server-Limit", text.encode())]), 0, False)
+    context.limit = PlatformDialect().read_response(head).limit_per_s
+
+
+@then("the limit read is {limit}")
+def step_read(context, limit):
+    expected = None if limit == "unreadable" else float(limit)
+    assert context.limit == expected, context.limit
+
+
+@given(
+    "a response that announced {rate} to a request sent at {sent:g}, received at "
+    "{received:g}"
+)
+def step_first_response(context, rate, sent, received):
+    context.limits = AnnouncedLimits(lambda: 10.0)
+    observed = LimitObservation(_rate(rate), sent, received)
+    context.limits.merge("e0", LimitObservation(5.0, -math.inf, -math.inf), "test")
+    context.limits.merge("e0", observed, "test")
+
+
+@when(
+    "a response announces {rate} to a request sent at {sent:g}, received at "
+    "{received:g}"
+)
+def step_second_response(context, rate, sent, received):
+    context.limits.merge("e0", LimitObservation(_rate(rate), sent, received), "test")
+
+
+@then("the limit in force is {rate}")
+def step_in_force(context, rate):
+    known = context.limits.of("e0").rate_per_s
+    assert known == _rate(rate), known
+
+
+@given('the engine "{name}" announces a limit of {rate:g} requests a second')
+def step_announces(context, name, rate):
+    context.platform.replicas[name].limit_per_s = rate
+
+
+@when("callers send {count:d} requests one by one")
+def step_send(context, count):
+    world = context.platform
+    for number in range(count):
+        headers = world.stream_headers(part=f"{number:08x}")
+        world.send("/once/x", headers=headers)
+
+
+@then('the gateway logged that the limit of "{name}" is {rate:g} requests a second')
+def step_logged(context, name, rate):
+    gateway = context.platform.gateways[0]
+    wait_until(
+        "the limit is logged",
+        lambda: any(
+            line["event"] == "Limit of an upstream changed."
+            and line["upstream"].startswith(name)
+            and line["rate_per_s"] == rate
+            for line in gateway.lines()
+        ),
+    )
+
+
+@then('its placements on "{name}" name the limit and its age')
+def step_placements(context, name):
+    placed = [
+        line
+        for line in context.platform.gateways[0].lines()
+        if line["event"] == "Placed." and line["upstream"].startswith(name)
+    ]
+    # The first one was placed before the engine announced its limit.
+    named = [line for line in placed if "limit_per_s" in line]
+    assert named, placed
+    assert all(line["limit_age_s"] >= 0 for line in named), named
+
+
+@then("its metrics show one limited upstream and the requests sent there")
+def step_metrics(context):
+    port = context.platform.gateways[0].ports["metrics"]
+    text = HTTP.request("GET", f"http://127.0.0.1:{port}/metrics").data.decode()
+    assert "kumquatseam_upstreams_limited 1.0" in text, text
+    (line,) = [
+        line
+        for line in text.splitlines()
+        if line.startswith("kumquatseam_limited_upstreams_requests_total ")
+    ]
+    assert float(line.split()[1]) >= 1, line
--- a/features/steps/waiting_world.py
+++ b/features/steps/waiting_world.py
@@ -27,6 +27,7 @@
 )
 from kumquatseam.settings import AdmissionSettings
 from kumquatseam.upstreams import (
+    AnnouncedLimits,
     Upstream,
     UpstreamDirectory,
     WeightsTargets,
@@ -146,6 +147,7 @@
                 None,
                 single_instance_quarantine(),
                 single_instance_quotas(),
+                AnnouncedLimits(),
             )
         )
 
--- a/src/kumquatseam/gateway/_call.py
+++ b/src/kumquatseam/gateway/_call.py
@@ -3,6 +3,7 @@
 import attrs
 
 from kumquatseam.prompts import PromptChain
+from kumquatseam.upstreams import NO_LIMIT_PER_S
 
 
 @attrs.frozen
@@ -75,6 +76,8 @@
     :param weights_version: the weights version that responded, if stated.
     :param keep_alive_s: how long the idle connection will stay open, if stated.
     :param is_signed: whether it carries the upstream's signature.
+    :param limit_per_s: requests a second that the upstream accepts from all instances
+        together; ``None`` if the value is unreadable.
     """
 
     is_not_run: bool
@@ -82,3 +85,4 @@
     keep_alive_s: float | None
     is_signed: bool
     responding_id: str = ""
+    limit_per_s: float | None = NO_LIMIT_PER_S
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from kumquatseam.clocks import elapsed_s
 from kumquatseam.errors import OverloadedError
 from kumquatseam.gateway._call import ResponseTraits, SendOptions
 from kumquatseam.gateway._caller import CallerConnection
@@ -37,7 +38,7 @@
 from kumquatseam.placement import Placement, PlacementRequest, SentRequest
 from kumquatseam.quarantine import QuarantinedError, RunPermission, RunUpstream
 from kumquatseam.rollouts import MovedRun
-from kumquatseam.upstreams import InFlightRequest
+from kumquatseam.upstreams import NO_LIMIT_PER_S, InFlightRequest, UpstreamStatus
 
 _log = part_logger("exchange")
 
@@ -108,6 +109,8 @@
         self._last_event_s: float | None = None
         self._paused_since_s: float | None = None
         self._sent_s: float | None = None
+        #: the time of sending for the observation of limits.
+        self._sent_elapsed_s = 0.0
         self._attempt_first_event_s: float | None = None
         self._placement: Placement | None = None
         self._sent_request: SentRequest | None = None
@@ -425,9 +428,11 @@
         if placement.moved_run is None:
             self._progress.attempts += 1
         self._sent_s = time.monotonic()
+        self._sent_elapsed_s = elapsed_s()
         request_bytes = self._request_bytes(placement)
         self._progress.has_sent = True
         self._permission.note_sent()
+        self._parts.limits.note_sent(placement.status.upstream.incarnation_id)
         self._sent_request = placement.note_sent()
         connection.send(request_bytes)
         wait = self._first_event_wait(placement)
@@ -506,6 +511,7 @@
         status, model = placement.status, self._job.call.model
         if model and traits.weights_version is not None:
             status.record_version(model, traits.weights_version, time.monotonic())
+        self._observe_limit(status, traits)
         if traits.is_not_run:
             _log.bind(
                 request=self._job.call.request_id,
@@ -520,6 +526,24 @@
             return
         self._parts.directory.note_answer(status, head.status >= 500)
 
+    def _observe_limit(self, status: UpstreamStatus, traits: ResponseTraits) -> None:
+        """Record the limit that the response announces."""
+        upstream, limit_per_s = status.upstream, traits.limit_per_s
+        if traits.responding_id not in ("", upstream.upstream_id):
+            return
+        if limit_per_s is None:
+            _log.bind(
+                request=self._job.call.request_id, upstream=upstream.incarnation_id
+            ).warning("Unreadable limit ignored.")
+            return
+        # Only the response of a run shows that there is no limit: refusals may come
+        # from elsewhere than from the upstream's scheduler.
+        is_from_run = traits.is_signed and not traits.is_not_run
+        if limit_per_s < NO_LIMIT_PER_S or is_from_run:
+            self._parts.limits.observe(
+                upstream.incarnation_id, limit_per_s, self._sent_elapsed_s
+            )
+
     def _drain(
         self, connection: UpstreamConnection, wait: SocketWait, traits: ResponseTraits
     ) -> None:
--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -13,7 +13,11 @@
 from kumquatseam.quotas import TeamQuotas
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.trackers import LoadTracker, TrackerClient
-from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
+from kumquatseam.upstreams import (
+    AnnouncedLimits,
+    UpstreamDirectory,
+    WeightsTargets,
+)
 
 
 @attrs.frozen
@@ -32,6 +36,7 @@
     tracker_client: TrackerClient
     tracker: LoadTracker
     quotas: TeamQuotas
+    limits: AnnouncedLimits
 
 
 def add_gauges(metrics: GatewayMetrics, parts: GaugeParts) -> None:
@@ -60,6 +65,7 @@
         "upstreams_on_newest_weights",
         lambda: _count_on_newest_weights(directory, targets),
     )
+    metrics.register_gauge("upstreams_limited", parts.limits.count_limited)
     metrics.register_gauge("requests_suspected", lambda: len(parts.quarantine.suspects))
     metrics.register_gauge("quotas_kept", lambda: len(parts.quotas.allocator))
     metrics.register_gauge(
@@ -79,6 +85,7 @@
     metrics.register_counter(
         "quota_decided_alone", lambda: parts.quotas.decided_locally
     )
+    metrics.register_counter("limited_upstreams_requests", lambda: parts.limits.sent)
     metrics.register_counter("upstream_connections", lambda: parts.pool.opened)
     metrics.register_counter("caller_connections", lambda: parts.server.accepted)
     metrics.register_counter("log_calls", lambda: parts.log_service.calls)
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -21,7 +21,7 @@
 from kumquatseam.quotas import QuotaExceededError, QuotaGrant, TeamQuotas
 from kumquatseam.rollouts import OrderClient
 from kumquatseam.routes import LiveRouteTable, Route, RouteTable, TeamTraits
-from kumquatseam.upstreams import UpstreamDirectory
+from kumquatseam.upstreams import AnnouncedLimits, UpstreamDirectory
 
 _log = part_logger("request")
 
@@ -49,6 +49,7 @@
     :param orders: moves runs between engines.
     :param quarantine: holds back requests that crash upstreams.
     :param quotas: enforces the teams' quotas.
+    :param limits: the request limits that upstreams announce.
     """
 
     live: LiveRouteTable
@@ -62,6 +63,7 @@
     orders: OrderClient
     quarantine: Quarantine
     quotas: TeamQuotas
+    limits: AnnouncedLimits
 
 
 class RequestHandler:
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -65,7 +65,11 @@
     TrackedWork,
     TrackerClient,
 )
-from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
+from kumquatseam.upstreams import (
+    AnnouncedLimits,
+    UpstreamDirectory,
+    WeightsTargets,
+)
 
 _log = part_logger("gateway")
 
@@ -111,6 +115,7 @@
         self._adapter = adapter
         self._live = LiveRouteTable()
         self._directory = UpstreamDirectory()
+        self._limits = AnnouncedLimits()
         self._index = PromptIndex()
         self._metrics = GatewayMetrics()
         self._started_s = time.monotonic()
@@ -224,6 +229,7 @@
                 self._file.rollout.replaced_weights_grace_s,
                 operator_pace(self._file.feeds).stale_after_s,
             ),
+            limits=self._limits,
         )
         handler = RequestHandler(
             HandlerParts(
@@ -238,6 +244,7 @@
                 self._orders,
                 self._quarantine,
                 self._quotas,
+                self._limits,
             )
         )
         grace_s = max(1.0, gateway.grace_s - SHUTDOWN_MARGIN_S)
@@ -420,6 +427,7 @@
 
     def _forget_upstream(self, upstream) -> None:
         self._index.forget(upstream.incarnation_id)
+        self._limits.forget(upstream.incarnation_id)
         self._pool.drop(upstream.address)
         self._quarantine.note_upstream_gone(
             upstream.incarnation_id, upstream.is_leaving
@@ -447,6 +455,7 @@
             self._tracker_client,
             self._tracker,
             self._quotas,
+            self._limits,
         )
         add_gauges(self._metrics, parts)
         self._metrics.register_gauge("peers_alive", self._count_instances)
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -34,6 +34,7 @@
 from kumquatseam.prompts import PromptChain, PromptIndex
 from kumquatseam.upstreams import (
     UNKNOWN_AGE_S,
+    AnnouncedLimits,
     UpstreamDirectory,
     UpstreamStatus,
     WeightsTargets,
@@ -84,6 +85,7 @@
         ``index``.
     :param reuse_window_s: a part is worth storing if it is reused within this time.
     :param replaced_weights_grace: how long requests may start on replaced weights.
+    :param limits: the request limits that upstreams announce, for the log.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         work: WorkSource | None = None,
         reuse_window_s: float = DEFAULT_REUSE_WINDOW_S,
         replaced_weights_grace: ReplacedWeightsGrace | None = None,
+        limits: AnnouncedLimits | None = None,
     ) -> None:
         self._directory = directory
         self._zone = zone
@@ -107,6 +110,7 @@
         self._replaced_weights_deadline = ReplacedWeightsDeadline(
             targets, replaced_weights_grace or ReplacedWeightsGrace()
         )
+        self._limits = limits or AnnouncedLimits()
         self._slowdowns: dict[str, EngineSlowdown] = {}
         directory.on_gone(lambda gone: self._slowdowns.pop(gone.incarnation_id, None))
         #: corrects modelled waits by observed ones.
@@ -353,11 +357,20 @@
             fetched_from=plan.source.holder if plan and plan.source else "",
             prompt_tokens=request.prompt.tokens,
             shared_tokens=request.prompt.shared_tokens,
+            **self._limit_fields(chosen.incarnation_id),
             list_age_s=round(
                 self._clock() - (self._directory.list_confirmed_s or 0.0), 2
             ),
         ).debug("Placed.")
 
+    def _limit_fields(self, incarnation_id: str) -> dict[str, float]:
+        """Return the limit of the chosen upstream and its age, if it has one."""
+        known = self._limits.of(incarnation_id)
+        if not known.is_limited:
+            return {}
+        age_s = round(self._limits.age_s(incarnation_id), 3)
+        return {"limit_per_s": known.rate_per_s, "limit_age_s": age_s}
+
     def _replaced_s(self, model: str, choice: EngineChoice | None) -> float | None:
         """Return the known time since the chosen weights were replaced."""
         if choice is None:
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -1,5 +1,7 @@
 """Headers of the platform's requests and responses."""
 
+import math
+
 from kumquatseam.gateway import (
     Call,
     Dialect,
@@ -9,11 +11,13 @@
 )
 from kumquatseam.http1 import Headers, Request, ResponseHead
 from kumquatseam.prompts import PromptChain, PromptPart
+from kumquatseam.upstreams import NO_LIMIT_PER_S
 
 _DEADLINE = b"x-deadline-ms"
 _USAGE = b"x-token-usage"
 _PREFIX = b"x-prompt-prefix"
 _VERSION = b"x-weight-versions"
+_LIMIT = b"server-limit"
 _KEY_SCHEME = "token "
 
 #: addressed to the router or set only by it, so never forwarded.
@@ -92,6 +96,7 @@
             keep_alive_s=_keep_alive_s(headers),
             is_signed=headers.get(b"x-replica-signature") is not None,
             responding_id=headers.text(b"x-replica-id") if head.status == 421 else "",
+            limit_per_s=_limit_per_s(headers),
         )
 
 
@@ -149,6 +154,17 @@
     return None
 
 
+def _limit_per_s(headers: Headers) -> float | None:
+    """Return the announced limit; ``None`` if it is unreadable."""
+    if headers.get(_LIMIT) is None:
+        return NO_LIMIT_PER_S
+    try:
+        limit_per_s = float(headers.text(_LIMIT))
+    except ValueError:
+        return None
+    return limit_per_s if math.isfinite(limit_per_s) and limit_per_s >= 0 else None
+
+
 def _integer_or_none(text: str) -> int | None:
     try:
         return int(text)
--- a/src/kumquatseam/upstreams/__init__.py
+++ b/src/kumquatseam/upstreams/__init__.py
@@ -3,10 +3,16 @@
 - :class:`Upstream` is one entry of the platform's list of upstreams.
 - :class:`UpstreamDirectory` combines the newest entries with observations from
   this process's own traffic: requests in flight, failures, weights.
+- :class:`AnnouncedLimits` holds the request limits that upstreams announce.
 - :class:`WeightsTargets` holds the weights that upstreams should run.
 """
 
 from kumquatseam.upstreams._directory import UpstreamDirectory
+from kumquatseam.upstreams._limits import (
+    NO_LIMIT_PER_S,
+    AnnouncedLimits,
+    LimitObservation,
+)
 from kumquatseam.upstreams._status import (
     InFlightRequest,
     InFlightRequestListener,
@@ -16,9 +22,12 @@
 from kumquatseam.upstreams._upstream import Upstream, WeightsVersion
 
 __all__ = [
+    "NO_LIMIT_PER_S",
     "UNKNOWN_AGE_S",
+    "AnnouncedLimits",
     "InFlightRequest",
     "InFlightRequestListener",
+    "LimitObservation",
     "Upstream",
     "UpstreamDirectory",
     "UpstreamStatus",
