--- a/features/steps/upstream_limits_steps.py
+++ b/features/steps/upstream_limits_steps.py
@@ -1,14 +1,23 @@
 """Steps for the limits that upstreams announce."""
 
 import math
+import time
+from concurrent import futures
 
 from behave import given, then, when
+from crash_steps import send
+from platform_steps import step_platform
 from platform_world import HTTP, wait_until
 
 from kumquatseam.http1 import Headers, ResponseHead
 from kumquatseam.platform._headers import PlatformDialect
 from kumquatseam.upstreams import NO_LIMIT_PER_S, AnnouncedLimits, LimitObservation
 
+#: length of the window in which the users count requests, in seconds.
+WINDOW_S = 4.0
+#: requests that callers may have in progress at once.
+MAX_CALLERS = 32
+
 
 def _rate(text):
     return NO_LIMIT_PER_S if text == "none" else float(text)
@@ -102,3 +111,61 @@
         if line.startswith("kumquatseam_limited_upstreams_requests_total ")
     ]
     assert float(line.split()[1]) >= 1, line
+
+
+@given(
+    "{gateways:d} gateways in front of {count:d} {upstreams}, one of which accepts "
+    "{rate:g} requests a second"
+)
+def step_limited(context, gateways, count, upstreams, rate):
+    step_platform(context)
+    world = context.platform
+    version = 1 if upstreams == "engines" else None
+    for number in range(count):
+        world.add_replica(upstreams, f"{upstreams}-{number}", version=version)
+    world.add_route("/once/", "stream", "engines", maxAttempts=1)
+    world.add_route("/safe/", "idempotent", "plain")
+    world.put_configuration()
+    world.name_weights(1)
+    for _ in range(gateways):
+        world.add_gateway()
+    context.limited = world.replicas[f"{upstreams}-0"]
+    context.limited.limit_per_s = rate
+    context.callers = futures.ThreadPoolExecutor(MAX_CALLERS)
+    world.on_close.append(lambda: context.callers.shutdown(cancel_futures=True))
+
+
+@when(
+    'callers send {rate:d} requests a second to "{path}" for {for_s:d} seconds, to '
+    "each gateway in turn"
+)
+def step_send_steadily(context, rate, path, for_s):
+    world = context.platform
+    context.began_s = time.monotonic()
+    sent = []
+    for number in range(rate * for_s):
+        time.sleep(max(0.0, context.began_s + number / rate - time.monotonic()))
+        gateway = number % len(world.gateways)
+        arguments = (world, f"{path}{number}", number, gateway)
+        sent.append(context.callers.submit(send, *arguments))
+    context.results = [future.result() for future in sent]
+
+
+@then(
+    "from a second after it announced its limit it never got more than {most:d} in 4 "
+    "seconds"
+)
+def step_within_limit(context, most):
+    arrived = sorted(s.began_s for s in context.limited.seen if s.ran)
+    assert arrived, "no request reached the upstream"
+    later = [at_s for at_s in arrived if at_s > arrived[0] + 1.0]
+    worst = max(
+        (sum(at <= other < at + WINDOW_S for other in later) for at in later), default=0
+    )
+    assert worst <= most, f"{worst} requests in {WINDOW_S} s"
+
+
+@then("all callers were answered")
+def step_all_answered(context):
+    failed = [result for result in context.results if result.status != 200]
+    assert not failed, failed
--- a/features/upstream_limits.feature
+++ b/features/upstream_limits.feature
@@ -42,3 +42,16 @@
     Then the gateway logged that the limit of "e0" is 2 requests a second
     And its placements on "e0" name the limit and its age
     And its metrics show one limited upstream and the requests sent there
+
+  # Real gateway processes.
+
+  Scenario Outline: Gateways send an upstream no more than the limit it announced
+    Given 3 gateways in front of 3 <upstreams>, one of which accepts 2 requests a second
+    When callers send 30 requests a second to "<path>" for 7 seconds, to each gateway in turn
+    Then from a second after it announced its limit it never got more than 17 in 4 seconds
+    And all callers were answered
+
+    Examples:
+      | upstreams | path   |
+      | engines   | /once/ |
+      | plain     | /safe/ |
