--- a/features/moves.feature
+++ b/features/moves.feature
@@ -33,3 +33,18 @@
     Given a stream on a drained engine that already runs other weights
     When the caller's request is served
     Then only the source engine was tried
+
+  Scenario: A run is not moved to an engine that has no room for it
+    An announced limit covers all requests that reach the engine, moved runs too.
+
+    Given a stream that is moved to an engine reached at attempt 1
+    And the destination engine announced a limit that is used up
+    When the caller's request is served
+    Then only the source engine was tried
+
+  Scenario: A moved run counts towards the limit of its destination
+    Given a stream that is moved to an engine reached at attempt 1
+    And the destination engine announced a limit
+    When the caller's request is served
+    Then the caller's stream is complete, with 4 events
+    And its move was granted as one request of that limit
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -6,9 +6,10 @@
 import gevent.socket
 from behave import given, then, when
 from quarantine_world import single_instance_quarantine
-from quota_world import single_instance_quotas
+from quota_world import single_instance_limits, single_instance_quotas
 
 from kumquatseam.admission import RetryBudget
+from kumquatseam.clocks import elapsed_s
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
 from kumquatseam.http1 import (
@@ -34,7 +35,6 @@
 )
 from kumquatseam.settings import AdmissionSettings
 from kumquatseam.upstreams import (
-    AnnouncedLimits,
     Upstream,
     UpstreamDirectory,
     WeightsVersion,
@@ -143,6 +143,7 @@
     directory.status("source").move_runs_to = ("target",)
     context.pool = ScriptedPool(target_failures)
     context.placer = ScriptedPlacer(directory)
+    context.limits = single_instance_limits()
     budget = RetryBudget(AdmissionSettings())
     context.handler = RequestHandler(
         HandlerParts(
@@ -157,7 +158,7 @@
             MovingOrders(),
             single_instance_quarantine(),
             single_instance_quotas(),
-            AnnouncedLimits(),
+            context.limits,
         )
     )
 
@@ -242,3 +243,19 @@
     sent = context.pool.connections[ADDRESSES["other"]].sent
     assert b"Last-Event-Id: %d" % number in sent, sent
     assert b"Kv-From" not in sent, sent
+
+
+@given("the destination engine announced a limit")
+def step_limited(context):
+    context.limits.observe("target", 0.2, elapsed_s())
+
+
+@given("the destination engine announced a limit that is used up")
+def step_used_up(context):
+    step_limited(context)
+    context.limits.acquire("target", "another request")
+
+
+@then("its move was granted as one request of that limit")
+def step_granted(context):
+    assert context.limits.granted == 1, context.limits.granted
--- a/features/steps/own_fault_steps.py
+++ b/features/steps/own_fault_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from log_capture import captured_lines
 from quarantine_world import single_instance_quarantine
-from quota_world import single_instance_quotas
+from quota_world import single_instance_limits, single_instance_quotas
 
 from kumquatseam.admission import RetryBudget
 from kumquatseam.gateway._caller import CallerConnection
@@ -27,7 +27,7 @@
     TrafficShare,
 )
 from kumquatseam.settings import AdmissionSettings
-from kumquatseam.upstreams import AnnouncedLimits, Upstream, UpstreamDirectory
+from kumquatseam.upstreams import Upstream, UpstreamDirectory
 
 ROUTE = Route(
     "r", "h", "/", Repeatability.NON_IDEMPOTENT, (TrafficShare("plain", 1.0),)
@@ -88,7 +88,7 @@
             None,
             single_instance_quarantine(),
             single_instance_quotas(),
-            AnnouncedLimits(),
+            single_instance_limits(),
         )
     )
 
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -349,7 +349,7 @@
 def step_full(context):
     fleet = context.quota_fleet
     fleet.net.run_until(fleet.clock())
-    allocator = fleet.owners_of(TEAM)[0].quotas.allocator
+    allocator = fleet.owners_of(TEAM)[0].owners.allocator
     (owned,) = allocator._shards.values()
     assert owned.bucket.level(fleet.clock()) == context.quota.burst
 
--- a/features/steps/quota_world.py
+++ b/features/steps/quota_world.py
@@ -17,7 +17,9 @@
     QuotaParts,
     QuotaShard,
     QuotaTolerance,
+    ShardOwners,
     TeamQuotas,
+    UpstreamLimits,
 )
 from kumquatseam.routes import RouteTable, TeamQuota, TeamTraits
 
@@ -79,7 +81,7 @@
         fleet = self.fleet
         self.is_up = True
         self.link = ModelledLink(fleet.net, self.record.address)
-        self.quotas = TeamQuotas(
+        self.owners = ShardOwners(
             QuotaParts(
                 self.record.name,
                 lambda: self.known_records or fleet.records,
@@ -91,6 +93,7 @@
                 fleet.net.wait,
             )
         )
+        self.quotas = TeamQuotas(self.owners)
 
 
 class QuotaFleet:
@@ -249,9 +252,17 @@
     return TeamQuota(rate_per_s, burst, is_token_based=True, default_tokens=200)
 
 
+def single_instance_owners():
+    """Return the owners of shards in a fleet of one instance."""
+    records = (InstanceRecord("alone", "127.0.0.1:1"),)
+    return ShardOwners(QuotaParts("alone", lambda: records, NullDatagramLink()))
+
+
 def single_instance_quotas():
     """Return the quotas of a fleet of one instance."""
-    records = (InstanceRecord("alone", "127.0.0.1:1"),)
-    return TeamQuotas(
-        QuotaParts("alone", lambda: records, NullDatagramLink(), lambda: None)
-    )
+    return TeamQuotas(single_instance_owners())
+
+
+def single_instance_limits():
+    """Return the limits of upstreams in a fleet of one instance."""
+    return UpstreamLimits(single_instance_owners())
--- a/features/steps/upstream_limits_steps.py
+++ b/features/steps/upstream_limits_steps.py
@@ -1,6 +1,5 @@
 """Steps for the limits that upstreams announce."""
 
-import math
 import time
 from concurrent import futures
 
@@ -11,10 +10,14 @@
 
 from kumquatseam.http1 import Headers, ResponseHead
 from kumquatseam.platform._headers import PlatformDialect
-from kumquatseam.upstreams import NO_LIMIT_PER_S, AnnouncedLimits, LimitObservation
+from kumquatseam.upstreams import NO_LIMIT_PER_S, LimitObservation
 
 #: length of the window in which the users count requests, in seconds.
 WINDOW_S = 4.0
+#: a refusal of what has no room takes less than this, in seconds.
+MAX_REFUSAL_S = 0.3
+#: how long callers with a deadline of five seconds obey a Retry-After.
+CALLER_WAIT_S = 5.0 / 3
 #: requests that callers may have in progress at once.
 MAX_CALLERS = 32
 
@@ -40,10 +43,7 @@
     "{received:g}"
 )
 def step_first_response(context, rate, sent, received):
-    context.limits = AnnouncedLimits(lambda: 10.0)
-    observed = LimitObservation(_rate(rate), sent, received)
-    context.limits.merge("e0", LimitObservation(5.0, -math.inf, -math.inf), "test")
-    context.limits.merge("e0", observed, "test")
+    context.known = LimitObservation(_rate(rate), sent, received)
 
 
 @when(
@@ -51,12 +51,13 @@
     "{received:g}"
 )
 def step_second_response(context, rate, sent, received):
-    context.limits.merge("e0", LimitObservation(_rate(rate), sent, received), "test")
+    second = LimitObservation(_rate(rate), sent, received)
+    context.known = context.known.merge(second)
 
 
 @then("the limit in force is {rate}")
 def step_in_force(context, rate):
-    known = context.limits.of("e0").rate_per_s
+    known = context.known.rate_per_s
     assert known == _rate(rate), known
 
 
@@ -169,3 +170,53 @@
 def step_all_answered(context):
     failed = [result for result in context.results if result.status != 200]
     assert not failed, failed
+
+
+@given("the others refuse all requests")
+def step_others_refuse(context):
+    for replica in context.platform.replicas.values():
+        if replica is not context.limited:
+            replica.script.extend(["refuse"] * 1000)
+
+
+@then("the other callers were told at once that their requests were not run")
+def step_others_refused(context):
+    statuses = {result.status for result in context.results}
+    assert statuses == {200, 503}, statuses
+    slowest_s = max(r.took_s for r in context.results if r.status == 503)
+    assert slowest_s < MAX_REFUSAL_S, slowest_s
+
+
+@when(
+    'callers send {rate:d} requests a second to "{path}" for {for_s:d} seconds, and '
+    "return once as told"
+)
+def step_send_and_return(context, rate, path, for_s):
+    world = context.platform
+
+    def send_and_return(number):
+        answers = [world.send(f"{path}{number}", "GET")]
+        if answers[0].status == 503:
+            time.sleep(float(answers[0].headers["Retry-After"]))
+            answers.append(world.send(f"{path}{number}", "GET"))
+        return answers
+
+    began_s = time.monotonic()
+    sent = []
+    for number in range(rate * for_s):
+        time.sleep(max(0.0, began_s + number / rate - time.monotonic()))
+        sent.append(context.callers.submit(send_and_return, number))
+    context.answers = [future.result() for future in sent]
+
+
+@then("all callers that were told to return within their time were served")
+def step_returned(context):
+    told = [
+        answers
+        for answers in context.answers
+        if len(answers) == 2
+        and float(answers[0].headers["Retry-After"]) < CALLER_WAIT_S
+    ]
+    assert len(told) > 3, len(told)
+    statuses = [answers[1].status for answers in told]
+    assert set(statuses) == {200}, statuses
--- a/features/steps/waiting_world.py
+++ b/features/steps/waiting_world.py
@@ -6,7 +6,7 @@
 import gevent.server
 import gevent.socket
 from quarantine_world import single_instance_quarantine
-from quota_world import single_instance_quotas
+from quota_world import single_instance_limits, single_instance_quotas
 
 from kumquatseam.admission import RetryBudget
 from kumquatseam.gateway._caller import CallerConnection
@@ -27,7 +27,6 @@
 )
 from kumquatseam.settings import AdmissionSettings
 from kumquatseam.upstreams import (
-    AnnouncedLimits,
     Upstream,
     UpstreamDirectory,
     WeightsTargets,
@@ -147,7 +146,7 @@
                 None,
                 single_instance_quarantine(),
                 single_instance_quotas(),
-                AnnouncedLimits(),
+                single_instance_limits(),
             )
         )
 
--- a/src/kumquatseam/errors.py
+++ b/src/kumquatseam/errors.py
@@ -84,6 +84,26 @@
         )
 
 
+@attrs.define(frozen=True, eq=False)
+class LimitsUsedUpError(KumquatseamError):
+    """Every upstream that may serve a request has used up the limit it announced.
+
+    :param service: the service, or the model.
+    :param upstreams: these upstreams.
+    :param retry_after_s: time until one of them is expected to have room, in seconds.
+    """
+
+    service: str
+    upstreams: tuple[str, ...]
+    retry_after_s: float
+
+    def __str__(self) -> str:
+        return (
+            f"routing: the limits of all {len(self.upstreams)} upstreams of "
+            f"{self.service} are used up"
+        )
+
+
 @attrs.define(frozen=True, eq=False)
 class UpstreamError(KumquatseamError):
     """An engine failed while serving a request.
--- a/src/kumquatseam/explain/_explanation.py
+++ b/src/kumquatseam/explain/_explanation.py
@@ -22,6 +22,7 @@
     "timed_out": "the deadline of the client or the timeout of the route passed",
     "answer_broken": "the upstream's response was interrupted; a retry is not allowed",
     "quarantined": "upstreams crashed while running the same request before",
+    "limits_used_up": "every upstream announced a limit, and none had room",
     "over_quota": "its team exceeded its quota; the quota owner's log has the usage",
     "internal_fault": "internal error of the router; see the traceback in its log line",
 }
--- a/src/kumquatseam/gateway/_dialect.py
+++ b/src/kumquatseam/gateway/_dialect.py
@@ -29,6 +29,8 @@
 
     #: lower-case name of the header with the request's id.
     request_id_header: bytes
+    #: share of their remaining time for which callers obey a Retry-After.
+    retry_wait_share: float
 
     @abc.abstractmethod
     def read_call(self, request: Request) -> Call:
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -35,8 +35,14 @@
     encode_request,
 )
 from kumquatseam.logs import part_logger
-from kumquatseam.placement import Placement, PlacementRequest, SentRequest
+from kumquatseam.placement import (
+    LimitedPlacer,
+    Placement,
+    PlacementRequest,
+    SentRequest,
+)
 from kumquatseam.quarantine import QuarantinedError, RunPermission, RunUpstream
+from kumquatseam.quotas import CallerRetry, LimitGrant, UpstreamLimitError
 from kumquatseam.rollouts import MovedRun
 from kumquatseam.upstreams import NO_LIMIT_PER_S, InFlightRequest, UpstreamStatus
 
@@ -104,7 +110,10 @@
         self._events = EventSplitter(job.call.resume_after)
         self._has_released_connection = False
         self._permission = RunPermission(parts.quarantine, job.fingerprint)
+        self._placer = LimitedPlacer(parts.placer, parts.limits)
         self._next_placement: Placement | None = None
+        #: the grant for the request that is about to be sent.
+        self._limit_grant: LimitGrant | None = None
         self._first_event_s: float | None = None
         self._last_event_s: float | None = None
         self._paused_since_s: float | None = None
@@ -137,6 +146,7 @@
             return self._send_buffered(error.response)
         finally:
             self._permission.close()
+            self._release_limit_grant()
 
     def _try_once(self) -> tuple[bool, str] | None:
         """Make one attempt; return ``None`` if it failed and another may follow."""
@@ -216,8 +226,15 @@
             job.table.cache_stores,
             job.call.max_output_tokens,
         )
+        max_wait_s = job.caller_remaining_s * self._parts.dialect.retry_wait_share
+        retry = CallerRetry(job.fingerprint, max(0.0, max_wait_s))
         try:
-            return self._parts.placer.place(request)
+            granted = self._placer.place(request, retry)
+        except UpstreamLimitError as error:
+            if progress.may_have_run and job.route.is_resumable:
+                # Its caller waits for the rest of the stream.
+                return None
+            self._fail(Reason.LIMITS_USED_UP, str(error), error.retry_after_s)
         except OverloadedError as error:
             if job.is_over_quota:
                 raise RefusedError(
@@ -226,6 +243,16 @@
             raise RefusedError(
                 503, Reason.OVERLOADED, error.retry_after_s, str(error)
             ) from error
+        if granted is None:
+            return None
+        self._limit_grant = granted.grant
+        return granted.placement
+
+    def _release_limit_grant(self) -> None:
+        """Return the grant of a request that was not sent."""
+        grant, self._limit_grant = self._limit_grant, None
+        if grant is not None:
+            self._parts.limits.release(grant)
 
     def _max_wait_s(self) -> float:
         """Return the maximum expected wait for the request's first event."""
@@ -278,6 +305,7 @@
             placement.status, "connect failed"
         )
         self._log_failure(placement, str(error))
+        self._release_limit_grant()
         if placement.moved_run is not None:
             self._after_move_connect_failure(placement, error)
             return
@@ -432,7 +460,8 @@
         request_bytes = self._request_bytes(placement)
         self._progress.has_sent = True
         self._permission.note_sent()
-        self._parts.limits.note_sent(placement.status.upstream.incarnation_id)
+        self._parts.limits.announced.note_sent(placement.status.upstream.incarnation_id)
+        self._limit_grant = None
         self._sent_request = placement.note_sent()
         connection.send(request_bytes)
         wait = self._first_event_wait(placement)
--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -10,14 +10,10 @@
 from kumquatseam.metrics import GatewayMetrics
 from kumquatseam.peers import DatagramSocket, PeerBus
 from kumquatseam.quarantine import Quarantine
-from kumquatseam.quotas import TeamQuotas
+from kumquatseam.quotas import ShardOwners, TeamQuotas, UpstreamLimits
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.trackers import LoadTracker, TrackerClient
-from kumquatseam.upstreams import (
-    AnnouncedLimits,
-    UpstreamDirectory,
-    WeightsTargets,
-)
+from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
 
 
 @attrs.frozen
@@ -35,8 +31,9 @@
     datagrams: DatagramSocket
     tracker_client: TrackerClient
     tracker: LoadTracker
+    shard_owners: ShardOwners
     quotas: TeamQuotas
-    limits: AnnouncedLimits
+    limits: UpstreamLimits
 
 
 def add_gauges(metrics: GatewayMetrics, parts: GaugeParts) -> None:
@@ -65,9 +62,11 @@
         "upstreams_on_newest_weights",
         lambda: _count_on_newest_weights(directory, targets),
     )
-    metrics.register_gauge("upstreams_limited", parts.limits.count_limited)
+    metrics.register_gauge(
+        "upstreams_limited", lambda: len(parts.limits.announced.limited())
+    )
     metrics.register_gauge("requests_suspected", lambda: len(parts.quarantine.suspects))
-    metrics.register_gauge("quotas_kept", lambda: len(parts.quotas.allocator))
+    metrics.register_gauge("quotas_kept", lambda: len(parts.shard_owners.allocator))
     metrics.register_gauge(
         "holders_tracked", lambda: len(parts.tracker.tracked_holders())
     )
@@ -75,17 +74,20 @@
 
 def _add_traffic(metrics: GatewayMetrics, parts: GaugeParts) -> None:
     """Add counters of this instance's connections, messages and queries."""
-    client = parts.tracker_client
+    client, limits = parts.tracker_client, parts.limits
+    quota_calls = parts.shard_owners.calls
     metrics.register_counter("suspects_tried", lambda: parts.quarantine.trials)
     metrics.register_counter("quota_refusals", lambda: parts.quotas.refused)
-    metrics.register_counter("quota_questions", lambda: parts.quotas.calls.call_count)
+    metrics.register_counter("quota_questions", lambda: quota_calls.call_count)
+    metrics.register_counter("quota_keepers_silent", lambda: quota_calls.timeout_count)
     metrics.register_counter(
-        "quota_keepers_silent", lambda: parts.quotas.calls.timeout_count
+        "quota_decided_alone", lambda: parts.quotas.decided_locally
     )
     metrics.register_counter(
-        "quota_decided_alone", lambda: parts.quotas.decided_locally
+        "limited_upstreams_requests", lambda: limits.announced.sent
     )
-    metrics.register_counter("limited_upstreams_requests", lambda: parts.limits.sent)
+    metrics.register_counter("limit_grants", lambda: limits.granted)
+    metrics.register_counter("limit_refusals", lambda: limits.refused)
     metrics.register_counter("upstream_connections", lambda: parts.pool.opened)
     metrics.register_counter("caller_connections", lambda: parts.server.accepted)
     metrics.register_counter("log_calls", lambda: parts.log_service.calls)
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -18,10 +18,15 @@
 from kumquatseam.metrics import GatewayMetrics
 from kumquatseam.placement import Placer, WorkSource
 from kumquatseam.quarantine import Quarantine, fingerprint
-from kumquatseam.quotas import QuotaExceededError, QuotaGrant, TeamQuotas
+from kumquatseam.quotas import (
+    QuotaExceededError,
+    QuotaGrant,
+    TeamQuotas,
+    UpstreamLimits,
+)
 from kumquatseam.rollouts import OrderClient
 from kumquatseam.routes import LiveRouteTable, Route, RouteTable, TeamTraits
-from kumquatseam.upstreams import AnnouncedLimits, UpstreamDirectory
+from kumquatseam.upstreams import UpstreamDirectory
 
 _log = part_logger("request")
 
@@ -49,7 +54,7 @@
     :param orders: moves runs between engines.
     :param quarantine: holds back requests that crash upstreams.
     :param quotas: enforces the teams' quotas.
-    :param limits: the request limits that upstreams announce.
+    :param limits: keeps the limits that upstreams announce.
     """
 
     live: LiveRouteTable
@@ -63,7 +68,7 @@
     orders: OrderClient
     quarantine: Quarantine
     quotas: TeamQuotas
-    limits: AnnouncedLimits
+    limits: UpstreamLimits
 
 
 class RequestHandler:
--- a/src/kumquatseam/gateway/_job.py
+++ b/src/kumquatseam/gateway/_job.py
@@ -39,3 +39,10 @@
     def remaining_s(self) -> float:
         """Time left until its deadline."""
         return self.end_s - time.monotonic()
+
+    @property
+    def caller_remaining_s(self) -> float:
+        """Time that its caller has left, for this attempt and its own retries."""
+        if self.call.deadline_s is None:
+            return self.remaining_s
+        return self.request.received_s + self.call.deadline_s - time.monotonic()
--- a/src/kumquatseam/gateway/_refusals.py
+++ b/src/kumquatseam/gateway/_refusals.py
@@ -23,6 +23,7 @@
     INTERRUPTED = "answer_broken"
     QUARANTINED = "quarantined"
     OVER_QUOTA = "over_quota"
+    LIMITS_USED_UP = "limits_used_up"
     INTERNAL_ERROR = "internal_fault"
 
 
--- a/src/kumquatseam/gateway/_relocation.py
+++ b/src/kumquatseam/gateway/_relocation.py
@@ -12,6 +12,8 @@
 
 from kumquatseam.logs import part_logger
 from kumquatseam.placement import Placement
+from kumquatseam.quotas import UpstreamLimitError
+from kumquatseam.rollouts import MovedRun
 
 _log = part_logger("relocation")
 
@@ -54,12 +56,23 @@
         if self._destination is None:
             return
         self._started_s = time.monotonic()
-        self._move = gevent.spawn(
-            self._parts.orders.move_run,
-            source.upstream,
-            self._job.call.request_id,
-            self._destination.status.upstream,
+        self._move = gevent.spawn(self._move_run)
+
+    def _move_run(self) -> MovedRun | None:
+        """Move the run; return ``None`` if it was not moved."""
+        limits, request_id = self._parts.limits, self._job.call.request_id
+        destination = self._destination.status.upstream
+        try:
+            grant = limits.acquire(destination.incarnation_id, request_id)
+        except UpstreamLimitError as error:
+            _log.bind(request=request_id, error=str(error)).debug("Run not moved.")
+            return None
+        moved = self._parts.orders.move_run(
+            self._placement.status.upstream, request_id, destination
         )
+        if moved is None:
+            limits.release(grant)
+        return moved
 
     def _may_start(self) -> bool:
         """Return whether no move is in progress or was tried too recently."""
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -49,7 +49,13 @@
     Quarantine,
     QuarantineParts,
 )
-from kumquatseam.quotas import QuotaParts, QuotaTolerance, TeamQuotas
+from kumquatseam.quotas import (
+    QuotaParts,
+    QuotaTolerance,
+    ShardOwners,
+    TeamQuotas,
+    UpstreamLimits,
+)
 from kumquatseam.rollouts import (
     NoticeRelay,
     RolloutBounds,
@@ -115,7 +121,6 @@
         self._adapter = adapter
         self._live = LiveRouteTable()
         self._directory = UpstreamDirectory()
-        self._limits = AnnouncedLimits()
         self._index = PromptIndex()
         self._metrics = GatewayMetrics()
         self._started_s = time.monotonic()
@@ -144,25 +149,28 @@
             self._are_peers_known,
         )
         self._datagrams = DatagramSocket(file.peers.address, DATAGRAM_KINDS)
-        self._tracker = LoadTracker(self._bus.name, self._index)
         self._quarantine = self._build_quarantine()
-        self._quotas = TeamQuotas(
-            QuotaParts(
-                self._bus.name,
-                lambda: self._bus.records,
-                self._datagrams,
-                lambda: self._live.current,
-                QuotaTolerance(
-                    file.quotas.window_s, file.quotas.over, file.quotas.slack
-                ),
-                lambda: self._instances.copy.synced_s is not None,
-            )
+        self._announced_limits = AnnouncedLimits(
+            max_delay_s=self._feeds.process_pauses.max_delay_s
+        )
+        self._shard_owners = self._build_shard_owners()
+        self._quotas = TeamQuotas(self._shard_owners)
+        self._limits = UpstreamLimits(self._shard_owners)
+        self._tracker = LoadTracker(
+            self._bus.name,
+            self._index,
+            limits=self._announced_limits,
+            used_up_s=self._shard_owners.allocator.used_up_s,
         )
         registry = InstanceRegistry(self._log_service, self._bus, self._record)
         self._follow_topics(registry)
         self._cache_feeds = self._build_cache_feeds()
         self._loads = LoadExchange(
-            self._bus, self._directory, self._index, holder_updates=self._cache_feeds
+            self._bus,
+            self._directory,
+            self._index,
+            holder_updates=self._cache_feeds,
+            limits=self._announced_limits,
         )
         self._work = self._build_work()
         self._server = self._build_server()
@@ -261,6 +269,20 @@
             )
         )
 
+    def _build_shard_owners(self) -> ShardOwners:
+        tolerance = self._file.quotas
+        return ShardOwners(
+            QuotaParts(
+                self._bus.name,
+                lambda: self._bus.records,
+                self._datagrams,
+                lambda: self._live.current,
+                QuotaTolerance(tolerance.window_s, tolerance.over, tolerance.slack),
+                lambda: self._instances.copy.synced_s is not None,
+                limits=self._announced_limits,
+            )
+        )
+
     def _build_rollout_duty(self) -> RolloutDuty:
         view = RolloutView(self._directory, self._targets)
         NoticeRelay(self._bus, view)
@@ -303,12 +325,25 @@
         """Build the source of in-flight work of all instances, for any fleet size."""
         name = self._bus.name
         order = RendezvousOrder(lambda: self._bus.records)
-        client = TrackerClient(name, order, self._datagrams, self._tracker)
+        client = TrackerClient(
+            name,
+            order,
+            self._datagrams,
+            self._tracker,
+            unresponsive=self._shard_owners.calls.unresponsive,
+        )
         self._tracker_client = client
         return FleetSizeSwitch(
             lambda: self._bus.view().is_full_mesh,
             BroadcastWork(self._directory, self._index, self._loads.on_upstream),
-            TrackedWork(client, self._directory, name),
+            TrackedWork(
+                client,
+                self._directory,
+                name,
+                note_load=lambda load: self._limits.note_tracked(
+                    load.holder, load.limit, load.used_up_ms / 1000.0
+                ),
+            ),
         )
 
     def _build_cache_feeds(self) -> CacheFeeds:
@@ -454,6 +489,7 @@
             self._datagrams,
             self._tracker_client,
             self._tracker,
+            self._shard_owners,
             self._quotas,
             self._limits,
         )
--- a/src/kumquatseam/peers/_calls.py
+++ b/src/kumquatseam/peers/_calls.py
@@ -40,6 +40,7 @@
     :param reply_kind: class of the replies.
     :param clock: monotonic clock in seconds.
     :param wait: waits for an event, with a timeout in seconds.
+    :param unresponsive: the instances to skip; shared with other users of the link.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         reply_kind: type,
         clock: Callable[[], float] = time.monotonic,
         wait: Callable[[gevent.event.Event, float], object] = gevent.event.Event.wait,
+        unresponsive: UnresponsivePeers | None = None,
     ) -> None:
         self._link = link
         self._clock = clock
@@ -55,7 +57,7 @@
         self._round_trip = RoundTripEstimate()
         self._pending: dict[int, _Pending] = {}
         self._last_number = random.getrandbits(48)
-        self.unresponsive = UnresponsivePeers(clock)
+        self.unresponsive = unresponsive or UnresponsivePeers(clock)
         self.call_count = 0
         self.timeout_count = 0
         link.on_message(reply_kind, self._handle_reply)
--- a/src/kumquatseam/peers/_loads.py
+++ b/src/kumquatseam/peers/_loads.py
@@ -10,7 +10,7 @@
 from kumquatseam.peers._messages import LoadSummary, PresenceHeartbeat, UpstreamLoad
 from kumquatseam.peers._order import FleetView
 from kumquatseam.prompts import HolderUpdate, PromptIndex
-from kumquatseam.upstreams import UpstreamDirectory
+from kumquatseam.upstreams import AnnouncedLimits, LimitReport, UpstreamDirectory
 
 #: a summary older than this is dropped, since its sender is away.
 STALE_AFTER_S = 1.0
@@ -110,6 +110,7 @@
     :param index: source of this instance's prefills and sink of those of peers.
     :param clock: monotonic clock in seconds.
     :param holder_updates: source and sink of updates about what upstreams hold.
+    :param limits: source and sink of the limits that upstreams announced.
     """
 
     def __init__(
@@ -119,12 +120,16 @@
         index: PromptIndex,
         clock: Callable[[], float] = time.monotonic,
         holder_updates: HolderUpdateExchange | None = None,
+        limits: AnnouncedLimits | None = None,
     ) -> None:
         self._holder_updates = holder_updates or _NullExchange()
         self._bus = bus
         self._directory = directory
         self._index = index
         self._clock = clock
+        self._limits = limits or AnnouncedLimits()
+        self._limits_published_s = float("-inf")
+        self._limits.on_change(self._publish_limits_soon)
         self._totals = _Totals()
         self._published_s = float("-inf")
         self._published_requests = -1
@@ -163,9 +168,24 @@
                 ),
                 tuple(self._index.pop_unsent_prefills(MAX_PREFILLS)),
                 tuple(self._holder_updates.pop_unsent_updates()),
+                self._limits_to_publish(),
             )
         )
 
+    def _limits_to_publish(self) -> tuple[LimitReport, ...]:
+        """Return the limits if one changed or they were last sent long ago.
+
+        They are repeated for instances that have just started.
+        """
+        now_s = self._clock()
+        if now_s - self._limits_published_s < HEARTBEAT_S:
+            return ()
+        self._limits_published_s = now_s
+        return tuple(map(self._limits.report_of, self._limits.limited()))
+
+    def _publish_limits_soon(self, _: str) -> None:
+        self._limits_published_s = self._published_s = float("-inf")
+
     def count_instances(self) -> int:
         """Return the number of instances, including this one.
 
@@ -184,6 +204,8 @@
             self._index.note_peer_prefill(prefill)
         for update in summary.held:
             self._holder_updates.apply_update(update)
+        for report in summary.limits:
+            self._limits.merge_report(report)
 
     def on_upstream(self, incarnation_id: str) -> UpstreamLoad:
         """Return the sum of the other instances' loads on an upstream."""
--- a/src/kumquatseam/peers/_messages.py
+++ b/src/kumquatseam/peers/_messages.py
@@ -4,6 +4,7 @@
 
 from kumquatseam.codec import MessageCodec
 from kumquatseam.prompts import HolderUpdate, PromptPrefill
+from kumquatseam.upstreams import LimitReport
 
 
 @attrs.frozen
@@ -46,12 +47,14 @@
     :param loads: loads of the upstreams with at least one request.
     :param reads: prompts sent to upstreams for prefill since the last summary.
     :param held: updates of upstreams and stores about what they hold.
+    :param limits: the limits that upstreams announced.
     """
 
     sender: str
     loads: tuple[UpstreamLoad, ...]
     reads: tuple[PromptPrefill, ...] = ()
     held: tuple[HolderUpdate, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 @attrs.frozen
--- a/src/kumquatseam/placement/__init__.py
+++ b/src/kumquatseam/placement/__init__.py
@@ -6,6 +6,7 @@
   prefill.
 - :class:`EngineComparison` compares the engines that may take a prompt.
 - :class:`Placer` collects the candidates for a request and places it.
+- :class:`LimitedPlacer` places it within the limits that upstreams announced.
 - :class:`WorkSource` provides the work of other instances; :class:`BroadcastWork` is
   for fleets in which every instance broadcasts its work to all others.
 """
@@ -19,6 +20,7 @@
 from kumquatseam.placement._choice import Candidate, WaitLimit, choose, wait_ms
 from kumquatseam.placement._comparison import EngineComparison, cache_salt
 from kumquatseam.placement._engine_slowdown import EngineSlowdown, SentRequest
+from kumquatseam.placement._limited import GrantedPlacement, LimitedPlacer
 from kumquatseam.placement._placer import Placer
 from kumquatseam.placement._replaced_weights import ReplacedWeightsGrace
 from kumquatseam.placement._request import Placement, PlacementRequest
@@ -42,7 +44,9 @@
     "BroadcastWork",
     "EngineComparison",
     "EngineSlowdown",
+    "GrantedPlacement",
     "HolderScope",
+    "LimitedPlacer",
     "OutstandingWork",
     "RequestWork",
     "PlacementOption",
--- a/src/kumquatseam/placement/_comparison.py
+++ b/src/kumquatseam/placement/_comparison.py
@@ -1,6 +1,6 @@
 """Comparison of the engines that may take one prompt."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
@@ -34,6 +34,7 @@
     :param plan: its cache plan for the prompt.
     :param compared: how many engines were compared.
     :param sends_to_store: whether the engine sends the parts it computes to the store.
+    :param is_work_known: whether the work of other instances on it is known.
     """
 
     candidate: Candidate
@@ -41,6 +42,7 @@
     plan: CachePlan
     compared: int
     sends_to_store: bool = False
+    is_work_known: bool = True
 
 
 class EngineComparison:
@@ -51,6 +53,7 @@
     :param directory: the engines.
     :param reuse_window_s: a part is worth storing if it is reused within this time.
     :param limit: how long the request may wait.
+    :param has_room: whether the announced limit of an engine has room.
     """
 
     def __init__(
@@ -60,9 +63,11 @@
         directory: UpstreamDirectory,
         reuse_window_s: float = DEFAULT_REUSE_WINDOW_S,
         limit: WaitLimit | None = None,
+        has_room: Callable[[str], bool] = lambda incarnation_id: True,
     ) -> None:
         self._request = request
         self._limit = limit or WaitLimit()
+        self._has_room = has_room
         self._work = work
         self._directory = directory
         self._reuse_window_s = reuse_window_s
@@ -97,6 +102,9 @@
         plans: dict[str, CachePlan] = {}
         candidates = []
         for option in options:
+            # The view may have brought news of limits.
+            if not self._request.only and not self._has_room(option.incarnation_id):
+                continue
             if option.version not in planners:
                 planners[option.version] = self._planner(option.version, view)
             upstream = option.status.upstream
@@ -110,14 +118,15 @@
         if not candidates:
             return None
         chosen = choose(candidates, self._limit)
-        versions = {option.incarnation_id: option.version for option in options}
-        version = versions[chosen.incarnation_id]
+        (option,) = [o for o in options if o.incarnation_id == chosen.incarnation_id]
+        version = option.version
         return EngineChoice(
             chosen,
             version,
             plans[chosen.incarnation_id],
             len(candidates),
             self._sends_to_store(version, view),
+            view.knows(option.status),
         )
 
     def _sends_to_store(self, version: int, view: WorkView) -> bool:
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -19,6 +19,7 @@
     cache_salt,
 )
 from kumquatseam.placement._engine_slowdown import EngineSlowdown
+from kumquatseam.placement._limits import LimitFilter
 from kumquatseam.placement._replaced_weights import (
     ReplacedWeightsDeadline,
     ReplacedWeightsGrace,
@@ -32,9 +33,9 @@
     WorkSource,
 )
 from kumquatseam.prompts import PromptChain, PromptIndex
+from kumquatseam.quotas import UpstreamLimits
 from kumquatseam.upstreams import (
     UNKNOWN_AGE_S,
-    AnnouncedLimits,
     UpstreamDirectory,
     UpstreamStatus,
     WeightsTargets,
@@ -85,7 +86,7 @@
         ``index``.
     :param reuse_window_s: a part is worth storing if it is reused within this time.
     :param replaced_weights_grace: how long requests may start on replaced weights.
-    :param limits: the request limits that upstreams announce, for the log.
+    :param limits: the limits that upstreams announced; by default they are ignored.
     """
 
     def __init__(
@@ -99,7 +100,7 @@
         work: WorkSource | None = None,
         reuse_window_s: float = DEFAULT_REUSE_WINDOW_S,
         replaced_weights_grace: ReplacedWeightsGrace | None = None,
-        limits: AnnouncedLimits | None = None,
+        limits: UpstreamLimits | None = None,
     ) -> None:
         self._directory = directory
         self._zone = zone
@@ -110,7 +111,7 @@
         self._replaced_weights_deadline = ReplacedWeightsDeadline(
             targets, replaced_weights_grace or ReplacedWeightsGrace()
         )
-        self._limits = limits or AnnouncedLimits()
+        self._limits = LimitFilter(limits)
         self._slowdowns: dict[str, EngineSlowdown] = {}
         directory.on_gone(lambda gone: self._slowdowns.pop(gone.incarnation_id, None))
         #: corrects modelled waits by observed ones.
@@ -120,6 +121,7 @@
         """Return the upstream for ``request``; ``None`` if none can take it now.
 
         :raises OverloadedError: if its expected wait exceeds its limit.
+        :raises LimitsUsedUpError: if all upstreams have used up their announced limits.
         """
         available = self._available_statuses(request)
         if not available:
@@ -146,6 +148,7 @@
             if status is not None
             and max(status.blocked_until_s, status.held_out_until_s) <= now_s
             and status.runs(placement.version)
+            and self._limits.has_room(status.upstream.incarnation_id)
         ]
         running = self._work.running_on(
             [status.upstream.incarnation_id for status in available],
@@ -209,6 +212,7 @@
             if not status.upstream.is_leaving
             and status.upstream.incarnation_id not in request.excluded
             and status.blocked_until_s <= now_s
+            and request.only in ("", status.upstream.incarnation_id)
         ]
         healthy = [s for s in listed if s.held_out_until_s <= now_s]
         return healthy or listed
@@ -221,9 +225,16 @@
             self.wait_estimate.modelled_ms(request.max_idle_wait_s * 1000.0),
         )
         comparison = EngineComparison(
-            request, self._work, self._directory, self._reuse_window_s, limit
+            request,
+            self._work,
+            self._directory,
+            self._reuse_window_s,
+            limit,
+            self._limits.has_room,
+        )
+        best = self._best_with_room(
+            request, comparison, self._engine_options(request, statuses)
         )
-        best = comparison.best(self._engine_options(request, statuses))
         if best is None:
             return None
         self._check_wait(request, limit, best.candidate)
@@ -245,8 +256,34 @@
             wait_estimate=self.wait_estimate,
             replaced_weights_deadline=self._replaced_weights_deadline,
             slowdown=self._slowdown(best.candidate.incarnation_id),
+            is_work_known=best.is_work_known,
         )
 
+    def _best_with_room(
+        self,
+        request: PlacementRequest,
+        comparison: EngineComparison,
+        options: list[PlacementOption],
+    ) -> EngineChoice | None:
+        """Return the best engine whose announced limit has room.
+
+        A comparison may find that the engines compared have none; then others are.
+
+        :raises LimitsUsedUpError: if there are engines, and none of them has room.
+        """
+        remaining = options
+        while remaining:
+            remaining = self._limits.with_room(request, remaining)
+            if not remaining:
+                raise self._limits.used_up_error(request, options)
+            best = comparison.best(remaining)
+            if best is not None or all(map(self._has_room, remaining)):
+                return best
+        return None
+
+    def _has_room(self, option: PlacementOption) -> bool:
+        return self._limits.has_room(option.incarnation_id)
+
     def _engine_options(
         self, request: PlacementRequest, statuses: list[UpstreamStatus]
     ) -> list[PlacementOption]:
@@ -286,18 +323,24 @@
     def _place_without_model(
         self, request: PlacementRequest, statuses: list[UpstreamStatus]
     ) -> Placement | None:
-        options = self._work.shortlist(
-            [
-                PlacementOption(
-                    status,
-                    penalty_ms=self._zone_penalty_ms(status)
-                    + 100.0 * status.failure_share,
-                )
-                for status in statuses
-            ]
-        )
-        scopes = [HolderScope(option.incarnation_id, "") for option in options]
-        view = self._work.view(request.prompt, scopes)
+        all_options = [
+            PlacementOption(
+                status,
+                penalty_ms=self._zone_penalty_ms(status) + 100.0 * status.failure_share,
+            )
+            for status in statuses
+        ]
+        remaining = self._limits.with_room(request, all_options)
+        options: list[PlacementOption] = []
+        while not options:
+            if not remaining:
+                raise self._limits.used_up_error(request, all_options)
+            shortlist = self._work.shortlist(remaining)
+            scopes = [HolderScope(option.incarnation_id, "") for option in shortlist]
+            view = self._work.view(request.prompt, scopes)
+            options = [o for o in shortlist if request.only or self._has_room(o)]
+            compared = {option.incarnation_id for option in shortlist}
+            remaining = [o for o in remaining if o.incarnation_id not in compared]
         candidates = [
             Candidate(
                 option.incarnation_id,
@@ -314,7 +357,9 @@
         if status is None:
             return None
         self._log_choice(request, chosen, len(candidates), None)
-        return Placement(status, prompt=request.prompt)
+        return Placement(
+            status, prompt=request.prompt, is_work_known=view.knows(status)
+        )
 
     def _status_if_available(self, chosen: Candidate) -> UpstreamStatus | None:
         """Return the chosen upstream if it still takes requests.
@@ -357,20 +402,12 @@
             fetched_from=plan.source.holder if plan and plan.source else "",
             prompt_tokens=request.prompt.tokens,
             shared_tokens=request.prompt.shared_tokens,
-            **self._limit_fields(chosen.incarnation_id),
+            **self._limits.log_fields(chosen.incarnation_id),
             list_age_s=round(
                 self._clock() - (self._directory.list_confirmed_s or 0.0), 2
             ),
         ).debug("Placed.")
 
-    def _limit_fields(self, incarnation_id: str) -> dict[str, float]:
-        """Return the limit of the chosen upstream and its age, if it has one."""
-        known = self._limits.of(incarnation_id)
-        if not known.is_limited:
-            return {}
-        age_s = round(self._limits.age_s(incarnation_id), 3)
-        return {"limit_per_s": known.rate_per_s, "limit_age_s": age_s}
-
     def _replaced_s(self, model: str, choice: EngineChoice | None) -> float | None:
         """Return the known time since the chosen weights were replaced."""
         if choice is None:
--- a/src/kumquatseam/placement/_request.py
+++ b/src/kumquatseam/placement/_request.py
@@ -30,6 +30,8 @@
         limit applies.
     :param cache_stores: the KV-cache stores.
     :param output_tokens: limit of generated tokens.
+    :param only: the only upstream to place it on, whether or not its limit has room;
+        ``""`` for any.
     """
 
     request_id: str
@@ -43,6 +45,7 @@
     max_idle_wait_s: float = 0.0
     cache_stores: tuple[CacheStore, ...] = ()
     output_tokens: int = 0
+    only: str = ""
 
     @property
     def own_tokens(self) -> int:
@@ -69,6 +72,7 @@
     :param wait_estimate: updated with the observed wait.
     :param replaced_weights_deadline: limits the wait on replaced weights.
     :param slowdown: the engine's slowdown, updated with the observed wait.
+    :param is_work_known: whether the work of other instances on it is known.
     """
 
     status: UpstreamStatus
@@ -85,6 +89,7 @@
     wait_estimate: WaitEstimate | None = None
     replaced_weights_deadline: ReplacedWeightsDeadline | None = None
     slowdown: EngineSlowdown | None = None
+    is_work_known: bool = True
 
     def note_sent(self) -> SentRequest | None:
         """Record that the request was sent.
--- a/src/kumquatseam/placement/_work.py
+++ b/src/kumquatseam/placement/_work.py
@@ -102,6 +102,10 @@
     def work_on(self, status: UpstreamStatus) -> OutstandingWork:
         """Return the outstanding work on an upstream."""
 
+    @abc.abstractmethod
+    def knows(self, status: UpstreamStatus) -> bool:
+        """Return whether the work of other instances on an upstream is known."""
+
     @abc.abstractmethod
     def holders(self, salt: str) -> PartHolders:
         """Return how much of the request's prompt each holder has within a scope."""
@@ -206,6 +210,9 @@
             status.pending_tokens + peers.pending_tokens,
         )
 
+    def knows(self, status: UpstreamStatus) -> bool:
+        return True
+
     def holders(self, salt: str) -> PartHolders:
         return self._index.look_up(salt, self._prompt)
 
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -45,6 +45,7 @@
     """Reads and writes the platform's headers."""
 
     request_id_header = b"x-request-id"
+    retry_wait_share = 1 / 3
 
     def read_call(self, request: Request) -> Call:
         headers = request.headers
--- a/src/kumquatseam/quotas/__init__.py
+++ b/src/kumquatseam/quotas/__init__.py
@@ -1,4 +1,4 @@
-"""Enforcing team quotas across all instances.
+"""Enforcing quotas of teams and limits of upstreams across all instances.
 
 A quota applies to the whole fleet, while an instance of a large fleet sees about
 one request of a team per second. So each quota has an owner, the first instance for
@@ -8,13 +8,19 @@
 leased to the next instance in the order, which takes over if the owner fails. Where
 a message, log line or metric says ``keeper``, it means the owner.
 
+The limit that an upstream announces has owners and leases as well. It must not be
+exceeded even when instances cannot reach each other, so a lease is for one request
+and takes the consent of two of the three owners.
+
+- :class:`ShardOwners` finds and calls the owners.
 - :class:`TeamQuotas` acquires quota for requests and refunds what did not run.
-- :class:`QuotaAllocator` grants leases from the quotas owned by this instance.
-- :class:`QuotaExceededError` says when to retry.
+- :class:`UpstreamLimits` acquires grants for requests to upstreams with a limit.
+- :class:`QuotaAllocator` grants leases from the shards owned by this instance.
+- :class:`QuotaExceededError` and :class:`UpstreamLimitError` say when to retry.
 """
 
 from kumquatseam.quotas._allocator import QuotaAllocator
-from kumquatseam.quotas._errors import QuotaExceededError
+from kumquatseam.quotas._errors import QuotaExceededError, UpstreamLimitError
 from kumquatseam.quotas._messages import (
     DATAGRAM_KINDS,
     QuotaLeaseReply,
@@ -25,16 +31,15 @@
     QuotaUsageUpdate,
     VersionedLimit,
 )
-from kumquatseam.quotas._teams import (
-    SWEEP_INTERVAL_S,
-    QuotaGrant,
-    QuotaParts,
-    TeamQuotas,
-)
+from kumquatseam.quotas._owners import QuotaParts, ShardOwners
+from kumquatseam.quotas._teams import SWEEP_INTERVAL_S, QuotaGrant, TeamQuotas
+from kumquatseam.quotas._upstreams import CallerRetry, LimitGrant, UpstreamLimits
 
 __all__ = [
     "DATAGRAM_KINDS",
     "SWEEP_INTERVAL_S",
+    "CallerRetry",
+    "LimitGrant",
     "QuotaAllocator",
     "QuotaExceededError",
     "QuotaGrant",
@@ -45,6 +50,9 @@
     "QuotaShard",
     "QuotaTolerance",
     "QuotaUsageUpdate",
+    "ShardOwners",
     "TeamQuotas",
+    "UpstreamLimitError",
+    "UpstreamLimits",
     "VersionedLimit",
 ]
--- a/src/kumquatseam/quotas/_errors.py
+++ b/src/kumquatseam/quotas/_errors.py
@@ -1,4 +1,4 @@
-"""The error for a request that exceeds its team's quota."""
+"""The errors for requests that exceed a quota or the limit of an upstream."""
 
 import attrs
 
@@ -28,3 +28,27 @@
             f"second; the request needs {self.cost}; refused by instance "
             f"{self.decided_by}"
         )
+
+
+@attrs.define(frozen=True, eq=False)
+class UpstreamLimitError(KumquatseamError):
+    """The limit that an upstream announced has no room for a request.
+
+    :param upstream: the upstream's incarnation.
+    :param rate_per_s: its limit.
+    :param retry_after_s: when there will be room.
+    :param is_reserved: whether a place is reserved for the request then.
+    :param decided_by: the instance that refused the request.
+    """
+
+    upstream: str
+    rate_per_s: float
+    retry_after_s: float
+    is_reserved: bool
+    decided_by: str
+
+    def __str__(self) -> str:
+        return (
+            f"quota: upstream {self.upstream!r} accepts {self.rate_per_s:g} requests a "
+            f"second; refused by instance {self.decided_by}"
+        )
--- a/src/kumquatseam/quotas/_messages.py
+++ b/src/kumquatseam/quotas/_messages.py
@@ -1,25 +1,48 @@
 """Messages that instances exchange about quotas."""
 
+import enum
+
 import attrs
 
+from kumquatseam.upstreams import LimitReport
+
 
 @attrs.frozen
 class QuotaShard:
-    """The part of a team's quota that one instance owns.
+    """The part of a quota that one instance owns, or the limit of an upstream.
 
-    :param team: the team.
+    :param subject: the team, or the incarnation of the upstream.
     :param number: the shard's index.
     :param count: the number of shards that the quota is split into.
+    :param is_upstream: whether it is the limit of an upstream, which is not split.
     """
 
-    team: str
+    subject: str
     number: int = 0
     count: int = 1
+    is_upstream: bool = False
 
     @property
     def key(self) -> str:
-        """The key hashed to choose the shard's owner."""
-        return f"quota/{self.team}/{self.number}/{self.count}"
+        """The key hashed to choose the shard's owners.
+
+        The limit of an upstream has the owners that track its load.
+        """
+        if self.is_upstream:
+            return self.subject
+        return f"quota/{self.subject}/{self.number}/{self.count}"
+
+
+class OwnerVote(enum.Enum):
+    """What an owner of an upstream's limit is asked for.
+
+    ``DECIDES`` is the first owner asked, ``CONFIRMS`` a further one, and ``ALONE`` the
+    first one again if no further one replied.
+    """
+
+    DECIDES = 1
+    CONFIRMS = 2
+    ALONE = 3
 
 
 @attrs.frozen
@@ -46,14 +69,27 @@
     :param needed: what the caller's request costs.
     :param wanted: additional quota that later requests will probably need.
     :param unpaid: what the requesting instance admitted while no owner replied.
+    :param report: the limit of the upstream, as the requesting instance knows it.
+    :param vote: what the owner of an upstream's limit is asked for.
+    :param owner_count: owners of an upstream's limit.
+    :param is_reserved: whether the first owner had reserved a place for the request.
+    :param key: identifies the caller's request and its retries.
+    :param max_wait_ms: a place is reserved for a refused request if it is free within
+        this time; 0 for none.
     """
 
     number: int
     shard: QuotaShard
-    limit: VersionedLimit
+    limit: VersionedLimit | None
     needed: int
     wanted: int = 0
     unpaid: int = 0
+    report: LimitReport | None = None
+    vote: OwnerVote = OwnerVote.DECIDES
+    owner_count: int = 1
+    is_reserved: bool = False
+    key: str = ""
+    max_wait_ms: int = 0
 
 
 @attrs.frozen
@@ -67,6 +103,9 @@
     :param keeper: the instance that decided.
     :param is_over: whether the amount exceeds the quota but not the tolerance: the
         request may run only if it delays no other request.
+    :param report: the limit of the upstream, as the owner knows it.
+    :param is_reserved: whether the amount was reserved for the request or, if nothing
+        was granted, is from now on.
     """
 
     number: int
@@ -75,6 +114,8 @@
     wait_ms: int = 0
     keeper: str = ""
     is_over: bool = False
+    report: LimitReport | None = None
+    is_reserved: bool = False
 
 
 @attrs.frozen
@@ -101,18 +142,20 @@
 
 @attrs.frozen
 class QuotaUsageUpdate:
-    """Replicates a shard's usage to the instance that is next to own it.
+    """Replicates a shard's usage to an owner that did not decide on it.
 
     :param shard: the shard.
     :param limit: the team's whole quota.
     :param amount: the amount leased or reported as used.
     :param is_over: whether the amount exceeds the quota.
+    :param report: the limit of the upstream, as the sending instance knows it.
     """
 
     shard: QuotaShard
-    limit: VersionedLimit
+    limit: VersionedLimit | None
     amount: int
     is_over: bool = False
+    report: LimitReport | None = None
 
 
 @attrs.frozen
@@ -133,4 +176,5 @@
     "lent": QuotaLeaseReply,
     "spent": QuotaUsageUpdate,
     "returned": QuotaLeaseReturn,
+    "limit": LimitReport,
 }
--- a/src/kumquatseam/quotas/_teams.py
+++ b/src/kumquatseam/quotas/_teams.py
@@ -1,46 +1,27 @@
 """Acquiring quota for requests."""
 
-import time
-from collections.abc import Callable, Sequence
-
 import attrs
-import gevent.event
 import xxhash
 
 from kumquatseam.admission import TokenBucket
 from kumquatseam.logs import part_logger
-from kumquatseam.peers import (
-    DatagramCalls,
-    DatagramLink,
-    InstanceRecord,
-    RendezvousOrder,
-)
-from kumquatseam.quotas._allocator import MIN_LEASE_S, QuotaAllocator
 from kumquatseam.quotas._errors import QuotaExceededError
 from kumquatseam.quotas._messages import (
     QuotaLeaseReply,
     QuotaLeaseRequest,
     QuotaLeaseReturn,
     QuotaShard,
-    QuotaTolerance,
-    QuotaUsageUpdate,
     VersionedLimit,
 )
-from kumquatseam.routes import RouteTable, TeamTraits
+from kumquatseam.quotas._owners import ShardOwners
+from kumquatseam.quotas._team_shard import MIN_LEASE_S
+from kumquatseam.routes import TeamTraits
 
 _log = part_logger("quota")
 
-#: instances that one owner serves at most. A larger fleet splits each quota into
-#: shards, so that an owner's load does not grow with the fleet.
-INSTANCES_PER_SHARD = 200
 #: shards tried before a request is refused, since one shard may be used up while
 #: others are not.
 MAX_SHARDS_TRIED = 2
-#: after the shard count changed, instances that do not know of it use the owners of
-#: the previous shards for up to this long. Meanwhile each grant is deducted
-#: ``RESHARDING_CHARGE_FACTOR`` times.
-RESHARDING_S = 3.0
-RESHARDING_CHARGE_FACTOR = 4
 #: assumed number of instances while the list of instances is not known.
 ASSUMED_INSTANCES = 64
 #: time over which the use of a quota is averaged.
@@ -64,31 +45,6 @@
     is_over: bool = False
 
 
-@attrs.frozen
-class QuotaParts:
-    """The dependencies of :class:`TeamQuotas`.
-
-    :param name: this instance.
-    :param list_instances: returns every known instance.
-    :param link: carries messages between two instances.
-    :param current_table: returns the configuration in force, if any.
-    :param tolerance: how far the fleet may exceed a quota.
-    :param are_instances_known: whether the list of instances has been read. Before
-        that, each instance would choose itself as the owner of every quota.
-    :param clock: monotonic clock in seconds.
-    :param wait: waits for an event, with a timeout in seconds.
-    """
-
-    name: str
-    list_instances: Callable[[], Sequence[InstanceRecord]]
-    link: DatagramLink
-    current_table: Callable[[], RouteTable | None]
-    tolerance: QuotaTolerance = QuotaTolerance()
-    are_instances_known: Callable[[], bool] = lambda: True
-    clock: Callable[[], float] = time.monotonic
-    wait: Callable[[gevent.event.Event, float], object] = gevent.event.Event.wait
-
-
 @attrs.define
 class _LocalLease:
     """The quota of one team that this instance holds on lease.
@@ -123,32 +79,16 @@
 class TeamQuotas:
     """Acquires quota for requests, from a lease held here or in one round trip.
 
-    :param parts: the dependencies.
+    :param owners: the owners of quotas.
     """
 
-    def __init__(self, parts: QuotaParts) -> None:
-        self._name = parts.name
-        self._list_instances = parts.list_instances
-        self._order = RendezvousOrder(parts.list_instances)
-        self._link = parts.link
-        self._are_instances_known = parts.are_instances_known
-        self._clock = parts.clock
-        self.allocator = QuotaAllocator(
-            parts.name, parts.current_table, parts.tolerance, parts.clock
-        )
-        self.calls = DatagramCalls(parts.link, QuotaLeaseReply, parts.clock, parts.wait)
+    def __init__(self, owners: ShardOwners) -> None:
+        self._owners = owners
+        self._name = owners.name
+        self._clock = owners.clock
         self._leases: dict[str, _LocalLease] = {}
-        self._shard_count: int | None = None
-        self._resharded_s = float("-inf")
         self.refused = 0
         self.decided_locally = 0
-        parts.link.on_message(QuotaLeaseRequest, self._reply_to_request)
-        parts.link.on_message(
-            QuotaUsageUpdate, lambda m, _: self.allocator.apply_usage_update(m)
-        )
-        parts.link.on_message(
-            QuotaLeaseReturn, lambda m, _: self.allocator.apply_return(m)
-        )
 
     def acquire(
         self, team: TeamTraits, tokens: int | None, version: int, request_id: str
@@ -197,7 +137,7 @@
 
     def _lease_for(self, team: str, version: int) -> _LocalLease:
         """Return the lease on a team's quota, granted under ``version`` or later."""
-        count = self._count_shards()
+        count = self._owners.count_shards()
         lease = self._leases.get(team)
         if lease is None:
             shard = self._preferred_shard(team, count)
@@ -209,15 +149,6 @@
             lease.fallback_bucket = None
         return lease
 
-    def _count_shards(self) -> int:
-        """Return the number of shards per quota."""
-        count = -(-len(self._list_instances()) // INSTANCES_PER_SHARD)
-        if count != self._shard_count and self._are_instances_known():
-            if self._shard_count is not None:
-                self._resharded_s = self._clock()
-            self._shard_count = count
-        return count
-
     def _preferred_shard(self, team: str, count: int) -> QuotaShard:
         """Return the shard that this instance tries first."""
         digest = xxhash.xxh3_64_intdigest(f"{team}/{self._name}".encode())
@@ -228,20 +159,9 @@
         if amount <= 0:
             return
         returned = QuotaLeaseReturn(lease.shard, amount)
-        record = self._find_owner(lease.shard)
-        if record is None:
-            return
-        if record.name == self._name:
-            self.allocator.apply_return(returned)
-        else:
-            self._link.send(record.address, returned)
-
-    def _find_owner(self, shard: QuotaShard) -> InstanceRecord | None:
-        """Return the first instance in the shard's order that is not unresponsive."""
-        for record in self._order.owners_of(shard.key):
-            if not self.calls.unresponsive.is_skipped(record.name):
-                return record
-        return None
+        record = self._owners.responsive_owner(lease.shard)
+        if record is not None:
+            self._owners.give_back(record, returned)
 
     def _extend(
         self, lease: _LocalLease, limit: VersionedLimit, cost: int, request_id: str
@@ -257,7 +177,7 @@
             reply = self._decide_locally(lease, limit, cost)
         _log.bind(
             request=request_id,
-            team=shard.team,
+            team=shard.subject,
             version=limit.version,
             rate_per_s=limit.rate_per_s,
             needed=cost,
@@ -269,7 +189,7 @@
         if not reply.lent:
             self.refused += 1
             raise QuotaExceededError(
-                shard.team,
+                shard.subject,
                 cost,
                 limit.rate_per_s,
                 reply.wait_ms / 1000.0,
@@ -286,7 +206,7 @@
 
         :returns: ``None`` if no owner replies, or the owners are not known.
         """
-        if not self._are_instances_known():
+        if not self._owners.are_known():
             return None
         shard = lease.shard
         reply = None
@@ -305,9 +225,9 @@
         """Return the reply of the first instance in the shard's order that replies."""
         prefetch = lease.usage_per_s * MIN_LEASE_S
         unreported, lease.unreported = lease.unreported, 0
-        for record in self._order.owners_of(shard.key):
+        for record in self._owners.of(shard):
             request = QuotaLeaseRequest(
-                self.calls.next_number(),
+                self._owners.calls.next_number(),
                 shard,
                 limit,
                 cost,
@@ -315,9 +235,7 @@
                 int(prefetch) if prefetch > cost else 0,
                 unreported,
             )
-            if record.name == self._name:
-                return self._decide_as_owner(request)
-            reply = self.calls.call(record, request)
+            reply = self._owners.call(record, request)
             if reply is not None:
                 return reply
         lease.unreported += unreported
@@ -332,8 +250,8 @@
         """
         now_s = self._clock()
         if lease.fallback_bucket is None:
-            instances = len(self._list_instances())
-            if not self._are_instances_known():
+            instances = self._owners.count_instances()
+            if not self._owners.are_known():
                 instances = max(instances, ASSUMED_INSTANCES)
             burst = limit.burst / instances
             rate_per_s = limit.rate_per_s / instances
@@ -346,25 +264,3 @@
             return QuotaLeaseReply(0, 0, wait_ms=wait_ms, keeper=self._name)
         lease.unreported += cost
         return QuotaLeaseReply(0, cost, keeper=self._name)
-
-    def _reply_to_request(self, request: QuotaLeaseRequest, sender: str) -> None:
-        self._link.send(sender, self._decide_as_owner(request))
-
-    def _decide_as_owner(self, request: QuotaLeaseRequest) -> QuotaLeaseReply:
-        """Decide on a lease request and report the usage to the next owner."""
-        self._count_shards()
-        is_resharding = self._clock() - self._resharded_s < RESHARDING_S
-        reply = self.allocator.decide(
-            request, RESHARDING_CHARGE_FACTOR if is_resharding else 1
-        )
-        amount = reply.lent + request.unpaid
-        if amount:
-            update = QuotaUsageUpdate(
-                request.shard, request.limit, amount, reply.is_over
-            )
-            choices = self._order.owners_of(request.shard.key)
-            for record in choices[:2]:
-                if record.name != self._name:
-                    self._link.send(record.address, update)
-                    break
-        return reply
--- /dev/null
+++ b/src/kumquatseam/quotas/_upstreams.py
@@ -0,0 +1,305 @@
+"""Keeping the limits that upstreams announce, by all instances together."""
+
+import math
+from collections.abc import Iterable, Sequence
+
+import attrs
+import xxhash
+
+from kumquatseam.logs import part_logger
+from kumquatseam.peers import InstanceRecord
+from kumquatseam.quotas._errors import UpstreamLimitError
+from kumquatseam.quotas._messages import (
+    OwnerVote,
+    QuotaLeaseReply,
+    QuotaLeaseRequest,
+    QuotaLeaseReturn,
+    QuotaShard,
+    QuotaUsageUpdate,
+)
+from kumquatseam.quotas._owners import ShardOwners
+from kumquatseam.upstreams import LimitReport
+
+_log = part_logger("limits")
+
+#: Retry-After while no owner of a limit can be reached: they answer again, or others
+#: take over, within about this time.
+OWNERS_LOST_RETRY_S = 0.5
+#: shortest time for which an upstream without room is skipped, so that the requests of
+#: one moment do not all ask for the same place.
+MIN_USED_UP_S = 0.005
+_HASH_RANGE = float(2**64)
+
+
+@attrs.frozen
+class CallerRetry:
+    """How the caller of a request will return if it is refused.
+
+    :param key: identifies the request and its retries.
+    :param max_wait_s: the longest Retry-After that the caller obeys.
+    """
+
+    key: str
+    max_wait_s: float
+
+
+@attrs.frozen
+class LimitGrant:
+    """A request granted within the limit of an upstream.
+
+    :param incarnation_id: the upstream.
+    :param owners: the owners that granted it; none if the upstream has no limit.
+    :param is_limit_known: whether this instance would know if the upstream had one.
+    """
+
+    incarnation_id: str
+    owners: tuple[InstanceRecord, ...] = ()
+    is_limit_known: bool = True
+
+
+@attrs.define
+class _Ballot:
+    """The replies of a limit's owners to one request.
+
+    :param granted_by: the owners that granted it.
+    :param refusal: the reply of the owner that refused it, if any.
+    :param is_reserved: whether the first owner had reserved a place for it.
+    """
+
+    granted_by: list[InstanceRecord] = attrs.Factory(list)
+    refusal: QuotaLeaseReply | None = None
+    is_reserved: bool = False
+
+
+class UpstreamLimits:
+    """Acquires grants for requests to upstreams that announced a limit.
+
+    A grant takes the consent of most of the limit's owners, of which there are three in
+    a fleet of three instances or more. Whoever reaches only one owner gets its third of
+    the limit, and whoever reaches none sends nothing.
+
+    :param owners: the owners of limits.
+    """
+
+    def __init__(self, owners: ShardOwners) -> None:
+        self._owners = owners
+        self._clock = owners.clock
+        self.announced = owners.limits
+        #: when an upstream without room is expected to have some.
+        self._used_up_until_s: dict[str, float] = {}
+        self.granted = 0
+        self.refused = 0
+        self.announced.on_change(self._handle_change)
+
+    def observe(self, incarnation_id: str, rate_per_s: float, sent_s: float) -> None:
+        """Record the limit in a response that arrives now, and report changes of it.
+
+        :param rate_per_s: the limit, or ``NO_LIMIT_PER_S``.
+        :param sent_s: when the request was sent, by the clock of ``announced``.
+        """
+        if self.announced.observe(incarnation_id, rate_per_s, sent_s):
+            self._report_to_owners(incarnation_id)
+
+    def note_tracked(
+        self, incarnation_id: str, report: LimitReport | None, used_up_s: float
+    ) -> None:
+        """Record what the tracker of an upstream knows of its limit.
+
+        If this instance knows better, its earlier report was lost.
+
+        :param report: the limit, if there is one.
+        :param used_up_s: time until the limit has room for a request.
+        """
+        if report is not None:
+            self.announced.merge_report(report)
+        is_limited = self.announced.of(incarnation_id).is_limited
+        if is_limited and used_up_s > 0:
+            self._note_used_up(incarnation_id, used_up_s)
+        if is_limited != (report is not None):
+            self._report_to_owners(incarnation_id)
+
+    def used_up_s(self, incarnation_id: str) -> float:
+        """Return the time until an upstream is expected to have room; 0 if it has."""
+        until_s = self._used_up_until_s.get(incarnation_id)
+        return max(0.0, until_s - self._clock()) if until_s is not None else 0.0
+
+    def acquire(
+        self,
+        incarnation_id: str,
+        request_id: str,
+        retry: CallerRetry | None = None,
+        is_limit_known: bool = True,
+    ) -> LimitGrant:
+        """Return a grant for one request, after a round trip to most owners.
+
+        Returns at once if the upstream is known to have no limit.
+
+        :param retry: if given, a place is reserved for a refused request.
+        :param is_limit_known: whether this instance would know of a limit.
+        :raises UpstreamLimitError: if the limit has no room.
+        """
+        if is_limit_known and not self.announced.of(incarnation_id).is_limited:
+            return LimitGrant(incarnation_id)
+        shard = QuotaShard(incarnation_id, is_upstream=True)
+        owners = self._owners.of(shard) if self._owners.are_known() else ()
+        ballot = self._vote(shard, owners, retry)
+        is_limited = self.announced.of(incarnation_id).is_limited
+        is_granted = ballot.refusal is None and bool(ballot.granted_by)
+        self._log_decision(incarnation_id, request_id, ballot, is_granted)
+        if is_granted or not is_limited:
+            self.granted += is_limited
+            if is_limited:
+                self._replicate_usage(shard, owners, ballot.granted_by)
+            return LimitGrant(incarnation_id, tuple(ballot.granted_by), is_granted)
+        self._give_back(shard, ballot.granted_by)
+        self.refused += 1
+        raise self._refusal(incarnation_id, ballot.refusal)
+
+    def release(self, grant: LimitGrant) -> None:
+        """Return the grant of a request that was not sent."""
+        self._give_back(
+            QuotaShard(grant.incarnation_id, is_upstream=True), grant.owners
+        )
+
+    def preferred_for_retry(self, key: str, incarnation_ids: Iterable[str]) -> str:
+        """Return the upstream that reserves a place for a request if none has room.
+
+        The same for the request's retry on every instance that knows the same limits:
+        rendezvous hashing, weighted by the limits.
+        """
+
+        def distance(incarnation_id: str) -> float:
+            digest = xxhash.xxh3_64_intdigest(f"{key}|{incarnation_id}".encode())
+            weight = max(self.announced.of(incarnation_id).rate_per_s, 1e-9)
+            return -math.log((digest + 1) / (_HASH_RANGE + 1)) / weight
+
+        return min(incarnation_ids, key=distance)
+
+    def forget(self, incarnation_id: str) -> None:
+        """Drop what is known of an upstream that ended."""
+        self.announced.forget(incarnation_id)
+        self._used_up_until_s.pop(incarnation_id, None)
+
+    def _vote(
+        self,
+        shard: QuotaShard,
+        owners: Sequence[InstanceRecord],
+        retry: CallerRetry | None,
+    ) -> _Ballot:
+        """Ask owners for a grant until most of them granted it or one refuses."""
+        ballot = _Ballot()
+        majority = len(owners) // 2 + 1
+        for record in owners:
+            vote = OwnerVote.CONFIRMS if ballot.granted_by else OwnerVote.DECIDES
+            if not self._ask(ballot, record, shard, len(owners), vote, retry):
+                continue
+            if ballot.refusal is not None or len(ballot.granted_by) >= majority:
+                return ballot
+        if ballot.granted_by:
+            (first,) = ballot.granted_by
+            ballot.granted_by.clear()
+            self._ask(ballot, first, shard, len(owners), OwnerVote.ALONE, retry)
+        return ballot
+
+    def _ask(
+        self,
+        ballot: _Ballot,
+        record: InstanceRecord,
+        shard: QuotaShard,
+        owner_count: int,
+        vote: OwnerVote,
+        retry: CallerRetry | None,
+    ) -> bool:
+        """Ask one owner; return whether it replied."""
+        request = QuotaLeaseRequest(
+            self._owners.calls.next_number(),
+            shard,
+            None,
+            1,
+            report=self.announced.report_of(shard.subject),
+            vote=vote,
+            owner_count=owner_count,
+            is_reserved=ballot.is_reserved,
+            key=retry.key if retry is not None else "",
+            max_wait_ms=int(retry.max_wait_s * 1000) if retry is not None else 0,
+        )
+        reply = self._owners.call(record, request)
+        if reply is None:
+            return False
+        if reply.report is not None:
+            self.announced.merge_report(reply.report)
+        if reply.lent:
+            ballot.granted_by.append(record)
+            ballot.is_reserved |= reply.is_reserved
+        else:
+            ballot.refusal = reply
+        return True
+
+    def _replicate_usage(
+        self,
+        shard: QuotaShard,
+        owners: Iterable[InstanceRecord],
+        granted_by: Sequence[InstanceRecord],
+    ) -> None:
+        """Tell the other owners of a grant, since they may have to decide next."""
+        report = self.announced.report_of(shard.subject)
+        for record in owners:
+            if record not in granted_by:
+                update = QuotaUsageUpdate(shard, None, 1, report=report)
+                self._owners.note_usage(record, update)
+
+    def _refusal(
+        self, incarnation_id: str, reply: QuotaLeaseReply | None
+    ) -> UpstreamLimitError:
+        """Record that an upstream has no room, and return the error that says so."""
+        if reply is None:
+            wait_s, is_reserved, decided_by = OWNERS_LOST_RETRY_S, False, ""
+        else:
+            wait_s, is_reserved = reply.wait_ms / 1000.0, reply.is_reserved
+            decided_by = reply.keeper
+        if not is_reserved:
+            # A reserved place may be far later than the next free one.
+            self._note_used_up(incarnation_id, wait_s)
+        return UpstreamLimitError(
+            incarnation_id,
+            self.announced.of(incarnation_id).rate_per_s,
+            wait_s,
+            is_reserved,
+            decided_by or self._owners.name,
+        )
+
+    def _note_used_up(self, incarnation_id: str, for_s: float) -> None:
+        until_s = self._clock() + max(MIN_USED_UP_S, for_s)
+        self._used_up_until_s[incarnation_id] = until_s
+
+    def _give_back(self, shard: QuotaShard, owners: Iterable[InstanceRecord]) -> None:
+        for record in owners:
+            self._owners.give_back(record, QuotaLeaseReturn(shard, 1))
+
+    def _report_to_owners(self, incarnation_id: str) -> None:
+        """Send what is known of an upstream's limit to its owners; it may get lost."""
+        if not self._owners.are_known():
+            return
+        report = self.announced.report_of(incarnation_id)
+        for record in self._owners.of(QuotaShard(incarnation_id, is_upstream=True)):
+            if record.name != self._owners.name:
+                self._owners.send(record, report)
+
+    def _handle_change(self, incarnation_id: str) -> None:
+        # The place that was waited for may be free earlier under the new limit.
+        self._used_up_until_s.pop(incarnation_id, None)
+
+    def _log_decision(
+        self, incarnation_id: str, request_id: str, ballot: _Ballot, is_granted: bool
+    ) -> None:
+        refusal = ballot.refusal
+        known = self.announced.of(incarnation_id)
+        _log.bind(
+            request=request_id,
+            upstream=incarnation_id,
+            rate_per_s=known.rate_per_s if known.is_limited else None,
+            is_granted=is_granted,
+            owners=[record.name for record in ballot.granted_by],
+            wait_s=refusal.wait_ms / 1000.0 if refusal is not None else None,
+            is_reserved=ballot.is_reserved,
+        ).debug("Limit asked for.")
--- a/src/kumquatseam/trackers/_client.py
+++ b/src/kumquatseam/trackers/_client.py
@@ -52,6 +52,7 @@
     :param tracker: the tracker of this instance, called without datagrams.
     :param clock: monotonic clock in seconds.
     :param wait: waits until an event is set, up to a timeout in seconds.
+    :param unresponsive: the instances to skip; shared with other users of the link.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         tracker: LoadTracker,
         clock: Callable[[], float] = time.monotonic,
         wait: Callable[[gevent.event.Event, float], object] = gevent.event.Event.wait,
+        unresponsive: UnresponsivePeers | None = None,
     ) -> None:
         self._name = name
         self._order = order
@@ -70,7 +72,7 @@
         self._clock = clock
         self._wait = wait
         self._round_trip = RoundTripEstimate()
-        self._unresponsive = UnresponsivePeers(clock)
+        self._unresponsive = unresponsive or UnresponsivePeers(clock)
         self._pending: dict[int, _PendingQuery] = {}
         self._last_number = random.getrandbits(48)
         self.query_count = 0
--- a/src/kumquatseam/trackers/_messages.py
+++ b/src/kumquatseam/trackers/_messages.py
@@ -3,6 +3,7 @@
 import attrs
 
 from kumquatseam.prompts import PromptPart
+from kumquatseam.upstreams import LimitReport
 
 
 @attrs.frozen
@@ -33,6 +34,8 @@
     :param held_tokens: leading tokens of the prompt that it has or is prefilling.
     :param settled_tokens: leading tokens that can be fetched from it now.
     :param kept_s: how long it keeps a part that is not used again.
+    :param limit: the limit that it announced, if any.
+    :param used_up_ms: time until that limit has room for a request; 0 if it has.
     """
 
     holder: str
@@ -43,6 +46,8 @@
     held_tokens: int = 0
     settled_tokens: int = 0
     kept_s: float = 0.0
+    limit: LimitReport | None = None
+    used_up_ms: int = 0
 
 
 @attrs.frozen
--- a/src/kumquatseam/trackers/_tracker.py
+++ b/src/kumquatseam/trackers/_tracker.py
@@ -1,5 +1,6 @@
 """Tracks the load of the upstreams assigned to this instance."""
 
+import math
 import time
 from collections.abc import Callable, Mapping
 
@@ -14,6 +15,7 @@
     WorkEnded,
     WorkPrefilled,
 )
+from kumquatseam.upstreams import AnnouncedLimits, LimitReport
 
 #: a holder without queries or new requests for this long is tracked by another
 #: instance by now; its cache events are no longer read here.
@@ -30,6 +32,9 @@
     :param name: name of this instance.
     :param index: the cached parts of the tracked holders.
     :param clock: monotonic clock in seconds.
+    :param limits: the limits that upstreams announced.
+    :param used_up_s: returns the time until the limit of an upstream has room for a
+        request.
     """
 
     def __init__(
@@ -37,10 +42,14 @@
         name: str,
         index: PromptIndex,
         clock: Callable[[], float] = time.monotonic,
+        limits: AnnouncedLimits | None = None,
+        used_up_s: Callable[[str], float] = lambda holder: 0.0,
     ) -> None:
         self._name = name
         self._index = index
         self._clock = clock
+        self._limits = limits or AnnouncedLimits()
+        self._used_up_s = used_up_s
         self._in_flight = InFlightTable(clock)
         self._last_used_s: dict[str, float] = {}
         #: the handler of each class of notification.
@@ -98,4 +107,11 @@
             holders.held_tokens(holder),
             holders.settled_tokens(holder),
             self._index.kept_s(holder),
+            self._limit(holder),
+            math.ceil(self._used_up_s(holder) * 1000),
         )
+
+    def _limit(self, holder: str) -> LimitReport | None:
+        if not self._limits.of(holder).is_limited:
+            return None
+        return self._limits.report_of(holder)
--- a/src/kumquatseam/trackers/_work.py
+++ b/src/kumquatseam/trackers/_work.py
@@ -16,7 +16,7 @@
     WorkSource,
     WorkView,
 )
-from kumquatseam.prompts import PartHolders, PromptChain
+from kumquatseam.prompts import PartHolders, PromptChain, PromptPart
 from kumquatseam.trackers._client import TrackerClient
 from kumquatseam.trackers._messages import (
     PartsSent,
@@ -52,6 +52,7 @@
     :param name: name of this instance.
     :param clock: monotonic clock in seconds.
     :param draw: random generator for the choice of upstreams.
+    :param note_load: called with each load that a tracker reports.
     """
 
     def __init__(
@@ -61,11 +62,13 @@
         name: str,
         clock: Callable[[], float] = time.monotonic,
         draw: random.Random | None = None,
+        note_load: Callable[[TrackedLoad], None] = lambda load: None,
     ) -> None:
         self._client = client
         self._directory = directory
         self._clock = clock
         self._draw = draw or random.Random()
+        self._note_load = note_load
         # Requests from before a restart must not be confused with new ones.
         self._work_id_prefix = f"{name}/{self._draw.getrandbits(32):x}"
         self._work_numbers = itertools.count()
@@ -95,7 +98,7 @@
         ]
 
     def view(self, prompt: PromptChain, scopes: Sequence[HolderScope]) -> WorkView:
-        return TrackedView(self._client.query(scopes, prompt.shared))
+        return TrackedView(self._query(scopes, prompt.shared))
 
     def running_on(
         self, incarnation_ids: Sequence[str], max_age_s: float = 0.0
@@ -108,7 +111,7 @@
             <= oldest_s
         ]
         if scopes:
-            loads = self._client.query(scopes)
+            loads = self._query(scopes)
             now_s = self._clock()
             self._running_cache.update({w.holder: (now_s, w.running) for w in loads})
         self._remove_gone()
@@ -140,6 +143,15 @@
         reporter = _TrackerReporter(self._client, record, work_id)
         return self._directory.begin(work.status, work.pending_tokens, reporter)
 
+    def _query(
+        self, scopes: Sequence[HolderScope], parts: tuple[PromptPart, ...] = ()
+    ) -> list[TrackedLoad]:
+        """Return the load of some holders as their trackers know it."""
+        loads = self._client.query(scopes, parts)
+        for load in loads:
+            self._note_load(load)
+        return loads
+
     def _sample(
         self, options: list[PlacementOption], count: int
     ) -> list[PlacementOption]:
@@ -185,6 +197,9 @@
             return OutstandingWork(status.running, status.pending_tokens)
         return OutstandingWork(load.running, load.pending_tokens, load.memory_tokens)
 
+    def knows(self, status: UpstreamStatus) -> bool:
+        return status.upstream.incarnation_id in self._by_holder
+
     def kept_s(self, holder: str) -> float:
         load = self._by_holder.get(holder)
         return load.kept_s if load is not None else float("inf")
--- a/src/kumquatseam/upstreams/__init__.py
+++ b/src/kumquatseam/upstreams/__init__.py
@@ -12,6 +12,7 @@
     NO_LIMIT_PER_S,
     AnnouncedLimits,
     LimitObservation,
+    LimitReport,
 )
 from kumquatseam.upstreams._status import (
     InFlightRequest,
@@ -28,6 +29,7 @@
     "InFlightRequest",
     "InFlightRequestListener",
     "LimitObservation",
+    "LimitReport",
     "Upstream",
     "UpstreamDirectory",
     "UpstreamStatus",
--- a/src/kumquatseam/upstreams/_limits.py
+++ b/src/kumquatseam/upstreams/_limits.py
@@ -12,6 +12,9 @@
 
 #: the rate of an upstream that announces no limit.
 NO_LIMIT_PER_S = math.inf
+#: upstreams whose limits are kept; the oldest observation is dropped first. Other
+#: instances may report limits of upstreams that are not listed here yet.
+MAX_KEPT = 4096
 
 
 @attrs.frozen
@@ -52,21 +55,54 @@
         return other if other.sent_s >= self.received_s else self
 
 
+@attrs.frozen
+class LimitReport:
+    """An observation as one instance sends it to others, whose clocks differ.
+
+    :param incarnation_id: the upstream.
+    :param rate_per_s: its limit, or :data:`NO_LIMIT_PER_S`.
+    :param sent_ago_s: time since the request was sent.
+    :param received_ago_s: time since the response arrived.
+    """
+
+    incarnation_id: str
+    rate_per_s: float = NO_LIMIT_PER_S
+    sent_ago_s: float = math.inf
+    received_ago_s: float = math.inf
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether there is a limit."""
+        return self.rate_per_s < NO_LIMIT_PER_S
+
+
 class AnnouncedLimits:
     """The newest observation of the limit of each upstream, by incarnation.
 
     :param clock: seconds that also pass while the machine is suspended.
+    :param max_delay_s: returns by how much a message that arrives now may have been
+        delayed by a suspension of this process.
     """
 
-    def __init__(self, clock: Callable[[], float] = elapsed_s) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = elapsed_s,
+        max_delay_s: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self._clock = clock
+        self._max_delay_s = max_delay_s
         self._newest: dict[str, LimitObservation] = {}
+        self._listeners: list[Callable[[str], None]] = []
         #: requests that this instance sent to upstreams with a limit.
         self.sent = 0
 
-    def count_limited(self) -> int:
-        """Return the number of upstreams with a limit."""
-        return sum(observed.is_limited for observed in self._newest.values())
+    def on_change(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener`` with each upstream whose limit changed."""
+        self._listeners.append(listener)
+
+    def limited(self) -> list[str]:
+        """Return the upstreams with a limit."""
+        return [name for name, known in self._newest.items() if known.is_limited]
 
     def of(self, incarnation_id: str) -> LimitObservation:
         """Return the newest observation of an upstream's limit."""
@@ -80,37 +116,71 @@
         """Count a request that is sent to an upstream."""
         self.sent += self.of(incarnation_id).is_limited
 
-    def observe(self, incarnation_id: str, rate_per_s: float, sent_s: float) -> None:
+    def observe(self, incarnation_id: str, rate_per_s: float, sent_s: float) -> bool:
         """Record what a response says that arrives now.
 
         :param rate_per_s: the limit, or :data:`NO_LIMIT_PER_S`.
         :param sent_s: when the request was sent, by this object's clock.
+        :returns: whether the limit changed.
         """
         observed = LimitObservation(rate_per_s, sent_s, self._clock())
-        self.merge(incarnation_id, observed, "response")
+        return self._merge(incarnation_id, observed, "response")
 
-    def merge(
-        self, incarnation_id: str, observed: LimitObservation, source: str
-    ) -> None:
-        """Record an observation of this or another instance.
+    def report_of(self, incarnation_id: str) -> LimitReport:
+        """Return what is known of an upstream's limit, to be sent to an instance."""
+        known, now_s = self.of(incarnation_id), self._clock()
+        return LimitReport(
+            incarnation_id,
+            known.rate_per_s,
+            now_s - known.sent_s,
+            now_s - known.received_s,
+        )
+
+    def merge_report(self, report: LimitReport) -> bool:
+        """Merge what another instance knows.
+
+        A message read after a suspension of this process is older than it says. That
+        matters for one that lifts a limit: the limit may be newer.
 
-        :param source: where it is from, for the log.
+        :returns: whether the limit changed.
         """
-        known = self.of(incarnation_id)
-        if not known.is_limited and not observed.is_limited:
-            # Upstreams that never announced a limit take no memory.
-            return
-        newest = known.merge(observed)
-        self._newest[incarnation_id] = newest
-        if newest.rate_per_s != known.rate_per_s:
-            _log.bind(
-                upstream=incarnation_id,
-                rate_per_s=newest.rate_per_s if newest.is_limited else None,
-                before_per_s=known.rate_per_s if known.is_limited else None,
-                source=source,
-                age_s=round(self._clock() - newest.received_s, 3),
-            ).info("Limit of an upstream changed.")
+        now_s = self._clock()
+        delay_s = 0.0 if report.is_limited else self._max_delay_s()
+        observed = LimitObservation(
+            report.rate_per_s,
+            now_s - report.sent_ago_s - delay_s,
+            now_s - report.received_ago_s - delay_s,
+        )
+        return self._merge(report.incarnation_id, observed, "instance")
 
     def forget(self, incarnation_id: str) -> None:
         """Drop what is known of an upstream that ended."""
         self._newest.pop(incarnation_id, None)
+
+    def _merge(
+        self, incarnation_id: str, observed: LimitObservation, source: str
+    ) -> bool:
+        known = self.of(incarnation_id)
+        if not known.is_limited and not observed.is_limited:
+            # Upstreams that never announced a limit take no memory.
+            return False
+        newest = known.merge(observed)
+        self._store(incarnation_id, newest)
+        if newest.rate_per_s == known.rate_per_s:
+            return False
+        _log.bind(
+            upstream=incarnation_id,
+            rate_per_s=newest.rate_per_s if newest.is_limited else None,
+            before_per_s=known.rate_per_s if known.is_limited else None,
+            source=source,
+            age_s=round(self._clock() - newest.received_s, 3),
+        ).info("Limit of an upstream changed.")
+        for listener in self._listeners:
+            listener(incarnation_id)
+        return True
+
+    def _store(self, incarnation_id: str, observed: LimitObservation) -> None:
+        self._newest[incarnation_id] = observed
+        if len(self._newest) > MAX_KEPT:
+            oldest = min(self._newest, key=lambda name: self._newest[name].received_s)
+            del self._newest[oldest]
