Routers of the own interface keep the limits that back ends announce

The same cause as in the gateway, found by reading: an engine or plain replica that announced 2 requests a second got 28 and 27 in four seconds from three routers, and 33 from two that had no other engine, where 17 are allowed (features/upstream_limits, three scenarios that failed before).

Routers ask the same UpstreamLimits before each attempt (serving/_limits): a back end without room is left out of the choice, and if none is left the request is refused with 503, 'not run', and a Retry-After with a reserved place. The engine and service stand-ins announce limits (limit_per_s). Owners are chosen among all listed routers, also those that seem dead, since routers that cannot reach each other seem so.

The link between routers is built once for quarantine and limits. Ruled out: a share for each router as TeamLimiter has it, for the reasons in docs/design/limits.md.

--- a/features/steps/matrix_world.py
+++ b/features/steps/matrix_world.py
@@ -7,6 +7,7 @@
 import attrs
 from modelled_clock import Clock
 from quarantine_world import single_instance_quarantine
+from quota_world import single_instance_limits
 
 from kumquatseam.admission import RetryBudget
 from kumquatseam.admission.team_limiter import TeamLimiter
@@ -227,6 +228,7 @@
             admission,
             self.running,
             single_instance_quarantine(),
+            single_instance_limits(),
             clock,
         )
         engines = FakeEngineClient(world)
--- a/features/steps/upstream_limits_steps.py
+++ b/features/steps/upstream_limits_steps.py
@@ -157,13 +157,18 @@
     "seconds"
 )
 def step_within_limit(context, most):
-    arrived = sorted(s.began_s for s in context.limited.seen if s.ran)
+    arrived = [s.began_s for s in context.limited.seen if s.ran]
     assert arrived, "no request reached the upstream"
-    later = [at_s for at_s in arrived if at_s > arrived[0] + 1.0]
-    worst = max(
+    worst = most_in_window(arrived)
+    assert worst <= most, f"{worst} requests in {WINDOW_S} s"
+
+
+def most_in_window(times):
+    """Return the most requests in any window from a second after the first one."""
+    later = [at_s for at_s in times if at_s > min(times) + 1.0]
+    return max(
         (sum(at <= other < at + WINDOW_S for other in later) for at in later), default=0
     )
-    assert worst <= most, f"{worst} requests in {WINDOW_S} s"
 
 
 @then("all callers were answered")
--- a/features/upstream_limits.feature
+++ b/features/upstream_limits.feature
@@ -202,3 +202,23 @@
     When callers send 4 requests a second to "/safe/" for 8 seconds, and return once as told
     Then from a second after it announced its limit it never got more than 17 in 4 seconds
     And all callers that were told to return within their time were served
+
+  # Routers of the product's own interface.
+
+  Scenario: Routers send an engine no more than the limit it announced
+    Given a fleet of 3 routers and 3 engines, one of which accepts 2 requests a second
+    When callers send the routers 20 prompts a second for 7 seconds, each in turn
+    Then from a second after its first run it never ran more than 17 in 4 seconds
+    And all callers of the routers were answered
+
+  Scenario: Routers send a plain service no more than the limit it announced
+    Given a fleet of 3 routers in front of a plain service of 3 replicas, one of which accepts 2 calls a second
+    When callers send the routers 20 calls a second for 7 seconds, each in turn
+    Then from a second after its first run it never ran more than 17 in 4 seconds
+    And all callers of the routers were answered
+
+  Scenario: Routers refuse at once what no engine has room for
+    Given a fleet of 2 routers and 1 engine, which accepts 2 requests a second
+    When callers send the routers 8 prompts a second for 7 seconds, each in turn
+    Then from a second after its first run it never ran more than 17 in 4 seconds
+    And the callers refused were told at once that it was not run, and when to return
--- a/src/kumquatseam/callers/_refusals.py
+++ b/src/kumquatseam/callers/_refusals.py
@@ -14,6 +14,7 @@
     TeamLimitError,
 )
 from kumquatseam.quarantine import QuarantinedError
+from kumquatseam.quotas import UpstreamLimitError
 from kumquatseam.serving import may_have_run
 
 #: ``Retry-After`` for errors that carry no delay of their own, in seconds.
@@ -28,6 +29,7 @@
     OverloadedError: "overloaded",
     TeamLimitError: "team_limit",
     QuarantinedError: "quarantined",
+    UpstreamLimitError: "upstream_limit",
 }
 
 
--- a/src/kumquatseam/engines/__init__.py
+++ b/src/kumquatseam/engines/__init__.py
@@ -11,6 +11,7 @@
 from kumquatseam.engines._blocks import block_keys, cache_salt, salt_seed, tokenize
 from kumquatseam.engines._client import (
     EPOCH_HEADER,
+    LIMIT_HEADER,
     NOT_EXECUTED_HEADER,
     VERSION_HEADER,
     EngineChunk,
@@ -42,6 +43,7 @@
 
 __all__ = [
     "EPOCH_HEADER",
+    "LIMIT_HEADER",
     "NOT_EXECUTED_HEADER",
     "VERSION_HEADER",
     "CacheEventBatch",
--- a/src/kumquatseam/engines/_client.py
+++ b/src/kumquatseam/engines/_client.py
@@ -8,8 +8,10 @@
 import sseclient
 import urllib3
 
+from kumquatseam.clocks import elapsed_s
 from kumquatseam.errors import EngineMismatchError, UpstreamError
 from kumquatseam.pools import AddressPools
+from kumquatseam.upstreams import LimitObserver, NullLimitObserver, parse_limit
 
 _DONE = "[DONE]"
 _OK = 200
@@ -20,6 +22,9 @@
 #: response headers of a refused request: the engine's epoch and weights version.
 EPOCH_HEADER = "X-Engine-Epoch"
 VERSION_HEADER = "X-Model-Version"
+#: response header with the requests a second that the engine accepts from all routers
+#: together, for as long as its responses have it.
+LIMIT_HEADER = "X-Request-Limit"
 
 
 @attrs.frozen
@@ -76,10 +81,12 @@
 
     :param name: the engine's name, for error messages.
     :param url: its base URL.
+    :param incarnation_id: the incarnation that is expected there.
     """
 
     name: str
     url: str
+    incarnation_id: str = ""
 
 
 class EngineClient(abc.ABC):
@@ -111,6 +118,7 @@
     :param connect_timeout_s: timeout to connect.
     :param read_timeout_s: timeout between two reads.
     :param first_byte_timeout_s: timeout until the first byte of the response.
+    :param limits: the limits that engines announce.
     """
 
     def __init__(
@@ -118,11 +126,13 @@
         connect_timeout_s: float,
         read_timeout_s: float,
         first_byte_timeout_s: float,
+        limits: LimitObserver | None = None,
     ) -> None:
         self._timeout = urllib3.Timeout(
             connect=connect_timeout_s, read=first_byte_timeout_s
         )
         self._read_timeout_s = read_timeout_s
+        self._limits = limits or NullLimitObserver()
         self._pools = AddressPools()
 
     def start(self) -> None:
@@ -135,6 +145,7 @@
     def stream(
         self, target: EngineTarget, request: EngineRequest
     ) -> Iterator[EngineChunk]:
+        sent_s = elapsed_s()
         try:
             response = self._pools.request(
                 "POST",
@@ -162,6 +173,13 @@
         finished = False
         try:
             _set_read_timeout(response, self._read_timeout_s)
+            if response.status != _MISDIRECTED:
+                self._limits.observe(
+                    target.incarnation_id,
+                    parse_limit(response.headers.get(LIMIT_HEADER)),
+                    sent_s,
+                    is_from_run=response.status == _OK,
+                )
             _check_status(target.name, response)
             yield from _chunks(target.name, request.request_id, response)
             finished = True
--- a/src/kumquatseam/fleet/_router_records.py
+++ b/src/kumquatseam/fleet/_router_records.py
@@ -1,4 +1,4 @@
-"""The live routers as instance records, for the quarantine."""
+"""The routers as instance records, for what they decide together."""
 
 from collections.abc import Sequence
 
@@ -21,6 +21,7 @@
         address = membership.address if membership is not None else ""
         self._own = InstanceRecord(name, _host_and_port(address))
         self._records: tuple[InstanceRecord, ...] = (self._own,)
+        self._listed: tuple[InstanceRecord, ...] = (self._own,)
 
     @property
     def own_address(self) -> str:
@@ -34,17 +35,29 @@
             self._records = records
         return self._records
 
+    def listed(self) -> Sequence[InstanceRecord]:
+        """Return every listed router, also those that seem dead.
+
+        Routers that cannot reach each other seem dead to each other; what they must
+        not decide apart has owners among all of them. The same object while nothing
+        changes.
+        """
+        records = (self._own, *self._peers(with_dead=True))
+        if records != self._listed:
+            self._listed = records
+        return self._listed
+
     def peer_addresses(self) -> list[str]:
         """Return the datagram addresses of the other routers."""
         return [record.address for record in self._peers()]
 
-    def _peers(self) -> list[InstanceRecord]:
+    def _peers(self, with_dead: bool = False) -> list[InstanceRecord]:
         if self._membership is None:
             return []
         return [
             InstanceRecord(member.name, _host_and_port(member.address))
             for member in sorted(self._membership.members(), key=lambda m: m.name)
-            if member.state != DEAD
+            if with_dead or member.state != DEAD
         ]
 
 
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -44,7 +44,7 @@
 from kumquatseam.quarantine import QuarantinedError, RunPermission, RunUpstream
 from kumquatseam.quotas import CallerRetry, LimitGrant, UpstreamLimitError
 from kumquatseam.rollouts import MovedRun
-from kumquatseam.upstreams import NO_LIMIT_PER_S, InFlightRequest, UpstreamStatus
+from kumquatseam.upstreams import InFlightRequest, UpstreamStatus
 
 _log = part_logger("exchange")
 
@@ -557,20 +557,13 @@
 
     def _observe_limit(self, status: UpstreamStatus, traits: ResponseTraits) -> None:
         """Record the limit that the response announces."""
-        upstream, limit_per_s = status.upstream, traits.limit_per_s
-        if traits.responding_id not in ("", upstream.upstream_id):
-            return
-        if limit_per_s is None:
-            _log.bind(
-                request=self._job.call.request_id, upstream=upstream.incarnation_id
-            ).warning("Unreadable limit ignored.")
-            return
-        # Only the response of a run shows that there is no limit: refusals may come
-        # from elsewhere than from the upstream's scheduler.
-        is_from_run = traits.is_signed and not traits.is_not_run
-        if limit_per_s < NO_LIMIT_PER_S or is_from_run:
+        upstream = status.upstream
+        if traits.responding_id in ("", upstream.upstream_id):
             self._parts.limits.observe(
-                upstream.incarnation_id, limit_per_s, self._sent_elapsed_s
+                upstream.incarnation_id,
+                traits.limit_per_s,
+                self._sent_elapsed_s,
+                is_from_run=traits.is_signed and not traits.is_not_run,
             )
 
     def _drain(
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -1,7 +1,5 @@
 """Headers of the platform's requests and responses."""
 
-import math
-
 from kumquatseam.gateway import (
     Call,
     Dialect,
@@ -11,7 +9,7 @@
 )
 from kumquatseam.http1 import Headers, Request, ResponseHead
 from kumquatseam.prompts import PromptChain, PromptPart
-from kumquatseam.upstreams import NO_LIMIT_PER_S
+from kumquatseam.upstreams import parse_limit
 
 _DEADLINE = b"x-deadline-ms"
 _USAGE = b"x-token-usage"
@@ -97,7 +95,7 @@
             keep_alive_s=_keep_alive_s(headers),
             is_signed=headers.get(b"x-replica-signature") is not None,
             responding_id=headers.text(b"x-replica-id") if head.status == 421 else "",
-            limit_per_s=_limit_per_s(headers),
+            limit_per_s=parse_limit(_text_or_none(headers, _LIMIT)),
         )
 
 
@@ -155,15 +153,8 @@
     return None
 
 
-def _limit_per_s(headers: Headers) -> float | None:
-    """Return the announced limit; ``None`` if it is unreadable."""
-    if headers.get(_LIMIT) is None:
-        return NO_LIMIT_PER_S
-    try:
-        limit_per_s = float(headers.text(_LIMIT))
-    except ValueError:
-        return None
-    return limit_per_s if math.isfinite(limit_per_s) and limit_per_s >= 0 else None
+def _text_or_none(headers: Headers, name: bytes) -> str | None:
+    return headers.text(name) if headers.get(name) is not None else None
 
 
 def _integer_or_none(text: str) -> int | None:
--- a/src/kumquatseam/quarantine/_permission.py
+++ b/src/kumquatseam/quarantine/_permission.py
@@ -20,6 +20,11 @@
         self._permit: Permit | None = None
         self._has_begun = False
 
+    @property
+    def fingerprint(self) -> str:
+        """The request."""
+        return self._fingerprint
+
     @property
     def is_trial(self) -> bool:
         """Whether the request runs on trial, as the only copy in the fleet."""
--- a/src/kumquatseam/quotas/_upstreams.py
+++ b/src/kumquatseam/quotas/_upstreams.py
@@ -1,7 +1,7 @@
 """Keeping the limits that upstreams announce, by all instances together."""
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 import xxhash
@@ -18,7 +18,7 @@
     QuotaUsageUpdate,
 )
 from kumquatseam.quotas._owners import ShardOwners
-from kumquatseam.upstreams import LimitReport
+from kumquatseam.upstreams import NO_LIMIT_PER_S, LimitObserver, LimitReport
 
 _log = part_logger("limits")
 
@@ -71,7 +71,7 @@
     is_reserved: bool = False
 
 
-class UpstreamLimits:
+class UpstreamLimits(LimitObserver):
     """Acquires grants for requests to upstreams that announced a limit.
 
     A grant takes the consent of most of the limit's owners, of which there are three in
@@ -79,10 +79,16 @@
     the limit, and whoever reaches none sends nothing.
 
     :param owners: the owners of limits.
+    :param notified: returns the instances to notify of changes besides the owners.
     """
 
-    def __init__(self, owners: ShardOwners) -> None:
+    def __init__(
+        self,
+        owners: ShardOwners,
+        notified: Callable[[], Sequence[InstanceRecord]] = tuple,
+    ) -> None:
         self._owners = owners
+        self._list_notified = notified
         self._clock = owners.clock
         self.announced = owners.limits
         #: when an upstream without room is expected to have some.
@@ -91,12 +97,18 @@
         self.refused = 0
         self.announced.on_change(self._handle_change)
 
-    def observe(self, incarnation_id: str, rate_per_s: float, sent_s: float) -> None:
-        """Record the limit in a response that arrives now, and report changes of it.
-
-        :param rate_per_s: the limit, or ``NO_LIMIT_PER_S``.
-        :param sent_s: when the request was sent, by the clock of ``announced``.
-        """
+    def observe(
+        self,
+        incarnation_id: str,
+        rate_per_s: float | None,
+        sent_s: float,
+        is_from_run: bool = True,
+    ) -> None:
+        if rate_per_s is None:
+            _log.bind(upstream=incarnation_id).warning("Unreadable limit ignored.")
+            return
+        if rate_per_s == NO_LIMIT_PER_S and not is_from_run:
+            return
         if self.announced.observe(incarnation_id, rate_per_s, sent_s):
             self._report_to_owners(incarnation_id)
 
@@ -281,7 +293,8 @@
         if not self._owners.are_known():
             return
         report = self.announced.report_of(incarnation_id)
-        for record in self._owners.of(QuotaShard(incarnation_id, is_upstream=True)):
+        shard = QuotaShard(incarnation_id, is_upstream=True)
+        for record in {*self._owners.of(shard), *self._list_notified()}:
             if record.name != self._owners.name:
                 self._owners.send(record, report)
 
--- a/src/kumquatseam/routing/_router.py
+++ b/src/kumquatseam/routing/_router.py
@@ -101,6 +101,11 @@
     policy: str
     keys: tuple[int, ...] = attrs.field(default=(), repr=False)
 
+    @property
+    def incarnation_id(self) -> str:
+        """Identifies the chosen incarnation of the engine."""
+        return f"{self.upstream.name}@{self.epoch}"
+
 
 class Router:
     """Chooses engines for requests and tracks the engines' state.
--- a/src/kumquatseam/services/_client.py
+++ b/src/kumquatseam/services/_client.py
@@ -5,9 +5,11 @@
 import attrs
 import urllib3
 
-from kumquatseam.engines import NOT_EXECUTED_HEADER
+from kumquatseam.clocks import elapsed_s
+from kumquatseam.engines import LIMIT_HEADER, NOT_EXECUTED_HEADER
 from kumquatseam.errors import UpstreamError
 from kumquatseam.pools import AddressPools
+from kumquatseam.upstreams import LimitObserver, NullLimitObserver, parse_limit
 
 
 @attrs.frozen
@@ -60,9 +62,16 @@
 
     :param connect_timeout_s: connect timeout.
     :param read_timeout_s: read timeout of the response.
+    :param limits: the limits that replicas announce, by their URLs.
     """
 
-    def __init__(self, connect_timeout_s: float, read_timeout_s: float) -> None:
+    def __init__(
+        self,
+        connect_timeout_s: float,
+        read_timeout_s: float,
+        limits: LimitObserver | None = None,
+    ) -> None:
+        self._limits = limits or NullLimitObserver()
         self._timeout = urllib3.Timeout(connect=connect_timeout_s, read=read_timeout_s)
         self._pools = AddressPools()
 
@@ -77,6 +86,7 @@
         headers = {"X-Request-Id": call.request_id, "X-Team": call.team}
         if call.content_type:
             headers["Content-Type"] = call.content_type
+        sent_s = elapsed_s()
         try:
             response = self._pools.request(
                 call.method,
@@ -94,7 +104,10 @@
             raise UpstreamError(url, False, f"cannot connect: {error}") from error
         except urllib3.exceptions.HTTPError as error:
             raise UpstreamError(url, True, f"response interrupted: {error}") from error
-        if NOT_EXECUTED_HEADER in response.headers:
+        is_not_run = NOT_EXECUTED_HEADER in response.headers
+        limit_per_s = parse_limit(response.headers.get(LIMIT_HEADER))
+        self._limits.observe(url, limit_per_s, sent_s, is_from_run=not is_not_run)
+        if is_not_run:
             raise UpstreamError(url, False, f"HTTP {response.status}, not run")
         content_type = response.headers.get("Content-Type")
         return ServiceResponse(response.status, response.data, content_type)
--- a/src/kumquatseam/serving/_completions.py
+++ b/src/kumquatseam/serving/_completions.py
@@ -32,7 +32,14 @@
     RunUpstream,
     fingerprint,
 )
+from kumquatseam.quotas import UpstreamLimitError
 from kumquatseam.routing import Router, RoutingDecision, RoutingRequest
+from kumquatseam.serving._limits import (
+    BackEnd,
+    LimitedChooser,
+    LimitedRequest,
+    raise_if_run,
+)
 from kumquatseam.serving._parts import ServingParts
 from kumquatseam.serving._running import RunningRequest
 from kumquatseam.settings import PrioritySettings, TeamSettings
@@ -150,6 +157,7 @@
         self._router = router
         self._engines = engines
         self._parts = parts
+        self._chooser = LimitedChooser(parts.limits)
 
     def serve(self, completion: Completion) -> CompletionResponse:
         """Return the response to ``completion``; iterating over it does the work.
@@ -241,7 +249,7 @@
         first_s = attempts.first_chunk_s
         epoch = self._router.fleet.epoch(name)
         upstream = RunUpstream(
-            f"{name}@{decision.epoch}",
+            decision.incarnation_id,
             urllib.parse.urlsplit(decision.upstream.url).netloc,
             self._router.fleet.is_leaving(name),
             is_gone=epoch is not None and epoch != decision.epoch,
@@ -269,13 +277,28 @@
             exclude=frozenset(attempts.excluded),
         )
         try:
-            return self._router.route(request)
+            return self._choose(request, completion.fingerprint)
+        except UpstreamLimitError as error:
+            last = ", ".join(sorted(attempts.excluded))
+            raise_if_run(error, attempts.may_have_run, last)
+            raise
         except NoUpstreamError:
             if attempts.may_have_run:
                 last = ", ".join(sorted(attempts.excluded))
                 raise UpstreamError(last, True, "no engine left to resume on") from None
             raise
 
+    def _choose(self, request: RoutingRequest, key: str) -> RoutingDecision:
+        """Choose an engine that has room for the request."""
+        router = self._router
+        return self._chooser.choose(
+            LimitedRequest(request.request_id, key),
+            lambda left_out: router.route(
+                attrs.evolve(request, exclude=request.exclude.union(left_out))
+            ),
+            lambda decision: BackEnd(decision.upstream.name, decision.incarnation_id),
+        )
+
     def _attempt(
         self, completion: Completion, decision: RoutingDecision, attempts: _Attempts
     ):
@@ -302,7 +325,7 @@
             expected_epoch=decision.epoch,
             resume_after_tokens=attempts.received_tokens,
         )
-        target = EngineTarget(name, decision.upstream.url)
+        target = EngineTarget(name, decision.upstream.url, decision.incarnation_id)
         attempts.first_chunk_s = None
         self._router.fleet.add_in_flight(name, completion.priority.rank)
         chunks = self._engines.stream(target, request)
--- a/src/kumquatseam/serving/_parts.py
+++ b/src/kumquatseam/serving/_parts.py
@@ -11,6 +11,7 @@
 from kumquatseam.errors import ClaimUnavailableError, KumquatseamError
 from kumquatseam.idempotency import ClaimLedger
 from kumquatseam.quarantine import Quarantine
+from kumquatseam.quotas import UpstreamLimits
 from kumquatseam.serving._refusals import may_have_run
 from kumquatseam.serving._running import RunningRequests
 from kumquatseam.settings import AdmissionSettings
@@ -26,6 +27,7 @@
     :param admission: settings, of which the maximum number of attempts is used.
     :param running: the table of running requests.
     :param quarantine: protects back ends from requests that crash them.
+    :param limits: keeps the limits that back ends announce.
     :param clock: monotonic clock in seconds.
     """
 
@@ -35,6 +37,7 @@
     admission: AdmissionSettings
     running: RunningRequests
     quarantine: Quarantine
+    limits: UpstreamLimits
     clock: Callable[[], float] = time.monotonic
 
     @contextlib.contextmanager
--- a/src/kumquatseam/serving/_services.py
+++ b/src/kumquatseam/serving/_services.py
@@ -8,6 +8,7 @@
 import itertools
 import time
 import urllib.parse
+from collections.abc import Collection
 
 from kumquatseam.errors import (
     NoUpstreamError,
@@ -21,8 +22,15 @@
     RunUpstream,
     fingerprint,
 )
+from kumquatseam.quotas import UpstreamLimitError
 from kumquatseam.routing import FailureCooldowns
 from kumquatseam.services import ServiceCall, ServiceClient, ServiceResponse
+from kumquatseam.serving._limits import (
+    BackEnd,
+    LimitedChooser,
+    LimitedRequest,
+    raise_if_run,
+)
 from kumquatseam.serving._parts import ServingParts
 from kumquatseam.serving._running import RunningRequest
 from kumquatseam.settings import ServiceSettings, TeamSettings
@@ -49,6 +57,7 @@
         self._parts = parts
         self._turn = itertools.count()
         self._cooldowns = FailureCooldowns()
+        self._chooser = LimitedChooser(parts.limits)
 
     def serve(
         self,
@@ -105,11 +114,8 @@
         excluded: set[str] = set()
         for attempt in itertools.count(1):
             self._acquire_permission(permission, service, started)
-            url = self._choose(service, excluded)
-            if url is None:
-                if started:
-                    raise UpstreamError(service.name, True, "no replica left")
-                raise NoUpstreamError(team.name, service.name)
+            request = LimitedRequest(call.request_id, permission.fingerprint)
+            url = self._choose(request, team, service, excluded, started)
             _log.info(
                 "request={} team={} service={} replica={} attempt={}",
                 call.request_id,
@@ -174,7 +180,38 @@
         if permission.is_trial:
             raise error
 
-    def _choose(self, service: ServiceSettings, excluded: set[str]) -> str | None:
+    def _choose(
+        self,
+        request: LimitedRequest,
+        team: TeamSettings,
+        service: ServiceSettings,
+        excluded: set[str],
+        started: bool,
+    ) -> str:
+        """Return a replica that has room for the call.
+
+        :param started: whether a replica may have run it.
+        :raises KumquatseamError: if there is none.
+        """
+
+        def choose(left_out: Collection[str]) -> str:
+            url = self._next_replica(service, excluded.union(left_out))
+            if url is None:
+                raise NoUpstreamError(team.name, service.name)
+            return url
+
+        try:
+            # Replicas do not report an incarnation.
+            return self._chooser.choose(request, choose, lambda url: BackEnd(url, url))
+        except UpstreamLimitError as error:
+            raise_if_run(error, started, service.name)
+            raise
+        except NoUpstreamError:
+            if started:
+                raise UpstreamError(service.name, True, "no replica left") from None
+            raise
+
+    def _next_replica(self, service: ServiceSettings, excluded: set[str]) -> str | None:
         """Return the next replica in round-robin order.
 
         Replicas that failed recently are chosen only if no other is left.
--- a/src/kumquatseam/standins/engine/_engine.py
+++ b/src/kumquatseam/standins/engine/_engine.py
@@ -21,6 +21,7 @@
 
 from kumquatseam.engines import (
     EPOCH_HEADER,
+    LIMIT_HEADER,
     NOT_EXECUTED_HEADER,
     SERVING,
     VERSION_HEADER,
@@ -168,11 +169,17 @@
             gevent.sleep(_HANG_S)
         refusal = self._refusal(body)
         if refusal is not None:
+            self._announce_limit(refusal)
             return refusal
         request_id = body.get("request_id") or uuid.uuid4().hex
         bottle.response.content_type = "text/event-stream"
+        self._announce_limit(bottle.response)
         return self._stream(request_id, body)
 
+    def _announce_limit(self, response: bottle.BaseResponse) -> None:
+        if self.settings.limit_per_s is not None:
+            response.set_header(LIMIT_HEADER, f"{self.settings.limit_per_s:g}")
+
     def _refusal(self, body: dict) -> bottle.HTTPResponse | None:
         """Return the answer to a request that is not to be run, if it is not."""
         version = self.orders.versions.get(body.get("model", ""))
@@ -254,6 +261,7 @@
                 "prompt_tokens": prompt_tokens,
                 "cached_tokens": cached_tokens,
                 "resume_after_tokens": resume_after,
+                "began_s": time.time(),
             }
         )
         del self._requests[:-_RECENT_REQUESTS]
--- a/src/kumquatseam/standins/engine/_settings.py
+++ b/src/kumquatseam/standins/engine/_settings.py
@@ -37,6 +37,8 @@
     :param break_after_tokens: fault: cut every answer after this many tokens
         of one run; ``0`` means never.
     :param hang: fault: accept requests and answer nothing.
+    :param limit_per_s: requests a second that it announces to accept from all routers
+        together; ``None``: no limit.
     :param crashes_on: fault: a prompt with this in it crashes the engine as it
         begins to run it; empty: none does.
     """
@@ -66,4 +68,5 @@
     crossed_answers: bool = False
     break_after_tokens: int = 0
     hang: bool = False
+    limit_per_s: float | None = None
     crashes_on: str = ""
--- a/src/kumquatseam/standins/services/__init__.py
+++ b/src/kumquatseam/standins/services/__init__.py
@@ -1,10 +1,12 @@
 """A stand-in plain service: a back end whose calls may not all be repeated."""
 
 import os
+import time
 
 import bottle
 import gevent
 
+from kumquatseam.engines import LIMIT_HEADER
 from kumquatseam.standins._http import StandinServer, json_answer, json_body
 
 
@@ -14,7 +16,8 @@
     ``POST`` runs something that must not be repeated, ``GET`` may be. With
     ``lose_answers`` set it runs a call and then breaks the connection; with
     ``refuse`` it answers 503 without running (``X-Not-Executed``); a call whose path
-    has ``crashes_on`` in it crashes the process.
+    has ``crashes_on`` in it crashes the process. With ``limit_per_s`` set, it announces
+    that it accepts so many calls a second from all routers together.
 
     :param name: the replica's name.
     :param port: TCP port on 127.0.0.1.
@@ -28,6 +31,7 @@
             "refuse": 0,
             "delay_s": 0.0,
             "crashes_on": None,
+            "limit_per_s": None,
         }
         app = bottle.Bottle()
         app.put("/standin/faults", callback=self._set_faults)
@@ -60,8 +64,11 @@
                 "path": path,
                 "request_id": request.headers.get("X-Request-Id"),
                 "body": request.body.read().decode(),
+                "began_s": time.time(),
             }
         )
+        if self._faults["limit_per_s"] is not None:
+            bottle.response.set_header(LIMIT_HEADER, f"{self._faults['limit_per_s']:g}")
         if self._faults["crashes_on"] in path.split("/"):
             os._exit(1)
         gevent.sleep(self._faults["delay_s"])
--- a/src/kumquatseam/upstreams/__init__.py
+++ b/src/kumquatseam/upstreams/__init__.py
@@ -12,7 +12,10 @@
     NO_LIMIT_PER_S,
     AnnouncedLimits,
     LimitObservation,
+    LimitObserver,
     LimitReport,
+    NullLimitObserver,
+    parse_limit,
 )
 from kumquatseam.upstreams._status import (
     InFlightRequest,
@@ -29,10 +32,13 @@
     "InFlightRequest",
     "InFlightRequestListener",
     "LimitObservation",
+    "LimitObserver",
     "LimitReport",
+    "NullLimitObserver",
     "Upstream",
     "UpstreamDirectory",
     "UpstreamStatus",
     "WeightsVersion",
     "WeightsTargets",
+    "parse_limit",
 ]
--- a/src/kumquatseam/upstreams/_limits.py
+++ b/src/kumquatseam/upstreams/_limits.py
@@ -1,5 +1,6 @@
 """The request limits that upstreams announce in their responses."""
 
+import abc
 import math
 from collections.abc import Callable
 
@@ -17,6 +18,55 @@
 MAX_KEPT = 4096
 
 
+def parse_limit(text: str | None) -> float | None:
+    """Return the limit that a response header announces, in requests a second.
+
+    :param text: the header's value; ``None`` if the response has no such header.
+    :returns: :data:`NO_LIMIT_PER_S` without a header; ``None`` if it is unreadable.
+    """
+    if text is None:
+        return NO_LIMIT_PER_S
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        return None
+    return limit_per_s if math.isfinite(limit_per_s) and limit_per_s >= 0 else None
+
+
+class LimitObserver(abc.ABC):
+    """Is told of the limits in the responses of upstreams."""
+
+    @abc.abstractmethod
+    def observe(
+        self,
+        incarnation_id: str,
+        rate_per_s: float | None,
+        sent_s: float,
+        is_from_run: bool = True,
+    ) -> None:
+        """Handle the limit in a response that arrives now.
+
+        :param rate_per_s: the limit, or :data:`NO_LIMIT_PER_S`; ``None`` if unreadable.
+        :param sent_s: when the request was sent, by
+            :func:`~kumquatseam.clocks.elapsed_s`.
+        :param is_from_run: whether the request ran. Only such a response shows that
+            there is no limit: refusals may not come from where limits are decided.
+        """
+
+
+class NullLimitObserver(LimitObserver):
+    """Ignores limits."""
+
+    def observe(
+        self,
+        incarnation_id: str,
+        rate_per_s: float | None,
+        sent_s: float,
+        is_from_run: bool = True,
+    ) -> None:
+        pass
+
+
 @attrs.frozen
 class LimitObservation:
     """What a response says about the limit of the upstream that sent it.
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -6,8 +6,9 @@
 """
 
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
+from kumquatseam import quarantine, quotas
 from kumquatseam.admission import RetryBudget
 from kumquatseam.admission.team_limiter import TeamLimiter
 from kumquatseam.callers import CallerInterface
@@ -51,16 +52,13 @@
 from kumquatseam.peers import (
     DatagramLink,
     DatagramSocket,
+    InstanceRecord,
     NullDatagramLink,
     RendezvousOrder,
 )
-from kumquatseam.quarantine import (
-    DATAGRAM_KINDS,
-    DirectNoticeChannel,
-    Quarantine,
-    QuarantineParts,
-)
+from kumquatseam.quarantine import DirectNoticeChannel, Quarantine, QuarantineParts
 from kumquatseam.quarantine.follower import SuspectsFollower
+from kumquatseam.quotas import QuotaParts, ShardOwners, UpstreamLimits
 from kumquatseam.request_reply import ReplyServer
 from kumquatseam.routing import PeerSummaries, Router, build_policy
 from kumquatseam.services import HttpServiceClient
@@ -81,6 +79,8 @@
 #: interval of the tasks of the fleet lease's holder, in seconds.
 LEASE_STEP_INTERVAL_S = 0.25
 FLEET_LEASE = "fleet"
+#: largest fleet whose routers notify all others of the limit of a back end.
+MAX_NOTIFIED_ROUTERS = 12
 #: timeout of an order to an engine, in seconds.
 ORDER_TIMEOUT_S = 2.0
 #: maximum number of blocks in a warm state (9 bytes each on the wire).
@@ -109,9 +109,6 @@
         self._refusals = RefusalLog()
         self._running = RunningRequests()
         self._log_service: HttpLogService | None = None
-        self._services = HttpServiceClient(
-            daemon.connect_timeout_s, daemon.read_timeout_s
-        )
         if settings.log.url:
             self._log_service = HttpLogService(settings.log.url, settings.log.timeout_s)
         self._instances: HttpInstanceList | None = None
@@ -125,8 +122,16 @@
                 next_incarnation(),
                 settings.fleet,
             )
-        self._quarantine_parts: list = []
+        self._are_routers_listed = self._instances is None
+        self._routers = RouterRecords(daemon.instance_name, self._membership)
+        #: parts with which routers protect back ends together.
+        self._shared_parts: list = []
+        self._link = self._build_link()
         self._quarantine = self._build_quarantine()
+        self._limits = self._build_limits()
+        self._services = HttpServiceClient(
+            daemon.connect_timeout_s, daemon.read_timeout_s, self._limits
+        )
         self._heartbeats: HeartbeatLoop | None = None
         self._control: ReplyServer | None = None
         self._claims: ClaimLedger | None = None
@@ -143,7 +148,7 @@
                 self._services,
                 *log,
                 *fleet,
-                *self._quarantine_parts,
+                *self._shared_parts,
                 self._caller_interface(engines[0]),
                 *self._instance_parts(),
             ],
@@ -158,24 +163,49 @@
         )
         return daemon
 
+    def _build_link(self) -> DatagramLink:
+        """Return the link to the other routers."""
+        if self._membership is None:
+            return NullDatagramLink()
+        kinds = {**quarantine.DATAGRAM_KINDS, **quotas.DATAGRAM_KINDS}
+        link = DatagramSocket(self._routers.own_address, kinds)
+        self._shared_parts.append(link)
+        return link
+
+    def _build_limits(self) -> UpstreamLimits:
+        """Return the limits that back ends announce to all routers together."""
+        owners = ShardOwners(
+            QuotaParts(
+                self._settings.daemon.instance_name,
+                self._routers.listed,
+                self._link,
+                are_instances_known=lambda: self._are_routers_listed,
+            )
+        )
+        return UpstreamLimits(owners, notified=self._notified_routers)
+
+    def _notified_routers(self) -> Sequence[InstanceRecord]:
+        """Return the routers to notify of a limit: all others, while they are few."""
+        routers = self._routers.listed()
+        return routers if len(routers) <= MAX_NOTIFIED_ROUTERS else ()
+
     def _build_quarantine(self) -> Quarantine:
         """Return the quarantine, which protects back ends from crashing requests."""
-        name, log = self._settings.daemon.instance_name, self._log_service
-        link: DatagramLink = NullDatagramLink()
-        routers = RouterRecords(name, self._membership)
-        if self._membership is not None:
-            link = DatagramSocket(routers.own_address, DATAGRAM_KINDS)
-            self._quarantine_parts.append(link)
-        channel = DirectNoticeChannel(link, routers.peer_addresses)
-        quarantine = Quarantine(
-            QuarantineParts(name, RendezvousOrder(routers.all), link, channel, log)
+        log = self._log_service
+        built = Quarantine(
+            QuarantineParts(
+                self._settings.daemon.instance_name,
+                RendezvousOrder(self._routers.all),
+                self._link,
+                DirectNoticeChannel(self._link, self._routers.peer_addresses),
+                log,
+            )
         )
         if log is not None:
             poll_s = self._settings.log.poll_s
-            follower = SuspectsFollower(log, quarantine.suspects, poll_s)
-            self._quarantine_parts.append(follower)
-        self._quarantine_parts.append(quarantine)
-        return quarantine
+            self._shared_parts.append(SuspectsFollower(log, built.suspects, poll_s))
+        self._shared_parts.append(built)
+        return built
 
     def _engine_parts(self) -> list:
         daemon = self._settings.daemon
@@ -185,6 +215,7 @@
             daemon.connect_timeout_s,
             daemon.read_timeout_s,
             admission.first_byte_timeout_s,
+            self._limits,
         )
 
         def follow(configuration: Configuration) -> None:
@@ -310,6 +341,7 @@
             admission,
             self._running,
             self._quarantine,
+            self._limits,
         )
         status = DaemonStatus(
             self._live,
@@ -332,6 +364,7 @@
         return self._membership.count_alive() if self._membership else 1
 
     def _apply_instances(self, instances: Iterable[Instance]) -> None:
+        self._are_routers_listed = True
         leaving = [i.name for i in instances if i.state == LEAVING]
         for name in self._router.fleet.set_leaving(leaving):
             _log.info("Engine {} is leaving; no new requests are sent to it.", name)
