A starting process uses replaced weights only while no engine runs the newest

What callers could see: a request sent again within three seconds of the start of an instance began on replaced weights, however long ago they were replaced, although another engine ran the newest: that one was excluded by the first attempt.

Cause: whether weights may have been named just now was judged by the engines left for the request, not by all that are listed.

One engine on the newest weights shows that they were named some time ago.

--- a/features/steps/weights_begun_late_steps.py
+++ b/features/steps/weights_begun_late_steps.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+import attrs
 from behave import given, then, when
 from decision_world import build_placer, build_request
 from modelled_clock import Clock
@@ -82,6 +83,47 @@
     _name_weights(context, 1)
 
 
+@given(
+    "{count:d} instances that have just started and read weights 2, with one engine on "
+    "weights 1 and one on weights 2"
+)
+def step_restarted_partly_loaded(context, count):
+    _restart_instances(context, count, [("e0", 1), ("e1", 2)])
+
+
+@given(
+    "{count:d} instances that have just started and read weights 2, with two engines "
+    "on weights 1"
+)
+def step_restarted_not_loaded(context, count):
+    _restart_instances(context, count, [("e0", 1), ("e1", 1)])
+
+
+def _restart_instances(context, count, engines):
+    context.clock = Clock()
+    context.restarted = [build_placer(context.clock, engines) for _ in range(count)]
+    for _, targets in context.restarted:
+        targets.add_with_unknown_age(WeightsVersion(MODEL, 2))
+
+
+@when("each announces to the others what it knows of the age of weights 2")
+def step_announce_ages(context):
+    for _, announcing in context.restarted:
+        for _, targets in context.restarted:
+            if targets is not announcing:
+                age_s = announcing.age_s(MODEL)
+                targets.add_from_peer(WeightsVersion(MODEL, 2), age_s)
+
+
+@then("none of them lets requests begin on weights 1")
+def step_none_on_old(context):
+    for placer, _ in context.restarted:
+        for excluded in (frozenset(), frozenset({"e1"})):
+            request = attrs.evolve(build_request(), excluded=excluded)
+            placement = placer.place(request)
+            assert placement is None or placement.version == 2, placement
+
+
 @when(
     "it is paused for {for_s:g} seconds, and weights 2 are named right when the pause "
     "begins"
--- a/features/weights_begun_late.feature
+++ b/features/weights_begun_late.feature
@@ -39,6 +39,21 @@
     When the lease holder announces that weights 3 were named 1 seconds ago, replacing 2
     Then requests may not begin on weights 1
 
+  Scenario: All instances restart when requests may no longer begin on replaced weights
+    Nobody knows any more when the weights were named, and engines whose orders are
+    executed late still run the weights they replace.
+
+    Given 3 instances that have just started and read weights 2, with one engine on weights 1 and one on weights 2
+    Then none of them lets requests begin on weights 1
+    When each announces to the others what it knows of the age of weights 2
+    Then none of them lets requests begin on weights 1
+
+  Scenario: All instances restart and no engine has loaded the newest weights yet
+    Given 3 instances that have just started and read weights 2, with two engines on weights 1
+    When 4 more seconds elapse
+    And each announces to the others what it knows of the age of weights 2
+    Then none of them lets requests begin on weights 1
+
   Scenario: Updates delayed by a pause of the instance count as old as the pause
     Given an instance with an engine on weights 1, which reads the operators' topic
     When it is paused for 5 seconds
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -183,9 +183,10 @@
         raise OverloadedError(team, request.service.name, retry_after_s)
 
     def _within_grace(
-        self, model: str, statuses: list[UpstreamStatus]
+        self, request: PlacementRequest, statuses: list[UpstreamStatus]
     ) -> list[UpstreamStatus]:
         """Return the engines on whose weights a request may start."""
+        model = request.model
         known = [s for s in statuses if s.version_of(model) is not None]
         shortest_s = self.wait_estimate.expected_ms(0.0) / 1000.0
         in_time = [
@@ -194,12 +195,27 @@
             if self._replaced_weights_deadline.remaining_s(model, s.version_of(model))
             > shortest_s
         ]
-        is_age_unknown = self._targets.age_s(model) == UNKNOWN_AGE_S
-        is_starting = self._targets.known_for_s(model) <= STARTUP_GRACE_S
-        if not in_time and is_age_unknown and is_starting:
+        if not in_time and self._may_be_named_just_now(request):
             return known
         return in_time
 
+    def _may_be_named_just_now(self, request: PlacementRequest) -> bool:
+        """Return whether the newest weights may have been named a moment ago.
+
+        This process has just started and does not know when. Once any engine runs them,
+        whether or not it takes this request, they were named some time ago.
+        """
+        model = request.model
+        if self._targets.age_s(model) != UNKNOWN_AGE_S:
+            return False
+        newest = self._targets.newest_version(model)
+        is_loaded = any(
+            status.version_of(model) == newest
+            for status in self._directory.of_service(request.service.name)
+        )
+        is_starting = self._targets.known_for_s(model) <= STARTUP_GRACE_S
+        return is_starting and not is_loaded
+
     def _available_statuses(self, request: PlacementRequest) -> list[UpstreamStatus]:
         """Return the upstreams that may take it.
 
@@ -293,7 +309,7 @@
         )
         now_s = self._clock()
         options = []
-        for status in self._within_grace(request.model, statuses):
+        for status in self._within_grace(request, statuses):
             version = status.version_of(request.model)
             age_s = self._targets.replaced_age_s(request.model, version)
             penalty_ms = replaced_weights_penalty_ms(age_s)
--- a/src/kumquatseam/upstreams/_targets.py
+++ b/src/kumquatseam/upstreams/_targets.py
@@ -108,6 +108,11 @@
             for model, announcements in self._announcements.items()
         ]
 
+    def newest_version(self, model: str) -> int | None:
+        """Return the current target version of ``model``, if there is one."""
+        newest = self._newest(model)
+        return newest.version if newest is not None else None
+
     def age_s(self, model: str) -> float:
         """Return the minimum age of the current target version of ``model``."""
         newest = self._newest(model)
