A claim that the log never shows is unavailable, not held by an unknown request

What callers saw: 409 with 'claimed by request unknown' for a request that nobody else had made, if appends and reads succeeded three times without the claim.

Cause: the loop over attempts ended without a failure, and the missing holder was taken for another one. Found by reading; the scenario failed before (AlreadyClaimedError, 'claimed by request unknown'). Claims of a batch that are in the log are not failed by one that is not.

--- /dev/null
+++ b/features/claims.feature
@@ -0,0 +1,9 @@
+Feature: Claims on idempotency keys under faults of the log service
+  A request that must run at most once is claimed in the log first. Guards against
+  answers that blame another request although there is none, and against callers that
+  wait without end.
+
+  Scenario: A claim that the log accepts but never shows is unavailable
+    Given a ledger on a log service that accepts claims and never shows them
+    When a request claims a key
+    Then the claim is reported as unavailable, and is released
--- a/src/kumquatseam/idempotency/_ledger.py
+++ b/src/kumquatseam/idempotency/_ledger.py
@@ -174,11 +174,10 @@
                 failure = str(error)
                 continue
             if all(self._is_key_held(pending.claim) for pending in batch):
-                failure = None
                 break
-        for pending in batch:
-            pending.failure = failure
-            pending.done.set()
+        missing = [p for p in batch if not self._is_key_held(p.claim)]
+        _settle(missing, failure or "appended, but not found in the log")
+        _settle([p for p in batch if p not in missing], None)
 
     def _is_key_held(self, claim: Claim) -> bool:
         """Return whether ``claim`` or an earlier one for its key is in the log."""
@@ -204,3 +203,10 @@
             self._table.apply(CLAIM_CODEC.decode(payload))
         except CodecError as error:
             _log.warning("Skipped an unreadable claim record: {}.", error)
+
+
+def _settle(batch: list[_PendingClaim], failure: str | None) -> None:
+    """End the waits for a batch of claims."""
+    for pending in batch:
+        pending.failure = failure
+        pending.done.set()
