A claim waits for the log for a limited time

What callers saw: a request with an idempotency key that hangs, if the log service accepts a call and never answers. Found by reading; the scenario waited without end before. After 15 s the claim is released and the caller gets 503, not run; a claim whose append takes effect later is released already, wherever in the log that stands.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -7,3 +7,8 @@
     Given a ledger on a log service that accepts claims and never shows them
     When a request claims a key
     Then the claim is reported as unavailable, and is released
+
+  Scenario: A claim on a log service that does not answer ends after a limited time
+    Given a ledger on a log service that does not answer
+    When a request claims a key
+    Then the claim is reported as unavailable, and is released
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -34,7 +34,9 @@
 
 
 def _start_ledger(context, log):
-    context.ledger = ClaimLedger(log, sleep=lambda pause_s: gevent.sleep(0))
+    context.ledger = ClaimLedger(
+        log, sleep=lambda pause_s: gevent.sleep(0), claim_timeout_s=CLAIM_TIMEOUT_S
+    )
     # What is released is written by a loop of its own.
     context.released = []
     context.ledger.write_releases = lambda: None
--- a/src/kumquatseam/idempotency/_ledger.py
+++ b/src/kumquatseam/idempotency/_ledger.py
@@ -35,6 +35,9 @@
 MAX_ATTEMPTS = 3
 RETRY_PAUSE_S = 0.1
 RELEASE_WRITE_INTERVAL_S = 1.0
+#: longest time until a claim is recorded: all attempts of its batch and of the batch
+#: before it, with the timeouts of the log client.
+CLAIM_TIMEOUT_S = 15.0
 
 
 @attrs.define
@@ -56,6 +59,7 @@
     :param log: the log service.
     :param linger_s: how long a batch stays open for further claims.
     :param sleep: waits between attempts.
+    :param claim_timeout_s: longest time until a claim is recorded.
     """
 
     def __init__(
@@ -63,9 +67,11 @@
         log: LogService,
         linger_s: float = LINGER_S,
         sleep: Callable[[float], None] = gevent.sleep,
+        claim_timeout_s: float = CLAIM_TIMEOUT_S,
     ) -> None:
         self._log_service = log
         self._linger_s = linger_s
+        self._claim_timeout_s = claim_timeout_s
         self._sleep = sleep
         self._table = ClaimTable()
         self._next_offset = 0
@@ -142,7 +148,8 @@
             return pending.failure
         self._pending_claims.append(pending)
         self._has_pending.set()
-        pending.done.wait()
+        if not pending.done.wait(self._claim_timeout_s):
+            return f"not recorded within {self._claim_timeout_s:g} s"
         return pending.failure
 
     def _append_forever(self) -> None:
