Closing the claim ledger ends the waits for claims in progress

What callers saw: at a shutdown, requests that waited for their claim got no answer until the process ended. Found by reading; the scenario waited without end before.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -12,3 +12,8 @@
     Given a ledger on a log service that does not answer
     When a request claims a key
     Then the claim is reported as unavailable, and is released
+
+  Scenario: Claims in progress end when the ledger is closed
+    Given a ledger on a log service that does not answer
+    When a request claims a key, and the ledger is closed a moment later
+    Then the claim is reported as unavailable, and is released
--- a/src/kumquatseam/idempotency/_ledger.py
+++ b/src/kumquatseam/idempotency/_ledger.py
@@ -76,6 +76,7 @@
         self._table = ClaimTable()
         self._next_offset = 0
         self._pending_claims: list[_PendingClaim] = []
+        self._current_batch: list[_PendingClaim] = []
         self._unwritten_releases: list[Release] = []
         self._has_pending = gevent.event.Event()
         self._greenlet: gevent.Greenlet | None = None
@@ -87,10 +88,12 @@
         self._release_loop.start()
 
     def close(self) -> None:
-        """Stop the greenlets and write the remaining releases."""
+        """Stop the greenlets, end the waits for claims and write the releases."""
         if self._greenlet is not None:
             self._greenlet.kill()
             self._greenlet = None
+        _settle([*self._current_batch, *self._pending_claims], "the ledger was closed")
+        self._current_batch, self._pending_claims = [], []
         self._release_loop.close()
         self.write_releases()
 
@@ -157,8 +160,9 @@
             self._has_pending.wait()
             gevent.sleep(self._linger_s)
             self._has_pending.clear()
-            batch, self._pending_claims = self._pending_claims, []
-            self._append_batch(batch)
+            self._current_batch, self._pending_claims = self._pending_claims, []
+            self._append_batch(self._current_batch)
+            self._current_batch = []
 
     def _append_batch(self, batch: list[_PendingClaim]) -> None:
         """Append a batch, with retries, until its claims can be read from the log.
