A crash that is reported again is forgotten as long after it as any other

What callers saw: a harmless request refused for longer than the ten minutes that its crashes count.

Cause: counts expire in the order of a table, up to the first that is not old enough; a repeated report moved its entry to the end without a new time, behind newer ones. Found by reading; the scenario failed before (two crashes, the first 650 s old). Entries move only with a new crash.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -229,3 +229,10 @@
       | 30    | 6    |
       | 30    | 7    |
       | 30    | 8    |
+
+  Scenario: A crash that is reported again is forgotten as long after it as any other
+    Given an instance that counts crashes
+    When an engine crashes under a request, and 300 seconds later one under another request
+    And the first crash is reported again 200 seconds later, and 150 seconds pass
+    And another engine crashes under the first request
+    Then the first request has one crash, and is not suspected
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -3,8 +3,13 @@
 import itertools
 
 from behave import given, then, when
+from modelled_clock import Clock
 from quarantine_fleet import QuarantineFleet
 
+from kumquatseam.quarantine._crashes import Crashes
+from kumquatseam.quarantine._list import SuspectList
+from kumquatseam.quarantine._registry import CrashRegistry
+
 CRASHING = "crashing"
 #: pause between two repeats of the crashing request.
 SEND_INTERVAL_S = 0.25
@@ -322,3 +327,44 @@
     refused = {f for _, f, _ in fleet.refused if f != CRASHING}
     asked = {f for f in fleet.arrivals if f != CRASHING} | refused
     assert len(refused) <= len(asked) * most / 100, (len(refused), len(asked))
+
+
+@given("an instance that counts crashes")
+def step_registry(context):
+    context.clock = Clock()
+    context.registry = CrashRegistry(SuspectList(context.clock), context.clock)
+
+
+def _note_crash(context, fingerprint, engine):
+    return context.registry.note_crashes(fingerprint, Crashes.single(engine, False))
+
+
+@when(
+    "an engine crashes under a request, and {after_s:d} seconds later one under "
+    "another request"
+)
+def step_two_requests(context, after_s):
+    _note_crash(context, "first", "e0")
+    context.clock.sleep(after_s)
+    _note_crash(context, "second", "e1")
+
+
+@when(
+    "the first crash is reported again {after_s:d} seconds later, and {more_s:d} "
+    "seconds pass"
+)
+def step_reported_again(context, after_s, more_s):
+    context.clock.sleep(after_s)
+    _note_crash(context, "first", "e0")
+    context.clock.sleep(more_s)
+
+
+@when("another engine crashes under the first request")
+def step_crashes_again(context):
+    context.is_suspected = _note_crash(context, "first", "e2")
+
+
+@then("the first request has one crash, and is not suspected")
+def step_one_crash(context):
+    assert context.registry.crashes("first").upstreams == ("e2",)
+    assert not context.is_suspected
--- a/src/kumquatseam/quarantine/_registry.py
+++ b/src/kumquatseam/quarantine/_registry.py
@@ -13,7 +13,7 @@
 
 _log = part_logger("quarantine")
 
-#: maximum number of requests counted; the one reported least recently is evicted.
+#: maximum number of requests counted; the one that crashed least recently is evicted.
 MAX_COUNTED = 4096
 #: expiry of a count, so that unrelated crashes do not add up: upstreams crash now
 #: and then, and some request has always just started on them.
@@ -76,17 +76,18 @@
         self._expire()
         now_s = self._clock()
         known = self.crashes(fingerprint)
-        entry = self._counted.pop(fingerprint, None) or _CountedRequest(now_s, now_s)
+        entry = self._counted.setdefault(fingerprint, _CountedRequest(now_s, now_s))
         entry.crashes = known.merged(crashes)
         if entry.crashes != known:
             entry.last_crash_s = now_s
+            # Sorted by the last new crash, in which order counts expire.
+            self._counted.move_to_end(fingerprint)
             self._trial_deadlines_s.pop(fingerprint, None)
             _log.bind(
                 fingerprint=fingerprint,
                 crashed=entry.crashes.upstreams,
                 on_trial=entry.crashes.on_trial,
             ).info("Crash counted.")
-        self._counted[fingerprint] = entry
         while len(self._counted) > MAX_COUNTED:
             self._counted.popitem(last=False)
         if self._suspects.crashes(fingerprint).covers(entry.crashes):
