A late message does not bring back the cache of an engine that was dropped

What callers saw: prompts routed for cached blocks that were gone, after an engine that had stopped sending came back in another epoch and a message of the earlier one arrived late: that epoch became the current one again, and the living one was retired for good.

Cause: drop() forgot the epoch, so that nothing was retired when another one was seen. The epoch is kept until the engine is heard from again: the same one goes on, another one retires it. Asking whether an epoch is retired no longer takes memory for each engine asked about (1,000 entries before).

--- a/features/prefix_index.feature
+++ b/features/prefix_index.feature
@@ -19,3 +19,25 @@
     When engine "e" reports epoch "two"
     And engine "e" serves a prompt of 4 blocks in epoch "one"
     Then the index holds 0 blocks of engine "e"
+
+  Scenario: A late message does not bring back the cache of an engine that was dropped
+    Given a prefix index
+    When engine "e" stores 4 blocks in epoch "one"
+    And engine "e" is dropped, since it stopped sending
+    And engine "e" stores 2 blocks in epoch "two"
+    And a late batch of epoch "one" stores 4 more blocks
+    Then the index has epoch "two" for engine "e"
+    And the index holds 2 blocks of engine "e"
+
+  Scenario: An engine that was only silent is indexed again in the same epoch
+    Given a prefix index
+    When engine "e" stores 4 blocks in epoch "one"
+    And engine "e" is dropped, since it stopped sending
+    And a late batch of epoch "one" stores 4 more blocks
+    Then the index has epoch "one" for engine "e"
+    And the index holds 4 blocks of engine "e"
+
+  Scenario: Asking about epochs takes no memory
+    Given a prefix index
+    When it is asked whether epochs of 1000 unknown engines are earlier ones
+    Then it remembers no epochs
--- a/features/steps/index_steps.py
+++ b/features/steps/index_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from kumquatseam.engines import CacheEventBatch
-from kumquatseam.routing import PrefixIndex
+from kumquatseam.routing import PlacementHints, PrefixIndex
 
 
 @given("a prefix index")
@@ -51,3 +51,44 @@
 @when('engine "{engine}" serves a prompt of {count:d} blocks in epoch "{epoch}"')
 def step_serve(context, engine, count, epoch):
     context.index.confirm(engine, epoch, tuple(range(count)), 3.0)
+
+
+@when('engine "{engine}" is dropped, since it stopped sending')
+def step_drop(context, engine):
+    context.index.drop(engine)
+
+
+@when("it is asked whether epochs of {count:d} unknown engines are earlier ones")
+def step_ask(context, count):
+    for number in range(count):
+        assert not context.index.is_retired(f"e{number}", "one")
+
+
+@then("it remembers no epochs")
+def step_no_epochs(context):
+    assert not context.index._retired, len(context.index._retired)
+
+
+@given("placements of {count:d} prompts that were not sent to peers yet")
+def step_placements(context, count):
+    context.hints = PlacementHints(ttl_s=2.0)
+    for number in range(1, count + 1):
+        context.hints.note_own(number, "e0", 10.0)
+
+
+@then("a summary with room for {limit:d} has the newest {count:d}")
+def step_newest(context, limit, count):
+    popped = context.hints.pop_unsent_placements(limit)
+    keys = [placement.opening for placement in popped]
+    assert keys == [5, 4][:count], keys
+
+
+@then("the next summary, with room for {limit:d}, has the other {count:d}")
+def step_rest(context, limit, count):
+    popped = context.hints.pop_unsent_placements(limit)
+    assert len(popped) == count, popped
+
+
+@when("half of the time passes for which they count")
+def step_half_ttl(context):
+    context.hints.sweep(11.5)
--- a/src/kumquatseam/routing/_index.py
+++ b/src/kumquatseam/routing/_index.py
@@ -44,13 +44,13 @@
     def __init__(self, entry_ttl_s: float) -> None:
         self._entry_ttl_s = entry_ttl_s
         self._engines: dict[str, _EngineEntries] = {}
-        self._retired: dict[str, collections.deque] = collections.defaultdict(
-            lambda: collections.deque(maxlen=RETIRED_EPOCHS_KEPT)
-        )
+        self._retired: dict[str, collections.deque[str]] = {}
+        #: the epochs of engines that were dropped, and may be heard from again.
+        self._dropped: dict[str, str] = {}
 
     def is_retired(self, engine: str, epoch: str) -> bool:
         """Return whether ``epoch`` is an earlier epoch of ``engine``."""
-        return epoch in self._retired[engine]
+        return epoch in self._retired.get(engine, ())
 
     def apply(self, batch: CacheEventBatch, now_s: float) -> None:
         """Apply one batch of cache events.
@@ -90,8 +90,11 @@
         state = self._engines.get(engine)
         if self.is_retired(engine, epoch) or (state and state.epoch == epoch):
             return
+        dropped = self._dropped.pop(engine, epoch)
+        if dropped != epoch:
+            self._retire(engine, dropped)
         if state is not None:
-            self._retired[engine].append(state.epoch)
+            self._retire(engine, state.epoch)
             _log.info(
                 "Engine {} restarted (epoch {} to {}); dropped {} blocks.",
                 engine,
@@ -108,12 +111,19 @@
         """
         state = self._engines.pop(engine, None)
         if state is not None:
+            self._dropped[engine] = state.epoch
             _log.info(
                 "Engine {} is dead or removed; dropped {} blocks.",
                 engine,
                 len(state.entries),
             )
 
+    def _retire(self, engine: str, epoch: str) -> None:
+        retired = self._retired.setdefault(
+            engine, collections.deque(maxlen=RETIRED_EPOCHS_KEPT)
+        )
+        retired.append(epoch)
+
     def epoch(self, engine: str) -> str | None:
         """Return the engine's last seen epoch, or ``None``."""
         state = self._engines.get(engine)
@@ -169,6 +179,8 @@
         if self.is_retired(blocks.engine, blocks.epoch):
             return 0
         state = self._engines.get(blocks.engine)
+        if self._dropped.get(blocks.engine, blocks.epoch) != blocks.epoch:
+            return 0
         if state is None:
             state = _EngineEntries(epoch=blocks.epoch)
             self._engines[blocks.engine] = state
