Placements beyond the size of one summary are sent with the next

What callers saw: in a burst, prompts routed to another engine than the one that a peer had just sent the same opening to, and their opening prefilled twice.

Cause: what did not fit into a heartbeat's summary was dropped, not sent with the next. It is kept for half of the time that a hint counts, newest first, so that the list stays bounded, also without peers. Found by reading; the scenario failed before.

--- a/features/prefix_index.feature
+++ b/features/prefix_index.feature
@@ -41,3 +41,14 @@
     Given a prefix index
     When it is asked whether epochs of 1000 unknown engines are earlier ones
     Then it remembers no epochs
+
+  Scenario: Placements beyond the size of one summary are sent with the next
+    Given placements of 5 prompts that were not sent to peers yet
+    Then a summary with room for 2 has the newest 2
+    And the next summary, with room for 10, has the other 3
+    And the next summary, with room for 10, has the other 0
+
+  Scenario: Placements that are no longer news are not sent
+    Given placements of 5 prompts that were not sent to peers yet
+    When half of the time passes for which they count
+    Then the next summary, with room for 10, has the other 0
--- a/src/kumquatseam/routing/_hints.py
+++ b/src/kumquatseam/routing/_hints.py
@@ -24,7 +24,8 @@
     def __init__(self, ttl_s: float) -> None:
         self._ttl_s = ttl_s
         self._seen_s: dict[str, dict[Placement, float]] = {}
-        self._unsent: dict[Placement, None] = {}
+        #: own placements not yet sent to peers, and when they were made.
+        self._unsent: dict[Placement, float] = {}
 
     def note_own(self, prefix_key: int, engine: str, now_s: float) -> None:
         """Record a placement by this router and queue it for its peers."""
@@ -32,17 +33,14 @@
         own = self._seen_s.setdefault(OWN, {})
         if placement not in own or now_s - own[placement] > self._ttl_s / 2:
             own[placement] = now_s
-            self._unsent[placement] = None
+            self._unsent.pop(placement, None)
+            self._unsent[placement] = now_s
 
     def pop_unsent_placements(self, limit: int) -> tuple[Placement, ...]:
-        """Return up to ``limit`` own unsent placements, newest first.
-
-        The unsent placements beyond ``limit`` are discarded.
-        """
+        """Return and remove up to ``limit`` own unsent placements, newest first."""
         popped = []
         while self._unsent and len(popped) < max(0, limit):
             popped.append(self._unsent.popitem()[0])
-        self._unsent.clear()
         return tuple(popped)
 
     def note_peer(
@@ -74,7 +72,11 @@
         return False
 
     def sweep(self, now_s: float) -> None:
-        """Drop expired hints."""
+        """Drop expired hints, and unsent ones that peers would keep for too long."""
+        max_unsent_age_s = self._ttl_s / 2
+        for placement, made_s in list(self._unsent.items()):
+            if now_s - made_s >= max_unsent_age_s:
+                del self._unsent[placement]
         for known in self._seen_s.values():
             for placement in [p for p, s in known.items() if now_s - s >= self._ttl_s]:
                 del known[placement]
