A holder that loses events is listed at most every two seconds

Cause: the minimum interval was a constant without a reader; after a gap the holder was listed at once. Found by reading; the scenario failed before. A restarted holder is still listed at once. Two seconds, not three: after three without updates others take the poller for gone.

--- a/features/cache_feeds.feature
+++ b/features/cache_feeds.feature
@@ -72,6 +72,16 @@
     And 2 seconds pass for them
     Then every instance's index matches every holder
 
+  Scenario: A holder that loses events again and again is listed every two seconds
+    A listing pauses an engine's work for a moment.
+
+    Given 1 instances and 1 holders of 20 shared prompts each
+    When 4 seconds pass for them
+    And the first holder loses events every 0.5 seconds for 12 seconds
+    Then each holder was listed at most 8 times
+    When 4 seconds pass for them
+    Then every instance's index matches every holder
+
   Scenario: A holder that restarts is listed again
     Given 2 instances and 2 holders of 20 shared prompts each
     When 4 seconds pass for them
--- a/features/steps/cache_feeds_steps.py
+++ b/features/steps/cache_feeds_steps.py
@@ -142,7 +142,7 @@
     """Polls in simulated time, when the pause returned by a step is over."""
 
     def __init__(self, instance, *arguments):
-        super().__init__(*arguments)
+        super().__init__(*arguments, clock=instance.world.clock)
         self._instance = instance
         self._due_s = 0.0
 
@@ -310,6 +310,13 @@
     holder.first_event = len(holder.events)
 
 
+@when("the first holder loses events every {every_s:g} seconds for {for_s:g} seconds")
+def step_loses_repeatedly(context, every_s, for_s):
+    for _ in range(int(for_s / every_s)):
+        step_lost_events(context, 1)
+        step_pass(context, every_s)
+
+
 @when("the first holder restarts empty")
 def step_holder_restarts(context):
     holder = context.cache_world.holders[0]
--- a/src/kumquatseam/cachefeeds/_poller.py
+++ b/src/kumquatseam/cachefeeds/_poller.py
@@ -1,5 +1,6 @@
 """Polling one holder for changes of its cache contents."""
 
+import time
 from collections.abc import Callable
 
 import gevent
@@ -20,8 +21,9 @@
 #: pause after a poll without an answer, doubling up to the second value.
 FAILURE_PAUSE_S = 0.5
 MAX_FAILURE_PAUSE_S = 4.0
-#: minimum interval between full listings, which pause an engine's work for a moment.
-LIST_PAUSE_S = 3.0
+#: minimum interval between full listings of one incarnation, which pause an engine's
+#: work for a moment. Shorter than the time after which others take the poller for gone.
+LIST_PAUSE_S = 2.0
 
 
 class HolderPoller(BackgroundTask):
@@ -32,6 +34,7 @@
     :param publish: called with each update, including empty ones.
     :param resume: the last known update of the holder, from which to continue.
     :param sleep: replaces ``gevent.sleep`` in tests.
+    :param clock: monotonic clock in seconds.
     """
 
     def __init__(
@@ -41,6 +44,7 @@
         publish: Callable[[HolderUpdate], None],
         resume: HolderUpdate | None = None,
         sleep: Callable[[float], None] = gevent.sleep,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__()
         self._holder = holder
@@ -49,6 +53,8 @@
         self._epoch = resume.epoch if resume else None
         self._since = resume.next_number if resume else None
         self._sleep = sleep
+        self._clock = clock
+        self._listed_s = float("-inf")
         self._failures = 0
 
     def _run(self) -> None:
@@ -82,7 +88,9 @@
                 has_gap=page.has_gap,
             ).info("Events of a holder are missing; listing its cache contents.")
             self._since = None
-            return 0.0
+            if page.epoch != self._epoch:
+                return 0.0
+            return max(0.0, self._listed_s + LIST_PAUSE_S - self._clock())
         self._apply(page, is_whole=False)
         return PAUSE_S
 
@@ -91,6 +99,7 @@
         if listing is None or self._is_other_incarnation(listing):
             return self._note_failure()
         self._failures = 0
+        self._listed_s = self._clock()
         self._epoch = listing.epoch
         self._apply(listing, is_whole=True)
         _log.bind(
