Log and count every arrival beyond a request's first, by cause

The logs could not tell whether instances that restart, a wrong number of instances, or moved runs that no budget counts make the fleet exceed its retry budget. Each decision of the budget now has a log line with its inputs (requests and retries in the window, part of the slack, number of instances), and retries are counted by cause, with moved runs, which the budget does not know of. No decision changes.

--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -4,8 +4,10 @@
 import time
 from collections.abc import Callable
 
+import attrs
 import gevent
 
+from kumquatseam.admission import RetryCause
 from kumquatseam.clocks import elapsed_s
 from kumquatseam.errors import OverloadedError
 from kumquatseam.gateway._call import ResponseTraits, SendOptions
@@ -296,7 +298,7 @@
         progress.excluded.add(placement.status.upstream.incarnation_id)
         if progress.refusals >= MAX_REFUSALS:
             self._fail(Reason.ALL_REFUSED, f"{progress.refusals} refusals")
-        self._consume_retry()
+        self._consume_retry(RetryCause.REFUSED)
 
     def _after_connect_failure(
         self, placement: Placement, error: ConnectFailedError
@@ -359,7 +361,7 @@
         if self._permission.is_trial:
             self._progress.may_have_run = True
             self._fail(Reason.INTERRUPTED, GRACE_EXPIRED_DETAIL)
-        self._retry_or_fail(placement, GRACE_EXPIRED_DETAIL)
+        self._retry_or_fail(placement, GRACE_EXPIRED_DETAIL, RetryCause.GRACE_EXPIRED)
 
     def _note_abandoned(self, placement: Placement) -> None:
         """Record that this attempt was abandoned with an unknown outcome."""
@@ -389,9 +391,11 @@
     def _after_failure(self, placement: Placement, detail: str) -> None:
         """Retry on another upstream if the request is retryable."""
         self._progress.excluded.add(placement.status.upstream.incarnation_id)
-        self._retry_or_fail(placement, detail)
+        self._retry_or_fail(placement, detail, RetryCause.FAILED)
 
-    def _retry_or_fail(self, placement: Placement, detail: str) -> None:
+    def _retry_or_fail(
+        self, placement: Placement, detail: str, cause: RetryCause
+    ) -> None:
         """Retry, on the same upstream too, if the request is retryable.
 
         :raises RefusedError: if it may not be retried.
@@ -405,10 +409,25 @@
             self._fail(Reason.INTERRUPTED, detail)
         if progress.attempts >= job.route.max_attempts:
             self._fail(Reason.INTERRUPTED, f"{detail}; no attempts left")
-        self._consume_retry()
+        self._consume_retry(cause)
+
+    def _consume_retry(self, cause: RetryCause) -> None:
+        """Charge one more attempt to the service's retry budget.
 
-    def _consume_retry(self) -> None:
-        if not self._parts.retry_budget(self._job.service.name).try_acquire():
+        :raises RefusedError: if the budget is used up.
+        """
+        budget = self._parts.retry_budget(self._job.service.name)
+        state = budget.state()
+        is_allowed = budget.try_acquire()
+        self._parts.metrics.record_retry(cause.value, is_allowed)
+        _log.bind(
+            request=self._job.call.request_id,
+            service=self._job.service.name,
+            cause=cause.value,
+            is_allowed=is_allowed,
+            **attrs.asdict(state),
+        ).debug("Retry budget asked.")
+        if not is_allowed:
             self._fail(Reason.BUDGET_SPENT, "retry budget used up")
 
     def _log_failure(self, placement: Placement, detail: str) -> None:
--- a/src/kumquatseam/gateway/_relocation.py
+++ b/src/kumquatseam/gateway/_relocation.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from kumquatseam.admission import RetryCause
 from kumquatseam.logs import part_logger
 from kumquatseam.placement import Placement
 from kumquatseam.quotas import UpstreamLimitError
@@ -98,4 +99,5 @@
         ).info("Run moved." if moved else "Run interrupted during a move.")
         if moved is None:
             return None
+        self._parts.metrics.record_retry(RetryCause.MOVED.value, is_allowed=True)
         return self._destination.with_moved_run(moved)
--- a/src/kumquatseam/metrics/_exposition.py
+++ b/src/kumquatseam/metrics/_exposition.py
@@ -40,6 +40,12 @@
         for (route, outcome), count in self._metrics.requests.items():
             requests.add_metric((route, outcome), count)
         yield requests
+        retries = CounterMetricFamily(
+            _PREFIX + "retries", "Retries by cause.", labels=("cause", "allowed")
+        )
+        for (cause, is_allowed), count in self._metrics.retries.items():
+            retries.add_metric((cause, str(is_allowed).lower()), count)
+        yield retries
         yield from self._latency_families()
         for name, read in self._metrics.counters.items():
             yield CounterMetricFamily(_PREFIX + name, name, value=read())
--- a/src/kumquatseam/metrics/_gateway.py
+++ b/src/kumquatseam/metrics/_gateway.py
@@ -19,6 +19,7 @@
 
     def __init__(self) -> None:
         self.requests: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.retries: collections.Counter[tuple[str, bool]] = collections.Counter()
         self.latencies: dict[tuple[str, str], LatencyHistogram] = {}
         self.counters: dict[str, Callable[[], float]] = {}
         self.gauges: dict[str, Callable[[], float]] = {}
@@ -28,6 +29,14 @@
         self.requests[route, outcome] += 1
         self._record("request_seconds", route, took_s)
 
+    def record_retry(self, cause: str, is_allowed: bool) -> None:
+        """Record that a request was to be sent to an upstream once more.
+
+        :param cause: why.
+        :param is_allowed: whether the retry budget allowed it.
+        """
+        self.retries[cause, is_allowed] += 1
+
     def record_first_event(self, route: str, took_s: float) -> None:
         """Record the time to the first event of a stream."""
         self._record("first_event_seconds", route, took_s)
