--- a/features/moves.feature
+++ b/features/moves.feature
@@ -48,3 +48,11 @@
     When the caller's request is served
     Then the caller's stream is complete, with 4 events
     And its move was granted as one request of that limit
+
+  Scenario: A run is not moved if the retry budget of its service is used up
+    A moved run reaches a second engine, as a retry does.
+
+    Given a stream that is moved to an engine reached at attempt 1
+    And the retry budget of its service is used up
+    When the caller's request is served
+    Then only the source engine was tried
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -144,7 +144,7 @@
     context.pool = ScriptedPool(target_failures)
     context.placer = ScriptedPlacer(directory)
     context.limits = single_instance_limits()
-    budget = RetryBudget(AdmissionSettings())
+    budget = context.retry_budget = RetryBudget(AdmissionSettings())
     context.handler = RequestHandler(
         HandlerParts(
             live,
@@ -256,6 +256,12 @@
     context.limits.acquire("target", "another request")
 
 
+@given("the retry budget of its service is used up")
+def step_budget_used_up(context):
+    while context.retry_budget.try_acquire():
+        pass
+
+
 @then("its move was granted as one request of that limit")
 def step_granted(context):
     assert context.limits.granted == 1, context.limits.granted
