Retry budgets are kept by owners, not as a share in each process

Cause: each process kept a share of a limit of the whole fleet. A restart forgot what it had spent, the slack was divided by the instances heard from (by one right after a start), and moved runs were not counted.

Change: three owners count the requests and retries of all instances by the totals that these report, and a retry takes the consent of two; an owner that starts adopts the history of both others, or has no say for a window; the rule itself is evaluated, so the margin of a fifth is gone.

The scenario on logs sends the failing request first: a replica that has just refused is not used for 0.1 s, and retries are counted when they are sent. RetryBudget moves to a module of its own, since gateways no longer load it.

--- a/features/retry_budget.feature
+++ b/features/retry_budget.feature
@@ -5,8 +5,8 @@
 
   Scenario: A gateway logs and counts its retries by cause
     Given a gateway in front of 2 plain replicas
-    When a caller sends "GET" to "/safe/x" and one replica's script is "refuse"
-    And a caller sends "GET" to "/safe/x" and one replica's script is "fail"
+    When a caller sends "GET" to "/safe/x" and one replica's script is "fail"
+    And a caller sends "GET" to "/safe/x" and one replica's script is "refuse"
     Then the gateway logged why each of 2 retries was allowed
     And its metrics count a retry after "refused" and one after "failed"
 
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -7,7 +7,7 @@
 from decision_world import build_placer, build_request
 from modelled_clock import Clock
 
-from kumquatseam.admission import RetryBudget
+from kumquatseam.admission.retry_budget import RetryBudget
 from kumquatseam.codec import MessageCodec
 from kumquatseam.errors import OverloadedError
 from kumquatseam.leases import DutyLease
--- a/features/steps/matrix_world.py
+++ b/features/steps/matrix_world.py
@@ -9,7 +9,7 @@
 from quarantine_world import single_instance_quarantine
 from quota_world import single_instance_limits
 
-from kumquatseam.admission import RetryBudget
+from kumquatseam.admission.retry_budget import RetryBudget
 from kumquatseam.admission.team_limiter import TeamLimiter
 from kumquatseam.engines import (
     CacheEventBatch,
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -6,9 +6,13 @@
 import gevent.socket
 from behave import given, then, when
 from quarantine_world import single_instance_quarantine
-from quota_world import single_instance_limits, single_instance_quotas
+from quota_world import (
+    single_instance_limits,
+    single_instance_quotas,
+    single_instance_retries,
+)
 
-from kumquatseam.admission import RetryBudget
+from kumquatseam.admission import RetryCause
 from kumquatseam.clocks import elapsed_s
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
@@ -33,7 +37,6 @@
     ServiceTraits,
     TrafficShare,
 )
-from kumquatseam.settings import AdmissionSettings
 from kumquatseam.upstreams import (
     Upstream,
     UpstreamDirectory,
@@ -144,7 +147,7 @@
     context.pool = ScriptedPool(target_failures)
     context.placer = ScriptedPlacer(directory)
     context.limits = single_instance_limits()
-    budget = context.retry_budget = RetryBudget(AdmissionSettings())
+    context.retries = single_instance_retries()
     context.handler = RequestHandler(
         HandlerParts(
             live,
@@ -153,7 +156,7 @@
             directory,
             BroadcastWork(directory, PromptIndex()),
             context.pool,
-            lambda service: budget,
+            context.retries,
             GatewayMetrics(),
             MovingOrders(),
             single_instance_quarantine(),
@@ -258,7 +261,7 @@
 
 @given("the retry budget of its service is used up")
 def step_budget_used_up(context):
-    while context.retry_budget.try_acquire():
+    while context.retries.acquire("engines", RetryCause.FAILED, "another"):
         pass
 
 
--- a/features/steps/own_fault_steps.py
+++ b/features/steps/own_fault_steps.py
@@ -7,9 +7,12 @@
 from behave import given, then, when
 from log_capture import captured_lines
 from quarantine_world import single_instance_quarantine
-from quota_world import single_instance_limits, single_instance_quotas
+from quota_world import (
+    single_instance_limits,
+    single_instance_quotas,
+    single_instance_retries,
+)
 
-from kumquatseam.admission import RetryBudget
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
 from kumquatseam.http1 import ConnectionPool, Headers, Request
@@ -26,7 +29,6 @@
     ServiceTraits,
     TrafficShare,
 )
-from kumquatseam.settings import AdmissionSettings
 from kumquatseam.upstreams import Upstream, UpstreamDirectory
 
 ROUTE = Route(
@@ -74,7 +76,6 @@
     live = LiveRouteTable()
     live.apply(RouteTable(1, (ROUTE,), (ServiceTraits("plain"),)), "test")
     context.directory = getattr(context, "directory", None) or UpstreamDirectory()
-    budget = RetryBudget(AdmissionSettings())
     context.handler = RequestHandler(
         HandlerParts(
             live,
@@ -83,7 +84,7 @@
             context.directory,
             BroadcastWork(context.directory, PromptIndex()),
             pool,
-            lambda service: budget,
+            single_instance_retries(),
             GatewayMetrics(),
             None,
             single_instance_quarantine(),
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -12,6 +12,7 @@
 
 from kumquatseam.bench import free_port, standin_program
 from kumquatseam.logservice import HttpLogService
+from kumquatseam.peers import INSTANCES_TOPIC
 
 WAIT_S = 10.0
 HTTP = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(connect=2, read=15))
@@ -28,6 +29,7 @@
 address = 127.0.0.1:{peer}
 state_address = 127.0.0.1:{state}
 seeds = {seeds}
+is_first_start = true
 [log]
 address = 127.0.0.1:{log}
 [retries]
@@ -239,6 +241,10 @@
                     "the gateway lists all replicas",
                     lambda: self.knows_replicas(gateway),
                 )
+                wait_until(
+                    "the gateway knows the instances",
+                    lambda: self.knows_instances(gateway),
+                )
             except AssertionError as error:
                 tail = gateway.log_path.read_text()[-3000:]
                 raise AssertionError(f"{error}; end of its log:\n{tail}") from error
@@ -253,6 +259,14 @@
         }
         return set(self.replicas) <= listed
 
+    def knows_instances(self, gateway) -> bool:
+        """Whether the gateway has logged that it read the list of instances."""
+        return any(
+            d["event"] == "Topic known for the first time."
+            and d["topic"] == INSTANCES_TOPIC
+            for d in gateway.lines()
+        )
+
     def send(self, path="/plain/x", method="POST", gateway=0, key=KEY, **options):
         """Send a caller's request and return the urllib3 response."""
         headers = {
--- a/features/steps/quota_world.py
+++ b/features/steps/quota_world.py
@@ -17,6 +17,7 @@
     QuotaParts,
     QuotaShard,
     QuotaTolerance,
+    RetryBudgets,
     ShardOwners,
     TeamQuotas,
     UpstreamLimits,
@@ -255,7 +256,9 @@
 def single_instance_owners():
     """Return the owners of shards in a fleet of one instance."""
     records = (InstanceRecord("alone", "127.0.0.1:1"),)
-    return ShardOwners(QuotaParts("alone", lambda: records, NullDatagramLink()))
+    return ShardOwners(
+        QuotaParts("alone", lambda: records, NullDatagramLink(), is_first_start=True)
+    )
 
 
 def single_instance_quotas():
@@ -263,6 +266,11 @@
     return TeamQuotas(single_instance_owners())
 
 
+def single_instance_retries():
+    """Return the retry budgets of a fleet of one instance."""
+    return RetryBudgets(single_instance_owners())
+
+
 def single_instance_limits():
     """Return the limits of upstreams in a fleet of one instance."""
     return UpstreamLimits(single_instance_owners())
--- a/features/steps/retry_world.py
+++ b/features/steps/retry_world.py
@@ -9,11 +9,11 @@
 from modelled_net import ModelledLink
 
 from kumquatseam import quotas
-from kumquatseam.admission import RetryBudget, RetryCause
+from kumquatseam.admission import RetryCause
 from kumquatseam.codec import MessageCodec
 from kumquatseam.peers import InstanceRecord, RendezvousOrder, order_key
-from kumquatseam.quotas import QuotaShard
-from kumquatseam.settings import AdmissionSettings
+from kumquatseam.quotas import QuotaParts, QuotaShard, RetryBudgets, ShardOwners
+from kumquatseam.settings import RetrySettings
 
 CODEC = MessageCodec("datagram", quotas.DATAGRAM_KINDS, is_compact=True)
 SERVICE = "engines"
@@ -45,32 +45,34 @@
     def start(self, is_first_start=False):
         self.is_up = True
         self.link = ModelledLink(self.fleet.net, self.record.address)
-        settings = AdmissionSettings(
-            retry_budget_ratio=RATIO * 0.8,
-            retry_budget_slack=int(self.fleet.slack * 0.8),
-            retry_window_s=WINDOW_S,
-        )
-        self.budget = RetryBudget(settings, self.count_instances, self.fleet.clock)
-
-    def count_instances(self):
-        """Return how many instances this one hears from."""
-        if not self.is_list_known:
-            return 1
-        groups = self.fleet.net.groups
-        own_group = groups.get(self.record.address)
-        return sum(
-            i.is_up and groups.get(i.record.address) == own_group
-            for i in self.fleet.instances.values()
+        fleet = self.fleet
+        self.owners = ShardOwners(
+            QuotaParts(
+                self.record.name,
+                lambda: self.known_records or fleet.records,
+                self.link,
+                are_instances_known=lambda: self.is_list_known,
+                clock=fleet.clock,
+                wait=fleet.net.wait,
+                retries=RetrySettings(RATIO, WINDOW_S, fleet.slack),
+                retry_clock=fleet.clock,
+                is_first_start=is_first_start,
+            )
         )
+        self.retries = RetryBudgets(self.owners, lambda: [SERVICE])
 
     def record_request(self):
-        self.budget.record_request()
+        self.retries.record_request(SERVICE)
 
     def try_retry(self, cause=RetryCause.REFUSED):
-        return self.budget.try_acquire()
+        grant = self.retries.acquire(SERVICE, cause, "r")
+        if grant is not None:
+            self.retries.note_sent(grant)
+        return grant is not None
 
     def sweep(self):
         """Do the periodic work."""
+        self.retries.sweep()
 
     def read_list(self):
         """Learn of all other instances."""
@@ -115,7 +117,7 @@
     def owners(self, number=0, shards=1):
         """Return the owners of the budget, in order."""
         order = RendezvousOrder(lambda: self.records)
-        key = QuotaShard(SERVICE, number, shards).key
+        key = QuotaShard(SERVICE, number, shards, is_retry_budget=True).key
         return [self.instances[record.name] for record in order.owners_of(key)]
 
     # Load.
--- a/features/steps/rule_steps.py
+++ b/features/steps/rule_steps.py
@@ -6,7 +6,7 @@
 from fleet_steps import start_fleet
 from matrix_world import World
 
-from kumquatseam.admission import RetryBudget
+from kumquatseam.admission.retry_budget import RetryBudget
 from kumquatseam.bench import FleetPlan
 from kumquatseam.fleet import (
     ALTER,
--- a/features/steps/starts_steps.py
+++ b/features/steps/starts_steps.py
@@ -226,6 +226,7 @@
 def step_settings(context, line):
     ports = dict.fromkeys(("front", "ready", "metrics", "peer", "state"), 1)
     text = TEMPLATE.format(name="g", log=1, slack=50, seeds="", **ports)
+    text = text.replace("is_first_start = true\n", "")
     text = text.replace("[peers]", f"[peers]\n{line}")
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "gateway.ini"
--- a/features/steps/waiting_world.py
+++ b/features/steps/waiting_world.py
@@ -6,9 +6,12 @@
 import gevent.server
 import gevent.socket
 from quarantine_world import single_instance_quarantine
-from quota_world import single_instance_limits, single_instance_quotas
+from quota_world import (
+    single_instance_limits,
+    single_instance_quotas,
+    single_instance_retries,
+)
 
-from kumquatseam.admission import RetryBudget
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
 from kumquatseam.http1 import ConnectionPool, Headers, Request
@@ -25,7 +28,6 @@
     ServiceTraits,
     TrafficShare,
 )
-from kumquatseam.settings import AdmissionSettings
 from kumquatseam.upstreams import (
     Upstream,
     UpstreamDirectory,
@@ -126,7 +128,6 @@
         live = LiveRouteTable()
         live.apply(RouteTable(1, (route,), (ENGINES,)), "test")
         index = PromptIndex()
-        budget = RetryBudget(AdmissionSettings())
         placer = Placer(
             self.directory, index, "z", self.targets, replaced_weights_grace=GRACE
         )
@@ -141,7 +142,7 @@
                 self.directory,
                 BroadcastWork(self.directory, index),
                 ConnectionPool(0.3),
-                lambda service: budget,
+                single_instance_retries(),
                 GatewayMetrics(),
                 None,
                 single_instance_quarantine(),
--- a/src/kumquatseam/admission/__init__.py
+++ b/src/kumquatseam/admission/__init__.py
@@ -1,9 +1,11 @@
 """Admission limits that protect teams and upstreams from each other.
 
-- :class:`RetryBudget` limits retries to a share of the requests;
-  :class:`RetryCause` says why a request is sent once more.
+- :class:`RetryCause` says why a request is sent once more.
 - :class:`TokenBucket` limits consumption to a rate and a burst; ``quotas`` uses it
   for fleet-wide quotas.
+- :class:`kumquatseam.admission.retry_budget.RetryBudget` limits the retries of one
+  process to a share of its requests. It is not exported here, since only routers need
+  it; gateways share a budget (``quotas``).
 - :class:`kumquatseam.admission.team_limiter.TeamLimiter` limits a team's concurrent
   requests across the fleet. It is not exported here, since only routers need it.
 
@@ -11,11 +13,7 @@
 (:class:`kumquatseam.routing.Router`), since it depends on the candidates.
 """
 
-from kumquatseam.admission._retry_budget import (
-    RetryBudget,
-    RetryBudgetState,
-    RetryCause,
-)
+from kumquatseam.admission._retry_cause import RetryCause
 from kumquatseam.admission._token_bucket import TokenBucket
 
-__all__ = ["RetryBudget", "RetryBudgetState", "RetryCause", "TokenBucket"]
+__all__ = ["RetryCause", "TokenBucket"]
--- a/src/kumquatseam/admission/_retry_budget.py
+++ b/src/kumquatseam/admission/retry_budget.py
@@ -1,40 +1,12 @@
 """A retry budget: a share of the requests in a sliding window."""
 
 import collections
-import enum
 import time
 from collections.abc import Callable
 
-import attrs
-
 from kumquatseam.settings import AdmissionSettings
 
 
-class RetryCause(enum.Enum):
-    """Why a request is sent to an upstream once more."""
-
-    REFUSED = "refused"
-    FAILED = "failed"
-    GRACE_EXPIRED = "grace_expired"
-    MOVED = "moved"
-
-
-@attrs.frozen
-class RetryBudgetState:
-    """What a decision of a :class:`RetryBudget` was based on.
-
-    :param requests: callers' requests in the window.
-    :param retries: retries in the window.
-    :param slack: the part of the slack that this router may use.
-    :param routers: number of routers that the slack was divided by.
-    """
-
-    requests: int
-    retries: int
-    slack: float
-    routers: int
-
-
 class RetryBudget:
     """Allows retries up to a share of the requests plus a slack.
 
@@ -71,19 +43,14 @@
 
     def try_acquire(self) -> bool:
         """Return whether one more retry is allowed, and count it if so."""
-        state = self.state()
-        allowed = self._settings.retry_budget_ratio * state.requests + state.slack
-        if state.retries + 1 > allowed:
-            return False
-        self._retries.append(self._clock())
-        return True
-
-    def state(self) -> RetryBudgetState:
-        """Return what the next decision will be based on."""
-        oldest_s = self._clock() - self._settings.retry_window_s
+        now_s = self._clock()
+        oldest_s = now_s - self._settings.retry_window_s
         for times in (self._requests, self._retries):
             while times and times[0] <= oldest_s:
                 times.popleft()
-        routers = max(1, self._count_routers())
-        slack = self._settings.retry_budget_slack / routers
-        return RetryBudgetState(len(self._requests), len(self._retries), slack, routers)
+        slack = self._settings.retry_budget_slack / max(1, self._count_routers())
+        allowed = self._settings.retry_budget_ratio * len(self._requests) + slack
+        if len(self._retries) + 1 > allowed:
+            return False
+        self._retries.append(now_s)
+        return True
--- a/src/kumquatseam/feeds/_topic_follower.py
+++ b/src/kumquatseam/feeds/_topic_follower.py
@@ -248,6 +248,10 @@
             self._publish(known_offset, effective)
 
     def _apply(self, batch: KeyedBatch, age_s: float = 0.0) -> tuple[KeyedChange, ...]:
+        if self.copy.synced_s is None:
+            _log.bind(topic=self.topic, offset=batch.next_offset).info(
+                "Topic known for the first time."
+            )
         unseen_s = self._unseen_s()
         return self.copy.apply(batch, self._outage_age_s(), age_s, unseen_s)
 
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -4,7 +4,6 @@
 import time
 from collections.abc import Callable
 
-import attrs
 import gevent
 
 from kumquatseam.admission import RetryCause
@@ -44,7 +43,12 @@
     SentRequest,
 )
 from kumquatseam.quarantine import QuarantinedError, RunPermission, RunUpstream
-from kumquatseam.quotas import CallerRetry, LimitGrant, UpstreamLimitError
+from kumquatseam.quotas import (
+    CallerRetry,
+    LimitGrant,
+    RetryGrant,
+    UpstreamLimitError,
+)
 from kumquatseam.rollouts import MovedRun
 from kumquatseam.upstreams import InFlightRequest, UpstreamStatus
 
@@ -116,6 +120,10 @@
         self._next_placement: Placement | None = None
         #: the grant for the request that is about to be sent.
         self._limit_grant: LimitGrant | None = None
+        #: why the next attempt is one more; ``None`` for the first.
+        self._retry_cause: RetryCause | None = None
+        #: the grant for the retry that is about to be sent.
+        self._retry_grant: RetryGrant | None = None
         self._first_event_s: float | None = None
         self._last_event_s: float | None = None
         self._paused_since_s: float | None = None
@@ -149,6 +157,7 @@
         finally:
             self._permission.close()
             self._release_limit_grant()
+            self._release_retry_grant()
 
     def _try_once(self) -> tuple[bool, str] | None:
         """Make one attempt; return ``None`` if it failed and another may follow."""
@@ -256,6 +265,12 @@
         if grant is not None:
             self._parts.limits.release(grant)
 
+    def _release_retry_grant(self) -> None:
+        """Return the grant of a retry that was not sent."""
+        grant, self._retry_grant = self._retry_grant, None
+        if grant is not None:
+            self._parts.retries.release(grant)
+
     def _max_wait_s(self) -> float:
         """Return the maximum expected wait for the request's first event."""
         job = self._job
@@ -412,21 +427,27 @@
         self._consume_retry(cause)
 
     def _consume_retry(self, cause: RetryCause) -> None:
-        """Charge one more attempt to the service's retry budget.
+        """Note that the next attempt needs a grant of the service's retry budget.
+
+        :raises RefusedError: if the budget is known to be used up.
+        """
+        self._retry_cause = cause
+        if self._parts.retries.is_used_up(self._job.service.name):
+            self._acquire_retry_grant()
 
-        :raises RefusedError: if the budget is used up.
+    def _acquire_retry_grant(self) -> None:
+        """Get a grant for the attempt that is about to be sent, if it needs one.
+
+        :raises RefusedError: if the retry budget is used up.
         """
-        budget = self._parts.retry_budget(self._job.service.name)
-        state = budget.state()
-        is_allowed = budget.try_acquire()
+        cause, job = self._retry_cause, self._job
+        if cause is None or self._retry_grant is not None:
+            return
+        self._retry_grant = self._parts.retries.acquire(
+            job.service.name, cause, job.call.request_id
+        )
+        is_allowed = self._retry_grant is not None
         self._parts.metrics.record_retry(cause.value, is_allowed)
-        _log.bind(
-            request=self._job.call.request_id,
-            service=self._job.service.name,
-            cause=cause.value,
-            is_allowed=is_allowed,
-            **attrs.asdict(state),
-        ).debug("Retry budget asked.")
         if not is_allowed:
             self._fail(Reason.BUDGET_SPENT, "retry budget used up")
 
@@ -451,6 +472,7 @@
         self._sent_s = self._attempt_first_event_s = None
         self._placement = placement
         self._sent_request = None
+        self._acquire_retry_grant()
         connection = self._parts.pool.acquire(address, self._job.remaining_s)
         in_flight_request = self._parts.work.begin(
             placement.request_work(self._job.remaining_s)
@@ -481,6 +503,9 @@
         self._permission.note_sent()
         self._parts.limits.announced.note_sent(placement.status.upstream.incarnation_id)
         self._limit_grant = None
+        if self._retry_grant is not None:
+            self._parts.retries.note_sent(self._retry_grant)
+            self._retry_grant = self._retry_cause = None
         self._sent_request = placement.note_sent()
         connection.send(request_bytes)
         wait = self._first_event_wait(placement)
--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -10,7 +10,7 @@
 from kumquatseam.metrics import GatewayMetrics
 from kumquatseam.peers import DatagramSocket, PeerBus
 from kumquatseam.quarantine import Quarantine
-from kumquatseam.quotas import ShardOwners, TeamQuotas, UpstreamLimits
+from kumquatseam.quotas import RetryBudgets, ShardOwners, TeamQuotas, UpstreamLimits
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.trackers import LoadTracker, TrackerClient
 from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
@@ -34,6 +34,7 @@
     shard_owners: ShardOwners
     quotas: TeamQuotas
     limits: UpstreamLimits
+    retries: RetryBudgets
 
 
 def add_gauges(metrics: GatewayMetrics, parts: GaugeParts) -> None:
@@ -67,6 +68,9 @@
     )
     metrics.register_gauge("requests_suspected", lambda: len(parts.quarantine.suspects))
     metrics.register_gauge("quotas_kept", lambda: len(parts.shard_owners.allocator))
+    metrics.register_gauge(
+        "retry_budget_used", parts.shard_owners.retry_allocator.used_share
+    )
     metrics.register_gauge(
         "holders_tracked", lambda: len(parts.tracker.tracked_holders())
     )
@@ -86,6 +90,7 @@
     metrics.register_counter(
         "limited_upstreams_requests", lambda: limits.announced.sent
     )
+    metrics.register_counter("retries_undecided", lambda: parts.retries.undecided)
     metrics.register_counter("limit_grants", lambda: limits.granted)
     metrics.register_counter("limit_refusals", lambda: limits.refused)
     metrics.register_counter("upstream_connections", lambda: parts.pool.opened)
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from kumquatseam.admission import RetryBudget
 from kumquatseam.gateway._call import Call
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._dialect import Dialect, MalformedCallError
@@ -21,6 +20,7 @@
 from kumquatseam.quotas import (
     QuotaExceededError,
     QuotaGrant,
+    RetryBudgets,
     TeamQuotas,
     UpstreamLimits,
 )
@@ -49,7 +49,7 @@
     :param directory: the known upstreams.
     :param work: counts the requests in flight on each upstream.
     :param pool: connections to upstreams.
-    :param retry_budget: returns the retry budget of a service.
+    :param retries: the retry budgets of services.
     :param metrics: counters and latencies.
     :param orders: moves runs between engines.
     :param quarantine: holds back requests that crash upstreams.
@@ -63,7 +63,7 @@
     directory: UpstreamDirectory
     work: WorkSource
     pool: ConnectionPool
-    retry_budget: Callable[[str], RetryBudget]
+    retries: RetryBudgets
     metrics: GatewayMetrics
     orders: OrderClient
     quarantine: Quarantine
@@ -140,7 +140,7 @@
         service = table.service(route.service_for(random.random()))
         if service is None:
             raise RefusedError(503, Reason.NO_UPSTREAM, 1.0, "service not configured")
-        self._parts.retry_budget(service.name).record_request()
+        self._parts.retries.record_request(service.name)
         deadline_s = call.deadline_s or DEFAULT_DEADLINE_S
         end_s = request.received_s + min(deadline_s, route.timeout_s)
         request_fingerprint = fingerprint(
--- a/src/kumquatseam/gateway/_relocation.py
+++ b/src/kumquatseam/gateway/_relocation.py
@@ -13,7 +13,7 @@
 from kumquatseam.admission import RetryCause
 from kumquatseam.logs import part_logger
 from kumquatseam.placement import Placement
-from kumquatseam.quotas import UpstreamLimitError
+from kumquatseam.quotas import RetryGrant, UpstreamLimitError
 from kumquatseam.rollouts import MovedRun
 
 _log = part_logger("relocation")
@@ -63,18 +63,34 @@
         """Move the run; return ``None`` if it was not moved."""
         limits, request_id = self._parts.limits, self._job.call.request_id
         destination = self._destination.status.upstream
+        # The destination gets the request once more.
+        retry_grant = self._acquire_retry_grant()
+        if retry_grant is None:
+            return None
         try:
             grant = limits.acquire(destination.incarnation_id, request_id)
         except UpstreamLimitError as error:
             _log.bind(request=request_id, error=str(error)).debug("Run not moved.")
+            self._parts.retries.release(retry_grant)
             return None
         moved = self._parts.orders.move_run(
             self._placement.status.upstream, request_id, destination
         )
         if moved is None:
             limits.release(grant)
+            self._parts.retries.release(retry_grant)
+        else:
+            self._parts.retries.note_sent(retry_grant)
         return moved
 
+    def _acquire_retry_grant(self) -> RetryGrant | None:
+        cause = RetryCause.MOVED
+        grant = self._parts.retries.acquire(
+            self._job.service.name, cause, self._job.call.request_id
+        )
+        self._parts.metrics.record_retry(cause.value, grant is not None)
+        return grant
+
     def _may_start(self) -> bool:
         """Return whether no move is in progress or was tried too recently."""
         if self._move is None:
@@ -99,5 +115,4 @@
         ).info("Run moved." if moved else "Run interrupted during a move.")
         if moved is None:
             return None
-        self._parts.metrics.record_retry(RetryCause.MOVED.value, is_allowed=True)
         return self._destination.with_moved_run(moved)
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -3,7 +3,6 @@
 import time
 
 from kumquatseam import cachefeeds, feeds, quarantine, quotas
-from kumquatseam.admission import RetryBudget
 from kumquatseam.cachefeeds import (
     MIN_SENT_PART_SHARE,
     CacheFeeds,
@@ -52,6 +51,7 @@
 from kumquatseam.quotas import (
     QuotaParts,
     QuotaTolerance,
+    RetryBudgets,
     ShardOwners,
     TeamQuotas,
     UpstreamLimits,
@@ -63,7 +63,7 @@
     RolloutView,
 )
 from kumquatseam.routes import LiveRouteTable, RouteTable
-from kumquatseam.settings import AdmissionSettings, GatewayFile
+from kumquatseam.settings import GatewayFile
 from kumquatseam.trackers import (
     TRACKER_KINDS,
     FleetSizeSwitch,
@@ -103,8 +103,6 @@
 PEER_CHECK_INTERVAL_S = 0.25
 #: name of the lease whose holder rolls out weights.
 ROLLOUT_LEASE = "weights"
-#: share of the fleet's retry budget that is used, as a safety margin.
-RETRY_BUDGET_SHARE = 0.8
 #: part of the shutdown grace period that is reserved for ending the process.
 SHUTDOWN_MARGIN_S = 0.4
 
@@ -124,7 +122,6 @@
         self._index = PromptIndex()
         self._metrics = GatewayMetrics()
         self._started_s = time.monotonic()
-        self._budgets: dict[str, RetryBudget] = {}
         self._pool = ConnectionPool(file.gateway.connect_timeout_s)
         self._log_service = HttpLogService(
             f"http://{file.log.address}", file.log.timeout_s
@@ -156,6 +153,7 @@
         self._shard_owners = self._build_shard_owners()
         self._quotas = TeamQuotas(self._shard_owners)
         self._limits = UpstreamLimits(self._shard_owners)
+        self._retries = RetryBudgets(self._shard_owners, self._list_services)
         self._tracker = LoadTracker(
             self._bus.name,
             self._index,
@@ -190,6 +188,7 @@
                 self._is_full_mesh_fleet,
             ),
             StepLoop(quotas.SWEEP_INTERVAL_S, self._quotas.sweep),
+            StepLoop(quotas.SWEEP_INTERVAL_S, self._retries.sweep),
             StepLoop(CACHE_CHECK_INTERVAL_S, self._cache_feeds.step),
             StepLoop(self._loads.next_step_s, self._loads.step),
             StepLoop(PEER_CHECK_INTERVAL_S, self._bus.step),
@@ -221,7 +220,7 @@
     def apply(self, file: GatewayFile) -> None:
         """Apply changed settings; changed addresses need a restart."""
         self._file = file
-        self._budgets.clear()
+        self._retries.apply_settings(file.retries)
         _log.bind(source=file.source).info("Settings reloaded.")
 
     def _build_server(self) -> GatewayServer:
@@ -247,7 +246,7 @@
                 self._directory,
                 self._work,
                 self._pool,
-                self._retry_budget,
+                self._retries,
                 self._metrics,
                 self._orders,
                 self._quarantine,
@@ -280,6 +279,8 @@
                 QuotaTolerance(tolerance.window_s, tolerance.over, tolerance.slack),
                 lambda: self._instances.copy.synced_s is not None,
                 limits=self._announced_limits,
+                retries=self._file.retries,
+                is_first_start=self._file.peers.is_first_start,
             )
         )
 
@@ -444,18 +445,10 @@
         table = self._live.current
         return table.limits if table is not None else RequestLimits()
 
-    def _retry_budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            retries = self._file.retries
-            admission = AdmissionSettings(
-                retry_budget_ratio=retries.ratio * RETRY_BUDGET_SHARE,
-                retry_budget_slack=int(retries.slack * RETRY_BUDGET_SHARE),
-                retry_window_s=retries.window_s,
-            )
-            budget = RetryBudget(admission, self._count_instances)
-            self._budgets[service] = budget
-        return budget
+    def _list_services(self) -> list[str]:
+        """Return the names of the services in the configuration in force."""
+        table = self._live.current
+        return [service.name for service in table.services] if table else []
 
     def _count_instances(self) -> int:
         return self._loads.count_instances()
@@ -492,10 +485,7 @@
             self._shard_owners,
             self._quotas,
             self._limits,
+            self._retries,
         )
         add_gauges(self._metrics, parts)
         self._metrics.register_gauge("peers_alive", self._count_instances)
-        self._metrics.register_gauge(
-            "retries_in_window",
-            lambda: sum(budget.retries_in_window for budget in self._budgets.values()),
-        )
--- a/src/kumquatseam/quotas/__init__.py
+++ b/src/kumquatseam/quotas/__init__.py
@@ -12,9 +12,13 @@
 exceeded even when instances cannot reach each other, so a lease is for one request
 and takes the consent of two of the three owners.
 
+The retry budget of a service has three owners as well, for the same reason: a
+retry takes the consent of two of them.
+
 - :class:`ShardOwners` finds and calls the owners.
 - :class:`TeamQuotas` acquires quota for requests and refunds what did not run.
 - :class:`UpstreamLimits` acquires grants for requests to upstreams with a limit.
+- :class:`RetryBudgets` acquires grants for retries of requests for a service.
 - :class:`QuotaAllocator` grants leases from the shards owned by this instance.
 - :class:`QuotaExceededError` and :class:`UpstreamLimitError` say when to retry.
 """
@@ -32,6 +36,7 @@
     VersionedLimit,
 )
 from kumquatseam.quotas._owners import QuotaParts, ShardOwners
+from kumquatseam.quotas._retries import RetryBudgets, RetryGrant
 from kumquatseam.quotas._teams import SWEEP_INTERVAL_S, QuotaGrant, TeamQuotas
 from kumquatseam.quotas._upstreams import CallerRetry, LimitGrant, UpstreamLimits
 
@@ -50,6 +55,8 @@
     "QuotaShard",
     "QuotaTolerance",
     "QuotaUsageUpdate",
+    "RetryBudgets",
+    "RetryGrant",
     "ShardOwners",
     "TeamQuotas",
     "UpstreamLimitError",
--- a/src/kumquatseam/quotas/_messages.py
+++ b/src/kumquatseam/quotas/_messages.py
@@ -11,16 +11,18 @@
 class QuotaShard:
     """The part of a quota that one instance owns, or the limit of an upstream.
 
-    :param subject: the team, or the incarnation of the upstream.
+    :param subject: the team, the incarnation of the upstream, or the service.
     :param number: the shard's index.
     :param count: the number of shards that the quota is split into.
     :param is_upstream: whether it is the limit of an upstream, which is not split.
+    :param is_retry_budget: whether it is the retry budget of a service.
     """
 
     subject: str
     number: int = 0
     count: int = 1
     is_upstream: bool = False
+    is_retry_budget: bool = False
 
     @property
     def key(self) -> str:
@@ -30,11 +32,12 @@
         """
         if self.is_upstream:
             return self.subject
-        return f"quota/{self.subject}/{self.number}/{self.count}"
+        kind = "retries" if self.is_retry_budget else "quota"
+        return f"{kind}/{self.subject}/{self.number}/{self.count}"
 
 
 class OwnerVote(enum.Enum):
-    """What an owner of an upstream's limit is asked for.
+    """What an owner of an upstream's limit or a retry budget is asked for.
 
     ``DECIDES`` is the first owner asked, ``CONFIRMS`` a further one, and ``ALONE`` the
     first one again if no further one replied.
@@ -59,6 +62,27 @@
     burst: float
 
 
+@attrs.frozen
+class ServiceCount:
+    """What an instance received for a service, and sent once more.
+
+    Totals make up for messages that were lost, or arrived twice.
+
+    :param sender: the instance.
+    :param start: identifies the start of its process.
+    :param requests: callers' requests since then.
+    :param retries: retries sent since then.
+    :param settled_number: what was granted to requests with numbers up to this one is
+        either among the retries or was not used.
+    """
+
+    sender: str
+    start: int
+    requests: int
+    retries: int
+    settled_number: int
+
+
 @attrs.frozen
 class QuotaLeaseRequest:
     """Requests a lease from the owner of a shard.
@@ -90,6 +114,8 @@
     is_reserved: bool = False
     key: str = ""
     max_wait_ms: int = 0
+    count: ServiceCount | None = None
+    max_share: float = 1.0
 
 
 @attrs.frozen
@@ -106,6 +132,8 @@
     :param report: the limit of the upstream, as the owner knows it.
     :param is_reserved: whether the amount was reserved for the request or, if nothing
         was granted, is from now on.
+    :param is_unsure: whether the owner does not know what was granted in the past
+        window, so that its reply does not count.
     """
 
     number: int
@@ -116,6 +144,7 @@
     is_over: bool = False
     report: LimitReport | None = None
     is_reserved: bool = False
+    is_unsure: bool = False
 
 
 @attrs.frozen
@@ -149,6 +178,7 @@
     :param amount: the amount leased or reported as used.
     :param is_over: whether the amount exceeds the quota.
     :param report: the limit of the upstream, as the sending instance knows it.
+    :param count: what the requesting instance counts of a service.
     """
 
     shard: QuotaShard
@@ -156,6 +186,7 @@
     amount: int
     is_over: bool = False
     report: LimitReport | None = None
+    count: ServiceCount | None = None
 
 
 @attrs.frozen
@@ -170,6 +201,33 @@
     amount: int
 
 
+@attrs.frozen
+class RetryHistoryRequest:
+    """Asks another owner of a retry budget for what it knows of the past window.
+
+    :param shard: the shard.
+    """
+
+    shard: QuotaShard
+
+
+@attrs.frozen
+class RetryHistory:
+    """What an owner of a retry budget knows of the past window.
+
+    :param shard: the shard.
+    :param earliest: requests by the age that they have at most, in steps of a fixed
+        part of the window, the newest first.
+    :param latest: requests by the age that they have at least, likewise.
+    :param retries: retries by age, likewise.
+    """
+
+    shard: QuotaShard
+    earliest: tuple[float, ...]
+    latest: tuple[float, ...]
+    retries: tuple[float, ...]
+
+
 #: datagram messages by their kind on the wire.
 DATAGRAM_KINDS = {
     "quota": QuotaLeaseRequest,
@@ -177,4 +235,6 @@
     "spent": QuotaUsageUpdate,
     "returned": QuotaLeaseReturn,
     "limit": LimitReport,
+    "history?": RetryHistoryRequest,
+    "history": RetryHistory,
 }
--- a/src/kumquatseam/quotas/_owners.py
+++ b/src/kumquatseam/quotas/_owners.py
@@ -5,7 +5,9 @@
 
 import attrs
 import gevent.event
+import xxhash
 
+from kumquatseam.clocks import elapsed_s
 from kumquatseam.peers import (
     DatagramCalls,
     DatagramLink,
@@ -20,13 +22,19 @@
     QuotaShard,
     QuotaTolerance,
     QuotaUsageUpdate,
+    RetryHistory,
+    RetryHistoryRequest,
 )
+from kumquatseam.quotas._retry_allocator import RetryAllocator
 from kumquatseam.routes import RouteTable
+from kumquatseam.settings import RetrySettings
 from kumquatseam.upstreams import AnnouncedLimits, LimitReport
 
 #: instances that one owner serves at most. A larger fleet splits each team's quota into
 #: shards, so that an owner's load does not grow with the fleet.
 INSTANCES_PER_SHARD = 200
+#: shortest time between two requests for the history of a retry budget.
+HISTORY_INTERVAL_S = 0.2
 #: after the shard count changed, instances that do not know of it use the owners of
 #: the previous shards for up to this long. Meanwhile each grant is deducted
 #: ``RESHARDING_CHARGE_FACTOR`` times.
@@ -48,6 +56,10 @@
     :param clock: monotonic clock in seconds.
     :param wait: waits for an event, with a timeout in seconds.
     :param limits: the limits that upstreams announced.
+    :param retries: the retry budget of each service.
+    :param retry_clock: clock of the retry budgets, which also counts the time in which
+        this process is suspended.
+    :param is_first_start: whether the whole fleet starts for the first time.
     """
 
     name: str
@@ -59,6 +71,23 @@
     clock: Callable[[], float] = time.monotonic
     wait: Callable[[gevent.event.Event, float], object] = gevent.event.Event.wait
     limits: AnnouncedLimits = attrs.Factory(AnnouncedLimits)
+    retries: RetrySettings = RetrySettings()
+    retry_clock: Callable[[], float] = elapsed_s
+    is_first_start: bool = False
+
+
+@attrs.define
+class _HistoryQuery:
+    """A query for the history of a retry budget.
+
+    :param asked_s: when it was sent.
+    :param addresses: the owners that it was sent to.
+    :param histories: the replies, by address.
+    """
+
+    asked_s: float
+    addresses: frozenset[str]
+    histories: dict[str, RetryHistory] = attrs.Factory(dict)
 
 
 class ShardOwners:
@@ -72,23 +101,35 @@
         self.clock = parts.clock
         self.limits = parts.limits
         self.are_known = parts.are_instances_known
+        self.retry_clock = parts.retry_clock
+        self.is_first_start = parts.is_first_start
         self._list_instances = parts.list_instances
         self._order = RendezvousOrder(parts.list_instances)
         self._link = parts.link
         self.allocator = QuotaAllocator(
             parts.name, parts.current_table, parts.tolerance, parts.limits, parts.clock
         )
+        self.retry_allocator = RetryAllocator(
+            parts.retries, parts.retry_clock, parts.is_first_start
+        )
         self.calls = DatagramCalls(parts.link, QuotaLeaseReply, parts.clock, parts.wait)
         self._shard_count: int | None = None
         self._resharded_s = float("-inf")
-        allocator = self.allocator
+        self._history_queries: dict[QuotaShard, _HistoryQuery] = {}
         parts.link.on_message(QuotaLeaseRequest, self._reply_to_request)
+        parts.link.on_message(QuotaUsageUpdate, lambda m, _: self._apply_usage(m))
         parts.link.on_message(
-            QuotaUsageUpdate, lambda m, _: allocator.apply_usage_update(m)
+            QuotaLeaseReturn, lambda m, _: self.allocator.apply_return(m)
         )
-        parts.link.on_message(QuotaLeaseReturn, lambda m, _: allocator.apply_return(m))
+        parts.link.on_message(RetryHistoryRequest, self._send_history)
+        parts.link.on_message(RetryHistory, self._collect_history)
         parts.link.on_message(LimitReport, lambda m, _: parts.limits.merge_report(m))
 
+    @property
+    def retry_settings(self) -> RetrySettings:
+        """The retry budget of each service."""
+        return self.retry_allocator.settings
+
     def count_instances(self) -> int:
         """Return the number of known instances."""
         return len(self._list_instances())
@@ -102,6 +143,11 @@
             self._shard_count = count
         return count
 
+    def preferred_number(self, subject: str, count: int) -> int:
+        """Return the number of the shard that this instance tries first."""
+        digest = xxhash.xxh3_64_intdigest(f"{subject}/{self.name}".encode())
+        return digest % count
+
     def of(self, shard: QuotaShard) -> Sequence[InstanceRecord]:
         """Return the owners of a shard, the preferred one first."""
         return self._order.owners_of(shard.key)
@@ -135,7 +181,7 @@
     def note_usage(self, record: InstanceRecord, update: QuotaUsageUpdate) -> None:
         """Tell an owner what the others granted."""
         if record.name == self.name:
-            self.allocator.apply_usage_update(update)
+            self._apply_usage(update)
         else:
             self.send(record, update)
 
@@ -144,6 +190,11 @@
 
     def _decide(self, request: QuotaLeaseRequest) -> QuotaLeaseReply:
         """Decide on a lease request as an owner of its shard."""
+        if request.shard.is_retry_budget:
+            self.retry_allocator.note_owners(request.shard, self.of(request.shard))
+            reply = self.retry_allocator.decide(request)
+            self._ask_for_history(request.shard)
+            return attrs.evolve(reply, keeper=self.name)
         if request.shard.is_upstream:
             return self.allocator.decide(request)
         self.count_shards()
@@ -153,6 +204,52 @@
         self._replicate_usage(request, reply)
         return reply
 
+    def _apply_usage(self, update: QuotaUsageUpdate) -> None:
+        if update.shard.is_retry_budget:
+            self.retry_allocator.note_owners(update.shard, self.of(update.shard))
+            self.retry_allocator.apply_usage_update(update)
+            self._ask_for_history(update.shard)
+        else:
+            self.allocator.apply_usage_update(update)
+
+    def _ask_for_history(self, shard: QuotaShard) -> None:
+        """Ask the other owners of a retry budget, while this one is not sure of it."""
+        if self.retry_allocator.is_sure(shard):
+            self._history_queries.pop(shard, None)
+            return
+        now_s = self.retry_clock()
+        query = self._history_queries.get(shard)
+        if query is not None and now_s - query.asked_s < HISTORY_INTERVAL_S:
+            return
+        others = [record for record in self.of(shard) if record.name != self.name]
+        addresses = frozenset(record.address for record in others)
+        self._history_queries[shard] = _HistoryQuery(now_s, addresses)
+        for record in others:
+            self.send(record, RetryHistoryRequest(shard))
+
+    def _collect_history(self, history: RetryHistory, sender: str) -> None:
+        """Adopt the history of a budget once all its other owners sent theirs."""
+        query = self._history_queries.get(history.shard)
+        if query is None or sender not in query.addresses:
+            return
+        query.histories[sender] = history
+        if len(query.histories) == len(query.addresses):
+            del self._history_queries[history.shard]
+            histories = tuple(query.histories.values())
+            self.retry_allocator.adopt(history.shard, histories)
+
+    def _send_history(self, request: RetryHistoryRequest, sender: str) -> None:
+        """Send the history of a budget to another owner of it.
+
+        An instance that owns it only by its own, different list of the instances must
+        not grant from it a second time.
+        """
+        if all(record.address != sender for record in self.of(request.shard)):
+            return
+        history = self.retry_allocator.history(request.shard)
+        if history is not None:
+            self._link.send(sender, history)
+
     def _replicate_usage(
         self, request: QuotaLeaseRequest, reply: QuotaLeaseReply
     ) -> None:
--- a/src/kumquatseam/quotas/_teams.py
+++ b/src/kumquatseam/quotas/_teams.py
@@ -1,7 +1,6 @@
 """Acquiring quota for requests."""
 
 import attrs
-import xxhash
 
 from kumquatseam.admission import TokenBucket
 from kumquatseam.logs import part_logger
@@ -156,8 +155,7 @@
 
     def _preferred_shard(self, team: str, count: int) -> QuotaShard:
         """Return the shard that this instance tries first."""
-        digest = xxhash.xxh3_64_intdigest(f"{team}/{self._name}".encode())
-        return QuotaShard(team, digest % count, count)
+        return QuotaShard(team, self._owners.preferred_number(team, count), count)
 
     def _return(self, lease: _LocalLease) -> None:
         """Return the unused amount of a lease."""
--- a/src/kumquatseam/quotas/_upstreams.py
+++ b/src/kumquatseam/quotas/_upstreams.py
@@ -8,6 +8,7 @@
 
 from kumquatseam.logs import part_logger
 from kumquatseam.peers import InstanceRecord
+from kumquatseam.quotas._ballots import Ballot, hold_ballot
 from kumquatseam.quotas._errors import UpstreamLimitError
 from kumquatseam.quotas._messages import (
     OwnerVote,
@@ -57,20 +58,6 @@
     is_limit_known: bool = True
 
 
-@attrs.define
-class _Ballot:
-    """The replies of a limit's owners to one request.
-
-    :param granted_by: the owners that granted it.
-    :param refusal: the reply of the owner that refused it, if any.
-    :param is_reserved: whether the first owner had reserved a place for it.
-    """
-
-    granted_by: list[InstanceRecord] = attrs.Factory(list)
-    refusal: QuotaLeaseReply | None = None
-    is_reserved: bool = False
-
-
 class UpstreamLimits(LimitObserver):
     """Acquires grants for requests to upstreams that announced a limit.
 
@@ -197,33 +184,45 @@
         shard: QuotaShard,
         owners: Sequence[InstanceRecord],
         retry: CallerRetry | None,
-    ) -> _Ballot:
+    ) -> Ballot:
         """Ask owners for a grant until most of them granted it or one refuses."""
-        ballot = _Ballot()
-        majority = len(owners) // 2 + 1
-        for record in owners:
+
+        def ask(record: InstanceRecord, ballot: Ballot) -> QuotaLeaseReply | None:
             vote = OwnerVote.CONFIRMS if ballot.granted_by else OwnerVote.DECIDES
-            if not self._ask(ballot, record, shard, len(owners), vote, retry):
-                continue
-            if ballot.refusal is not None or len(ballot.granted_by) >= majority:
-                return ballot
-        if ballot.granted_by:
-            (first,) = ballot.granted_by
-            ballot.granted_by.clear()
-            self._ask(ballot, first, shard, len(owners), OwnerVote.ALONE, retry)
+            request = self._request(shard, len(owners), vote, ballot, retry)
+            return self._ask(record, request)
+
+        ballot = hold_ballot(owners, ask)
+        if ballot.refusal is None and not ballot.is_granted_by_most(len(owners)):
+            self._ask_alone(ballot, shard, owners, retry)
         return ballot
 
-    def _ask(
+    def _ask_alone(
+        self,
+        ballot: Ballot,
+        shard: QuotaShard,
+        owners: Sequence[InstanceRecord],
+        retry: CallerRetry | None,
+    ) -> None:
+        """Ask the only owner that replied for its own part of the limit."""
+        if not ballot.granted_by:
+            return
+        (first,) = ballot.granted_by
+        ballot.granted_by.clear()
+        request = self._request(shard, len(owners), OwnerVote.ALONE, ballot, retry)
+        reply = self._ask(first, request)
+        if reply is not None:
+            ballot.add(first, reply)
+
+    def _request(
         self,
-        ballot: _Ballot,
-        record: InstanceRecord,
         shard: QuotaShard,
         owner_count: int,
         vote: OwnerVote,
+        ballot: Ballot,
         retry: CallerRetry | None,
-    ) -> bool:
-        """Ask one owner; return whether it replied."""
-        request = QuotaLeaseRequest(
+    ) -> QuotaLeaseRequest:
+        return QuotaLeaseRequest(
             self._owners.calls.next_number(),
             shard,
             None,
@@ -235,17 +234,15 @@
             key=retry.key if retry is not None else "",
             max_wait_ms=int(retry.max_wait_s * 1000) if retry is not None else 0,
         )
+
+    def _ask(
+        self, record: InstanceRecord, request: QuotaLeaseRequest
+    ) -> QuotaLeaseReply | None:
+        """Return an owner's reply; ``None`` without one in time."""
         reply = self._owners.call(record, request)
-        if reply is None:
-            return False
-        if reply.report is not None:
+        if reply is not None and reply.report is not None:
             self.announced.merge_report(reply.report)
-        if reply.lent:
-            ballot.granted_by.append(record)
-            ballot.is_reserved |= reply.is_reserved
-        else:
-            ballot.refusal = reply
-        return True
+        return reply
 
     def _replicate_usage(
         self,
@@ -303,7 +300,7 @@
         self._used_up_until_s.pop(incarnation_id, None)
 
     def _log_decision(
-        self, incarnation_id: str, request_id: str, ballot: _Ballot, is_granted: bool
+        self, incarnation_id: str, request_id: str, ballot: Ballot, is_granted: bool
     ) -> None:
         refusal = ballot.refusal
         known = self.announced.of(incarnation_id)
--- a/src/kumquatseam/serving/_parts.py
+++ b/src/kumquatseam/serving/_parts.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from kumquatseam.admission import RetryBudget
+from kumquatseam.admission.retry_budget import RetryBudget
 from kumquatseam.admission.team_limiter import TeamLimiter
 from kumquatseam.errors import ClaimUnavailableError, KumquatseamError
 from kumquatseam.idempotency import ClaimLedger
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Sequence
 
 from kumquatseam import quarantine, quotas
-from kumquatseam.admission import RetryBudget
+from kumquatseam.admission.retry_budget import RetryBudget
 from kumquatseam.admission.team_limiter import TeamLimiter
 from kumquatseam.callers import CallerInterface
 from kumquatseam.control import ControlHandler
