Log and count the upstreams that an instance cannot reach

The logs of an instance that is cut from all upstreams name failed connections one by one, and nothing says whether an upstream or the instance's own path is at fault. One line when all listed upstreams fail, and a gauge to compare between instances. No decision changes.

--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -55,6 +55,7 @@
         lambda: time.monotonic() - (directory.list_confirmed_s or 0.0),
     )
     metrics.register_gauge("upstreams_held_out", lambda: _count_held_out(directory))
+    metrics.register_gauge("upstreams_unreachable", directory.count_unreachable)
     metrics.register_gauge(
         "weights_version",
         lambda: max((named.version for named in targets.all()), default=0),
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -211,6 +211,12 @@
         self._update_failure_share(status, True)
         backoff_s = HOLD_OUT_S * 2 ** (status.failures_in_row - 1)
         self._hold_out(status, min(backoff_s, MAX_HOLD_OUT_S), reason)
+        if status.failures_in_row == 1 and self.count_unreachable() == len(self._by_id):
+            _log.bind(upstreams=len(self._by_id)).warning("No upstream can be reached.")
+
+    def count_unreachable(self) -> int:
+        """Return the number of upstreams whose newest connection failed."""
+        return sum(s.failures_in_row > 0 for s in self._by_id.values())
 
     def note_address_reused(self, status: UpstreamStatus, answering_id: str) -> None:
         """Record that another upstream answers at this one's address.
