Instances without a path to the upstreams reach them through others

Cause: an instance had only its own connections, and took each failure of them for a fault of the upstream. Evidence: 230 failed connections in 1.2 s on each instance that was cut, while its peers had room and a path.

Change: connections are tunnelled through another instance (HTTP CONNECT) while the own path is lost; what decides, retries and counts stays where it was. The path is told from upstreams that ended by asking another instance. Upstreams are not held out or taken for crashed by a path that is lost, a holder of the rollout duty steps down, and where nobody reaches an upstream requests are refused at once instead of going round.

Ruled out: readiness (open connections stay, a zone that is all unready gets its callers again) and handing requests over (two instances would count).

--- /dev/null
+++ b/features/relays.feature
@@ -0,0 +1,42 @@
+Feature: Connections through another instance
+  An instance that lost its path to the upstreams tunnels its connections through another
+  one. Guards against tunnels to anywhere else, chains of them, responses that look
+  complete and are not, and a path that counts as lost while upstreams end.
+
+  Scenario Outline: A gateway opens tunnels for others only to upstreams that it reaches
+    Given a relay that <state>
+    When another instance asks it for a tunnel to <target>
+    Then the relay answers <status>
+
+    Examples:
+      | state                   | target              | status |
+      | has a path              | a listed upstream   | 200    |
+      | has a path              | an unlisted address | 403    |
+      | has a path              | an upstream that ended | 502 |
+      | has no path             | a listed upstream   | 503    |
+      | has all tunnels in use  | a listed upstream   | 429    |
+
+  Scenario: A tunnel passes on that the caller left
+    Given a relay that has a path
+    When a tunnel to an upstream is open and its client closes it
+    Then the upstream sees the connection end
+
+  Scenario: A response that is reset behind a tunnel does not look complete
+    Given a relay that has a path
+    When a tunnel to an upstream is open and the upstream resets it
+    Then the client sees a reset
+
+  Scenario: A single upstream that ends is not taken for a lost path
+    Given an instance with 5 upstreams
+    When 1 of them cannot be connected to
+    Then its path is not suspected
+
+  Scenario: Several upstreams that end while others respond are not taken for a lost path
+    Given an instance with 5 upstreams
+    When 3 of them cannot be connected to, but a peer cannot connect either
+    Then its path does not count as lost
+
+  Scenario: An upstream that is silent for a second is not taken for a lost path
+    Given an instance with 5 upstreams
+    When one of them is silent for 2 seconds while another one responds
+    Then its path is not suspected
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -29,6 +29,7 @@
 address = 127.0.0.1:{peer}
 state_address = 127.0.0.1:{state}
 seeds = {seeds}
+relay_address = 127.0.0.1:{relay}
 is_first_start = true
 [log]
 address = 127.0.0.1:{log}
@@ -62,7 +63,8 @@
     def __init__(self, folder: Path, name: str, log_port: int, slack=50, seeds=""):
         self.name = name
         self.ports = {
-            p: free_port() for p in ("front", "ready", "metrics", "peer", "state")
+            p: free_port()
+            for p in ("front", "ready", "metrics", "peer", "state", "relay")
         }
         self.settings = folder / f"{name}.ini"
         self.log_path = folder / f"{name}.log"
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -63,6 +63,8 @@
 #: connection attempts to the engine that a run was moved to. Each takes 0.3 s at
 #: most, and callers abandon a stream after two seconds without events.
 MAX_MOVE_CONNECT_ATTEMPTS = 4
+#: a request fails after it could not connect to any upstream this many times.
+MAX_CONNECT_ROUNDS = 2
 #: share of its remaining time that a retryable request waits for the first byte of
 #: one upstream.
 FIRST_BYTE_TIMEOUT_SHARE = 0.45
@@ -318,11 +320,21 @@
     def _after_connect_failure(
         self, placement: Placement, error: ConnectFailedError
     ) -> None:
-        self._parts.directory.note_connection_failure(
-            placement.status, "connect failed"
-        )
+        if error.is_upstream_fault:
+            self._parts.directory.note_connection_failure(
+                placement.status, "connect failed"
+            )
         self._log_failure(placement, str(error))
         self._release_limit_grant()
+        progress = self._progress
+        progress.connect_failures += 1
+        upstreams = len(self._parts.directory.of_service(self._job.service.name))
+        if not error.is_upstream_fault or (
+            progress.connect_failures > MAX_CONNECT_ROUNDS * upstreams
+        ):
+            # No upstream can be reached, so the request would go round in vain.
+            progress.may_have_run |= placement.moved_run is not None
+            self._fail(Reason.NO_UPSTREAM, str(error))
         if placement.moved_run is not None:
             self._after_move_connect_failure(placement, error)
             return
--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -11,6 +11,7 @@
 from kumquatseam.peers import DatagramSocket, PeerBus
 from kumquatseam.quarantine import Quarantine
 from kumquatseam.quotas import RetryBudgets, ShardOwners, TeamQuotas, UpstreamLimits
+from kumquatseam.relays import DirectPath, RelayClient
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.trackers import LoadTracker, TrackerClient
 from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
@@ -35,6 +36,8 @@
     quotas: TeamQuotas
     limits: UpstreamLimits
     retries: RetryBudgets
+    path: DirectPath
+    relays: RelayClient
 
 
 def add_gauges(metrics: GatewayMetrics, parts: GaugeParts) -> None:
@@ -67,6 +70,7 @@
     metrics.register_gauge(
         "upstreams_limited", lambda: len(parts.limits.announced.limited())
     )
+    metrics.register_gauge("path_lost", lambda: int(parts.path.is_lost))
     metrics.register_gauge("requests_suspected", lambda: len(parts.quarantine.suspects))
     metrics.register_gauge("quotas_kept", lambda: len(parts.shard_owners.allocator))
     metrics.register_gauge(
@@ -94,6 +98,9 @@
     metrics.register_counter("retries_undecided", lambda: parts.retries.undecided)
     metrics.register_counter("limit_grants", lambda: limits.granted)
     metrics.register_counter("limit_refusals", lambda: limits.refused)
+    metrics.register_counter("path_losses", lambda: parts.path.lost_count)
+    metrics.register_counter("relayed_connections", lambda: parts.relays.opened)
+    metrics.register_counter("relay_failures", lambda: parts.relays.failed)
     metrics.register_counter("upstream_connections", lambda: parts.pool.opened)
     metrics.register_counter("caller_connections", lambda: parts.server.accepted)
     metrics.register_counter("log_calls", lambda: parts.log_service.calls)
--- a/src/kumquatseam/gateway/_outcomes.py
+++ b/src/kumquatseam/gateway/_outcomes.py
@@ -14,6 +14,7 @@
 
     :param attempts: how often it was sent to an upstream.
     :param refusals: attempts that an upstream declared as not run.
+    :param connect_failures: failed connections to upstreams.
     :param move_connect_failures: failed connections to the engine that a run was
         moved to.
     :param may_have_run: whether any upstream may have run it.
@@ -25,6 +26,7 @@
 
     attempts: int = 0
     refusals: int = 0
+    connect_failures: int = 0
     move_connect_failures: int = 0
     may_have_run: bool = False
     has_sent: bool = False
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -21,7 +21,7 @@
     upstream_pace,
 )
 from kumquatseam.gateway._server import GatewayServer
-from kumquatseam.http1 import ConnectionPool, RequestLimits
+from kumquatseam.http1 import ConnectFailedError, ConnectionPool, RequestLimits
 from kumquatseam.leases import DutyLease
 from kumquatseam.lifecycle import PartGroup
 from kumquatseam.logs import part_logger
@@ -45,8 +45,10 @@
 from kumquatseam.quarantine import (
     SUSPECTS_TOPIC,
     BusNoticeChannel,
+    Liveness,
     Quarantine,
     QuarantineParts,
+    probe_liveness,
 )
 from kumquatseam.quotas import (
     QuotaParts,
@@ -56,6 +58,14 @@
     TeamQuotas,
     UpstreamLimits,
 )
+from kumquatseam.relays import (
+    CHECK_INTERVAL_S,
+    DirectPath,
+    NoRelayError,
+    RelayClient,
+    RelayingConnector,
+    RelayServer,
+)
 from kumquatseam.rollouts import (
     NoticeRelay,
     RolloutBounds,
@@ -122,7 +132,6 @@
         self._index = PromptIndex()
         self._metrics = GatewayMetrics()
         self._started_s = time.monotonic()
-        self._pool = ConnectionPool(file.gateway.connect_timeout_s)
         self._log_service = HttpLogService(
             f"http://{file.log.address}", file.log.timeout_s
         )
@@ -135,8 +144,16 @@
             file.peers.address,
             file.peers.state_address,
             file.gateway.link_mbps,
+            file.peers.relay_address,
         )
         self._bus = PeerBus(self._record, BUS_KINDS)
+        self._path = DirectPath(lambda: len(self._directory.all()))
+        self._path.on_change(self._handle_path_change)
+        self._relays = RelayClient(file.gateway.router_name, lambda: self._bus.records)
+        self._connector = RelayingConnector(
+            self._path, self._relays, self._list_upstream_addresses
+        )
+        self._pool = ConnectionPool(file.gateway.connect_timeout_s, self._connector)
         self._queries = PeerQueries(self._bus, QUERY_KINDS, file.peers.seeds)
         self._feeds = TopicFeeds(
             self._log_service,
@@ -195,6 +212,8 @@
             StepLoop(self._directory.next_sweep_s, self._directory.sweep),
             self._build_rollout_duty(),
             StepLoop(SWEEP_INTERVAL_S, self._pool.sweep),
+            StepLoop(CHECK_INTERVAL_S, self._connector.check),
+            *self._relay_servers(),
             *self._health_servers(),
         ]
         self._parts = PartGroup("gateway", parts)
@@ -265,9 +284,44 @@
                 self._datagrams,
                 BusNoticeChannel(self._bus, self._datagrams),
                 self._log_service,
+                probe=self._probe_liveness,
             )
         )
 
+    def _relay_servers(self) -> list[RelayServer]:
+        """Build the server of tunnels for other instances, if it has an address."""
+        address = self._file.peers.relay_address
+        if not address:
+            return []
+        server = RelayServer(
+            address,
+            self._file.gateway.connect_timeout_s,
+            self._directory.has_address,
+            lambda: not self._path.is_suspect,
+        )
+        self._path.on_change(lambda is_lost: server.end_tunnels())
+        return [server]
+
+    def _list_upstream_addresses(self) -> list[str]:
+        return [status.upstream.address for status in self._directory.all()]
+
+    def _handle_path_change(self, is_lost: bool) -> None:
+        """Reconnect to all upstreams, the other way."""
+        self._pool.drop_all()
+        self._directory.forgive_connection_failures()
+
+    def _probe_liveness(self, address: str) -> Liveness:
+        """Return whether a process listens at an address, as others see it too."""
+        liveness = probe_liveness(address)
+        if liveness is not Liveness.ENDED:
+            return liveness
+        try:
+            self._relays.open(address, self._file.gateway.connect_timeout_s).close()
+        except (ConnectFailedError, NoRelayError):
+            return Liveness.UNKNOWN if self._path.is_lost else Liveness.ENDED
+        self._path.note_relayed()
+        return Liveness.ALIVE
+
     def _build_shard_owners(self) -> ShardOwners:
         tolerance = self._file.quotas
         return ShardOwners(
@@ -309,6 +363,7 @@
             self._bus,
             view,
             lambda engines: self._work.running_on(engines, ROLLOUT_LOAD_MAX_AGE_S),
+            may_act=lambda: not self._path.is_lost,
             bounds=RolloutBounds(
                 self._file.rollout.replaced_weights_grace_s,
                 self._file.rollout.complete_s,
@@ -320,6 +375,8 @@
         view = self._bus.view()
         if not self._are_peers_known() or not view.is_coordinator:
             return None
+        if self._path.is_lost:
+            return None
         return view.position
 
     def _build_work(self) -> FleetSizeSwitch:
@@ -486,6 +543,8 @@
             self._quotas,
             self._limits,
             self._retries,
+            self._path,
+            self._relays,
         )
         add_gauges(self._metrics, parts)
         self._metrics.register_gauge("peers_alive", self._count_instances)
--- a/src/kumquatseam/http1/__init__.py
+++ b/src/kumquatseam/http1/__init__.py
@@ -4,13 +4,16 @@
   :class:`RequestLimits`.
 - :class:`UpstreamConnection` sends one request at a time to an upstream and detects
   whether its response is complete, truncated, or followed by unexpected bytes.
-- :class:`ConnectionPool` keeps idle connections for reuse.
+- :class:`ConnectionPool` keeps idle connections for reuse; a :class:`Connector` opens
+  new ones for it.
 """
 
 from kumquatseam.http1._connection import (
+    ConnectionWatch,
     SocketWait,
     UpstreamConnection,
     open_connection,
+    open_socket,
 )
 from kumquatseam.http1._errors import (
     BadRequestError,
@@ -27,7 +30,7 @@
     encode_request,
     encode_response_head,
 )
-from kumquatseam.http1._pool import ConnectionPool
+from kumquatseam.http1._pool import ConnectionPool, Connector
 from kumquatseam.http1._request_reader import RequestReader
 
 __all__ = [
@@ -36,6 +39,8 @@
     "CallerDisconnectedError",
     "ConnectFailedError",
     "ConnectionPool",
+    "ConnectionWatch",
+    "Connector",
     "Headers",
     "IdleConnectionError",
     "Request",
@@ -47,4 +52,5 @@
     "encode_request",
     "encode_response_head",
     "open_connection",
+    "open_socket",
 ]
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -1,5 +1,6 @@
 """One connection to an upstream, carrying one request at a time."""
 
+import abc
 import collections
 import socket
 import time
@@ -18,9 +19,40 @@
 _MAX_STRAY_RESPONSES = 3
 
 
+class ConnectionWatch(abc.ABC):
+    """Observes the traffic of connections."""
+
+    @abc.abstractmethod
+    def note_sent(self, connection: object, address: str) -> None:
+        """Record that a request was sent and its response is awaited."""
+
+    @abc.abstractmethod
+    def note_received(self, connection: object, is_first: bool) -> None:
+        """Record that bytes arrived.
+
+        :param is_first: whether they are the first ones on this connection.
+        """
+
+    @abc.abstractmethod
+    def note_failed(self, address: str) -> None:
+        """Record that a connection ended before any bytes arrived on it."""
+
+    @abc.abstractmethod
+    def note_closed(self, connection: object) -> None:
+        """Record that the connection was closed."""
+
+
 def open_connection(address: str, timeout_s: float) -> "UpstreamConnection":
     """Connect to ``address`` (``host:port``).
 
+    :raises ConnectFailedError: if it times out or is refused.
+    """
+    return UpstreamConnection(address, open_socket(address, timeout_s))
+
+
+def open_socket(address: str, timeout_s: float):
+    """Return a socket that is connected to ``address`` (``host:port``).
+
     :raises ConnectFailedError: if it times out or is refused.
     """
     host, _, port = address.rpartition(":")
@@ -31,7 +63,7 @@
     opened.settimeout(None)
     for option in dead_peer_socket_options():
         opened.setsockopt(*option)
-    return UpstreamConnection(address, opened)
+    return opened
 
 
 class _PartialResponse:
@@ -50,21 +82,28 @@
 
     :param address: ``host:port`` it leads to.
     :param connection: the open socket.
+    :param watch: observes its traffic, if given.
     """
 
-    def __init__(self, address: str, connection) -> None:
+    def __init__(
+        self, address: str, connection, watch: ConnectionWatch | None = None
+    ) -> None:
         self.address = address
+        self._watch = watch
         self._socket = connection
         self._parser = httptools.HttpResponseParser(self)
         self._responses: collections.deque[_PartialResponse] = collections.deque()
         self._unsent = b""
         self._parse_error = ""
         self._end_reason = ""
+        self._has_received = False
         self.reuse_until_s: float | None = None
         self.has_sent = False
 
     def close(self) -> None:
         """Close at once; an upstream that processes a request can detect it."""
+        if self._watch is not None:
+            self._watch.note_closed(self)
         self._socket.close()
 
     def is_open_and_idle(self) -> bool:
@@ -89,6 +128,8 @@
         self._responses.clear()
         self._unsent = data
         self.has_sent = False
+        if self._watch is not None:
+            self._watch.note_sent(self, self.address)
         self._write()
 
     def read_head(
@@ -174,6 +215,7 @@
             return
         except OSError as error:
             if not self.has_sent:
+                self._note_ended()
                 raise ResponseInterruptedError(
                     self.address, f"send: {error!r}"
                 ) from error
@@ -190,10 +232,14 @@
             return
         except OSError as error:
             self._end_reason = f"reset: {error!r}"
+            self._note_ended()
             return
         if not data:
             self._handle_end()
             return
+        if self._watch is not None:
+            self._watch.note_received(self, not self._has_received)
+        self._has_received = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -203,11 +249,16 @@
 
     def _handle_end(self) -> None:
         """Handle the end of the connection, which may also end a body."""
+        self._note_ended()
         response = self._responses[-1] if self._responses else None
         if response and response.head and response.head.is_ended_by_close:
             response.complete = True
         self._end_reason = "connection closed"
 
+    def _note_ended(self) -> None:
+        if self._watch is not None and not self._has_received:
+            self._watch.note_failed(self.address)
+
     # Callbacks of the parser; it defines their names.
 
     def on_message_begin(self) -> None:
--- a/src/kumquatseam/http1/_errors.py
+++ b/src/kumquatseam/http1/_errors.py
@@ -42,10 +42,13 @@
 
     :param address: host and port.
     :param detail: how it failed.
+    :param is_upstream_fault: whether the upstream may be the cause; otherwise this
+        instance has no path to any.
     """
 
     address: str
     detail: str
+    is_upstream_fault: bool = True
 
     def __str__(self) -> str:
         return f"http: cannot connect to {self.address}: {self.detail}"
--- a/src/kumquatseam/http1/_pool.py
+++ b/src/kumquatseam/http1/_pool.py
@@ -1,5 +1,6 @@
 """A pool of idle connections to upstreams."""
 
+import abc
 import time
 
 from kumquatseam.http1._connection import UpstreamConnection, open_connection
@@ -12,6 +13,24 @@
 MAX_IDLE = 32
 
 
+class Connector(abc.ABC):
+    """Opens connections to upstreams."""
+
+    @abc.abstractmethod
+    def connect(self, address: str, timeout_s: float) -> UpstreamConnection:
+        """Open a connection to ``address`` (``host:port``).
+
+        :raises ConnectFailedError: if none can be opened.
+        """
+
+
+class DirectConnector(Connector):
+    """Connects directly."""
+
+    def connect(self, address: str, timeout_s: float) -> UpstreamConnection:
+        return open_connection(address, timeout_s)
+
+
 class ConnectionPool:
     """Idle connections by address.
 
@@ -19,10 +38,14 @@
     was complete and nothing followed it.
 
     :param connect_timeout_s: timeout of a new connection.
+    :param connector: opens new connections.
     """
 
-    def __init__(self, connect_timeout_s: float) -> None:
+    def __init__(
+        self, connect_timeout_s: float, connector: Connector | None = None
+    ) -> None:
         self._connect_timeout_s = connect_timeout_s
+        self._connector = connector or DirectConnector()
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self.opened = 0
 
@@ -40,7 +63,7 @@
                 return connection
             connection.close()
         self.opened += 1
-        return open_connection(address, min(timeout_s, self._connect_timeout_s))
+        return self._connector.connect(address, min(timeout_s, self._connect_timeout_s))
 
     def release(
         self, connection: UpstreamConnection, keep_alive_s: float | None
@@ -75,7 +98,11 @@
             else:
                 del self._idle[address]
 
-    def close(self) -> None:
+    def drop_all(self) -> None:
         """Close all idle connections."""
         for address in list(self._idle):
             self.drop(address)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self.drop_all()
--- a/src/kumquatseam/peers/_messages.py
+++ b/src/kumquatseam/peers/_messages.py
@@ -17,12 +17,15 @@
     :param state_address: ``host:port`` at which it answers queries; empty if it
         answers none.
     :param link_mbps: speed of its network link; 0 if unknown.
+    :param relay_address: ``host:port`` at which it opens tunnels to upstreams; empty
+        if it opens none.
     """
 
     name: str
     address: str
     state_address: str = ""
     link_mbps: float = 0.0
+    relay_address: str = ""
 
 
 @attrs.frozen
--- a/src/kumquatseam/quarantine/__init__.py
+++ b/src/kumquatseam/quarantine/__init__.py
@@ -21,7 +21,7 @@
 from kumquatseam.quarantine._list import SuspectList
 from kumquatseam.quarantine._messages import BUS_KINDS, DATAGRAM_KINDS, CrashNotice
 from kumquatseam.quarantine._permission import RunPermission
-from kumquatseam.quarantine._probe import Liveness
+from kumquatseam.quarantine._probe import Liveness, probe_liveness
 from kumquatseam.quarantine._publisher import (
     SUSPECTS_TOPIC,
     BusNoticeChannel,
@@ -49,4 +49,5 @@
     "RunUpstream",
     "SuspectList",
     "fingerprint",
+    "probe_liveness",
 ]
--- /dev/null
+++ b/src/kumquatseam/relays/__init__.py
@@ -0,0 +1,27 @@
+"""Reaching upstreams through other instances.
+
+An instance can lose its path to all upstreams while its callers and the other instances
+still reach it. Its connections to upstreams are then tunnelled through one of the other
+instances (HTTP ``CONNECT``). Everything else stays where it is: the instance that took
+the request decides, retries and counts; the other one copies bytes.
+
+- :class:`RelayServer` opens tunnels for other instances.
+- :class:`RelayClient` opens a tunnel through another instance.
+- :class:`DirectPath` tells whether this instance has lost its path to the upstreams.
+- :class:`RelayingConnector` opens connections to upstreams, either way.
+"""
+
+from kumquatseam.relays._client import RelayClient
+from kumquatseam.relays._connector import CHECK_INTERVAL_S, RelayingConnector
+from kumquatseam.relays._direct_path import DirectPath
+from kumquatseam.relays._errors import NoRelayError
+from kumquatseam.relays._server import RelayServer
+
+__all__ = [
+    "CHECK_INTERVAL_S",
+    "DirectPath",
+    "NoRelayError",
+    "RelayClient",
+    "RelayServer",
+    "RelayingConnector",
+]
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -61,6 +61,7 @@
         incarnation; engines without a known load are missing.
     :param clock: monotonic clock in seconds.
     :param bounds: time limits of a rollout.
+    :param may_act: whether this instance can give orders to engines.
     """
 
     def __init__(
@@ -75,8 +76,10 @@
         running_on: Callable[[Sequence[str]], Mapping[str, int]],
         clock: Callable[[], float] = time.monotonic,
         bounds: RolloutBounds | None = None,
+        may_act: Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__()
+        self._may_act = may_act
         self._bounds = bounds or RolloutBounds()
         self._lease = lease
         self._targets = targets
@@ -112,6 +115,9 @@
 
     def step(self) -> None:
         """Renew or acquire the lease, and advance all rollouts while it is held."""
+        if self._lease.fence is not None and not self._may_act():
+            # Another instance takes over once the lease has expired.
+            self._lease.step_down()
         self._lease.step()
         if self._lease.fence is None:
             self.orders.clear()
--- a/src/kumquatseam/settings/_gateway.py
+++ b/src/kumquatseam/settings/_gateway.py
@@ -47,6 +47,8 @@
     :param state_address: HOST:PORT at which it answers queries of other instances.
     :param seeds: HOST:PORT of some instances that answer queries, used at start-up
         while the log is unreachable; they may be stale.
+    :param relay_address: HOST:PORT at which it opens tunnels to upstreams for other
+        instances; none if empty.
     :param is_first_start: whether the whole fleet starts for the first time, so that
         the other instances are not registered yet.
     """
@@ -54,6 +56,7 @@
     address: str = setting()
     state_address: str = setting(default="")
     seeds: tuple[str, ...] = setting(default=())
+    relay_address: str = setting(default="")
     is_first_start: bool = setting(default=False)
 
 
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -218,6 +218,21 @@
         """Return the number of upstreams whose newest connection failed."""
         return sum(s.failures_in_row > 0 for s in self._by_id.values())
 
+    def forgive_connection_failures(self) -> None:
+        """Use upstreams again that are held out since they could not be reached.
+
+        The cause was this instance's own path, which has been replaced.
+        """
+        for status in self._by_id.values():
+            if status.failures_in_row:
+                status.failures_in_row = 0
+                status.failure_share = 0.0
+                status.held_out_until_s = self._clock()
+
+    def has_address(self, address: str) -> bool:
+        """Return whether an upstream is listed at an address."""
+        return any(s.upstream.address == address for s in self._by_id.values())
+
     def note_address_reused(self, status: UpstreamStatus, answering_id: str) -> None:
         """Record that another upstream answers at this one's address.
 
