An instance probes before it asks for a detour

Cause: an instance keeps connections to upstreams that are well, so the only new connections that it opens are to those that ended. Two of those looked like a lost path, and each further attempt waited for another instance's time-out too.

Change: before it asks another instance, it probes upstreams that did not fail, one round for all that wait. A relay connects with a shorter time-out than the instance that waits for its reply.

The six scenarios of cuts pass as before.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -36,6 +36,12 @@
     When 3 of them cannot be connected to, but a peer cannot connect either
     Then its path does not count as lost
 
+  Scenario: Upstreams that ended cost no detour while another one responds
+    Given an instance with 2 upstreams that ended, and one that responds
+    When it connects to those that ended, three times
+    Then no other instance was asked for a tunnel
+    And its path is not suspected
+
   Scenario: An upstream that is silent for a second is not taken for a lost path
     Given an instance with 5 upstreams
     When one of them is silent for 2 seconds while another one responds
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -14,9 +14,13 @@
 
 
 class EchoUpstream:
-    """An upstream that holds its connections open."""
+    """An upstream that holds its connections open.
 
-    def __init__(self):
+    :param response: sent on each connection, if given.
+    """
+
+    def __init__(self, response=b""):
+        self.response = response
         self.listener = gevent.socket.socket()
         self.listener.bind(("127.0.0.1", 0))
         self.listener.listen()
@@ -28,6 +32,8 @@
         while True:
             connection, _ = self.listener.accept()
             self.connections.append(connection)
+            if self.response:
+                connection.sendall(self.response)
 
     def close(self):
         self.accepting.kill()
@@ -129,7 +135,11 @@
 class ScriptedRelays:
     """Relays that cannot connect to any upstream."""
 
+    def __init__(self):
+        self.asked = 0
+
     def open(self, address, timeout_s):
+        self.asked += 1
         raise ConnectFailedError(address, "refused")
 
 
@@ -168,6 +178,37 @@
         context.path.note_received(other, is_first=False)
 
 
+@given("an instance with {count:d} upstreams that ended, and one that responds")
+def step_some_ended(context, count):
+    context.ended = []
+    for _ in range(count):
+        upstream = EchoUpstream()
+        upstream.close()
+        context.ended.append(upstream.address)
+    context.upstream = EchoUpstream(response=b"HTTP/1.1 400 Bad Request\r\n\r\n")
+    addresses = [*context.ended, context.upstream.address]
+    context.path = DirectPath(lambda: len(addresses))
+    context.relays = ScriptedRelays()
+    context.connector = RelayingConnector(
+        context.path, context.relays, lambda: addresses
+    )
+
+
+@when("it connects to those that ended, three times")
+def step_connect_to_ended(context):
+    for address in context.ended * 3:
+        try:
+            context.connector.connect(address, 0.2)
+        except ConnectFailedError:
+            continue
+
+
+@then("no other instance was asked for a tunnel")
+def step_no_detour(context):
+    context.upstream.close()
+    assert context.relays.asked == 0, context.relays.asked
+
+
 @then("its path is not suspected")
 def step_not_suspected(context):
     assert not context.path.is_suspect
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -113,6 +113,9 @@
 PEER_CHECK_INTERVAL_S = 0.25
 #: name of the lease whose holder rolls out weights.
 ROLLOUT_LEASE = "weights"
+#: timeout of a relayed connection, as a share of that of a direct one, so that the
+#: instance that asked for it gets a reply in time.
+RELAYED_CONNECT_SHARE = 0.4
 #: part of the shutdown grace period that is reserved for ending the process.
 SHUTDOWN_MARGIN_S = 0.4
 
@@ -295,7 +298,7 @@
             return []
         server = RelayServer(
             address,
-            self._file.gateway.connect_timeout_s,
+            self._file.gateway.connect_timeout_s * RELAYED_CONNECT_SHARE,
             self._directory.has_address,
             lambda: not self._path.is_suspect,
         )
--- a/src/kumquatseam/relays/_connector.py
+++ b/src/kumquatseam/relays/_connector.py
@@ -44,15 +44,18 @@
         self._path = path
         self._relays = relays
         self._list_addresses = list_addresses
+        self._probing: gevent.Greenlet | None = None
 
     def connect(self, address: str, timeout_s: float) -> UpstreamConnection:
         path = self._path
-        if path.is_lost or (path.fails_to_connect and path.has_failed(address)):
+        if path.is_lost:
+            return self._connect_through_relay(address, timeout_s)
+        if path.has_failed(address) and path.fails_to_connect and not self._answered():
             return self._connect_through_relay(address, timeout_s)
         try:
             return self._connect_directly(address, timeout_s)
         except ConnectFailedError:
-            if not self._path.fails_to_connect:
+            if not path.fails_to_connect or self._answered():
                 raise
         return self._connect_through_relay(address, timeout_s)
 
@@ -80,14 +83,36 @@
         """Probe a few upstreams if the path is lost, or may be."""
         if not self._path.is_suspect:
             return
+        if not self._answered() and self._path.is_silent and not self._path.is_lost:
+            addresses = self._list_addresses()
+            if addresses:
+                self._confirm_loss(random.choice(addresses))
+
+    def _answered(self) -> bool:
+        """Probe a few upstreams directly; return whether any responded.
+
+        Tells a lost path from upstreams that ended while all others, of which nothing
+        is known, have connections already. Concurrent calls share one round of probes.
+        """
+        if self._probing is None:
+            self._probing = gevent.spawn(self._probe_some)
+            self._probing.link(self._end_probing)
+        return bool(self._probing.get())
+
+    def _probe_some(self) -> bool:
         addresses = list(self._list_addresses())
-        sample = random.sample(addresses, min(PROBED_UPSTREAMS, len(addresses)))
-        probes = [gevent.spawn(_answers, address) for address in sample]
+        random.shuffle(addresses)
+        # Those that did not fail before are more likely to respond.
+        addresses.sort(key=self._path.has_failed)
+        probes = [gevent.spawn(_answers, a) for a in addresses[:PROBED_UPSTREAMS]]
         gevent.joinall(probes)
-        if any(probe.value for probe in probes):
+        is_answered = any(probe.value for probe in probes)
+        if is_answered:
             self._path.note_probe_answered()
-        elif sample and not self._path.is_lost:
-            self._confirm_loss(sample[0])
+        return is_answered
+
+    def _end_probing(self, _) -> None:
+        self._probing = None
 
     def _confirm_loss(self, address: str) -> None:
         """Check whether another instance reaches an upstream that stays silent here."""
