The user timeout leaves time for all keep-alive probes

Where TCP_USER_TIMEOUT is set, Linux also ends keep-alive by it, whatever the number of probes: connections to a peer that vanished ended after 3 s although three probes are meant to end them after 4.

--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -19,6 +19,8 @@
 SIGNATURE = "3e1b.07.5a2"
 #: how long a request runs before it crashes the replica.
 CRASHES_AFTER_S = 0.05
+#: how long a sound replica may fall silent in the middle of a stream.
+PAUSE_S = 1.3
 
 
 @attrs.define
@@ -63,6 +65,15 @@
         self.event_pause_s = event_pause_s
         self.load_s = load_s
         self.crashes_on = crashes_on
+        #: requests that it runs at once, refusing others; ``None`` for any number.
+        self.room = None
+        #: how long a request of a plain service runs.
+        self.work_s = 0.0
+        #: refusals a second beyond which it falls over, as it says; ``None`` for none.
+        self.brittle = None
+        self.refused_s = collections.deque()
+        #: most refusals in any second.
+        self.most_refused = 0
         #: requests a second that it announces to accept; ``None`` for no limit.
         self.limit_per_s = None
         #: called with this replica after it crashed.
@@ -209,6 +220,8 @@
         }
         if self.version is not None:
             headers["X-Weight-Versions"] = str(self.version)
+        if self.brittle is not None:
+            headers["Server-Brittle"] = str(self.brittle)
         if self.limit_per_s is not None:
             headers["Server-Limit"] = f"{self.limit_per_s:g}"
         return headers
@@ -222,6 +235,10 @@
         if fault == "refuse" or (self.version is not None and self.loading):
             self._send(http, 503, b"", {**headers, "X-Not-Executed": "1"})
             return
+        if self.room is not None and self.running >= self.room:
+            self._refuse_for_room()
+            self._send(http, 503, b"", {**headers, "X-Not-Executed": "1"})
+            return
         copy = http.headers.get("Kv-From")
         if copy is not None and copy not in self.copies:
             self._send(http, 503, b"", {**headers, "X-Not-Executed": "1"})
@@ -259,7 +276,20 @@
         elif self.version is not None:
             self._stream(http, seen, headers, fault)
         else:
-            self._send(http, 200, b"whole", headers)
+            self._work(http, headers)
+
+    def _work(self, http, headers):
+        self.running += 1
+        time.sleep(self.work_s)
+        self.running -= 1
+        self._send(http, 200, b"whole", headers)
+
+    def _refuse_for_room(self):
+        now_s = time.monotonic()
+        self.refused_s.append(now_s)
+        while self.refused_s[0] < now_s - 1.0:
+            self.refused_s.popleft()
+        self.most_refused = max(self.most_refused, len(self.refused_s))
 
     def _reset(self, http):
         linger = struct.pack("ii", 1, 0)
@@ -285,7 +315,7 @@
         http.close_connection = True
 
     def _stream(self, http, seen, headers, fault):
-        """Send events; the fault ``break`` disconnects in the middle of the third."""
+        """Send events; ``break`` disconnects in the third, ``pause`` waits there."""
         first = int(http.headers.get("Last-Event-Id") or 0) + 1
         request_id = headers["X-Request-Id"]
         http.send_response(200)
@@ -303,6 +333,8 @@
                     http.connection.shutdown(socket.SHUT_RDWR)
                     return
                 data = f"id: {number}\ndata: piece {number}\n\n".encode()
+                if fault == "pause" and number == first + 2:
+                    time.sleep(PAUSE_S)
                 if fault == "break" and number == first + 2:
                     self._chunk(http, data[:8])
                     http.close_connection = True
--- a/src/kumquatseam/pools.py
+++ b/src/kumquatseam/pools.py
@@ -17,7 +17,9 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
 #: maximum time that sent bytes may stay unacknowledged; then the connection fails.
-USER_TIMEOUT_MS = 3000
+#: Where it is set, Linux also ends keep-alive by it, whatever the number of probes, so
+#: it leaves time for all of them.
+USER_TIMEOUT_MS = 1000 * (KEEPALIVE_IDLE_S + KEEPALIVE_INTERVAL_S * KEEPALIVE_PROBES)
 
 
 class AddressPools:
