Brittle upstreams get no more refusals than they bear

An upstream that is brittle says so in its responses (Server-Brittle), lets few requests wait and ends after more than so many refusals in a second. Nothing read it: with two replicas for two requests each and 60 callers at once, 68 and 77 refusals in a second where four are borne (three gateways).

A brittle upstream gets no more than its slots, of which each instance uses its part; what does not fit waits in the gateway or is refused at once. After a refusal an instance leaves it alone for so long that all of them together stay below the number. The upstreams of a service become brittle together, so the word of one counts for those that have not responded lately. A request counts on its upstream before the connection is opened: 60 callers at once were placed as if it had room (12 refusals in a second with the rest of the change).

--- a/src/kumquatseam/gateway/_call.py
+++ b/src/kumquatseam/gateway/_call.py
@@ -78,6 +78,8 @@
     :param is_signed: whether it carries the upstream's signature.
     :param limit_per_s: requests a second that the upstream accepts from all instances
         together; ``None`` if the value is unreadable.
+    :param brittle_refusals: refusals a second beyond which the upstream ends;
+        ``None`` if it says nothing of the kind.
     """
 
     is_not_run: bool
@@ -86,3 +88,4 @@
     is_signed: bool
     responding_id: str = ""
     limit_per_s: float | None = NO_LIMIT_PER_S
+    brittle_refusals: float | None = None
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -90,8 +90,6 @@
 #: Retry-After when all upstreams were busy or loading weights, which takes about
 #: this long.
 RETRY_AFTER_S = 0.6
-#: how long no requests are sent to an upstream that refused one for lack of capacity.
-REFUSED_BLOCK_S = 0.1
 
 
 class Exchange:
@@ -484,11 +482,17 @@
         self._sent_s = self._attempt_first_event_s = None
         self._placement = placement
         self._sent_request = None
-        self._acquire_retry_grant()
-        connection = self._parts.pool.acquire(address, self._job.remaining_s)
+        # Counted before connecting, so that further requests are not placed there
+        # meanwhile as if it had room.
         in_flight_request = self._parts.work.begin(
             placement.request_work(self._job.remaining_s)
         )
+        try:
+            self._acquire_retry_grant()
+            connection = self._parts.pool.acquire(address, self._job.remaining_s)
+        except BaseException:
+            in_flight_request.end()
+            raise
         self._has_released_connection = False
         try:
             return self._send_and_receive(placement, connection, in_flight_request)
@@ -597,6 +601,8 @@
         if model and traits.weights_version is not None:
             status.record_version(model, traits.weights_version, time.monotonic())
         self._observe_limit(status, traits)
+        if traits.responding_id in ("", status.upstream.upstream_id):
+            self._parts.directory.note_brittle(status, traits.brittle_refusals)
         if traits.is_not_run:
             _log.bind(
                 request=self._job.call.request_id,
@@ -607,7 +613,7 @@
             if traits.responding_id not in ("", status.upstream.upstream_id):
                 self._parts.directory.note_address_reused(status, traits.responding_id)
             else:
-                self._parts.directory.block(status, REFUSED_BLOCK_S)
+                self._parts.directory.note_refused(status)
             return
         self._parts.directory.note_answer(status, head.status >= 500)
 
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -131,7 +131,7 @@
         self._file = file
         self._adapter = adapter
         self._live = LiveRouteTable()
-        self._directory = UpstreamDirectory()
+        self._directory = UpstreamDirectory(count_instances=self._count_instances)
         self._index = PromptIndex()
         self._metrics = GatewayMetrics()
         self._started_s = time.monotonic()
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -51,6 +51,8 @@
 #: greatest age of a request count used to choose an engine to move a run to: the
 #: move itself takes longer.
 MOVE_LOAD_MAX_AGE_S = 0.05
+#: maximum age of the counts of requests that brittle upstreams run.
+BRITTLE_LOAD_MAX_AGE_S = 0.05
 #: for this long after weights are replaced, requests start on them without penalty;
 #: answers to later ones are worth a fifth less to the users.
 REPLACED_WEIGHTS_FREE_S = 1.3
@@ -230,9 +232,34 @@
             and status.blocked_until_s <= now_s
             and request.only in ("", status.upstream.incarnation_id)
         ]
+        listed = self._without_full_brittle(listed)
         healthy = [s for s in listed if s.held_out_until_s <= now_s]
         return healthy or listed
 
+    def _without_full_brittle(
+        self, statuses: list[UpstreamStatus]
+    ) -> list[UpstreamStatus]:
+        """Drop brittle upstreams that run as many requests as they can.
+
+        A request waits here instead: a brittle upstream lets few requests wait, and
+        ends if it has to refuse many.
+        """
+        brittle = [
+            status.upstream.incarnation_id
+            for status in statuses
+            if self._directory.bearable_refusals(status) is not None
+        ]
+        if not brittle:
+            return statuses
+        running = self._work.running_on(brittle, BRITTLE_LOAD_MAX_AGE_S)
+        return [
+            status
+            for status in statuses
+            if self._directory.has_room(
+                status, running.get(status.upstream.incarnation_id, status.running)
+            )
+        ]
+
     def _place_on_engine(
         self, request: PlacementRequest, statuses: list[UpstreamStatus]
     ) -> Placement | None:
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -1,5 +1,7 @@
 """Headers of the platform's requests and responses."""
 
+import math
+
 from kumquatseam.gateway import (
     Call,
     Dialect,
@@ -16,6 +18,7 @@
 _PREFIX = b"x-prompt-prefix"
 _VERSION = b"x-weight-versions"
 _LIMIT = b"server-limit"
+_BRITTLE = b"server-brittle"
 _KEY_SCHEME = "token "
 
 #: addressed to the router or set only by it, so never forwarded.
@@ -96,6 +99,7 @@
             is_signed=headers.get(b"x-replica-signature") is not None,
             responding_id=headers.text(b"x-replica-id") if head.status == 421 else "",
             limit_per_s=parse_limit(_text_or_none(headers, _LIMIT)),
+            brittle_refusals=_number_or_none(headers.text(_BRITTLE)),
         )
 
 
@@ -157,6 +161,15 @@
     return headers.text(name) if headers.get(name) is not None else None
 
 
+def _number_or_none(text: str) -> float | None:
+    """Return a number that is finite and not negative."""
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if 0 <= number < math.inf else None
+
+
 def _integer_or_none(text: str) -> int | None:
     try:
         return int(text)
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -36,6 +36,10 @@
 BUSY_SWEEP_S = 0.1
 #: the same interval otherwise.
 IDLE_SWEEP_S = 0.4
+#: how long a response says something about the other upstreams of its service.
+BRITTLE_TTL_S = 5.0
+#: how long no requests are sent to an upstream that refused one for lack of capacity.
+REFUSED_BLOCK_S = 0.1
 #: an upstream with a larger share of failed responses is held out.
 FAILURE_SHARE_LIMIT = 0.3
 #: weight of the newest response in the moving average of failures.
@@ -46,10 +50,16 @@
     """Upstreams by id, updated from the platform's list.
 
     :param clock: monotonic clock in seconds.
+    :param count_instances: returns the number of instances of the fleet.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        count_instances: Callable[[], int] = lambda: 1,
+    ) -> None:
         self._clock = clock
+        self._count_instances = count_instances
         self._by_id: dict[str, UpstreamStatus] = {}
         self._by_incarnation: dict[str, UpstreamStatus] = {}
         self._on_gone: list[Callable[[Upstream], None]] = []
@@ -266,6 +276,60 @@
         is_busy = any(s.answering or s.expires_s for s in self._by_id.values())
         return BUSY_SWEEP_S if is_busy else IDLE_SWEEP_S
 
+    def note_refused(self, status: UpstreamStatus) -> None:
+        """Record that an upstream refused a request, for lack of capacity as a rule.
+
+        A brittle one ends by too many refusals, so all instances together must get no
+        more than it bears, although none knows of the others'.
+        """
+        for_s = REFUSED_BLOCK_S
+        bearable = self.bearable_refusals(status)
+        if bearable is not None:
+            instances = self._count_instances()
+            each_per_s = max(1, int(bearable // instances))
+            for_s = max(1.0 / each_per_s, instances / max(1.0, bearable))
+        self.block(status, for_s)
+
+    def note_brittle(self, status: UpstreamStatus, refusals: float | None) -> None:
+        """Record what a response says of the upstream's brittleness.
+
+        :param refusals: refusals a second beyond which it ends, if it says so.
+        """
+        status.brittle_refusals = refusals
+        status.brittle_known_s = self._clock()
+
+    def bearable_refusals(self, status: UpstreamStatus) -> float | None:
+        """Return the refusals a second that an upstream bears, if it is brittle.
+
+        The upstreams of a service become brittle together, so one that has not
+        responded lately counts as brittle like the others.
+        """
+        oldest_s = self._clock() - BRITTLE_TTL_S
+        if status.brittle_known_s >= oldest_s:
+            return status.brittle_refusals
+        found = [
+            other.brittle_refusals
+            for other in self._by_id.values()
+            if other.upstream.service == status.upstream.service
+            and other.brittle_known_s >= oldest_s
+            and other.brittle_refusals is not None
+        ]
+        return min(found, default=None)
+
+    def has_room(self, status: UpstreamStatus, running: int) -> bool:
+        """Return whether a brittle upstream is expected to have room for a request.
+
+        Others may send it requests at this moment, so no instance uses more than its
+        part of the upstream's slots, and one at least.
+
+        :param running: requests of all instances that it runs.
+        """
+        if self.bearable_refusals(status) is None:
+            return True
+        slots = status.upstream.slots
+        part = max(1, slots // self._count_instances())
+        return running < slots and status.running < part
+
     def block(self, status: UpstreamStatus, for_s: float) -> None:
         """Record that an upstream refuses requests for the next ``for_s`` seconds."""
         status.blocked_until_s = max(status.blocked_until_s, self._clock() + for_s)
--- a/src/kumquatseam/upstreams/_status.py
+++ b/src/kumquatseam/upstreams/_status.py
@@ -32,6 +32,9 @@
         them.
     :param orders_accepted: number of load orders that this incarnation accepted, if
         known.
+    :param brittle_refusals: refusals a second, of all instances together, beyond which
+        it ends, as its newest response says; ``None`` if it says nothing of the kind.
+    :param brittle_known_s: when that response arrived.
     :param blocked_until_s: until then it refuses requests, usually since it loads
         weights.
     :param move_runs_to: upstreams that its running requests move to while it loads.
@@ -54,6 +57,8 @@
     _version_known_s: dict[str, float] = attrs.Factory(dict)
     _orders_known_s: float = -math.inf
     blocked_until_s: float = 0.0
+    brittle_refusals: float | None = None
+    brittle_known_s: float = float("-inf")
     closing_until_s: float = 0.0
     expires_s: float | None = None
     move_runs_to: tuple[str, ...] = ()
