What an upstream says of its brittleness is kept by service

Whether an upstream that has not responded lately is brittle was looked up among all upstreams at each placement: with 8,000 of them 64 million steps. One record a service now, and nothing at all while no upstream is brittle.

--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -244,6 +244,8 @@
         A request waits here instead: a brittle upstream lets few requests wait, and
         ends if it has to refuse many.
         """
+        if not self._directory.has_brittle():
+            return statuses
         brittle = [
             status.upstream.incarnation_id
             for status in statuses
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -46,6 +46,18 @@
 FAILURE_WEIGHT = 0.1
 
 
+@attrs.frozen
+class _Brittle:
+    """What an upstream of a service said last of its brittleness.
+
+    :param refusals: refusals a second beyond which it ends.
+    :param at_s: when it said so.
+    """
+
+    refusals: float
+    at_s: float
+
+
 class UpstreamDirectory:
     """Upstreams by id, updated from the platform's list.
 
@@ -62,6 +74,7 @@
         self._count_instances = count_instances
         self._by_id: dict[str, UpstreamStatus] = {}
         self._by_incarnation: dict[str, UpstreamStatus] = {}
+        self._brittle: dict[str, _Brittle] = {}
         self._on_gone: list[Callable[[Upstream], None]] = []
         self.list_confirmed_s: float | None = None
         #: number of requests sent so far; shows whether the load of this process's
@@ -295,8 +308,15 @@
 
         :param refusals: refusals a second beyond which it ends, if it says so.
         """
+        now_s = self._clock()
         status.brittle_refusals = refusals
-        status.brittle_known_s = self._clock()
+        status.brittle_known_s = now_s
+        if refusals is not None:
+            self._brittle[status.upstream.service] = _Brittle(refusals, now_s)
+
+    def has_brittle(self) -> bool:
+        """Return whether any upstream may be brittle."""
+        return bool(self._brittle)
 
     def bearable_refusals(self, status: UpstreamStatus) -> float | None:
         """Return the refusals a second that an upstream bears, if it is brittle.
@@ -307,14 +327,12 @@
         oldest_s = self._clock() - BRITTLE_TTL_S
         if status.brittle_known_s >= oldest_s:
             return status.brittle_refusals
-        found = [
-            other.brittle_refusals
-            for other in self._by_id.values()
-            if other.upstream.service == status.upstream.service
-            and other.brittle_known_s >= oldest_s
-            and other.brittle_refusals is not None
-        ]
-        return min(found, default=None)
+        service = status.upstream.service
+        known = self._brittle.get(service)
+        if known is not None and known.at_s < oldest_s:
+            del self._brittle[service]
+            return None
+        return known.refusals if known is not None else None
 
     def has_room(self, status: UpstreamStatus, running: int) -> bool:
         """Return whether a brittle upstream is expected to have room for a request.
