The pause after a brittle upstream's refusal counts all registered instances

Three gateways in front of two brittle replicas sometimes caused five or six refusals in a second where four are borne. An instance that has just started does not hear from the others yet, took itself for the only one, and paused for a quarter of a second. It is the class of the retry budget: a share by a wrong number.

--- a/features/steps/cut_from_upstreams_steps.py
+++ b/features/steps/cut_from_upstreams_steps.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 from cut_proxy import CutProxy
 from platform_steps import step_platform
-from platform_world import HTTP, wait_until
+from platform_world import wait_until
 
 PATHS = ("/plain/x", "/safe/x", "/resume/x")
 REQUESTS_PER_S = 30
@@ -61,20 +61,7 @@
     for gateway in world.gateways:
         wait_until("the gateway is ready", gateway.is_ready)
         wait_until("it lists replicas", lambda g=gateway: world.knows_replicas(g))
-    wait_until("all know each other", lambda: _peers_alive(world) == [count] * count)
-
-
-def _metric(gateway, name):
-    port = gateway.ports["metrics"]
-    text = HTTP.request("GET", f"http://127.0.0.1:{port}/metrics").data.decode()
-    for line in text.splitlines():
-        if line.startswith(f"kumquatseam_{name} "):
-            return float(line.split()[1])
-    raise AssertionError(f"no metric {name}")
-
-
-def _peers_alive(world):
-    return [_metric(gateway, "peers_alive") for gateway in world.gateways]
+    wait_until("all know each other", world.all_know_each_other)
 
 
 @when("{count:d} gateways are cut from all replicas for {for_s:d} seconds and {how}")
@@ -177,11 +164,11 @@
         gateway = world.gateways[number]
         pid = gateway.process.pid
         before = sum(proxy.opened.get(pid, 0) for proxy in context.proxies)
-        relayed = _metric(gateway, "relayed_connections_total")
+        relayed = world.metric(gateway, "relayed_connections_total")
         for _ in range(8):
             assert world.send("/plain/x", gateway=number).status == 200
-        assert _metric(gateway, "path_lost") == 0
-        assert _metric(gateway, "relayed_connections_total") == relayed
+        assert world.metric(gateway, "path_lost") == 0
+        assert world.metric(gateway, "relayed_connections_total") == relayed
         assert sum(proxy.opened.get(pid, 0) for proxy in context.proxies) >= before
 
 
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -261,6 +261,21 @@
         }
         return set(self.replicas) <= listed
 
+    def all_know_each_other(self) -> bool:
+        """Whether each gateway hears from all others."""
+        count = len(self.gateways)
+        alive = [self.metric(gateway, "peers_alive") for gateway in self.gateways]
+        return alive == [count] * count
+
+    def metric(self, gateway, name) -> float:
+        """Return the value of a metric without labels."""
+        port = gateway.ports["metrics"]
+        text = HTTP.request("GET", f"http://127.0.0.1:{port}/metrics").data.decode()
+        for line in text.splitlines():
+            if line.startswith(f"kumquatseam_{name} "):
+                return float(line.split()[1])
+        raise AssertionError(f"no metric {name}")
+
     def knows_instances(self, gateway) -> bool:
         """Whether the gateway has logged that it read the list of instances."""
         return any(
--- a/features/steps/upstreams_in_need_steps.py
+++ b/features/steps/upstreams_in_need_steps.py
@@ -29,6 +29,7 @@
     world.put_configuration()
     for _ in range(count):
         world.add_gateway()
+    wait_until("all know each other", world.all_know_each_other)
 
 
 @given("the replicas say that they end after more than {refusals:d} refusals a second")
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -131,7 +131,10 @@
         self._file = file
         self._adapter = adapter
         self._live = LiveRouteTable()
-        self._directory = UpstreamDirectory(count_instances=self._count_instances)
+        # Registered ones: one that is not heard from may still send requests.
+        self._directory = UpstreamDirectory(
+            count_instances=lambda: len(self._bus.records)
+        )
         self._index = PromptIndex()
         self._metrics = GatewayMetrics()
         self._started_s = time.monotonic()
