A gateway is ready only once it accepts callers

Seen: features/platform_path.feature:164 failed once, connection refused right after the gateway had said that it was ready.

Cause: the readiness page is opened before the callers' listener, and between the two the start yields: pywsgi looks up the host's name (getfqdn) for each of its servers, the metrics page after the readiness page. While that lookup waits for its thread, the readiness page is served. Reading alone had put it down to a slow process; without the lookup nothing yields there.

Change: readiness asks the server whether its listener is open, and the pages name their host themselves, which saves two lookups in each start.

Test: a real gateway whose lookups take a second. It failed before (connection refused) and passes with either of the two changes alone, and with both. Ruled out: a port that another run uses too; blocks of ports are locked.

--- a/features/starts.feature
+++ b/features/starts.feature
@@ -8,6 +8,11 @@
     And each loaded module of this project is used by another one
     And their code takes at most 1 percent of the memory of an instance of 128 MB
 
+  Scenario: A gateway is not ready before it accepts callers
+    Given a gateway whose host name lookups take 1 second
+    When it says for the first time that it is ready
+    Then it accepts a caller's connection at once
+
   Scenario Outline: One of the instances that start together reads the log for the others
     Given <count> instances that start together and discover each other after 0.6 seconds
     When 5 seconds pass
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -74,12 +74,14 @@
             )
         )
         self.process = None
+        #: what the interpreter runs.
+        self.program = ["-m", "kumquatseam.platform"]
 
     def start(self, stdout=None):
         environment = {**os.environ, "KUMQUATSEAM_SETTINGS": str(self.settings)}
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "kumquatseam.platform"],
+                [sys.executable, *self.program],
                 env=environment,
                 stdout=stdout or log,
                 stderr=log,
--- a/features/steps/starts_steps.py
+++ b/features/steps/starts_steps.py
@@ -1,6 +1,7 @@
 """Steps for the cost of starting an instance, on a simulated clock."""
 
 import json
+import socket
 import subprocess
 import sys
 import tempfile
@@ -11,7 +12,8 @@
 from feeds_steps import FeedWorld, ModelledInstance
 from modelled_clock import Clock
 from own_modules import OwnModules
-from platform_world import TEMPLATE
+from platform_steps import step_platform
+from platform_world import TEMPLATE, GatewayProcess, wait_until
 
 from kumquatseam.errors import SettingsError
 from kumquatseam.leases import DutyLease
@@ -23,6 +25,7 @@
     LogStoreLimits,
 )
 
+_SLOW_LOOKUPS = Path(__file__).parent.parent / "programs" / "slow_lookups.py"
 _LIST_MODULES = """
 import json, sys
 import kumquatseam.platform.__main__
@@ -59,6 +62,30 @@
     assert size_bytes <= memory_mb * 1_000_000 * most / 100, size_bytes
 
 
+@given("a gateway whose host name lookups take 1 second")
+def step_slow_lookups(context):
+    step_platform(context)
+    world = context.platform
+    world.add_replica("plain", "p0")
+    world.add_route("/plain/", "non_idempotent", "plain")
+    world.put_configuration()
+    gateway = GatewayProcess(world.folder, "gateway-0", world.log_port)
+    gateway.program = [str(_SLOW_LOOKUPS)]
+    world.gateways.append(gateway)
+    gateway.start()
+
+
+@when("it says for the first time that it is ready")
+def step_first_ready(context):
+    wait_until("the gateway is ready", context.platform.gateways[0].is_ready)
+
+
+@then("it accepts a caller's connection at once")
+def step_accepts(context):
+    port = context.platform.gateways[0].ports["front"]
+    socket.create_connection(("127.0.0.1", port), 2).close()
+
+
 class LateInstance(ModelledInstance):
     """An instance that sees only itself until it has discovered the others."""
 
--- a/src/kumquatseam/gateway/_health.py
+++ b/src/kumquatseam/gateway/_health.py
@@ -18,7 +18,11 @@
         app = bottle.Bottle()
         app.get(path)(respond)
         host, _, port = address.rpartition(":")
-        self._server = pywsgi.WSGIServer((host, int(port)), app, log=None)
+        # Otherwise each start looks the host's name up.
+        environ = {"SERVER_NAME": host}
+        self._server = pywsgi.WSGIServer(
+            (host, int(port)), app, log=None, environ=environ
+        )
 
     def start(self) -> None:
         """Listen."""
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -70,6 +70,11 @@
         self._listener = listener
         self._accepting = gevent.spawn(self._accept_forever)
 
+    @property
+    def is_accepting(self) -> bool:
+        """Whether callers may connect, and no stop was requested."""
+        return self._listener is not None and not self.is_stopping
+
     def close(self) -> None:
         """Stop gracefully: finish requests already read, within the grace period."""
         started_s = time.monotonic()
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -502,7 +502,7 @@
 
     def _is_ready(self) -> bool:
         is_configured = self._live.current is not None and self._quarantine.is_ready
-        return is_configured and not self._server.is_stopping
+        return is_configured and self._server.is_accepting
 
     def _read_limits(self) -> RequestLimits:
         table = self._live.current
