--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -11,27 +11,25 @@
 from kumquatseam.errors import OverloadedError
 from kumquatseam.gateway._call import ResponseTraits, SendOptions
 from kumquatseam.gateway._caller import CallerConnection
+from kumquatseam.gateway._event_times import EventTimes
 from kumquatseam.gateway._events import EventSplitter
 from kumquatseam.gateway._first_event_wait import FirstEventWait
+from kumquatseam.gateway._forwarding import ResponseForwarder, UpstreamResponse
 from kumquatseam.gateway._job import Job
 from kumquatseam.gateway._outcomes import (
     BufferedFailureError,
-    BufferedResponse,
     GraceExpiredError,
     NotRunError,
     Progress,
     RetryableFailureError,
     RunMovedError,
-    StreamResponse,
 )
 from kumquatseam.gateway._refusals import Reason, RefusedError
-from kumquatseam.gateway._relocation import Relocation
 from kumquatseam.http1 import (
     CallerDisconnectedError,
     ConnectFailedError,
     ResponseHead,
     ResponseInterruptedError,
-    SocketWait,
     UpstreamConnection,
     encode_request,
 )
@@ -54,9 +52,6 @@
 
 _log = part_logger("exchange")
 
-#: responses up to this size are buffered, so that the request can be retried or
-#: failed cleanly if the upstream's response is interrupted.
-MAX_BUFFERED_BYTES = 262_144
 #: a request fails after this many upstreams refused it; each further attempt
 #: counts against the retry budget of the whole fleet.
 MAX_REFUSALS = 4
@@ -68,9 +63,6 @@
 #: share of its remaining time that a retryable request waits for the first byte of
 #: one upstream.
 FIRST_BYTE_TIMEOUT_SHARE = 0.45
-#: idle timeout of a stream that can be resumed on another engine. Engines may be silent
-#: for a second and go on; clients time out after 2 s.
-STREAM_IDLE_TIMEOUT_S = 1.6
 #: logged if a request did not start before the grace of replaced weights expired.
 GRACE_EXPIRED_DETAIL = "not started before the grace of replaced weights expired"
 #: pause before the next placement attempt while no upstream accepts the request.
@@ -111,10 +103,12 @@
         self._parts = parts
         self._job = job
         self._caller = caller
-        self._may_keep = may_keep_alive
         self._progress = Progress()
         self._events = EventSplitter(job.call.resume_after)
-        self._has_released_connection = False
+        self._times = EventTimes(job.request.received_s)
+        self._forwarder = ResponseForwarder(
+            parts, job, caller, may_keep_alive, self._events, self._times
+        )
         self._permission = RunPermission(parts.quarantine, job.fingerprint)
         self._placer = LimitedPlacer(parts.placer, parts.limits)
         self._next_placement: Placement | None = None
@@ -124,15 +118,10 @@
         self._retry_cause: RetryCause | None = None
         #: the grant for the retry that is about to be sent.
         self._retry_grant: RetryGrant | None = None
-        self._first_event_s: float | None = None
-        self._last_event_s: float | None = None
-        self._paused_since_s: float | None = None
-        self._sent_s: float | None = None
         #: the time of sending for the observation of limits.
         self._sent_elapsed_s = 0.0
-        self._attempt_first_event_s: float | None = None
-        self._placement: Placement | None = None
         self._sent_request: SentRequest | None = None
+        self._response: UpstreamResponse | None = None
 
     @property
     def has_sent(self) -> bool:
@@ -153,7 +142,8 @@
                 if outcome is not None:
                     return outcome
         except BufferedFailureError as error:
-            return self._send_buffered(error.response)
+            keep = self._forwarder.send_buffered(error.response)
+            return self._end_answered(error.response.head, keep)
         finally:
             self._permission.close()
             self._release_limit_grant()
@@ -171,7 +161,8 @@
             self._next_placement = moved.placement
         except NotRunError:
             self._after_refusal(placement)
-        except RetryableFailureError:
+        except RetryableFailureError as error:
+            self._progress.buffered_failure = error.response
             self._after_failure(placement, "server error response")
         except ConnectFailedError as error:
             self._after_connect_failure(placement, error)
@@ -367,7 +358,7 @@
         self._parts.pool.drop(placement.status.upstream.address)
         self._events.drop_partial()
         upstream = self._run_upstream(placement)
-        self._permission.note_interrupted(upstream, self._streaming_s())
+        self._permission.note_interrupted(upstream, self._times.streaming_s)
         if self._permission.is_trial:
             # A trial runs on one upstream only, so that it cannot crash a second.
             self._progress.may_have_run = True
@@ -390,18 +381,9 @@
 
     def _note_abandoned(self, placement: Placement) -> None:
         """Record that this attempt was abandoned with an unknown outcome."""
-        if self._sent_s is not None:
+        if self._times.sent_s is not None:
             upstream = self._run_upstream(placement)
-            self._permission.note_abandoned(upstream, self._streaming_s())
-
-    def _streaming_s(self) -> float | None:
-        """Return the time from the first to the last event of this attempt.
-
-        ``None`` if there was no event. The end of the stream is not used, since it
-        may be detected much later than the last event.
-        """
-        first_s = self._attempt_first_event_s
-        return self._last_event_s - first_s if first_s is not None else None
+            self._permission.note_abandoned(upstream, self._times.streaming_s)
 
     def _run_upstream(self, placement: Placement) -> RunUpstream:
         upstream = placement.status.upstream
@@ -463,7 +445,7 @@
 
     def _log_failure(self, placement: Placement, detail: str) -> None:
         now_s = time.monotonic()
-        first_s, sent_s = self._attempt_first_event_s, self._sent_s
+        first_s, sent_s = self._times.attempt_first_event_s, self._times.sent_s
         _log.bind(
             request=self._job.call.request_id,
             fingerprint=self._job.fingerprint,
@@ -479,9 +461,8 @@
 
     def _attempt(self, placement: Placement) -> tuple[bool, str]:
         address = placement.status.upstream.address
-        self._sent_s = self._attempt_first_event_s = None
-        self._placement = placement
-        self._sent_request = None
+        self._times.begin_attempt()
+        self._sent_request = self._response = None
         # Counted before connecting, so that further requests are not placed there
         # meanwhile as if it had room.
         in_flight_request = self._parts.work.begin(
@@ -493,14 +474,13 @@
         except BaseException:
             in_flight_request.end()
             raise
-        self._has_released_connection = False
         try:
             return self._send_and_receive(placement, connection, in_flight_request)
         finally:
             in_flight_request.end()
             if self._sent_request is not None:
                 self._sent_request.end()
-            if not self._has_released_connection:
+            if self._response is None or not self._response.is_released:
                 connection.close()
 
     def _send_and_receive(
@@ -512,7 +492,7 @@
         job = self._job
         if placement.moved_run is None:
             self._progress.attempts += 1
-        self._sent_s = time.monotonic()
+        self._times.sent_s = time.monotonic()
         self._sent_elapsed_s = elapsed_s()
         request_bytes = self._request_bytes(placement)
         self._progress.has_sent = True
@@ -535,12 +515,21 @@
         in_flight_request.note_answering()
         traits = dialect.read_response(head)
         self._record_response_head(placement, head, traits)
-        wait.until_s = self._body_until_s()
+        wait.until_s = self._forwarder.body_until_s()
+        response = self._response = UpstreamResponse(
+            placement,
+            connection,
+            head,
+            traits,
+            wait,
+            in_flight_request,
+            self._sent_request,
+        )
         if head.status != 200:
             wait.note_first_event()
         if traits.is_not_run:
             self._permission.note_refused()
-            self._drain(connection, wait, traits)
+            self._forwarder.drain(response)
             raise NotRunError
         if not traits.is_signed:
             raise ResponseInterruptedError(connection.address, "response is not signed")
@@ -548,10 +537,12 @@
             raise ResponseInterruptedError(
                 connection.address, f"status {head.status} instead of a resumed stream"
             )
-        if job.route.is_stream and head.status == 200:
-            stream = StreamResponse(placement, connection, traits, in_flight_request)
-            return self._forward_stream(stream, head, wait)
-        return self._forward_buffered(connection, head, traits, wait)
+        keep = self._forwarder.forward(response, self._may_retry())
+        return self._end_answered(head, keep)
+
+    def _may_retry(self) -> bool:
+        route = self._job.route
+        return route.is_retryable and self._progress.attempts < route.max_attempts
 
     def _request_bytes(self, placement: Placement) -> bytes:
         job = self._job
@@ -588,12 +579,6 @@
             wait.note_first_event()
         return wait
 
-    def _body_until_s(self) -> float:
-        until_s = self._job.end_s
-        if self._job.route.is_resumable:
-            until_s = min(until_s, time.monotonic() + STREAM_IDLE_TIMEOUT_S)
-        return until_s
-
     def _record_response_head(
         self, placement: Placement, head: ResponseHead, traits: ResponseTraits
     ) -> None:
@@ -628,151 +613,18 @@
                 is_from_run=traits.is_signed and not traits.is_not_run,
             )
 
-    def _drain(
-        self, connection: UpstreamConnection, wait: SocketWait, traits: ResponseTraits
-    ) -> None:
-        """Read the body of a refusal so that the connection can be reused."""
-        while connection.read_body(wait):
-            pass
-        self._release_connection(connection, traits)
-
-    def _release_connection(
-        self, connection: UpstreamConnection, traits: ResponseTraits
-    ) -> None:
-        self._has_released_connection = True
-        self._parts.pool.release(connection, traits.keep_alive_s)
-
-    # Forwarding of responses.
-
-    def _forward_buffered(
-        self,
-        connection: UpstreamConnection,
-        head: ResponseHead,
-        traits: ResponseTraits,
-        wait: SocketWait,
-    ) -> tuple[bool, str]:
-        body = bytearray()
-        while data := connection.read_body(wait):
-            body += data
-            if len(body) > MAX_BUFFERED_BYTES:
-                return self._forward_large(connection, head, traits, wait, bytes(body))
-        self._release_connection(connection, traits)
-        response = BufferedResponse(head, bytes(body))
-        if head.status >= 500 and self._may_retry():
-            self._progress.buffered_failure = response
-            raise RetryableFailureError
-        return self._send_buffered(response)
-
-    def _may_retry(self) -> bool:
-        route = self._job.route
-        return route.is_retryable and self._progress.attempts < route.max_attempts
-
-    def _send_buffered(self, response: BufferedResponse) -> tuple[bool, str]:
-        """Send an upstream's buffered response to the caller."""
-        keep = self._may_keep()
-        fields = self._response_fields(response.head, keep)
-        self._caller.send_response(response.head.status, fields, response.body)
-        self._record_answered(response.head.status)
-        return keep, f"answered_{response.head.status // 100}xx"
-
-    def _forward_large(
-        self,
-        connection: UpstreamConnection,
-        head: ResponseHead,
-        traits: ResponseTraits,
-        wait: SocketWait,
-        first: bytes,
-    ) -> tuple[bool, str]:
-        keep = self._may_keep()
-        self._caller.start_response(
-            head.status, self._response_fields(head, keep), head.length_bytes, first
-        )
-        while data := connection.read_body(wait):
-            self._caller.send_body(data)
-        self._caller.finish_response()
-        self._release_connection(connection, traits)
-        self._record_answered(head.status)
-        return keep, f"answered_{head.status // 100}xx"
-
-    def _forward_stream(
-        self, stream: "StreamResponse", head: ResponseHead, wait: FirstEventWait
-    ) -> tuple[bool, str]:
-        """Forward the stream event by event, so that it can be resumed elsewhere."""
-        keep = self._may_keep()
-        connection = stream.connection
-        relocation = Relocation(self._parts, self._job, stream.placement)
-        try:
-            while data := connection.read_body(wait):
-                wait.note_first_event()
-                stream.in_flight_request.note_heard()
-                wait.until_s = self._body_until_s()
-                self._send_events(head, keep, self._events.feed(data))
-                relocation.start_if_due()
-        except ResponseInterruptedError:
-            self._paused_since_s = self._last_event_s
-            moved = relocation.finish()
-            if moved is None:
-                raise
-            self._events.drop_partial()
-            raise RunMovedError(moved) from None
-        self._send_events(head, keep, self._events.flush())
-        if not self._caller.has_started_response:
-            self._caller.start_response(200, self._response_fields(head, keep), None)
-        self._caller.finish_response()
-        self._release_connection(connection, stream.traits)
-        self._record_answered(head.status)
-        return keep, "answered_2xx"
-
-    def _send_events(self, head: ResponseHead, keep: bool, data: bytes) -> None:
-        if not data:
-            return
-        self._record_event()
-        if self._caller.has_started_response:
-            self._caller.send_body(data)
-            return
-        fields = self._response_fields(head, keep)
-        self._caller.start_response(head.status, fields, None, data)
-        self._parts.metrics.record_first_event(
-            self._job.route.name, time.monotonic() - self._job.request.received_s
-        )
-
-    def _record_event(self) -> None:
-        """Record the time of an event; log the pause if the stream was resumed."""
-        now_s = time.monotonic()
-        if self._attempt_first_event_s is None:
-            self._attempt_first_event_s = now_s
-        if self._first_event_s is None:
-            self._placement.note_first_event(now_s - self._sent_s)
-            if self._sent_request is not None:
-                self._sent_request.note_first_event()
-            self._first_event_s = now_s - self._job.request.received_s
-        if self._paused_since_s is not None:
-            _log.bind(
-                request=self._job.call.request_id,
-                pause_s=round(now_s - self._paused_since_s, 3),
-                went_on_s=round(now_s - self._sent_s, 3),
-            ).info("Stream went on.")
-            self._paused_since_s = None
-        self._last_event_s = now_s
-
-    def _response_fields(
-        self, head: ResponseHead, keep: bool
-    ) -> list[tuple[bytes, bytes]]:
-        fields = head.headers.forwardable_fields(frozenset())
-        if not keep:
-            fields.append((b"Connection", b"close"))
-        return fields
-
-    def _record_answered(self, status: int) -> None:
+    def _end_answered(self, head: ResponseHead, keep: bool) -> tuple[bool, str]:
+        """Record that the caller got a complete response of an upstream."""
         self._permission.note_answered()
         _log.bind(
             request=self._job.call.request_id,
-            status=status,
+            status=head.status,
             attempts=self._progress.attempts,
             refusals=self._progress.refusals,
-            first_event_s=self._first_event_s,
+            first_event_s=self._times.first_event_s,
             took_s=round(time.monotonic() - self._job.request.received_s, 4),
         ).debug("Answered.")
+        return keep, f"answered_{head.status // 100}xx"
 
 
 def _resume_run_id(moved: MovedRun | None) -> str:
--- /dev/null
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -0,0 +1,213 @@
+"""Pass an upstream's response on to the caller."""
+
+import time
+from collections.abc import Callable
+
+import attrs
+
+from kumquatseam.gateway._call import ResponseTraits
+from kumquatseam.gateway._caller import CallerConnection
+from kumquatseam.gateway._event_times import EventTimes
+from kumquatseam.gateway._events import EventSplitter
+from kumquatseam.gateway._first_event_wait import FirstEventWait
+from kumquatseam.gateway._job import Job
+from kumquatseam.gateway._outcomes import (
+    BufferedResponse,
+    RetryableFailureError,
+    RunMovedError,
+)
+from kumquatseam.gateway._relocation import Relocation
+from kumquatseam.http1 import (
+    ConnectionPool,
+    ResponseHead,
+    ResponseInterruptedError,
+    UpstreamConnection,
+)
+from kumquatseam.logs import part_logger
+from kumquatseam.placement import Placement, SentRequest
+from kumquatseam.upstreams import InFlightRequest
+
+_log = part_logger("exchange")
+
+#: responses up to this size are buffered, so that the request can be retried or
+#: failed cleanly if the upstream's response is interrupted.
+MAX_BUFFERED_BYTES = 262_144
+#: idle timeout of a stream that can be resumed on another engine. Engines may be silent
+#: for a second and go on; clients time out after 2 s.
+STREAM_IDLE_TIMEOUT_S = 1.6
+
+
+@attrs.define
+class UpstreamResponse:
+    """A response whose head was received.
+
+    :param placement: the upstream that responds.
+    :param connection: the connection it is read from.
+    :param head: its status line and headers.
+    :param traits: data of its head.
+    :param wait: waits for its body.
+    :param in_flight_request: the request as counted on the upstream.
+    :param sent_request: its record for the estimate of the engine's slowdown, if any.
+    """
+
+    placement: Placement
+    connection: UpstreamConnection
+    head: ResponseHead
+    traits: ResponseTraits
+    wait: FirstEventWait
+    in_flight_request: InFlightRequest
+    sent_request: SentRequest | None
+    is_released: bool = False
+
+    def release(self, pool: ConnectionPool) -> None:
+        """Return the connection of a response that was read to its end."""
+        self.is_released = True
+        pool.release(self.connection, self.traits.keep_alive_s)
+
+
+class ResponseForwarder:
+    """Sends the responses to one request to its caller.
+
+    A stream may consist of the responses of several upstreams.
+
+    :param parts: dependencies (``HandlerParts``).
+    :param job: the request.
+    :param caller: connection to the caller.
+    :param may_keep_alive: whether the caller's connection stays open afterwards.
+    :param events: the events sent so far.
+    :param times: when they arrived.
+    """
+
+    def __init__(
+        self,
+        parts,
+        job: Job,
+        caller: CallerConnection,
+        may_keep_alive: Callable[[], bool],
+        events: EventSplitter,
+        times: EventTimes,
+    ) -> None:
+        self._parts = parts
+        self._job = job
+        self._caller = caller
+        self._may_keep = may_keep_alive
+        self._events = events
+        self._times = times
+
+    def body_until_s(self) -> float:
+        """Return until when the next bytes of a response must arrive."""
+        until_s = self._job.end_s
+        if self._job.route.is_resumable:
+            until_s = min(until_s, time.monotonic() + STREAM_IDLE_TIMEOUT_S)
+        return until_s
+
+    def drain(self, response: UpstreamResponse) -> None:
+        """Read the body of a refusal so that the connection can be reused.
+
+        :raises ResponseInterruptedError: if it is not complete.
+        """
+        while response.connection.read_body(response.wait):
+            pass
+        response.release(self._parts.pool)
+
+    def forward(self, response: UpstreamResponse, may_retry: bool) -> bool:
+        """Send a response; return whether the caller's connection stays open.
+
+        :param may_retry: whether the request may be sent to another upstream.
+        :raises ResponseInterruptedError: if it ends before it is complete.
+        :raises RetryableFailureError: if it is an error, and may be retried.
+        :raises RunMovedError: if its run was moved to another engine.
+        """
+        if self._job.route.is_stream and response.head.status == 200:
+            return self._forward_stream(response)
+        return self._forward_body(response, may_retry)
+
+    def send_buffered(self, response: BufferedResponse) -> bool:
+        """Send a complete response; return whether the connection stays open."""
+        keep = self._may_keep()
+        fields = self._fields(response.head, keep)
+        self._caller.send_response(response.head.status, fields, response.body)
+        return keep
+
+    def _forward_body(self, response: UpstreamResponse, may_retry: bool) -> bool:
+        body = bytearray()
+        while data := response.connection.read_body(response.wait):
+            body += data
+            if len(body) > MAX_BUFFERED_BYTES:
+                return self._forward_large(response, bytes(body))
+        response.release(self._parts.pool)
+        buffered = BufferedResponse(response.head, bytes(body))
+        if response.head.status >= 500 and may_retry:
+            raise RetryableFailureError(buffered)
+        return self.send_buffered(buffered)
+
+    def _forward_large(self, response: UpstreamResponse, first: bytes) -> bool:
+        head, keep = response.head, self._may_keep()
+        self._caller.start_response(
+            head.status, self._fields(head, keep), head.length_bytes, first
+        )
+        while data := response.connection.read_body(response.wait):
+            self._caller.send_body(data)
+        self._caller.finish_response()
+        response.release(self._parts.pool)
+        return keep
+
+    def _forward_stream(self, response: UpstreamResponse) -> bool:
+        """Forward the stream event by event, so that it can be resumed elsewhere."""
+        keep = self._may_keep()
+        connection, wait = response.connection, response.wait
+        relocation = Relocation(self._parts, self._job, response.placement)
+        try:
+            while data := connection.read_body(wait):
+                wait.note_first_event()
+                response.in_flight_request.note_heard()
+                wait.until_s = self.body_until_s()
+                self._send_events(response, keep, self._events.feed(data))
+                relocation.start_if_due()
+        except ResponseInterruptedError:
+            self._times.note_interrupted()
+            moved = relocation.finish()
+            if moved is None:
+                raise
+            self._events.drop_partial()
+            raise RunMovedError(moved) from None
+        self._send_events(response, keep, self._events.flush())
+        if not self._caller.has_started_response:
+            self._caller.start_response(200, self._fields(response.head, keep), None)
+        self._caller.finish_response()
+        response.release(self._parts.pool)
+        return keep
+
+    def _send_events(self, response: UpstreamResponse, keep: bool, data: bytes) -> None:
+        if not data:
+            return
+        self._record_event(response)
+        if self._caller.has_started_response:
+            self._caller.send_body(data)
+            return
+        fields = self._fields(response.head, keep)
+        self._caller.start_response(response.head.status, fields, None, data)
+        self._parts.metrics.record_first_event(
+            self._job.route.name, time.monotonic() - self._job.request.received_s
+        )
+
+    def _record_event(self, response: UpstreamResponse) -> None:
+        """Record the time of an event; log the pause if the stream was resumed."""
+        times = self._times
+        if times.note_event():
+            response.placement.note_first_event(times.last_event_s - times.sent_s)
+            if response.sent_request is not None:
+                response.sent_request.note_first_event()
+        pause_s = times.end_pause_s()
+        if pause_s is not None:
+            _log.bind(
+                request=self._job.call.request_id,
+                pause_s=round(pause_s, 3),
+                went_on_s=round(times.last_event_s - times.sent_s, 3),
+            ).info("Stream went on.")
+
+    def _fields(self, head: ResponseHead, keep: bool) -> list[tuple[bytes, bytes]]:
+        fields = head.headers.forwardable_fields(frozenset())
+        if not keep:
+            fields.append((b"Connection", b"close"))
+        return fields
--- a/src/kumquatseam/gateway/_outcomes.py
+++ b/src/kumquatseam/gateway/_outcomes.py
@@ -2,10 +2,8 @@
 
 import attrs
 
-from kumquatseam.gateway._call import ResponseTraits
-from kumquatseam.http1 import ResponseHead, UpstreamConnection
+from kumquatseam.http1 import ResponseHead
 from kumquatseam.placement import Placement
-from kumquatseam.upstreams import InFlightRequest
 
 
 @attrs.define
@@ -46,22 +44,6 @@
     body: bytes
 
 
-@attrs.frozen
-class StreamResponse:
-    """A streamed response whose head was received.
-
-    :param placement: the upstream it runs on.
-    :param connection: the connection it is read from.
-    :param traits: data of its head.
-    :param in_flight_request: the request as counted on the upstream.
-    """
-
-    placement: Placement
-    connection: UpstreamConnection
-    traits: ResponseTraits
-    in_flight_request: InFlightRequest
-
-
 class NotRunError(Exception):
     """The upstream guarantees that it did not run the request."""
 
@@ -85,7 +67,14 @@
 
 
 class RetryableFailureError(Exception):
-    """The upstream responded with an error, and the request may be retried."""
+    """The upstream responded with an error, and the request may be retried.
+
+    :param response: the error response.
+    """
+
+    def __init__(self, response: BufferedResponse) -> None:
+        super().__init__()
+        self.response = response
 
 
 class BufferedFailureError(Exception):
