Log and count how upstreams' streams end

The lines of a stream that its engine broke off were those of a complete one. Each end now says how it was told (length, chunks, end of the connection), what was left of an event, whether the connection led through another instance, and whether the stream counts as complete: this tells the three hypotheses apart.

--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -51,6 +51,7 @@
     """Returns some events, and then ends or fails."""
 
     is_reusable = True
+    is_relayed = False
 
     def __init__(self, address, events, is_whole):
         self.address = address
--- a/src/kumquatseam/gateway/_events.py
+++ b/src/kumquatseam/gateway/_events.py
@@ -25,6 +25,11 @@
             self._record_last_id(complete)
         return complete
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._pending)
+
     def flush(self) -> bytes:
         """Return the bytes after the last complete event, at the end of a stream."""
         rest, self._pending = self._pending, b""
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -165,12 +165,14 @@
                 self._send_events(response, keep, self._events.feed(data))
                 relocation.start_if_due()
         except ResponseInterruptedError:
+            self._log_end(response, is_whole=False)
             self._times.note_interrupted()
             moved = relocation.finish()
             if moved is None:
                 raise
             self._events.drop_partial()
             raise RunMovedError(moved) from None
+        self._log_end(response, is_whole=True)
         self._send_events(response, keep, self._events.flush())
         if not self._caller.has_started_response:
             self._caller.start_response(200, self._fields(response.head, keep), None)
@@ -178,6 +180,20 @@
         response.release(self._parts.pool)
         return keep
 
+    def _log_end(self, response: UpstreamResponse, is_whole: bool) -> None:
+        """Log how a stream ended, and what it left of an event."""
+        self._parts.metrics.record_stream_end(
+            response.head.framing.value, bool(self._events.partial_bytes), is_whole
+        )
+        _log.bind(
+            request=self._job.call.request_id,
+            upstream=response.placement.status.upstream.incarnation_id,
+            framing=response.head.framing.value,
+            partial_bytes=self._events.partial_bytes,
+            is_whole=is_whole,
+            is_relayed=response.connection.is_relayed,
+        ).debug("Stream ended.")
+
     def _send_events(self, response: UpstreamResponse, keep: bool, data: bytes) -> None:
         if not data:
             return
--- a/src/kumquatseam/http1/__init__.py
+++ b/src/kumquatseam/http1/__init__.py
@@ -23,6 +23,7 @@
     ResponseInterruptedError,
 )
 from kumquatseam.http1._messages import (
+    Framing,
     Headers,
     Request,
     RequestLimits,
@@ -41,6 +42,7 @@
     "ConnectionPool",
     "ConnectionWatch",
     "Connector",
+    "Framing",
     "Headers",
     "IdleConnectionError",
     "Request",
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -83,12 +83,18 @@
     :param address: ``host:port`` it leads to.
     :param connection: the open socket.
     :param watch: observes its traffic, if given.
+    :param is_relayed: whether it leads through another instance.
     """
 
     def __init__(
-        self, address: str, connection, watch: ConnectionWatch | None = None
+        self,
+        address: str,
+        connection,
+        watch: ConnectionWatch | None = None,
+        is_relayed: bool = False,
     ) -> None:
         self.address = address
+        self.is_relayed = is_relayed
         self._watch = watch
         self._socket = connection
         self._parser = httptools.HttpResponseParser(self)
--- a/src/kumquatseam/http1/_messages.py
+++ b/src/kumquatseam/http1/_messages.py
@@ -1,5 +1,6 @@
 """Requests, response heads and their headers."""
 
+import enum
 from collections.abc import Iterable
 
 import attrs
@@ -122,6 +123,15 @@
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
 
+class Framing(enum.Enum):
+    """How the end of a body is told."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    #: the body ends with its connection.
+    CLOSE = "close"
+
+
 @attrs.frozen
 class ResponseHead:
     """The status line and headers of an upstream's response.
@@ -137,11 +147,19 @@
     length_bytes: int | None
     is_chunked: bool
 
+    @property
+    def framing(self) -> Framing:
+        """How the end of the body is told."""
+        if self.is_chunked:
+            return Framing.CHUNKS
+        is_bodiless = self.status in (204, 304)
+        is_length_known = self.length_bytes is not None or is_bodiless
+        return Framing.LENGTH if is_length_known else Framing.CLOSE
+
     @property
     def is_ended_by_close(self) -> bool:
         """Whether the body ends only when the connection is closed."""
-        bodiless = self.status in (204, 304)
-        return self.length_bytes is None and not self.is_chunked and not bodiless
+        return self.framing is Framing.CLOSE
 
 
 def _encode_fields(fields: Iterable[tuple[bytes, bytes]]) -> bytes:
--- a/src/kumquatseam/metrics/_exposition.py
+++ b/src/kumquatseam/metrics/_exposition.py
@@ -46,6 +46,14 @@
         for (cause, is_allowed), count in self._metrics.retries.items():
             retries.add_metric((cause, str(is_allowed).lower()), count)
         yield retries
+        ends = CounterMetricFamily(
+            _PREFIX + "stream_ends",
+            "Ends of upstreams' streams.",
+            labels=("framing", "inside_event", "whole"),
+        )
+        for (framing, *flags), count in self._metrics.stream_ends.items():
+            ends.add_metric((framing, *(str(f).lower() for f in flags)), count)
+        yield ends
         yield from self._latency_families()
         for name, read in self._metrics.counters.items():
             yield CounterMetricFamily(_PREFIX + name, name, value=read())
--- a/src/kumquatseam/metrics/_gateway.py
+++ b/src/kumquatseam/metrics/_gateway.py
@@ -20,6 +20,9 @@
     def __init__(self) -> None:
         self.requests: collections.Counter[tuple[str, str]] = collections.Counter()
         self.retries: collections.Counter[tuple[str, bool]] = collections.Counter()
+        self.stream_ends: collections.Counter[tuple[str, bool, bool]] = (
+            collections.Counter()
+        )
         self.latencies: dict[tuple[str, str], LatencyHistogram] = {}
         self.counters: dict[str, Callable[[], float]] = {}
         self.gauges: dict[str, Callable[[], float]] = {}
@@ -37,6 +40,17 @@
         """
         self.retries[cause, is_allowed] += 1
 
+    def record_stream_end(
+        self, framing: str, is_inside_event: bool, is_whole: bool
+    ) -> None:
+        """Record that an upstream's stream ended.
+
+        :param framing: how its end is told.
+        :param is_inside_event: whether a part of an event was left.
+        :param is_whole: whether it counts as complete.
+        """
+        self.stream_ends[framing, is_inside_event, is_whole] += 1
+
     def record_first_event(self, route: str, took_s: float) -> None:
         """Record the time to the first event of a stream."""
         self._record("first_event_seconds", route, took_s)
--- a/src/kumquatseam/relays/_connector.py
+++ b/src/kumquatseam/relays/_connector.py
@@ -77,7 +77,7 @@
                 address, str(error), is_upstream_fault=not self._path.is_suspect
             ) from error
         self._path.note_relayed()
-        return UpstreamConnection(address, opened)
+        return UpstreamConnection(address, opened, is_relayed=True)
 
     def check(self) -> None:
         """Probe a few upstreams if the path is lost, or may be."""
