--- /dev/null
+++ b/features/broken_answers.feature
@@ -0,0 +1,54 @@
+Feature: An answer that was broken off never reaches its caller as complete
+  Answers may have neither length nor chunks and end with their connection. Guards
+  against streams that end inside an event, and against ends of connections that the
+  replica did not make, being passed on as complete.
+
+  Scenario Outline: Events are complete once their blank line was received
+    Given 300 random streams with any line ends, of seed <seed>
+    When each is cut off anywhere and received in random pieces
+    Then all of its complete events were passed on, and nothing of the next one
+    And it counts as cut inside an event if it was
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
+  Scenario Outline: Streams <framing> that end inside an event are broken off
+    Given a gateway in front of 2 engines that stream 6 events
+    And replicas whose answers are framed <framing>
+    When streams end inside the third event, in any way
+    Then those that cannot be resumed are broken off after 2 events
+    And those that can be resumed reach their callers whole
+
+    Examples:
+      | framing              |
+      | by chunks            |
+      | by their connections |
+
+  Scenario: A run that is moved while its stream has no framing is continued
+    Given a stream without framing that is moved to an engine reached at attempt 1
+    When the caller's request is served
+    Then the caller's stream is complete, with 4 events
+
+  Scenario: A move that fails after it stopped the run breaks the stream off
+    Given a stream without framing whose run is stopped by a move that fails
+    When the caller's request is served
+    Then the caller's stream is visibly incomplete after 2 events
+
+  Scenario Outline: Answers without framing are whole when gateways that carry them are <how>
+    Given 4 gateways in front of 2 engines and 2 plain replicas, each behind a proxy
+    And slow replicas whose answers end with their connections, after 0.4 seconds
+    When 2 gateways are cut from all replicas and one of the others is <how> every 2 seconds
+    Then no answer is complete to its caller without being whole
+    And the cut gateways served at least half of their requests
+
+    Examples:
+      | how     |
+      | killed  |
+      | stopped |
+
+  Scenario: An engine's stream that ends inside an event is resumed by the own interface
+    Given an engine whose stream ends inside an event
+    When its chunks are read by the own interface
+    Then the error says that the response was broken off, after 2 chunks
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -21,6 +21,13 @@
 CRASHES_AFTER_S = 0.05
 #: how long a sound replica may fall silent in the middle of a stream.
 PAUSE_S = 1.3
+#: what a stream sends of an event before it ends inside of it, by fault.
+ENDS_INSIDE = {
+    "end in a field": lambda event: event[:8],
+    "end without a blank line": lambda event: event[:-1],
+    "end after a version line": lambda event: b"x-weight-versions: 1\n",
+    "end in a line end": lambda event: event[:-2] + b"\r\n\r",
+}
 
 
 @attrs.define
@@ -65,6 +72,11 @@
         self.event_pause_s = event_pause_s
         self.load_s = load_s
         self.crashes_on = crashes_on
+        #: whether its answers have neither length nor chunks and end with their
+        #: connection.
+        self.is_unframed = False
+        #: pieces of the body of a plain service, sent one after the other.
+        self.pieces = [b"whole"]
         #: requests that it runs at once, refusing others; ``None`` for any number.
         self.room = None
         #: how long a request of a plain service runs.
@@ -209,7 +221,10 @@
         http.send_response(status)
         for name, value in (headers or {}).items():
             http.send_header(name, value)
-        http.send_header("Content-Length", str(len(body)))
+        if self.is_unframed:
+            http.close_connection = True
+        else:
+            http.send_header("Content-Length", str(len(body)))
         http.end_headers()
         http.wfile.write(body)
 
@@ -282,7 +297,15 @@
         self.running += 1
         time.sleep(self.work_s)
         self.running -= 1
-        self._send(http, 200, b"whole", headers)
+        if not self.is_unframed:
+            self._send(http, 200, b"".join(self.pieces), headers)
+            return
+        with contextlib.suppress(OSError):
+            self._send(http, 200, b"", headers)
+            for piece in self.pieces:
+                http.wfile.write(piece)
+                http.wfile.flush()
+                time.sleep(self.event_pause_s)
 
     def _refuse_for_room(self):
         now_s = time.monotonic()
@@ -322,7 +345,8 @@
         for name, value in headers.items():
             http.send_header(name, value)
         http.send_header("Content-Type", "text/event-stream")
-        http.send_header("Transfer-Encoding", "chunked")
+        if not self.is_unframed:
+            http.send_header("Transfer-Encoding", "chunked")
         http.end_headers()
         self.running += 1
         try:
@@ -340,10 +364,14 @@
                     http.close_connection = True
                     http.connection.shutdown(socket.SHUT_RDWR)
                     return
+                if fault in ENDS_INSIDE and number == first + 2:
+                    self._chunk(http, ENDS_INSIDE[fault](data))
+                    self._end_body(http)
+                    return
                 self._chunk(http, data)
                 seen.events_sent += 1
                 time.sleep(self.event_pause_s)
-            http.wfile.write(b"0\r\n\r\n")
+            self._end_body(http)
             seen.ended = "whole"
         except OSError as error:
             seen.ended = repr(error)
@@ -351,8 +379,15 @@
         finally:
             self.running -= 1
 
+    def _end_body(self, http):
+        if self.is_unframed:
+            http.close_connection = True
+        else:
+            http.wfile.write(b"0\r\n\r\n")
+
     def _chunk(self, http, data):
-        http.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
+        framed = data if self.is_unframed else b"%x\r\n%b\r\n" % (len(data), data)
+        http.wfile.write(framed)
         http.wfile.flush()
 
     # Cached prompt parts.
