An answer ends only by what its upstream did

Callers got streams that engines had broken off with their last chunk: an answer without length or chunks counted as complete however its connection ended, and what was left of an event was passed on.

Cause: one flag, the end of a connection, stood for "the upstream is done", whoever had made it. The class: a signal of the transport taken for a statement of the peer. Evidence: Stream ended. lines with framing=close, partial_bytes>0, is_whole=true; for tunnels is_relayed=true at the moments when carriers were killed.

Change: - a stream that ends inside an event is broken off, whatever its framing; events end with a blank line of any line ends; nothing of a partial event is passed on; - without framing, a stream whose run a move may have stopped counts as complete only if the engine says that the run had ended, and one without any event does not; - tunnels carry what comes from an upstream in HTTP chunks: the last chunk says that the upstream ended its connection; without it the answer is broken off, and neither is the upstream held out nor suspected for it.

Ruled out: SO_LINGER on tunnels, so that a killed carrier resets; what is on the way of the reset may turn it into an ordinary end. Refusing answers without framing on tunnels; cut instances would serve none. The random reference of the splitter became stricter: a CRLF blank line needs its LF.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -31,6 +31,11 @@
     When the caller's request is served
     Then the caller's stream is complete, with 4 events
 
+  Scenario: A run that ended before it could be moved is complete
+    Given a stream without framing whose run ends before it is moved
+    When the caller's request is served
+    Then the caller's stream is complete, with 2 events
+
   Scenario: A move that fails after it stopped the run breaks the stream off
     Given a stream without framing whose run is stopped by a move that fails
     When the caller's request is served
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -1,7 +1,6 @@
 """Steps for answers that end without being complete."""
 
 import random
-import re
 import signal
 import threading
 import time
@@ -16,10 +15,9 @@
 from kumquatseam.engines._client import _chunks
 from kumquatseam.errors import UpstreamError
 from kumquatseam.gateway._events import EventSplitter
+from kumquatseam.rollouts import RunEndedError
 
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
-#: the end of an event, whatever the line ends.
-BLANK_LINE = re.compile(rb"(?:\r\n|\n|\r)(?:\r\n|\n|\r)")
 PLAIN_BODY = b"".join(b"piece %d\n" % number for number in range(8))
 
 
@@ -55,14 +53,13 @@
         ends.append(len(data))
     cut = draw.randrange(len(data) + 1)
     received = data[:cut]
-    # With CRLF, the blank line counts from its CR on.
-    whole = max(e for e in ends if e <= cut + (line_end == b"\r\n"))
-    expected = data[: min(whole, cut)]
-    rest = received[len(expected) :].removeprefix(b"\n")
-    complete = rest[: rest.rfind(line_end) + len(line_end)] if line_end in rest else b""
-    is_comment = complete == rest and rest.startswith(b":") and rest.count(b"data") == 0
-    only_comment = is_comment and not re.search(rb"(?m)^(id|x-)", rest)
-    return RandomStream(received, expected, bool(rest) and not only_comment)
+    expected = data[: max(end for end in ends if end <= cut)]
+    rest = received[len(expected) :]
+    lines = rest.splitlines(keepends=True)
+    is_between = all(
+        line.endswith((b"\n", b"\r")) and line[:1] in b":\r\n" for line in lines
+    )
+    return RandomStream(received, expected, not is_between)
 
 
 @given("{count:d} random streams with any line ends, of seed {seed:d}")
@@ -86,10 +83,7 @@
 @then("all of its complete events were passed on, and nothing of the next one")
 def step_passed_on(context):
     for stream, (_, passed_on) in zip(context.streams, context.splitters, strict=True):
-        assert passed_on.rstrip(b"\n") == stream.expected.rstrip(b"\n"), (
-            stream,
-            passed_on,
-        )
+        assert passed_on == stream.expected, (stream, passed_on)
 
 
 @then("it counts as cut inside an event if it was")
@@ -196,6 +190,13 @@
     )
 
 
+class EndedRuns(MovingOrders):
+    """Says that the run had ended."""
+
+    def move_run(self, source, request_id, destination):
+        raise RunEndedError(source.upstream_id, request_id)
+
+
 def _set_orders(context, orders):
     handler = context.handler
     handler._parts = attrs.evolve(handler._parts, orders=orders)
@@ -206,6 +207,12 @@
     _build_unframed(context)
 
 
+@given("a stream without framing whose run ends before it is moved")
+def step_ended_unframed(context):
+    _build_unframed(context)
+    _set_orders(context, EndedRuns())
+
+
 @given("a stream without framing whose run is stopped by a move that fails")
 def step_failed_move(context):
     _build_unframed(context)
--- a/src/kumquatseam/gateway/_events.py
+++ b/src/kumquatseam/gateway/_events.py
@@ -1,6 +1,12 @@
 """Split a stream of server-sent events into complete events."""
 
-_SEPARATORS = (b"\n\n", b"\r\n\r\n")
+import re
+
+#: the end of an event: a blank line, with any line ends. A CR ends a line at once only
+#: after another CR; elsewhere it may be the first half of CRLF.
+_EVENT_END = re.compile(rb"\r\r\n?|(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r(?=[^\n]))")
+#: blank lines and comments, which belong to no event.
+_BETWEEN_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?(?:\r\n|\n|\r))*")
 
 
 class EventSplitter:
@@ -19,7 +25,7 @@
     def feed(self, data: bytes) -> bytes:
         """Add ``data``; return the events that are complete now."""
         self._pending += data
-        end = max(_end_after(self._pending, sep) for sep in _SEPARATORS)
+        end = _last_event_end(self._pending)
         complete, self._pending = self._pending[:end], self._pending[end:]
         if complete:
             self._record_last_id(complete)
@@ -30,6 +36,11 @@
         """Number of bytes after the last complete event."""
         return len(self._pending)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether a part of an event was received, and not its end."""
+        return _BETWEEN_EVENTS.fullmatch(self._pending) is None
+
     def flush(self) -> bytes:
         """Return the bytes after the last complete event, at the end of a stream."""
         rest, self._pending = self._pending, b""
@@ -45,6 +56,12 @@
                 self.last_id = line[3:].strip().decode("latin-1")
 
 
-def _end_after(data: bytes, separator: bytes) -> int:
-    found = data.rfind(separator)
-    return found + len(separator) if found >= 0 else 0
+def _last_event_end(data: bytes) -> int:
+    """Return the index behind the last complete event; 0 if there is none."""
+    if b"\r" not in data:
+        found = data.rfind(b"\n\n")
+        return found + 2 if found >= 0 else 0
+    end = 0
+    for match in _EVENT_END.finditer(data):
+        end = match.end()
+    return end
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -352,19 +352,26 @@
     def _after_interrupted(
         self, placement: Placement, error: ResponseInterruptedError
     ) -> None:
+        self._events.drop_partial()
+        if not error.is_upstream_fault:
+            self._note_abandoned(placement)
+            self._retry_unless_trial(placement, error.detail)
+            return
         self._parts.directory.note_connection_failure(
             placement.status, "response interrupted"
         )
         self._parts.pool.drop(placement.status.upstream.address)
-        self._events.drop_partial()
         upstream = self._run_upstream(placement)
         self._permission.note_interrupted(upstream, self._times.streaming_s)
+        self._retry_unless_trial(placement, error.detail)
+
+    def _retry_unless_trial(self, placement: Placement, detail: str) -> None:
+        """Retry, except for a trial: it must not crash a second upstream."""
         if self._permission.is_trial:
-            # A trial runs on one upstream only, so that it cannot crash a second.
             self._progress.may_have_run = True
-            self._log_failure(placement, error.detail)
-            self._fail(Reason.INTERRUPTED, error.detail)
-        self._after_failure(placement, error.detail)
+            self._log_failure(placement, detail)
+            self._fail(Reason.INTERRUPTED, detail)
+        self._after_failure(placement, detail)
 
     def _after_grace_expired(self, placement: Placement) -> None:
         """Retry on an engine with newer weights if the request is retryable.
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -164,6 +164,7 @@
                 wait.until_s = self.body_until_s()
                 self._send_events(response, keep, self._events.feed(data))
                 relocation.start_if_due()
+            self._raise_if_broken_off(response, relocation)
         except ResponseInterruptedError:
             self._log_end(response, is_whole=False)
             self._times.note_interrupted()
@@ -180,6 +181,26 @@
         response.release(self._parts.pool)
         return keep
 
+    def _raise_if_broken_off(
+        self, response: UpstreamResponse, relocation: Relocation
+    ) -> None:
+        """Check a stream whose framing is complete.
+
+        :raises ResponseInterruptedError: if the stream is not.
+        """
+        address = response.connection.address
+        if self._events.is_inside_event:
+            raise ResponseInterruptedError(address, "stream ended inside an event")
+        if not response.head.is_ended_by_close:
+            return
+        # The end of the connection tells nothing else, so what may have ended the run
+        # is asked.
+        has_event = self._times.attempt_first_event_s is not None
+        if not has_event and not self._events.last_id:
+            raise ResponseInterruptedError(address, "stream ended without an event")
+        if relocation.may_have_stopped_run():
+            raise ResponseInterruptedError(address, "stream ended by a move")
+
     def _log_end(self, response: UpstreamResponse, is_whole: bool) -> None:
         """Log how a stream ended, and what it left of an event."""
         self._parts.metrics.record_stream_end(
--- a/src/kumquatseam/gateway/_relocation.py
+++ b/src/kumquatseam/gateway/_relocation.py
@@ -14,7 +14,7 @@
 from kumquatseam.logs import part_logger
 from kumquatseam.placement import Placement
 from kumquatseam.quotas import RetryGrant, UpstreamLimitError
-from kumquatseam.rollouts import MovedRun
+from kumquatseam.rollouts import MovedRun, RunEndedError
 
 _log = part_logger("relocation")
 
@@ -41,6 +41,7 @@
         self._destination: Placement | None = None
         self._move: gevent.Greenlet | None = None
         self._started_s = 0.0
+        self._may_have_stopped_run = False
 
     def start_if_due(self) -> None:
         """Start moving the run if its engine is being drained."""
@@ -73,9 +74,15 @@
             _log.bind(request=request_id, error=str(error)).debug("Run not moved.")
             self._parts.retries.release(retry_grant)
             return None
-        moved = self._parts.orders.move_run(
-            self._placement.status.upstream, request_id, destination
-        )
+        self._may_have_stopped_run = True
+        try:
+            moved = self._parts.orders.move_run(
+                self._placement.status.upstream, request_id, destination
+            )
+        except RunEndedError as error:
+            _log.bind(request=request_id, error=str(error)).debug("Run not moved.")
+            self._may_have_stopped_run = False
+            moved = None
         if moved is None:
             limits.release(grant)
             self._parts.retries.release(retry_grant)
@@ -99,6 +106,15 @@
             return False
         return time.monotonic() >= self._started_s + RETRY_PAUSE_S
 
+    def may_have_stopped_run(self) -> bool:
+        """Return whether a move may have ended the stream; waits for one in progress.
+
+        Its source closes the stream before it answers.
+        """
+        if self._move is not None:
+            self._move.join()
+        return self._may_have_stopped_run
+
     def finish(self) -> Placement | None:
         """Return the placement on which the run continues, after its stream ended.
 
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -322,7 +322,7 @@
         if liveness is not Liveness.ENDED:
             return liveness
         try:
-            self._relays.open(address, self._file.gateway.connect_timeout_s).close()
+            self._relays.check(address, self._file.gateway.connect_timeout_s)
         except (ConnectFailedError, NoRelayError):
             return Liveness.UNKNOWN if self._path.is_lost else Liveness.ENDED
         self._path.note_relayed()
--- a/src/kumquatseam/http1/__init__.py
+++ b/src/kumquatseam/http1/__init__.py
@@ -11,6 +11,7 @@
 from kumquatseam.http1._connection import (
     ConnectionWatch,
     SocketWait,
+    TransportDecoder,
     UpstreamConnection,
     open_connection,
     open_socket,
@@ -21,6 +22,7 @@
     ConnectFailedError,
     IdleConnectionError,
     ResponseInterruptedError,
+    TransportError,
 )
 from kumquatseam.http1._messages import (
     Framing,
@@ -49,6 +51,8 @@
     "RequestLimits",
     "RequestReader",
     "ResponseHead",
+    "TransportDecoder",
+    "TransportError",
     "UpstreamConnection",
     "SocketWait",
     "encode_request",
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -10,7 +10,11 @@
 import gevent.socket
 import httptools
 
-from kumquatseam.http1._errors import ConnectFailedError, ResponseInterruptedError
+from kumquatseam.http1._errors import (
+    ConnectFailedError,
+    ResponseInterruptedError,
+    TransportError,
+)
 from kumquatseam.http1._messages import Headers, ResponseHead
 from kumquatseam.pools import dead_peer_socket_options
 
@@ -42,6 +46,25 @@
         """Record that the connection was closed."""
 
 
+class TransportDecoder(abc.ABC):
+    """Decodes what arrives through something that is not the upstream itself.
+
+    The end of such a connection says nothing about the upstream.
+    """
+
+    @property
+    @abc.abstractmethod
+    def is_ended(self) -> bool:
+        """Whether the upstream is known to have ended its connection."""
+
+    @abc.abstractmethod
+    def feed(self, data: bytes) -> bytes:
+        """Add bytes that arrived; return the upstream's bytes among them.
+
+        :raises TransportError: if they are invalid.
+        """
+
+
 def open_connection(address: str, timeout_s: float) -> "UpstreamConnection":
     """Connect to ``address`` (``host:port``).
 
@@ -83,7 +106,7 @@
     :param address: ``host:port`` it leads to.
     :param connection: the open socket.
     :param watch: observes its traffic, if given.
-    :param is_relayed: whether it leads through another instance.
+    :param decoder: decodes what arrives, if it leads through another instance.
     """
 
     def __init__(
@@ -91,10 +114,10 @@
         address: str,
         connection,
         watch: ConnectionWatch | None = None,
-        is_relayed: bool = False,
+        decoder: TransportDecoder | None = None,
     ) -> None:
         self.address = address
-        self.is_relayed = is_relayed
+        self._decoder = decoder
         self._watch = watch
         self._socket = connection
         self._parser = httptools.HttpResponseParser(self)
@@ -102,10 +125,16 @@
         self._unsent = b""
         self._parse_error = ""
         self._end_reason = ""
+        self._is_ended_on_the_way = False
         self._has_received = False
         self.reuse_until_s: float | None = None
         self.has_sent = False
 
+    @property
+    def is_relayed(self) -> bool:
+        """Whether it leads through another instance."""
+        return self._decoder is not None
+
     def close(self) -> None:
         """Close at once; an upstream that processes a request can detect it."""
         if self._watch is not None:
@@ -207,7 +236,9 @@
             if self._parse_error:
                 raise ResponseInterruptedError(self.address, self._parse_error)
             if self._end_reason:
-                raise ResponseInterruptedError(self.address, self._end_reason)
+                raise ResponseInterruptedError(
+                    self.address, self._end_reason, not self._is_ended_on_the_way
+                )
             if wait(self._socket, bool(self._unsent)):
                 self._write()
             self._read_available()
@@ -241,21 +272,34 @@
             self._note_ended()
             return
         if not data:
-            self._handle_end()
+            self._handle_end(is_upstream=self._decoder is None)
             return
         if self._watch is not None:
             self._watch.note_received(self, not self._has_received)
         self._has_received = True
         try:
+            if self._decoder is not None:
+                data = self._decoder.feed(data)
             self._parser.feed_data(data)
+        except TransportError as error:
+            self._parse_error = str(error)
         except httptools.HttpParserError as error:
             self._parse_error = f"not an HTTP response: {error!r}"
         except httptools.HttpParserUpgrade:
             self._parse_error = "unexpected protocol upgrade"
+        if self._decoder is not None and self._decoder.is_ended:
+            self._handle_end(is_upstream=True)
+
+    def _handle_end(self, is_upstream: bool) -> None:
+        """Handle the end of the connection.
 
-    def _handle_end(self) -> None:
-        """Handle the end of the connection, which may also end a body."""
+        :param is_upstream: whether the upstream made it; only then may it end a body.
+        """
         self._note_ended()
+        if not is_upstream:
+            self._end_reason = "connection closed on the way"
+            self._is_ended_on_the_way = True
+            return
         response = self._responses[-1] if self._responses else None
         if response and response.head and response.head.is_ended_by_close:
             response.complete = True
--- a/src/kumquatseam/http1/_errors.py
+++ b/src/kumquatseam/http1/_errors.py
@@ -5,6 +5,10 @@
 from kumquatseam.errors import KumquatseamError
 
 
+class TransportError(KumquatseamError):
+    """What carries a connection to an upstream sent something invalid."""
+
+
 @attrs.define(frozen=True, eq=False)
 class BadRequestError(KumquatseamError):
     """A caller sent an invalid or too large request, or sent it too slowly.
@@ -60,10 +64,13 @@
 
     :param address: host and port.
     :param detail: how it failed.
+    :param is_upstream_fault: whether the upstream may be the cause; otherwise what
+        carried the connection was.
     """
 
     address: str
     detail: str
+    is_upstream_fault: bool = True
 
     def __str__(self) -> str:
         return f"http: response of {self.address} interrupted: {self.detail}"
--- a/src/kumquatseam/platform/_orders.py
+++ b/src/kumquatseam/platform/_orders.py
@@ -14,6 +14,7 @@
     MovedRun,
     OrderClient,
     OrderOutcome,
+    RunEndedError,
     WeightsOrder,
 )
 from kumquatseam.upstreams import Upstream
@@ -25,6 +26,7 @@
 _TIMEOUT_S = 0.5
 #: a move queues behind others on both links: some tens of runs of about 15 ms each.
 _MOVE_TIMEOUT_S = 2.0
+_NO_SUCH_RUN = 404
 _MODES = {LoadMode.DRAIN_FIRST: "queue", LoadMode.IN_PLACE: "retain"}
 _OUTCOMES = {
     202: OrderOutcome.ACCEPTED,
@@ -87,6 +89,8 @@
         except (urllib3.exceptions.HTTPError, DecodingError) as error:
             self._log_failure(source, "move", error)
             return None
+        if response.status == _NO_SUCH_RUN:
+            raise RunEndedError(source.upstream_id, request_id)
         _log.bind(
             upstream=source.incarnation_id,
             request=request_id,
--- a/src/kumquatseam/relays/_client.py
+++ b/src/kumquatseam/relays/_client.py
@@ -4,9 +4,15 @@
 import time
 from collections.abc import Callable, Sequence
 
-from kumquatseam.http1 import ConnectFailedError, open_socket
+from kumquatseam.http1 import ConnectFailedError, TransportDecoder, open_socket
 from kumquatseam.logs import part_logger
 from kumquatseam.peers import InstanceRecord, UnresponsivePeers
+from kumquatseam.relays._coding import (
+    CHUNKED,
+    CODING_HEADER,
+    ChunkedDecoder,
+    OpaqueDecoder,
+)
 from kumquatseam.relays._errors import NoRelayError
 from kumquatseam.relays._head import ConnectHead, HeadError, read_head
 
@@ -49,8 +55,17 @@
         self.opened = 0
         self.failed = 0
 
-    def open(self, address: str, timeout_s: float):
-        """Return a socket that leads to an upstream.
+    def check(self, address: str, timeout_s: float) -> None:
+        """Check whether another instance can connect to an upstream.
+
+        :raises ConnectFailedError: if another instance could not connect either.
+        :raises NoRelayError: if no instance replied that has a path.
+        """
+        opened, _ = self.open(address, timeout_s)
+        opened.close()
+
+    def open(self, address: str, timeout_s: float) -> tuple[object, TransportDecoder]:
+        """Return a socket that leads to an upstream, and the decoder of its bytes.
 
         :param address: the upstream's ``host:port``.
         :raises ConnectFailedError: if another instance could not connect either.
@@ -63,18 +78,19 @@
             if left_s <= 0:
                 break
             try:
-                opened, status = self._ask(record, address, left_s * TIMEOUT_SHARE)
+                opened, head = self._ask(record, address, left_s * TIMEOUT_SHARE)
             except (ConnectFailedError, HeadError) as error:
                 self._note_failure(record, str(error), tried)
                 continue
             if opened is not None:
                 self._note_success(record)
-                return opened
-            if status == _UPSTREAM_FAILED:
+                is_coded = head.header(CODING_HEADER) == CHUNKED
+                return opened, ChunkedDecoder() if is_coded else OpaqueDecoder()
+            if head.status == _UPSTREAM_FAILED:
                 self._note_success(record)
                 detail = f"{record.name} cannot connect either"
                 raise ConnectFailedError(address, detail)
-            self._note_failure(record, f"status {status}", tried)
+            self._note_failure(record, f"status {head.status}", tried)
         self.failed += 1
         raise NoRelayError(address, tuple(tried))
 
@@ -98,15 +114,19 @@
         return [known[name] for name in names[:MAX_TRIED]]
 
     def _ask(self, record: InstanceRecord, address: str, timeout_s: float):
-        """Ask one instance; return the socket or ``None``, and the reply's status."""
+        """Ask one instance; return the socket or ``None``, and the reply's head."""
         connection = open_socket(record.relay_address, timeout_s)
         is_opened = False
         try:
-            request = f"CONNECT {address} HTTP/1.1\r\nHost: {address}\r\n\r\n"
-            connection.sendall(request.encode())
+            lines = (
+                f"CONNECT {address} HTTP/1.1",
+                f"Host: {address}",
+                f"{CODING_HEADER}: {CHUNKED}",
+            )
+            connection.sendall("\r\n".join((*lines, "", "")).encode())
             head = ConnectHead(read_head(connection, timeout_s), is_request=False)
             is_opened = head.status == _OPENED
-            return (connection if is_opened else None), head.status
+            return (connection if is_opened else None), head
         except OSError as error:
             raise ConnectFailedError(record.relay_address, repr(error)) from error
         finally:
--- /dev/null
+++ b/src/kumquatseam/relays/_coding.py
@@ -0,0 +1,65 @@
+"""The coding of what a tunnel carries from an upstream.
+
+A tunnel's connection also ends when the instance that carries it is stopped or killed.
+What comes from the upstream is therefore sent in HTTP chunked coding, whose last chunk
+says that the upstream ended its connection. An instance asks for it by a header of its
+``CONNECT`` request; one that does not know it answers without that header.
+"""
+
+import httptools
+
+from kumquatseam.http1 import TransportDecoder, TransportError
+
+#: header by which a tunnel's coding is asked for, and confirmed.
+CODING_HEADER = "Tunnel-Coding"
+CHUNKED = "chunked"
+#: tells that the upstream ended its connection.
+LAST_CHUNK = b"0\r\n\r\n"
+_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """Return some bytes of an upstream as they are sent through a tunnel."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class ChunkedDecoder(TransportDecoder):
+    """Decodes what a tunnel carries from its upstream."""
+
+    def __init__(self) -> None:
+        self._is_ended = False
+        self._data = bytearray()
+        self._parser = httptools.HttpResponseParser(self)
+        self._parser.feed_data(_HEAD)
+
+    @property
+    def is_ended(self) -> bool:
+        return self._is_ended
+
+    def feed(self, data: bytes) -> bytes:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            raise TransportError(f"tunnel: not in chunks: {error!r}") from error
+        decoded = bytes(self._data)
+        self._data.clear()
+        return decoded
+
+    # Callbacks of the parser; it defines their names.
+
+    def on_body(self, data: bytes) -> None:
+        self._data += data
+
+    def on_message_complete(self) -> None:
+        self._is_ended = True
+
+
+class OpaqueDecoder(TransportDecoder):
+    """For tunnels whose end may be made by the instance that carries them."""
+
+    @property
+    def is_ended(self) -> bool:
+        return False
+
+    def feed(self, data: bytes) -> bytes:
+        return data
--- a/src/kumquatseam/relays/_connector.py
+++ b/src/kumquatseam/relays/_connector.py
@@ -71,13 +71,13 @@
         self, address: str, timeout_s: float
     ) -> UpstreamConnection:
         try:
-            opened = self._relays.open(address, timeout_s)
+            opened, decoder = self._relays.open(address, timeout_s)
         except NoRelayError as error:
             raise ConnectFailedError(
                 address, str(error), is_upstream_fault=not self._path.is_suspect
             ) from error
         self._path.note_relayed()
-        return UpstreamConnection(address, opened, is_relayed=True)
+        return UpstreamConnection(address, opened, decoder=decoder)
 
     def check(self) -> None:
         """Probe a few upstreams if the path is lost, or may be."""
@@ -117,7 +117,7 @@
     def _confirm_loss(self, address: str) -> None:
         """Check whether another instance reaches an upstream that stays silent here."""
         try:
-            self._relays.open(address, PROBE_TIMEOUT_S).close()
+            self._relays.check(address, PROBE_TIMEOUT_S)
         except (ConnectFailedError, NoRelayError) as error:
             _log.bind(error=str(error)).info("Path to the upstreams unclear.")
         else:
--- a/src/kumquatseam/relays/_head.py
+++ b/src/kumquatseam/relays/_head.py
@@ -24,6 +24,7 @@
     def __init__(self, data: bytes, is_request: bool) -> None:
         self.target = ""
         self.status = 0
+        self._headers: dict[str, str] = {}
         kind = httptools.HttpRequestParser if is_request else _RESPONSE_PARSER
         parser = kind(self)
         try:
@@ -42,6 +43,15 @@
         """Called by the parser with the request's target."""
         self.target += url.decode("latin-1")
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser with each header."""
+        text = (value or b"").decode("latin-1").strip()
+        self._headers[name.decode("latin-1").lower()] = text
+
+    def header(self, name: str) -> str:
+        """Return the value of a header; ``""`` if there is none."""
+        return self._headers.get(name.lower(), "")
+
 
 _RESPONSE_PARSER = httptools.HttpResponseParser
 
--- a/src/kumquatseam/relays/_server.py
+++ b/src/kumquatseam/relays/_server.py
@@ -11,6 +11,12 @@
 from kumquatseam.http1 import ConnectFailedError, open_socket
 from kumquatseam.logs import part_logger
 from kumquatseam.pools import dead_peer_socket_options
+from kumquatseam.relays._coding import (
+    CHUNKED,
+    CODING_HEADER,
+    LAST_CHUNK,
+    encode_chunk,
+)
 from kumquatseam.relays._head import ConnectHead, HeadError, read_head
 
 _log = part_logger("relay")
@@ -74,15 +80,16 @@
             for option in dead_peer_socket_options():
                 connection.setsockopt(*option)
             head = ConnectHead(read_head(connection, HEAD_TIMEOUT_S), is_request=True)
-            upstream = self._connect(connection, head.target)
+            is_coded = head.header(CODING_HEADER) == CHUNKED
+            upstream = self._connect(connection, head.target, is_coded)
             if upstream is not None:
-                self._tunnel(connection, upstream)
+                self._tunnel(connection, upstream, is_coded)
         except (HeadError, OSError) as error:
             _log.bind(error=str(error)).debug("Tunnel ended.")
         finally:
             connection.close()
 
-    def _connect(self, connection, target: str):
+    def _connect(self, connection, target: str, is_coded: bool):
         """Connect to an upstream and reply; return the socket, or ``None``."""
         if not self._is_upstream(target):
             return self._refuse(connection, 403, target, "not an upstream")
@@ -94,7 +101,8 @@
             upstream = open_socket(target, self._connect_timeout_s)
         except ConnectFailedError as error:
             return self._refuse(connection, 502, target, error.detail)
-        connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+        coding = f"{CODING_HEADER}: {CHUNKED}\r\n" if is_coded else ""
+        connection.sendall(f"HTTP/1.1 200 OK\r\n{coding}\r\n".encode())
         return upstream
 
     def _refuse(self, connection, status: int, target: str, reason: str) -> None:
@@ -102,12 +110,13 @@
         _log.bind(target=target, status=status, reason=reason).debug("Tunnel refused.")
         connection.sendall(b"HTTP/1.1 %d Refused\r\nContent-Length: 0\r\n\r\n" % status)
 
-    def _tunnel(self, connection, upstream) -> None:
+    def _tunnel(self, connection, upstream, is_coded: bool) -> None:
         """Copy bytes both ways until one side closes its connection."""
         self.open_tunnels += 1
         self.opened += 1
         self._tunnelled.add(connection)
-        backward = gevent.spawn(_copy, upstream, connection)
+        copy_back = _copy_coded if is_coded else _copy
+        backward = gevent.spawn(copy_back, upstream, connection)
         try:
             _copy(connection, upstream)
         finally:
@@ -118,14 +127,23 @@
             upstream.close()
 
 
-def _copy(source, target) -> None:
+def _copy_coded(upstream, target) -> None:
+    """Copy an upstream's bytes in chunks, and tell how its connection ended."""
+    _copy(upstream, target, encode_chunk, LAST_CHUNK)
+
+
+def _copy(source, target, encode=bytes, last=b"") -> None:
     """Copy bytes until the source ends or a side fails; then end both.
 
     A slow receiver blocks the sender through the socket buffers.
+
+    :param encode: encodes what is copied.
+    :param last: sent when the source ended.
     """
     try:
         while data := source.recv(_COPIED_BYTES):
-            target.sendall(data)
+            target.sendall(encode(data))
+        target.sendall(last)
         target.shutdown(socket.SHUT_WR)
         # Neither requests nor responses continue after one side closed.
         source.shutdown(socket.SHUT_RD)
--- a/src/kumquatseam/rollouts/__init__.py
+++ b/src/kumquatseam/rollouts/__init__.py
@@ -19,6 +19,7 @@
     MovedRun,
     OrderClient,
     OrderOutcome,
+    RunEndedError,
     WeightsOrder,
 )
 from kumquatseam.rollouts._plan import (
@@ -41,6 +42,7 @@
     "RolloutBounds",
     "RolloutDuty",
     "RolloutView",
+    "RunEndedError",
     "WeightsOrder",
     "plan_loads",
 ]
--- a/src/kumquatseam/rollouts/_orders.py
+++ b/src/kumquatseam/rollouts/_orders.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from kumquatseam.errors import KumquatseamError
 from kumquatseam.upstreams import Upstream, WeightsVersion
 
 
@@ -87,6 +88,21 @@
     events: int
 
 
+@attrs.define(frozen=True, eq=False)
+class RunEndedError(KumquatseamError):
+    """A run that was to be moved had ended by itself.
+
+    :param upstream_id: the engine it ran on.
+    :param request_id: its request.
+    """
+
+    upstream_id: str
+    request_id: str
+
+    def __str__(self) -> str:
+        return f"rollouts: {self.upstream_id} runs {self.request_id} no longer"
+
+
 class OrderClient(abc.ABC):
     """Sends orders to engines, fetches their reports, and moves their runs."""
 
@@ -105,4 +121,5 @@
         """Stop a run and copy its KV cache to another engine.
 
         :returns: ``None`` if it was not stopped or cannot resume.
+        :raises RunEndedError: if it had ended.
         """
