Log and count what is sent to upstreams that say they leave

The first mention of Server-Leaving in a response is logged, and requests to upstreams that an instance knows to be leaving are counted: this tells a header that nobody reads from one that a later record takes back, and from requests that were placed before.

--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -504,6 +504,7 @@
         request_bytes = self._request_bytes(placement)
         self._progress.has_sent = True
         self._permission.note_sent()
+        self._parts.directory.note_sent(placement.status)
         self._parts.limits.announced.note_sent(placement.status.upstream.incarnation_id)
         self._limit_grant = None
         if self._retry_grant is not None:
@@ -594,6 +595,8 @@
             status.record_version(model, traits.weights_version, time.monotonic())
         self._observe_limit(status, traits)
         if traits.responding_id in ("", status.upstream.upstream_id):
+            if traits.is_leaving:
+                self._parts.directory.note_leaving(status)
             self._parts.directory.note_brittle(status, traits.brittle_refusals)
         if traits.is_not_run:
             _log.bind(
--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -98,6 +98,9 @@
     metrics.register_counter("retries_undecided", lambda: parts.retries.undecided)
     metrics.register_counter("limit_grants", lambda: limits.granted)
     metrics.register_counter("limit_refusals", lambda: limits.refused)
+    metrics.register_counter(
+        "requests_to_leaving", lambda: parts.directory.sent_to_leaving
+    )
     metrics.register_counter("path_losses", lambda: parts.path.lost_count)
     metrics.register_counter("relayed_connections", lambda: parts.relays.opened)
     metrics.register_counter("relay_failures", lambda: parts.relays.failed)
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -19,6 +19,7 @@
 _VERSION = b"x-weight-versions"
 _LIMIT = b"server-limit"
 _BRITTLE = b"server-brittle"
+_LEAVING = b"server-leaving"
 _KEY_SCHEME = "token "
 
 #: addressed to the router or set only by it, so never forwarded.
@@ -100,6 +101,7 @@
             responding_id=headers.text(b"x-replica-id") if head.status == 421 else "",
             limit_per_s=parse_limit(_text_or_none(headers, _LIMIT)),
             brittle_refusals=_number_or_none(headers.text(_BRITTLE)),
+            is_leaving=headers.text(_LEAVING) == "1",
         )
 
 
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -80,6 +80,8 @@
         #: number of requests sent so far; shows whether the load of this process's
         #: own requests increased.
         self.requests_sent = 0
+        #: requests sent to upstreams that were known to be leaving.
+        self.sent_to_leaving = 0
 
     def on_gone(self, listener: Callable[[Upstream], None]) -> None:
         """Call ``listener`` with each incarnation that ended or was removed."""
@@ -314,6 +316,17 @@
         if refusals is not None:
             self._brittle[status.upstream.service] = _Brittle(refusals, now_s)
 
+    def note_leaving(self, status: UpstreamStatus) -> None:
+        """Record that an upstream said in a response that it is shutting down."""
+        if not status.has_said_leaving:
+            status.has_said_leaving = True
+            self._log_change("leaving, by its response", status.upstream)
+
+    def note_sent(self, status: UpstreamStatus) -> None:
+        """Count a request that is sent although its upstream is leaving."""
+        if status.has_said_leaving or status.upstream.is_leaving:
+            self.sent_to_leaving += 1
+
     def has_brittle(self) -> bool:
         """Return whether any upstream may be brittle."""
         return bool(self._brittle)
--- a/src/kumquatseam/upstreams/_status.py
+++ b/src/kumquatseam/upstreams/_status.py
@@ -40,6 +40,7 @@
     :param move_runs_to: upstreams that its running requests move to while it loads.
     :param closing_until_s: until then it is about to load weights, and requests
         should prefer other upstreams.
+    :param has_said_leaving: whether it said in a response that it is shutting down.
     :param expires_s: when to remove it, if its entry expired during an outage of the
         list or is unreadable.
     """
@@ -61,6 +62,7 @@
     brittle_known_s: float = float("-inf")
     closing_until_s: float = 0.0
     expires_s: float | None = None
+    has_said_leaving: bool = False
     move_runs_to: tuple[str, ...] = ()
 
     def version_of(self, model: str) -> int | None:
