Red test: replicas that say they leave get further requests

Four gateways, one plain replica and one engine that say so in all answers from 2 s on while their records stay ready, 40 requests a second. Requests sent over 2 s after a machine had passed such an answer on, on the code as it is: 146; with two gateways cut 133, all from the two machines that carried the connections.

--- a/features/steps/cut_proxy.py
+++ b/features/steps/cut_proxy.py
@@ -25,6 +25,8 @@
         self.target = (host, int(port))
         #: how processes are cut, by process id.
         self.cuts = {}
+        #: the process behind each connection to the target, by its local port.
+        self.owners = {}
         #: number of connections opened, by process id.
         self.opened = {}
         #: the processes to tell apart.
@@ -72,6 +74,7 @@
             _reset(client)
             return
         upstream.settimeout(None)
+        self.owners[upstream.getsockname()[1]] = pid
         entry = (pid, (client, upstream))
         self._open.append(entry)
         backward = threading.Thread(target=self._copy, args=(pid, upstream, client))
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -42,6 +42,11 @@
     events_sent: int = 0
     ended: str = ""
     began_s: float = 0.0
+    arrived_s: float = 0.0
+    answered_s: float = 0.0
+    peer_port: int = 0
+    said_leaving: bool = False
+    rest_s: float = 0.0
 
 
 class StandinReplica:
@@ -75,6 +80,10 @@
         #: whether its answers have neither length nor chunks and end with their
         #: connection.
         self.is_unframed = False
+        #: whether all its answers say that it leaves.
+        self.says_leaving = False
+        #: Retry-After of the 503 that it answers every request with; ``None`` to serve.
+        self.rest = None
         #: pieces of the body of a plain service, sent one after the other.
         self.pieces = [b"whole"]
         #: requests that it runs at once, refusing others; ``None`` for any number.
@@ -219,7 +228,7 @@
 
     def _send(self, http, status, body, headers=None):
         http.send_response(status)
-        for name, value in (headers or {}).items():
+        for name, value in {**(headers or {}), **self._notices()}.items():
             http.send_header(name, value)
         if self.is_unframed:
             http.close_connection = True
@@ -228,6 +237,10 @@
         http.end_headers()
         http.wfile.write(body)
 
+    def _notices(self):
+        """Return the headers of all answers."""
+        return {"Server-Leaving": "1"} if self.says_leaving else {}
+
     def _own_headers(self, http):
         headers = {
             "X-Request-Id": http.headers.get("X-Request-Id", ""),
@@ -243,10 +256,24 @@
 
     def _serve(self, http, body):
         seen = SeenRequest(http.command, http.path, dict(http.headers), body)
+        seen.arrived_s = time.monotonic()
+        seen.peer_port = http.client_address[1]
+        seen.said_leaving = self.says_leaving
         self.seen.append(seen)
+        try:
+            self._serve_seen(http, seen)
+        finally:
+            seen.answered_s = time.monotonic()
+
+    def _serve_seen(self, http, seen):
         fault = self.script.popleft() if self.script else ""
         expected_version = http.headers.get("X-Expect-Version")
         headers = self._own_headers(http)
+        if self.rest is not None:
+            seen.rest_s = float(self.rest)
+            refusal = {"X-Not-Executed": "1", "Retry-After": self.rest}
+            self._send(http, 503, b"", {**headers, **refusal})
+            return
         if fault == "refuse" or (self.version is not None and self.loading):
             self._send(http, 503, b"", {**headers, "X-Not-Executed": "1"})
             return
@@ -342,7 +369,7 @@
         first = int(http.headers.get("Last-Event-Id") or 0) + 1
         request_id = headers["X-Request-Id"]
         http.send_response(200)
-        for name, value in headers.items():
+        for name, value in {**headers, **self._notices()}.items():
             http.send_header(name, value)
         http.send_header("Content-Type", "text/event-stream")
         if not self.is_unframed:
