Red test: replicas that ask for rest get requests as before

The same fleet; one replica of each kind answers 503 with Retry-After: 3 from 1 s on, all from 6 s on. Requests from one machine between half a second after such an answer and its end, on the code as it is: 5 to 17 (16 of 16 pairs of machine and replica over two); with two gateways cut 12 to 31 (8 of 8 pairs).

--- a/features/steps/upstream_wishes_steps.py
+++ b/features/steps/upstream_wishes_steps.py
@@ -156,3 +156,85 @@
     count = len(context.sent)
     statuses = collections.Counter(sent.status for sent in context.sent.values())
     assert served >= share * count, f"{served} of {count}: {statuses}"
+
+
+# Rest.
+
+#: the longest that a refusal may take that needs nobody else.
+AT_ONCE_S = 0.3
+#: rest after which requests count, and how many a machine may send until its end.
+FREE_S = 0.5
+MAX_IN_REST = 2
+
+
+@when(
+    "{cut:d} gateways are cut, one replica of each kind asks for {rest_s:d} seconds of "
+    "rest, then all do"
+)
+def step_rest(context, cut, rest_s):
+    world = context.platform
+    if cut:
+        cut_gateways(context, cut)
+
+    def rest(names):
+        for name in names:
+            world.replicas[name].rest = str(rest_s)
+
+    context.resting = list(world.replicas)
+    context.all_rest_s = time.monotonic() + 6.0
+    on_time = [(1.0, lambda: rest(("p0", "e0"))), (6.0, lambda: rest(world.replicas))]
+    send_for(context, 11.0, on_time)
+
+
+@then(
+    "no machine sent more than {most:d} requests in a time of rest, from half a second "
+    "on"
+)
+def step_rest_kept(context, most):
+    by_pair = collections.defaultdict(list)
+    for name, machine, seen in arrivals(context, context.resting):
+        by_pair[name, machine].append(seen)
+    worst = collections.Counter()
+    for pair, requests in by_pair.items():
+        for asked in requests:
+            if asked.rest_s:
+                from_s, until_s = asked.answered_s + FREE_S, asked.answered_s
+                until_s += asked.rest_s
+                count = sum(from_s < seen.arrived_s < until_s for seen in requests)
+                worst[pair] = max(worst[pair], count)
+    assert worst, "no replica asked for rest"
+    over = {pair: count for pair, count in worst.items() if count > most}
+    assert not over, f"{len(over)} of {len(worst)} pairs: {over}"
+
+
+@then("{share:g} of the requests were served while others did not rest")
+def step_others_serve(context, share):
+    early = [s for s in context.sent.values() if s.at_s < context.all_rest_s - 0.5]
+    served = sum(sent.status == 200 for sent in early)
+    assert served >= share * len(early), f"{served} of {len(early)}"
+
+
+@then("while all rested, requests were refused at once, to return when a rest is over")
+def step_all_rest(context):
+    rests = [
+        (pair[0], seen.answered_s, seen.answered_s + seen.rest_s)
+        for *pair, seen in arrivals(context, context.resting)
+        if seen.rest_s
+    ]
+    # By then every machine has been told by every replica.
+    told_s = context.all_rest_s + 1.0
+    late = [s for s in context.sent.values() if s.at_s > told_s]
+    slow = [s for s in late if s.status != 503 or s.took_s > AT_ONCE_S]
+    assert late and not slow, f"{len(slow)} of {len(late)}: {slow[:5]}"
+    untrue = []
+    for sent in late:
+        now_s = sent.at_s + sent.took_s
+        kind = "e" if sent.path.startswith("/resume") else "p"
+        ends_s = [
+            end_s
+            for name, since_s, end_s in rests
+            if name.startswith(kind) and since_s <= sent.at_s and end_s > now_s
+        ]
+        if ends_s and now_s + (sent.retry_after_s or 0.0) < min(ends_s) - 0.1:
+            untrue.append((sent, min(ends_s) - now_s))
+    assert not untrue, f"{len(untrue)} of {len(late)}: {untrue[:5]}"
