--- a/features/steps/retry_world.py
+++ b/features/steps/retry_world.py
@@ -11,9 +11,9 @@
 from kumquatseam import quotas
 from kumquatseam.admission import RetryCause
 from kumquatseam.codec import MessageCodec
+from kumquatseam.gatewayfile import RetrySettings
 from kumquatseam.peers import InstanceRecord, RendezvousOrder, order_key
 from kumquatseam.quotas import QuotaParts, QuotaShard, RetryBudgets, ShardOwners
-from kumquatseam.settings import RetrySettings
 
 CODEC = MessageCodec("datagram", quotas.DATAGRAM_KINDS, is_compact=True)
 SERVICE = "engines"
--- a/features/steps/starts_steps.py
+++ b/features/steps/starts_steps.py
@@ -16,8 +16,8 @@
 from platform_world import TEMPLATE, GatewayProcess, wait_until
 
 from kumquatseam.errors import SettingsError
+from kumquatseam.gatewayfile import load_gateway_settings
 from kumquatseam.leases import DutyLease
-from kumquatseam.settings import load_gateway_settings
 from kumquatseam.standins.logservice import (
     InMemoryLogService,
     LogFaults,
--- a/src/kumquatseam/cli.py
+++ b/src/kumquatseam/cli.py
@@ -27,11 +27,11 @@
 import fire  # noqa: E402
 
 from kumquatseam.errors import KumquatseamError, SettingsError  # noqa: E402
+from kumquatseam.gatewayfile import load_gateway_settings  # noqa: E402
 from kumquatseam.logs import configure_logging  # noqa: E402
 from kumquatseam.settings import (  # noqa: E402
     POLICY_NAMES,
     Settings,
-    load_gateway_settings,
     load_settings,
 )
 
--- a/src/kumquatseam/gateway/_paces.py
+++ b/src/kumquatseam/gateway/_paces.py
@@ -3,7 +3,7 @@
 import attrs
 
 from kumquatseam.feeds import ReadPace
-from kumquatseam.settings import FeedSettings
+from kumquatseam.gatewayfile import FeedSettings
 
 #: age of a copy, as a share of the bound, at which its reader counts as failed; the
 #: rest of the bound covers a read, which takes up to the timeout of a call.
--- a/src/kumquatseam/gateway/program.py
+++ b/src/kumquatseam/gateway/program.py
@@ -10,8 +10,8 @@
 from kumquatseam.errors import SettingsError
 from kumquatseam.gateway import Adapter
 from kumquatseam.gateway.wiring import Gateway
+from kumquatseam.gatewayfile import GatewayFile, load_gateway_settings
 from kumquatseam.logs import configure_json_logging, part_logger
-from kumquatseam.settings import GatewayFile, load_gateway_settings
 
 _log = part_logger("program")
 
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -11,7 +11,6 @@
 )
 from kumquatseam.feeds import TopicFeeds, TopicUpdate
 from kumquatseam.gateway._adapter import Adapter
-from kumquatseam.gateway._gauges import GaugeParts, add_gauges
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
 from kumquatseam.gateway._health import HealthServer, MetricsServer
 from kumquatseam.gateway._paces import (
@@ -21,6 +20,7 @@
     upstream_pace,
 )
 from kumquatseam.gateway._server import GatewayServer
+from kumquatseam.gatewayfile import GatewayFile
 from kumquatseam.http1 import ConnectFailedError, ConnectionPool, RequestLimits
 from kumquatseam.leases import DutyLease
 from kumquatseam.lifecycle import PartGroup
@@ -73,7 +73,6 @@
     RolloutView,
 )
 from kumquatseam.routes import LiveRouteTable, RouteTable
-from kumquatseam.settings import GatewayFile
 from kumquatseam.trackers import (
     TRACKER_KINDS,
     FleetSizeSwitch,
@@ -83,6 +82,7 @@
 )
 from kumquatseam.upstreams import (
     AnnouncedLimits,
+    Availabilities,
     UpstreamDirectory,
     WeightsTargets,
 )
@@ -132,8 +132,10 @@
         self._adapter = adapter
         self._live = LiveRouteTable()
         # Registered ones: one that is not heard from may still send requests.
+        self._availabilities = Availabilities()
         self._directory = UpstreamDirectory(
-            count_instances=lambda: len(self._bus.records)
+            count_instances=lambda: len(self._bus.records),
+            availabilities=self._availabilities,
         )
         self._index = PromptIndex()
         self._metrics = GatewayMetrics()
@@ -175,7 +177,9 @@
         )
         self._shard_owners = self._build_shard_owners()
         self._quotas = TeamQuotas(self._shard_owners)
-        self._limits = UpstreamLimits(self._shard_owners)
+        self._limits = UpstreamLimits(
+            self._shard_owners, availabilities=self._availabilities
+        )
         self._retries = RetryBudgets(self._shard_owners, self._list_services)
         self._tracker = LoadTracker(
             self._bus.name,
@@ -223,7 +227,7 @@
             *self._health_servers(),
         ]
         self._parts = PartGroup("gateway", parts)
-        self._add_gauges()
+        self._has_gauges = False
 
     def start(self) -> None:
         """Start every part; accept callers last."""
@@ -495,7 +499,7 @@
         if gateway.metrics_listen:
             servers.append(
                 MetricsServer(
-                    gateway.metrics_listen, gateway.metrics_path, self._metrics.text
+                    gateway.metrics_listen, gateway.metrics_path, self._metrics_text
                 )
             )
         return servers
@@ -532,7 +536,16 @@
             smallest = min(engine.cache_tokens for engine in engines)
             self._index.set_engine_capacity(smallest)
 
+    def _metrics_text(self) -> bytes:
+        """Return every metric; the gauges are loaded when they are first read."""
+        if not self._has_gauges:
+            self._add_gauges()
+            self._has_gauges = True
+        return self._metrics.text()
+
     def _add_gauges(self) -> None:
+        from kumquatseam.gateway._gauges import GaugeParts, add_gauges
+
         parts = GaugeParts(
             self._live,
             self._directory,
--- a/src/kumquatseam/settings/_gateway.py
+++ b/src/kumquatseam/gatewayfile/_settings.py
@@ -5,8 +5,7 @@
 import attrs
 
 from kumquatseam.errors import SettingsError
-from kumquatseam.settings._fields import setting
-from kumquatseam.settings._loading import parse_ini, read_section
+from kumquatseam.inifiles import parse_ini, read_section, setting
 
 
 @attrs.frozen
--- a/src/kumquatseam/quotas/_owners.py
+++ b/src/kumquatseam/quotas/_owners.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from kumquatseam.clocks import elapsed_s
+from kumquatseam.gatewayfile import RetrySettings
 from kumquatseam.peers import (
     DatagramCalls,
     DatagramLink,
@@ -27,7 +28,6 @@
 )
 from kumquatseam.quotas._retry_allocator import RetryAllocator
 from kumquatseam.routes import RouteTable
-from kumquatseam.settings import RetrySettings
 from kumquatseam.upstreams import AnnouncedLimits, LimitReport
 
 #: instances that one owner serves at most. A larger fleet splits each team's quota into
--- a/src/kumquatseam/quotas/_retries.py
+++ b/src/kumquatseam/quotas/_retries.py
@@ -6,6 +6,7 @@
 import attrs
 
 from kumquatseam.admission import RetryCause
+from kumquatseam.gatewayfile import RetrySettings
 from kumquatseam.logs import part_logger
 from kumquatseam.peers import InstanceRecord
 from kumquatseam.quotas._ballots import Ballot, hold_ballot
@@ -18,7 +19,6 @@
     ServiceCount,
 )
 from kumquatseam.quotas._owners import ShardOwners
-from kumquatseam.settings import RetrySettings
 
 _log = part_logger("retries")
 
--- a/src/kumquatseam/quotas/_retry_allocator.py
+++ b/src/kumquatseam/quotas/_retry_allocator.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 
+from kumquatseam.gatewayfile import RetrySettings
 from kumquatseam.peers import InstanceRecord
 from kumquatseam.quotas._messages import (
     QuotaLeaseReply,
@@ -11,7 +12,6 @@
     RetryHistory,
 )
 from kumquatseam.quotas._retry_shard import RetryShard
-from kumquatseam.settings import RetrySettings
 
 
 class RetryAllocator:
--- a/src/kumquatseam/quotas/_retry_shard.py
+++ b/src/kumquatseam/quotas/_retry_shard.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from kumquatseam.gatewayfile import RetrySettings
 from kumquatseam.peers import InstanceRecord
 from kumquatseam.quotas._messages import (
     QuotaLeaseReply,
@@ -14,7 +15,6 @@
 )
 from kumquatseam.quotas._owned_shard import OwnedShard
 from kumquatseam.quotas._step_count import StepCount
-from kumquatseam.settings import RetrySettings
 
 #: steps of a window in which requests and retries are counted. A window is known to
 #: one step, so more steps leave less of the budget unused and take longer to add up.
--- a/src/kumquatseam/settings/__init__.py
+++ b/src/kumquatseam/settings/__init__.py
@@ -7,6 +7,7 @@
 :func:`build_entity` builds one from text values.
 """
 
+from kumquatseam.inifiles import InvalidFieldError, field_keys, format_fields
 from kumquatseam.settings._configuration import Configuration, InvalidReferenceError
 from kumquatseam.settings._entities import (
     ACTIVE,
@@ -20,14 +21,6 @@
     UpstreamSettings,
     build_entity,
 )
-from kumquatseam.settings._fields import InvalidFieldError, field_keys, format_fields
-from kumquatseam.settings._gateway import (
-    FeedSettings,
-    GatewayFile,
-    GatewaySettings,
-    RetrySettings,
-    load_gateway_settings,
-)
 from kumquatseam.settings._loading import (
     EMBEDDED_DEFAULT_NAME,
     load_settings,
@@ -53,24 +46,19 @@
     "Configuration",
     "DaemonSettings",
     "Entity",
-    "FeedSettings",
     "InvalidFieldError",
     "FleetSettings",
-    "GatewayFile",
-    "GatewaySettings",
     "InstanceSettings",
     "LogSettings",
     "ModelSettings",
     "PrioritySettings",
     "InvalidReferenceError",
-    "RetrySettings",
     "ServiceSettings",
     "Settings",
     "TeamSettings",
     "UpstreamSettings",
     "build_entity",
     "field_keys",
-    "load_gateway_settings",
     "load_settings",
     "parse_settings",
     "format_fields",
--- a/src/kumquatseam/settings/_entities.py
+++ b/src/kumquatseam/settings/_entities.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from kumquatseam.settings._fields import InvalidFieldError, parse_fields, setting
+from kumquatseam.inifiles import InvalidFieldError, parse_fields, setting
 
 ACTIVE = "active"
 DRAINING = "draining"
--- a/src/kumquatseam/settings/_loading.py
+++ b/src/kumquatseam/settings/_loading.py
@@ -11,9 +11,9 @@
 from pathlib import Path
 
 from kumquatseam.errors import SettingsError
+from kumquatseam.inifiles import InvalidFieldError, parse_ini, read_section
 from kumquatseam.settings._configuration import Configuration, InvalidReferenceError
 from kumquatseam.settings._entities import ENTITY_KINDS, build_entity
-from kumquatseam.settings._fields import InvalidFieldError, parse_fields
 from kumquatseam.settings._schema import (
     AdmissionSettings,
     DaemonSettings,
@@ -74,20 +74,6 @@
     )
 
 
-def parse_ini(text: str, source: str) -> configparser.ConfigParser:
-    """Parse an INI document.
-
-    :param source: its origin, used in error messages.
-    :raises SettingsError: if it is not valid INI.
-    """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text, source=source)
-    except configparser.Error as error:
-        raise SettingsError(source, "", "", f"not valid INI: {error}") from error
-    return parser
-
-
 def _check_sections(parser: configparser.ConfigParser, source: str) -> None:
     plain = {_DAEMON, *_OPTIONAL_SECTIONS}
     for section in parser.sections():
@@ -107,18 +93,6 @@
     return daemon
 
 
-def read_section(parser: configparser.ConfigParser, source: str, name: str, cls: type):
-    """Return section ``name`` as an instance of ``cls``; defaults if absent.
-
-    :raises SettingsError: for the first unknown, missing or malformed key.
-    """
-    raw = dict(parser[name]) if parser.has_section(name) else {}
-    try:
-        return cls(**parse_fields(cls, raw))
-    except InvalidFieldError as error:
-        raise SettingsError(source, name, error.key, error.reason) from error
-
-
 def _configuration(parser: configparser.ConfigParser, source: str) -> Configuration:
     entities = []
     for section in parser.sections():
--- a/src/kumquatseam/settings/_schema.py
+++ b/src/kumquatseam/settings/_schema.py
@@ -2,8 +2,8 @@
 
 import attrs
 
+from kumquatseam.inifiles import setting
 from kumquatseam.settings._configuration import Configuration
-from kumquatseam.settings._fields import setting
 
 POLICY_NAMES = ("prefix_aware", "round_robin", "least_loaded", "affinity")
 
