One place says until when, and why, an upstream gets no requests

Cooldowns after failures, pauses after refusals, loads of weights and limits without room were four mechanisms, a fifth stood in the routers' own interface. No behaviour changes but one: the end of a load no longer cuts a pause after a refusal short.

--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -117,8 +117,7 @@
 
 
 def _count_held_out(directory: UpstreamDirectory) -> int:
-    now_s = time.monotonic()
-    return sum(s.held_out_until_s > now_s for s in directory.all())
+    return sum(s.is_held_out for s in directory.all())
 
 
 def _count_on_newest_weights(
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -138,7 +138,6 @@
         Only an engine on the same weights can continue it, and only within the grace
         period of these weights: a moved run counts as a request that starts.
         """
-        now_s = self._clock()
         remaining_s = self._replaced_weights_deadline.remaining_s(
             placement.model, placement.version
         )
@@ -148,7 +147,8 @@
             status
             for status in map(self._directory.status, placement.status.move_runs_to)
             if status is not None
-            and max(status.blocked_until_s, status.held_out_until_s) <= now_s
+            and not status.is_closed
+            and not status.is_held_out
             and status.runs(placement.version)
             and self._limits.has_room(status.upstream.incarnation_id)
         ]
@@ -223,17 +223,16 @@
 
         Upstreams held out after failures are included only if there are no others.
         """
-        now_s = self._clock()
         listed = [
             status
             for status in self._directory.of_service(request.service.name)
             if not status.upstream.is_leaving
             and status.upstream.incarnation_id not in request.excluded
-            and status.blocked_until_s <= now_s
+            and not status.is_closed
             and request.only in ("", status.upstream.incarnation_id)
         ]
         listed = self._without_full_brittle(listed)
-        healthy = [s for s in listed if s.held_out_until_s <= now_s]
+        healthy = [s for s in listed if not s.is_held_out]
         return healthy or listed
 
     def _without_full_brittle(
@@ -416,7 +415,7 @@
         status = self._directory.status(chosen.incarnation_id)
         if status is None or status.upstream.is_leaving:
             return None
-        return status if status.blocked_until_s <= self._clock() else None
+        return None if status.is_closed else status
 
     def _zone_penalty_ms(self, status: UpstreamStatus) -> float:
         is_same_zone = status.upstream.availability_zone == self._zone
--- a/src/kumquatseam/quotas/_upstreams.py
+++ b/src/kumquatseam/quotas/_upstreams.py
@@ -19,7 +19,13 @@
     QuotaUsageUpdate,
 )
 from kumquatseam.quotas._owners import ShardOwners
-from kumquatseam.upstreams import NO_LIMIT_PER_S, LimitObserver, LimitReport
+from kumquatseam.upstreams import (
+    NO_LIMIT_PER_S,
+    Availabilities,
+    LimitObserver,
+    LimitReport,
+    Reason,
+)
 
 _log = part_logger("limits")
 
@@ -67,19 +73,19 @@
 
     :param owners: the owners of limits.
     :param notified: returns the instances to notify of changes besides the owners.
+    :param availabilities: keeps until when upstreams are expected to have no room.
     """
 
     def __init__(
         self,
         owners: ShardOwners,
         notified: Callable[[], Sequence[InstanceRecord]] = tuple,
+        availabilities: Availabilities | None = None,
     ) -> None:
         self._owners = owners
         self._list_notified = notified
-        self._clock = owners.clock
         self.announced = owners.limits
-        #: when an upstream without room is expected to have some.
-        self._used_up_until_s: dict[str, float] = {}
+        self.availabilities = availabilities or Availabilities(owners.clock)
         self.granted = 0
         self.refused = 0
         self.announced.on_change(self._handle_change)
@@ -119,8 +125,7 @@
 
     def used_up_s(self, incarnation_id: str) -> float:
         """Return the time until an upstream is expected to have room; 0 if it has."""
-        until_s = self._used_up_until_s.get(incarnation_id)
-        return max(0.0, until_s - self._clock()) if until_s is not None else 0.0
+        return self.availabilities.of(incarnation_id).left_s(Reason.LIMITED)
 
     def acquire(
         self,
@@ -177,7 +182,7 @@
     def forget(self, incarnation_id: str) -> None:
         """Drop what is known of an upstream that ended."""
         self.announced.forget(incarnation_id)
-        self._used_up_until_s.pop(incarnation_id, None)
+        self.availabilities.of(incarnation_id).end(Reason.LIMITED)
 
     def _vote(
         self,
@@ -278,8 +283,8 @@
         )
 
     def _note_used_up(self, incarnation_id: str, for_s: float) -> None:
-        until_s = self._clock() + max(MIN_USED_UP_S, for_s)
-        self._used_up_until_s[incarnation_id] = until_s
+        availability = self.availabilities.of(incarnation_id)
+        availability.set(Reason.LIMITED, max(MIN_USED_UP_S, for_s))
 
     def _give_back(self, shard: QuotaShard, owners: Iterable[InstanceRecord]) -> None:
         for record in owners:
@@ -297,7 +302,7 @@
 
     def _handle_change(self, incarnation_id: str) -> None:
         # The place that was waited for may be free earlier under the new limit.
-        self._used_up_until_s.pop(incarnation_id, None)
+        self.availabilities.of(incarnation_id).end(Reason.LIMITED)
 
     def _log_decision(
         self, incarnation_id: str, request_id: str, ballot: Ballot, is_granted: bool
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -210,7 +210,7 @@
             running.get(incarnation_id, status.running),
             status.upstream.slots,
             status.upstream.availability_zone,
-            status.held_out_until_s <= self._clock(),
+            not status.is_held_out,
             self.orders.may_send(weights, incarnation_id),
             self._replaced_s(weights.model, status),
         )
--- a/src/kumquatseam/routing/__init__.py
+++ b/src/kumquatseam/routing/__init__.py
@@ -3,7 +3,6 @@
 Use :class:`Router` with a policy from :func:`build_policy`.
 """
 
-from kumquatseam.routing._cooldowns import FailureCooldowns
 from kumquatseam.routing._fleet import FleetView
 from kumquatseam.routing._hints import PlacementHints
 from kumquatseam.routing._index import PrefixIndex
@@ -23,7 +22,6 @@
     "AffinityPolicy",
     "Candidate",
     "FleetView",
-    "FailureCooldowns",
     "LeastLoadedPolicy",
     "PeerSummaries",
     "PlacementHints",
--- a/src/kumquatseam/routing/_fleet.py
+++ b/src/kumquatseam/routing/_fleet.py
@@ -14,7 +14,7 @@
 
 from kumquatseam.engines import SERVING, LoadReport, ModelVersion
 from kumquatseam.fleet import EngineReports, RankCounts
-from kumquatseam.routing._cooldowns import FailureCooldowns
+from kumquatseam.upstreams import FAILURE_COOLDOWN_S, Availabilities, Reason
 
 #: window of the recent maximum of counted requests, in seconds; longer than
 #: the time from the sampling of a load report to its arrival.
@@ -96,7 +96,7 @@
         self._dead_after_s = dead_after_s
         self._clock = clock
         self._engines: dict[str, _EngineState] = {}
-        self._cooldowns = FailureCooldowns()
+        self._availabilities = Availabilities(clock)
 
     def set_engines(self, names: Iterable[str], now_s: float) -> None:
         """Replace the set of engines, keeping the state of those that stay.
@@ -172,9 +172,12 @@
             else:
                 state.peer_requests.pop(peer, None)
 
-    def mark_failed(self, engine: str, now_s: float) -> None:
+    def mark_failed(self, engine: str) -> None:
         """Exclude ``engine`` from routing for a while after a failure."""
-        self._cooldowns.start(engine, now_s)
+        self._availabilities.of(engine).set(Reason.FAILED, FAILURE_COOLDOWN_S)
+
+    def _has_failed(self, engine: str) -> bool:
+        return self._availabilities.of(engine).left_s(Reason.FAILED) > 0
 
     def is_live(self, engine: str, now_s: float) -> bool:
         """Return whether ``engine`` may receive new requests.
@@ -183,7 +186,7 @@
         ``dead_after_s``, so that a router can serve right after its start.
         """
         state = self._engines.get(engine)
-        if state is None or state.dead or self._cooldowns.is_active(engine, now_s):
+        if state is None or state.dead or self._has_failed(engine):
             return False
         since_s = state.last_received_s
         if since_s is None:
@@ -199,7 +202,7 @@
         state = self._engines.get(engine)
         if state is None or state.last_received_s is not None:
             return False
-        return not self._cooldowns.is_active(engine, now_s)
+        return not self._has_failed(engine)
 
     def expire_silent_engines(self, now_s: float) -> list[str]:
         """Mark engines dead that stopped sending, and return their names.
--- a/src/kumquatseam/serving/_completions.py
+++ b/src/kumquatseam/serving/_completions.py
@@ -379,7 +379,7 @@
         """
         name = decision.upstream.name
         attempts.excluded.add(name)
-        self._router.fleet.mark_failed(name, self._parts.clock())
+        self._router.fleet.mark_failed(name)
         repeatable = completion.idempotency_key is None or not attempts.may_have_run
         if not repeatable or attempts.count >= self._parts.admission.max_attempts:
             raise UpstreamError(name, attempts.may_have_run, error.detail) from error
--- a/src/kumquatseam/serving/_services.py
+++ b/src/kumquatseam/serving/_services.py
@@ -23,7 +23,6 @@
     fingerprint,
 )
 from kumquatseam.quotas import UpstreamLimitError
-from kumquatseam.routing import FailureCooldowns
 from kumquatseam.services import ServiceCall, ServiceClient, ServiceResponse
 from kumquatseam.serving._limits import (
     BackEnd,
@@ -34,6 +33,7 @@
 from kumquatseam.serving._parts import ServingParts
 from kumquatseam.serving._running import RunningRequest
 from kumquatseam.settings import ServiceSettings, TeamSettings
+from kumquatseam.upstreams import FAILURE_COOLDOWN_S, Availabilities, Reason
 
 _log = part_logger("services")
 
@@ -56,7 +56,7 @@
         self._services = services
         self._parts = parts
         self._turn = itertools.count()
-        self._cooldowns = FailureCooldowns()
+        self._availabilities = Availabilities(parts.clock)
         self._chooser = LimitedChooser(parts.limits)
 
     def serve(
@@ -141,7 +141,7 @@
                 started |= error.started
                 self._note_interrupted(permission, url, error)
                 excluded.add(url)
-                self._cooldowns.start(url, self._parts.clock())
+                self._availabilities.of(url).set(Reason.FAILED, FAILURE_COOLDOWN_S)
                 last_attempt = attempt >= self._parts.admission.max_attempts
                 if last_attempt or (started and not repeatable):
                     raise UpstreamError(url, started, error.detail) from error
@@ -216,12 +216,13 @@
 
         Replicas that failed recently are chosen only if no other is left.
         """
-        now_s = self._parts.clock()
         remaining = [url for url in service.urls if url not in excluded]
         if not remaining:
             return None
         healthy = [
-            url for url in remaining if not self._cooldowns.is_active(url, now_s)
+            url
+            for url in remaining
+            if not self._availabilities.of(url).left_s(Reason.FAILED)
         ]
         choices = healthy or remaining
         return choices[next(self._turn) % len(choices)]
--- a/src/kumquatseam/upstreams/__init__.py
+++ b/src/kumquatseam/upstreams/__init__.py
@@ -3,10 +3,17 @@
 - :class:`Upstream` is one entry of the platform's list of upstreams.
 - :class:`UpstreamDirectory` combines the newest entries with observations from
   this process's own traffic: requests in flight, failures, weights.
+- :class:`Availabilities` tells until when, and why, upstreams get no requests.
 - :class:`AnnouncedLimits` holds the request limits that upstreams announce.
 - :class:`WeightsTargets` holds the weights that upstreams should run.
 """
 
+from kumquatseam.upstreams._availability import (
+    FAILURE_COOLDOWN_S,
+    Availabilities,
+    Availability,
+    Reason,
+)
 from kumquatseam.upstreams._directory import UpstreamDirectory
 from kumquatseam.upstreams._limits import (
     NO_LIMIT_PER_S,
@@ -26,15 +33,19 @@
 from kumquatseam.upstreams._upstream import Upstream, WeightsVersion
 
 __all__ = [
+    "FAILURE_COOLDOWN_S",
     "NO_LIMIT_PER_S",
     "UNKNOWN_AGE_S",
     "AnnouncedLimits",
+    "Availabilities",
+    "Availability",
     "InFlightRequest",
     "InFlightRequestListener",
     "LimitObservation",
     "LimitObserver",
     "LimitReport",
     "NullLimitObserver",
+    "Reason",
     "Upstream",
     "UpstreamDirectory",
     "UpstreamStatus",
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -6,6 +6,7 @@
 import attrs
 
 from kumquatseam.logs import part_logger
+from kumquatseam.upstreams._availability import Availabilities, Reason
 from kumquatseam.upstreams._status import (
     UNCHANGED_ENTRY_LAG_S,
     InFlightRequest,
@@ -63,14 +64,17 @@
 
     :param clock: monotonic clock in seconds.
     :param count_instances: returns the number of instances of the fleet.
+    :param availabilities: until when, and why, upstreams get no requests.
     """
 
     def __init__(
         self,
         clock: Callable[[], float] = time.monotonic,
         count_instances: Callable[[], int] = lambda: 1,
+        availabilities: Availabilities | None = None,
     ) -> None:
         self._clock = clock
+        self._availabilities = availabilities or Availabilities(clock)
         self._count_instances = count_instances
         self._by_id: dict[str, UpstreamStatus] = {}
         self._by_incarnation: dict[str, UpstreamStatus] = {}
@@ -185,7 +189,8 @@
             status.note_entry(status.upstream, now_s, UNCHANGED_ENTRY_LAG_S)
 
     def _add(self, upstream: Upstream, change: str) -> None:
-        status = UpstreamStatus(upstream)
+        availability = self._availabilities.of(upstream.incarnation_id)
+        status = UpstreamStatus(upstream, availability=availability)
         status.note_entry(upstream, self._clock())
         self._by_id[upstream.upstream_id] = status
         self._by_incarnation[upstream.incarnation_id] = status
@@ -252,7 +257,7 @@
             if status.failures_in_row:
                 status.failures_in_row = 0
                 status.failure_share = 0.0
-                status.held_out_until_s = self._clock()
+                status.availability.end(Reason.FAILED)
 
     def has_address(self, address: str) -> bool:
         """Return whether an upstream is listed at an address."""
@@ -282,8 +287,7 @@
                 self._drop(status, "gone")
                 continue
             is_silent = now_s - status.last_received_s > SILENT_AFTER_S
-            is_in_use = status.held_out_until_s <= now_s
-            if status.answering and is_silent and is_in_use:
+            if status.answering and is_silent and not status.is_held_out:
                 self._hold_out(status, SILENT_HOLD_OUT_S, "silent")
 
     def next_sweep_s(self) -> float:
@@ -363,16 +367,14 @@
 
     def block(self, status: UpstreamStatus, for_s: float) -> None:
         """Record that an upstream refuses requests for the next ``for_s`` seconds."""
-        status.blocked_until_s = max(status.blocked_until_s, self._clock() + for_s)
+        status.availability.extend(Reason.REFUSED, for_s)
 
     def _update_failure_share(self, status: UpstreamStatus, is_failure: bool) -> None:
         newest = 1.0 if is_failure else 0.0
         status.failure_share += FAILURE_WEIGHT * (newest - status.failure_share)
 
     def _hold_out(self, status: UpstreamStatus, for_s: float, reason: str) -> None:
-        until_s = self._clock() + for_s
-        if until_s > status.held_out_until_s:
-            status.held_out_until_s = until_s
+        if status.availability.extend(Reason.FAILED, for_s):
             _log.bind(
                 upstream=status.upstream.incarnation_id,
                 reason=reason,
--- a/src/kumquatseam/upstreams/_status.py
+++ b/src/kumquatseam/upstreams/_status.py
@@ -6,6 +6,11 @@
 
 import attrs
 
+from kumquatseam.upstreams._availability import (
+    CLOSING_REASONS,
+    Availability,
+    Reason,
+)
 from kumquatseam.upstreams._upstream import Upstream
 
 #: maximum age of the state in a newly written entry: the list's own lag plus one
@@ -28,15 +33,12 @@
     :param last_received_s: when response bytes last arrived from it.
     :param failures_in_row: connection failures since the last response.
     :param failure_share: moving average of failed responses, 0 to 1.
-    :param held_out_until_s: until then it gets requests only if no other can serve
-        them.
+    :param availability: until when, and why, it gets no requests.
     :param orders_accepted: number of load orders that this incarnation accepted, if
         known.
     :param brittle_refusals: refusals a second, of all instances together, beyond which
         it ends, as its newest response says; ``None`` if it says nothing of the kind.
     :param brittle_known_s: when that response arrived.
-    :param blocked_until_s: until then it refuses requests, usually since it loads
-        weights.
     :param move_runs_to: upstreams that its running requests move to while it loads.
     :param closing_until_s: until then it is about to load weights, and requests
         should prefer other upstreams.
@@ -52,12 +54,11 @@
     last_received_s: float = 0.0
     failures_in_row: int = 0
     failure_share: float = 0.0
-    held_out_until_s: float = 0.0
+    availability: Availability = attrs.Factory(Availability)
     orders_accepted: int | None = None
     _versions: dict[str, int] = attrs.Factory(dict)
     _version_known_s: dict[str, float] = attrs.Factory(dict)
     _orders_known_s: float = -math.inf
-    blocked_until_s: float = 0.0
     brittle_refusals: float | None = None
     brittle_known_s: float = float("-inf")
     closing_until_s: float = 0.0
@@ -65,6 +66,26 @@
     has_said_leaving: bool = False
     move_runs_to: tuple[str, ...] = ()
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether it gets no requests at all now."""
+        return self.availability.is_closed
+
+    @property
+    def is_held_out(self) -> bool:
+        """Whether it gets requests only if no other can serve them."""
+        return self.availability.left_s(Reason.FAILED) > 0
+
+    @property
+    def held_out_until_s(self) -> float:
+        """When it is no longer held out."""
+        return self.availability.until_s(Reason.FAILED)
+
+    @property
+    def blocked_until_s(self) -> float:
+        """When it is no longer closed."""
+        return self.availability.until_s(*CLOSING_REASONS)
+
     def version_of(self, model: str) -> int | None:
         """Return the version of ``model`` that it is known to run."""
         return self._versions.get(model)
