What an upstream says of leaving binds the instance that it sees

Callers' requests reached engines that had said seconds before, in answers that the same instance had passed on, that they leave: nothing read the header, only a record of the store, which was 13 s late, made an upstream leave.

The class: a fact known from traffic is taken from a slower copy of it alone. Evidence: the first "Upstream leaving, by its response." line of each instance, and requests_to_leaving growing after it until the record changed.

Change: - every answer counts: responses, refusals, failures, 421s (for the upstream that sent them), reports, answers to orders, cache events and listings; - leaving is a reason of an upstream's Availability. It ends with the incarnation only: a record that says ready may be older, one removed and written again is the same; - the upstream is asked once more right before a request is sent, without a retry; - on a tunnel it binds the instance that carries it: the relay reads the heads of requests and responses, sends no request to an upstream that leaves, whoever asks, ends idle tunnels to it, and says so in a trailer, so that the sender knows that nothing was sent and chooses another one; - probes, moves and rollouts leave such upstreams out. A moved run is continued there all the same, since only that engine has its copy.

Ruled out: a later record that takes it back (hypothesis 2) and late sending (3): the test writes records that say ready, and no request was older than 2 s. Telling the other instances: each is bound by what it was told itself; telling all would cost messages that grow with the fleet.

--- a/src/kumquatseam/gateway/_adapter.py
+++ b/src/kumquatseam/gateway/_adapter.py
@@ -7,7 +7,11 @@
 from kumquatseam.logservice import KeyedListener
 from kumquatseam.rollouts import OrderClient
 from kumquatseam.routes import LiveRouteTable
-from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
+from kumquatseam.upstreams import (
+    AvailabilityObserver,
+    UpstreamDirectory,
+    WeightsTargets,
+)
 
 
 class Adapter(abc.ABC):
@@ -29,12 +33,18 @@
         """Return the listener that applies operators' records."""
 
     @abc.abstractmethod
-    def order_client(self) -> OrderClient:
-        """Return the client that sends orders to engines."""
+    def order_client(self, observer: AvailabilityObserver) -> OrderClient:
+        """Return the client that sends orders to engines.
+
+        :param observer: is told what their responses say about further requests.
+        """
 
     @abc.abstractmethod
-    def cache_client(self) -> CacheClient:
-        """Return the client that polls the cache contents of engines and stores."""
+    def cache_client(self, observer: AvailabilityObserver) -> CacheClient:
+        """Return the client that polls the cache contents of engines and stores.
+
+        :param observer: is told what their responses say about further requests.
+        """
 
     @abc.abstractmethod
     def upstream_listener(self, directory: UpstreamDirectory) -> KeyedListener:
--- a/src/kumquatseam/gateway/_call.py
+++ b/src/kumquatseam/gateway/_call.py
@@ -3,7 +3,7 @@
 import attrs
 
 from kumquatseam.prompts import PromptChain
-from kumquatseam.upstreams import NO_LIMIT_PER_S
+from kumquatseam.upstreams import NO_LIMIT_PER_S, AvailabilityNotice
 
 
 @attrs.frozen
@@ -80,7 +80,7 @@
         together; ``None`` if the value is unreadable.
     :param brittle_refusals: refusals a second beyond which the upstream ends;
         ``None`` if it says nothing of the kind.
-    :param is_leaving: whether the upstream says that it is shutting down.
+    :param availability: what it says about further requests to the upstream.
     """
 
     is_not_run: bool
@@ -90,4 +90,4 @@
     responding_id: str = ""
     limit_per_s: float | None = NO_LIMIT_PER_S
     brittle_refusals: float | None = None
-    is_leaving: bool = False
+    availability: AvailabilityNotice = AvailabilityNotice()
--- a/src/kumquatseam/gateway/_dialect.py
+++ b/src/kumquatseam/gateway/_dialect.py
@@ -6,7 +6,7 @@
 
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.gateway._call import Call, ResponseTraits, SendOptions
-from kumquatseam.http1 import Request, ResponseHead
+from kumquatseam.http1 import Headers, Request, ResponseHead
 
 
 @attrs.define(frozen=True, eq=False)
@@ -48,6 +48,10 @@
         Fields that the router sets are never copied from the caller.
         """
 
+    @abc.abstractmethod
+    def expected_upstream(self, headers: Headers) -> str:
+        """Return the id of the only upstream that may run a forwarded request."""
+
     @abc.abstractmethod
     def read_response(self, head: ResponseHead) -> ResponseTraits:
         """Decode the head of an upstream's response."""
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -23,11 +23,13 @@
     Progress,
     RetryableFailureError,
     RunMovedError,
+    UpstreamClosedError,
 )
 from kumquatseam.gateway._refusals import Reason, RefusedError
 from kumquatseam.http1 import (
     CallerDisconnectedError,
     ConnectFailedError,
+    RequestUnsentError,
     ResponseHead,
     ResponseInterruptedError,
     UpstreamConnection,
@@ -48,7 +50,12 @@
     UpstreamLimitError,
 )
 from kumquatseam.rollouts import MovedRun
-from kumquatseam.upstreams import InFlightRequest, UpstreamStatus
+from kumquatseam.upstreams import (
+    STATED_REASONS,
+    InFlightRequest,
+    Unavailability,
+    UpstreamStatus,
+)
 
 _log = part_logger("exchange")
 
@@ -170,6 +177,10 @@
             self._after_interrupted(placement, error)
         except GraceExpiredError:
             self._after_grace_expired(placement)
+        except UpstreamClosedError as error:
+            self._after_closed(placement, str(error))
+        except RequestUnsentError as error:
+            self._after_unsent(placement, error)
         except CallerDisconnectedError:
             self._note_abandoned(placement)
             raise
@@ -325,13 +336,29 @@
             progress.may_have_run |= placement.moved_run is not None
             self._fail(Reason.NO_UPSTREAM, str(error))
         if placement.moved_run is not None:
-            self._after_move_connect_failure(placement, error)
+            self._after_move_connect_failure(placement, str(error))
             return
         self._progress.excluded.add(placement.status.upstream.incarnation_id)
 
-    def _after_move_connect_failure(
-        self, placement: Placement, error: ConnectFailedError
-    ) -> None:
+    def _after_unsent(self, placement: Placement, error: RequestUnsentError) -> None:
+        """Choose again: the upstream wants no requests from whoever carries them."""
+        placement.status.availability.extend(Unavailability.REFUSED, error.for_s)
+        self._permission.note_refused()
+        if placement.moved_run is None:
+            self._progress.attempts -= 1
+        self._after_closed(placement, str(error))
+
+    def _after_closed(self, placement: Placement, detail: str) -> None:
+        """Choose again, since nothing was sent to an upstream that wants no requests.
+
+        The placer does not choose it any more.
+        """
+        self._log_failure(placement, detail)
+        self._release_limit_grant()
+        if placement.moved_run is not None:
+            self._after_move_connect_failure(placement, detail)
+
+    def _after_move_connect_failure(self, placement: Placement, detail: str) -> None:
         """Retry the connection to the engine that a run was moved to.
 
         Nothing was sent to this engine, but the request already ran on the first
@@ -347,7 +374,7 @@
             return
         progress.excluded.add(placement.status.upstream.incarnation_id)
         if not self._job.route.is_resumable:
-            self._fail(Reason.INTERRUPTED, f"move destination not reached: {error}")
+            self._fail(Reason.INTERRUPTED, f"move destination not reached: {detail}")
 
     def _after_interrupted(
         self, placement: Placement, error: ResponseInterruptedError
@@ -398,7 +425,7 @@
         return RunUpstream(
             upstream.incarnation_id,
             upstream.address,
-            upstream.is_leaving,
+            placement.status.is_leaving,
             is_gone=current is None,
         )
 
@@ -482,6 +509,7 @@
             in_flight_request.end()
             raise
         try:
+            self._check_open(placement)
             return self._send_and_receive(placement, connection, in_flight_request)
         finally:
             in_flight_request.end()
@@ -490,6 +518,22 @@
             if self._response is None or not self._response.is_released:
                 connection.close()
 
+    @staticmethod
+    def _check_open(placement: Placement) -> None:
+        """Check that the upstream still wants requests, just before one is sent.
+
+        Permissions, grants and connections take time, in which it may say that it does
+        not. A moved run is continued all the same by an engine that is leaving: only
+        that one has its copy.
+
+        :raises UpstreamClosedError: if it does not.
+        """
+        reasons = STATED_REASONS
+        if placement.moved_run is not None:
+            reasons = tuple(r for r in reasons if r is not Unavailability.LEAVING)
+        if placement.status.availability.left_s(*reasons):
+            raise UpstreamClosedError(placement.status.upstream.incarnation_id)
+
     def _send_and_receive(
         self,
         placement: Placement,
@@ -504,7 +548,7 @@
         request_bytes = self._request_bytes(placement)
         self._progress.has_sent = True
         self._permission.note_sent()
-        self._parts.directory.note_sent(placement.status)
+        self._parts.directory.note_sent(placement.status.upstream.incarnation_id)
         self._parts.limits.announced.note_sent(placement.status.upstream.incarnation_id)
         self._limit_grant = None
         if self._retry_grant is not None:
@@ -594,9 +638,8 @@
         if model and traits.weights_version is not None:
             status.record_version(model, traits.weights_version, time.monotonic())
         self._observe_limit(status, traits)
+        self._note_availability(status, traits)
         if traits.responding_id in ("", status.upstream.upstream_id):
-            if traits.is_leaving:
-                self._parts.directory.note_leaving(status)
             self._parts.directory.note_brittle(status, traits.brittle_refusals)
         if traits.is_not_run:
             _log.bind(
@@ -612,6 +655,16 @@
             return
         self._parts.directory.note_answer(status, head.status >= 500)
 
+    def _note_availability(
+        self, status: UpstreamStatus, traits: ResponseTraits
+    ) -> None:
+        """Record what the response says about further requests."""
+        directory = self._parts.directory
+        incarnation_id = status.upstream.incarnation_id
+        if traits.responding_id not in ("", status.upstream.upstream_id):
+            incarnation_id = directory.incarnation_of(traits.responding_id)
+        directory.note_availability(incarnation_id, traits.availability)
+
     def _observe_limit(self, status: UpstreamStatus, traits: ResponseTraits) -> None:
         """Record the limit that the response announces."""
         upstream = status.upstream
--- a/src/kumquatseam/gateway/_outcomes.py
+++ b/src/kumquatseam/gateway/_outcomes.py
@@ -66,6 +66,10 @@
         self.placement = placement
 
 
+class UpstreamClosedError(Exception):
+    """The chosen upstream takes no requests any more; nothing was sent."""
+
+
 class RetryableFailureError(Exception):
     """The upstream responded with an error, and the request may be retried.
 
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -20,6 +20,7 @@
     upstream_pace,
 )
 from kumquatseam.gateway._server import GatewayServer
+from kumquatseam.gateway._tunnel_traffic import GatewayTunnelTraffic
 from kumquatseam.gatewayfile import GatewayFile
 from kumquatseam.http1 import ConnectFailedError, ConnectionPool, RequestLimits
 from kumquatseam.leases import DutyLease
@@ -83,6 +84,8 @@
 from kumquatseam.upstreams import (
     AnnouncedLimits,
     Availabilities,
+    Unavailability,
+    Upstream,
     UpstreamDirectory,
     WeightsTargets,
 )
@@ -146,7 +149,7 @@
         self._directory.on_gone(self._forget_upstream)
         self._live.on_change(self._size_index)
         self._targets = WeightsTargets()
-        self._orders = adapter.order_client()
+        self._orders = adapter.order_client(self._directory)
         self._record = InstanceRecord(
             file.gateway.router_name,
             file.peers.address,
@@ -303,17 +306,30 @@
         address = self._file.peers.relay_address
         if not address:
             return []
+        traffic = GatewayTunnelTraffic(self._adapter.dialect(), self._directory)
         server = RelayServer(
             address,
             self._file.gateway.connect_timeout_s * RELAYED_CONNECT_SHARE,
             self._directory.has_address,
             lambda: not self._path.is_suspect,
+            traffic,
+        )
+        self._directory.on_closed(
+            lambda status: server.end_idle(
+                status.upstream.address,
+                traffic.closed_incarnation_for_s(status.upstream.incarnation_id),
+            )
         )
         self._path.on_change(lambda is_lost: server.end_tunnels())
         return [server]
 
     def _list_upstream_addresses(self) -> list[str]:
-        return [status.upstream.address for status in self._directory.all()]
+        """Return the addresses of upstreams that may get probes."""
+        return [
+            status.upstream.address
+            for status in self._directory.all()
+            if not status.is_leaving and not status.is_closed
+        ]
 
     def _handle_path_change(self, is_lost: bool) -> None:
         """Reconnect to all upstreams, the other way."""
@@ -416,7 +432,7 @@
 
     def _build_cache_feeds(self) -> CacheFeeds:
         return CacheFeeds(
-            self._adapter.cache_client(),
+            self._adapter.cache_client(self._directory),
             self._index,
             self._bus.name,
             self._cache_holders,
@@ -525,9 +541,13 @@
         self._limits.forget(upstream.incarnation_id)
         self._pool.drop(upstream.address)
         self._quarantine.note_upstream_gone(
-            upstream.incarnation_id, upstream.is_leaving
+            upstream.incarnation_id, self._is_leaving(upstream)
         )
 
+    def _is_leaving(self, upstream: Upstream) -> bool:
+        availability = self._availabilities.of(upstream.incarnation_id)
+        return upstream.is_leaving or availability.left_s(Unavailability.LEAVING) > 0
+
     def _size_index(self, table: RouteTable) -> None:
         for store in table.cache_stores:
             self._index.set_capacity(store.address, store.cache_tokens)
--- a/src/kumquatseam/http1/__init__.py
+++ b/src/kumquatseam/http1/__init__.py
@@ -21,6 +21,7 @@
     CallerDisconnectedError,
     ConnectFailedError,
     IdleConnectionError,
+    RequestUnsentError,
     ResponseInterruptedError,
     TransportError,
 )
@@ -50,6 +51,7 @@
     "Request",
     "RequestLimits",
     "RequestReader",
+    "RequestUnsentError",
     "ResponseHead",
     "TransportDecoder",
     "TransportError",
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -12,6 +12,7 @@
 
 from kumquatseam.http1._errors import (
     ConnectFailedError,
+    RequestUnsentError,
     ResponseInterruptedError,
     TransportError,
 )
@@ -57,6 +58,11 @@
     def is_ended(self) -> bool:
         """Whether the upstream is known to have ended its connection."""
 
+    @property
+    @abc.abstractmethod
+    def unsent_for_s(self) -> float | None:
+        """For how long no request is sent, the last one neither; ``None`` if it was."""
+
     @abc.abstractmethod
     def feed(self, data: bytes) -> bytes:
         """Add bytes that arrived; return the upstream's bytes among them.
@@ -183,6 +189,7 @@
         :param may_lack_id: whether a response without an id counts as the one to
             this request; late responses to other requests carry their ids.
         :raises ResponseInterruptedError: if no such response is received.
+        :raises RequestUnsentError: if the request was not sent to the upstream.
         """
         strays = 0
         while True:
@@ -233,6 +240,8 @@
         self, is_available: Callable[[], object], wait: "SocketWait"
     ) -> None:
         while not is_available():
+            if self._decoder is not None and self._decoder.unsent_for_s is not None:
+                raise RequestUnsentError(self.address, self._decoder.unsent_for_s)
             if self._parse_error:
                 raise ResponseInterruptedError(self.address, self._parse_error)
             if self._end_reason:
--- a/src/kumquatseam/http1/_errors.py
+++ b/src/kumquatseam/http1/_errors.py
@@ -58,6 +58,21 @@
         return f"http: cannot connect to {self.address}: {self.detail}"
 
 
+@attrs.define(frozen=True, eq=False)
+class RequestUnsentError(KumquatseamError):
+    """What carries a connection did not send a request, nor will it.
+
+    :param address: host and port of the upstream.
+    :param for_s: for how long the upstream wants no requests from there.
+    """
+
+    address: str
+    for_s: float
+
+    def __str__(self) -> str:
+        return f"http: request to {self.address} not sent on the way"
+
+
 @attrs.define(frozen=True, eq=False)
 class ResponseInterruptedError(KumquatseamError):
     """A request was sent and no complete response received; it may have run.
--- a/src/kumquatseam/http1/_messages.py
+++ b/src/kumquatseam/http1/_messages.py
@@ -56,6 +56,14 @@
         """Return the first value of ``name`` (given in lower case)."""
         return self._values.get(name)
 
+    def all(self, name: bytes) -> list[str]:
+        """Return all values of ``name`` (given in lower case) as texts."""
+        return [
+            value.decode("latin-1").strip()
+            for field, value in self.fields
+            if field.lower() == name
+        ]
+
     def text(self, name: bytes) -> str:
         """Return the first value of ``name`` as text; ``""`` without one."""
         return self._values.get(name, b"").decode("latin-1").strip()
--- a/src/kumquatseam/platform/_cache_events.py
+++ b/src/kumquatseam/platform/_cache_events.py
@@ -6,20 +6,28 @@
 
 from kumquatseam.cachefeeds import CacheClient, CacheHolder, CacheListing, CachePage
 from kumquatseam.logs import part_logger
+from kumquatseam.platform._availability import decode_availability
 from kumquatseam.platform._values import DecodingError, decode_json
 from kumquatseam.pools import AddressPools
 from kumquatseam.prompts import HeldPart
+from kumquatseam.upstreams import AvailabilityObserver, NullAvailabilityObserver
 
 _log = part_logger("cache")
 
 #: response timeout, in addition to the wait of a long poll.
 _TIMEOUT_S = 0.6
+#: another replica responds at the address.
+_MISDIRECTED = 421
 
 
 class PlatformCacheClient(CacheClient):
-    """Requests cache listings and events over HTTP."""
+    """Requests cache listings and events over HTTP.
 
-    def __init__(self) -> None:
+    :param observer: is told what the responses say about further requests.
+    """
+
+    def __init__(self, observer: AvailabilityObserver | None = None) -> None:
+        self._observer = observer or NullAvailabilityObserver()
         self._pools = AddressPools()
 
     def list_parts(self, holder: CacheHolder) -> CacheListing | None:
@@ -44,6 +52,10 @@
                 headers=headers,
                 timeout=urllib3.Timeout(connect=_TIMEOUT_S, read=_TIMEOUT_S + wait_s),
             )
+            if holder.upstream_id and response.status != _MISDIRECTED:
+                self._observer.note_availability(
+                    holder.holder, decode_availability(response.headers.getlist)
+                )
             if response.status == 200:
                 return decode_json("cache events", response.data, build)
             reason = f"HTTP {response.status}"
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -10,6 +10,7 @@
     SendOptions,
 )
 from kumquatseam.http1 import Headers, Request, ResponseHead
+from kumquatseam.platform._availability import decode_availability
 from kumquatseam.prompts import PromptChain, PromptPart
 from kumquatseam.upstreams import parse_limit
 
@@ -19,7 +20,6 @@
 _VERSION = b"x-weight-versions"
 _LIMIT = b"server-limit"
 _BRITTLE = b"server-brittle"
-_LEAVING = b"server-leaving"
 _KEY_SCHEME = "token "
 
 #: addressed to the router or set only by it, so never forwarded.
@@ -90,6 +90,9 @@
                 fields.append((name, str(value).encode("latin-1")))
         return fields
 
+    def expected_upstream(self, headers: Headers) -> str:
+        return headers.text(b"x-expect-instance")
+
     def read_response(self, head: ResponseHead) -> ResponseTraits:
         headers = head.headers
         is_refused = headers.get(b"x-not-executed") is not None
@@ -101,7 +104,9 @@
             responding_id=headers.text(b"x-replica-id") if head.status == 421 else "",
             limit_per_s=parse_limit(_text_or_none(headers, _LIMIT)),
             brittle_refusals=_number_or_none(headers.text(_BRITTLE)),
-            is_leaving=headers.text(_LEAVING) == "1",
+            availability=decode_availability(
+                lambda name: headers.all(name.lower().encode())
+            ),
         )
 
 
--- a/src/kumquatseam/platform/_orders.py
+++ b/src/kumquatseam/platform/_orders.py
@@ -5,6 +5,7 @@
 import urllib3
 
 from kumquatseam.logs import part_logger
+from kumquatseam.platform._availability import decode_availability
 from kumquatseam.platform._entries import decode_moved_run, decode_report
 from kumquatseam.platform._values import DecodingError
 from kumquatseam.pools import AddressPools
@@ -17,7 +18,11 @@
     RunEndedError,
     WeightsOrder,
 )
-from kumquatseam.upstreams import Upstream
+from kumquatseam.upstreams import (
+    AvailabilityObserver,
+    NullAvailabilityObserver,
+    Upstream,
+)
 
 _log = part_logger("orders")
 
@@ -27,6 +32,8 @@
 #: a move queues behind others on both links: some tens of runs of about 15 ms each.
 _MOVE_TIMEOUT_S = 2.0
 _NO_SUCH_RUN = 404
+#: another replica responds at the address.
+_MISDIRECTED = 421
 _MODES = {LoadMode.DRAIN_FIRST: "queue", LoadMode.IN_PLACE: "retain"}
 _OUTCOMES = {
     202: OrderOutcome.ACCEPTED,
@@ -38,9 +45,13 @@
 
 
 class PlatformOrderClient(OrderClient):
-    """Sends orders and requests reports over HTTP."""
+    """Sends orders and requests reports over HTTP.
+
+    :param observer: is told what the responses say about further requests.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, observer: AvailabilityObserver | None = None) -> None:
+        self._observer = observer or NullAvailabilityObserver()
         self._pools = AddressPools()
 
     def order(self, upstream: Upstream, order: WeightsOrder) -> OrderOutcome:
@@ -107,7 +118,7 @@
         body=None,
         timeout_s=_TIMEOUT_S,
     ):
-        return self._pools.request(
+        response = self._pools.request(
             method,
             f"http://{upstream.address}",
             path,
@@ -118,6 +129,11 @@
             },
             timeout=urllib3.Timeout(timeout_s),
         )
+        if response.status != _MISDIRECTED:
+            self._observer.note_availability(
+                upstream.incarnation_id, decode_availability(response.headers.getlist)
+            )
+        return response
 
     def _log_failure(self, upstream: Upstream, call: str, error: Exception) -> None:
         _log.bind(
--- a/src/kumquatseam/platform/adapter.py
+++ b/src/kumquatseam/platform/adapter.py
@@ -14,7 +14,11 @@
 )
 from kumquatseam.rollouts import OrderClient
 from kumquatseam.routes import LiveRouteTable
-from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
+from kumquatseam.upstreams import (
+    AvailabilityObserver,
+    UpstreamDirectory,
+    WeightsTargets,
+)
 
 
 class PlatformAdapter(Adapter):
@@ -31,11 +35,11 @@
     ) -> KeyedListener:
         return OperatorListener(live, targets)
 
-    def order_client(self) -> OrderClient:
-        return PlatformOrderClient()
+    def order_client(self, observer: AvailabilityObserver) -> OrderClient:
+        return PlatformOrderClient(observer)
 
-    def cache_client(self) -> CacheClient:
-        return PlatformCacheClient()
+    def cache_client(self, observer: AvailabilityObserver) -> CacheClient:
+        return PlatformCacheClient(observer)
 
     def upstream_listener(self, directory: UpstreamDirectory) -> KeyedListener:
         return UpstreamListener(directory)
--- a/src/kumquatseam/quotas/_upstreams.py
+++ b/src/kumquatseam/quotas/_upstreams.py
@@ -24,7 +24,7 @@
     Availabilities,
     LimitObserver,
     LimitReport,
-    Reason,
+    Unavailability,
 )
 
 _log = part_logger("limits")
@@ -125,7 +125,7 @@
 
     def used_up_s(self, incarnation_id: str) -> float:
         """Return the time until an upstream is expected to have room; 0 if it has."""
-        return self.availabilities.of(incarnation_id).left_s(Reason.LIMITED)
+        return self.availabilities.of(incarnation_id).left_s(Unavailability.LIMITED)
 
     def acquire(
         self,
@@ -182,7 +182,7 @@
     def forget(self, incarnation_id: str) -> None:
         """Drop what is known of an upstream that ended."""
         self.announced.forget(incarnation_id)
-        self.availabilities.of(incarnation_id).end(Reason.LIMITED)
+        self.availabilities.of(incarnation_id).end(Unavailability.LIMITED)
 
     def _vote(
         self,
@@ -284,7 +284,7 @@
 
     def _note_used_up(self, incarnation_id: str, for_s: float) -> None:
         availability = self.availabilities.of(incarnation_id)
-        availability.set(Reason.LIMITED, max(MIN_USED_UP_S, for_s))
+        availability.set(Unavailability.LIMITED, max(MIN_USED_UP_S, for_s))
 
     def _give_back(self, shard: QuotaShard, owners: Iterable[InstanceRecord]) -> None:
         for record in owners:
@@ -302,7 +302,7 @@
 
     def _handle_change(self, incarnation_id: str) -> None:
         # The place that was waited for may be free earlier under the new limit.
-        self.availabilities.of(incarnation_id).end(Reason.LIMITED)
+        self.availabilities.of(incarnation_id).end(Unavailability.LIMITED)
 
     def _log_decision(
         self, incarnation_id: str, request_id: str, ballot: Ballot, is_granted: bool
--- a/src/kumquatseam/relays/__init__.py
+++ b/src/kumquatseam/relays/__init__.py
@@ -16,6 +16,7 @@
 from kumquatseam.relays._direct_path import DirectPath
 from kumquatseam.relays._errors import NoRelayError
 from kumquatseam.relays._server import RelayServer
+from kumquatseam.relays._traffic import TunnelTraffic
 
 __all__ = [
     "CHECK_INTERVAL_S",
@@ -24,4 +25,5 @@
     "RelayClient",
     "RelayServer",
     "RelayingConnector",
+    "TunnelTraffic",
 ]
--- a/src/kumquatseam/relays/_server.py
+++ b/src/kumquatseam/relays/_server.py
@@ -1,6 +1,5 @@
 """Open tunnels to upstreams for other instances."""
 
-import socket
 from collections.abc import Callable
 
 import gevent
@@ -11,13 +10,14 @@
 from kumquatseam.http1 import ConnectFailedError, open_socket
 from kumquatseam.logs import part_logger
 from kumquatseam.pools import dead_peer_socket_options
-from kumquatseam.relays._coding import (
-    CHUNKED,
-    CODING_HEADER,
-    LAST_CHUNK,
-    encode_chunk,
-)
+from kumquatseam.relays._coding import CHUNKED, CODING_HEADER
 from kumquatseam.relays._head import ConnectHead, HeadError, read_head
+from kumquatseam.relays._traffic import (
+    TunnelInspector,
+    TunnelTraffic,
+    UnboundTraffic,
+)
+from kumquatseam.relays._tunnel import Tunnel
 
 _log = part_logger("relay")
 
@@ -26,7 +26,6 @@
 #: connections whose request is being read or refused, beyond those.
 MAX_WAITING = 32
 HEAD_TIMEOUT_S = 1.0
-_COPIED_BYTES = 65_536
 
 
 class RelayServer:
@@ -39,6 +38,7 @@
     :param connect_timeout_s: timeout of connecting to an upstream.
     :param is_upstream: whether an upstream is listed at an address.
     :param has_path: whether this instance has a path to the upstreams itself.
+    :param traffic: decides on the requests of others; by default all are sent.
     """
 
     def __init__(
@@ -47,6 +47,7 @@
         connect_timeout_s: float,
         is_upstream: Callable[[str], bool],
         has_path: Callable[[], bool],
+        traffic: TunnelTraffic | None = None,
     ) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._is_upstream = is_upstream
@@ -57,7 +58,9 @@
             self._serve,
             spawn=gevent.pool.Pool(MAX_TUNNELS + MAX_WAITING),
         )
-        self._tunnelled: set = set()
+        self._traffic = traffic or UnboundTraffic()
+        #: the upstreams' addresses of the open tunnels.
+        self._tunnels: dict[Tunnel, str] = {}
         self.open_tunnels = 0
         self.opened = 0
         self.refused = 0
@@ -72,8 +75,18 @@
 
     def end_tunnels(self) -> None:
         """End all tunnels, since they lead nowhere any more."""
-        for connection in list(self._tunnelled):
-            _reset(connection)
+        for tunnel in list(self._tunnels):
+            tunnel.reset()
+
+    def end_idle(self, address: str, for_s: float) -> None:
+        """End the idle tunnels to an upstream that wants no further requests.
+
+        :param address: its ``host:port``.
+        :param for_s: for how long it wants none.
+        """
+        for tunnel, tunnelled in list(self._tunnels.items()):
+            if tunnelled == address and tunnel.is_idle:
+                gevent.spawn(tunnel.refuse, for_s)
 
     def _serve(self, connection, _) -> None:
         try:
@@ -83,7 +96,7 @@
             is_coded = head.header(CODING_HEADER) == CHUNKED
             upstream = self._connect(connection, head.target, is_coded)
             if upstream is not None:
-                self._tunnel(connection, upstream, is_coded)
+                self._tunnel(connection, upstream, head.target, is_coded)
         except (HeadError, OSError) as error:
             _log.bind(error=str(error)).debug("Tunnel ended.")
         finally:
@@ -110,54 +123,15 @@
         _log.bind(target=target, status=status, reason=reason).debug("Tunnel refused.")
         connection.sendall(b"HTTP/1.1 %d Refused\r\nContent-Length: 0\r\n\r\n" % status)
 
-    def _tunnel(self, connection, upstream, is_coded: bool) -> None:
-        """Copy bytes both ways until one side closes its connection."""
+    def _tunnel(self, connection, upstream, address: str, is_coded: bool) -> None:
+        """Serve a tunnel until it ends."""
+        inspector = TunnelInspector(self._traffic)
+        tunnel = Tunnel(connection, upstream, inspector, is_coded)
         self.open_tunnels += 1
         self.opened += 1
-        self._tunnelled.add(connection)
-        copy_back = _copy_coded if is_coded else _copy
-        backward = gevent.spawn(copy_back, upstream, connection)
+        self._tunnels[tunnel] = address
         try:
-            _copy(connection, upstream)
+            tunnel.run()
         finally:
             self.open_tunnels -= 1
-            self._tunnelled.discard(connection)
-            backward.join(timeout=0)
-            backward.kill()
-            upstream.close()
-
-
-def _copy_coded(upstream, target) -> None:
-    """Copy an upstream's bytes in chunks, and tell how its connection ended."""
-    _copy(upstream, target, encode_chunk, LAST_CHUNK)
-
-
-def _copy(source, target, encode=bytes, last=b"") -> None:
-    """Copy bytes until the source ends or a side fails; then end both.
-
-    A slow receiver blocks the sender through the socket buffers.
-
-    :param encode: encodes what is copied.
-    :param last: sent when the source ended.
-    """
-    try:
-        while data := source.recv(_COPIED_BYTES):
-            target.sendall(encode(data))
-        target.sendall(last)
-        target.shutdown(socket.SHUT_WR)
-        # Neither requests nor responses continue after one side closed.
-        source.shutdown(socket.SHUT_RD)
-    except OSError:
-        _reset(source)
-        _reset(target)
-
-
-def _reset(connection) -> None:
-    """Abort a connection, so that a truncated response does not look complete."""
-    linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-    try:
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        connection.close()
-    except OSError:
-        # It has ended already.
-        return
+            del self._tunnels[tunnel]
--- a/src/kumquatseam/rollouts/_duty.py
+++ b/src/kumquatseam/rollouts/_duty.py
@@ -161,7 +161,7 @@
             for service in table.services
             if service.engine is not None and model in service.engine.models
             for status in self._directory.of_service(service.name)
-            if not status.upstream.is_leaving
+            if not status.is_leaving
         ]
 
     def _update_backoff(
--- a/src/kumquatseam/rollouts/_view.py
+++ b/src/kumquatseam/rollouts/_view.py
@@ -9,7 +9,7 @@
 from kumquatseam.peers import PeerBus, RolloutNotice
 from kumquatseam.upstreams import (
     UNKNOWN_AGE_S,
-    Reason,
+    Unavailability,
     UpstreamDirectory,
     WeightsTargets,
     WeightsVersion,
@@ -99,9 +99,9 @@
                 continue
             is_loading = incarnation_id in loading
             if is_loading:
-                status.availability.set(Reason.LOADING, NOTICE_TTL_S)
+                status.availability.set(Unavailability.LOADING, NOTICE_TTL_S)
             else:
-                status.availability.end(Reason.LOADING)
+                status.availability.end(Unavailability.LOADING)
             status.closing_until_s = until_s if incarnation_id in closing else 0.0
             moves_runs = is_loading and incarnation_id not in notice.keep_runs
             status.move_runs_to = notice.destinations if moves_runs else ()
--- a/src/kumquatseam/routing/_fleet.py
+++ b/src/kumquatseam/routing/_fleet.py
@@ -14,7 +14,7 @@
 
 from kumquatseam.engines import SERVING, LoadReport, ModelVersion
 from kumquatseam.fleet import EngineReports, RankCounts
-from kumquatseam.upstreams import FAILURE_COOLDOWN_S, Availabilities, Reason
+from kumquatseam.upstreams import FAILURE_COOLDOWN_S, Availabilities, Unavailability
 
 #: window of the recent maximum of counted requests, in seconds; longer than
 #: the time from the sampling of a load report to its arrival.
@@ -174,10 +174,10 @@
 
     def mark_failed(self, engine: str) -> None:
         """Exclude ``engine`` from routing for a while after a failure."""
-        self._availabilities.of(engine).set(Reason.FAILED, FAILURE_COOLDOWN_S)
+        self._availabilities.of(engine).set(Unavailability.FAILED, FAILURE_COOLDOWN_S)
 
     def _has_failed(self, engine: str) -> bool:
-        return self._availabilities.of(engine).left_s(Reason.FAILED) > 0
+        return self._availabilities.of(engine).left_s(Unavailability.FAILED) > 0
 
     def is_live(self, engine: str, now_s: float) -> bool:
         """Return whether ``engine`` may receive new requests.
--- a/src/kumquatseam/serving/_services.py
+++ b/src/kumquatseam/serving/_services.py
@@ -33,7 +33,7 @@
 from kumquatseam.serving._parts import ServingParts
 from kumquatseam.serving._running import RunningRequest
 from kumquatseam.settings import ServiceSettings, TeamSettings
-from kumquatseam.upstreams import FAILURE_COOLDOWN_S, Availabilities, Reason
+from kumquatseam.upstreams import FAILURE_COOLDOWN_S, Availabilities, Unavailability
 
 _log = part_logger("services")
 
@@ -141,7 +141,9 @@
                 started |= error.started
                 self._note_interrupted(permission, url, error)
                 excluded.add(url)
-                self._availabilities.of(url).set(Reason.FAILED, FAILURE_COOLDOWN_S)
+                self._availabilities.of(url).set(
+                    Unavailability.FAILED, FAILURE_COOLDOWN_S
+                )
                 last_attempt = attempt >= self._parts.admission.max_attempts
                 if last_attempt or (started and not repeatable):
                     raise UpstreamError(url, started, error.detail) from error
@@ -222,7 +224,7 @@
         healthy = [
             url
             for url in remaining
-            if not self._availabilities.of(url).left_s(Reason.FAILED)
+            if not self._availabilities.of(url).left_s(Unavailability.FAILED)
         ]
         choices = healthy or remaining
         return choices[next(self._turn) % len(choices)]
--- a/src/kumquatseam/upstreams/__init__.py
+++ b/src/kumquatseam/upstreams/__init__.py
@@ -10,9 +10,13 @@
 
 from kumquatseam.upstreams._availability import (
     FAILURE_COOLDOWN_S,
+    STATED_REASONS,
     Availabilities,
     Availability,
-    Reason,
+    AvailabilityNotice,
+    AvailabilityObserver,
+    NullAvailabilityObserver,
+    Unavailability,
 )
 from kumquatseam.upstreams._directory import UpstreamDirectory
 from kumquatseam.upstreams._limits import (
@@ -34,18 +38,22 @@
 
 __all__ = [
     "FAILURE_COOLDOWN_S",
+    "STATED_REASONS",
     "NO_LIMIT_PER_S",
     "UNKNOWN_AGE_S",
     "AnnouncedLimits",
     "Availabilities",
     "Availability",
+    "AvailabilityNotice",
+    "AvailabilityObserver",
     "InFlightRequest",
     "InFlightRequestListener",
     "LimitObservation",
     "LimitObserver",
     "LimitReport",
+    "NullAvailabilityObserver",
     "NullLimitObserver",
-    "Reason",
+    "Unavailability",
     "Upstream",
     "UpstreamDirectory",
     "UpstreamStatus",
--- a/src/kumquatseam/upstreams/_availability.py
+++ b/src/kumquatseam/upstreams/_availability.py
@@ -4,18 +4,21 @@
 pauses after refusals, loads of weights and limits without room.
 """
 
+import abc
 import enum
 import math
 import time
 from collections.abc import Callable
 
+import attrs
+
 #: seconds for which the routers' own interface does not choose what failed.
 FAILURE_COOLDOWN_S = 1.0
-#: upstreams that are remembered; those that ended are forgotten first.
-MAX_KEPT = 4096
+#: upstreams that are remembered after they were removed from the list.
+MAX_REMOVED = 4096
 
 
-class Reason(enum.Enum):
+class Unavailability(enum.Enum):
     """Why an upstream gets no requests."""
 
     #: connections or responses failed; it is used only if no other can serve.
@@ -26,11 +29,49 @@
     LOADING = "loading"
     #: the limit that it announced has no room.
     LIMITED = "limited"
+    #: it is shutting down. Ends with its incarnation only: an entry of the list may be
+    #: older than what the upstream said.
+    LEAVING = "leaving"
 
 
 #: reasons for which an upstream gets no requests at all. Requests to one whose limit
 #: has no room are decided by the owners of the limit.
-CLOSING_REASONS = (Reason.REFUSED, Reason.LOADING)
+CLOSING_REASONS = (
+    Unavailability.REFUSED,
+    Unavailability.LOADING,
+    Unavailability.LEAVING,
+)
+#: reasons that an upstream stated itself; they hold whatever its entry says.
+STATED_REASONS = (Unavailability.LEAVING,)
+
+
+@attrs.frozen
+class AvailabilityNotice:
+    """What a response says about further requests to its upstream.
+
+    :param is_leaving: whether it is shutting down.
+    """
+
+    is_leaving: bool = False
+
+
+class AvailabilityObserver(abc.ABC):
+    """Is told what responses say about further requests to upstreams."""
+
+    @abc.abstractmethod
+    def note_availability(
+        self, incarnation_id: str, notice: AvailabilityNotice
+    ) -> None:
+        """Handle a notice of an upstream."""
+
+
+class NullAvailabilityObserver(AvailabilityObserver):
+    """Ignores notices."""
+
+    def note_availability(
+        self, incarnation_id: str, notice: AvailabilityNotice
+    ) -> None:
+        pass
 
 
 class Availability:
@@ -41,9 +82,9 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self._until_s: dict[Reason, float] = {}
+        self._until_s: dict[Unavailability, float] = {}
 
-    def extend(self, reason: Reason, for_s: float) -> bool:
+    def extend(self, reason: Unavailability, for_s: float) -> bool:
         """Record a reason that holds for ``for_s`` seconds, or longer if known so.
 
         :returns: whether it holds longer than known before.
@@ -54,19 +95,19 @@
         self._until_s[reason] = until_s
         return True
 
-    def set(self, reason: Reason, for_s: float) -> None:
+    def set(self, reason: Unavailability, for_s: float) -> None:
         """Record a reason that holds for ``for_s`` seconds, whatever it did before."""
         self._until_s[reason] = self._clock() + for_s
 
-    def end(self, reason: Reason) -> None:
+    def end(self, reason: Unavailability) -> None:
         """Record that a reason no longer holds."""
         self._until_s.pop(reason, None)
 
-    def until_s(self, *reasons: Reason) -> float:
+    def until_s(self, *reasons: Unavailability) -> float:
         """Return when the last of some reasons ends; 0 if none was recorded."""
         return max((self._until_s.get(reason, 0.0) for reason in reasons), default=0.0)
 
-    def left_s(self, *reasons: Reason) -> float:
+    def left_s(self, *reasons: Unavailability) -> float:
         """Return how long any of some reasons still holds; 0 if none does."""
         return max(0.0, self.until_s(*reasons) - self._clock())
 
@@ -87,13 +128,26 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._by_name: dict[str, Availability] = {}
+        #: of upstreams that are not listed any more, the oldest first.
+        self._removed: dict[str, Availability] = {}
 
     def of(self, incarnation_id: str) -> Availability:
         """Return the availability of an incarnation of an upstream."""
         known = self._by_name.get(incarnation_id)
         if known is None:
-            known = self._by_name[incarnation_id] = Availability(self._clock)
-            if len(self._by_name) > MAX_KEPT:
-                # The oldest: entries are in the order in which they were made.
-                del self._by_name[next(iter(self._by_name))]
+            removed = self._removed.pop(incarnation_id, None)
+            known = removed or Availability(self._clock)
+            self._by_name[incarnation_id] = known
         return known
+
+    def note_removed(self, incarnation_id: str) -> None:
+        """Record that an upstream is not listed any more.
+
+        What it said itself is kept: a delayed entry may list it again.
+        """
+        known = self._by_name.pop(incarnation_id, None)
+        if known is None or not known.left_s(*STATED_REASONS):
+            return
+        self._removed[incarnation_id] = known
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -1,12 +1,19 @@
 """The upstreams known to this process, with observations from its traffic."""
 
+import math
 import time
 from collections.abc import Callable
 
 import attrs
 
 from kumquatseam.logs import part_logger
-from kumquatseam.upstreams._availability import Availabilities, Reason
+from kumquatseam.upstreams._availability import (
+    Availabilities,
+    Availability,
+    AvailabilityNotice,
+    AvailabilityObserver,
+    Unavailability,
+)
 from kumquatseam.upstreams._status import (
     UNCHANGED_ENTRY_LAG_S,
     InFlightRequest,
@@ -59,7 +66,7 @@
     at_s: float
 
 
-class UpstreamDirectory:
+class UpstreamDirectory(AvailabilityObserver):
     """Upstreams by id, updated from the platform's list.
 
     :param clock: monotonic clock in seconds.
@@ -80,6 +87,7 @@
         self._by_incarnation: dict[str, UpstreamStatus] = {}
         self._brittle: dict[str, _Brittle] = {}
         self._on_gone: list[Callable[[Upstream], None]] = []
+        self._on_closed: list[Callable[[UpstreamStatus], None]] = []
         self.list_confirmed_s: float | None = None
         #: number of requests sent so far; shows whether the load of this process's
         #: own requests increased.
@@ -91,6 +99,10 @@
         """Call ``listener`` with each incarnation that ended or was removed."""
         self._on_gone.append(listener)
 
+    def on_closed(self, listener: Callable[[UpstreamStatus], None]) -> None:
+        """Call ``listener`` with each upstream that says it wants no requests."""
+        self._on_closed.append(listener)
+
     def status(self, incarnation_id: str) -> UpstreamStatus | None:
         """Return the status of an incarnation, or ``None`` if it was removed."""
         return self._by_incarnation.get(incarnation_id)
@@ -154,7 +166,7 @@
         if known is None:
             return False
         is_in_outage = outage_age_s is not None and outage_age_s < OUTAGE_GRACE_S
-        if not is_in_outage or known.upstream.is_leaving:
+        if not is_in_outage or known.is_leaving:
             self._drop(known, "gone")
             return True
         if known.expires_s is None:
@@ -207,6 +219,7 @@
     def _drop(self, status: UpstreamStatus, change: str) -> None:
         del self._by_id[status.upstream.upstream_id]
         del self._by_incarnation[status.upstream.incarnation_id]
+        self._availabilities.note_removed(status.upstream.incarnation_id)
         self._log_change(change, status.upstream)
         for listener in self._on_gone:
             listener(status.upstream)
@@ -257,7 +270,7 @@
             if status.failures_in_row:
                 status.failures_in_row = 0
                 status.failure_share = 0.0
-                status.availability.end(Reason.FAILED)
+                status.availability.end(Unavailability.FAILED)
 
     def has_address(self, address: str) -> bool:
         """Return whether an upstream is listed at an address."""
@@ -320,15 +333,37 @@
         if refusals is not None:
             self._brittle[status.upstream.service] = _Brittle(refusals, now_s)
 
-    def note_leaving(self, status: UpstreamStatus) -> None:
-        """Record that an upstream said in a response that it is shutting down."""
-        if not status.has_said_leaving:
-            status.has_said_leaving = True
-            self._log_change("leaving, by its response", status.upstream)
+    def incarnation_of(self, upstream_id: str) -> str:
+        """Return the listed incarnation of an upstream; its id if none is listed."""
+        known = self._by_id.get(upstream_id)
+        return known.upstream.incarnation_id if known is not None else upstream_id
+
+    def availability_of(self, incarnation_id: str) -> Availability:
+        """Return until when, and why, an incarnation gets no requests."""
+        return self._availabilities.of(incarnation_id)
+
+    def note_availability(
+        self, incarnation_id: str, notice: AvailabilityNotice
+    ) -> None:
+        if not notice.is_leaving:
+            return
+        availability = self._availabilities.of(incarnation_id)
+        if availability.extend(Unavailability.LEAVING, math.inf):
+            _log.bind(upstream=incarnation_id).info(
+                "Upstream leaving, by its response."
+            )
+            self._notify_closed(incarnation_id)
+
+    def _notify_closed(self, incarnation_id: str) -> None:
+        status = self._by_incarnation.get(incarnation_id)
+        if status is not None:
+            for listener in self._on_closed:
+                listener(status)
 
-    def note_sent(self, status: UpstreamStatus) -> None:
+    def note_sent(self, incarnation_id: str) -> None:
         """Count a request that is sent although its upstream is leaving."""
-        if status.has_said_leaving or status.upstream.is_leaving:
+        status = self._by_incarnation.get(incarnation_id)
+        if status is not None and status.is_leaving:
             self.sent_to_leaving += 1
 
     def has_brittle(self) -> bool:
@@ -367,14 +402,14 @@
 
     def block(self, status: UpstreamStatus, for_s: float) -> None:
         """Record that an upstream refuses requests for the next ``for_s`` seconds."""
-        status.availability.extend(Reason.REFUSED, for_s)
+        status.availability.extend(Unavailability.REFUSED, for_s)
 
     def _update_failure_share(self, status: UpstreamStatus, is_failure: bool) -> None:
         newest = 1.0 if is_failure else 0.0
         status.failure_share += FAILURE_WEIGHT * (newest - status.failure_share)
 
     def _hold_out(self, status: UpstreamStatus, for_s: float, reason: str) -> None:
-        if status.availability.extend(Reason.FAILED, for_s):
+        if status.availability.extend(Unavailability.FAILED, for_s):
             _log.bind(
                 upstream=status.upstream.incarnation_id,
                 reason=reason,
--- a/src/kumquatseam/upstreams/_status.py
+++ b/src/kumquatseam/upstreams/_status.py
@@ -9,7 +9,7 @@
 from kumquatseam.upstreams._availability import (
     CLOSING_REASONS,
     Availability,
-    Reason,
+    Unavailability,
 )
 from kumquatseam.upstreams._upstream import Upstream
 
@@ -42,7 +42,6 @@
     :param move_runs_to: upstreams that its running requests move to while it loads.
     :param closing_until_s: until then it is about to load weights, and requests
         should prefer other upstreams.
-    :param has_said_leaving: whether it said in a response that it is shutting down.
     :param expires_s: when to remove it, if its entry expired during an outage of the
         list or is unreadable.
     """
@@ -63,9 +62,14 @@
     brittle_known_s: float = float("-inf")
     closing_until_s: float = 0.0
     expires_s: float | None = None
-    has_said_leaving: bool = False
     move_runs_to: tuple[str, ...] = ()
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it is shutting down, by its entry or by a response."""
+        is_said = self.availability.left_s(Unavailability.LEAVING) > 0
+        return is_said or self.upstream.is_leaving
+
     @property
     def is_closed(self) -> bool:
         """Whether it gets no requests at all now."""
@@ -74,12 +78,12 @@
     @property
     def is_held_out(self) -> bool:
         """Whether it gets requests only if no other can serve them."""
-        return self.availability.left_s(Reason.FAILED) > 0
+        return self.availability.left_s(Unavailability.FAILED) > 0
 
     @property
     def held_out_until_s(self) -> float:
         """When it is no longer held out."""
-        return self.availability.until_s(Reason.FAILED)
+        return self.availability.until_s(Unavailability.FAILED)
 
     @property
     def blocked_until_s(self) -> float:
