--- a/src/kumquatseam/relays/_client.py
+++ b/src/kumquatseam/relays/_client.py
@@ -7,14 +7,14 @@
 from kumquatseam.http1 import ConnectFailedError, TransportDecoder, open_socket
 from kumquatseam.logs import part_logger
 from kumquatseam.peers import InstanceRecord, UnresponsivePeers
-from kumquatseam.relays._coding import (
+from kumquatseam.relays._errors import NoRelayError
+from kumquatseam.relays._head import (
     CHUNKED,
     CODING_HEADER,
-    ChunkedDecoder,
-    OpaqueDecoder,
+    ConnectHead,
+    HeadError,
+    read_head,
 )
-from kumquatseam.relays._errors import NoRelayError
-from kumquatseam.relays._head import ConnectHead, HeadError, read_head
 
 _log = part_logger("relay")
 
@@ -84,8 +84,7 @@
                 continue
             if opened is not None:
                 self._note_success(record)
-                is_coded = head.header(CODING_HEADER) == CHUNKED
-                return opened, ChunkedDecoder() if is_coded else OpaqueDecoder()
+                return opened, _decoder(head)
             if head.status == _UPSTREAM_FAILED:
                 self._note_success(record)
                 detail = f"{record.name} cannot connect either"
@@ -149,3 +148,11 @@
         _log.bind(peer=record.name, reason=reason, for_s=for_s).info(
             "Instance opened no tunnel."
         )
+
+
+def _decoder(head: ConnectHead) -> TransportDecoder:
+    """Return the decoder of a tunnel; loaded with the first one."""
+    from kumquatseam.relays._coding import ChunkedDecoder, OpaqueDecoder
+
+    is_coded = head.header(CODING_HEADER) == CHUNKED
+    return ChunkedDecoder() if is_coded else OpaqueDecoder()
--- a/src/kumquatseam/relays/_coding.py
+++ b/src/kumquatseam/relays/_coding.py
@@ -10,9 +10,6 @@
 
 from kumquatseam.http1 import TransportDecoder, TransportError
 
-#: header by which a tunnel's coding is asked for, and confirmed.
-CODING_HEADER = "Tunnel-Coding"
-CHUNKED = "chunked"
 #: tells that the upstream ended its connection.
 LAST_CHUNK = b"0\r\n\r\n"
 #: trailer of the last chunk: requests are not sent, for so many seconds.
--- a/src/kumquatseam/relays/_head.py
+++ b/src/kumquatseam/relays/_head.py
@@ -7,6 +7,9 @@
 
 #: longest head; a ``CONNECT`` request has one line and one header.
 MAX_HEAD_BYTES = 2_048
+#: header by which a tunnel's coding is asked for, and confirmed.
+CODING_HEADER = "Tunnel-Coding"
+CHUNKED = "chunked"
 _END = b"\r\n\r\n"
 
 
--- /dev/null
+++ b/src/kumquatseam/relays/_inspector.py
@@ -0,0 +1,132 @@
+"""The requests and responses on a tunnel."""
+
+import httptools
+
+from kumquatseam.http1 import Headers, ResponseHead
+from kumquatseam.relays._head import HeadError
+from kumquatseam.relays._traffic import TunnelTraffic
+
+#: longest head of a request that is held back until it is complete.
+MAX_HELD_BYTES = 131_072
+
+
+class RequestClosedError(Exception):
+    """A request was not sent, since its upstream wants none.
+
+    :param for_s: for how long.
+    """
+
+    def __init__(self, for_s: float) -> None:
+        super().__init__()
+        self.for_s = for_s
+
+
+class TunnelInspector:
+    """Follows the requests and responses on one tunnel.
+
+    :param traffic: decides on the requests.
+    """
+
+    def __init__(self, traffic: TunnelTraffic) -> None:
+        self._traffic = traffic
+        self._requests = httptools.HttpRequestParser(self)
+        self._held = b""
+        self._fields: list[tuple[bytes, bytes]] = []
+        self._has_new_head = False
+        self._is_in_head = False
+        self._is_readable = True
+        self._response: _ResponseReader | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is under way."""
+        is_answered = self._response is None or self._response.is_complete
+        return is_answered and self._is_readable and not self._held
+
+    def feed_request(self, data: bytes) -> bytes:
+        """Add bytes of the instance that asked for the tunnel.
+
+        :returns: what is to be sent to the upstream: a head only once it is complete.
+        :raises RequestClosedError: if they begin a request that must not be sent.
+        :raises HeadError: if the head of a request is too long.
+        """
+        self._held += data
+        if self._is_readable:
+            try:
+                self._requests.feed_data(data)
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+                # No upstream runs it; whoever sent it gets the upstream's response.
+                self._is_readable = self._is_in_head = False
+        if self._is_in_head:
+            if len(self._held) > MAX_HELD_BYTES:
+                raise HeadError("relay: head of a request is too long")
+            return b""
+        if self._has_new_head:
+            self._has_new_head = False
+            self._begin_request(Headers(self._fields))
+        sent, self._held = self._held, b""
+        return sent
+
+    def feed_response(self, data: bytes) -> None:
+        """Add bytes of the upstream."""
+        if self._response is not None:
+            self._response.feed(data)
+
+    def _begin_request(self, headers: Headers) -> None:
+        closed_for_s = self._traffic.closed_for_s(headers)
+        if closed_for_s:
+            raise RequestClosedError(closed_for_s)
+        self._traffic.note_sent(headers)
+        self._response = _ResponseReader(
+            lambda head: self._traffic.note_response(headers, head)
+        )
+
+    # Callbacks of the parser; it defines their names.
+
+    def on_message_begin(self) -> None:
+        self._fields = []
+        self._is_in_head = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._fields.append((name, value or b""))
+
+    def on_headers_complete(self) -> None:
+        self._is_in_head = False
+        self._has_new_head = True
+
+
+class _ResponseReader:
+    """Reads the head of one response, and notices its end.
+
+    :param on_head: called with the head.
+    """
+
+    def __init__(self, on_head) -> None:
+        self._on_head = on_head
+        self._parser = httptools.HttpResponseParser(self)
+        self._fields: list[tuple[bytes, bytes]] = []
+        self._is_readable = True
+        self.is_complete = False
+
+    def feed(self, data: bytes) -> None:
+        if not self._is_readable or self.is_complete:
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            # Whoever sent the request decides what to make of it.
+            self._is_readable = False
+
+    def on_message_begin(self) -> None:
+        self._fields = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._fields.append((name, value or b""))
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status >= 200:
+            self._on_head(ResponseHead(status, Headers(self._fields), None, False))
+
+    def on_message_complete(self) -> None:
+        self.is_complete = self._parser.get_status_code() >= 200
--- a/src/kumquatseam/relays/_server.py
+++ b/src/kumquatseam/relays/_server.py
@@ -10,14 +10,14 @@
 from kumquatseam.http1 import ConnectFailedError, open_socket
 from kumquatseam.logs import part_logger
 from kumquatseam.pools import dead_peer_socket_options
-from kumquatseam.relays._coding import CHUNKED, CODING_HEADER
-from kumquatseam.relays._head import ConnectHead, HeadError, read_head
-from kumquatseam.relays._traffic import (
-    TunnelInspector,
-    TunnelTraffic,
-    UnboundTraffic,
+from kumquatseam.relays._head import (
+    CHUNKED,
+    CODING_HEADER,
+    ConnectHead,
+    HeadError,
+    read_head,
 )
-from kumquatseam.relays._tunnel import Tunnel
+from kumquatseam.relays._traffic import TunnelTraffic, UnboundTraffic
 
 _log = part_logger("relay")
 
@@ -60,7 +60,7 @@
         )
         self._traffic = traffic or UnboundTraffic()
         #: the upstreams' addresses of the open tunnels.
-        self._tunnels: dict[Tunnel, str] = {}
+        self._tunnels: dict = {}
         self.open_tunnels = 0
         self.opened = 0
         self.refused = 0
@@ -124,9 +124,13 @@
         connection.sendall(b"HTTP/1.1 %d Refused\r\nContent-Length: 0\r\n\r\n" % status)
 
     def _tunnel(self, connection, upstream, address: str, is_coded: bool) -> None:
-        """Serve a tunnel until it ends."""
-        inspector = TunnelInspector(self._traffic)
-        tunnel = Tunnel(connection, upstream, inspector, is_coded)
+        """Serve a tunnel until it ends.
+
+        Its code is loaded with the first one: most instances never carry any.
+        """
+        from kumquatseam.relays._tunnel import Tunnel
+
+        tunnel = Tunnel(connection, upstream, self._traffic, is_coded)
         self.open_tunnels += 1
         self.opened += 1
         self._tunnels[tunnel] = address
--- a/src/kumquatseam/relays/_tunnel.py
+++ b/src/kumquatseam/relays/_tunnel.py
@@ -6,7 +6,8 @@
 
 from kumquatseam.relays._coding import LAST_CHUNK, encode_chunk, encode_refusal
 from kumquatseam.relays._head import HeadError
-from kumquatseam.relays._traffic import RequestClosedError, TunnelInspector
+from kumquatseam.relays._inspector import RequestClosedError, TunnelInspector
+from kumquatseam.relays._traffic import TunnelTraffic
 
 _COPIED_BYTES = 65_536
 #: how long a tunnel that refused a request waits until the other instance closes it;
@@ -21,16 +22,16 @@
 
     :param connection: leads to the instance that asked for it.
     :param upstream: leads to the upstream.
-    :param inspector: follows its requests and responses.
+    :param traffic: decides on its requests.
     :param is_coded: whether the other instance decodes what comes from the upstream.
     """
 
     def __init__(
-        self, connection, upstream, inspector: TunnelInspector, is_coded: bool
+        self, connection, upstream, traffic: TunnelTraffic, is_coded: bool
     ) -> None:
         self._connection = connection
         self._upstream = upstream
-        self._inspector = inspector
+        self._inspector = TunnelInspector(traffic)
         self._is_coded = is_coded
         self._is_refused = False
 
