Log and count what is sent to upstreams that asked for rest

The Retry-After of an upstream's 503 is read and logged, and requests within the time it states are counted: this tells a value that nobody reads from requests that were placed before and from retries that pile up.

--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -101,6 +101,7 @@
     metrics.register_counter(
         "requests_to_leaving", lambda: parts.directory.sent_to_leaving
     )
+    metrics.register_counter("requests_in_rest", lambda: parts.directory.sent_in_rest)
     metrics.register_counter("path_losses", lambda: parts.path.lost_count)
     metrics.register_counter("relayed_connections", lambda: parts.relays.opened)
     metrics.register_counter("relay_failures", lambda: parts.relays.failed)
--- a/src/kumquatseam/platform/_cache_events.py
+++ b/src/kumquatseam/platform/_cache_events.py
@@ -54,7 +54,8 @@
             )
             if holder.upstream_id and response.status != _MISDIRECTED:
                 self._observer.note_availability(
-                    holder.holder, decode_availability(response.headers.getlist)
+                    holder.holder,
+                    decode_availability(response.status, response.headers.getlist),
                 )
             if response.status == 200:
                 return decode_json("cache events", response.data, build)
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -105,7 +105,7 @@
             limit_per_s=parse_limit(_text_or_none(headers, _LIMIT)),
             brittle_refusals=_number_or_none(headers.text(_BRITTLE)),
             availability=decode_availability(
-                lambda name: headers.all(name.lower().encode())
+                head.status, lambda name: headers.all(name.lower().encode())
             ),
         )
 
--- a/src/kumquatseam/platform/_orders.py
+++ b/src/kumquatseam/platform/_orders.py
@@ -131,7 +131,8 @@
         )
         if response.status != _MISDIRECTED:
             self._observer.note_availability(
-                upstream.incarnation_id, decode_availability(response.headers.getlist)
+                upstream.incarnation_id,
+                decode_availability(response.status, response.headers.getlist),
             )
         return response
 
--- a/src/kumquatseam/upstreams/__init__.py
+++ b/src/kumquatseam/upstreams/__init__.py
@@ -28,6 +28,7 @@
     NullLimitObserver,
     parse_limit,
 )
+from kumquatseam.upstreams._rest import parse_rest
 from kumquatseam.upstreams._status import (
     InFlightRequest,
     InFlightRequestListener,
@@ -60,4 +61,5 @@
     "WeightsVersion",
     "WeightsTargets",
     "parse_limit",
+    "parse_rest",
 ]
--- a/src/kumquatseam/upstreams/_availability.py
+++ b/src/kumquatseam/upstreams/_availability.py
@@ -50,9 +50,12 @@
     """What a response says about further requests to its upstream.
 
     :param is_leaving: whether it is shutting down.
+    :param rest_s: for how long it wants no requests from this machine; ``None`` if it
+        says nothing of the kind.
     """
 
     is_leaving: bool = False
+    rest_s: float | None = None
 
 
 class AvailabilityObserver(abc.ABC):
@@ -83,6 +86,8 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._until_s: dict[Unavailability, float] = {}
+        #: end of the time of rest that the upstream asked for.
+        self._rest_asked_until_s = -math.inf
 
     def extend(self, reason: Unavailability, for_s: float) -> bool:
         """Record a reason that holds for ``for_s`` seconds, or longer if known so.
@@ -116,6 +121,16 @@
         """Whether the upstream gets no requests at all now."""
         return self.left_s(*CLOSING_REASONS) > 0
 
+    @property
+    def is_rest_asked(self) -> bool:
+        """Whether the upstream asked for a time of rest that is not over."""
+        return self._clock() < self._rest_asked_until_s
+
+    def rest(self, asked_s: float) -> None:
+        """Record that the upstream wants no requests for ``asked_s`` seconds."""
+        until_s = self._clock() + asked_s
+        self._rest_asked_until_s = max(self._rest_asked_until_s, until_s)
+
 
 class Availabilities:
     """The availability of upstreams, by incarnation.
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -94,6 +94,8 @@
         self.requests_sent = 0
         #: requests sent to upstreams that were known to be leaving.
         self.sent_to_leaving = 0
+        #: requests sent to upstreams that had asked for rest.
+        self.sent_in_rest = 0
 
     def on_gone(self, listener: Callable[[Upstream], None]) -> None:
         """Call ``listener`` with each incarnation that ended or was removed."""
@@ -345,6 +347,8 @@
     def note_availability(
         self, incarnation_id: str, notice: AvailabilityNotice
     ) -> None:
+        if notice.rest_s is not None:
+            self._note_rest(incarnation_id, notice.rest_s)
         if not notice.is_leaving:
             return
         availability = self._availabilities.of(incarnation_id)
@@ -354,6 +358,12 @@
             )
             self._notify_closed(incarnation_id)
 
+    def _note_rest(self, incarnation_id: str, asked_s: float) -> None:
+        self._availabilities.of(incarnation_id).rest(asked_s)
+        _log.bind(upstream=incarnation_id, asked_s=asked_s).info(
+            "Upstream asked for rest."
+        )
+
     def _notify_closed(self, incarnation_id: str) -> None:
         status = self._by_incarnation.get(incarnation_id)
         if status is not None:
@@ -361,10 +371,12 @@
                 listener(status)
 
     def note_sent(self, incarnation_id: str) -> None:
-        """Count a request that is sent although its upstream is leaving."""
+        """Count a request that is sent although its upstream wants none."""
         status = self._by_incarnation.get(incarnation_id)
-        if status is not None and status.is_leaving:
-            self.sent_to_leaving += 1
+        if status is None:
+            return
+        self.sent_to_leaving += status.is_leaving
+        self.sent_in_rest += status.availability.is_rest_asked
 
     def has_brittle(self) -> bool:
         """Return whether any upstream may be brittle."""
