--- a/features/steps/availability_steps.py
+++ b/features/steps/availability_steps.py
@@ -308,7 +308,7 @@
     address = f"127.0.0.1:{port_holder.getsockname()[1]}"
     port_holder.close()
     context.relay = RelayServer(
-        address, 0.3, context.directory.has_address, lambda: True, traffic
+        address, 0.3, context.directory.has_address, lambda: True, lambda: traffic
     )
     context.relay.start()
     context.add_cleanup(context.relay.close)
--- a/src/kumquatseam/gateway/_tunnel_traffic.py
+++ b/src/kumquatseam/gateway/_tunnel_traffic.py
@@ -3,10 +3,7 @@
 from kumquatseam.gateway._dialect import Dialect
 from kumquatseam.http1 import Headers, ResponseHead
 from kumquatseam.relays import TunnelTraffic
-from kumquatseam.upstreams import Unavailability, UpstreamDirectory
-
-#: for how long another instance is told not to ask for an upstream that is leaving.
-LEAVING_CLOSED_S = 5.0
+from kumquatseam.upstreams import UpstreamDirectory
 
 
 class GatewayTunnelTraffic(TunnelTraffic):
@@ -24,14 +21,8 @@
         self._directory = directory
 
     def closed_for_s(self, headers: Headers) -> float:
-        return self.closed_incarnation_for_s(self._incarnation(headers))
-
-    def closed_incarnation_for_s(self, incarnation_id: str) -> float:
-        """Return for how long an incarnation of an upstream wants no requests."""
-        availability = self._directory.availability_of(incarnation_id)
-        if availability.left_s(Unavailability.LEAVING):
-            return LEAVING_CLOSED_S
-        return availability.left_s(Unavailability.RESTING)
+        incarnation_id = self._incarnation(headers)
+        return self._directory.availability_of(incarnation_id).stated_for_s
 
     def note_sent(self, headers: Headers) -> None:
         self._directory.note_sent(self._incarnation(headers))
--- /dev/null
+++ b/src/kumquatseam/gateway/_upstream_paths.py
@@ -0,0 +1,104 @@
+"""Wiring of the ways on which an instance reaches upstreams."""
+
+from kumquatseam.gateway._dialect import Dialect
+from kumquatseam.gatewayfile import GatewayFile
+from kumquatseam.http1 import ConnectFailedError, ConnectionPool
+from kumquatseam.loops import StepLoop
+from kumquatseam.peers import PeerBus
+from kumquatseam.quarantine import Liveness, probe_liveness
+from kumquatseam.relays import (
+    CHECK_INTERVAL_S,
+    DirectPath,
+    NoRelayError,
+    RelayClient,
+    RelayingConnector,
+    RelayServer,
+    TunnelTraffic,
+)
+from kumquatseam.upstreams import UpstreamDirectory
+
+#: timeout of a relayed connection, as a share of that of a direct one, so that the
+#: instance that asked for it gets a reply in time.
+RELAYED_CONNECT_SHARE = 0.4
+
+
+class UpstreamPaths:
+    """Builds what connects to upstreams, directly and through other instances.
+
+    :param file: the gateway's settings.
+    :param dialect: translates the platform's headers.
+    :param directory: the known upstreams.
+    :param bus: the other instances.
+    """
+
+    def __init__(
+        self,
+        file: GatewayFile,
+        dialect: Dialect,
+        directory: UpstreamDirectory,
+        bus: PeerBus,
+    ) -> None:
+        self._dialect = dialect
+        self._directory = directory
+        self._connect_timeout_s = file.gateway.connect_timeout_s
+        self.path = DirectPath(lambda: len(directory.all()))
+        self.relays = RelayClient(file.gateway.router_name, lambda: bus.records)
+        self._connector = RelayingConnector(
+            self.path, self.relays, self._list_probed_addresses
+        )
+        self.pool = ConnectionPool(self._connect_timeout_s, self._connector)
+        self.path.on_change(self._handle_path_change)
+        self.parts = [
+            StepLoop(CHECK_INTERVAL_S, self._connector.check),
+            *self._servers(file.peers.relay_address),
+        ]
+
+    def probe_liveness(self, address: str) -> Liveness:
+        """Return whether a process listens at an address, as others see it too."""
+        liveness = probe_liveness(address)
+        if liveness is not Liveness.ENDED:
+            return liveness
+        try:
+            self.relays.check(address, self._connect_timeout_s)
+        except (ConnectFailedError, NoRelayError):
+            return Liveness.UNKNOWN if self.path.is_lost else Liveness.ENDED
+        self.path.note_relayed()
+        return Liveness.ALIVE
+
+    def _servers(self, address: str) -> list[RelayServer]:
+        """Build the server of tunnels for other instances, if it has an address."""
+        if not address:
+            return []
+        server = RelayServer(
+            address,
+            self._connect_timeout_s * RELAYED_CONNECT_SHARE,
+            self._directory.has_address,
+            lambda: not self.path.is_suspect,
+            self._load_tunnel_traffic,
+        )
+        self._directory.on_closed(
+            lambda status: server.end_idle(
+                status.upstream.address, status.availability.stated_for_s
+            )
+        )
+        self.path.on_change(lambda is_lost: server.end_tunnels())
+        return [server]
+
+    def _load_tunnel_traffic(self) -> TunnelTraffic:
+        """Build what decides on the requests of others, at the first tunnel."""
+        from kumquatseam.gateway._tunnel_traffic import GatewayTunnelTraffic
+
+        return GatewayTunnelTraffic(self._dialect, self._directory)
+
+    def _list_probed_addresses(self) -> list[str]:
+        """Return the addresses of upstreams that may get probes."""
+        return [
+            status.upstream.address
+            for status in self._directory.all()
+            if not status.is_leaving and not status.is_closed
+        ]
+
+    def _handle_path_change(self, is_lost: bool) -> None:
+        """Reconnect to all upstreams, the other way."""
+        self.pool.drop_all()
+        self._directory.forgive_connection_failures()
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -20,9 +20,9 @@
     upstream_pace,
 )
 from kumquatseam.gateway._server import GatewayServer
-from kumquatseam.gateway._tunnel_traffic import GatewayTunnelTraffic
+from kumquatseam.gateway._upstream_paths import UpstreamPaths
 from kumquatseam.gatewayfile import GatewayFile
-from kumquatseam.http1 import ConnectFailedError, ConnectionPool, RequestLimits
+from kumquatseam.http1 import RequestLimits
 from kumquatseam.leases import DutyLease
 from kumquatseam.lifecycle import PartGroup
 from kumquatseam.logs import part_logger
@@ -46,10 +46,8 @@
 from kumquatseam.quarantine import (
     SUSPECTS_TOPIC,
     BusNoticeChannel,
-    Liveness,
     Quarantine,
     QuarantineParts,
-    probe_liveness,
 )
 from kumquatseam.quotas import (
     QuotaParts,
@@ -59,14 +57,6 @@
     TeamQuotas,
     UpstreamLimits,
 )
-from kumquatseam.relays import (
-    CHECK_INTERVAL_S,
-    DirectPath,
-    NoRelayError,
-    RelayClient,
-    RelayingConnector,
-    RelayServer,
-)
 from kumquatseam.rollouts import (
     NoticeRelay,
     RolloutBounds,
@@ -116,9 +106,6 @@
 PEER_CHECK_INTERVAL_S = 0.25
 #: name of the lease whose holder rolls out weights.
 ROLLOUT_LEASE = "weights"
-#: timeout of a relayed connection, as a share of that of a direct one, so that the
-#: instance that asked for it gets a reply in time.
-RELAYED_CONNECT_SHARE = 0.4
 #: part of the shutdown grace period that is reserved for ending the process.
 SHUTDOWN_MARGIN_S = 0.4
 
@@ -158,13 +145,8 @@
             file.peers.relay_address,
         )
         self._bus = PeerBus(self._record, BUS_KINDS)
-        self._path = DirectPath(lambda: len(self._directory.all()))
-        self._path.on_change(self._handle_path_change)
-        self._relays = RelayClient(file.gateway.router_name, lambda: self._bus.records)
-        self._connector = RelayingConnector(
-            self._path, self._relays, self._list_upstream_addresses
-        )
-        self._pool = ConnectionPool(file.gateway.connect_timeout_s, self._connector)
+        self._paths = UpstreamPaths(file, adapter.dialect(), self._directory, self._bus)
+        self._path, self._pool = self._paths.path, self._paths.pool
         self._queries = PeerQueries(self._bus, QUERY_KINDS, file.peers.seeds)
         self._feeds = TopicFeeds(
             self._log_service,
@@ -225,8 +207,7 @@
             StepLoop(self._directory.next_sweep_s, self._directory.sweep),
             self._build_rollout_duty(),
             StepLoop(SWEEP_INTERVAL_S, self._pool.sweep),
-            StepLoop(CHECK_INTERVAL_S, self._connector.check),
-            *self._relay_servers(),
+            *self._paths.parts,
             *self._health_servers(),
         ]
         self._parts = PartGroup("gateway", parts)
@@ -297,56 +278,9 @@
                 self._datagrams,
                 BusNoticeChannel(self._bus, self._datagrams),
                 self._log_service,
-                probe=self._probe_liveness,
-            )
-        )
-
-    def _relay_servers(self) -> list[RelayServer]:
-        """Build the server of tunnels for other instances, if it has an address."""
-        address = self._file.peers.relay_address
-        if not address:
-            return []
-        traffic = GatewayTunnelTraffic(self._adapter.dialect(), self._directory)
-        server = RelayServer(
-            address,
-            self._file.gateway.connect_timeout_s * RELAYED_CONNECT_SHARE,
-            self._directory.has_address,
-            lambda: not self._path.is_suspect,
-            traffic,
-        )
-        self._directory.on_closed(
-            lambda status: server.end_idle(
-                status.upstream.address,
-                traffic.closed_incarnation_for_s(status.upstream.incarnation_id),
+                probe=self._paths.probe_liveness,
             )
         )
-        self._path.on_change(lambda is_lost: server.end_tunnels())
-        return [server]
-
-    def _list_upstream_addresses(self) -> list[str]:
-        """Return the addresses of upstreams that may get probes."""
-        return [
-            status.upstream.address
-            for status in self._directory.all()
-            if not status.is_leaving and not status.is_closed
-        ]
-
-    def _handle_path_change(self, is_lost: bool) -> None:
-        """Reconnect to all upstreams, the other way."""
-        self._pool.drop_all()
-        self._directory.forgive_connection_failures()
-
-    def _probe_liveness(self, address: str) -> Liveness:
-        """Return whether a process listens at an address, as others see it too."""
-        liveness = probe_liveness(address)
-        if liveness is not Liveness.ENDED:
-            return liveness
-        try:
-            self._relays.check(address, self._file.gateway.connect_timeout_s)
-        except (ConnectFailedError, NoRelayError):
-            return Liveness.UNKNOWN if self._path.is_lost else Liveness.ENDED
-        self._path.note_relayed()
-        return Liveness.ALIVE
 
     def _build_shard_owners(self) -> ShardOwners:
         tolerance = self._file.quotas
@@ -583,7 +517,7 @@
             self._limits,
             self._retries,
             self._path,
-            self._relays,
+            self._paths.relays,
         )
         add_gauges(self._metrics, parts)
         self._metrics.register_gauge("peers_alive", self._count_instances)
--- a/src/kumquatseam/relays/_server.py
+++ b/src/kumquatseam/relays/_server.py
@@ -38,7 +38,8 @@
     :param connect_timeout_s: timeout of connecting to an upstream.
     :param is_upstream: whether an upstream is listed at an address.
     :param has_path: whether this instance has a path to the upstreams itself.
-    :param traffic: decides on the requests of others; by default all are sent.
+    :param load_traffic: returns what decides on the requests of others; by default all
+        are sent.
     """
 
     def __init__(
@@ -47,7 +48,7 @@
         connect_timeout_s: float,
         is_upstream: Callable[[str], bool],
         has_path: Callable[[], bool],
-        traffic: TunnelTraffic | None = None,
+        load_traffic: Callable[[], TunnelTraffic] = UnboundTraffic,
     ) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._is_upstream = is_upstream
@@ -58,7 +59,8 @@
             self._serve,
             spawn=gevent.pool.Pool(MAX_TUNNELS + MAX_WAITING),
         )
-        self._traffic = traffic or UnboundTraffic()
+        self._load_traffic = load_traffic
+        self._traffic: TunnelTraffic | None = None
         #: the upstreams' addresses of the open tunnels.
         self._tunnels: dict = {}
         self.open_tunnels = 0
@@ -130,6 +132,8 @@
         """
         from kumquatseam.relays._tunnel import Tunnel
 
+        if self._traffic is None:
+            self._traffic = self._load_traffic()
         tunnel = Tunnel(connection, upstream, self._traffic, is_coded)
         self.open_tunnels += 1
         self.opened += 1
--- a/src/kumquatseam/upstreams/_availability.py
+++ b/src/kumquatseam/upstreams/_availability.py
@@ -23,6 +23,8 @@
 #: requests sent to an upstream within the time of rest that it asked for, to find out
 #: whether it still wants it; it gets no more than these.
 MAX_TRIALS = 2
+#: for how long another instance is told that an upstream is leaving.
+LEAVING_TOLD_S = 5.0
 #: a time of rest is extended by up to this share, differently on each instance, so that
 #: they do not all return at once.
 REST_SPREAD = 0.2
@@ -138,6 +140,17 @@
         """Return how long any of some reasons still holds; 0 if none does."""
         return max(0.0, self.until_s(*reasons) - self._clock())
 
+    @property
+    def stated_for_s(self) -> float:
+        """For how long the upstream itself said that it wants no requests; 0 if not.
+
+        A shutdown counts as a short time, so that others ask again.
+        """
+        is_leaving = self.left_s(Unavailability.LEAVING) > 0
+        return max(
+            self.left_s(Unavailability.RESTING), LEAVING_TOLD_S if is_leaving else 0.0
+        )
+
     @property
     def is_closed(self) -> bool:
         """Whether the upstream gets no requests at all now."""
