A gateway that stops finishes what it carries for others

With two gateways cut and one of their carriers stopped every two seconds, 12 of 277 answers were broken off: a stopping instance ended all tunnels as soon as its own callers were served, though half of its grace was left.

Change: after its callers, it opens no further tunnels, sends no further requests of others (they are told so, and go elsewhere at once), and waits for the requests under way until its grace ends.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -53,6 +53,12 @@
       | killed  |
       | stopped |
 
+  Scenario: Gateways that are stopped finish the answers that they carry
+    Given 4 gateways in front of 2 engines and 2 plain replicas, each behind a proxy
+    And slow replicas whose answers end with their connections, after 0.4 seconds
+    When 2 gateways are cut from all replicas and one of the others is stopped every 2 seconds
+    Then no answer was broken off
+
   Scenario: An engine's stream that ends inside an event is resumed by the own interface
     Given an engine whose stream ends inside an event
     When its chunks are read by the own interface
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -8,9 +8,9 @@
 import attrs
 import urllib3
 from behave import given, then, when
-from cut_proxy import RESET
 from moves_steps import MovingOrders, _build
 from platform_replica import ENDS_INSIDE
+from upstream_wishes_steps import cut_gateways
 
 from kumquatseam.engines._client import _chunks
 from kumquatseam.errors import UpstreamError
@@ -252,9 +252,7 @@
 )
 def step_carriers_end(context, how):
     world = context.platform
-    for proxy in context.proxies:
-        for gateway in world.gateways[:2]:
-            proxy.cut(gateway.process.pid, RESET)
+    cut_gateways(context, 2)
     draw = random.Random(1)
     context.answers, threads = [], []
     started_s = time.monotonic()
@@ -312,6 +310,12 @@
     assert served >= len(context.answers) / 2, (served, len(context.answers))
 
 
+@then("no answer was broken off")
+def step_none_broken_off(context):
+    broken = [a for a in context.answers if not a.is_complete or a.status == 502]
+    assert not broken, f"{len(broken)} of {len(context.answers)}: {broken[:3]}"
+
+
 # The own interface.
 
 
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -345,7 +345,8 @@
 
     def _after_unsent(self, placement: Placement, error: RequestUnsentError) -> None:
         """Choose again: the upstream wants no requests from whoever carries them."""
-        placement.status.availability.extend(Unavailability.RESTING, error.for_s)
+        if error.for_s:
+            placement.status.availability.extend(Unavailability.RESTING, error.for_s)
         self._permission.note_refused()
         if placement.moved_run is None:
             self._progress.attempts -= 1
--- a/src/kumquatseam/gateway/_upstream_paths.py
+++ b/src/kumquatseam/gateway/_upstream_paths.py
@@ -1,5 +1,9 @@
 """Wiring of the ways on which an instance reaches upstreams."""
 
+import time
+
+import gevent
+
 from kumquatseam.gateway._dialect import Dialect
 from kumquatseam.gatewayfile import GatewayFile
 from kumquatseam.http1 import ConnectFailedError, ConnectionPool
@@ -17,6 +21,8 @@
 )
 from kumquatseam.upstreams import UpstreamDirectory
 
+#: seconds between checks for tunnels that are still open.
+STOP_POLL_S = 0.05
 #: timeout of a relayed connection, as a share of that of a direct one, so that the
 #: instance that asked for it gets a reply in time.
 RELAYED_CONNECT_SHARE = 0.4
@@ -48,9 +54,10 @@
         )
         self.pool = ConnectionPool(self._connect_timeout_s, self._connector)
         self.path.on_change(self._handle_path_change)
+        self._servers = self._build_servers(file.peers.relay_address)
         self.parts = [
             StepLoop(CHECK_INTERVAL_S, self._connector.check),
-            *self._servers(file.peers.relay_address),
+            *self._servers,
         ]
 
     def probe_liveness(self, address: str) -> Liveness:
@@ -65,7 +72,17 @@
         self.path.note_relayed()
         return Liveness.ALIVE
 
-    def _servers(self, address: str) -> list[RelayServer]:
+    def finish_carrying(self, end_s: float) -> None:
+        """Finish the requests of other instances, and begin no further ones.
+
+        :param end_s: until when, in monotonic time.
+        """
+        for server in self._servers:
+            server.begin_stop()
+            while server.open_tunnels and time.monotonic() < end_s:
+                gevent.sleep(STOP_POLL_S)
+
+    def _build_servers(self, address: str) -> list[RelayServer]:
         """Build the server of tunnels for other instances, if it has an address."""
         if not address:
             return []
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -223,8 +223,10 @@
         )
 
     def close(self) -> None:
-        """Stop gracefully, callers first."""
+        """Stop gracefully, callers first, then what is carried for other instances."""
+        end_s = time.monotonic() + self._grace_s
         self._server.close()
+        self._paths.finish_carrying(end_s)
         try:
             self._parts.close()
         finally:
@@ -267,8 +269,12 @@
                 self._limits,
             )
         )
-        grace_s = max(1.0, gateway.grace_s - SHUTDOWN_MARGIN_S)
-        return GatewayServer(gateway.listen, handler, self._read_limits, grace_s)
+        return GatewayServer(gateway.listen, handler, self._read_limits, self._grace_s)
+
+    @property
+    def _grace_s(self) -> float:
+        """How long requests under way may take after a stop was requested."""
+        return max(1.0, self._file.gateway.grace_s - SHUTDOWN_MARGIN_S)
 
     def _build_quarantine(self) -> Quarantine:
         return Quarantine(
--- a/src/kumquatseam/relays/_inspector.py
+++ b/src/kumquatseam/relays/_inspector.py
@@ -15,7 +15,7 @@
 class RequestClosedError(Exception):
     """A request was not sent, since its upstream wants none.
 
-    :param for_s: for how long.
+    :param for_s: for how long; 0 if another instance may carry it at once.
     """
 
     def __init__(self, for_s: float) -> None:
@@ -35,10 +35,15 @@
         self._held = b""
         self._fields: list[tuple[bytes, bytes]] = []
         self._has_new_head = False
+        self._is_stopped = False
         self._is_in_head = False
         self._is_readable = True
         self._response: _ResponseReader | None = None
 
+    def stop(self) -> None:
+        """Let no further request pass: the instance that carries them stops."""
+        self._is_stopped = True
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is under way."""
@@ -76,7 +81,7 @@
 
     def _begin_request(self, headers: Headers) -> None:
         closed_for_s = self._traffic.closed_for_s(headers)
-        if closed_for_s:
+        if closed_for_s or self._is_stopped:
             raise RequestClosedError(closed_for_s)
         self._traffic.note_sent(headers)
         sent_s = time.monotonic()
--- a/src/kumquatseam/relays/_server.py
+++ b/src/kumquatseam/relays/_server.py
@@ -63,6 +63,7 @@
         self._traffic: TunnelTraffic | None = None
         #: the upstreams' addresses of the open tunnels.
         self._tunnels: dict = {}
+        self._is_stopping = False
         self.open_tunnels = 0
         self.opened = 0
         self.refused = 0
@@ -71,6 +72,12 @@
         """Listen."""
         self._server.start()
 
+    def begin_stop(self) -> None:
+        """Open no further tunnels, and end those that are open as they become idle."""
+        self._is_stopping = True
+        for tunnel in list(self._tunnels):
+            gevent.spawn(tunnel.stop)
+
     def close(self) -> None:
         """Stop listening and end all tunnels."""
         self._server.stop(timeout=0.1)
@@ -110,6 +117,8 @@
             return self._refuse(connection, 403, target, "not an upstream")
         if self.open_tunnels >= MAX_TUNNELS:
             return self._refuse(connection, 429, target, "too many tunnels")
+        if self._is_stopping:
+            return self._refuse(connection, 503, target, "stopping")
         if not self._has_path():
             return self._refuse(connection, 503, target, "no path to the upstreams")
         try:
--- a/src/kumquatseam/relays/_tunnel.py
+++ b/src/kumquatseam/relays/_tunnel.py
@@ -50,6 +50,12 @@
             backward.kill()
             self._upstream.close()
 
+    def stop(self) -> None:
+        """Let the request under way end, and no further one begin."""
+        self._inspector.stop()
+        if self.is_idle:
+            self.refuse(0.0)
+
     def reset(self) -> None:
         """Abort the tunnel, since it leads nowhere any more."""
         _reset(self._connection)
