Answers without length or chunks are tested wherever answers are read

Plain bodies of the gateway (whole, reset, large), reports, cache events and listings, reads of the log, the newest records, service calls: the whole is read, and nothing that ends after a part is taken for it.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -63,3 +63,24 @@
     Given an engine whose stream ends inside an event
     When its chunks are read by the own interface
     Then the error says that the response was broken off, after 2 chunks
+
+  Scenario: Plain answers without framing are whole, sent again, or broken off
+    Given a gateway in front of 2 plain replicas
+    And replicas whose answers are framed by their connections
+    When plain answers end, or are reset after a part, some of them large
+    Then the whole ones reach their callers whole
+    And the reset ones are sent again if they may run twice, and fail visibly otherwise
+
+  Scenario Outline: Other readers take answers without framing, and nothing of a part: <call>
+    Given a peer whose answer to <call> has no framing
+    Then the whole answer is read
+    And none that ends after any part of it is taken for one
+
+    Examples:
+      | call                   |
+      | a report               |
+      | a page of cache events |
+      | a listing of the cache |
+      | a read of the log      |
+      | the newest records     |
+      | a service call         |
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -1,7 +1,9 @@
 """Steps for answers that end without being complete."""
 
+import json
 import random
 import signal
+import socket
 import threading
 import time
 
@@ -12,10 +14,17 @@
 from platform_replica import ENDS_INSIDE
 from upstream_wishes_steps import cut_gateways
 
+from kumquatseam.cachefeeds import CacheHolder
 from kumquatseam.engines._client import _chunks
-from kumquatseam.errors import UpstreamError
+from kumquatseam.errors import KumquatseamError, UpstreamError
 from kumquatseam.gateway._events import EventSplitter
+from kumquatseam.logservice import HttpLogService
+from kumquatseam.logservice._framing import frame_records
+from kumquatseam.platform._cache_events import PlatformCacheClient
+from kumquatseam.platform._orders import PlatformOrderClient
 from kumquatseam.rollouts import RunEndedError
+from kumquatseam.services import HttpServiceClient, ServiceCall
+from kumquatseam.upstreams import Upstream
 
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
 PLAIN_BODY = b"".join(b"piece %d\n" % number for number in range(8))
@@ -357,3 +366,146 @@
     assert len(context.chunks) == count, context.chunks
     assert isinstance(context.error, UpstreamError), repr(context.error)
     assert context.error.started
+
+
+# Plain answers, and other readers.
+
+LARGE_PIECES = [b"x" * 50_000] * 8
+
+
+@when("plain answers end, or are reset after a part, some of them large")
+def step_plain_ends(context):
+    world = context.platform
+    context.received = {}
+    for size, pieces in (("small", [b"whole"] * 3), ("large", LARGE_PIECES)):
+        for replica in world.replicas.values():
+            replica.pieces = pieces
+        for path, method in (("/plain/x", "POST"), ("/safe/x", "GET")):
+            for fault in ("", "reset in a body"):
+                for replica in world.replicas.values():
+                    replica.script.clear()
+                _script_first(world, [], fault)
+                received = _receive(world, path, method=method)
+                context.received[size, path, fault] = received
+
+
+@then("the whole ones reach their callers whole")
+def step_plain_whole(context):
+    for (size, path, fault), (status, body, is_complete) in context.received.items():
+        if not fault:
+            whole = b"".join(LARGE_PIECES) if size == "large" else b"whole" * 3
+            assert (status, body, is_complete) == (200, whole, True), (size, path)
+
+
+@then("the reset ones are sent again if they may run twice, and fail visibly otherwise")
+def step_plain_reset(context):
+    for (size, path, fault), (status, body, is_complete) in context.received.items():
+        if not fault:
+            continue
+        if size == "small" and path == "/safe/x":
+            assert (status, body, is_complete) == (200, b"whole" * 3, True), status
+        elif size == "small":
+            assert status == 502, (path, status)
+        else:
+            assert status == 200 and not is_complete, (path, status, len(body))
+
+
+class OneAnswer:
+    """Answers each connection with some bytes, and ends it."""
+
+    def __init__(self, headers=b""):
+        self.headers = headers
+        self.body = b""
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            connection.recv(65_536)
+            head = b"HTTP/1.1 200 OK\r\n" + self.headers + b"\r\n"
+            connection.sendall(head + self.body)
+            connection.close()
+
+    def close(self):
+        self._listener.close()
+
+
+def _readers(peer):
+    """Return what each call sends back, and how it is read."""
+    upstream = Upstream("r1", "engines", peer.address)
+    holder = CacheHolder("r1", peer.address, "r1")
+    log = HttpLogService(f"http://{peer.address}")
+    report = {
+        "stage": "unified",
+        "models": [{"name": "m0", "version": 1, "adapters": []}],
+        "busy": False,
+        "sequence": 2,
+        "waiting": 1,
+        "running": 12,
+        "kvUsed": 1,
+        "kvTotal": 2,
+        "handles": 0,
+    }
+    events = [[1, "+", "s", "a1", 800, "m0"]]
+    page = {"epoch": 1, "nextToken": 2, "lost": False, "events": events}
+    listing = {"epoch": 1, "nextToken": 2, "held": [["s", "a1", 800, "m0"]]}
+    newest = {"items": [], "hasMore": False, "end": 3}
+    records = (3).to_bytes(8, "big") + (0).to_bytes(8, "big")
+    records += frame_records([b"one", b"two", b"three"])
+    call = ServiceCall("q", "GET", "x", b"", None, "t")
+    orders, cache = PlatformOrderClient(), PlatformCacheClient()
+    services = HttpServiceClient(1.0, 1.0)
+    url = f"http://{peer.address}"
+    return {
+        "a report": (json.dumps(report), lambda: orders.report(upstream)),
+        "a page of cache events": (
+            json.dumps(page),
+            lambda: cache.read_events(holder, 0, 0.0),
+        ),
+        "a listing of the cache": (
+            json.dumps(listing),
+            lambda: cache.list_parts(holder),
+        ),
+        "a read of the log": (records, lambda: log.read("t", 0)),
+        "the newest records": (json.dumps(newest), lambda: log.newest("t")),
+        "a service call": ("whole", lambda: services.call(url, call)),
+    }
+
+
+@given("a peer whose answer to {call} has no framing")
+def step_peer(context, call):
+    context.call = call
+    context.peer = OneAnswer()
+    context.add_cleanup(context.peer.close)
+    answer, context.read = _readers(context.peer)[call]
+    context.answer = answer.encode() if isinstance(answer, str) else answer
+
+
+@then("the whole answer is read")
+def step_read_whole(context):
+    context.peer.body = context.answer
+    context.whole = context.read()
+    assert context.whole is not None
+
+
+@then("none that ends after any part of it is taken for one")
+def step_read_part(context):
+    if context.call == "a service call":
+        # A part cannot be told from the whole, but for a length or a reset.
+        context.peer.headers = b"Content-Length: %d\r\n" % len(context.answer)
+    for length in range(0, len(context.answer), 3):
+        context.peer.body = context.answer[:length]
+        try:
+            found = context.read()
+        except KumquatseamError:
+            continue
+        if context.call == "a read of the log":
+            # Whole records of a part are right: the next read goes on behind them.
+            assert found.records == context.whole.records[: len(found.records)]
+            continue
+        assert found is None, (length, found)
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -324,9 +324,9 @@
         elif self.version is not None:
             self._stream(http, seen, headers, fault)
         else:
-            self._work(http, headers)
+            self._work(http, headers, fault)
 
-    def _work(self, http, headers):
+    def _work(self, http, headers, fault=""):
         self.running += 1
         time.sleep(self.work_s)
         self.running -= 1
@@ -335,7 +335,10 @@
             return
         with contextlib.suppress(OSError):
             self._send(http, 200, b"", headers)
-            for piece in self.pieces:
+            for number, piece in enumerate(self.pieces):
+                if fault == "reset in a body" and number == len(self.pieces) - 1:
+                    self._reset(http)
+                    return
                 http.wfile.write(piece)
                 http.wfile.flush()
                 time.sleep(self.event_pause_s)
