A request that was served without a permission is recorded

RunPermission.note_answered without acquire failed with an AttributeError, so a caller that was served got an internal error recorded in its place. The quarantine only needs the fingerprint, which the permission has anyway. Test: failed before (AttributeError), passes. (The steps of two further tests come with it.)

--- a/features/own_faults.feature
+++ b/features/own_faults.feature
@@ -35,3 +35,8 @@
     Given a server that is stopping, with one idle connection
     When a request is sent and the idle connections are closed at once
     Then the request is answered
+
+  Scenario: A request that was served without asking for permission is recorded
+    Given a request that was never under suspicion, and no permission was acquired for it
+    When it is recorded as served
+    Then it counts as served lately
--- a/features/steps/own_fault_steps.py
+++ b/features/steps/own_fault_steps.py
@@ -6,6 +6,8 @@
 import gevent.socket
 from behave import given, then, when
 from log_capture import captured_lines
+from platform_replica import StandinReplica
+from platform_world import wait_until
 from quarantine_world import single_instance_quarantine
 from quota_world import (
     single_instance_limits,
@@ -13,14 +15,20 @@
     single_instance_retries,
 )
 
+from kumquatseam.cachefeeds import CacheHolder
+from kumquatseam.engines import EngineTarget, HttpEngineOrderClient, RoleOrder
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
 from kumquatseam.http1 import ConnectionPool, Headers, Request
 from kumquatseam.http1._connection import open_connection
+from kumquatseam.logservice import append_once
 from kumquatseam.metrics import GatewayMetrics
 from kumquatseam.placement import BroadcastWork, Placement
+from kumquatseam.platform._cache_events import PlatformCacheClient
 from kumquatseam.platform._headers import PlatformDialect
+from kumquatseam.platform._orders import PlatformOrderClient
 from kumquatseam.prompts import PromptIndex
+from kumquatseam.quarantine import RunPermission
 from kumquatseam.routes import (
     LiveRouteTable,
     Repeatability,
@@ -29,6 +37,11 @@
     ServiceTraits,
     TrafficShare,
 )
+from kumquatseam.standins.logservice import (
+    InMemoryLogService,
+    LogStore,
+    LogStoreLimits,
+)
 from kumquatseam.upstreams import Upstream, UpstreamDirectory
 
 ROUTE = Route(
@@ -180,3 +193,75 @@
 def step_few_misdirected(context, count):
     assert set(context.answers) == {200}, context.answers
     assert context.platform.replicas["p0"].misdirected <= count
+
+
+CLIENTS = {
+    "orders of the own interface": lambda: HttpEngineOrderClient(1.0),
+    "orders of the platform": PlatformOrderClient,
+    "cache listings of the platform": PlatformCacheClient,
+}
+
+
+@given("an engine, and the client of {calls}")
+def step_client(context, calls):
+    context.replica = StandinReplica("e0", version=1)
+    context.replica.start()
+    context.client = CLIENTS[calls]()
+
+
+@when("the client made a call and is closed")
+def step_call_and_close(context):
+    replica, client = context.replica, context.client
+    client.start()
+    if isinstance(client, HttpEngineOrderClient):
+        target = EngineTarget("e0", f"http://{replica.address}")
+        order = RoleOrder(role="serving", holder="r0", fence=1)
+        client.send(target, order)
+    elif isinstance(client, PlatformOrderClient):
+        client.report(Upstream("e0", "engines", replica.address))
+    else:
+        client.list_parts(CacheHolder("e0", replica.address, "e0"))
+    wait_until("the call was made", lambda: replica._connections)
+    client.close()
+
+
+@then("the engine sees no open connection")
+def step_no_connection(context):
+    try:
+        wait_until("connections end", lambda: not context.replica._connections, 1.0)
+    finally:
+        context.replica.close()
+
+
+@when("a record is to be appended in {attempts:d} attempts")
+def step_append_nothing(context, attempts):
+    log = InMemoryLogService(LogStore(LogStoreLimits()))
+    try:
+        append_once(log, "topic", [b"record"], 0, attempts)
+        context.error = None
+    except Exception as error:  # noqa: BLE001 - the error itself is checked
+        context.error = error
+
+
+@then("the error says that at least one attempt is needed")
+def step_attempts_error(context):
+    assert isinstance(context.error, ValueError), repr(context.error)
+    assert "at least one attempt" in str(context.error), context.error
+
+
+@given(
+    "a request that was never under suspicion, and no permission was acquired for it"
+)
+def step_no_permission(context):
+    context.quarantine = single_instance_quarantine()
+    context.permission = RunPermission(context.quarantine, "fingerprint")
+
+
+@when("it is recorded as served")
+def step_record_served(context):
+    context.permission.note_answered()
+
+
+@then("it counts as served lately")
+def step_served_lately(context):
+    assert context.quarantine._served.was_served_within("fingerprint", 5.0)
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -215,6 +215,8 @@
         elif expected is not None and expected != self.upstream_id:
             self.misdirected += 1
             self._send(http, 421, b"", {"X-Replica-Id": self.upstream_id})
+        elif http.path == "/v1/orders":
+            self._send(http, 202, b"")
         elif http.path == "/order":
             self._handle_order(http, json.loads(body))
         elif http.path == "/report":
--- a/features/steps/quarantine_fleet.py
+++ b/features/steps/quarantine_fleet.py
@@ -308,7 +308,7 @@
                 run.instance.is_up
                 and run.instance.generation == run.instance_generation
             ):
-                run.instance.quarantine.note_served(run.permit)
+                run.instance.quarantine.note_served(run.permit.fingerprint)
 
     # Faults.
 
--- a/src/kumquatseam/quarantine/_permission.py
+++ b/src/kumquatseam/quarantine/_permission.py
@@ -51,7 +51,7 @@
 
     def note_answered(self) -> None:
         """Record that an upstream completed the request."""
-        self._quarantine.note_served(self._permit)
+        self._quarantine.note_served(self._fingerprint)
 
     def note_interrupted(
         self, upstream: RunUpstream, answering_s: float | None
--- a/src/kumquatseam/quarantine/_quarantine.py
+++ b/src/kumquatseam/quarantine/_quarantine.py
@@ -185,11 +185,11 @@
         while not self.is_ready and self._clock() < give_up_s:
             gevent.sleep(LIST_CHECK_S)
 
-    def note_served(self, permit: Permit) -> None:
+    def note_served(self, fingerprint: str) -> None:
         """Record that an upstream completed a request."""
-        self._served.add(permit.fingerprint)
-        if self.suspects.crashes(permit.fingerprint):
-            self._call_later(0, self._report_run_ended, permit.fingerprint, True)
+        self._served.add(fingerprint)
+        if self.suspects.crashes(fingerprint):
+            self._call_later(0, self._report_run_ended, fingerprint, True)
 
     def note_not_run(self, permit: Permit) -> None:
         """Record that a trial ended before the request ran."""
