--- a/features/own_faults.feature
+++ b/features/own_faults.feature
@@ -36,6 +36,10 @@
     When a request is sent and the idle connections are closed at once
     Then the request is answered
 
+  Scenario: An append without attempts is an error of the caller
+    When a record is to be appended in 0 attempts
+    Then the error says that at least one attempt is needed
+
   Scenario: A request that was served without asking for permission is recorded
     Given a request that was never under suspicion, and no permission was acquired for it
     When it is recorded as served
--- a/src/kumquatseam/logservice/_append_once.py
+++ b/src/kumquatseam/logservice/_append_once.py
@@ -38,6 +38,8 @@
     :raises LogUnavailableError: if no attempt had any effect.
     :raises LogAnswerLostError: if the outcome is still unknown.
     """
+    if attempts < 1:
+        raise ValueError(f"append to {topic!r}: at least one attempt is needed")
     may_be_appended = False
     last_error: LogServiceError | None = None
     for attempt in range(attempts):
