Clients of engines close their connections

The clients of orders (own interface and platform) and of cache listings kept their pools open when their program stopped. They have close() and belong to the parts that are started and closed.

--- a/features/own_faults.feature
+++ b/features/own_faults.feature
@@ -36,6 +36,17 @@
     When a request is sent and the idle connections are closed at once
     Then the request is answered
 
+  Scenario Outline: A client that is closed leaves no connection to an engine open
+    Given an engine, and the client of <calls>
+    When the client made a call and is closed
+    Then the engine sees no open connection
+
+    Examples:
+      | calls                          |
+      | orders of the own interface    |
+      | orders of the platform         |
+      | cache listings of the platform |
+
   Scenario: An append without attempts is an error of the caller
     When a record is to be appended in 0 attempts
     Then the error says that at least one attempt is needed
--- a/features/steps/availability_steps.py
+++ b/features/steps/availability_steps.py
@@ -16,7 +16,7 @@
 from relay_steps import EchoUpstream
 
 from kumquatseam.cachefeeds import CacheHolder
-from kumquatseam.errors import NoUpstreamError, UpstreamsRestingError
+from kumquatseam.errors import UpstreamsRestingError
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._tunnel_traffic import GatewayTunnelTraffic
 from kumquatseam.http1 import (
@@ -38,6 +38,7 @@
 from kumquatseam.platform._topics import UpstreamListener
 from kumquatseam.prompts import PromptChain, PromptIndex
 from kumquatseam.relays import RelayClient, RelayServer
+from kumquatseam.request_errors import NoUpstreamError
 from kumquatseam.rollouts import WeightsOrder
 from kumquatseam.routes import ServiceTraits
 from kumquatseam.serving._limits import BackEnd, LimitedChooser, LimitedRequest
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -16,12 +16,13 @@
 
 from kumquatseam.cachefeeds import CacheHolder
 from kumquatseam.engines._client import _chunks
-from kumquatseam.errors import KumquatseamError, UpstreamError
+from kumquatseam.errors import KumquatseamError
 from kumquatseam.gateway._events import EventSplitter
 from kumquatseam.logservice import HttpLogService
 from kumquatseam.logservice._framing import frame_records
 from kumquatseam.platform._cache_events import PlatformCacheClient
 from kumquatseam.platform._orders import PlatformOrderClient
+from kumquatseam.request_errors import UpstreamError
 from kumquatseam.rollouts import RunEndedError
 from kumquatseam.services import HttpServiceClient, ServiceCall
 from kumquatseam.upstreams import Upstream
--- a/features/steps/cache_feeds_steps.py
+++ b/features/steps/cache_feeds_steps.py
@@ -112,6 +112,9 @@
 
 
 class ModelledClient(CacheClient):
+    def close(self):
+        pass
+
     def __init__(self, world):
         self._world = world
 
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -4,9 +4,9 @@
 import gevent.event
 from behave import given, then, when
 
-from kumquatseam.errors import AlreadyClaimedError, ClaimUnavailableError
 from kumquatseam.idempotency import ClaimLedger
 from kumquatseam.logservice import LogSlice
+from kumquatseam.request_errors import AlreadyClaimedError, ClaimUnavailableError
 
 #: limits of a claim in these steps, in seconds.
 CLAIM_TIMEOUT_S = 0.3
--- a/features/steps/fleet_rollout_steps.py
+++ b/features/steps/fleet_rollout_steps.py
@@ -60,6 +60,9 @@
         self.never = never
         self.loaded_s = {}
 
+    def close(self):
+        pass
+
     def epoch(self, engine):
         return "epoch"
 
--- a/features/steps/matrix_requests.py
+++ b/features/steps/matrix_requests.py
@@ -5,13 +5,14 @@
 import attrs
 from matrix_world import ANSWER_TOKENS, MODEL, PROMPT, MatrixRouter, RouterKilled, World
 
-from kumquatseam.errors import KumquatseamError, UpstreamError
+from kumquatseam.errors import KumquatseamError
 from kumquatseam.fleet import (
     ChangeRefusedError,
     EntityChange,
     FieldValue,
     apply_changes,
 )
+from kumquatseam.request_errors import UpstreamError
 from kumquatseam.services import ServiceCall
 from kumquatseam.serving import Completion, may_have_run
 
--- a/features/steps/matrix_world.py
+++ b/features/steps/matrix_world.py
@@ -21,9 +21,9 @@
     OrderRefusedError,
     cache_salt,
 )
-from kumquatseam.errors import EngineMismatchError, UpstreamError
 from kumquatseam.fleet import LiveConfiguration
 from kumquatseam.idempotency import ClaimLedger
+from kumquatseam.request_errors import EngineMismatchError, UpstreamError
 from kumquatseam.routing import Router, build_policy
 from kumquatseam.services import ServiceClient, ServiceResponse
 from kumquatseam.serving import (
@@ -118,6 +118,9 @@
     def __init__(self, world):
         self._world = world
 
+    def close(self):
+        pass
+
     def stream(self, target, request):
         world, engine = self._world, self._world.engines[target.name]
         world.sent_to.append(target.name)
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -165,6 +165,9 @@
 class ScriptedClient(OrderClient):
     """Records orders and returns a preset outcome and report."""
 
+    def close(self):
+        pass
+
     def __init__(self):
         self.report_next = None
         self.orders = []
--- a/features/steps/rollout_world.py
+++ b/features/steps/rollout_world.py
@@ -137,6 +137,9 @@
     :param clock: simulated seconds.
     """
 
+    def close(self):
+        pass
+
     def __init__(self, clock):
         self.clock = clock
         self.engines = {}
--- a/features/steps/weights_that_crash_steps.py
+++ b/features/steps/weights_that_crash_steps.py
@@ -28,6 +28,9 @@
     :param clock: simulated seconds.
     """
 
+    def close(self):
+        pass
+
     def __init__(self, side: Side, clock: Clock):
         self.side = side
         self.clock = clock
--- a/src/kumquatseam/admission/team_limiter.py
+++ b/src/kumquatseam/admission/team_limiter.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Callable, Iterator
 
-from kumquatseam.errors import TeamLimitError
+from kumquatseam.request_errors import TeamLimitError
 from kumquatseam.settings import TeamSettings
 
 #: retry delay given to callers of a team at its limit.
--- a/src/kumquatseam/cachefeeds/_client.py
+++ b/src/kumquatseam/cachefeeds/_client.py
@@ -56,6 +56,13 @@
 class CacheClient(abc.ABC):
     """Queries engines and stores for their cache contents."""
 
+    def start(self) -> None:  # noqa: B027 - most open connections on demand
+        """Prepare to be used."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close every idle connection."""
+
     @abc.abstractmethod
     def list_parts(self, holder: CacheHolder) -> CacheListing | None:
         """Return a holder's full cache contents; ``None`` if it does not answer.
--- a/src/kumquatseam/callers/_calls.py
+++ b/src/kumquatseam/callers/_calls.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from kumquatseam.errors import CallerError
+from kumquatseam.request_errors import CallerError
 from kumquatseam.settings import Configuration, PrioritySettings, TeamSettings
 
 PRIORITY_HEADER = "X-Kumquatseam-Priority"
--- a/src/kumquatseam/callers/_interface.py
+++ b/src/kumquatseam/callers/_interface.py
@@ -29,10 +29,11 @@
     usage_chunk,
 )
 from kumquatseam.engines import EngineChunk
-from kumquatseam.errors import CallerError, KumquatseamError
+from kumquatseam.errors import KumquatseamError
 from kumquatseam.fleet import LiveConfiguration
 from kumquatseam.logs import part_logger
 from kumquatseam.metrics.figures import RequestStatistics
+from kumquatseam.request_errors import CallerError
 from kumquatseam.services import ServiceCall
 from kumquatseam.serving import (
     Completion,
--- a/src/kumquatseam/callers/_refusals.py
+++ b/src/kumquatseam/callers/_refusals.py
@@ -5,17 +5,15 @@
 import bottle
 
 from kumquatseam.callers._shapes import error_body
-from kumquatseam.errors import (
+from kumquatseam.errors import KumquatseamError, OverloadedError, UpstreamsRestingError
+from kumquatseam.quarantine import QuarantinedError
+from kumquatseam.quotas import UpstreamLimitError
+from kumquatseam.request_errors import (
     AlreadyClaimedError,
     CallerError,
     ClaimUnavailableError,
-    KumquatseamError,
-    OverloadedError,
     TeamLimitError,
-    UpstreamsRestingError,
 )
-from kumquatseam.quarantine import QuarantinedError
-from kumquatseam.quotas import UpstreamLimitError
 from kumquatseam.serving import may_have_run
 
 #: ``Retry-After`` for errors that carry no delay of their own, in seconds.
--- a/src/kumquatseam/engines/_client.py
+++ b/src/kumquatseam/engines/_client.py
@@ -9,8 +9,8 @@
 import urllib3
 
 from kumquatseam.clocks import elapsed_s
-from kumquatseam.errors import EngineMismatchError, UpstreamError
 from kumquatseam.pools import AddressPools
+from kumquatseam.request_errors import EngineMismatchError, UpstreamError
 from kumquatseam.upstreams import (
     LimitObserver,
     NullLimitObserver,
--- a/src/kumquatseam/engines/_orders.py
+++ b/src/kumquatseam/engines/_orders.py
@@ -92,6 +92,13 @@
 class EngineOrderClient(abc.ABC):
     """Sends orders to engines."""
 
+    def start(self) -> None:  # noqa: B027 - most open connections on demand
+        """Prepare to be used."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close every idle connection."""
+
     @abc.abstractmethod
     def send(self, target: EngineTarget, order: EngineOrder) -> None:
         """Send an order and return once ``target`` has accepted it.
@@ -110,6 +117,10 @@
     def __init__(self, timeout_s: float) -> None:
         self._pool = urllib3.PoolManager(retries=False, timeout=timeout_s)
 
+    def close(self) -> None:
+        """Close every idle connection."""
+        self._pool.clear()
+
     def send(self, target: EngineTarget, order: EngineOrder) -> None:
         body = {"op": _OPERATIONS[type(order)], **attrs.asdict(order)}
         try:
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -16,7 +17,6 @@
     RetryableFailureError,
     RunMovedError,
 )
-from kumquatseam.gateway._relocation import Relocation
 from kumquatseam.http1 import (
     ConnectionPool,
     ResponseHead,
@@ -27,6 +27,9 @@
 from kumquatseam.placement import Placement, SentRequest
 from kumquatseam.upstreams import InFlightRequest
 
+if TYPE_CHECKING:
+    from kumquatseam.gateway._relocation import Relocation
+
 _log = part_logger("exchange")
 
 #: responses up to this size are buffered, so that the request can be retried or
@@ -156,19 +159,21 @@
         """Forward the stream event by event, so that it can be resumed elsewhere."""
         keep = self._may_keep()
         connection, wait = response.connection, response.wait
-        relocation = Relocation(self._parts, self._job, response.placement)
+        relocation = None
         try:
             while data := connection.read_body(wait):
                 wait.note_first_event()
                 response.in_flight_request.note_heard()
                 wait.until_s = self.body_until_s()
                 self._send_events(response, keep, self._events.feed(data))
-                relocation.start_if_due()
+                if response.placement.status.move_runs_to:
+                    relocation = relocation or self._relocation(response)
+                    relocation.start_if_due()
             self._raise_if_broken_off(response, relocation)
         except ResponseInterruptedError:
             self._log_end(response, is_whole=False)
             self._times.note_interrupted()
-            moved = relocation.finish()
+            moved = relocation.finish() if relocation is not None else None
             if moved is None:
                 raise
             self._events.drop_partial()
@@ -181,8 +186,14 @@
         response.release(self._parts.pool)
         return keep
 
+    def _relocation(self, response: UpstreamResponse) -> "Relocation":
+        """Return what moves the run; loaded with the first one that has to move."""
+        from kumquatseam.gateway._relocation import Relocation
+
+        return Relocation(self._parts, self._job, response.placement)
+
     def _raise_if_broken_off(
-        self, response: UpstreamResponse, relocation: Relocation
+        self, response: UpstreamResponse, relocation: "Relocation | None"
     ) -> None:
         """Check a stream whose framing is complete.
 
@@ -198,7 +209,7 @@
         has_event = self._times.attempt_first_event_s is not None
         if not has_event and not self._events.last_id:
             raise ResponseInterruptedError(address, "stream ended without an event")
-        if relocation.may_have_stopped_run():
+        if relocation is not None and relocation.may_have_stopped_run():
             raise ResponseInterruptedError(address, "stream ended by a move")
 
     def _log_end(self, response: UpstreamResponse, is_whole: bool) -> None:
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -137,6 +137,7 @@
         self._live.on_change(self._size_index)
         self._targets = WeightsTargets()
         self._orders = adapter.order_client(self._directory)
+        self._cache_client = adapter.cache_client(self._directory)
         self._record = InstanceRecord(
             file.gateway.router_name,
             file.peers.address,
@@ -192,6 +193,8 @@
             self._queries,
             self._feeds,
             self._quarantine,
+            self._orders,
+            self._cache_client,
             self._cache_feeds,
             WarmStart(
                 self._cache_feeds,
@@ -372,7 +375,7 @@
 
     def _build_cache_feeds(self) -> CacheFeeds:
         return CacheFeeds(
-            self._adapter.cache_client(self._directory),
+            self._cache_client,
             self._index,
             self._bus.name,
             self._cache_holders,
--- a/src/kumquatseam/idempotency/_ledger.py
+++ b/src/kumquatseam/idempotency/_ledger.py
@@ -14,11 +14,7 @@
 import gevent.event
 import xxhash
 
-from kumquatseam.errors import (
-    AlreadyClaimedError,
-    ClaimUnavailableError,
-    CodecError,
-)
+from kumquatseam.errors import CodecError
 from kumquatseam.idempotency._records import CLAIM_CODEC, Claim, ClaimTable, Release
 from kumquatseam.logs import part_logger
 from kumquatseam.logservice import (
@@ -27,6 +23,7 @@
     LogServiceError,
 )
 from kumquatseam.loops import StepLoop
+from kumquatseam.request_errors import AlreadyClaimedError, ClaimUnavailableError
 
 _log = part_logger("claims")
 
--- a/src/kumquatseam/platform/_cache_events.py
+++ b/src/kumquatseam/platform/_cache_events.py
@@ -30,6 +30,10 @@
         self._observer = observer or NullAvailabilityObserver()
         self._pools = AddressPools()
 
+    def close(self) -> None:
+        """Close every idle connection."""
+        self._pools.close()
+
     def list_parts(self, holder: CacheHolder) -> CacheListing | None:
         return self._get(holder, "/kv-list", {}, 0.0, _decode_listing)
 
--- a/src/kumquatseam/platform/_orders.py
+++ b/src/kumquatseam/platform/_orders.py
@@ -54,6 +54,10 @@
         self._observer = observer or NullAvailabilityObserver()
         self._pools = AddressPools()
 
+    def close(self) -> None:
+        """Close every idle connection."""
+        self._pools.close()
+
     def order(self, upstream: Upstream, order: WeightsOrder) -> OrderOutcome:
         body = {
             "op": "version",
--- a/src/kumquatseam/rollouts/_orders.py
+++ b/src/kumquatseam/rollouts/_orders.py
@@ -106,6 +106,13 @@
 class OrderClient(abc.ABC):
     """Sends orders to engines, fetches their reports, and moves their runs."""
 
+    def start(self) -> None:  # noqa: B027 - most open connections on demand
+        """Prepare to be used."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close every idle connection."""
+
     @abc.abstractmethod
     def order(self, upstream: Upstream, order: WeightsOrder) -> OrderOutcome:
         """Send an order to one engine."""
--- a/src/kumquatseam/routing/_router.py
+++ b/src/kumquatseam/routing/_router.py
@@ -20,9 +20,10 @@
     cache_salt,
     salt_seed,
 )
-from kumquatseam.errors import EngineMismatchError, NoUpstreamError, OverloadedError
+from kumquatseam.errors import OverloadedError
 from kumquatseam.fleet import LiveConfiguration
 from kumquatseam.logs import part_logger
+from kumquatseam.request_errors import EngineMismatchError, NoUpstreamError
 from kumquatseam.routing._fleet import FleetView
 from kumquatseam.routing._hints import PlacementHints
 from kumquatseam.routing._index import PrefixIndex
--- a/src/kumquatseam/services/_client.py
+++ b/src/kumquatseam/services/_client.py
@@ -7,8 +7,8 @@
 
 from kumquatseam.clocks import elapsed_s
 from kumquatseam.engines import LIMIT_HEADER, NOT_EXECUTED_HEADER, rest_of
-from kumquatseam.errors import UpstreamError
 from kumquatseam.pools import AddressPools
+from kumquatseam.request_errors import UpstreamError
 from kumquatseam.upstreams import LimitObserver, NullLimitObserver, parse_limit
 
 
--- a/src/kumquatseam/serving/_completions.py
+++ b/src/kumquatseam/serving/_completions.py
@@ -19,13 +19,7 @@
     EngineTarget,
     tokenize,
 )
-from kumquatseam.errors import (
-    EngineMismatchError,
-    NoUpstreamError,
-    RetryBudgetError,
-    UpstreamError,
-    UpstreamsRestingError,
-)
+from kumquatseam.errors import UpstreamsRestingError
 from kumquatseam.logs import part_logger
 from kumquatseam.quarantine import (
     QuarantinedError,
@@ -34,6 +28,12 @@
     fingerprint,
 )
 from kumquatseam.quotas import UpstreamLimitError
+from kumquatseam.request_errors import (
+    EngineMismatchError,
+    NoUpstreamError,
+    RetryBudgetError,
+    UpstreamError,
+)
 from kumquatseam.routing import Router, RoutingDecision, RoutingRequest
 from kumquatseam.serving._limits import (
     BackEnd,
--- a/src/kumquatseam/serving/_limits.py
+++ b/src/kumquatseam/serving/_limits.py
@@ -5,13 +5,9 @@
 
 import attrs
 
-from kumquatseam.errors import (
-    KumquatseamError,
-    NoUpstreamError,
-    UpstreamError,
-    UpstreamsRestingError,
-)
+from kumquatseam.errors import KumquatseamError, UpstreamsRestingError
 from kumquatseam.quotas import CallerRetry, UpstreamLimitError, UpstreamLimits
+from kumquatseam.request_errors import NoUpstreamError, UpstreamError
 from kumquatseam.upstreams import Unavailability
 
 Choice = TypeVar("Choice")
--- a/src/kumquatseam/serving/_parts.py
+++ b/src/kumquatseam/serving/_parts.py
@@ -8,10 +8,11 @@
 
 from kumquatseam.admission.retry_budget import RetryBudget
 from kumquatseam.admission.team_limiter import TeamLimiter
-from kumquatseam.errors import ClaimUnavailableError, KumquatseamError
+from kumquatseam.errors import KumquatseamError
 from kumquatseam.idempotency import ClaimLedger
 from kumquatseam.quarantine import Quarantine
 from kumquatseam.quotas import UpstreamLimits
+from kumquatseam.request_errors import ClaimUnavailableError
 from kumquatseam.serving._refusals import may_have_run
 from kumquatseam.serving._running import RunningRequests
 from kumquatseam.settings import AdmissionSettings
--- a/src/kumquatseam/serving/_refusals.py
+++ b/src/kumquatseam/serving/_refusals.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from kumquatseam.errors import (
+from kumquatseam.errors import KumquatseamError
+from kumquatseam.request_errors import (
     AlreadyClaimedError,
-    KumquatseamError,
     RetryBudgetError,
     UpstreamError,
 )
--- a/src/kumquatseam/serving/_services.py
+++ b/src/kumquatseam/serving/_services.py
@@ -10,12 +10,7 @@
 import urllib.parse
 from collections.abc import Collection
 
-from kumquatseam.errors import (
-    NoUpstreamError,
-    RetryBudgetError,
-    UpstreamError,
-    UpstreamsRestingError,
-)
+from kumquatseam.errors import UpstreamsRestingError
 from kumquatseam.logs import part_logger
 from kumquatseam.quarantine import (
     QuarantinedError,
@@ -24,6 +19,7 @@
     fingerprint,
 )
 from kumquatseam.quotas import UpstreamLimitError
+from kumquatseam.request_errors import NoUpstreamError, RetryBudgetError, UpstreamError
 from kumquatseam.services import ServiceCall, ServiceClient, ServiceResponse
 from kumquatseam.serving._limits import (
     BackEnd,
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -242,10 +242,11 @@
             settings.fleet.lease_s,
             lambda: membership.lease_rank(FLEET_LEASE) if membership else 0,
         )
+        orders = HttpEngineOrderClient(ORDER_TIMEOUT_S)
         rollout = WeightsRollout(
             self._live,
             lease,
-            HttpEngineOrderClient(ORDER_TIMEOUT_S),
+            orders,
             self._router.fleet,
             name,
         )
@@ -256,7 +257,7 @@
             self._warm_state,
         )
         duty = StepLoop(LEASE_STEP_INTERVAL_S, lease.step, rollout.step, snapshots.step)
-        return [self._log_service, follower, self._claims, duty]
+        return [self._log_service, follower, self._claims, orders, duty]
 
     def _fleet_parts(self) -> list:
         parts: list = []
