An engine that rests again and again still gets its order to load weights

Orders may be sent within a rest, in place of its trials: two at most. An engine that rests is not asked to move a run either, so that the end of its stream is not put down to a move that was never asked for.

--- a/features/rests_of_upstreams.feature
+++ b/features/rests_of_upstreams.feature
@@ -20,7 +20,7 @@
     Given a gateway's view of the upstreams r1 and r2
     When r1 asks for 3 seconds of rest in <answer>
     Then r1 gets no further requests, and r2 does
-    And r1 gets no reports, orders, moves or polls of its cache either
+    And r1 gets no reports, moves or polls of its cache either, and at most 2 orders
 
     Examples:
       | answer                                          |
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -36,6 +36,7 @@
 from kumquatseam.quotas import UpstreamLimits
 from kumquatseam.upstreams import (
     UNKNOWN_AGE_S,
+    Unavailability,
     UpstreamDirectory,
     UpstreamStatus,
     WeightsTargets,
@@ -154,6 +155,9 @@
         )
         if remaining_s < MOVE_S:
             return None
+        if placement.status.availability.left_s(Unavailability.RESTING):
+            # Its engine would not be asked to move it.
+            return None
         available = [
             status
             for status in map(self._directory.status, placement.status.move_runs_to)
--- a/src/kumquatseam/platform/_orders.py
+++ b/src/kumquatseam/platform/_orders.py
@@ -68,7 +68,8 @@
             "fence": order.fence,
             "expect": order.expected_orders,
         }
-        if not self._observer.begin_call(upstream.incarnation_id):
+        # An engine that rests again and again would never get its weights otherwise.
+        if not self._observer.begin_call(upstream.incarnation_id, is_urgent=True):
             return OrderOutcome.UNREACHED
         try:
             response = self._call("POST", upstream, "/order", json.dumps(body).encode())
--- a/src/kumquatseam/upstreams/_availability.py
+++ b/src/kumquatseam/upstreams/_availability.py
@@ -77,8 +77,11 @@
     """Is told what responses say about further requests to upstreams."""
 
     @abc.abstractmethod
-    def begin_call(self, incarnation_id: str) -> bool:
-        """Return whether an upstream may be called now; it is counted as called."""
+    def begin_call(self, incarnation_id: str, is_urgent: bool = False) -> bool:
+        """Return whether an upstream may be called now; it is counted as called.
+
+        :param is_urgent: whether the call cannot wait until the upstream has rested.
+        """
 
     @abc.abstractmethod
     def note_availability(
@@ -90,7 +93,7 @@
 class NullAvailabilityObserver(AvailabilityObserver):
     """Ignores notices."""
 
-    def begin_call(self, incarnation_id: str) -> bool:
+    def begin_call(self, incarnation_id: str, is_urgent: bool = False) -> bool:
         return True
 
     def note_availability(
@@ -180,6 +183,18 @@
             self._trials += 1
             self._close_for_rest()
 
+    def begin_call(self, is_urgent: bool) -> bool:
+        """Return whether a call that is no request may be sent now, and count it.
+
+        :param is_urgent: whether it is sent within a time of rest, too, in place of a
+            trial.
+        """
+        may_call_in_rest = is_urgent and self._trials < MAX_TRIALS
+        if self.left_s(Unavailability.RESTING) and not may_call_in_rest:
+            return False
+        self.note_sent()
+        return True
+
     def note_served(self, sent_s: float) -> None:
         """Record that a request was served, so that the upstream no longer rests.
 
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -380,12 +380,8 @@
         ]
         return min(lefts_s, default=0.0)
 
-    def begin_call(self, incarnation_id: str) -> bool:
-        availability = self._availabilities.of(incarnation_id)
-        if availability.left_s(Unavailability.RESTING):
-            return False
-        availability.note_sent()
-        return True
+    def begin_call(self, incarnation_id: str, is_urgent: bool = False) -> bool:
+        return self._availabilities.of(incarnation_id).begin_call(is_urgent)
 
     def _notify_closed(self, incarnation_id: str) -> None:
         status = self._by_incarnation.get(incarnation_id)
