--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -46,6 +46,7 @@
     arrived_s: float = 0.0
     answered_s: float = 0.0
     peer_port: int = 0
+    incarnation: int = 1
     said_leaving: bool = False
     rest_s: float = 0.0
 
@@ -267,6 +268,7 @@
         seen.arrived_s = time.monotonic()
         seen.peer_port = http.client_address[1]
         seen.said_leaving = self.says_leaving
+        seen.incarnation = self.incarnations
         self.seen.append(seen)
         try:
             self._serve_seen(http, seen)
--- a/features/steps/upstream_wishes_steps.py
+++ b/features/steps/upstream_wishes_steps.py
@@ -134,13 +134,13 @@
     told_s = {}
     for name, machine, seen in arrivals(context, context.leaving):
         if seen.said_leaving:
-            at_s = told_s.get((name, machine), float("inf"))
-            told_s[name, machine] = min(at_s, seen.answered_s)
+            key = name, seen.incarnation, machine
+            told_s[key] = min(told_s.get(key, float("inf")), seen.answered_s)
     assert told_s, "no answer said that its replica leaves"
     late = collections.Counter()
     for name, machine, seen in arrivals(context, context.leaving):
         sent = context.sent.get(seen.headers.get("X-Request-Id"))
-        told = told_s.get((name, machine), float("inf"))
+        told = told_s.get((name, seen.incarnation, machine), float("inf"))
         if sent is not None and sent.at_s > told + bound_s:
             late[name, machine] += 1
     assert not late, f"{sum(late.values())} late requests: {dict(late)}"
@@ -196,7 +196,7 @@
 def step_rest_kept(context, most):
     by_pair = collections.defaultdict(list)
     for name, machine, seen in arrivals(context, context.resting):
-        by_pair[name, machine].append(seen)
+        by_pair[name, seen.incarnation, machine].append(seen)
     worst = collections.Counter()
     for pair, requests in by_pair.items():
         for asked in requests:
