--- a/features/steps/cut_proxy.py
+++ b/features/steps/cut_proxy.py
@@ -40,19 +40,17 @@
     def cut(self, pid, how):
         self.cuts[pid] = how
         if how == RESET:
-            for owner, ends in list(self._open):
-                if owner == pid:
-                    for end in ends:
-                        _reset(end)
+            for link in list(self._open):
+                if link.pid == pid:
+                    link.reset()
 
     def heal(self):
         self.cuts.clear()
 
     def close(self):
         self._listener.close()
-        for _, ends in list(self._open):
-            for end in ends:
-                _reset(end)
+        for link in list(self._open):
+            link.reset()
 
     def _accept(self):
         while True:
@@ -75,36 +73,52 @@
             return
         upstream.settimeout(None)
         self.owners[upstream.getsockname()[1]] = pid
-        entry = (pid, (client, upstream))
-        self._open.append(entry)
-        backward = threading.Thread(target=self._copy, args=(pid, upstream, client))
+        link = _Link(pid, client, upstream)
+        self._open.append(link)
+        backward = threading.Thread(target=self._copy, args=(link, upstream, client))
         backward.start()
-        self._copy(pid, client, upstream)
+        self._copy(link, client, upstream)
         backward.join()
-        self._open.remove(entry)
+        self._open.remove(link)
         client.close()
         upstream.close()
 
-    def _copy(self, pid, source, target):
+    def _copy(self, link, source, target):
         try:
             while True:
                 data = source.recv(65_536)
-                while self.cuts.get(pid) == SILENT:
+                while self.cuts.get(link.pid) == SILENT:
                     time.sleep(_POLL_S)
                 if not data:
                     break
                 target.sendall(data)
-            target.shutdown(socket.SHUT_WR)
+            if not link.is_reset:
+                target.shutdown(socket.SHUT_WR)
         except OSError:
-            _reset(source)
-            _reset(target)
+            link.reset()
+
+
+class _Link:
+    """Two connections that a proxy joins, for a process."""
+
+    def __init__(self, pid, client, upstream):
+        self.pid = pid
+        self.ends = (client, upstream)
+        self.is_reset = False
+
+    def reset(self):
+        """Reset both, without an ordinary end before, which could end an answer."""
+        self.is_reset = True
+        for end in self.ends:
+            _reset(end)
 
 
 def _reset(connection):
     linger = struct.pack("ii", 1, 0)
     try:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        connection.shutdown(socket.SHUT_RDWR)
+        # Wakes who reads from it, and sends nothing.
+        connection.shutdown(socket.SHUT_RD)
         connection.close()
     except OSError:
         return
--- a/features/steps/overlapping_steps.py
+++ b/features/steps/overlapping_steps.py
@@ -27,6 +27,7 @@
         self.draw = draw
         self.threads = []
         self._down = set()
+        self._due = []
         self.kinds = (
             self.cut,
             self.heal,
@@ -40,7 +41,10 @@
         )
 
     def next(self):
-        self.draw.choice(self.kinds)()
+        if not self._due:
+            # Each kind comes once before any comes again.
+            self._due = self.draw.sample(self.kinds, len(self.kinds))
+        self._due.pop()()
 
     def _replica(self):
         return self.draw.choice(list(self.world.replicas.values()))
@@ -77,14 +81,14 @@
     def rest(self):
         replica = self._replica()
         replica.rest = f"{self.draw.uniform(0.6, 3.0):.2f}"
-        threading.Timer(self.draw.uniform(0.2, 1.0), self._serve, (replica,)).start()
+        threading.Timer(self.draw.uniform(0.5, 1.5), self._serve, (replica,)).start()
 
     def _serve(self, replica):
         replica.rest = None
 
     def start_again(self):
         replica = self._replica()
-        replica.restart()
+        replica.restart(is_reset=True)
         replica.says_leaving, replica.rest = False, None
         self._list(replica)
 
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -8,6 +8,7 @@
 import collections
 import contextlib
 import json
+import os
 import socket
 import struct
 import threading
@@ -154,10 +155,13 @@
     def start(self):
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
-    def restart(self):
+    def restart(self, is_reset=False):
         """Simulate a restart under the same id: clear the order and cache state.
 
         Open connections are closed, so that their peers detect the crash.
+
+        :param is_reset: whether they are reset, so that no answer without framing looks
+            complete.
         """
         self.born_ms += 1000
         self.sequence = 0
@@ -170,7 +174,13 @@
         self.incarnations += 1
         for connection in list(self._connections):
             with contextlib.suppress(OSError):
-                connection.shutdown(socket.SHUT_RDWR)
+                if is_reset:
+                    linger = struct.pack("ii", 1, 0)
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    # Its files hold it open otherwise.
+                    os.close(connection.detach())
+                else:
+                    connection.shutdown(socket.SHUT_RDWR)
 
     def close(self):
         self._server.shutdown()
@@ -210,6 +220,8 @@
     def answer(self, http):
         body = http.rfile.read(int(http.headers.get("Content-Length") or 0))
         expected = http.headers.get("X-Expect-Instance")
+        # It may change while this request is answered.
+        http.is_unframed = self.is_unframed
         self.requests += 1
         if self.rest is not None and http.path.startswith(CONTROL_PATHS):
             self._send(http, 503, b"", {"Retry-After": self.rest})
@@ -239,7 +251,7 @@
         http.send_response(status)
         for name, value in {**(headers or {}), **self._notices()}.items():
             http.send_header(name, value)
-        if self.is_unframed:
+        if http.is_unframed:
             http.close_connection = True
         else:
             http.send_header("Content-Length", str(len(body)))
@@ -334,7 +346,7 @@
         self.running += 1
         time.sleep(self.work_s)
         self.running -= 1
-        if not self.is_unframed:
+        if not http.is_unframed:
             self._send(http, 200, b"".join(self.pieces), headers)
             return
         with contextlib.suppress(OSError):
@@ -385,7 +397,7 @@
         for name, value in {**headers, **self._notices()}.items():
             http.send_header(name, value)
         http.send_header("Content-Type", "text/event-stream")
-        if not self.is_unframed:
+        if not http.is_unframed:
             http.send_header("Transfer-Encoding", "chunked")
         http.end_headers()
         self.running += 1
@@ -420,13 +432,13 @@
             self.running -= 1
 
     def _end_body(self, http):
-        if self.is_unframed:
+        if http.is_unframed:
             http.close_connection = True
         else:
             http.wfile.write(b"0\r\n\r\n")
 
     def _chunk(self, http, data):
-        framed = data if self.is_unframed else b"%x\r\n%b\r\n" % (len(data), data)
+        framed = data if http.is_unframed else b"%x\r\n%b\r\n" % (len(data), data)
         http.wfile.write(framed)
         http.wfile.flush()
 
--- a/src/kumquatseam/explain/_explanation.py
+++ b/src/kumquatseam/explain/_explanation.py
@@ -23,6 +23,7 @@
     "answer_broken": "the upstream's response was interrupted; a retry is not allowed",
     "quarantined": "upstreams crashed while running the same request before",
     "limits_used_up": "every upstream announced a limit, and none had room",
+    "upstreams_resting": "every upstream of the service had asked for rest",
     "over_quota": "its team exceeded its quota; the quota owner's log has the usage",
     "internal_fault": "internal error of the router; see the traceback in its log line",
 }
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -162,7 +162,7 @@
             status
             for status in map(self._directory.status, placement.status.move_runs_to)
             if status is not None
-            and not status.is_leaving
+            and not status.upstream.is_leaving
             and not status.is_closed
             and not status.is_held_out
             and status.runs(placement.version)
@@ -242,7 +242,7 @@
         listed = [
             status
             for status in self._directory.of_service(request.service.name)
-            if not status.is_leaving
+            if not status.upstream.is_leaving
             and status.upstream.incarnation_id not in request.excluded
             and not status.is_closed
             and request.only in ("", status.upstream.incarnation_id)
@@ -429,7 +429,7 @@
         a retry.
         """
         status = self._directory.status(chosen.incarnation_id)
-        if status is None or status.is_leaving:
+        if status is None or status.upstream.is_leaving:
             return None
         return None if status.is_closed else status
 
--- a/src/kumquatseam/upstreams/_availability.py
+++ b/src/kumquatseam/upstreams/_availability.py
@@ -141,6 +141,9 @@
 
     def left_s(self, *reasons: Unavailability) -> float:
         """Return how long any of some reasons still holds; 0 if none does."""
+        if not self._until_s:
+            # As a rule, and asked for each upstream at each placement.
+            return 0.0
         return max(0.0, self.until_s(*reasons) - self._clock())
 
     @property
