What is remembered of upstreams that ended is bounded

Found by reading: forgetting the limit of an upstream that had ended made its availability anew, so each replaced upstream left some 300 bytes behind. Listed upstreams and others are kept apart now, the others 16,384 at most. Test: 40,000 that come, leave and go; without the bound all of them stay.

--- a/features/leaving_upstreams.feature
+++ b/features/leaving_upstreams.feature
@@ -61,6 +61,11 @@
       | -1    | further    |
       | 1e9   | further    |
 
+  Scenario: Upstreams that come and go take a bounded amount of memory
+    Given a gateway's view of the upstreams r1 and r2
+    When 40000 other upstreams come, leave and go
+    Then no more than 17000 of them are remembered
+
   Scenario: A request that was placed before the word arrives is not sent
     Given a request that is placed on r1 and waits for its connection
     When r1 says that it leaves meanwhile
--- a/features/steps/availability_steps.py
+++ b/features/steps/availability_steps.py
@@ -46,6 +46,7 @@
     Availability,
     AvailabilityNotice,
     Unavailability,
+    Upstream,
     UpstreamDirectory,
     WeightsTargets,
     WeightsVersion,
@@ -233,6 +234,24 @@
     apply_record(context, "r1", as_name="r4")
 
 
+@when("{count:d} other upstreams come, leave and go")
+def step_come_and_go(context, count):
+    directory = context.directory
+    limits = single_instance_limits()
+    limits.availabilities = directory._availabilities
+    directory.on_gone(lambda gone: limits.forget(gone.incarnation_id))
+    for number in range(count):
+        directory.put(Upstream(f"n{number}", "plain", "127.0.0.1:9"))
+        if number % 2:
+            directory.note_availability(f"n{number}", AvailabilityNotice(True))
+        directory.remove(f"n{number}")
+
+
+@then("no more than {most:d} of them are remembered")
+def step_remembered(context, most):
+    assert len(context.directory._availabilities) <= most
+
+
 # Requests that are about to be sent.
 
 
--- a/src/kumquatseam/upstreams/_availability.py
+++ b/src/kumquatseam/upstreams/_availability.py
@@ -16,8 +16,8 @@
 
 #: seconds for which the routers' own interface does not choose what failed.
 FAILURE_COOLDOWN_S = 1.0
-#: upstreams that are remembered after they were removed from the list.
-MAX_REMOVED = 4096
+#: upstreams that are remembered without being listed.
+MAX_UNLISTED = 16_384
 #: longest time of rest that is not tried: a longer one may be a mistake.
 MAX_UNTRIED_S = 30.0
 #: requests sent to an upstream within the time of rest that it asked for, to find out
@@ -226,27 +226,36 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self._by_name: dict[str, Availability] = {}
-        #: of upstreams that are not listed any more, the oldest first.
-        self._removed: dict[str, Availability] = {}
+        self._listed: dict[str, Availability] = {}
+        #: of upstreams that are not listed, or not any more, the oldest first.
+        self._unlisted: dict[str, Availability] = {}
+
+    def __len__(self) -> int:
+        return len(self._listed) + len(self._unlisted)
 
     def of(self, incarnation_id: str) -> Availability:
         """Return the availability of an incarnation of an upstream."""
-        known = self._by_name.get(incarnation_id)
-        if known is None:
-            removed = self._removed.pop(incarnation_id, None)
-            known = removed or Availability(self._clock)
-            self._by_name[incarnation_id] = known
-        return known
+        known = self._listed.get(incarnation_id) or self._unlisted.get(incarnation_id)
+        return known or self._add_unlisted(incarnation_id, Availability(self._clock))
+
+    def note_listed(self, incarnation_id: str) -> Availability:
+        """Record that an upstream is listed; return its availability."""
+        known = self._unlisted.pop(incarnation_id, None) or Availability(self._clock)
+        return self._listed.setdefault(incarnation_id, known)
 
     def note_removed(self, incarnation_id: str) -> None:
         """Record that an upstream is not listed any more.
 
         What it said itself is kept: a delayed entry may list it again.
         """
-        known = self._by_name.pop(incarnation_id, None)
-        if known is None or not known.left_s(*STATED_REASONS):
-            return
-        self._removed[incarnation_id] = known
-        if len(self._removed) > MAX_REMOVED:
-            del self._removed[next(iter(self._removed))]
+        known = self._listed.pop(incarnation_id, None)
+        if known is not None and known.left_s(*STATED_REASONS):
+            self._add_unlisted(incarnation_id, known)
+
+    def _add_unlisted(
+        self, incarnation_id: str, availability: Availability
+    ) -> Availability:
+        self._unlisted[incarnation_id] = availability
+        if len(self._unlisted) > MAX_UNLISTED:
+            del self._unlisted[next(iter(self._unlisted))]
+        return availability
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -203,7 +203,7 @@
             status.note_entry(status.upstream, now_s, UNCHANGED_ENTRY_LAG_S)
 
     def _add(self, upstream: Upstream, change: str) -> None:
-        availability = self._availabilities.of(upstream.incarnation_id)
+        availability = self._availabilities.note_listed(upstream.incarnation_id)
         status = UpstreamStatus(upstream, availability=availability)
         status.note_entry(upstream, self._clock())
         self._by_id[upstream.upstream_id] = status
