--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -14,6 +14,11 @@
       | 1    |
       | 2    |
 
+  Scenario: Many comments without an event take no time
+    Given a stream of 5000 comments and a part of an event
+    When it is received
+    Then it counts as cut inside an event, within 1 second
+
   Scenario Outline: Streams <framing> that end inside an event are broken off
     Given a gateway in front of 2 engines that stream 6 events
     And replicas whose answers are framed <framing>
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -102,6 +102,26 @@
         assert splitter.is_inside_event == stream.is_cut_inside, stream
 
 
+@given("a stream of {count:d} comments and a part of an event")
+def step_comments(context, count):
+    context.data = b": comment\r\n" * count + b"data: pie"
+
+
+@when("it is received")
+def step_received(context):
+    started_s = time.process_time()
+    context.splitter = EventSplitter()
+    context.splitter.feed(context.data)
+    context.is_inside = context.splitter.is_inside_event
+    context.took_s = time.process_time() - started_s
+
+
+@then("it counts as cut inside an event, within {most_s:d} second")
+def step_cut_in_time(context, most_s):
+    assert context.is_inside
+    assert context.took_s < most_s, context.took_s
+
+
 # Gateways.
 
 
--- a/src/kumquatseam/gateway/_events.py
+++ b/src/kumquatseam/gateway/_events.py
@@ -6,7 +6,7 @@
 #: after another CR; elsewhere it may be the first half of CRLF.
 _EVENT_END = re.compile(rb"\r\r\n?|(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r(?=[^\n]))")
 #: blank lines and comments, which belong to no event.
-_BETWEEN_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?(?:\r\n|\n|\r))*")
+_BETWEEN_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?(?:\r\n|\n|\r(?!\n)))*")
 
 
 class EventSplitter:
