The own interface had no fault at a stream's end: what was added goes

Found by reading the whole change: HttpEngineClient.stream turns every ValueError of a response into an interrupted one, so a part of an event was resumed before, too.

--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -1,5 +1,6 @@
 """Steps for answers that end without being complete."""
 
+import contextlib
 import json
 import random
 import signal
@@ -15,7 +16,7 @@
 from upstream_wishes_steps import cut_gateways
 
 from kumquatseam.cachefeeds import CacheHolder
-from kumquatseam.engines._client import _chunks
+from kumquatseam.engines import EngineRequest, EngineTarget, HttpEngineClient
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.gateway._events import EventSplitter
 from kumquatseam.logservice import HttpLogService
@@ -349,34 +350,21 @@
 # The own interface.
 
 
-class EngineBody:
-    """The body of an engine's response.
-
-    :param data: all of it.
-    """
-
-    def __init__(self, data):
-        self.data = data
-
-    def stream(self, size):
-        for start in range(0, len(self.data), size):
-            yield self.data[start : start + size]
-
-    def drain_conn(self):
-        pass
-
-
 @given("an engine whose stream ends inside an event")
 def step_engine_ends(context):
     chunk = b'data: {"id": "r", "choices": [{"text": "a"}]}\n\n'
-    context.body = EngineBody(chunk * 2 + chunk[:25])
+    context.peer = OneAnswer()
+    context.add_cleanup(context.peer.close)
+    context.peer.body = chunk * 2 + chunk[:25]
 
 
 @when("its chunks are read by the own interface")
 def step_read_chunks(context):
     context.chunks, context.error = [], None
+    target = EngineTarget("e0", f"http://{context.peer.address}")
+    request = EngineRequest("r", "m0", "a prompt", 8, "salt", 0)
     try:
-        for chunk in _chunks("e0", "r", context.body):
+        for chunk in HttpEngineClient(1.0, 1.0, 1.0).stream(target, request):
             context.chunks.append(chunk)
     except Exception as error:  # noqa: BLE001 - the error itself is checked
         context.error = error
@@ -450,6 +438,12 @@
             connection.recv(65_536)
             head = b"HTTP/1.1 200 OK\r\n" + self.headers + b"\r\n"
             connection.sendall(head + self.body)
+            connection.shutdown(socket.SHUT_WR)
+            # With unread bytes, the close would send a reset.
+            connection.settimeout(1.0)
+            with contextlib.suppress(OSError):
+                while connection.recv(65_536):
+                    pass
             connection.close()
 
     def close(self):
--- a/src/kumquatseam/engines/_client.py
+++ b/src/kumquatseam/engines/_client.py
@@ -257,12 +257,7 @@
             # Read the rest of the body, so that the connection can be reused.
             response.drain_conn()
             return
-        try:
-            data = json.loads(event.data)
-        except ValueError as error:
-            raise UpstreamError(
-                upstream, True, f"response ended inside an event: {error}"
-            ) from error
+        data = json.loads(event.data)
         if data.get("id", request_id) != request_id:
             raise UpstreamError(
                 upstream, True, f"response to another request: {data['id']}"
