A scenario that restarts every engine allows as many attempts

Each of the four engines restarts at most once, so five attempts allow for all. The check (every stream complete, in order) stays.

--- a/features/restarts.feature
+++ b/features/restarts.feature
@@ -68,6 +68,7 @@
 
   Scenario: A run whose copy is lost with an engine still continues
     Given a gateway in front of 4 engines that stream 30 events slowly
+    And its streams may be sent once more than there are engines
     When 8 callers stream from "/resume/x" and new weights are named meanwhile, and each engine that receives a moved run restarts
     Then every stream is complete, with every event once and in order
 
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -10,6 +10,7 @@
 from decision_steps import MemoryBus
 from modelled_clock import Clock
 from platform_steps import step_streams_in_rollout
+from platform_world import wait_until
 
 from kumquatseam.peers import LoadExchange, LoadSummary, RolloutNotice, UpstreamLoad
 from kumquatseam.placement import BroadcastWork
@@ -351,6 +352,24 @@
     assert context.platform.replicas[upstream_id].sequence == count
 
 
+@given("its streams may be sent once more than there are engines")
+def step_enough_attempts(context):
+    """Allow for the restart of each engine, which breaks off what runs there."""
+    world = context.platform
+    for route in world.routes:
+        if route["resumable"]:
+            route["maxAttempts"] = len(world.replicas) + 1
+    world.put_configuration()
+    wait_until("the configuration is in force", lambda: _is_in_force(world))
+
+
+def _is_in_force(world):
+    return any(
+        line["event"] == "Configuration in force." and line["version"] == world.version
+        for line in world.gateways[0].lines()
+    )
+
+
 @when(
     '{count:d} callers stream from "{path}" and new weights are named meanwhile, and '
     "each engine that receives a moved run restarts"
