Log and count where streams go on, and at which software version

The lines could not tell a retry within an answer, a further attempt of a caller and a moved run apart, nor name a version. `Upstream listed.` and `Placed.` name the software now, `Stream continued.` and stream_continuations_total{by,version} tell who took a stream up and whether at the version that began it. No decision depends on any of it.

--- a/src/kumquatseam/gateway/_call.py
+++ b/src/kumquatseam/gateway/_call.py
@@ -19,6 +19,7 @@
     :param max_output_tokens: maximum number of tokens to generate.
     :param states_tokens: whether the request states its numbers of tokens.
     :param resume_after: id of the last event that the caller already received.
+    :param resumes: id of the caller's attempt that brought the stream's first event.
     """
 
     request_id: str
@@ -30,6 +31,7 @@
     max_output_tokens: int = 0
     states_tokens: bool = False
     resume_after: str = ""
+    resumes: str = ""
 
     @property
     def tokens(self) -> int:
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -11,6 +11,7 @@
 from kumquatseam.errors import OverloadedError, UpstreamsRestingError
 from kumquatseam.gateway._call import ResponseTraits, SendOptions
 from kumquatseam.gateway._caller import CallerConnection
+from kumquatseam.gateway._continuation import Continuation
 from kumquatseam.gateway._event_times import EventTimes
 from kumquatseam.gateway._events import EventSplitter
 from kumquatseam.gateway._first_event_wait import FirstEventWait
@@ -113,8 +114,15 @@
         self._progress = Progress()
         self._events = EventSplitter(job.call.resume_after)
         self._times = EventTimes(job.request.received_s)
+        self._continuation = Continuation(job, parts.metrics)
         self._forwarder = ResponseForwarder(
-            parts, job, caller, may_keep_alive, self._events, self._times
+            parts,
+            job,
+            caller,
+            may_keep_alive,
+            self._events,
+            self._times,
+            self._continuation,
         )
         self._permission = RunPermission(parts.quarantine, job.fingerprint)
         self._placer = LimitedPlacer(parts.placer, parts.limits)
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -8,6 +8,7 @@
 
 from kumquatseam.gateway._call import ResponseTraits
 from kumquatseam.gateway._caller import CallerConnection
+from kumquatseam.gateway._continuation import Continuation
 from kumquatseam.gateway._event_times import EventTimes
 from kumquatseam.gateway._events import EventSplitter
 from kumquatseam.gateway._first_event_wait import FirstEventWait
@@ -79,6 +80,7 @@
     :param may_keep_alive: whether the caller's connection stays open afterwards.
     :param events: the events sent so far.
     :param times: when they arrived.
+    :param continuation: follows the stream over the upstreams that write it.
     """
 
     def __init__(
@@ -89,7 +91,9 @@
         may_keep_alive: Callable[[], bool],
         events: EventSplitter,
         times: EventTimes,
+        continuation: Continuation,
     ) -> None:
+        self._continuation = continuation
         self._parts = parts
         self._job = job
         self._caller = caller
@@ -229,6 +233,7 @@
     def _send_events(self, response: UpstreamResponse, keep: bool, data: bytes) -> None:
         if not data:
             return
+        self._continuation.note_events(response.placement)
         self._record_event(response)
         if self._caller.has_started_response:
             self._caller.send_body(data)
--- a/src/kumquatseam/metrics/_exposition.py
+++ b/src/kumquatseam/metrics/_exposition.py
@@ -54,6 +54,14 @@
         for (framing, *flags), count in self._metrics.stream_ends.items():
             ends.add_metric((framing, *(str(f).lower() for f in flags)), count)
         yield ends
+        continuations = CounterMetricFamily(
+            _PREFIX + "stream_continuations",
+            "Streams that went on after they were broken off.",
+            labels=("by", "version"),
+        )
+        for labels, count in self._metrics.continuations.items():
+            continuations.add_metric(labels, count)
+        yield continuations
         yield from self._latency_families()
         for name, read in self._metrics.counters.items():
             yield CounterMetricFamily(_PREFIX + name, name, value=read())
--- a/src/kumquatseam/metrics/_gateway.py
+++ b/src/kumquatseam/metrics/_gateway.py
@@ -8,6 +8,8 @@
 #: significant digits of a latency; limits the memory of a histogram per route and
 #: kind of latency.
 _DIGITS = 2
+#: label of the software version at which a stream went on.
+_VERSIONS = {True: "same", False: "other", None: "unknown"}
 
 
 class GatewayMetrics:
@@ -23,6 +25,7 @@
         self.stream_ends: collections.Counter[tuple[str, bool, bool]] = (
             collections.Counter()
         )
+        self.continuations: collections.Counter[tuple[str, str]] = collections.Counter()
         self.latencies: dict[tuple[str, str], LatencyHistogram] = {}
         self.counters: dict[str, Callable[[], float]] = {}
         self.gauges: dict[str, Callable[[], float]] = {}
@@ -51,6 +54,15 @@
         """
         self.stream_ends[framing, is_inside_event, is_whole] += 1
 
+    def record_continuation(self, by: str, is_same_version: bool | None) -> None:
+        """Record that a broken stream went on.
+
+        :param by: who took it up.
+        :param is_same_version: whether at the software version that began it; ``None``
+            if that is not known.
+        """
+        self.continuations[by, _VERSIONS[is_same_version]] += 1
+
     def record_first_event(self, route: str, took_s: float) -> None:
         """Record the time to the first event of a stream."""
         self._record("first_event_seconds", route, took_s)
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -455,6 +455,7 @@
             expected_ms=round(self.wait_estimate.expected_ms(wait_ms(chosen))),
             pending_tokens=chosen.pending_tokens,
             version=choice.version if choice else None,
+            software=self._software_of(chosen.incarnation_id),
             replaced_s=self._replaced_s(request.model, choice),
             held_tokens=plan.held_tokens if plan else 0,
             fetched_tokens=plan.fetched_tokens if plan else 0,
@@ -468,6 +469,10 @@
             ),
         ).debug("Placed.")
 
+    def _software_of(self, incarnation_id: str) -> str:
+        status = self._directory.status(incarnation_id)
+        return status.upstream.software_version if status is not None else ""
+
     def _replaced_s(self, model: str, choice: EngineChoice | None) -> float | None:
         """Return the known time since the chosen weights were replaced."""
         if choice is None:
--- a/src/kumquatseam/platform/_entries.py
+++ b/src/kumquatseam/platform/_entries.py
@@ -51,7 +51,6 @@
 
 
 def _upstream(upstream_id: str, raw: Mapping) -> Upstream:
-    _text(raw, "version")
     # An entry's sequence counts heartbeats; a report's counts orders.
     _count(raw, "sequence")
     if not _ID.fullmatch(upstream_id) or raw.get("id", upstream_id) != upstream_id:
@@ -66,6 +65,7 @@
         weights=_weights(raw.get("models", [])),
         cold_left_s=_number(raw, "coldLeftMs", _MAX_COLD_MS) / 1000.0,
         born_ms=_born_ms(raw),
+        software_version=_text(raw, "version"),
     )
 
 
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -66,6 +66,7 @@
             max_output_tokens=max_output_tokens,
             states_tokens=usage is not None,
             resume_after=headers.text(b"last-event-id"),
+            resumes=headers.text(b"resumes"),
         )
 
     def upstream_fields(
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -456,5 +456,6 @@
             service=upstream.service,
             address=upstream.address,
             zone=upstream.availability_zone,
+            software=upstream.software_version,
             weights={w.model: w.version for w in upstream.weights},
         ).info("Upstream {}.", change)
--- a/src/kumquatseam/upstreams/_upstream.py
+++ b/src/kumquatseam/upstreams/_upstream.py
@@ -33,6 +33,7 @@
     :param cold_left_s: remaining time of its slow phase after a start.
     :param born_ms: when this incarnation started, in Unix milliseconds by the
         upstream's own clock; increases with each incarnation, 0 if not given.
+    :param software_version: the version of its software, which has no order.
     """
 
     upstream_id: str
@@ -44,6 +45,7 @@
     weights: tuple[WeightsVersion, ...] = ()
     cold_left_s: float = 0.0
     born_ms: int = 0
+    software_version: str = ""
     #: identifies this incarnation within this process and across instances.
     incarnation_id: str = attrs.field(init=False, eq=False, repr=False)
 
