--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -60,6 +60,7 @@
     :param events: number of events in a complete stream.
     :param event_pause_s: pause between two events.
     :param load_s: duration of a load of weights.
+    :param software: version of its software; if given, each event names it.
     :param crashes_on: a request whose path contains this crashes the replica
         shortly after it starts to run.
     """
@@ -72,7 +73,12 @@
         event_pause_s=0.01,
         load_s=0.1,
         crashes_on=None,
+        software=None,
     ):
+        self.software = software
+        #: every how many streams it resets one of those that it begins; 0 for none.
+        self.resets_every = 0
+        self.streams_begun = 0
         self.upstream_id = upstream_id
         self.born_ms = 1_700_000_000_000
         self.version = version
@@ -151,6 +157,8 @@
         self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
         self._server.daemon_threads = True
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
+        #: the address in its entry, to which runs are moved.
+        self.listed_address = self.address
 
     def start(self):
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
@@ -203,7 +211,7 @@
             "service": service,
             "address": self.address,
             "zone": "kobanya",
-            "version": "v1",
+            "version": self.software or "v1",
             "slots": 48,
             "state": "ready",
             "coldLeftMs": 0,
@@ -401,14 +409,18 @@
             http.send_header("Transfer-Encoding", "chunked")
         http.end_headers()
         self.running += 1
+        is_reset = self._resets_next(first)
         try:
             for number in range(first, self.events + 1):
+                if is_reset and number == first + 2:
+                    self._reset(http)
+                    return
                 if request_id in self.stopped_runs:
                     self.stopped_runs[request_id] = number - 1
                     http.close_connection = True
                     http.connection.shutdown(socket.SHUT_RDWR)
                     return
-                data = f"id: {number}\ndata: piece {number}\n\n".encode()
+                data = self._event(number)
                 if fault == "pause" and number == first + 2:
                     time.sleep(PAUSE_S)
                 if fault == "break" and number == first + 2:
@@ -431,6 +443,16 @@
         finally:
             self.running -= 1
 
+    def _event(self, number):
+        written_by = f"event: {self.software}\n" if self.software else ""
+        return f"id: {number}\n{written_by}data: piece {number}\n\n".encode()
+
+    def _resets_next(self, first):
+        if first > 1 or not self.resets_every:
+            return False
+        self.streams_begun += 1
+        return self.streams_begun % self.resets_every == 0
+
     def _end_body(self, http):
         if http.is_unframed:
             http.close_connection = True
@@ -529,6 +551,6 @@
         handle = f"h-{order['id']}"
         destination = self.find(order["to"])
         if destination is not None:
-            destination.copies.add(f"{self.address}/{handle}")
+            destination.copies.add(f"{self.listed_address}/{handle}")
         answer = {"handle": handle, "createRevision": self.stopped_runs[order["id"]]}
         self._send(http, 200, json.dumps(answer).encode())
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -153,12 +153,13 @@
 
     def _find_replica(self, address):
         for replica in self.replicas.values():
-            if replica.address == address:
+            if replica.listed_address == address:
                 return replica
         return None
 
     def list_replica(self, upstream_id, **more):
         replica = self.replicas[upstream_id]
+        replica.listed_address = more.get("address", replica.address)
         value = replica.entry(self.services[upstream_id], **more)
         self.store.append_keyed("keyed.servers", upstream_id, value)
 
--- /dev/null
+++ b/features/two_versions.feature
@@ -0,0 +1,55 @@
+Feature: A stream goes on only at the software version that began it
+  Replicas of several software versions serve side by side, and what two of them write
+  does not fit together. Guards against streams that go on at another version, in one
+  answer or over the attempts of a caller, and against streams that do not go on although
+  replicas of their version serve.
+
+  Scenario: Streams that engines break off are resumed by the gateways
+    Given 4 gateways in front of 4 engines of v1 and 4 of v2, each behind a proxy
+    When callers stream for 10 seconds and engines reset every 3rd stream
+    Then no stream has events of two versions
+    And no event is missing or comes twice
+    And at least 20 streams were resumed by a gateway
+    And at least 0.95 of all streams are complete
+
+  Scenario: Streams that callers take up at other gateways
+    Given 4 gateways in front of 4 engines of v1 and 4 of v2, each behind a proxy
+    When callers stream for 10 seconds and every 3rd caller takes its stream up elsewhere
+    Then no stream has events of two versions
+    And no event is missing or comes twice
+    And at least 20 streams were taken up by their callers
+    And as many streams went on as began, to within 0.05
+
+  Scenario: Runs that are moved to make room for new weights
+    Given 4 gateways in front of 4 engines of v1 and 4 of v2, each behind a proxy
+    When callers stream for 10 seconds and new weights are named every 3 seconds
+    Then no stream has events of two versions
+    And no event is missing or comes twice
+    And some runs were moved to another engine
+    And at least 0.95 of all streams are complete
+
+  Scenario: Gateways are cut and end while streams are broken off
+    Given 4 gateways in front of 4 engines of v1 and 4 of v2, each behind a proxy
+    When callers stream for 12 seconds and engines reset every 3rd stream, every 3rd caller takes its stream up elsewhere, one gateway is cut and others end
+    Then no stream has events of two versions
+    And no event is missing or comes twice
+    And at least 0.5 as many streams went on as began
+
+  Scenario: A version is replaced while its streams run
+    Given 4 gateways in front of 2 engines of v1 and 6 of v2, each behind a proxy
+    When callers stream for 10 seconds, every 3rd caller takes its stream up elsewhere, and v1 is replaced by v3
+    Then no stream has events of two versions
+    And no event is missing or comes twice
+    And what is taken up without a replica of its version is refused within 0.5 seconds
+
+  Scenario: Callers come back all at once, and two replicas of their version are left
+    Given 4 gateways in front of 6 engines of v1 and 6 of v2, each behind a proxy and with room for 8 streams of 30 events
+    When callers stream for 12 seconds, 4 engines of v1 crash together with 2 gateways
+    Then no stream has events of two versions
+    And no event is missing or comes twice
+    And as many streams went on as began, to within 0.05
+
+  Scenario: The routers' own interface resumes responses
+    Given a fleet of 1 router and 2 engines each of two versions, which break off responses
+    When callers stream 10 responses
+    Then each response is complete and written by one version
--- a/src/kumquatseam/engines/_messages.py
+++ b/src/kumquatseam/engines/_messages.py
@@ -57,6 +57,7 @@
     :param cache_usage_ratio: used share of the KV cache, 0 to 1.
     :param versions: the weights it runs, per model.
     :param role: ``"serving"``, or ``"standby"`` if it accepts no completions.
+    :param software: the version of its software; empty if it states none.
     """
 
     engine: str
@@ -66,6 +67,7 @@
     cache_usage_ratio: float
     versions: tuple[ModelVersion, ...] = ()
     role: str = SERVING
+    software: str = ""
 
 
 EngineMessage = CacheEventBatch | LoadReport
--- a/src/kumquatseam/standins/engine/_engine.py
+++ b/src/kumquatseam/standins/engine/_engine.py
@@ -83,7 +83,11 @@
             settings.load_lag_s * settings.time_scale,
             self._rng,
             self._sample_load,
-            lambda: (self.orders.named_models(), self.orders.role),
+            lambda: (
+                self.orders.named_models(),
+                self.orders.role,
+                self.settings.software,
+            ),
         )
         self._requests: list[dict] = []
         self._totals = {"requests": 0, "prompt_tokens": 0, "cached_tokens": 0}
@@ -211,7 +215,8 @@
             if settings.crossed_answers
             else (request_id)
         )
-        words = answer_words(prompt, self.orders.versions.get(model, ""), max_tokens)
+        version = self.orders.versions.get(model, "")
+        words = answer_words(prompt, version, max_tokens, settings.software)
         self._slots.acquire(int(body.get("priority", 0)))
         try:
             matched, change = self._cache.admit(keys)
@@ -233,7 +238,7 @@
                     "text": " " + words[index],
                     "finish_reason": "length" if index == max_tokens - 1 else None,
                 }
-                yield _event(_envelope(label, model, [choice]))
+                yield _event(_envelope(label, model, [choice], settings.software))
         finally:
             self._slots.release()
         usage = {
@@ -283,14 +288,19 @@
         }
 
 
-def answer_words(prompt: str, version: str, count: int) -> list[str]:
-    """Return the answer's words: the same on every replica of the same weights."""
-    rng = random.Random(xxhash.xxh3_64_intdigest(f"{version}:{prompt}".encode()))
+def answer_words(
+    prompt: str, version: str, count: int, software: str = ""
+) -> list[str]:
+    """Return the answer's words: the same for the same weights and software."""
+    weights = f"{version}/{software}" if software else version
+    rng = random.Random(xxhash.xxh3_64_intdigest(f"{weights}:{prompt}".encode()))
     return [rng.choice(_WORDS) for _ in range(count)]
 
 
-def _envelope(request_id: str, model: str, choices: list) -> dict:
+def _envelope(request_id: str, model: str, choices: list, software: str = "") -> dict:
+    named = {"system_fingerprint": software} if software else {}
     return {
+        **named,
         "id": request_id,
         "object": "text_completion",
         "created": int(time.time()),
--- a/src/kumquatseam/standins/engine/_publisher.py
+++ b/src/kumquatseam/standins/engine/_publisher.py
@@ -27,7 +27,7 @@
     :param load_lag_s: the load published is the one of this long ago.
     :param rng: the engine's seeded random source.
     :param sample_load: returns ``(running, waiting, cache_usage_ratio)`` now.
-    :param read_named: returns the weights it runs and its role.
+    :param read_named: returns the weights it runs, its role and its software.
     """
 
     def __init__(
--- a/src/kumquatseam/standins/engine/_settings.py
+++ b/src/kumquatseam/standins/engine/_settings.py
@@ -39,6 +39,8 @@
     :param hang: fault: accept requests and answer nothing.
     :param limit_per_s: requests a second that it announces to accept from all routers
         together; ``None``: no limit.
+    :param software: version of its software, which decides what it generates; empty
+        means it states none.
     :param crashes_on: fault: a prompt with this in it crashes the engine as it
         begins to run it; empty: none does.
     """
@@ -69,4 +71,5 @@
     break_after_tokens: int = 0
     hang: bool = False
     limit_per_s: float | None = None
+    software: str = ""
     crashes_on: str = ""
