--- a/src/kumquatseam/peers/__init__.py
+++ b/src/kumquatseam/peers/__init__.py
@@ -10,12 +10,14 @@
 - :class:`PeerQueries` sends request-reply queries to one instance at a time.
 - :class:`DatagramSocket` carries small messages that may be lost.
 - :class:`DatagramCalls` calls one instance over datagrams and waits for its reply.
+- :class:`KeyOwners` sends messages to the instances that own a key.
 - :class:`RendezvousOrder` selects the instances that own a key.
 """
 
 from kumquatseam.peers._bus import PeerBus
 from kumquatseam.peers._calls import DatagramCalls
 from kumquatseam.peers._datagrams import DatagramLink, DatagramSocket, NullDatagramLink
+from kumquatseam.peers._key_owners import KeyOwners
 from kumquatseam.peers._loads import HolderUpdateExchange, LoadExchange
 from kumquatseam.peers._messages import (
     MESSAGE_KINDS,
@@ -40,6 +42,7 @@
     "DatagramCalls",
     "DatagramLink",
     "DatagramSocket",
+    "KeyOwners",
     "LeaseHeartbeat",
     "FleetView",
     "PeerLiveness",
--- a/src/kumquatseam/peers/_messages.py
+++ b/src/kumquatseam/peers/_messages.py
@@ -19,6 +19,7 @@
     :param link_mbps: speed of its network link; 0 if unknown.
     :param relay_address: ``host:port`` at which it opens tunnels to upstreams; empty
         if it opens none.
+    :param zone: its availability zone; empty if unknown.
     """
 
     name: str
@@ -26,6 +27,7 @@
     state_address: str = ""
     link_mbps: float = 0.0
     relay_address: str = ""
+    zone: str = ""
 
 
 @attrs.frozen
--- a/src/kumquatseam/peers/_rendezvous.py
+++ b/src/kumquatseam/peers/_rendezvous.py
@@ -26,10 +26,17 @@
 
     :param list_instances: returns all known instances; the same object as long as
         nothing changed.
+    :param spreads_zones: whether the owners of a key are in different availability
+        zones, as far as there are enough.
     """
 
-    def __init__(self, list_instances: Callable[[], Sequence[InstanceRecord]]) -> None:
+    def __init__(
+        self,
+        list_instances: Callable[[], Sequence[InstanceRecord]],
+        spreads_zones: bool = False,
+    ) -> None:
         self._list_instances = list_instances
+        self._spreads_zones = spreads_zones
         self._instances: Sequence[InstanceRecord] = ()
         self._owners: dict[str, tuple[InstanceRecord, ...]] = {}
 
@@ -42,10 +49,24 @@
         owners = self._owners.get(key)
         if owners is None:
             ordered = sorted(instances, key=lambda record: _distance(key, record))
+            if self._spreads_zones:
+                ordered = _first_of_zones(ordered)
             owners = self._owners[key] = tuple(ordered[:MAX_OWNERS])
         return owners
 
 
+def _first_of_zones(ordered: Sequence[InstanceRecord]) -> list[InstanceRecord]:
+    """Return the instances with the first one of each zone before all others."""
+    zones: set[str] = set()
+    first, others = [], []
+    for record in ordered:
+        (others if record.zone in zones else first).append(record)
+        zones.add(record.zone)
+        if len(first) >= MAX_OWNERS:
+            break
+    return first + others
+
+
 def _distance(key: str, record: InstanceRecord) -> float:
     """Return the distance of an instance from ``key``; the nearest owns it."""
     digest = xxhash.xxh3_64_intdigest(f"{key}|{record.name}".encode())
--- a/src/kumquatseam/quotas/_owners.py
+++ b/src/kumquatseam/quotas/_owners.py
@@ -10,9 +10,9 @@
 from kumquatseam.clocks import elapsed_s
 from kumquatseam.gatewayfile import RetrySettings
 from kumquatseam.peers import (
-    DatagramCalls,
     DatagramLink,
     InstanceRecord,
+    KeyOwners,
     RendezvousOrder,
 )
 from kumquatseam.quotas._allocator import QuotaAllocator
@@ -104,23 +104,28 @@
         self.retry_clock = parts.retry_clock
         self.is_first_start = parts.is_first_start
         self._list_instances = parts.list_instances
-        self._order = RendezvousOrder(parts.list_instances)
         self._link = parts.link
+        self._owners = KeyOwners(
+            parts.name,
+            RendezvousOrder(parts.list_instances),
+            parts.link,
+            (QuotaLeaseReply,),
+            parts.clock,
+            parts.wait,
+        )
+        self.calls = self._owners.calls
         self.allocator = QuotaAllocator(
             parts.name, parts.current_table, parts.tolerance, parts.limits, parts.clock
         )
         self.retry_allocator = RetryAllocator(
             parts.retries, parts.retry_clock, parts.is_first_start
         )
-        self.calls = DatagramCalls(parts.link, QuotaLeaseReply, parts.clock, parts.wait)
         self._shard_count: int | None = None
         self._resharded_s = float("-inf")
         self._history_queries: dict[QuotaShard, _HistoryQuery] = {}
-        parts.link.on_message(QuotaLeaseRequest, self._reply_to_request)
-        parts.link.on_message(QuotaUsageUpdate, lambda m, _: self._apply_usage(m))
-        parts.link.on_message(
-            QuotaLeaseReturn, lambda m, _: self.allocator.apply_return(m)
-        )
+        self._owners.on_request(QuotaLeaseRequest, self._decide)
+        self._owners.on_notice(QuotaUsageUpdate, self._apply_usage)
+        self._owners.on_notice(QuotaLeaseReturn, self.allocator.apply_return)
         parts.link.on_message(RetryHistoryRequest, self._send_history)
         parts.link.on_message(RetryHistory, self._collect_history)
         parts.link.on_message(LimitReport, lambda m, _: parts.limits.merge_report(m))
@@ -150,7 +155,7 @@
 
     def of(self, shard: QuotaShard) -> Sequence[InstanceRecord]:
         """Return the owners of a shard, the preferred one first."""
-        return self._order.owners_of(shard.key)
+        return self._owners.of(shard.key)
 
     def responsive_owner(self, shard: QuotaShard) -> InstanceRecord | None:
         """Return the first owner of a shard that is not unresponsive."""
@@ -163,9 +168,7 @@
         self, record: InstanceRecord, request: QuotaLeaseRequest
     ) -> QuotaLeaseReply | None:
         """Return an owner's reply to a lease request; ``None`` without one in time."""
-        if record.name == self.name:
-            return self._decide(request)
-        return self.calls.call(record, request)
+        return self._owners.call(record, request)
 
     def send(self, record: InstanceRecord, message: object) -> None:
         """Send a message to another instance; it may get lost."""
@@ -173,20 +176,11 @@
 
     def give_back(self, record: InstanceRecord, returned: QuotaLeaseReturn) -> None:
         """Return an unused amount to an owner."""
-        if record.name == self.name:
-            self.allocator.apply_return(returned)
-        else:
-            self.send(record, returned)
+        self._owners.notify(record, returned)
 
     def note_usage(self, record: InstanceRecord, update: QuotaUsageUpdate) -> None:
         """Tell an owner what the others granted."""
-        if record.name == self.name:
-            self._apply_usage(update)
-        else:
-            self.send(record, update)
-
-    def _reply_to_request(self, request: QuotaLeaseRequest, sender: str) -> None:
-        self._link.send(sender, self._decide(request))
+        self._owners.notify(record, update)
 
     def _decide(self, request: QuotaLeaseRequest) -> QuotaLeaseReply:
         """Decide on a lease request as an owner of its shard."""
