--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -15,13 +15,8 @@
 from kumquatseam.peers import LoadExchange, LoadSummary, RolloutNotice, UpstreamLoad
 from kumquatseam.placement import BroadcastWork
 from kumquatseam.prompts import PromptChain, PromptIndex, PromptPart, PromptPrefill
-from kumquatseam.rollouts import (
-    EngineReport,
-    OrderClient,
-    OrderOutcome,
-    RolloutDuty,
-    RolloutView,
-)
+from kumquatseam.rollouts import EngineReport, OrderClient, OrderOutcome, RolloutView
+from kumquatseam.rollouts.duty import RolloutDuty
 from kumquatseam.routes import EngineTraits, LiveRouteTable, RouteTable, ServiceTraits
 from kumquatseam.upstreams import (
     Upstream,
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -9,7 +9,8 @@
 from kumquatseam.peers import (
     RolloutNotice,
 )
-from kumquatseam.rollouts import EngineState, RolloutBounds, RolloutView, plan_loads
+from kumquatseam.rollouts import RolloutView
+from kumquatseam.rollouts.duty import EngineState, RolloutBounds, plan_loads
 from kumquatseam.upstreams import (
     Upstream,
     UpstreamDirectory,
--- a/features/steps/weights_left_behind_steps.py
+++ b/features/steps/weights_left_behind_steps.py
@@ -6,7 +6,8 @@
 from restart_steps import MODEL, Side, build_duty
 from rollout_world import LoadingEngines, pass_time
 
-from kumquatseam.rollouts import RolloutBounds, RolloutView
+from kumquatseam.rollouts import RolloutView
+from kumquatseam.rollouts.duty import RolloutBounds
 from kumquatseam.routes import EngineTraits, ServiceTraits
 from kumquatseam.upstreams import WeightsTargets, WeightsVersion
 
--- a/src/kumquatseam/gatewayfile/__init__.py
+++ b/src/kumquatseam/gatewayfile/__init__.py
@@ -9,6 +9,7 @@
     GatewayFile,
     GatewaySettings,
     RetrySettings,
+    RolloutSettings,
     load_gateway_settings,
 )
 
@@ -17,5 +18,6 @@
     "GatewayFile",
     "GatewaySettings",
     "RetrySettings",
+    "RolloutSettings",
     "load_gateway_settings",
 ]
