A stream goes on only at the software version that began it

Callers saw streams whose first part one software version had written and the rest another one: the list's version was dropped when entries were decoded, no choice of an upstream compared it, and nothing kept it for a caller's next attempt. The class: what a stream depends on was no part of its state.

The upstream that writes the first event binds the stream; the version is told to three owners in different zones before the event is passed on, without waiting, and again while the stream lasts. Retries, moved runs and what callers take up (Resumes) go to replicas of that version only. An instance that doesn't know the version asks the owners at once; if none knows, it refuses with 503 and doesn't infer it from the list. Streams that can go on at few replicas queue in order of arrival instead of using up the retry budget; new ones leave them room meanwhile.

Not done: an acknowledged write before the first event (it would wait for a round trip), a guess from a list with one version only (an old list shows one, too).

--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -8,6 +8,7 @@
 from quarantine_world import single_instance_quarantine
 from quota_world import (
     single_instance_limits,
+    single_instance_origins,
     single_instance_quotas,
     single_instance_retries,
 )
@@ -24,7 +25,7 @@
     ResponseInterruptedError,
 )
 from kumquatseam.metrics import GatewayMetrics
-from kumquatseam.placement import BroadcastWork, Placement
+from kumquatseam.placement import BroadcastWork, Placement, VersionDemand
 from kumquatseam.platform._headers import PlatformDialect
 from kumquatseam.prompts import PromptIndex
 from kumquatseam.rollouts import MovedRun
@@ -109,6 +110,7 @@
 
     def __init__(self, directory):
         self.directory = directory
+        self.demand = VersionDemand()
         self.places = ["source", "other"]
 
     def place(self, request):
@@ -163,6 +165,7 @@
             single_instance_quarantine(),
             single_instance_quotas(),
             context.limits,
+            single_instance_origins(),
         )
     )
 
--- a/features/steps/own_fault_steps.py
+++ b/features/steps/own_fault_steps.py
@@ -11,6 +11,7 @@
 from quarantine_world import single_instance_quarantine
 from quota_world import (
     single_instance_limits,
+    single_instance_origins,
     single_instance_quotas,
     single_instance_retries,
 )
@@ -103,6 +104,7 @@
             single_instance_quarantine(),
             single_instance_quotas(),
             single_instance_limits(),
+            single_instance_origins(),
         )
     )
 
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -100,10 +100,10 @@
             self.process.wait()
 
     def lines(self) -> list[dict]:
-        """Return the parsed JSON lines of its log."""
+        """Return the parsed JSON lines of its log, but for one that it still writes."""
         found = []
-        for line in self.log_path.read_text().splitlines():
-            if line.startswith("{"):
+        for line in self.log_path.read_text().splitlines(keepends=True):
+            if line.startswith("{") and line.endswith("\n"):
                 found.append(json.loads(line))
         return found
 
--- a/features/steps/quota_world.py
+++ b/features/steps/quota_world.py
@@ -9,6 +9,7 @@
 from modelled_net import ModelledLink
 
 from kumquatseam.codec import MessageCodec
+from kumquatseam.origins import OriginParts, StreamOrigins
 from kumquatseam.peers import InstanceRecord, NullDatagramLink, RendezvousOrder
 from kumquatseam.quotas import (
     DATAGRAM_KINDS,
@@ -271,6 +272,12 @@
     return RetryBudgets(single_instance_owners())
 
 
+def single_instance_origins():
+    """Return the origins of streams in a fleet of one instance."""
+    records = (InstanceRecord("alone", "127.0.0.1:1"),)
+    return StreamOrigins(OriginParts("alone", lambda: records, NullDatagramLink()))
+
+
 def single_instance_limits():
     """Return the limits of upstreams in a fleet of one instance."""
     return UpstreamLimits(single_instance_owners())
--- a/features/steps/two_versions_steps.py
+++ b/features/steps/two_versions_steps.py
@@ -81,9 +81,11 @@
     :param stream: what it receives.
     :param draw: a random number generator.
     :param drops: whether it drops its connection after two events.
+    :param comes_back_s: how long it takes to come back.
     """
 
-    def __init__(self, world, stream, draw, drops):
+    def __init__(self, world, stream, draw, drops, comes_back_s):
+        self.comes_back_s = comes_back_s
         self.world = world
         self.stream = stream
         self.draw = draw
@@ -97,13 +99,19 @@
             attempt = self._try(gateway)
             if self.stream.is_complete or time.monotonic() >= self.deadline_s:
                 return
-            wait_s = COMES_BACK_S
+            wait_s = self.comes_back_s
             if attempt.status in (429, 503) and attempt.retry_after:
                 left_s = self.deadline_s - time.monotonic()
                 wait_s = min(float(attempt.retry_after), left_s / 3)
             time.sleep(wait_s)
-            others = [g for g in range(len(self.world.gateways)) if g != gateway]
-            gateway = self.draw.choice(others)
+            gateway = self._another(gateway)
+
+    def _another(self, gateway):
+        """Return a gateway in rotation; the platform's ingress knows which are."""
+        count = range(len(self.world.gateways))
+        others = [g for g in count if g != gateway]
+        ready = [g for g in others if self.world.gateways[g].is_ready()]
+        return self.draw.choice(ready or others)
 
     def _try(self, gateway):
         stream = self.stream
@@ -174,10 +182,12 @@
     "{count:d} gateways in front of {old:d} engines of v1 and {new:d} of v2, each "
     "behind a proxy"
 )
-def step_versions(context, count, old, new, events=EVENTS, room=None):
+def step_versions(
+    context, count, old, new, events=EVENTS, room=None, pause_s=EVENT_PAUSE_S
+):
     step_platform(context)
     world = context.platform
-    context.events, context.room = events, room
+    context.events, context.room, context.event_pause_s = events, room, pause_s
     context.proxies = []
     context.streams = []
     for number in range(old + new):
@@ -199,10 +209,10 @@
 
 @given(
     "{count:d} gateways in front of {old:d} engines of v1 and {new:d} of v2, each "
-    "behind a proxy and with room for {room:d} streams of {events:d} events"
+    "behind a proxy and with room for {room:d} streams of {events:d} slow events"
 )
 def step_small_engines(context, count, old, new, room, events):
-    step_versions(context, count, old, new, events, room)
+    step_versions(context, count, old, new, events, room, 2.5 * EVENT_PAUSE_S)
 
 
 def add_engine(context, name, software):
@@ -213,7 +223,7 @@
         name,
         version=1,
         events=context.events,
-        event_pause_s=EVENT_PAUSE_S,
+        event_pause_s=context.event_pause_s,
         software=software,
     )
     replica.room = context.room
@@ -230,7 +240,7 @@
         proxy.pids = [g.process.pid for g in context.platform.gateways]
 
 
-def run_callers(context, for_s, drop_every=0, troubles=()):
+def run_callers(context, for_s, drop_every=0, troubles=(), comes_back_s=COMES_BACK_S):
     """Begin streams at an even rate, and run troubles at their times.
 
     :param drop_every: every how many callers one drops its connection; 0 for none.
@@ -248,7 +258,7 @@
         stream = CallerStream(number, time.monotonic())
         context.streams.append(stream)
         drops = bool(drop_every) and number % drop_every == 0
-        caller = StreamCaller(world, stream, random.Random(number), drops)
+        caller = StreamCaller(world, stream, random.Random(number), drops, comes_back_s)
         threads.append(threading.Thread(target=caller.run))
         threads[-1].start()
         time.sleep(1 / STREAMS_PER_S)
@@ -324,7 +334,7 @@
         (4.0 + number, lambda r=replica, n=number: replace(r, n))
         for number, replica in enumerate(old)
     ]
-    run_callers(context, for_s, every, troubles)
+    run_callers(context, for_s, every, troubles, comes_back_s=1.5)
 
 
 @when(
@@ -405,7 +415,14 @@
 def step_as_many(context, less):
     begin, go_on, taken = shares(context)
     assert taken >= 12, taken
-    assert go_on >= begin - less, f"{go_on:.3f} of {taken} went on, {begin:.3f} began"
+    assert go_on >= begin - less, (
+        f"{go_on:.3f} of {taken} went on, {begin:.3f} began: {not_gone_on(context)}"
+    )
+
+
+def not_gone_on(context):
+    """Return the attempts of streams that were taken up in vain."""
+    return [s.tries for s in context.streams if s.taken_up and not s.is_complete]
 
 
 @then("at least {share:g} as many streams went on as began")
@@ -434,6 +451,70 @@
     assert not late, f"{len(late)} of {len(refused)}: {late[:3]}"
 
 
+# Single attempts.
+
+
+@given('a plain replica, which serves "{prefix}"')
+def step_plain_replica(context, prefix):
+    world = context.platform
+    world.add_replica("plain", "p0")
+    world.add_route(prefix, "non_idempotent", "plain")
+    world.put_configuration()
+    (gateway,) = world.gateways
+    wait_until("it lists the replica", lambda: world.knows_replicas(gateway))
+    wait_until("the route is in force", lambda: _is_served(world, f"{prefix}x"))
+
+
+def _is_served(world, path):
+    return world.send(path).status == 200
+
+
+@when('a caller streams "{path}" as attempt "{request_id}"')
+def step_stream_first(context, path, request_id):
+    world = context.platform
+    answer = world.send(path, request_id=request_id, headers=world.stream_headers())
+    assert answer.status == 200, answer.status
+
+
+@when('it takes the stream up at "{path}" with {what}')
+def step_take_up(context, path, what):
+    world = context.platform
+    context.runs_before = world.runs()
+    headers = urllib3.HTTPHeaderDict({"X-Request-Id": "itself"})
+    headers.update({"Host": "a.example", "X-Deadline-Ms": "5000"})
+    headers.update({"Authorization": f"Token {KEY}", **world.stream_headers()})
+    if "Last-Event-Id" in what:
+        headers["Last-Event-Id"] = "2"
+    for value in _named_attempts(what):
+        headers.add("Resumes", value)
+    port = world.gateways[0].ports["front"]
+    started_s = time.monotonic()
+    url = f"http://127.0.0.1:{port}{path}"
+    context.answer = HTTP.request("POST", url, headers=headers, body=b"question")
+    context.took_s = time.monotonic() - started_s
+
+
+def _named_attempts(what):
+    named = what.partition("Resumes")[2]
+    if "empty Resumes" in what:
+        return [""]
+    if "3000 bytes" in named:
+        return ["x" * 3000]
+    return re.findall(r'"(\w+)"', named)
+
+
+@then("it is refused with {status:d} at once, and no upstream got it")
+def step_refused_at_once(context, status):
+    assert context.answer.status == status, (context.answer.status, context.answer.data)
+    assert context.took_s < 0.5, context.took_s
+    assert context.platform.runs() == context.runs_before
+
+
+@then("it is answered with {status:d}")
+def step_answered(context, status):
+    assert context.answer.status == status, (context.answer.status, context.answer.data)
+
+
 # The routers' own interface.
 
 RESPONSE_TOKENS = 40
--- a/features/steps/waiting_world.py
+++ b/features/steps/waiting_world.py
@@ -8,6 +8,7 @@
 from quarantine_world import single_instance_quarantine
 from quota_world import (
     single_instance_limits,
+    single_instance_origins,
     single_instance_quotas,
     single_instance_retries,
 )
@@ -148,6 +149,7 @@
                 single_instance_quarantine(),
                 single_instance_quotas(),
                 single_instance_limits(),
+                single_instance_origins(),
             )
         )
 
--- a/features/two_versions.feature
+++ b/features/two_versions.feature
@@ -43,7 +43,7 @@
     And what is taken up without a replica of its version is refused within 0.5 seconds
 
   Scenario: Callers come back all at once, and two replicas of their version are left
-    Given 4 gateways in front of 6 engines of v1 and 6 of v2, each behind a proxy and with room for 8 streams of 30 events
+    Given 4 gateways in front of 6 engines of v1 and 6 of v2, each behind a proxy and with room for 8 streams of 12 slow events
     When callers stream for 12 seconds, 4 engines of v1 crash together with 2 gateways
     Then no stream has events of two versions
     And no event is missing or comes twice
@@ -53,3 +53,36 @@
     Given a fleet of 1 router and 2 engines each of two versions, which break off responses
     When callers stream 10 responses
     Then each response is complete and written by one version
+
+  Scenario Outline: A stream is taken up with <what>
+    Given a gateway in front of 2 engines that stream 6 events
+    And a plain replica, which serves "/plain/"
+    When a caller streams "/resume/x" as attempt "first"
+    And it takes the stream up at "<path>" with <what>
+    Then it is refused with <status> at once, and no upstream got it
+
+    Examples:
+      | what                                            | path      | status |
+      | Last-Event-Id "2"                               | /resume/x | 503    |
+      | Last-Event-Id "2" and an empty Resumes          | /resume/x | 503    |
+      | Last-Event-Id "2" and Resumes "unknown"         | /resume/x | 503    |
+      | Last-Event-Id "2" and Resumes "itself"          | /resume/x | 503    |
+      | Last-Event-Id "2" and Resumes of 3000 bytes     | /resume/x | 503    |
+      | Last-Event-Id "2" and Resumes "first" and "two" | /resume/x | 400    |
+      | Resumes "unknown"                               | /resume/x | 503    |
+      | Last-Event-Id "2" and Resumes "first"           | /once/x   | 400    |
+      | Last-Event-Id "2"                               | /once/x   | 400    |
+
+  Scenario Outline: A stream goes on if it is taken up with <what>
+    Given a gateway in front of 2 engines that stream 6 events
+    And a plain replica, which serves "/plain/"
+    When a caller streams "/resume/x" as attempt "first"
+    And it takes the stream up at "<path>" with <what>
+    Then it is answered with 200
+
+    Examples:
+      | what                                              | path      |
+      | Last-Event-Id "2" and Resumes "first"             | /resume/x |
+      | Last-Event-Id "2" and Resumes "first" and "first" | /resume/x |
+      | Resumes "first"                                   | /resume/x |
+      | Last-Event-Id "2" and Resumes "unknown"           | /plain/x  |
--- a/src/kumquatseam/explain/_explanation.py
+++ b/src/kumquatseam/explain/_explanation.py
@@ -24,6 +24,8 @@
     "quarantined": "upstreams crashed while running the same request before",
     "limits_used_up": "every upstream announced a limit, and none had room",
     "upstreams_resting": "every upstream of the service had asked for rest",
+    "stream_origin_unknown": "no instance knew which software version began its stream",
+    "software_version_gone": "no replica of the version that began its stream serves",
     "over_quota": "its team exceeded its quota; the quota owner's log has the usage",
     "internal_fault": "internal error of the router; see the traceback in its log line",
 }
--- a/src/kumquatseam/gateway/_call.py
+++ b/src/kumquatseam/gateway/_call.py
@@ -19,7 +19,8 @@
     :param max_output_tokens: maximum number of tokens to generate.
     :param states_tokens: whether the request states its numbers of tokens.
     :param resume_after: id of the last event that the caller already received.
-    :param resumes: id of the caller's attempt that brought the stream's first event.
+    :param resumes: id of the caller's attempt that brought the stream's first event;
+        several if the caller names different ones.
     """
 
     request_id: str
@@ -31,7 +32,12 @@
     max_output_tokens: int = 0
     states_tokens: bool = False
     resume_after: str = ""
-    resumes: str = ""
+    resumes: tuple[str, ...] = ()
+
+    @property
+    def first_resumed(self) -> str:
+        """Id of the attempt that it resumes; ``""`` for none."""
+        return self.resumes[0] if self.resumes else ""
 
     @property
     def tokens(self) -> int:
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -4,8 +4,6 @@
 import time
 from collections.abc import Callable
 
-import gevent
-
 from kumquatseam.admission import RetryCause
 from kumquatseam.clocks import elapsed_s
 from kumquatseam.errors import OverloadedError, UpstreamsRestingError
@@ -87,6 +85,8 @@
 #: share of its remaining time that a request waits for an available upstream before
 #: it is refused.
 PLACEMENT_TIMEOUT_SHARE = 0.25
+#: the same for a stream that goes on at one software version only.
+BOUND_TIMEOUT_SHARE = 0.5
 #: Retry-After when all upstreams were busy or loading weights, which takes about
 #: this long.
 RETRY_AFTER_S = 0.6
@@ -114,7 +114,7 @@
         self._progress = Progress()
         self._events = EventSplitter(job.call.resume_after)
         self._times = EventTimes(job.request.received_s)
-        self._continuation = Continuation(job, parts.metrics)
+        self._continuation = Continuation(parts, job)
         self._forwarder = ResponseForwarder(
             parts,
             job,
@@ -168,7 +168,7 @@
         """Make one attempt; return ``None`` if it failed and another may follow."""
         if self._next_placement is None:
             self._acquire_permission()
-        placement = self._next_placement or self._place()
+        placement = self._next_placement or self._place_in_turn()
         self._next_placement = None
         try:
             return self._attempt(placement)
@@ -208,19 +208,31 @@
         except QuarantinedError as error:
             self._fail(Reason.QUARANTINED, str(error), error.retry_after_s)
 
+    def _place_in_turn(self) -> Placement:
+        try:
+            return self._place()
+        finally:
+            self._continuation.end_wait()
+
     def _place(self) -> Placement:
         """Choose an upstream, retrying for a short time while none is available.
 
         :raises RefusedError: if no upstream is available in time.
         """
         job, progress = self._job, self._progress
-        timeout_at_s = time.monotonic() + job.remaining_s * PLACEMENT_TIMEOUT_SHARE
+        is_bound = self._continuation.origin is not None
+        share = BOUND_TIMEOUT_SHARE if is_bound else PLACEMENT_TIMEOUT_SHARE
+        timeout_at_s = time.monotonic() + job.remaining_s * share
         while True:
             self._check_deadline()
-            placement = self._try_place()
+            self._check_version_served()
+            placement = None
+            if self._continuation.is_its_turn():
+                placement = self._try_place()
             if placement is not None:
                 return placement
-            if progress.excluded and not progress.may_have_run:
+            may_forgive = self._continuation.may_forgive(progress.excluded)
+            if progress.excluded and (not progress.may_have_run or may_forgive):
                 progress.excluded.clear()
             # A resumable stream may wait for an engine that is loading weights. Any
             # other request that may have run was already tried on every upstream
@@ -228,12 +240,14 @@
             may_wait = not progress.may_have_run or job.route.is_resumable
             if time.monotonic() >= timeout_at_s or not may_wait:
                 self._fail(Reason.NO_UPSTREAM, "no upstream available in time")
-            gevent.sleep(PLACEMENT_RETRY_INTERVAL_S)
+            self._continuation.wait(PLACEMENT_RETRY_INTERVAL_S)
             self._caller.check_connected()
 
     def _try_place(self) -> Placement | None:
         job, progress = self._job, self._progress
-        is_first = not progress.attempts and not progress.refusals
+        # A stream that began is worth more than one that has yet to begin.
+        has_begun = self._continuation.origin is not None
+        is_first = not progress.attempts and not progress.refusals and not has_begun
         request = PlacementRequest(
             job.call.request_id,
             job.service,
@@ -246,6 +260,7 @@
             job.remaining_s * MAX_WAIT_SHARE,
             job.table.cache_stores,
             job.call.max_output_tokens,
+            software_version=self._continuation.software_version,
         )
         max_wait_s = job.caller_remaining_s * self._parts.dialect.retry_wait_share
         retry = CallerRetry(job.fingerprint, max(0.0, max_wait_s))
@@ -296,12 +311,25 @@
         if self._job.remaining_s <= 0:
             self._fail(Reason.TIMED_OUT, "deadline passed")
 
+    def _check_version_served(self) -> None:
+        """Check that a replica may write the rest of the stream.
+
+        :raises RefusedError: if there is none.
+        """
+        if not self._continuation.is_served:
+            version = self._continuation.software_version
+            self._fail(Reason.VERSION_GONE, f"no replica of version {version}", None)
+
     def _fail(
-        self, reason: Reason, detail: str, retry_after_s: float = RETRY_AFTER_S
+        self,
+        reason: Reason,
+        detail: str,
+        retry_after_s: float | None = RETRY_AFTER_S,
     ) -> None:
         """End the request with a status that tells whether it may have run.
 
-        :param retry_after_s: Retry-After value, sent if the request has not run.
+        :param retry_after_s: Retry-After value, sent if the request has not run;
+            ``None`` if coming back is in vain.
         :raises BufferedFailureError: if an upstream's own error response is held.
         :raises RefusedError: otherwise.
         """
@@ -311,8 +339,12 @@
         if progress.may_have_run or self._caller.has_started_response:
             status = 504 if reason is Reason.TIMED_OUT else 502
             raise RefusedError(status, reason, detail=detail)
-        rest_s = self._parts.directory.rest_left_s(self._job.service.name)
-        raise RefusedError(503, reason, max(retry_after_s, rest_s), detail)
+        if retry_after_s is not None:
+            rest_s = self._parts.directory.rest_left_s(
+                self._job.service.name, self._continuation.software_version
+            )
+            retry_after_s = max(retry_after_s, rest_s)
+        raise RefusedError(503, reason, retry_after_s, detail)
 
     # Failed attempts.
 
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -233,6 +233,11 @@
     def _send_events(self, response: UpstreamResponse, keep: bool, data: bytes) -> None:
         if not data:
             return
+        status = response.placement.status
+        if not self._continuation.is_still(status):
+            raise ResponseInterruptedError(
+                response.connection.address, "upstream started again"
+            )
         self._continuation.note_events(response.placement)
         self._record_event(response)
         if self._caller.has_started_response:
--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -8,6 +8,7 @@
 from kumquatseam.http1 import ConnectionPool
 from kumquatseam.logservice import HttpLogService
 from kumquatseam.metrics import GatewayMetrics
+from kumquatseam.origins import StreamOrigins
 from kumquatseam.peers import DatagramSocket, PeerBus
 from kumquatseam.quarantine import Quarantine
 from kumquatseam.quotas import RetryBudgets, ShardOwners, TeamQuotas, UpstreamLimits
@@ -38,6 +39,7 @@
     retries: RetryBudgets
     path: DirectPath
     relays: RelayClient
+    origins: StreamOrigins
 
 
 def add_gauges(metrics: GatewayMetrics, parts: GaugeParts) -> None:
@@ -76,6 +78,7 @@
     metrics.register_gauge(
         "retry_budget_used", parts.shard_owners.retry_allocator.used_share
     )
+    metrics.register_gauge("stream_origins", lambda: len(parts.origins.table))
     metrics.register_gauge(
         "holders_tracked", lambda: len(parts.tracker.tracked_holders())
     )
@@ -102,6 +105,8 @@
         "requests_to_leaving", lambda: parts.directory.sent_to_leaving
     )
     metrics.register_counter("requests_in_rest", lambda: parts.directory.sent_in_rest)
+    metrics.register_counter("stream_origins_searched", lambda: parts.origins.searches)
+    metrics.register_counter("stream_origins_unknown", lambda: parts.origins.unknown)
     metrics.register_counter("path_losses", lambda: parts.path.lost_count)
     metrics.register_counter("relayed_connections", lambda: parts.relays.opened)
     metrics.register_counter("relay_failures", lambda: parts.relays.failed)
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -12,9 +12,11 @@
 from kumquatseam.gateway._exchange import Exchange
 from kumquatseam.gateway._job import Job
 from kumquatseam.gateway._refusals import Reason, RefusedError
+from kumquatseam.gateway._resumption import StreamResumption
 from kumquatseam.http1 import CallerDisconnectedError, ConnectionPool, Request
 from kumquatseam.logs import part_logger
 from kumquatseam.metrics import GatewayMetrics
+from kumquatseam.origins import StreamOrigins
 from kumquatseam.placement import Placer, WorkSource
 from kumquatseam.quarantine import Quarantine, fingerprint
 from kumquatseam.quotas import (
@@ -55,6 +57,7 @@
     :param quarantine: holds back requests that crash upstreams.
     :param quotas: enforces the teams' quotas.
     :param limits: keeps the limits that upstreams announce.
+    :param origins: keeps where streams began.
     """
 
     live: LiveRouteTable
@@ -69,6 +72,7 @@
     quarantine: Quarantine
     quotas: TeamQuotas
     limits: UpstreamLimits
+    origins: StreamOrigins
 
 
 class RequestHandler:
@@ -79,6 +83,7 @@
 
     def __init__(self, parts: HandlerParts) -> None:
         self._parts = parts
+        self._resumption = StreamResumption(parts.origins, parts.directory)
 
     def handle(
         self,
@@ -140,7 +145,6 @@
         service = table.service(route.service_for(random.random()))
         if service is None:
             raise RefusedError(503, Reason.NO_UPSTREAM, 1.0, "service not configured")
-        self._parts.retries.record_request(service.name)
         deadline_s = call.deadline_s or DEFAULT_DEADLINE_S
         end_s = request.received_s + min(deadline_s, route.timeout_s)
         request_fingerprint = fingerprint(
@@ -150,9 +154,11 @@
             request.target,
             request.body,
         )
-        return Job(
-            request, call, route, service, team, end_s, table, request_fingerprint
+        job = self._resumption.bind(
+            Job(request, call, route, service, team, end_s, table, request_fingerprint)
         )
+        self._parts.retries.record_request(job.service.name)
+        return job
 
     def _acquire_quota(self, job: Job) -> QuotaGrant | None:
         """Charge the request to its team's quota, if there is one.
--- a/src/kumquatseam/gateway/_job.py
+++ b/src/kumquatseam/gateway/_job.py
@@ -7,6 +7,7 @@
 from kumquatseam.gateway._call import Call
 from kumquatseam.http1 import Request
 from kumquatseam.routes import Route, RouteTable, ServiceTraits, TeamTraits
+from kumquatseam.upstreams import ServiceVersion
 
 
 @attrs.frozen
@@ -23,6 +24,8 @@
     :param fingerprint: hash that it shares with its retries by the caller.
     :param is_over_quota: whether its team is over its quota; it runs only if it
         delays no other request.
+    :param origin: where the stream began that its caller takes up.
+    :param origin_key: the key of that origin.
     """
 
     request: Request
@@ -34,6 +37,13 @@
     table: RouteTable
     fingerprint: str = ""
     is_over_quota: bool = False
+    origin: ServiceVersion | None = None
+    origin_key: bytes = b""
+
+    @property
+    def team_name(self) -> str:
+        """Name of its team; ``""`` for none."""
+        return self.team.name if self.team is not None else ""
 
     @property
     def remaining_s(self) -> float:
--- a/src/kumquatseam/gateway/_refusals.py
+++ b/src/kumquatseam/gateway/_refusals.py
@@ -25,6 +25,8 @@
     OVER_QUOTA = "over_quota"
     LIMITS_USED_UP = "limits_used_up"
     RESTING = "upstreams_resting"
+    ORIGIN_UNKNOWN = "stream_origin_unknown"
+    VERSION_GONE = "software_version_gone"
     INTERNAL_ERROR = "internal_fault"
 
 
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -2,7 +2,7 @@
 
 import time
 
-from kumquatseam import cachefeeds, feeds, quarantine, quotas
+from kumquatseam import cachefeeds, feeds, origins, quarantine, quotas
 from kumquatseam.cachefeeds import (
     MIN_SENT_PART_SHARE,
     CacheFeeds,
@@ -19,6 +19,7 @@
     suspects_pace,
     upstream_pace,
 )
+from kumquatseam.gateway._rollout_candidate import RolloutCandidate, RolloutParts
 from kumquatseam.gateway._server import GatewayServer
 from kumquatseam.gateway._upstream_paths import UpstreamPaths
 from kumquatseam.gatewayfile import GatewayFile
@@ -29,6 +30,7 @@
 from kumquatseam.logservice import HttpLogService
 from kumquatseam.loops import StepLoop
 from kumquatseam.metrics import GatewayMetrics
+from kumquatseam.origins import OriginParts, StreamOrigins
 from kumquatseam.peers import (
     INSTANCES_TOPIC,
     MESSAGE_KINDS,
@@ -57,12 +59,7 @@
     TeamQuotas,
     UpstreamLimits,
 )
-from kumquatseam.rollouts import (
-    NoticeRelay,
-    RolloutBounds,
-    RolloutDuty,
-    RolloutView,
-)
+from kumquatseam.rollouts import NoticeRelay, RolloutView
 from kumquatseam.routes import LiveRouteTable, RouteTable
 from kumquatseam.trackers import (
     TRACKER_KINDS,
@@ -89,6 +86,7 @@
     **TRACKER_KINDS,
     **quarantine.DATAGRAM_KINDS,
     **quotas.DATAGRAM_KINDS,
+    **origins.DATAGRAM_KINDS,
 }
 #: request-reply queries between instances, by kind on the wire.
 QUERY_KINDS = {**feeds.QUERY_KINDS, **cachefeeds.QUERY_KINDS}
@@ -144,6 +142,7 @@
             file.peers.state_address,
             file.gateway.link_mbps,
             file.peers.relay_address,
+            file.gateway.zone,
         )
         self._bus = PeerBus(self._record, BUS_KINDS)
         self._paths = UpstreamPaths(file, adapter.dialect(), self._directory, self._bus)
@@ -163,6 +162,15 @@
         )
         self._shard_owners = self._build_shard_owners()
         self._quotas = TeamQuotas(self._shard_owners)
+        self._origins = StreamOrigins(
+            OriginParts(
+                self._bus.name,
+                lambda: self._bus.records,
+                self._datagrams,
+                self._are_peers_known,
+                unresponsive=self._shard_owners.calls.unresponsive,
+            )
+        )
         self._limits = UpstreamLimits(
             self._shard_owners, availabilities=self._availabilities
         )
@@ -203,12 +211,13 @@
                 self._is_full_mesh_fleet,
             ),
             StepLoop(quotas.SWEEP_INTERVAL_S, self._quotas.sweep),
+            StepLoop(origins.SWEEP_INTERVAL_S, self._origins.sweep),
             StepLoop(quotas.SWEEP_INTERVAL_S, self._retries.sweep),
             StepLoop(CACHE_CHECK_INTERVAL_S, self._cache_feeds.step),
             StepLoop(self._loads.next_step_s, self._loads.step),
             StepLoop(PEER_CHECK_INTERVAL_S, self._bus.step),
             StepLoop(self._directory.next_sweep_s, self._directory.sweep),
-            self._build_rollout_duty(),
+            self._build_rollouts(),
             StepLoop(SWEEP_INTERVAL_S, self._pool.sweep),
             *self._paths.parts,
             *self._health_servers(),
@@ -270,6 +279,7 @@
                 self._quarantine,
                 self._quotas,
                 self._limits,
+                self._origins,
             )
         )
         return GatewayServer(gateway.listen, handler, self._read_limits, self._grace_s)
@@ -307,7 +317,7 @@
             )
         )
 
-    def _build_rollout_duty(self) -> RolloutDuty:
+    def _build_rollouts(self) -> RolloutCandidate:
         view = RolloutView(self._directory, self._targets)
         NoticeRelay(self._bus, view)
         lease = DutyLease(
@@ -323,20 +333,20 @@
         self._bus.on_message(
             LeaseHeartbeat, lambda held: lease.note_other_holder(held.fence)
         )
-        return RolloutDuty(
-            lease,
-            self._targets,
-            self._live,
-            self._directory,
-            self._orders,
-            self._bus,
-            view,
-            lambda engines: self._work.running_on(engines, ROLLOUT_LOAD_MAX_AGE_S),
-            may_act=lambda: not self._path.is_lost,
-            bounds=RolloutBounds(
-                self._file.rollout.replaced_weights_grace_s,
-                self._file.rollout.complete_s,
-            ),
+        return RolloutCandidate(
+            RolloutParts(
+                self._file.rollout,
+                lease,
+                self._lease_rank,
+                self._targets,
+                self._live,
+                self._directory,
+                self._orders,
+                self._bus,
+                view,
+                lambda engines: self._work.running_on(engines, ROLLOUT_LOAD_MAX_AGE_S),
+                self._path,
+            )
         )
 
     def _lease_rank(self) -> int | None:
@@ -527,6 +537,7 @@
             self._retries,
             self._path,
             self._paths.relays,
+            self._origins,
         )
         add_gauges(self._metrics, parts)
         self._metrics.register_gauge("peers_alive", self._count_instances)
--- a/src/kumquatseam/placement/__init__.py
+++ b/src/kumquatseam/placement/__init__.py
@@ -7,6 +7,7 @@
 - :class:`EngineComparison` compares the engines that may take a prompt.
 - :class:`Placer` collects the candidates for a request and places it.
 - :class:`LimitedPlacer` places it within the limits that upstreams announced.
+- :class:`VersionDemand` queues the streams that go on at one software version only.
 - :class:`WorkSource` provides the work of other instances; :class:`BroadcastWork` is
   for fleets in which every instance broadcasts its work to all others.
 """
@@ -24,6 +25,7 @@
 from kumquatseam.placement._placer import Placer
 from kumquatseam.placement._replaced_weights import ReplacedWeightsGrace
 from kumquatseam.placement._request import Placement, PlacementRequest
+from kumquatseam.placement._version_demand import QueuePlace, VersionDemand
 from kumquatseam.placement._wait_estimate import WaitEstimate
 from kumquatseam.placement._work import (
     BroadcastWork,
@@ -53,7 +55,9 @@
     "Placement",
     "PlacementRequest",
     "Placer",
+    "QueuePlace",
     "SentRequest",
+    "VersionDemand",
     "WaitEstimate",
     "WaitLimit",
     "WorkSource",
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -25,6 +25,7 @@
     ReplacedWeightsGrace,
 )
 from kumquatseam.placement._request import Placement, PlacementRequest
+from kumquatseam.placement._version_demand import VersionDemand
 from kumquatseam.placement._wait_estimate import WaitEstimate
 from kumquatseam.placement._work import (
     BroadcastWork,
@@ -54,6 +55,11 @@
 MOVE_LOAD_MAX_AGE_S = 0.05
 #: maximum age of the counts of requests that brittle upstreams run.
 BRITTLE_LOAD_MAX_AGE_S = 0.05
+#: maximum age of the counts of requests on upstreams of a wanted software version.
+FULL_LOAD_MAX_AGE_S = 0.05
+#: cost of starting at a software version that streams wait for, as a wait; they can go
+#: on nowhere else.
+WANTED_VERSION_PENALTY_MS = 300.0
 #: for this long after weights are replaced, requests start on them without penalty;
 #: answers to later ones are worth a fifth less to the users.
 REPLACED_WEIGHTS_FREE_S = 1.3
@@ -117,6 +123,8 @@
         self._limits = LimitFilter(limits)
         self._slowdowns: dict[str, EngineSlowdown] = {}
         directory.on_gone(lambda gone: self._slowdowns.pop(gone.incarnation_id, None))
+        #: the software versions that streams wait for.
+        self.demand = VersionDemand(clock)
         #: corrects modelled waits by observed ones.
         self.wait_estimate = WaitEstimate()
 
@@ -140,15 +148,18 @@
 
         :raises UpstreamsRestingError: if they do.
         """
-        left_s = self._directory.rest_left_s(request.service.name)
+        left_s = self._directory.rest_left_s(
+            request.service.name, request.software_version
+        )
         if left_s:
             raise UpstreamsRestingError(request.service.name, left_s)
 
     def move_destination(self, placement: Placement) -> Placement | None:
         """Return where to move a run whose engine is being drained.
 
-        Only an engine on the same weights can continue it, and only within the grace
-        period of these weights: a moved run counts as a request that starts.
+        Only an engine on the same weights, and of the same software version, can
+        continue it, and only within the grace period of these weights: a moved run
+        counts as a request that starts.
         """
         remaining_s = self._replaced_weights_deadline.remaining_s(
             placement.model, placement.version
@@ -166,6 +177,7 @@
             and not status.is_closed
             and not status.is_held_out
             and status.runs(placement.version)
+            and _is_same_software(status, placement.status)
             and self._limits.has_room(status.upstream.incarnation_id)
         ]
         running = self._work.running_on(
@@ -246,11 +258,31 @@
             and status.upstream.incarnation_id not in request.excluded
             and not status.is_closed
             and request.only in ("", status.upstream.incarnation_id)
+            and request.software_version in ("", status.upstream.software_version)
         ]
+        if request.software_version:
+            listed = self._without_full(listed)
         listed = self._without_full_brittle(listed)
         healthy = [s for s in listed if not s.is_held_out]
         return healthy or listed
 
+    def _without_full(self, statuses: list[UpstreamStatus]) -> list[UpstreamStatus]:
+        """Drop upstreams of which all slots are in use.
+
+        A stream that can go on at few upstreams waits here, in order of arrival; if
+        they refused it, it would use up the retry budget.
+        """
+        running = self._work.running_on(
+            [status.upstream.incarnation_id for status in statuses],
+            FULL_LOAD_MAX_AGE_S,
+        )
+        return [
+            status
+            for status in statuses
+            if running.get(status.upstream.incarnation_id, status.running)
+            < status.upstream.slots
+        ]
+
     def _without_full_brittle(
         self, statuses: list[UpstreamStatus]
     ) -> list[UpstreamStatus]:
@@ -359,6 +391,8 @@
             penalty_ms = replaced_weights_penalty_ms(age_s)
             if status.closing_until_s > now_s:
                 penalty_ms += CLOSING_PENALTY_MS
+            if not request.software_version and self._is_wanted(status):
+                penalty_ms += WANTED_VERSION_PENALTY_MS
             rank = ranks[status.upstream.upstream_id]
             max_modelled_wait_ms = self._max_modelled_wait_ms(request.model, status)
             options.append(
@@ -366,6 +400,11 @@
             )
         return options
 
+    def _is_wanted(self, status: UpstreamStatus) -> bool:
+        """Return whether streams wait for the software version of an engine."""
+        upstream = status.upstream
+        return self.demand.is_wanted(upstream.service, upstream.software_version)
+
     def _max_modelled_wait_ms(self, model: str, status: UpstreamStatus) -> float:
         """Return the longest modelled wait after which a request may still start."""
         remaining_s = self._replaced_weights_deadline.remaining_after_send_s(
@@ -488,6 +527,10 @@
     return REPLACED_WEIGHTS_PENALTY_MS if age_s > REPLACED_WEIGHTS_FREE_S else 0.0
 
 
+def _is_same_software(status: UpstreamStatus, other: UpstreamStatus) -> bool:
+    return status.upstream.software_version == other.upstream.software_version
+
+
 def _rendezvous_ranks(prompt: PromptChain, upstream_ids: list[str]) -> dict[str, int]:
     """Return the rank of each upstream for the prompt, by rendezvous hashing.
 
--- a/src/kumquatseam/placement/_request.py
+++ b/src/kumquatseam/placement/_request.py
@@ -32,6 +32,7 @@
     :param output_tokens: limit of generated tokens.
     :param only: the only upstream to place it on, whether or not its limit has room;
         ``""`` for any.
+    :param software_version: the only software version to place it at; ``""`` for any.
     """
 
     request_id: str
@@ -46,6 +47,7 @@
     cache_stores: tuple[CacheStore, ...] = ()
     output_tokens: int = 0
     only: str = ""
+    software_version: str = ""
 
     @property
     def own_tokens(self) -> int:
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -66,7 +66,7 @@
             max_output_tokens=max_output_tokens,
             states_tokens=usage is not None,
             resume_after=headers.text(b"last-event-id"),
-            resumes=headers.text(b"resumes"),
+            resumes=_resumes(headers),
         )
 
     def upstream_fields(
@@ -118,6 +118,13 @@
     return ""
 
 
+def _resumes(headers: Headers) -> tuple[str, ...]:
+    """Return the different attempts that the request names."""
+    if headers.get(b"resumes") is None:
+        return ()
+    return tuple(dict.fromkeys(filter(None, headers.all(b"resumes"))))
+
+
 def _deadline_s(headers: Headers) -> float | None:
     text = headers.text(_DEADLINE)
     if not text:
--- a/src/kumquatseam/upstreams/__init__.py
+++ b/src/kumquatseam/upstreams/__init__.py
@@ -35,7 +35,7 @@
     UpstreamStatus,
 )
 from kumquatseam.upstreams._targets import UNKNOWN_AGE_S, WeightsTargets
-from kumquatseam.upstreams._upstream import Upstream, WeightsVersion
+from kumquatseam.upstreams._upstream import ServiceVersion, Upstream, WeightsVersion
 
 __all__ = [
     "FAILURE_COOLDOWN_S",
@@ -55,6 +55,7 @@
     "NullAvailabilityObserver",
     "NullLimitObserver",
     "Unavailability",
+    "ServiceVersion",
     "Upstream",
     "UpstreamDirectory",
     "UpstreamStatus",
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -20,7 +20,7 @@
     InFlightRequestListener,
     UpstreamStatus,
 )
-from kumquatseam.upstreams._upstream import Upstream
+from kumquatseam.upstreams._upstream import ServiceVersion, Upstream
 
 _log = part_logger("upstreams")
 
@@ -121,8 +121,9 @@
     def put(self, upstream: Upstream) -> bool:
         """Add or update an entry; return whether anything changed.
 
-        An entry of a later incarnation replaces the known one and discards its
-        observations; a delayed entry of an earlier incarnation is ignored.
+        An entry of a later incarnation, or of other software, replaces the known one
+        and discards its observations; a delayed entry of an earlier incarnation is
+        ignored.
         """
         known = self._by_id.get(upstream.upstream_id)
         if known is None:
@@ -130,6 +131,9 @@
             return True
         if upstream.born_ms != known.upstream.born_ms:
             return self._replace(known, upstream)
+        if upstream.software_version != known.upstream.software_version:
+            # No process changes its software; this one does not tell when it started.
+            return self._replace(known, upstream)
         if known.upstream.is_leaving != upstream.is_leaving:
             self._log_change("leaving" if upstream.is_leaving else "back", upstream)
         had_expired = known.expires_s is not None
@@ -368,15 +372,36 @@
         ).info("Upstream asked for rest.")
         self._notify_closed(incarnation_id)
 
-    def rest_left_s(self, service: str) -> float:
+    def serving(self, version: ServiceVersion) -> list[UpstreamStatus]:
+        """Return the upstreams of a software version that are not leaving."""
+        return [
+            status
+            for status in self._by_id.values()
+            if status.upstream.service_version == version and not status.is_leaving
+        ]
+
+    def serves(self, version: ServiceVersion) -> bool:
+        """Return whether any upstream of a software version is not leaving."""
+        return bool(self.serving(version))
+
+    def is_newest(self, status: UpstreamStatus) -> bool:
+        """Return whether an upstream is not known to have started again."""
+        known = self._by_id.get(status.upstream.upstream_id)
+        return known is None or known is status
+
+    def rest_left_s(self, service: str, software_version: str = "") -> float:
         """Return when an upstream of a service is the first not to rest any more.
 
         0 if one does not rest, or if there is none.
+
+        :param software_version: the only version that counts; ``""`` for all.
         """
         lefts_s = [
             status.availability.left_s(Unavailability.RESTING)
             for status in self._by_id.values()
-            if status.upstream.service == service and not status.is_leaving
+            if status.upstream.service == service
+            and software_version in ("", status.upstream.software_version)
+            and not status.is_leaving
         ]
         return min(lefts_s, default=0.0)
 
--- a/src/kumquatseam/upstreams/_upstream.py
+++ b/src/kumquatseam/upstreams/_upstream.py
@@ -15,6 +15,18 @@
     version: int
 
 
+@attrs.frozen
+class ServiceVersion:
+    """A software version of a service; what two of them write does not fit together.
+
+    :param service: the service.
+    :param software_version: the version, which has no order.
+    """
+
+    service: str
+    software_version: str
+
+
 @attrs.frozen
 class Upstream:
     """One incarnation of an upstream.
@@ -55,6 +67,11 @@
             return self.upstream_id
         return f"{self.upstream_id}@{self.born_ms}"
 
+    @property
+    def service_version(self) -> ServiceVersion:
+        """Its service and the version of its software."""
+        return ServiceVersion(self.service, self.software_version)
+
     def version_of(self, model: str) -> int | None:
         """Return the version it runs of ``model``, or ``None``."""
         for listed in self.weights:
