The routers' own interface resumes only at the version that began

Engines state the version of their software in the chunks (system_fingerprint) and in their load reports. A response is bound by its first chunk; it is resumed only on an engine that reports the same, recently failed ones too if there are no others, and a chunk of another version ends the attempt before it is passed on, since a report may be old.

--- a/src/kumquatseam/engines/_client.py
+++ b/src/kumquatseam/engines/_client.py
@@ -43,6 +43,8 @@
     :param cached_tokens: prompt tokens served from the engine's cache; set on the
         usage chunk if the engine sends it.
     :param completion_tokens: generated tokens, set on the usage chunk.
+    :param software: the version of the software that wrote it; empty if the engine
+        states none.
     """
 
     text: str
@@ -50,6 +52,7 @@
     prompt_tokens: int | None = None
     cached_tokens: int | None = None
     completion_tokens: int | None = None
+    software: str = ""
 
 
 @attrs.frozen
@@ -276,4 +279,5 @@
         prompt_tokens=usage.get("prompt_tokens"),
         cached_tokens=details.get("cached_tokens"),
         completion_tokens=usage.get("completion_tokens"),
+        software=data.get("system_fingerprint") or "",
     )
--- a/src/kumquatseam/routing/_fleet.py
+++ b/src/kumquatseam/routing/_fleet.py
@@ -51,6 +51,7 @@
     leaving: bool = False
     versions: dict[str, ModelVersion] = attrs.Factory(dict)
     role: str = SERVING
+    software: str = ""
     peer_requests: dict[str, RankCounts] = attrs.Factory(dict)
     recent_peak: _RecentPeak = attrs.Factory(_RecentPeak)
 
@@ -114,6 +115,7 @@
             state.reported_requests = report.running_requests + report.waiting_requests
             state.versions = {v.model: v for v in report.versions}
             state.role = report.role
+            state.software = report.software
 
     def observe_contact(self, engine: str, epoch: str, now_s: float) -> None:
         """Record that a message arrived from ``engine`` in ``epoch``."""
@@ -236,6 +238,11 @@
         state = self._engines.get(engine)
         return state.versions.get(model) if state else None
 
+    def software(self, engine: str) -> str:
+        """Return the software version last reported by ``engine``; empty if none."""
+        state = self._engines.get(engine)
+        return state.software if state else ""
+
     def role(self, engine: str) -> str:
         """Return the role last reported by ``engine``."""
         state = self._engines.get(engine)
--- a/src/kumquatseam/routing/_router.py
+++ b/src/kumquatseam/routing/_router.py
@@ -59,6 +59,7 @@
     :param priority: its priority class.
     :param may_be_shed: whether it may be refused when engines are overloaded.
     :param exclude: engines not to choose (e.g. one that just failed).
+    :param software: the only software version that may serve it; ``None`` for any.
     """
 
     request_id: str
@@ -68,6 +69,7 @@
     priority: PrioritySettings
     may_be_shed: bool = True
     exclude: frozenset[str] = frozenset()
+    software: str | None = None
 
     @property
     def rank(self) -> int:
@@ -261,7 +263,8 @@
     ) -> list[UpstreamSettings]:
         """Return the live engines that may serve the request's team and model.
 
-        If none is live, return those that have not reported yet.
+        If none is live, return those that have not reported yet, or those of the only
+        software version that may serve it.
         """
         configuration = self._live.current
         permitted = []
@@ -273,11 +276,16 @@
                 continue
             if self.fleet.role(name) != SERVING:
                 continue
+            if request.software not in (None, self.fleet.software(name)):
+                continue
             if request.model in upstream.models:
                 permitted.append(upstream)
         live = [u for u in permitted if self.fleet.is_live(u.name, now_s)]
         if live:
             return live
+        if request.software is not None:
+            # The response can go on nowhere else, and most failures pass.
+            return permitted
         return [u for u in permitted if self.fleet.is_unconfirmed(u.name, now_s)]
 
     def _version(self, engine: str, model: str) -> str:
--- a/src/kumquatseam/serving/_completions.py
+++ b/src/kumquatseam/serving/_completions.py
@@ -110,6 +110,8 @@
     count: int = 0
     mismatches: int = 0
     received_tokens: int = 0
+    #: software version that began the response; ``None`` until then.
+    software: str | None = None
     may_have_run: bool = False
     finished: bool = False
     excluded: set[str] = attrs.Factory(set)
@@ -276,6 +278,7 @@
             priority=completion.priority,
             may_be_shed=attempts.count == 0,
             exclude=frozenset(attempts.excluded),
+            software=attempts.software,
         )
         try:
             return self._choose(request, completion.fingerprint)
@@ -335,6 +338,7 @@
                 if chunk.prompt_tokens is not None:
                     attempts.usage = chunk
                     continue
+                self._check_software(name, chunk, attempts)
                 attempts.received_tokens += 1
                 attempts.last_chunk_s = self._parts.clock()
                 if attempts.first_chunk_s is None:
@@ -345,6 +349,19 @@
             chunks.close()
             self._router.fleet.remove_in_flight(name, completion.priority.rank)
 
+    @staticmethod
+    def _check_software(name: str, chunk: EngineChunk, attempts: _Attempts) -> None:
+        """Bind the response to the software version that began it.
+
+        :raises UpstreamError: if another one goes on with it; an engine's report may be
+            older than its restart at another version.
+        """
+        if attempts.software is None:
+            attempts.software = chunk.software
+        elif chunk.software != attempts.software:
+            detail = f"software {chunk.software!r} instead of {attempts.software!r}"
+            raise UpstreamError(name, True, detail)
+
     def _handle_mismatch(
         self,
         completion: Completion,
