--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from decision_steps import MemoryBus
 from modelled_clock import Clock
-from platform_steps import step_streams_in_rollout
+from platform_steps import _is_in_effect, step_streams_in_rollout
 from platform_world import wait_until
 
 from kumquatseam.peers import LoadExchange, LoadSummary, RolloutNotice, UpstreamLoad
@@ -355,14 +355,7 @@
         if route["resumable"]:
             route["maxAttempts"] = len(world.replicas) + 1
     world.put_configuration()
-    wait_until("the configuration is in force", lambda: _is_in_force(world))
-
-
-def _is_in_force(world):
-    return any(
-        line["event"] == "Configuration in force." and line["version"] == world.version
-        for line in world.gateways[0].lines()
-    )
+    wait_until("the configuration is in force", lambda: _is_in_effect(world))
 
 
 @when(
