Notices of origins had the wire name of the trackers' notices of work

Cause: the datagram kind 'began' stood for OriginNotice and for the trackers' WorkBegan, which only fleets of more than twelve instances send; the later table won in the merged one, without a word. Now the kinds of origins are their own, and tables are merged by a function that refuses two classes of one kind; with the old names it stops the start ('began' stands for WorkBegan and OriginNotice).

--- a/features/steps/origins_steps.py
+++ b/features/steps/origins_steps.py
@@ -6,7 +6,11 @@
 from behave import given, then, when
 from origins_world import TEAM, ModelledStream, OriginFleet
 
+from kumquatseam.codec import merge_kinds
+from kumquatseam.errors import CodecError
 from kumquatseam.origins import stream_key
+from kumquatseam.origins._messages import OriginNotice
+from kumquatseam.trackers._messages import WorkBegan
 from kumquatseam.upstreams import ServiceVersion
 
 #: how long after a stream was broken off its caller comes back.
@@ -337,3 +341,26 @@
         fleet.take_up(stream, fleet.instances[1])
         fleet.run(0.01)
         assert stream.found.origin == stream.origin, stream
+
+
+@when("the messages of two packages with a kind in common are merged")
+def step_merge(context):
+    try:
+        merge_kinds({"origin": OriginFleet}, {"origin": ModelledStream})
+    except CodecError as error:
+        context.error = str(error)
+
+
+@then("that is an error that names both classes")
+def step_merge_error(context):
+    assert "OriginFleet and ModelledStream" in context.error, context.error
+
+
+@then(
+    "the gateway's datagrams, among them those about origins and about work, can be "
+    "encoded"
+)
+def step_all_kinds(context):
+    from kumquatseam.gateway.wiring import DATAGRAM_KINDS
+
+    assert {OriginNotice, WorkBegan} <= set(DATAGRAM_KINDS.values())
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -82,3 +82,8 @@
     When one instance begins 25000 streams at once
     Then no instance keeps more than 20000 origins
     And the origins of the newest 1000 are found
+
+  Scenario: Messages of different packages have different kinds on the wire
+    When the messages of two packages with a kind in common are merged
+    Then that is an error that names both classes
+    And the gateway's datagrams, among them those about origins and about work, can be encoded
--- a/src/kumquatseam/codec.py
+++ b/src/kumquatseam/codec.py
@@ -41,6 +41,20 @@
 _COMPACT = _converter(UnstructureStrategy.AS_TUPLE)
 
 
+def merge_kinds(*tables: Mapping[str, type]) -> dict[str, type]:
+    """Return the message classes of several packages by their kind on the wire.
+
+    :raises CodecError: if two classes have the same kind.
+    """
+    merged: dict[str, type] = {}
+    for table in tables:
+        for kind in merged.keys() & table.keys():
+            names = f"{merged[kind].__name__} and {table[kind].__name__}"
+            raise CodecError("message kinds", f"{kind!r} stands for {names}")
+        merged.update(table)
+    return merged
+
+
 class MessageCodec:
     """Encodes and decodes a closed set of message classes.
 
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -9,6 +9,7 @@
     CacheHolder,
     WarmStart,
 )
+from kumquatseam.codec import merge_kinds
 from kumquatseam.feeds import TopicFeeds, TopicUpdate
 from kumquatseam.gateway._adapter import Adapter
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
@@ -80,16 +81,16 @@
 _log = part_logger("gateway")
 
 #: messages that instances publish on the peer bus, by kind on the wire.
-BUS_KINDS = {**MESSAGE_KINDS, **quarantine.BUS_KINDS, "topic": TopicUpdate}
+BUS_KINDS = merge_kinds(MESSAGE_KINDS, quarantine.BUS_KINDS, {"topic": TopicUpdate})
 #: messages between instances by datagram, by kind on the wire.
-DATAGRAM_KINDS = {
-    **TRACKER_KINDS,
-    **quarantine.DATAGRAM_KINDS,
-    **quotas.DATAGRAM_KINDS,
-    **origins.DATAGRAM_KINDS,
-}
+DATAGRAM_KINDS = merge_kinds(
+    TRACKER_KINDS,
+    quarantine.DATAGRAM_KINDS,
+    quotas.DATAGRAM_KINDS,
+    origins.DATAGRAM_KINDS,
+)
 #: request-reply queries between instances, by kind on the wire.
-QUERY_KINDS = {**feeds.QUERY_KINDS, **cachefeeds.QUERY_KINDS}
+QUERY_KINDS = merge_kinds(feeds.QUERY_KINDS, cachefeeds.QUERY_KINDS)
 #: seconds between checks that each engine and store has an instance that polls it.
 CACHE_CHECK_INTERVAL_S = 0.25
 #: how long a starting instance waits for the list of instances; if the log service
--- a/src/kumquatseam/origins/_messages.py
+++ b/src/kumquatseam/origins/_messages.py
@@ -54,7 +54,7 @@
 
 #: datagram messages by their kind on the wire.
 DATAGRAM_KINDS = {
-    "began": OriginNotice,
-    "began?": OriginQuery,
-    "began=": OriginReply,
+    "origin": OriginNotice,
+    "origin?": OriginQuery,
+    "origin=": OriginReply,
 }
