Events that are not passed on do not count as received

What callers would have seen: a stream with its first pieces missing, if the entry of an engine that started again under its id, with other software, arrived between the choice of that engine and its first event. The software was checked after the events were split, and ids of events that are split count as passed on, so that the next engine resumed behind them. Checked before they are split now. The test failed before (Last-Event-Id: 1 at the next engine) and passes; found by reading the change again.

--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -169,6 +169,7 @@
                 wait.note_first_event()
                 response.in_flight_request.note_heard()
                 wait.until_s = self.body_until_s()
+                self._check_software(response)
                 self._send_events(response, keep, self._events.feed(data))
                 if response.placement.status.move_runs_to:
                     relocation = relocation or self._relocation(response)
@@ -216,6 +217,20 @@
         if relocation is not None and relocation.may_have_stopped_run():
             raise ResponseInterruptedError(address, "stream ended by a move")
 
+    def _check_software(self, response: UpstreamResponse) -> None:
+        """Check the upstream's software version before its events are split.
+
+        Ids of events that are split count as passed on.
+
+        :raises ResponseInterruptedError: if it is not known to be the expected one.
+        """
+        if not self._continuation.may_pass_on(response.placement):
+            raise ResponseInterruptedError(
+                response.connection.address,
+                "upstream started again with other software",
+                is_upstream_fault=False,
+            )
+
     def _log_end(self, response: UpstreamResponse, is_whole: bool) -> None:
         """Log how a stream ended, and what it left of an event."""
         self._parts.metrics.record_stream_end(
@@ -233,12 +248,6 @@
     def _send_events(self, response: UpstreamResponse, keep: bool, data: bytes) -> None:
         if not data:
             return
-        if not self._continuation.may_pass_on(response.placement):
-            raise ResponseInterruptedError(
-                response.connection.address,
-                "upstream started again with other software",
-                is_upstream_fault=False,
-            )
         self._continuation.note_events(response.placement)
         self._record_event(response)
         if self._caller.has_started_response:
