--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -7,7 +7,7 @@
 from kumquatseam.admission import RetryCause
 from kumquatseam.clocks import elapsed_s
 from kumquatseam.errors import OverloadedError, UpstreamsRestingError
-from kumquatseam.gateway._call import ResponseTraits, SendOptions
+from kumquatseam.gateway._call import SendOptions
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._continuation import Continuation
 from kumquatseam.gateway._event_times import EventTimes
@@ -25,6 +25,7 @@
     UpstreamClosedError,
 )
 from kumquatseam.gateway._refusals import Reason, RefusedError
+from kumquatseam.gateway._response_notes import ResponseNotes
 from kumquatseam.http1 import (
     CallerDisconnectedError,
     ConnectFailedError,
@@ -53,7 +54,6 @@
     STATED_REASONS,
     InFlightRequest,
     Unavailability,
-    UpstreamStatus,
 )
 
 _log = part_logger("exchange")
@@ -124,6 +124,7 @@
             self._times,
             self._continuation,
         )
+        self._notes = ResponseNotes(parts, job, self._times)
         self._permission = RunPermission(parts.quarantine, job.fingerprint)
         self._placer = LimitedPlacer(parts.placer, parts.limits)
         self._next_placement: Placement | None = None
@@ -611,7 +612,7 @@
         )
         in_flight_request.note_answering()
         traits = dialect.read_response(head)
-        self._record_response_head(placement, head, traits)
+        self._notes.record(placement.status, head, traits, self._sent_elapsed_s)
         wait.until_s = self._forwarder.body_until_s()
         response = self._response = UpstreamResponse(
             placement,
@@ -676,53 +677,6 @@
             wait.note_first_event()
         return wait
 
-    def _record_response_head(
-        self, placement: Placement, head: ResponseHead, traits: ResponseTraits
-    ) -> None:
-        status, model = placement.status, self._job.call.model
-        if model and traits.weights_version is not None:
-            status.record_version(model, traits.weights_version, time.monotonic())
-        self._observe_limit(status, traits)
-        self._note_availability(status, traits)
-        if traits.responding_id in ("", status.upstream.upstream_id):
-            self._parts.directory.note_brittle(status, traits.brittle_refusals)
-        if traits.is_not_run:
-            _log.bind(
-                request=self._job.call.request_id,
-                upstream=status.upstream.incarnation_id,
-                status=head.status,
-                version=traits.weights_version,
-            ).info("Refused by the upstream.")
-            if traits.responding_id not in ("", status.upstream.upstream_id):
-                self._parts.directory.note_address_reused(status, traits.responding_id)
-            else:
-                self._parts.directory.note_refused(status)
-            return
-        self._parts.directory.note_answer(status, head.status >= 500)
-
-    def _note_availability(
-        self, status: UpstreamStatus, traits: ResponseTraits
-    ) -> None:
-        """Record what the response says about further requests."""
-        directory = self._parts.directory
-        incarnation_id = status.upstream.incarnation_id
-        if traits.responding_id not in ("", status.upstream.upstream_id):
-            incarnation_id = directory.incarnation_of(traits.responding_id)
-        directory.note_availability(incarnation_id, traits.availability)
-        if not traits.is_not_run:
-            status.availability.note_served(self._times.sent_s)
-
-    def _observe_limit(self, status: UpstreamStatus, traits: ResponseTraits) -> None:
-        """Record the limit that the response announces."""
-        upstream = status.upstream
-        if traits.responding_id in ("", upstream.upstream_id):
-            self._parts.limits.observe(
-                upstream.incarnation_id,
-                traits.limit_per_s,
-                self._sent_elapsed_s,
-                is_from_run=traits.is_signed and not traits.is_not_run,
-            )
-
     def _end_answered(self, head: ResponseHead, keep: bool) -> tuple[bool, str]:
         """Record that the caller got a complete response of an upstream."""
         self._permission.note_answered()
