--- a/src/kumquatseam/gateway/_rollout_candidate.py
+++ b/src/kumquatseam/gateway/_rollout_candidate.py
@@ -7,13 +7,16 @@
 
 from kumquatseam.gatewayfile import RolloutSettings
 from kumquatseam.leases import DutyLease
+from kumquatseam.logservice import LogService
 from kumquatseam.loops import BackgroundTask
-from kumquatseam.peers import PeerBus
+from kumquatseam.peers import LeaseHeartbeat, PeerBus
 from kumquatseam.relays import DirectPath
-from kumquatseam.rollouts import OrderClient, RolloutView
+from kumquatseam.rollouts import NoticeRelay, OrderClient, RolloutView
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
 
+#: name of the lease whose holder rolls out weights.
+ROLLOUT_LEASE = "weights"
 #: seconds between checks whether this instance may hold the lease.
 RANK_CHECK_S = 0.1
 
@@ -23,27 +26,25 @@
     """The dependencies of a :class:`RolloutCandidate`.
 
     :param settings: time limits of rollouts.
-    :param lease: the lease on the rollout duty.
+    :param log_service: keeps the lease on the rollout duty.
     :param lease_rank: returns this instance's rank among those that may hold it.
     :param targets: the weights that operators named.
     :param live: the routes, with the services that run each model.
     :param directory: the engines.
     :param orders: sends orders.
     :param bus: broadcasts notices to the other instances.
-    :param view: applies notices at this instance.
     :param running_on: returns how many requests engines have.
     :param path: whether this instance reaches the engines.
     """
 
     settings: RolloutSettings
-    lease: DutyLease
+    log_service: LogService
     lease_rank: Callable[[], int | None]
     targets: WeightsTargets
     live: LiveRouteTable
     directory: UpstreamDirectory
     orders: OrderClient
     bus: PeerBus
-    view: RolloutView
     running_on: Callable[[Sequence[str]], Mapping[str, int]]
     path: DirectPath
 
@@ -58,6 +59,10 @@
         super().__init__()
         self._parts = parts
         self._duty: BackgroundTask | None = None
+        # Every instance applies the holder's notices, and relays them.
+        self._view = RolloutView(parts.directory, parts.targets)
+        NoticeRelay(parts.bus, self._view)
+        self._lease = self._build_lease()
 
     def close(self) -> None:
         super().close()
@@ -70,18 +75,31 @@
         self._duty = self._build_duty()
         self._duty.start()
 
+    def _build_lease(self) -> DutyLease:
+        bus = self._parts.bus
+        lease = DutyLease(
+            self._parts.log_service,
+            ROLLOUT_LEASE,
+            bus.name,
+            self._parts.settings.lease_s,
+            self._parts.lease_rank,
+            on_held=lambda fence: bus.publish(LeaseHeartbeat(ROLLOUT_LEASE, fence)),
+        )
+        bus.on_message(LeaseHeartbeat, lambda held: lease.note_other_holder(held.fence))
+        return lease
+
     def _build_duty(self) -> BackgroundTask:
         from kumquatseam.rollouts.duty import RolloutBounds, RolloutDuty
 
         parts = self._parts
         return RolloutDuty(
-            parts.lease,
+            self._lease,
             parts.targets,
             parts.live,
             parts.directory,
             parts.orders,
             parts.bus,
-            parts.view,
+            self._view,
             parts.running_on,
             may_act=lambda: not parts.path.is_lost,
             bounds=RolloutBounds(
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -25,7 +25,6 @@
 from kumquatseam.gateway._upstream_paths import UpstreamPaths
 from kumquatseam.gatewayfile import GatewayFile
 from kumquatseam.http1 import RequestLimits
-from kumquatseam.leases import DutyLease
 from kumquatseam.lifecycle import PartGroup
 from kumquatseam.logs import part_logger
 from kumquatseam.logservice import HttpLogService
@@ -38,7 +37,6 @@
     DatagramSocket,
     InstanceRecord,
     InstanceRegistry,
-    LeaseHeartbeat,
     LoadExchange,
     PeerBus,
     PeerQueries,
@@ -60,7 +58,6 @@
     TeamQuotas,
     UpstreamLimits,
 )
-from kumquatseam.rollouts import NoticeRelay, RolloutView
 from kumquatseam.routes import LiveRouteTable, RouteTable
 from kumquatseam.trackers import (
     TRACKER_KINDS,
@@ -103,8 +100,6 @@
 SWEEP_INTERVAL_S = 1.0
 #: seconds between checks of the connections to peers.
 PEER_CHECK_INTERVAL_S = 0.25
-#: name of the lease whose holder rolls out weights.
-ROLLOUT_LEASE = "weights"
 #: part of the shutdown grace period that is reserved for ending the process.
 SHUTDOWN_MARGIN_S = 0.4
 
@@ -319,32 +314,16 @@
         )
 
     def _build_rollouts(self) -> RolloutCandidate:
-        view = RolloutView(self._directory, self._targets)
-        NoticeRelay(self._bus, view)
-        lease = DutyLease(
-            self._log_service,
-            ROLLOUT_LEASE,
-            self._bus.name,
-            self._file.rollout.lease_s,
-            self._lease_rank,
-            on_held=lambda fence: self._bus.publish(
-                LeaseHeartbeat(ROLLOUT_LEASE, fence)
-            ),
-        )
-        self._bus.on_message(
-            LeaseHeartbeat, lambda held: lease.note_other_holder(held.fence)
-        )
         return RolloutCandidate(
             RolloutParts(
                 self._file.rollout,
-                lease,
+                self._log_service,
                 self._lease_rank,
                 self._targets,
                 self._live,
                 self._directory,
                 self._orders,
                 self._bus,
-                view,
                 lambda engines: self._work.running_on(engines, ROLLOUT_LOAD_MAX_AGE_S),
                 self._path,
             )
--- a/src/kumquatseam/origins/_origins.py
+++ b/src/kumquatseam/origins/_origins.py
@@ -31,7 +31,7 @@
     """The result of a search for a stream's origin.
 
     :param origin: the origin, if it is known.
-    :param source: the instance that knew it.
+    :param source: who knew it: this instance by its name, or ``"owner"``.
     :param age_s: how long it has been known there.
     :param asked: the instances that were asked.
     :param is_complete: whether all of them replied.
