--- a/features/moves.feature
+++ b/features/moves.feature
@@ -64,3 +64,18 @@
     When the caller's request is served
     Then another engine was asked to begin the stream
     And the caller's stream is complete, with 4 events
+
+  Scenario: A stream that an engine of unknown software began does not go on elsewhere
+    An engine may say that it has started again before its entry does.
+
+    Given a resumable stream on an engine whose software is not known
+    When the caller's request is served
+    Then no other engine was tried
+    And the caller's stream is visibly incomplete after 2 events
+
+  Scenario: An engine that started again is known once its entry arrives
+    Given a resumable stream on an engine whose software is not known
+    And its entry arrives after that, and is no further start
+    When the caller's request is served
+    Then no other engine was tried
+    And the caller's stream is visibly incomplete after 2 events
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -145,7 +145,9 @@
     directory = UpstreamDirectory()
     for name, address in ADDRESSES.items():
         weights = (WeightsVersion("m0", 1),)
-        directory.put(Upstream(name, "engines", address, weights=weights))
+        directory.put(
+            Upstream(name, "engines", address, weights=weights, software_version="v1")
+        )
     directory.status("source").move_runs_to = ("target",)
     context.pool = ScriptedPool(target_failures)
     context.placer = ScriptedPlacer(directory)
@@ -297,3 +299,30 @@
 def step_begun_elsewhere(context):
     sent = context.pool.connections[ADDRESSES["other"]].sent
     assert sent and b"Last-Event-Id" not in sent, sent
+
+
+@given("a resumable stream on an engine whose software is not known")
+def step_unknown_software(context):
+    _build(context, 0, is_resumable=True)
+    directory = context.placer.directory
+    source = directory.status("source")
+    # It says itself that it has started again; its entry is older than that.
+    directory.note_restart(source, 1)
+    restarted = directory.status("source@1")
+    assert restarted.upstream.software_version == "", restarted.upstream
+    context.placer.places[0] = "source@1"
+
+
+@given("its entry arrives after that, and is no further start")
+def step_entry_arrives(context):
+    directory = context.placer.directory
+    restarted = directory.status("source@1")
+    entry = attrs.evolve(restarted.upstream, software_version="v2")
+    directory.put(entry)
+    assert directory.status("source@1") is restarted
+    assert restarted.upstream.software_version == "v2"
+
+
+@then("no other engine was tried")
+def step_no_other(context):
+    assert set(context.pool.tried) == {ADDRESSES["source"]}, context.pool.tried
