--- a/features/steps/two_versions_steps.py
+++ b/features/steps/two_versions_steps.py
@@ -86,15 +86,16 @@
     :param draw: a random number generator.
     :param drops: whether it drops its connection after two events.
     :param comes_back_s: how long it takes to come back.
+    :param deadline_s: how long it waits in all.
     """
 
-    def __init__(self, world, stream, draw, drops, comes_back_s):
+    def __init__(self, world, stream, draw, drops, comes_back_s, deadline_s=DEADLINE_S):
         self.comes_back_s = comes_back_s
         self.world = world
         self.stream = stream
         self.draw = draw
         self.drops = drops
-        self.deadline_s = stream.began_s + DEADLINE_S
+        self.deadline_s = stream.began_s + deadline_s
         self.first_id = ""
 
     def run(self):
@@ -187,12 +188,20 @@
     "behind a proxy"
 )
 def step_versions(
-    context, count, old, new, events=EVENTS, room=None, pause_s=EVENT_PAUSE_S
+    context,
+    count,
+    old,
+    new,
+    events=EVENTS,
+    room=None,
+    pause_s=EVENT_PAUSE_S,
+    has_proxies=True,
 ):
     step_platform(context)
     world = context.platform
     context.events, context.room, context.event_pause_s = events, room, pause_s
     context.proxies = []
+    context.has_proxies = has_proxies
     context.streams = []
     for number in range(old + new):
         add_engine(context, f"e{number}", "v1" if number < old else "v2")
@@ -246,8 +255,16 @@
     context.rests = True
 
 
+@given(
+    "{count:d} gateways in front of {old:d} engines of v1 and {new:d} of v2, with room "
+    "for {room:d} streams of {events:d} events"
+)
+def step_direct_engines(context, count, old, new, room, events):
+    step_versions(context, count, old, new, events, room, has_proxies=False)
+
+
 def add_engine(context, name, software):
-    """Add an engine behind a proxy, and list it."""
+    """Add an engine, behind a proxy or not, and list it."""
     world = context.platform
     replica = world.add_replica(
         "engines",
@@ -258,11 +275,14 @@
         software=software,
     )
     replica.room = context.room
-    proxy = CutProxy(replica.address)
-    proxy.pids = [g.process.pid for g in world.gateways if g.process]
-    context.proxies.append(proxy)
-    world.on_close.append(proxy.close)
-    world.list_replica(name, address=proxy.address, slots=context.room or 48)
+    address = replica.address
+    if context.has_proxies:
+        proxy = CutProxy(replica.address)
+        proxy.pids = [g.process.pid for g in world.gateways if g.process]
+        context.proxies.append(proxy)
+        world.on_close.append(proxy.close)
+        address = proxy.address
+    world.list_replica(name, address=address, slots=context.room or 48)
     return replica
 
 
@@ -271,7 +291,15 @@
         proxy.pids = [g.process.pid for g in context.platform.gateways]
 
 
-def run_callers(context, for_s, drop_every=0, troubles=(), comes_back_s=COMES_BACK_S):
+def run_callers(
+    context,
+    for_s,
+    drop_every=0,
+    troubles=(),
+    comes_back_s=COMES_BACK_S,
+    streams_per_s=STREAMS_PER_S,
+    deadline_s=DEADLINE_S,
+):
     """Begin streams at an even rate, and run troubles at their times.
 
     :param drop_every: every how many callers one drops its connection; 0 for none.
@@ -289,10 +317,12 @@
         stream = CallerStream(number, time.monotonic())
         context.streams.append(stream)
         drops = bool(drop_every) and number % drop_every == 0
-        caller = StreamCaller(world, stream, random.Random(number), drops, comes_back_s)
+        caller = StreamCaller(
+            world, stream, random.Random(number), drops, comes_back_s, deadline_s
+        )
         threads.append(threading.Thread(target=caller.run))
         threads[-1].start()
-        time.sleep(1 / STREAMS_PER_S)
+        time.sleep(1 / streams_per_s)
     for thread in threads:
         thread.join()
 
@@ -372,17 +402,29 @@
     run_callers(context, for_s, every, troubles, comes_back_s=1.5)
 
 
+@when(
+    "{rate:d} callers a second stream for {for_s:d} seconds, {count:d} engines of v1 "
+    "crash, and 2 gateways are {how}"
+)
+def step_hundreds(context, rate, for_s, count, how):
+    number = signal.SIGKILL if how == "killed" else signal.SIGTERM
+    context.rests = False
+    for replica in context.platform.replicas.values():
+        replica.event_pause_s = 0.5
+    step_herd(context, for_s, count, number, streams_per_s=rate, deadline_s=15.0)
+
+
 @when(
     "callers stream for {for_s:d} seconds, {count:d} engines of v1 crash together with "
     "2 gateways"
 )
-def step_herd(context, for_s, count):
+def step_herd(context, for_s, count, number=signal.SIGKILL, **options):
     world = context.platform
     old = [r for r in world.replicas.values() if r.software == "v1"]
 
     def crash():
         for gateway in world.gateways[:2]:
-            gateway.process.kill()
+            gateway.process.send_signal(number)
         for replica in old[:count]:
             world.unlist_replica(replica.upstream_id)
             replica.crash()
@@ -392,7 +434,7 @@
         for gateway in world.gateways[:2]:
             _restart(context, gateway)
 
-    run_callers(context, for_s, troubles=[(for_s / 2, crash)])
+    run_callers(context, for_s, troubles=[(for_s / 2, crash)], **options)
 
 
 def set_resets(context, every):
@@ -476,6 +518,12 @@
     assert go_on >= share * begin, f"{go_on:.3f} of {taken} went on, {begin:.3f} began"
 
 
+@then("at least {count:d} streams were taken up at once")
+def step_hundreds_taken(context, count):
+    taken = sum(bool(s.taken_up) for s in context.streams)
+    assert taken >= count, taken
+
+
 @then("at least {share:g} of all streams are complete")
 def step_complete(context, share):
     complete = sum(s.is_complete for s in context.streams)
--- a/features/two_versions.feature
+++ b/features/two_versions.feature
@@ -64,6 +64,19 @@
       | each engine announces a limit of 12 requests a second |
       | one of the engines that stay asks for rest        |
 
+  Scenario Outline: Hundreds come back at once after gateways were <how>
+    Given 4 gateways in front of 6 engines of v1 and 6 of v2, with room for 80 streams of 8 events
+    When 80 callers a second stream for 12 seconds, 4 engines of v1 crash, and 2 gateways are <how>
+    Then no stream has events of two versions
+    And no event is missing or comes twice
+    And at least <count> streams were taken up at once
+    And as many streams went on as began, to within 0.05
+
+    Examples:
+      | how     | count |
+      | killed  | 100   |
+      | stopped | 12    |
+
   Scenario: The routers' own interface resumes responses
     Given a fleet of 1 router and 2 engines each of two versions, which break off responses
     When callers stream 10 responses
