--- a/src/kumquatseam/origins/_origins.py
+++ b/src/kumquatseam/origins/_origins.py
@@ -9,6 +9,7 @@
 from kumquatseam.origins._messages import OriginNotice, OriginQuery, OriginReply
 from kumquatseam.origins._table import KeptOrigin, OriginTable
 from kumquatseam.peers import (
+    DatagramCalls,
     DatagramLink,
     InstanceRecord,
     KeyOwners,
@@ -87,10 +88,9 @@
             parts.name,
             RendezvousOrder(parts.list_instances, spreads_zones=True),
             parts.link,
-            (OriginReply,),
-            parts.clock,
-            parts.wait,
-            parts.unresponsive,
+            DatagramCalls(
+                parts.link, (OriginReply,), parts.clock, parts.wait, parts.unresponsive
+            ),
         )
         self._owners.on_notice(OriginNotice, self._keep)
         self._owners.on_request(OriginQuery, self._reply)
--- a/src/kumquatseam/peers/_key_owners.py
+++ b/src/kumquatseam/peers/_key_owners.py
@@ -1,15 +1,11 @@
 """Finding and calling the instances that own a key."""
 
-import time
 from collections.abc import Callable, Sequence
 
-import gevent.event
-
 from kumquatseam.peers._calls import DatagramCalls
 from kumquatseam.peers._datagrams import DatagramLink
 from kumquatseam.peers._messages import InstanceRecord
 from kumquatseam.peers._rendezvous import RendezvousOrder
-from kumquatseam.peers._unresponsive import UnresponsivePeers
 
 
 class KeyOwners:
@@ -21,10 +17,7 @@
     :param name: this instance.
     :param order: selects the owners of a key.
     :param link: carries messages between two instances.
-    :param reply_kinds: classes of the replies to :meth:`call` and :meth:`call_all`.
-    :param clock: monotonic clock in seconds.
-    :param wait: waits for an event, with a timeout in seconds.
-    :param unresponsive: the instances to skip; shared with other users of the link.
+    :param calls: calls other instances over the link.
     """
 
     def __init__(
@@ -32,15 +25,12 @@
         name: str,
         order: RendezvousOrder,
         link: DatagramLink,
-        reply_kinds: tuple[type, ...],
-        clock: Callable[[], float] = time.monotonic,
-        wait: Callable[[gevent.event.Event, float], object] = gevent.event.Event.wait,
-        unresponsive: UnresponsivePeers | None = None,
+        calls: DatagramCalls,
     ) -> None:
         self.name = name
         self._order = order
         self._link = link
-        self.calls = DatagramCalls(link, reply_kinds, clock, wait, unresponsive)
+        self.calls = calls
         self._handlers: dict[type, Callable] = {}
 
     def on_request(self, kind: type, handler: Callable) -> None:
@@ -59,10 +49,6 @@
         """Return the owners of ``key``, the preferred one first."""
         return self._order.owners_of(key)
 
-    def is_owner(self, key: str) -> bool:
-        """Return whether this instance owns ``key``."""
-        return any(record.name == self.name for record in self.of(key))
-
     def call(self, record: InstanceRecord, request) -> object | None:
         """Return an owner's reply; ``None`` if it is skipped or does not reply."""
         if record.name == self.name:
--- a/src/kumquatseam/quotas/_owners.py
+++ b/src/kumquatseam/quotas/_owners.py
@@ -10,6 +10,7 @@
 from kumquatseam.clocks import elapsed_s
 from kumquatseam.gatewayfile import RetrySettings
 from kumquatseam.peers import (
+    DatagramCalls,
     DatagramLink,
     InstanceRecord,
     KeyOwners,
@@ -109,9 +110,7 @@
             parts.name,
             RendezvousOrder(parts.list_instances),
             parts.link,
-            (QuotaLeaseReply,),
-            parts.clock,
-            parts.wait,
+            DatagramCalls(parts.link, (QuotaLeaseReply,), parts.clock, parts.wait),
         )
         self.calls = self._owners.calls
         self.allocator = QuotaAllocator(
