Log and count what is known of brittle upstreams, and what they refuse

Three causes look the same from outside: shares that add up to more than there is, an upstream that came back and is not known to be brittle, and counts of running requests that are too old.

'Placed.' and 'Refused by the upstream.' say what the upstream is believed to bear and how long ago it said so itself (nothing: not known to be brittle; null: only others of its service said so). A refusal's line has the requests of this instance there and the upstream's slots. Counters: brittle_upstreams_requests, brittle_upstreams_refusals; gauge upstreams_brittle. No decision changes.

--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -73,6 +73,7 @@
     metrics.register_gauge(
         "upstreams_limited", lambda: len(parts.limits.announced.limited())
     )
+    metrics.register_gauge("upstreams_brittle", lambda: _count_brittle(directory))
     metrics.register_gauge("path_lost", lambda: int(parts.path.is_lost))
     metrics.register_gauge("requests_suspected", lambda: len(parts.quarantine.suspects))
     metrics.register_gauge("quotas_kept", lambda: len(parts.shard_owners.allocator))
@@ -106,6 +107,12 @@
         "requests_to_leaving", lambda: parts.directory.sent_to_leaving
     )
     metrics.register_counter("requests_in_rest", lambda: parts.directory.sent_in_rest)
+    metrics.register_counter(
+        "brittle_upstreams_requests", lambda: parts.directory.sent_to_brittle
+    )
+    metrics.register_counter(
+        "brittle_upstreams_refusals", lambda: parts.directory.refused_by_brittle
+    )
     metrics.register_counter("stream_origins_searched", lambda: parts.origins.searches)
     metrics.register_counter("stream_origins_unknown", lambda: parts.origins.unknown)
     metrics.register_counter("path_losses", lambda: parts.path.lost_count)
@@ -127,6 +134,10 @@
     return sum(s.is_held_out for s in directory.all())
 
 
+def _count_brittle(directory: UpstreamDirectory) -> int:
+    return sum(directory.bearable_refusals(s) is not None for s in directory.all())
+
+
 def _count_on_newest_weights(
     directory: UpstreamDirectory, targets: WeightsTargets
 ) -> int:
--- a/src/kumquatseam/gateway/_response_notes.py
+++ b/src/kumquatseam/gateway/_response_notes.py
@@ -53,6 +53,10 @@
             upstream=status.upstream.incarnation_id,
             status=head.status,
             version=traits.weights_version,
+            # This request among them.
+            own_running=status.running,
+            slots=status.upstream.slots,
+            **directory.brittle_log_fields(status.upstream.incarnation_id),
         ).info("Refused by the upstream.")
         if is_expected:
             directory.note_refused(status)
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -515,6 +515,7 @@
             prompt_tokens=request.prompt.tokens,
             shared_tokens=request.prompt.shared_tokens,
             **self._limits.log_fields(chosen.incarnation_id),
+            **self._directory.brittle_log_fields(chosen.incarnation_id),
             list_age_s=round(
                 self._clock() - (self._directory.list_confirmed_s or 0.0), 2
             ),
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -96,6 +96,9 @@
         self.sent_to_leaving = 0
         #: requests sent to upstreams that had asked for rest.
         self.sent_in_rest = 0
+        #: requests sent to upstreams known to be brittle, and those that they refused.
+        self.sent_to_brittle = 0
+        self.refused_by_brittle = 0
 
     def on_gone(self, listener: Callable[[Upstream], None]) -> None:
         """Call ``listener`` with each incarnation that ended or was removed."""
@@ -327,6 +330,7 @@
         for_s = REFUSED_BLOCK_S
         bearable = self.bearable_refusals(status)
         if bearable is not None:
+            self.refused_by_brittle += 1
             instances = self._count_instances()
             each_per_s = max(1, int(bearable // instances))
             for_s = max(1.0 / each_per_s, instances / max(1.0, bearable))
@@ -426,12 +430,29 @@
             return
         self.sent_to_leaving += status.is_leaving
         self.sent_in_rest += status.availability.is_rest_asked
+        self.sent_to_brittle += self.bearable_refusals(status) is not None
         status.availability.note_sent()
 
     def has_brittle(self) -> bool:
         """Return whether any upstream may be brittle."""
         return bool(self._brittle)
 
+    def brittle_log_fields(self, incarnation_id: str) -> dict[str, float | None]:
+        """Return what is known of an upstream's brittleness; nothing if it has none.
+
+        ``brittle_age_s`` is the time since it said so itself; ``None`` if only others
+        of its service did.
+        """
+        status = self._by_incarnation.get(incarnation_id)
+        bearable = self.bearable_refusals(status) if status is not None else None
+        if bearable is None:
+            return {}
+        age_s = round(self._clock() - status.brittle_known_s, 3)
+        return {
+            "bearable_refusals": bearable,
+            "brittle_age_s": age_s if math.isfinite(age_s) else None,
+        }
+
     def bearable_refusals(self, status: UpstreamStatus) -> float | None:
         """Return the refusals a second that an upstream bears, if it is brittle.
 
