Known red tests: brittle upstreams fall under what they reject

Stand-ins fall over when they reject more than they said they bear, come back under a new id some seconds later, have said nothing then, and let fewer requests wait from some time after they first said it. What can be done has to be used, and what can't be served is to be refused within the wait that a place is worth.

--- a/features/steps/limits_world.py
+++ b/features/steps/limits_world.py
@@ -274,7 +274,7 @@
             )
         )
         self.limits = UpstreamLimits(self.owners)
-        self.directory = UpstreamDirectory(fleet.clock)
+        self.directory = UpstreamDirectory(fleet.clock, self.owners.count_instances)
         for engine in fleet.engines.values():
             self.directory.put(engine.upstream)
         index = PromptIndex(fleet.clock)
@@ -408,6 +408,8 @@
     :param engine_count: number of engines.
     """
 
+    instance_class = LimitInstance
+
     def __init__(self, count, engine_count, seed=1):
         self.is_small = count <= 12
         self.clock = Clock()
@@ -423,7 +425,7 @@
             for n in range(count)
         )
         self.records = tuple(sorted(records, key=order_key))
-        self.instances = {r.name: LimitInstance(self, r) for r in self.records}
+        self.instances = {r.name: self.instance_class(self, r) for r in self.records}
         self.net.endpoints = {i.record.address: i for i in self.instances.values()}
         self.requests = []
         if self.is_small:
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -102,8 +102,16 @@
         self.room = None
         #: how long a request of a plain service runs.
         self.work_s = 0.0
+        #: requests of a plain service that run at once, and how many more may wait;
+        #: ``None`` for any number.
+        self.slots = None
+        self.queue = 0
+        self.admitted = 0
+        self._slot_freed = threading.Condition()
         #: refusals a second beyond which it falls over, as it says; ``None`` for none.
         self.brittle = None
+        #: whether it does so.
+        self.falls_over = False
         self.refused_s = collections.deque()
         #: most refusals in any second.
         self.most_refused = 0
@@ -316,9 +324,10 @@
         if copy is not None and self.run_moves.resets(copy):
             self._reset(http)
             return
-        if copy is None and not self._has_room():
+        if copy is None and not self._admit():
+            with contextlib.suppress(BrokenPipeError):
+                self._send(http, 503, b"", {**headers, "X-Not-Executed": "1"})
             self._refuse_for_room()
-            self._send(http, 503, b"", {**headers, "X-Not-Executed": "1"})
             return
         if expected_version is not None and int(expected_version) != self.version:
             self._send(http, 421, b"", headers)
@@ -358,11 +367,17 @@
             self._work(http, headers, fault)
 
     def _work(self, http, headers, fault=""):
-        self.running += 1
+        with self._slot_freed:
+            self._slot_freed.wait_for(self._has_slot)
+            self.running += 1
         time.sleep(self.work_s)
-        self.running -= 1
+        with self._slot_freed:
+            self.running -= 1
+            self.admitted -= 1
+            self._slot_freed.notify()
         if not http.is_unframed:
-            self._send(http, 200, b"".join(self.pieces), headers)
+            with contextlib.suppress(BrokenPipeError):
+                self._send(http, 200, b"".join(self.pieces), headers)
             return
         with contextlib.suppress(OSError):
             self._send(http, 200, b"", headers)
@@ -374,10 +389,24 @@
                 http.wfile.flush()
                 time.sleep(self.event_pause_s)
 
+    def _has_slot(self):
+        return self.slots is None or self.running < self.slots
+
     def _has_room(self):
         taken = self.running + self.run_moves.reserved
         return self.room is None or taken < self.room
 
+    def _admit(self):
+        """Let a request run or wait; return whether there is room for it."""
+        with self._slot_freed:
+            is_full = (
+                self.slots is not None and self.admitted >= self.slots + self.queue
+            )
+            if is_full or not self._has_room():
+                return False
+            self.admitted += 1
+            return True
+
     def has_room_for_copy(self, handle) -> bool:
         """Return whether the memory of a run may be copied here."""
         is_known = any(handle in value for value in self.run_moves.memories)
@@ -389,6 +418,9 @@
         while self.refused_s[0] < now_s - 1.0:
             self.refused_s.popleft()
         self.most_refused = max(self.most_refused, len(self.refused_s))
+        if self.falls_over and len(self.refused_s) > self.brittle:
+            self.falls_over = False
+            self.crash()
 
     def _reset(self, http):
         linger = struct.pack("ii", 1, 0)
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -143,13 +143,16 @@
 
     # Records that operators and replicas write to the log service.
 
-    def add_replica(self, service, upstream_id, **options) -> StandinReplica:
+    def add_replica(
+        self, service, upstream_id, is_listed=True, **options
+    ) -> StandinReplica:
         replica = StandinReplica(upstream_id, **options)
         replica.find = self._find_replica
         replica.start()
         self.replicas[upstream_id] = replica
         self.services[upstream_id] = service
-        self.list_replica(upstream_id)
+        if is_listed:
+            self.list_replica(upstream_id)
         return replica
 
     def _find_replica(self, address):
