--- a/features/steps/brittle_world.py
+++ b/features/steps/brittle_world.py
@@ -7,9 +7,9 @@
 from limits_world import CODEC, CallerRequest, LimitFleet, LimitInstance
 
 from kumquatseam.errors import UpstreamsRestingError
-from kumquatseam.placement import PlacementRequest
+from kumquatseam.placement import LimitedPlacer, PlacementRequest
 from kumquatseam.prompts import PromptChain
-from kumquatseam.quotas import CallerRetry, UpstreamLimitError
+from kumquatseam.quotas import SWEEP_INTERVAL_S, CallerRetry, UpstreamFullError
 from kumquatseam.routes import ServiceTraits
 from kumquatseam.upstreams import Upstream
 
@@ -103,19 +103,20 @@
         began_s = fleet.clock()
         excluded = set()
         for attempt in range(1, MAX_ATTEMPTS + 1):
-            placement = self._place(request, excluded, attempt, began_s)
-            if placement is None:
+            granted = self._place(request, excluded, attempt, began_s)
+            if granted is None:
                 break
-            request.outcome = self._send_and_wait(placement)
+            request.outcome = self._send_and_wait(granted)
             if request.outcome != "refused":
                 break
-            excluded.add(placement.status.upstream.incarnation_id)
+            excluded.add(granted.grant.incarnation_id)
         request.took_s = fleet.clock() - began_s
 
     def _place(self, request, excluded, attempt, began_s):
         """Return an upstream, waiting a short time for one."""
         fleet = self.fleet
-        placer = self.new_placer()
+        placer = LimitedPlacer(self.free_placer, self.limits, fleet.clock, fleet.draw)
+        retry = CallerRetry(request.key, DEADLINE_S / 3)
         while True:
             placed = PlacementRequest(
                 request.key,
@@ -127,30 +128,27 @@
                 attempt,
             )
             try:
-                granted = self.try_place(placer, placed)
-            except (UpstreamLimitError, UpstreamsRestingError) as error:
+                granted = placer.place(placed, retry, MAX_WAIT_S)
+            except (UpstreamFullError, UpstreamsRestingError) as error:
                 request.outcome = "turned away"
                 request.retry_after_s = error.retry_after_s
                 return None
             if granted is not None:
-                return granted.placement
+                return granted
             excluded.clear()
             if fleet.clock() - began_s >= MAX_WAIT_S:
                 request.outcome = "turned away"
                 return None
-            fleet.net.wait(gevent.event.Event(), POLL_S)
+            turn_in_s = placer.turn_in_s
+            pause_s = POLL_S if turn_in_s is None else min(POLL_S, turn_in_s)
+            fleet.net.wait(gevent.event.Event(), pause_s)
 
-    def new_placer(self):
-        return self.placer
-
-    def try_place(self, placer, placed):
-        return placer.place(placed, CallerRetry(placed.request_id, DEADLINE_S / 3))
-
-    def _send_and_wait(self, placement):
+    def _send_and_wait(self, granted):
         """Send a request; return what became of it."""
-        fleet = self.fleet
+        fleet, placement = self.fleet, granted.placement
         status = placement.status
         in_flight = self.work.begin(placement.request_work(DEADLINE_S))
+        self.limits.note_sent(granted.grant)
         generation, outcome = self.generation, []
         sent_s, done = fleet.clock(), gevent.event.Event()
 
@@ -161,11 +159,11 @@
         def receive(result):
             if self.is_up and generation is self.generation:
                 outcome.append(result)
-                in_flight.end()
                 if result == "reset":
                     self.directory.note_connection_failure(status, "reset")
                 else:
                     self.note_response(status, result, sent_s)
+                in_flight.end()
             done.set()
 
         upstream = fleet.upstreams.get(status.upstream.incarnation_id)
@@ -179,9 +177,11 @@
 
     def note_response(self, status, result, sent_s):
         """Record what a response says, as the gateway does."""
-        self.directory.note_brittle(status, self.fleet.said)
+        if self.fleet.said is not None or result == "served":
+            self.places.observe(status, self.fleet.said, sent_s)
         if result == "refused":
             self.directory.note_refused(status)
+            self.places.note_refused(status)
 
 
 class BrittleFleet(LimitFleet):
@@ -205,6 +205,13 @@
         self.has_settled = False
         self.fall_times_s = []
         super().__init__(count, upstreams, seed)
+        self._sweep()
+
+    def _sweep(self):
+        for instance in self.instances.values():
+            if instance.is_up:
+                instance.places.sweep()
+        self.net.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def _add_engine(self, name):
         self.upstreams[name] = self.engines[name] = BrittleUpstream(
--- a/features/steps/limits_world.py
+++ b/features/steps/limits_world.py
@@ -33,6 +33,7 @@
     ShardOwners,
     UpstreamLimitError,
     UpstreamLimits,
+    UpstreamPlaces,
 )
 from kumquatseam.trackers import (
     TRACKER_KINDS,
@@ -43,6 +44,7 @@
 from kumquatseam.upstreams import (
     NO_LIMIT_PER_S,
     AnnouncedLimits,
+    Brittleness,
     Upstream,
     UpstreamDirectory,
     WeightsTargets,
@@ -273,23 +275,23 @@
                 limits=self.announced,
             )
         )
-        self.limits = UpstreamLimits(self.owners)
-        self.directory = UpstreamDirectory(fleet.clock, self.owners.count_instances)
+        self.directory = UpstreamDirectory(fleet.clock)
         for engine in fleet.engines.values():
             self.directory.put(engine.upstream)
+        self.places = UpstreamPlaces(
+            self.owners, Brittleness(self.announced), self.directory
+        )
+        self.limits = UpstreamLimits(self.owners, places=self.places)
         index = PromptIndex(fleet.clock)
         self.work = self._build_work(index)
-        self.placer = LimitedPlacer(
-            Placer(
-                self.directory,
-                index,
-                "z",
-                WeightsTargets(fleet.clock),
-                clock=fleet.clock,
-                work=self.work,
-                limits=self.limits,
-            ),
-            self.limits,
+        self.free_placer = Placer(
+            self.directory,
+            index,
+            "z",
+            WeightsTargets(fleet.clock),
+            clock=fleet.clock,
+            work=self.work,
+            limits=self.limits,
         )
 
     def read_list(self):
@@ -316,7 +318,8 @@
             index,
             fleet.clock,
             self.announced,
-            self.owners.allocator.used_up_s,
+            self.owners.used_up_s,
+            self.places.report_of,
         )
         order = RendezvousOrder(lambda: self.known_records or fleet.records)
         client = TrackerClient(
@@ -335,7 +338,7 @@
             fleet.clock,
             fleet.draw,
             lambda load: self.limits.note_tracked(
-                load.holder, load.limit, load.used_up_ms / 1000.0
+                load.holder, load.limit, load.used_up_ms / 1000.0, load.brittle
             ),
         )
 
@@ -345,9 +348,8 @@
         began_s = fleet.clock()
         placed = build_request(f"o{request.key}", request.key)
         try:
-            granted = self.placer.place(
-                placed, CallerRetry(request.key, MAX_RETRY_AFTER_S)
-            )
+            placer = LimitedPlacer(self.free_placer, self.limits, fleet.clock)
+            granted = placer.place(placed, CallerRetry(request.key, MAX_RETRY_AFTER_S))
         except UpstreamLimitError as error:
             request.outcome = "refused"
             request.is_reserved = error.is_reserved
--- a/features/steps/modelled_fibers.py
+++ b/features/steps/modelled_fibers.py
@@ -36,10 +36,11 @@
     def send(self, sender, address, message):
         if sender in self.unreachable or address in self.unreachable:
             return
-        size = len(self.codec.encode(message))
+        super().send(sender, address, message)
+
+    def note_sent(self, sender, address, size):
         for end in (sender, address):
             self.bytes_by_address[end] = self.bytes_by_address.get(end, 0) + size
-        super().send(sender, address, message)
 
     def _deliver(self, address, sender, data):
         extra_s = self.extra_delay_s.get(address, 0.0)
--- a/features/steps/modelled_net.py
+++ b/features/steps/modelled_net.py
@@ -32,12 +32,16 @@
     def send(self, sender, address, message):
         data = self.codec.encode(message)
         self.sent += 1
+        self.note_sent(sender, address, len(data))
         self.max_bytes = max(self.max_bytes, len(data))
         for _ in range(2 if self.draw.random() < self.duplication else 1):
             if self.draw.random() >= self.loss:
                 delay_s = self.draw.uniform(0.0005, self.max_delay_s)
                 self.call_later(delay_s, self._deliver, address, sender, data)
 
+    def note_sent(self, sender, address, size):
+        """Called with the size of each message that is sent."""
+
     def call_later(self, delay_s, function, *arguments):
         due_s = self.clock() + delay_s
         heapq.heappush(
--- a/features/steps/quarantine_world.py
+++ b/features/steps/quarantine_world.py
@@ -1,7 +1,8 @@
 """Quarantines for tests that start no processes."""
 
 from kumquatseam.peers import InstanceRecord, NullDatagramLink, RendezvousOrder
-from kumquatseam.quarantine import DirectNoticeChannel, Quarantine, QuarantineParts
+from kumquatseam.quarantine import Quarantine, QuarantineParts
+from kumquatseam.quarantine.direct import DirectNoticeChannel
 
 
 def single_instance_quarantine():
--- a/features/steps/quota_world.py
+++ b/features/steps/quota_world.py
@@ -22,8 +22,10 @@
     ShardOwners,
     TeamQuotas,
     UpstreamLimits,
+    UpstreamPlaces,
 )
 from kumquatseam.routes import RouteTable, TeamQuota, TeamTraits
+from kumquatseam.upstreams import Brittleness, UpstreamDirectory
 
 CODEC = MessageCodec("datagram", DATAGRAM_KINDS, is_compact=True)
 #: the tolerance: in each window, the quota's rate and burst may be exceeded by a tenth
@@ -280,4 +282,6 @@
 
 def single_instance_limits():
     """Return the limits of upstreams in a fleet of one instance."""
-    return UpstreamLimits(single_instance_owners())
+    owners = single_instance_owners()
+    places = UpstreamPlaces(owners, Brittleness(owners.limits), UpstreamDirectory())
+    return UpstreamLimits(owners, places=places)
--- a/src/kumquatseam/explain/_explanation.py
+++ b/src/kumquatseam/explain/_explanation.py
@@ -23,6 +23,7 @@
     "answer_broken": "the upstream's response was interrupted; a retry is not allowed",
     "quarantined": "upstreams crashed while running the same request before",
     "limits_used_up": "every upstream announced a limit, and none had room",
+    "upstreams_full": "every upstream was brittle and ran as many requests as it bears",
     "upstreams_resting": "every upstream of the service had asked for rest",
     "stream_origin_unknown": "no instance knew which software version began its stream",
     "software_version_gone": "no replica of the version that began its stream serves",
--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -71,9 +71,11 @@
         lambda: _count_on_newest_weights(directory, targets),
     )
     metrics.register_gauge(
-        "upstreams_limited", lambda: len(parts.limits.announced.limited())
+        "upstreams_limited", lambda: _count_limited(directory, parts.limits)
+    )
+    metrics.register_gauge(
+        "upstreams_brittle", lambda: _count_brittle(directory, parts.limits)
     )
-    metrics.register_gauge("upstreams_brittle", lambda: _count_brittle(directory))
     metrics.register_gauge("path_lost", lambda: int(parts.path.is_lost))
     metrics.register_gauge("requests_suspected", lambda: len(parts.quarantine.suspects))
     metrics.register_gauge("quotas_kept", lambda: len(parts.shard_owners.allocator))
@@ -107,12 +109,11 @@
         "requests_to_leaving", lambda: parts.directory.sent_to_leaving
     )
     metrics.register_counter("requests_in_rest", lambda: parts.directory.sent_in_rest)
+    metrics.register_counter("brittle_upstreams_requests", lambda: limits.places.sent)
     metrics.register_counter(
-        "brittle_upstreams_requests", lambda: parts.directory.sent_to_brittle
-    )
-    metrics.register_counter(
-        "brittle_upstreams_refusals", lambda: parts.directory.refused_by_brittle
+        "brittle_upstreams_refusals", lambda: limits.places.refused
     )
+    metrics.register_counter("places_not_granted", lambda: limits.places.not_granted)
     metrics.register_counter("stream_origins_searched", lambda: parts.origins.searches)
     metrics.register_counter("stream_origins_unknown", lambda: parts.origins.unknown)
     metrics.register_counter("path_losses", lambda: parts.path.lost_count)
@@ -134,8 +135,15 @@
     return sum(s.is_held_out for s in directory.all())
 
 
-def _count_brittle(directory: UpstreamDirectory) -> int:
-    return sum(directory.bearable_refusals(s) is not None for s in directory.all())
+def _count_limited(directory: UpstreamDirectory, limits: UpstreamLimits) -> int:
+    announced = limits.announced
+    return sum(
+        announced.of(s.upstream.incarnation_id).is_limited for s in directory.all()
+    )
+
+
+def _count_brittle(directory: UpstreamDirectory, limits: UpstreamLimits) -> int:
+    return sum(limits.is_brittle(s.upstream.incarnation_id) for s in directory.all())
 
 
 def _count_on_newest_weights(
--- a/src/kumquatseam/gateway/_grants.py
+++ b/src/kumquatseam/gateway/_grants.py
@@ -29,12 +29,15 @@
         self._limit = grant
 
     def acquire_limit(self, incarnation_id: str) -> bool:
-        """Acquire the permit of an upstream's limit; return whether it has room."""
+        """Acquire the permit of an upstream's limit; return whether it has room.
+
+        For a run that has its place there already.
+        """
         if self._limit is not None and self._limit.incarnation_id == incarnation_id:
             return True
         self.release_limit()
         try:
-            self._limit = self._parts.limits.acquire(
+            self._limit = self._parts.limits.acquire_limit(
                 incarnation_id, self._job.call.request_id
             )
         except UpstreamLimitError:
@@ -87,6 +90,8 @@
 
     def note_sent(self) -> None:
         """Record that the attempt is sent."""
+        if self._limit is not None:
+            self._parts.limits.note_sent(self._limit)
         self._limit = None
         if self._retry is not None:
             self._parts.retries.note_sent(self._retry)
--- a/src/kumquatseam/gateway/_refusals.py
+++ b/src/kumquatseam/gateway/_refusals.py
@@ -24,6 +24,7 @@
     QUARANTINED = "quarantined"
     OVER_QUOTA = "over_quota"
     LIMITS_USED_UP = "limits_used_up"
+    UPSTREAMS_FULL = "upstreams_full"
     RESTING = "upstreams_resting"
     ORIGIN_UNKNOWN = "stream_origin_unknown"
     VERSION_GONE = "software_version_gone"
--- a/src/kumquatseam/gateway/_relocation.py
+++ b/src/kumquatseam/gateway/_relocation.py
@@ -21,6 +21,7 @@
 from kumquatseam.http1 import ConnectFailedError
 from kumquatseam.logs import part_logger
 from kumquatseam.placement import Placement, RequestWork
+from kumquatseam.quotas import UpstreamFullError
 from kumquatseam.rollouts import MovedRun, MoveOutcome, MoveResult
 
 _log = part_logger("relocation")
@@ -213,7 +214,15 @@
             RetryCause.MOVED
         ):
             return self._abandon("retry budget used up")
+        try:
+            place = self._parts.limits.places.acquire(
+                destination.incarnation_id, self._job.call.request_id
+            )
+        except UpstreamFullError as error:
+            return self._abandon(str(error))
         self._hold(self._destination)
+        if place is not None:
+            self._parts.limits.places.note_begun(place)
         copied = self._call(stops_run=False)
         self._handle = copied.handle
         if copied.outcome is not MoveOutcome.DONE:
--- a/src/kumquatseam/gateway/_response_notes.py
+++ b/src/kumquatseam/gateway/_response_notes.py
@@ -44,7 +44,7 @@
         self._note_availability(status, traits)
         is_expected = traits.responding_id in ("", status.upstream.upstream_id)
         if is_expected:
-            directory.note_brittle(status, traits.brittle_refusals)
+            self._observe_brittleness(status, traits, sent_elapsed_s)
         if not traits.is_not_run:
             directory.note_answer(status, head.status >= 500)
             return
@@ -56,10 +56,11 @@
             # This request among them.
             own_running=status.running,
             slots=status.upstream.slots,
-            **directory.brittle_log_fields(status.upstream.incarnation_id),
+            **self._parts.limits.places.log_fields(status.upstream.incarnation_id),
         ).info("Refused by the upstream.")
         if is_expected:
             directory.note_refused(status)
+            self._parts.limits.places.note_refused(status)
         else:
             directory.note_address_reused(status, traits.responding_id)
 
@@ -75,6 +76,19 @@
         if not traits.is_not_run:
             status.availability.note_served(self._times.sent_s)
 
+    def _observe_brittleness(
+        self, status: UpstreamStatus, traits: ResponseTraits, sent_elapsed_s: float
+    ) -> None:
+        """Record what the response says of its service's brittleness.
+
+        Only the response of a run shows that it is not brittle any more.
+        """
+        is_from_run = traits.is_signed and not traits.is_not_run
+        if traits.brittle_refusals is not None or is_from_run:
+            self._parts.limits.places.observe(
+                status, traits.brittle_refusals, sent_elapsed_s
+            )
+
     def _observe_limit(
         self, status: UpstreamStatus, traits: ResponseTraits, sent_elapsed_s: float
     ) -> None:
--- a/src/kumquatseam/gateway/_upstream_choice.py
+++ b/src/kumquatseam/gateway/_upstream_choice.py
@@ -12,7 +12,7 @@
 from kumquatseam.gateway._outcomes import Progress
 from kumquatseam.gateway._refusals import Reason, RefusedError
 from kumquatseam.placement import LimitedPlacer, Placement, PlacementRequest
-from kumquatseam.quotas import CallerRetry, UpstreamLimitError
+from kumquatseam.quotas import CallerRetry, UpstreamFullError, UpstreamLimitError
 
 #: pause before the next placement attempt while no upstream accepts the request.
 PLACEMENT_RETRY_INTERVAL_S = 0.02
@@ -33,6 +33,15 @@
 #: how many times the expected wait has to be left to start on replaced weights for a
 #: request that may run once: it is cut if it takes longer.
 ONCE_START_MARGIN = 2.0
+#: shortest Retry-After for a caller that no brittle upstream has a place for.
+MIN_FULL_RETRY_S = 0.3
+
+#: why a request is refused that no upstream has room for, by the error that says so.
+_NO_ROOM_REASONS = {
+    UpstreamLimitError: Reason.LIMITS_USED_UP,
+    UpstreamFullError: Reason.UPSTREAMS_FULL,
+    UpstreamsRestingError: Reason.RESTING,
+}
 
 
 class UpstreamChoice:
@@ -103,9 +112,16 @@
             may_wait = not progress.may_have_run or job.route.is_resumable
             if time.monotonic() >= timeout_at_s or not may_wait:
                 self._failure.fail(Reason.NO_UPSTREAM, "no upstream available in time")
-            self._continuation.wait(PLACEMENT_RETRY_INTERVAL_S)
+            self._continuation.wait(self._pause_s())
             self._caller.check_connected()
 
+    def _pause_s(self) -> float:
+        """Return the time until the next placement attempt."""
+        turn_in_s = self._placer.turn_in_s
+        if turn_in_s is None:
+            return PLACEMENT_RETRY_INTERVAL_S
+        return min(PLACEMENT_RETRY_INTERVAL_S, turn_in_s)
+
     def _try_place(self) -> Placement | None:
         job, progress = self._job, self._progress
         is_first = not progress.attempts and not progress.refusals
@@ -129,14 +145,16 @@
         max_wait_s = job.caller_remaining_s * self._parts.dialect.retry_wait_share
         retry = CallerRetry(job.fingerprint, max(0.0, max_wait_s))
         try:
-            granted = self._placer.place(request, retry)
-        except (UpstreamLimitError, UpstreamsRestingError) as error:
+            granted = self._placer.place(request, retry, self._max_place_wait_s())
+        except tuple(_NO_ROOM_REASONS) as error:
             if progress.may_have_run and job.route.is_resumable:
                 # Its caller waits for the rest of the stream.
                 return None
-            is_resting = isinstance(error, UpstreamsRestingError)
-            reason = Reason.RESTING if is_resting else Reason.LIMITS_USED_UP
-            self._failure.fail(reason, str(error), error.retry_after_s)
+            retry_after_s = error.retry_after_s
+            if isinstance(error, UpstreamFullError):
+                retry_after_s = max(MIN_FULL_RETRY_S, retry_after_s)
+            reason = _NO_ROOM_REASONS[type(error)]
+            self._failure.fail(reason, str(error), retry_after_s)
         except OverloadedError as error:
             if job.is_over_quota:
                 raise RefusedError(
@@ -159,6 +177,12 @@
         target_wait_s = job.route.target_latency_s * waits_per_target
         return min(target_wait_s, job.remaining_s * MAX_WAIT_SHARE)
 
+    def _max_place_wait_s(self) -> float:
+        """Return how long the request may wait for its turn at a brittle upstream."""
+        # Later it would not be placed any more.
+        timeout_s = self._job.remaining_s * PLACEMENT_TIMEOUT_SHARE
+        return min(self._max_wait_s(), timeout_s)
+
     def _check_version_served(self) -> None:
         """Check that a replica may write the rest of the stream.
 
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -3,15 +3,11 @@
 import time
 
 from kumquatseam import cachefeeds, feeds, origins, quarantine, quotas
-from kumquatseam.cachefeeds import (
-    MIN_SENT_PART_SHARE,
-    CacheFeeds,
-    CacheHolder,
-    WarmStart,
-)
+from kumquatseam.cachefeeds import MIN_SENT_PART_SHARE, CacheFeeds, WarmStart
 from kumquatseam.codec import merge_kinds
 from kumquatseam.feeds import TopicFeeds, TopicUpdate
 from kumquatseam.gateway._adapter import Adapter
+from kumquatseam.gateway._cache_holders import cache_holders
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
 from kumquatseam.gateway._health import HealthServer, MetricsServer
 from kumquatseam.gateway._paces import (
@@ -57,6 +53,7 @@
     ShardOwners,
     TeamQuotas,
     UpstreamLimits,
+    UpstreamPlaces,
 )
 from kumquatseam.routes import LiveRouteTable, RouteTable
 from kumquatseam.trackers import (
@@ -69,6 +66,7 @@
 from kumquatseam.upstreams import (
     AnnouncedLimits,
     Availabilities,
+    Brittleness,
     Unavailability,
     Upstream,
     UpstreamDirectory,
@@ -115,12 +113,8 @@
         self._file = file
         self._adapter = adapter
         self._live = LiveRouteTable()
-        # Registered ones: one that is not heard from may still send requests.
         self._availabilities = Availabilities()
-        self._directory = UpstreamDirectory(
-            count_instances=lambda: len(self._bus.records),
-            availabilities=self._availabilities,
-        )
+        self._directory = UpstreamDirectory(availabilities=self._availabilities)
         self._index = PromptIndex()
         self._metrics = GatewayMetrics()
         self._started_s = time.monotonic()
@@ -167,15 +161,19 @@
                 unresponsive=self._shard_owners.calls.unresponsive,
             )
         )
+        places = UpstreamPlaces(
+            self._shard_owners, Brittleness(self._announced_limits), self._directory
+        )
         self._limits = UpstreamLimits(
-            self._shard_owners, availabilities=self._availabilities
+            self._shard_owners, availabilities=self._availabilities, places=places
         )
         self._retries = RetryBudgets(self._shard_owners, self._list_services)
         self._tracker = LoadTracker(
             self._bus.name,
             self._index,
             limits=self._announced_limits,
-            used_up_s=self._shard_owners.allocator.used_up_s,
+            used_up_s=self._shard_owners.used_up_s,
+            brittle_of=places.report_of,
         )
         registry = InstanceRegistry(self._log_service, self._bus, self._record)
         self._follow_topics(registry)
@@ -209,6 +207,7 @@
             StepLoop(quotas.SWEEP_INTERVAL_S, self._quotas.sweep),
             StepLoop(origins.SWEEP_INTERVAL_S, self._origins.sweep),
             StepLoop(quotas.SWEEP_INTERVAL_S, self._retries.sweep),
+            StepLoop(quotas.SWEEP_INTERVAL_S, places.sweep),
             StepLoop(CACHE_CHECK_INTERVAL_S, self._cache_feeds.step),
             StepLoop(self._loads.next_step_s, self._loads.step),
             StepLoop(PEER_CHECK_INTERVAL_S, self._bus.step),
@@ -360,7 +359,7 @@
                 self._directory,
                 name,
                 note_load=lambda load: self._limits.note_tracked(
-                    load.holder, load.limit, load.used_up_ms / 1000.0
+                    load.holder, load.limit, load.used_up_ms / 1000.0, load.brittle
                 ),
             ),
         )
@@ -370,7 +369,7 @@
             self._cache_client,
             self._index,
             self._bus.name,
-            self._cache_holders,
+            lambda: cache_holders(self._live.current, self._directory),
             self._present_instances,
             lambda: self._index.engine_capacity_tokens * MIN_SENT_PART_SHARE,
             list_tracked=self._tracked_holders,
@@ -410,25 +409,6 @@
             return None
         return self._tracker.tracked_holders()
 
-    def _cache_holders(self) -> list[CacheHolder]:
-        """Return all engines in use and all stores."""
-        table = self._live.current
-        if table is None:
-            return []
-        stores = [CacheHolder(s.address, s.address) for s in table.cache_stores]
-        engines = [
-            CacheHolder(
-                status.upstream.incarnation_id,
-                status.upstream.address,
-                status.upstream.upstream_id,
-                status.upstream.born_ms,
-            )
-            for service in table.services
-            if service.engine is not None
-            for status in self._directory.of_service(service.name)
-        ]
-        return [*engines, *stores]
-
     def _follow_topics(self, registry: InstanceRegistry) -> None:
         adapter = self._adapter
         operators = adapter.operator_listener(self._live, self._targets)
--- a/src/kumquatseam/placement/_limits.py
+++ b/src/kumquatseam/placement/_limits.py
@@ -38,12 +38,15 @@
         return LimitsUsedUpError(request.service.name, names, wait_s)
 
     def log_fields(self, incarnation_id: str) -> dict[str, float]:
-        """Return the limit of an upstream and its age, if it has one."""
+        """Return the limit of an upstream and what it bears, if it said so."""
         if self._limits is None:
             return {}
+        found = {}
         announced = self._limits.announced
         known = announced.of(incarnation_id)
-        if not known.is_limited:
-            return {}
-        age_s = round(announced.age_s(incarnation_id), 3)
-        return {"limit_per_s": known.rate_per_s, "limit_age_s": age_s}
+        if known.is_limited:
+            found["limit_per_s"] = known.rate_per_s
+            found["limit_age_s"] = round(announced.age_s(incarnation_id), 3)
+        if self._limits.places is not None:
+            found |= self._limits.places.log_fields(incarnation_id)
+        return found
--- a/src/kumquatseam/placement/_placer.py
+++ b/src/kumquatseam/placement/_placer.py
@@ -53,8 +53,6 @@
 #: greatest age of a request count used to choose an engine to move a run to: the
 #: move itself takes longer.
 MOVE_LOAD_MAX_AGE_S = 0.05
-#: maximum age of the counts of requests that brittle upstreams run.
-BRITTLE_LOAD_MAX_AGE_S = 0.05
 #: maximum age of the counts of requests on upstreams of a wanted software version.
 FULL_LOAD_MAX_AGE_S = 0.05
 #: cost of starting at a software version that streams wait for, as a wait; they can go
@@ -271,7 +269,6 @@
         ]
         if request.software_version and not request.only:
             listed = self._without_full(listed)
-        listed = self._without_full_brittle(listed)
         healthy = [s for s in listed if not s.is_held_out]
         return healthy or listed
 
@@ -292,32 +289,6 @@
             < status.upstream.slots
         ]
 
-    def _without_full_brittle(
-        self, statuses: list[UpstreamStatus]
-    ) -> list[UpstreamStatus]:
-        """Drop brittle upstreams that run as many requests as they can.
-
-        A request waits here instead: a brittle upstream lets few requests wait, and
-        ends if it has to refuse many.
-        """
-        if not self._directory.has_brittle():
-            return statuses
-        brittle = [
-            status.upstream.incarnation_id
-            for status in statuses
-            if self._directory.bearable_refusals(status) is not None
-        ]
-        if not brittle:
-            return statuses
-        running = self._work.running_on(brittle, BRITTLE_LOAD_MAX_AGE_S)
-        return [
-            status
-            for status in statuses
-            if self._directory.has_room(
-                status, running.get(status.upstream.incarnation_id, status.running)
-            )
-        ]
-
     def _place_on_engine(
         self, request: PlacementRequest, statuses: list[UpstreamStatus]
     ) -> Placement | None:
@@ -515,7 +486,6 @@
             prompt_tokens=request.prompt.tokens,
             shared_tokens=request.prompt.shared_tokens,
             **self._limits.log_fields(chosen.incarnation_id),
-            **self._directory.brittle_log_fields(chosen.incarnation_id),
             list_age_s=round(
                 self._clock() - (self._directory.list_confirmed_s or 0.0), 2
             ),
--- a/src/kumquatseam/quarantine/__init__.py
+++ b/src/kumquatseam/quarantine/__init__.py
@@ -12,8 +12,10 @@
   whether a request may run.
 - :class:`SuspectList` holds the suspected requests, as stored in the log service.
 - :class:`kumquatseam.quarantine.follower.SuspectsFollower` updates that list in a
-  program that does not use ``feeds``. Import it from its module: this package does
-  not export it, as gateways do not need it.
+  program that does not use ``feeds``, and
+  :class:`kumquatseam.quarantine.direct.DirectNoticeChannel` notifies peers in one
+  without a peer bus. Import them from their modules: this package does not export
+  them, as gateways do not need them.
 """
 
 from kumquatseam.quarantine._errors import QuarantinedError
@@ -25,7 +27,6 @@
 from kumquatseam.quarantine._publisher import (
     SUSPECTS_TOPIC,
     BusNoticeChannel,
-    DirectNoticeChannel,
     NoticeChannel,
 )
 from kumquatseam.quarantine._quarantine import Permit, Quarantine, QuarantineParts
@@ -38,7 +39,6 @@
     "InterruptedRun",
     "BusNoticeChannel",
     "CrashNotice",
-    "DirectNoticeChannel",
     "Liveness",
     "NoticeChannel",
     "Permit",
--- a/src/kumquatseam/quarantine/_publisher.py
+++ b/src/kumquatseam/quarantine/_publisher.py
@@ -14,8 +14,6 @@
 
 #: keyed topic with one record per suspected request; the key is its fingerprint.
 SUSPECTS_TOPIC = "keyed.kumquatseam.suspects"
-#: maximum number of peers to which a notice is sent one by one.
-MAX_NOTIFIED_PEERS = 12
 #: pause before a failed write is retried.
 RETRY_PAUSE_S = 0.5
 
@@ -61,32 +59,6 @@
         self._bus.publish(notice)
 
 
-class DirectNoticeChannel(NoticeChannel):
-    """Sends notices to each peer directly, while there are few peers.
-
-    In a larger fleet nothing is sent; the peers read the record from the log service
-    a moment later.
-
-    :param link: sends the notices.
-    :param list_addresses: returns the addresses of the peers.
-    """
-
-    def __init__(
-        self, link: DatagramLink, list_addresses: Callable[[], list[str]]
-    ) -> None:
-        self._link = link
-        self._list_addresses = list_addresses
-
-    def on_notice(self, listener: Callable[[CrashNotice], None]) -> None:
-        self._link.on_message(CrashNotice, lambda notice, _: listener(notice))
-
-    def send(self, notice: CrashNotice) -> None:
-        addresses = self._list_addresses()
-        if len(addresses) <= MAX_NOTIFIED_PEERS:
-            for address in addresses:
-                self._link.send(address, notice)
-
-
 class RecordWriter:
     """Writes records of suspected requests to the log service.
 
--- a/src/kumquatseam/quotas/__init__.py
+++ b/src/kumquatseam/quotas/__init__.py
@@ -13,18 +13,25 @@
 and takes the consent of two of the three owners.
 
 The retry budget of a service has three owners as well, for the same reason: a
-retry takes the consent of two of them.
+retry takes the consent of two of them. So does a place at a brittle upstream, which
+ends if it has to refuse too many requests.
 
 - :class:`ShardOwners` finds and calls the owners.
 - :class:`TeamQuotas` acquires quota for requests and refunds what did not run.
 - :class:`UpstreamLimits` acquires grants for requests to upstreams with a limit.
+- :class:`UpstreamPlaces` acquires places at brittle upstreams.
 - :class:`RetryBudgets` acquires grants for retries of requests for a service.
 - :class:`QuotaAllocator` grants leases from the shards owned by this instance.
-- :class:`QuotaExceededError` and :class:`UpstreamLimitError` say when to retry.
+- :class:`QuotaExceededError`, :class:`UpstreamLimitError` and
+  :class:`UpstreamFullError` say when to retry.
 """
 
 from kumquatseam.quotas._allocator import QuotaAllocator
-from kumquatseam.quotas._errors import QuotaExceededError, UpstreamLimitError
+from kumquatseam.quotas._errors import (
+    QuotaExceededError,
+    UpstreamFullError,
+    UpstreamLimitError,
+)
 from kumquatseam.quotas._messages import (
     DATAGRAM_KINDS,
     QuotaLeaseReply,
@@ -36,6 +43,8 @@
     VersionedLimit,
 )
 from kumquatseam.quotas._owners import QuotaParts, ShardOwners
+from kumquatseam.quotas._place_grant import PlaceGrant
+from kumquatseam.quotas._places import UpstreamPlaces
 from kumquatseam.quotas._retries import RetryBudgets, RetryGrant
 from kumquatseam.quotas._teams import SWEEP_INTERVAL_S, QuotaGrant, TeamQuotas
 from kumquatseam.quotas._upstreams import CallerRetry, LimitGrant, UpstreamLimits
@@ -45,6 +54,7 @@
     "SWEEP_INTERVAL_S",
     "CallerRetry",
     "LimitGrant",
+    "PlaceGrant",
     "QuotaAllocator",
     "QuotaExceededError",
     "QuotaGrant",
@@ -59,7 +69,9 @@
     "RetryGrant",
     "ShardOwners",
     "TeamQuotas",
+    "UpstreamFullError",
     "UpstreamLimitError",
     "UpstreamLimits",
+    "UpstreamPlaces",
     "VersionedLimit",
 ]
--- a/src/kumquatseam/quotas/_allocator.py
+++ b/src/kumquatseam/quotas/_allocator.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -15,11 +16,13 @@
     VersionedLimit,
 )
 from kumquatseam.quotas._owned_shard import OwnedShard
-from kumquatseam.quotas._team_shard import ShardSize, TeamShard
-from kumquatseam.quotas._upstream_shard import UpstreamShard
 from kumquatseam.routes import RouteTable
 from kumquatseam.upstreams import AnnouncedLimits, LimitReport
 
+if TYPE_CHECKING:
+    from kumquatseam.quotas._team_shard import TeamShard
+    from kumquatseam.quotas._upstream_shard import UpstreamShard
+
 #: fill of a bucket when its owner starts. A restarted owner does not know past
 #: usage: a full bucket would grant the burst twice, an empty one would block the team.
 INITIAL_FILL_RATIO = 0.5
@@ -82,9 +85,7 @@
         :returns: 0 if it has room, as far as this instance knows.
         """
         owned = self._shards.get(QuotaShard(incarnation_id, is_upstream=True))
-        if not isinstance(owned, UpstreamShard):
-            return 0.0
-        return owned.used_up_s(self._clock())
+        return owned.used_up_s(self._clock()) if owned is not None else 0.0
 
     def apply_usage_update(self, update: QuotaUsageUpdate) -> None:
         """Deduct what other owners of a shard granted."""
@@ -115,7 +116,7 @@
 
     def _upstream_shard(
         self, shard: QuotaShard, report: LimitReport | None
-    ) -> UpstreamShard | None:
+    ) -> "UpstreamShard | None":
         """Return the state of an upstream's limit; ``None`` if it has no limit.
 
         :param report: the limit as another instance knows it.
@@ -128,7 +129,9 @@
             return None
         now_s = self._clock()
         owned = self._shards.get(shard)
-        if not isinstance(owned, UpstreamShard):
+        if owned is None:
+            from kumquatseam.quotas._upstream_shard import UpstreamShard
+
             self._drop_idle(now_s)
             owned = self._shards[shard] = UpstreamShard(known.rate_per_s, now_s)
         owned.set_rate(known.rate_per_s, now_s)
@@ -153,12 +156,14 @@
 
     def _team_shard(
         self, shard: QuotaShard, limit: VersionedLimit, is_resharding: bool = False
-    ) -> TeamShard:
+    ) -> "TeamShard":
         """Return the state of a shard of a team's quota; create it at its first use."""
+        from kumquatseam.quotas._team_shard import ShardSize, TeamShard
+
         now_s = self._clock()
         size = ShardSize.of(shard, limit, self._tolerance)
         owned = self._shards.get(shard)
-        if not isinstance(owned, TeamShard):
+        if owned is None:
             self._drop_idle(now_s)
             # This instance has granted nothing of the shard since its start. During
             # a change of the shard count, other owners have.
--- a/src/kumquatseam/quotas/_errors.py
+++ b/src/kumquatseam/quotas/_errors.py
@@ -52,3 +52,25 @@
             f"quota: upstream {self.upstream!r} accepts {self.rate_per_s:g} requests a "
             f"second; refused by instance {self.decided_by}"
         )
+
+
+@attrs.define(frozen=True, eq=False)
+class UpstreamFullError(KumquatseamError):
+    """A brittle upstream has no place for a request.
+
+    :param upstream: the upstream's incarnation.
+    :param retry_after_s: when a place is expected to be free.
+    :param is_waiting: whether the request has its turn then.
+    :param decided_by: the instance that refused the place.
+    """
+
+    upstream: str
+    retry_after_s: float
+    is_waiting: bool
+    decided_by: str
+
+    def __str__(self) -> str:
+        return (
+            f"quota: brittle upstream {self.upstream!r} runs as many requests as it "
+            f"bears; refused by instance {self.decided_by}"
+        )
--- a/src/kumquatseam/quotas/_messages.py
+++ b/src/kumquatseam/quotas/_messages.py
@@ -6,6 +6,9 @@
 
 from kumquatseam.upstreams import LimitReport
 
+#: shortest duration of a lease.
+MIN_LEASE_S = 0.25
+
 
 @attrs.frozen
 class QuotaShard:
@@ -16,6 +19,7 @@
     :param count: the number of shards that the quota is split into.
     :param is_upstream: whether it is the limit of an upstream, which is not split.
     :param is_retry_budget: whether it is the retry budget of a service.
+    :param is_places: whether it is the places of a brittle upstream.
     """
 
     subject: str
@@ -23,21 +27,22 @@
     count: int = 1
     is_upstream: bool = False
     is_retry_budget: bool = False
+    is_places: bool = False
 
     @property
     def key(self) -> str:
         """The key hashed to choose the shard's owners.
 
-        The limit of an upstream has the owners that track its load.
+        The limit and the places of an upstream have the owners that track its load.
         """
-        if self.is_upstream:
+        if self.is_upstream or self.is_places:
             return self.subject
         kind = "retries" if self.is_retry_budget else "quota"
         return f"{kind}/{self.subject}/{self.number}/{self.count}"
 
 
 class OwnerVote(enum.Enum):
-    """What an owner of an upstream's limit or a retry budget is asked for.
+    """What an owner of an upstream or of a retry budget is asked for.
 
     ``DECIDES`` is the first owner asked, ``CONFIRMS`` a further one, and ``ALONE`` the
     first one again if no further one replied.
@@ -83,6 +88,33 @@
     settled_number: int
 
 
+@attrs.frozen
+class PlaceCount:
+    """The places that an instance holds at a brittle upstream.
+
+    Totals make up for messages that were lost, or arrived twice.
+
+    :param sender: the instance.
+    :param start: identifies the start of its process.
+    :param number: rises with each count.
+    :param held: requests that it has there, or was granted a place for.
+    :param refused: requests that the upstream refused, since the start.
+    :param settled_number: what was granted to requests with numbers up to this one is
+        either among the held or was not used.
+    :param slots: requests that the upstream runs at once.
+    :param bearable_per_s: refusals a second that it bears.
+    """
+
+    sender: str
+    start: int
+    number: int
+    held: int
+    refused: int
+    settled_number: int
+    slots: int
+    bearable_per_s: float
+
+
 @attrs.frozen
 class QuotaLeaseRequest:
     """Requests a lease from the owner of a shard.
@@ -100,6 +132,9 @@
     :param key: identifies the caller's request and its retries.
     :param max_wait_ms: a place is reserved for a refused request if it is free within
         this time; 0 for none.
+    :param count: what the requesting instance counts of a service.
+    :param max_share: the share of a retry budget that may be used.
+    :param places: what the requesting instance holds at a brittle upstream.
     """
 
     number: int
@@ -116,6 +151,7 @@
     max_wait_ms: int = 0
     count: ServiceCount | None = None
     max_share: float = 1.0
+    places: PlaceCount | None = None
 
 
 @attrs.frozen
@@ -179,6 +215,7 @@
     :param is_over: whether the amount exceeds the quota.
     :param report: the limit of the upstream, as the sending instance knows it.
     :param count: what the requesting instance counts of a service.
+    :param places: what the sending instance holds at a brittle upstream.
     """
 
     shard: QuotaShard
@@ -187,6 +224,7 @@
     is_over: bool = False
     report: LimitReport | None = None
     count: ServiceCount | None = None
+    places: PlaceCount | None = None
 
 
 @attrs.frozen
--- a/src/kumquatseam/quotas/_owners.py
+++ b/src/kumquatseam/quotas/_owners.py
@@ -27,6 +27,7 @@
     RetryHistory,
     RetryHistoryRequest,
 )
+from kumquatseam.quotas._place_allocator import PlaceAllocator
 from kumquatseam.quotas._retry_allocator import RetryAllocator
 from kumquatseam.routes import RouteTable
 from kumquatseam.upstreams import AnnouncedLimits, LimitReport
@@ -119,6 +120,7 @@
         self.retry_allocator = RetryAllocator(
             parts.retries, parts.retry_clock, parts.is_first_start
         )
+        self.place_allocator = PlaceAllocator(parts.clock)
         self._shard_count: int | None = None
         self._resharded_s = float("-inf")
         self._history_queries: dict[QuotaShard, _HistoryQuery] = {}
@@ -188,6 +190,8 @@
             reply = self.retry_allocator.decide(request)
             self._ask_for_history(request.shard)
             return attrs.evolve(reply, keeper=self.name)
+        if request.shard.is_places:
+            return self._decide_on_place(request)
         if request.shard.is_upstream:
             return self.allocator.decide(request)
         self.count_shards()
@@ -197,11 +201,34 @@
         self._replicate_usage(request, reply)
         return reply
 
+    def _decide_on_place(self, request: QuotaLeaseRequest) -> QuotaLeaseReply:
+        """Decide on a place, and tell what this instance knows of the service."""
+        reply = self.place_allocator.decide(request)
+        if request.report is not None:
+            self.limits.merge_report(request.report)
+            report = self.limits.report_of(request.report.incarnation_id)
+            reply = attrs.evolve(reply, report=report)
+        return attrs.evolve(reply, keeper=self.name)
+
+    def used_up_s(self, incarnation_id: str) -> float:
+        """Return the time until an upstream has room for a request.
+
+        :returns: 0 if it has, as far as this instance knows.
+        """
+        return max(
+            self.allocator.used_up_s(incarnation_id),
+            self.place_allocator.full_s(incarnation_id),
+        )
+
     def _apply_usage(self, update: QuotaUsageUpdate) -> None:
         if update.shard.is_retry_budget:
             self.retry_allocator.note_owners(update.shard, self.of(update.shard))
             self.retry_allocator.apply_usage_update(update)
             self._ask_for_history(update.shard)
+        elif update.shard.is_places:
+            if update.report is not None:
+                self.limits.merge_report(update.report)
+            self.place_allocator.note_count(update)
         else:
             self.allocator.apply_usage_update(update)
 
--- a/src/kumquatseam/quotas/_retry_allocator.py
+++ b/src/kumquatseam/quotas/_retry_allocator.py
@@ -1,6 +1,7 @@
 """Granting retries from the budgets owned by this instance."""
 
 from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
 
 from kumquatseam.gatewayfile import RetrySettings
 from kumquatseam.peers import InstanceRecord
@@ -11,7 +12,9 @@
     QuotaUsageUpdate,
     RetryHistory,
 )
-from kumquatseam.quotas._retry_shard import RetryShard
+
+if TYPE_CHECKING:
+    from kumquatseam.quotas._retry_shard import RetryShard
 
 
 class RetryAllocator:
@@ -80,9 +83,11 @@
         if owned is not None:
             owned.adopt(histories, self._clock())
 
-    def _shard(self, shard: QuotaShard) -> RetryShard:
+    def _shard(self, shard: QuotaShard) -> "RetryShard":
         owned = self._shards.get(shard)
         if owned is None:
+            from kumquatseam.quotas._retry_shard import RetryShard
+
             now_s = self._clock()
             up_s = now_s - self._started_s
             # Before the first window of a new fleet has passed, no owner has changed.
--- a/src/kumquatseam/quotas/_team_shard.py
+++ b/src/kumquatseam/quotas/_team_shard.py
@@ -4,6 +4,7 @@
 
 from kumquatseam.admission import TokenBucket
 from kumquatseam.quotas._messages import (
+    MIN_LEASE_S,
     QuotaLeaseReply,
     QuotaLeaseRequest,
     QuotaShard,
@@ -20,9 +21,8 @@
 GRANTED_EXCESS_RATIO = 0.35
 #: share of the remaining quota that one lease may prefetch.
 PREFETCH_RATIO = 0.25
-#: shortest and longest duration of a lease. It grows with the rate of lease requests,
-#: to limit that rate.
-MIN_LEASE_S = 0.25
+#: longest duration of a lease. It grows with the rate of lease requests, to limit that
+#: rate.
 MAX_LEASE_S = 1.0
 #: rate of lease requests for one shard above which leases grow.
 BUSY_REQUESTS_PER_S = 100.0
--- a/src/kumquatseam/quotas/_teams.py
+++ b/src/kumquatseam/quotas/_teams.py
@@ -6,6 +6,7 @@
 from kumquatseam.logs import part_logger
 from kumquatseam.quotas._errors import QuotaExceededError
 from kumquatseam.quotas._messages import (
+    MIN_LEASE_S,
     QuotaLeaseReply,
     QuotaLeaseRequest,
     QuotaLeaseReturn,
@@ -13,7 +14,6 @@
     VersionedLimit,
 )
 from kumquatseam.quotas._owners import ShardOwners
-from kumquatseam.quotas._team_shard import MIN_LEASE_S
 from kumquatseam.routes import TeamTraits
 
 _log = part_logger("quota")
--- a/src/kumquatseam/quotas/_upstreams.py
+++ b/src/kumquatseam/quotas/_upstreams.py
@@ -9,7 +9,7 @@
 from kumquatseam.logs import part_logger
 from kumquatseam.peers import InstanceRecord
 from kumquatseam.quotas._ballots import Ballot, hold_ballot
-from kumquatseam.quotas._errors import UpstreamLimitError
+from kumquatseam.quotas._errors import UpstreamFullError, UpstreamLimitError
 from kumquatseam.quotas._messages import (
     OwnerVote,
     QuotaLeaseReply,
@@ -19,12 +19,15 @@
     QuotaUsageUpdate,
 )
 from kumquatseam.quotas._owners import ShardOwners
+from kumquatseam.quotas._place_grant import PlaceGrant
+from kumquatseam.quotas._places import UpstreamPlaces
 from kumquatseam.upstreams import (
     NO_LIMIT_PER_S,
     Availabilities,
     LimitObserver,
     LimitReport,
     Unavailability,
+    brittle_service,
 )
 
 _log = part_logger("limits")
@@ -57,11 +60,13 @@
     :param incarnation_id: the upstream.
     :param owners: the owners that granted it; none if the upstream has no limit.
     :param is_limit_known: whether this instance would know if the upstream had one.
+    :param place: the request's place, if the upstream is brittle.
     """
 
     incarnation_id: str
     owners: tuple[InstanceRecord, ...] = ()
     is_limit_known: bool = True
+    place: PlaceGrant | None = None
 
 
 class UpstreamLimits(LimitObserver):
@@ -74,6 +79,7 @@
     :param owners: the owners of limits.
     :param notified: returns the instances to notify of changes besides the owners.
     :param availabilities: keeps until when upstreams are expected to have no room.
+    :param places: grants places at brittle upstreams; ``None`` if there are none.
     """
 
     def __init__(
@@ -81,11 +87,13 @@
         owners: ShardOwners,
         notified: Callable[[], Sequence[InstanceRecord]] = tuple,
         availabilities: Availabilities | None = None,
+        places: UpstreamPlaces | None = None,
     ) -> None:
         self._owners = owners
         self._list_notified = notified
         self.announced = owners.limits
         self.availabilities = availabilities or Availabilities(owners.clock)
+        self.places = places
         self.granted = 0
         self.refused = 0
         self.announced.on_change(self._handle_change)
@@ -110,19 +118,26 @@
             self.availabilities.of(incarnation_id).rest(rest_s)
 
     def note_tracked(
-        self, incarnation_id: str, report: LimitReport | None, used_up_s: float
+        self,
+        incarnation_id: str,
+        report: LimitReport | None,
+        used_up_s: float,
+        brittle: LimitReport | None = None,
     ) -> None:
         """Record what the tracker of an upstream knows of its limit.
 
         If this instance knows better, its earlier report was lost.
 
         :param report: the limit, if there is one.
-        :param used_up_s: time until the limit has room for a request.
+        :param used_up_s: time until the upstream has room for a request.
+        :param brittle: what it bears, if it is brittle.
         """
+        if brittle is not None:
+            self.announced.merge_report(brittle)
         if report is not None:
             self.announced.merge_report(report)
         is_limited = self.announced.of(incarnation_id).is_limited
-        if is_limited and used_up_s > 0:
+        if used_up_s > 0 and (is_limited or self.is_brittle(incarnation_id)):
             self._note_used_up(incarnation_id, used_up_s)
         if is_limited != (report is not None):
             self._report_to_owners(incarnation_id)
@@ -131,19 +146,61 @@
         """Return the time until an upstream is expected to have room; 0 if it has."""
         return self.availabilities.of(incarnation_id).left_s(Unavailability.LIMITED)
 
+    def is_brittle(self, incarnation_id: str) -> bool:
+        """Return whether an upstream takes requests only with a place."""
+        places = self.places
+        return places is not None and places.bearable_per_s(incarnation_id) is not None
+
     def acquire(
         self,
         incarnation_id: str,
         request_id: str,
         retry: CallerRetry | None = None,
         is_limit_known: bool = True,
+        max_place_wait_s: float = 0.0,
     ) -> LimitGrant:
         """Return a grant for one request, after a round trip to most owners.
 
-        Returns at once if the upstream is known to have no limit.
+        Returns at once if the upstream is known to have no limit and not to be brittle.
 
         :param retry: if given, a place is reserved for a refused request.
         :param is_limit_known: whether this instance would know of a limit.
+        :param max_place_wait_s: how long the request waits for its turn at a brittle
+            upstream.
+        :raises UpstreamLimitError: if the limit has no room.
+        :raises UpstreamFullError: if the upstream is brittle and has no place.
+        """
+        place = self._acquire_place(incarnation_id, request_id, max_place_wait_s)
+        try:
+            grant = self.acquire_limit(
+                incarnation_id, request_id, retry, is_limit_known
+            )
+        except UpstreamLimitError:
+            if place is not None:
+                self.places.release(place)
+            raise
+        return grant if place is None else attrs.evolve(grant, place=place)
+
+    def _acquire_place(
+        self, incarnation_id: str, request_id: str, max_wait_s: float
+    ) -> PlaceGrant | None:
+        if not self.is_brittle(incarnation_id):
+            return None
+        try:
+            return self.places.acquire(incarnation_id, request_id, max_wait_s)
+        except UpstreamFullError as error:
+            self._note_used_up(incarnation_id, error.retry_after_s)
+            raise
+
+    def acquire_limit(
+        self,
+        incarnation_id: str,
+        request_id: str,
+        retry: CallerRetry | None = None,
+        is_limit_known: bool = True,
+    ) -> LimitGrant:
+        """Return a grant for one request that has its place already.
+
         :raises UpstreamLimitError: if the limit has no room.
         """
         if is_limit_known and not self.announced.of(incarnation_id).is_limited:
@@ -163,8 +220,16 @@
         self.refused += 1
         raise self._refusal(incarnation_id, ballot.refusal)
 
+    def note_sent(self, grant: LimitGrant) -> None:
+        """Record that the request of a grant is sent."""
+        if grant.place is not None:
+            self.places.note_begun(grant.place)
+            self.places.sent += 1
+
     def release(self, grant: LimitGrant) -> None:
         """Return the grant of a request that was not sent."""
+        if grant.place is not None:
+            self.places.release(grant.place)
         self._give_back(
             QuotaShard(grant.incarnation_id, is_upstream=True), grant.owners
         )
@@ -186,6 +251,8 @@
     def forget(self, incarnation_id: str) -> None:
         """Drop what is known of an upstream that ended."""
         self.announced.forget(incarnation_id)
+        if self.places is not None:
+            self.places.forget(incarnation_id)
         self.availabilities.of(incarnation_id).end(Unavailability.LIMITED)
 
     def _vote(
@@ -305,6 +372,11 @@
                 self._owners.send(record, report)
 
     def _handle_change(self, incarnation_id: str) -> None:
+        service = brittle_service(incarnation_id)
+        if service is not None:
+            if self.places is not None:
+                self.places.note_brittle(service)
+            return
         # The place that was waited for may be free earlier under the new limit.
         self.availabilities.of(incarnation_id).end(Unavailability.LIMITED)
 
--- a/src/kumquatseam/trackers/_messages.py
+++ b/src/kumquatseam/trackers/_messages.py
@@ -35,7 +35,9 @@
     :param settled_tokens: leading tokens that can be fetched from it now.
     :param kept_s: how long it keeps a part that is not used again.
     :param limit: the limit that it announced, if any.
-    :param used_up_ms: time until that limit has room for a request; 0 if it has.
+    :param used_up_ms: time until it has room for a request by that limit, or a free
+        place if it is brittle; 0 if it has.
+    :param brittle: what upstreams of its service bear, if they are brittle.
     """
 
     holder: str
@@ -48,6 +50,7 @@
     kept_s: float = 0.0
     limit: LimitReport | None = None
     used_up_ms: int = 0
+    brittle: LimitReport | None = None
 
 
 @attrs.frozen
--- a/src/kumquatseam/trackers/_tracker.py
+++ b/src/kumquatseam/trackers/_tracker.py
@@ -33,8 +33,8 @@
     :param index: the cached parts of the tracked holders.
     :param clock: monotonic clock in seconds.
     :param limits: the limits that upstreams announced.
-    :param used_up_s: returns the time until the limit of an upstream has room for a
-        request.
+    :param used_up_s: returns the time until an upstream has room for a request.
+    :param brittle_of: returns what an upstream bears, if it is brittle.
     """
 
     def __init__(
@@ -44,12 +44,14 @@
         clock: Callable[[], float] = time.monotonic,
         limits: AnnouncedLimits | None = None,
         used_up_s: Callable[[str], float] = lambda holder: 0.0,
+        brittle_of: Callable[[str], LimitReport | None] = lambda holder: None,
     ) -> None:
         self._name = name
         self._index = index
         self._clock = clock
         self._limits = limits or AnnouncedLimits()
         self._used_up_s = used_up_s
+        self._brittle_of = brittle_of
         self._in_flight = InFlightTable(clock)
         self._last_used_s: dict[str, float] = {}
         #: the handler of each class of notification.
@@ -109,6 +111,7 @@
             self._index.kept_s(holder),
             self._limit(holder),
             math.ceil(self._used_up_s(holder) * 1000),
+            self._brittle_of(holder),
         )
 
     def _limit(self, holder: str) -> LimitReport | None:
--- a/src/kumquatseam/upstreams/__init__.py
+++ b/src/kumquatseam/upstreams/__init__.py
@@ -5,6 +5,7 @@
   this process's own traffic: requests in flight, failures, weights.
 - :class:`Availabilities` tells until when, and why, upstreams get no requests.
 - :class:`AnnouncedLimits` holds the request limits that upstreams announce.
+- :class:`Brittleness` tells which services' upstreams end by too many refusals.
 - :class:`WeightsTargets` holds the weights that upstreams should run.
 """
 
@@ -18,6 +19,7 @@
     NullAvailabilityObserver,
     Unavailability,
 )
+from kumquatseam.upstreams._brittleness import Brittleness, brittle_service
 from kumquatseam.upstreams._directory import UpstreamDirectory
 from kumquatseam.upstreams._limits import (
     NO_LIMIT_PER_S,
@@ -47,6 +49,7 @@
     "Availability",
     "AvailabilityNotice",
     "AvailabilityObserver",
+    "Brittleness",
     "InFlightRequest",
     "InFlightRequestListener",
     "LimitObservation",
@@ -61,6 +64,7 @@
     "UpstreamStatus",
     "WeightsVersion",
     "WeightsTargets",
+    "brittle_service",
     "parse_limit",
     "parse_rest",
 ]
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -44,8 +44,6 @@
 BUSY_SWEEP_S = 0.1
 #: the same interval otherwise.
 IDLE_SWEEP_S = 0.4
-#: how long a response says something about the other upstreams of its service.
-BRITTLE_TTL_S = 5.0
 #: how long no requests are sent to an upstream that refused one for lack of capacity.
 REFUSED_BLOCK_S = 0.1
 #: an upstream with a larger share of failed responses is held out.
@@ -54,40 +52,25 @@
 FAILURE_WEIGHT = 0.1
 
 
-@attrs.frozen
-class _Brittle:
-    """What an upstream of a service said last of its brittleness.
-
-    :param refusals: refusals a second beyond which it ends.
-    :param at_s: when it said so.
-    """
-
-    refusals: float
-    at_s: float
-
-
 class UpstreamDirectory(AvailabilityObserver):
     """Upstreams by id, updated from the platform's list.
 
     :param clock: monotonic clock in seconds.
-    :param count_instances: returns the number of instances of the fleet.
     :param availabilities: until when, and why, upstreams get no requests.
     """
 
     def __init__(
         self,
         clock: Callable[[], float] = time.monotonic,
-        count_instances: Callable[[], int] = lambda: 1,
         availabilities: Availabilities | None = None,
     ) -> None:
         self._clock = clock
         self._availabilities = availabilities or Availabilities(clock)
-        self._count_instances = count_instances
         self._by_id: dict[str, UpstreamStatus] = {}
         self._by_incarnation: dict[str, UpstreamStatus] = {}
-        self._brittle: dict[str, _Brittle] = {}
         self._on_gone: list[Callable[[Upstream], None]] = []
         self._on_closed: list[Callable[[UpstreamStatus], None]] = []
+        self._on_request_ended: list[Callable[[UpstreamStatus], None]] = []
         self.list_confirmed_s: float | None = None
         #: number of requests sent so far; shows whether the load of this process's
         #: own requests increased.
@@ -96,9 +79,6 @@
         self.sent_to_leaving = 0
         #: requests sent to upstreams that had asked for rest.
         self.sent_in_rest = 0
-        #: requests sent to upstreams known to be brittle, and those that they refused.
-        self.sent_to_brittle = 0
-        self.refused_by_brittle = 0
 
     def on_gone(self, listener: Callable[[Upstream], None]) -> None:
         """Call ``listener`` with each incarnation that ended or was removed."""
@@ -108,6 +88,10 @@
         """Call ``listener`` with each upstream that says it wants no requests."""
         self._on_closed.append(listener)
 
+    def on_request_ended(self, listener: Callable[[UpstreamStatus], None]) -> None:
+        """Call ``listener`` with the upstream of each request that ended there."""
+        self._on_request_ended.append(listener)
+
     def status(self, incarnation_id: str) -> UpstreamStatus | None:
         """Return the status of an incarnation, or ``None`` if it was removed."""
         return self._by_incarnation.get(incarnation_id)
@@ -249,7 +233,13 @@
         :param listener: receives the request's state changes.
         """
         self.requests_sent += 1
-        return InFlightRequest(status, pending_tokens, self._clock, listener)
+        return InFlightRequest(
+            status, pending_tokens, self._clock, listener, self._notify_request_ended
+        )
+
+    def _notify_request_ended(self, status: UpstreamStatus) -> None:
+        for listener in self._on_request_ended:
+            listener(status)
 
     def note_answer(self, status: UpstreamStatus, is_failure: bool) -> None:
         """Record that the head of a response arrived.
@@ -322,30 +312,8 @@
         return BUSY_SWEEP_S if is_busy else IDLE_SWEEP_S
 
     def note_refused(self, status: UpstreamStatus) -> None:
-        """Record that an upstream refused a request, for lack of capacity as a rule.
-
-        A brittle one ends by too many refusals, so all instances together must get no
-        more than it bears, although none knows of the others'.
-        """
-        for_s = REFUSED_BLOCK_S
-        bearable = self.bearable_refusals(status)
-        if bearable is not None:
-            self.refused_by_brittle += 1
-            instances = self._count_instances()
-            each_per_s = max(1, int(bearable // instances))
-            for_s = max(1.0 / each_per_s, instances / max(1.0, bearable))
-        self.block(status, for_s)
-
-    def note_brittle(self, status: UpstreamStatus, refusals: float | None) -> None:
-        """Record what a response says of the upstream's brittleness.
-
-        :param refusals: refusals a second beyond which it ends, if it says so.
-        """
-        now_s = self._clock()
-        status.brittle_refusals = refusals
-        status.brittle_known_s = now_s
-        if refusals is not None:
-            self._brittle[status.upstream.service] = _Brittle(refusals, now_s)
+        """Record that an upstream refused a request, for lack of capacity as a rule."""
+        self.block(status, REFUSED_BLOCK_S)
 
     def incarnation_of(self, upstream_id: str) -> str:
         """Return the listed incarnation of an upstream; its id if none is listed."""
@@ -430,59 +398,8 @@
             return
         self.sent_to_leaving += status.is_leaving
         self.sent_in_rest += status.availability.is_rest_asked
-        self.sent_to_brittle += self.bearable_refusals(status) is not None
         status.availability.note_sent()
 
-    def has_brittle(self) -> bool:
-        """Return whether any upstream may be brittle."""
-        return bool(self._brittle)
-
-    def brittle_log_fields(self, incarnation_id: str) -> dict[str, float | None]:
-        """Return what is known of an upstream's brittleness; nothing if it has none.
-
-        ``brittle_age_s`` is the time since it said so itself; ``None`` if only others
-        of its service did.
-        """
-        status = self._by_incarnation.get(incarnation_id)
-        bearable = self.bearable_refusals(status) if status is not None else None
-        if bearable is None:
-            return {}
-        age_s = round(self._clock() - status.brittle_known_s, 3)
-        return {
-            "bearable_refusals": bearable,
-            "brittle_age_s": age_s if math.isfinite(age_s) else None,
-        }
-
-    def bearable_refusals(self, status: UpstreamStatus) -> float | None:
-        """Return the refusals a second that an upstream bears, if it is brittle.
-
-        The upstreams of a service become brittle together, so one that has not
-        responded lately counts as brittle like the others.
-        """
-        oldest_s = self._clock() - BRITTLE_TTL_S
-        if status.brittle_known_s >= oldest_s:
-            return status.brittle_refusals
-        service = status.upstream.service
-        known = self._brittle.get(service)
-        if known is not None and known.at_s < oldest_s:
-            del self._brittle[service]
-            return None
-        return known.refusals if known is not None else None
-
-    def has_room(self, status: UpstreamStatus, running: int) -> bool:
-        """Return whether a brittle upstream is expected to have room for a request.
-
-        Others may send it requests at this moment, so no instance uses more than its
-        part of the upstream's slots, and one at least.
-
-        :param running: requests of all instances that it runs.
-        """
-        if self.bearable_refusals(status) is None:
-            return True
-        slots = status.upstream.slots
-        part = max(1, slots // self._count_instances())
-        return running < slots and status.running < part
-
     def block(self, status: UpstreamStatus, for_s: float) -> None:
         """Record that an upstream refuses requests for the next ``for_s`` seconds."""
         status.availability.extend(Unavailability.REFUSED, for_s)
--- a/src/kumquatseam/upstreams/_limits.py
+++ b/src/kumquatseam/upstreams/_limits.py
@@ -161,7 +161,7 @@
         self._listeners.append(listener)
 
     def limited(self) -> list[str]:
-        """Return the upstreams with a limit."""
+        """Return the upstreams with a limit, and the keys of brittle services."""
         return [name for name, known in self._newest.items() if known.is_limited]
 
     def of(self, incarnation_id: str) -> LimitObservation:
--- a/src/kumquatseam/upstreams/_status.py
+++ b/src/kumquatseam/upstreams/_status.py
@@ -36,9 +36,6 @@
     :param availability: until when, and why, it gets no requests.
     :param orders_accepted: number of load orders that this incarnation accepted, if
         known.
-    :param brittle_refusals: refusals a second, of all instances together, beyond which
-        it ends, as its newest response says; ``None`` if it says nothing of the kind.
-    :param brittle_known_s: when that response arrived.
     :param closing_until_s: until then it is about to load weights, and requests
         should prefer other upstreams.
     :param expires_s: when to remove it, if its entry expired during an outage of the
@@ -57,8 +54,6 @@
     _versions: dict[str, int] = attrs.Factory(dict)
     _version_known_s: dict[str, float] = attrs.Factory(dict)
     _orders_known_s: float = -math.inf
-    brittle_refusals: float | None = None
-    brittle_known_s: float = float("-inf")
     closing_until_s: float = 0.0
     expires_s: float | None = None
     _move_runs_to: tuple[str, ...] = ()
@@ -203,6 +198,7 @@
     :param pending_tokens: prompt tokens that the upstream has to prefill.
     :param clock: monotonic clock in seconds.
     :param listener: receives the request's state changes.
+    :param on_end: called with the upstream once the request no longer counts.
     """
 
     def __init__(
@@ -211,11 +207,13 @@
         pending_tokens: int,
         clock: Callable[[], float],
         listener: InFlightRequestListener | None = None,
+        on_end: Callable[[UpstreamStatus], None] = lambda status: None,
     ) -> None:
         self._status = status
         self._pending_tokens = pending_tokens
         self._clock = clock
         self._listener = listener
+        self._on_end = on_end
         self._is_answering = False
         status.running += 1
         status.pending_tokens += pending_tokens
@@ -241,6 +239,7 @@
             self._status.answering -= 1
         if self._listener is not None:
             self._listener.note_end()
+        self._on_end(self._status)
 
     def _clear_pending_tokens(self) -> None:
         self._status.pending_tokens -= self._pending_tokens
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -56,7 +56,8 @@
     NullDatagramLink,
     RendezvousOrder,
 )
-from kumquatseam.quarantine import DirectNoticeChannel, Quarantine, QuarantineParts
+from kumquatseam.quarantine import Quarantine, QuarantineParts
+from kumquatseam.quarantine.direct import DirectNoticeChannel
 from kumquatseam.quarantine.follower import SuspectsFollower
 from kumquatseam.quotas import QuotaParts, ShardOwners, UpstreamLimits
 from kumquatseam.request_reply import ReplyServer
