Log the shared parts of prompts with what failed and crashed

The logs had numbers of tokens and fingerprints of whole requests only, so that a part common to the crashes could not be told from a coincidence.

'Attempt failed.' and 'Upstream crashed under requests.' name the parts of the prompts that other requests may share. The latter lists them in the order of its fingerprints. No decision changes.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -13,6 +13,7 @@
     And a stream is being answered by each engine
     When callers send the crashing request 2 times
     Then both failures are logged with the same fingerprint, and without a first event
+    And with the shared parts of their prompts, as is the crash
     And the interrupted streams are logged with other fingerprints, and with a first event
 
   Scenario Outline: A request that crashed three replicas is kept from the others
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -35,6 +35,8 @@
     :param count: number of replicas.
     """
 
+    restart_s = RESTART_S
+
     def __init__(self, world, service, count):
         self.world = world
         self.service = service
@@ -49,16 +51,17 @@
             self.service,
             upstream_id,
             version=1 if self.service == "engines" else None,
-            events=EVENTS,
-            event_pause_s=0.05,
-            crashes_on=CRASHING,
+            **self._options(),
         )
         replica.on_crash = self._note_crash
 
+    def _options(self):
+        return {"events": EVENTS, "event_pause_s": 0.05, "crashes_on": CRASHING}
+
     def _note_crash(self, replica):
         self.crash_times_s.append(time.monotonic())
         self._call_later(LIST_EXPIRY_S, self.world.unlist_replica, replica.upstream_id)
-        self._call_later(RESTART_S, self._add, f"{replica.upstream_id}b")
+        self._call_later(self.restart_s, self._add, f"{replica.upstream_id}b")
 
     def _call_later(self, delay_s, function, *arguments):
         timer = threading.Timer(delay_s, function, arguments)
@@ -295,3 +298,14 @@
     for line in found:
         assert line["fingerprint"] != context.crashing
         assert line["first_event_ago_s"] > 0, line
+
+
+@then("with the shared parts of their prompts, as is the crash")
+def step_parts_logged(context):
+    ids = _crashing_ids(context)
+    failed = [line for line in _failures(context) if line["request"] in ids]
+    parts = ["00000000", "00000000b"]
+    assert [line["parts"] for line in failed] == [parts] * len(failed), failed
+    lines = [line for g in context.platform.gateways for line in g.lines()]
+    crashed = [x for x in lines if x["event"] == "Upstream crashed under requests."]
+    assert crashed and all(parts in line["parts"] for line in crashed), crashed
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -108,7 +108,9 @@
             self._continuation,
         )
         self._notes = ResponseNotes(parts, job, self._times)
-        self._permission = RunPermission(parts.quarantine, job.fingerprint)
+        self._permission = RunPermission(
+            parts.quarantine, job.fingerprint, job.shared_parts
+        )
         #: the run that a move stopped, until an engine goes on with it.
         self._stopped_run: StoppedRun | None = None
         #: the upstream of the last attempt.
@@ -417,6 +419,7 @@
         _log.bind(
             request=self._job.call.request_id,
             fingerprint=self._job.fingerprint,
+            parts=self._job.shared_parts,
             upstream=placement.status.upstream.incarnation_id,
             attempt=self._progress.attempts,
             remaining_s=round(self._job.remaining_s, 3),
--- a/src/kumquatseam/gateway/_job.py
+++ b/src/kumquatseam/gateway/_job.py
@@ -47,6 +47,11 @@
             self.call.resumes or self.call.resume_after
         )
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The parts of its prompt that other requests may share."""
+        return tuple(part.part_id for part in self.call.prompt.shared)
+
     @property
     def team_name(self) -> str:
         """Name of its team; ``""`` for none."""
--- a/src/kumquatseam/quarantine/_crash_detector.py
+++ b/src/kumquatseam/quarantine/_crash_detector.py
@@ -123,6 +123,7 @@
             upstream=incarnation_id,
             evidence=evidence,
             fingerprints=list(found.started),
+            parts=[started.parts for started in found.started.values()],
         ).info("Upstream crashed under requests.")
         for fingerprint, started in found.started.items():
             self._report(fingerprint, incarnation_id, started.is_trial)
--- a/src/kumquatseam/quarantine/_permission.py
+++ b/src/kumquatseam/quarantine/_permission.py
@@ -12,11 +12,15 @@
 
     :param quarantine: decides whether the request may run.
     :param fingerprint: the request.
+    :param parts: the parts of its prompt that other requests may share.
     """
 
-    def __init__(self, quarantine: Quarantine, fingerprint: str) -> None:
+    def __init__(
+        self, quarantine: Quarantine, fingerprint: str, parts: tuple[str, ...] = ()
+    ) -> None:
         self._quarantine = quarantine
         self._fingerprint = fingerprint
+        self._parts = parts
         self._permit: Permit | None = None
         self._has_begun = False
 
@@ -61,8 +65,7 @@
         :param answering_s: time since the first part of the answer; ``None`` if there
             was none.
         """
-        run = InterruptedRun(self._fingerprint, upstream, answering_s, self.is_trial)
-        self._quarantine.note_interrupted(run)
+        self._quarantine.note_interrupted(self._run(upstream, answering_s))
 
     def note_abandoned(self, upstream: RunUpstream, answering_s: float | None) -> None:
         """Record that the caller disconnected, so the end of the run is unknown.
@@ -70,8 +73,12 @@
         :param answering_s: time since the first part of the answer; ``None`` if there
             was none.
         """
-        run = InterruptedRun(self._fingerprint, upstream, answering_s, self.is_trial)
-        self._quarantine.note_abandoned(run)
+        self._quarantine.note_abandoned(self._run(upstream, answering_s))
+
+    def _run(self, upstream: RunUpstream, answering_s: float | None) -> InterruptedRun:
+        return InterruptedRun(
+            self._fingerprint, upstream, answering_s, self.is_trial, self._parts
+        )
 
     def close(self) -> None:
         """Release the trial if the request did not run."""
--- a/src/kumquatseam/quarantine/_possible_crash.py
+++ b/src/kumquatseam/quarantine/_possible_crash.py
@@ -14,10 +14,12 @@
 
     :param is_trial: whether it ran on trial, as the only copy in the fleet.
     :param expires_s: clock reading after which a crash is not attributed to it.
+    :param parts: the parts of its prompt that other requests may share.
     """
 
     is_trial: bool
     expires_s: float
+    parts: tuple[str, ...] = ()
 
 
 @attrs.define
@@ -38,7 +40,7 @@
         )
         is_trial = run.is_trial or known.is_trial
         self.started[run.fingerprint] = StartedRequest(
-            is_trial, max(expires_s, known.expires_s)
+            is_trial, max(expires_s, known.expires_s), run.parts
         )
         if len(self.started) > MAX_STARTED:
             del self.started[next(iter(self.started))]
--- a/src/kumquatseam/quarantine/_runs.py
+++ b/src/kumquatseam/quarantine/_runs.py
@@ -32,12 +32,14 @@
     :param answering_s: time since the first part of the answer; ``None`` if there
         was none.
     :param is_trial: whether it ran on trial, as the only copy in the fleet.
+    :param parts: the parts of its prompt that other requests may share.
     """
 
     fingerprint: str
     upstream: RunUpstream
     answering_s: float | None
     is_trial: bool = False
+    parts: tuple[str, ...] = ()
 
     @property
     def is_ruled_out(self) -> bool:
