--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import random
 import socket
 import struct
 import threading
@@ -21,6 +22,8 @@
 SIGNATURE = "3e1b.07.5a2"
 #: how long a request runs before it crashes the replica.
 CRASHES_AFTER_S = 0.05
+#: the same after it began to answer a request with a part that crashes it.
+CRASHES_ON_PART_AFTER_S = 0.09
 #: how long a sound replica may fall silent in the middle of a stream.
 PAUSE_S = 1.3
 #: what a stream sends of an event before it ends inside of it, by fault.
@@ -52,6 +55,11 @@
     said_leaving: bool = False
     rest_s: float = 0.0
 
+    def has_part(self, parts) -> bool:
+        """Return whether its prompt has one of some parts, not as the last one."""
+        prefix = self.headers.get("X-Prompt-Prefix", "").split(",")[:-1]
+        return any(entry.partition(":")[0] in parts for entry in prefix)
+
 
 class StandinReplica:
     """A replica on a loopback port.
@@ -75,7 +83,12 @@
         load_s=0.1,
         crashes_on=None,
         software=None,
+        crashes_on_parts=None,
     ):
+        #: how often a request with a part of a prompt crashes the replica shortly
+        #: after it began to answer, by part.
+        self.crashes_on_parts = crashes_on_parts or {}
+        self._crash_draw = random.Random(upstream_id)
         self.software = software
         #: every how many streams it resets one of those that it begins; 0 for none.
         self.resets_every = 0
@@ -458,10 +471,15 @@
         http.end_headers()
         self.running += 1
         is_reset = self._resets_next(first)
+        crashes = self._crashes_under(seen)
         run = self.run_moves.begin(request_id)
         try:
             for number in range(first, self.events + 1):
                 run.events = number - 1
+                if crashes and number == first + 1:
+                    time.sleep(CRASHES_ON_PART_AFTER_S)
+                    self.crash()
+                    return
                 if is_reset and number == first + 2:
                     self._reset(http)
                     return
@@ -493,6 +511,12 @@
             run.ended.set()
             self.running -= 1
 
+    def _crashes_under(self, seen):
+        return any(
+            seen.has_part((part,)) and self._crash_draw.random() < share
+            for part, share in self.crashes_on_parts.items()
+        )
+
     def _event(self, number):
         written_by = f"event: {self.software}\n" if self.software else ""
         return f"id: {number}\n{written_by}data: piece {number}\n\n".encode()
--- a/features/steps/quarantine_fleet.py
+++ b/features/steps/quarantine_fleet.py
@@ -156,6 +156,8 @@
     instance_generation: int
     permit: object
     began_s: float
+    #: the request, if its prompt has parts.
+    sent: object = None
 
 
 @attrs.define(eq=False)
@@ -166,6 +168,8 @@
     started_ms: int = 1
     is_up: bool = True
     runs: list = attrs.Factory(list)
+    #: when this incarnation began.
+    began_s: float = 0.0
 
     @property
     def incarnation_id(self):
@@ -290,14 +294,19 @@
         answering_s = None
         if run.fingerprint not in self.crashing and age_s > FIRST_EVENT_S:
             answering_s = age_s - FIRST_EVENT_S
+        broken = self._interrupted(run, incarnation_id, engine.name, answering_s)
+        run.instance.quarantine.note_interrupted(broken)
+
+    def _interrupted(self, run, incarnation_id, address, answering_s):
+        """Return what an instance knows of a run that ended."""
         is_gone = incarnation_id in self.left_list
-        upstream = RunUpstream(incarnation_id, engine.name, is_gone=is_gone)
+        upstream = RunUpstream(incarnation_id, address, is_gone=is_gone)
         is_trial = run.permit.is_trial
-        broken = InterruptedRun(run.fingerprint, upstream, answering_s, is_trial)
-        run.instance.quarantine.note_interrupted(broken)
+        return InterruptedRun(run.fingerprint, upstream, answering_s, is_trial)
 
     def _start(self, engine):
         engine.started_ms += 1
+        engine.began_s = self.clock()
         engine.is_up = True
 
     def _finish(self, engine, run):
