Requests are kept from upstreams by the part of their prompts that crashes them

Cause: crashes were counted by the fingerprint of the whole request only, so that each of these was counted once. The class: what is counted is narrower than what repeats.

Change: each part that requests may share is a subject of the quarantine like a request, with the same owners, notices, trials and refusals. From its second crash on, a part is watched: the runs with it that crash and those that survive are counted by its owner. It is suspected if crashes are more than a third, and of the subjects on one upstream that crashed the one with the largest Bayes factor takes the crash, so that popular parts beside it are cleared by what they survive. Runs with a suspected part are neither moved nor resumed without a trial. Parts are counted for all models of a service. Nothing is sent for parts that are in no two crashes.

Ruled out: counting crashes of a part without survivals (all popular parts are held within seconds); clearing a part by one answer, as for a request (a part that crashes two times in three is never held).

--- a/features/steps/parts_fleet.py
+++ b/features/steps/parts_fleet.py
@@ -11,7 +11,7 @@
     Run,
 )
 
-from kumquatseam.quarantine import QuarantinedError
+from kumquatseam.quarantine import PromptParts, QuarantinedError
 
 FIRST_PARTS = ("a0", "a1", "a2", "a3")
 OTHER_PARTS = tuple(f"b{number}" for number in range(10))
@@ -89,7 +89,11 @@
 
     def admit(self, instance, fingerprint, parts):
         """Ask for permission, as the gateway does."""
-        return instance.quarantine.admit(fingerprint, 5.0)
+        own_parts = PromptParts("engines", parts)
+        return instance.quarantine.admit(fingerprint, 5.0, own_parts)
+
+    def prompt_parts(self, run):
+        return PromptParts("engines", run.sent.parts if run.sent else ())
 
     def _crash_under_part(self, engine, run):
         if engine.is_up and run.began_s >= engine.began_s:
@@ -98,6 +102,9 @@
 
     def _note_survived(self, engine, run):
         """Have the run's instance note that it did not crash its engine."""
+        if run in engine.runs:
+            note = self.if_running(run.instance, run.instance.quarantine.note_survived)
+            note(self.prompt_parts(run), run.permit)
 
     def _finish_part(self, engine, run):
         if run in engine.runs:
--- a/features/steps/quarantine_fleet.py
+++ b/features/steps/quarantine_fleet.py
@@ -22,6 +22,7 @@
     BusNoticeChannel,
     InterruptedRun,
     Liveness,
+    PromptParts,
     Quarantine,
     QuarantinedError,
     QuarantineParts,
@@ -107,6 +108,9 @@
                 fleet.net.wait,
                 fleet.probe,
                 self._call_later,
+                fleet.find_upstream,
+                lambda: len(fleet.records),
+                fleet.rng.uniform,
             )
         )
         self.copy = TopicCopy(self.quarantine.suspects, fleet.clock)
@@ -231,6 +235,12 @@
         engine = next(e for e in self.engines if e.name == address)
         return Liveness.ALIVE if engine.is_up else Liveness.ENDED
 
+    def find_upstream(self, incarnation_id):
+        """Return a listed engine, as instances know it."""
+        if incarnation_id in self.left_list:
+            return None
+        return RunUpstream(incarnation_id, incarnation_id.partition("@")[0])
+
     def if_running(self, instance, function):
         """Wrap ``function`` to do nothing once the instance stopped or restarted."""
         generation = instance.generation
@@ -301,8 +311,20 @@
         """Return what an instance knows of a run that ended."""
         is_gone = incarnation_id in self.left_list
         upstream = RunUpstream(incarnation_id, address, is_gone=is_gone)
-        is_trial = run.permit.is_trial
-        return InterruptedRun(run.fingerprint, upstream, answering_s, is_trial)
+        permit = run.permit
+        return InterruptedRun(
+            run.fingerprint,
+            upstream,
+            answering_s,
+            run.fingerprint in permit.tried,
+            self.prompt_parts(run),
+            permit.watched,
+            permit.tried,
+        )
+
+    def prompt_parts(self, run):
+        """Return the shared parts of a run's prompt."""
+        return PromptParts()
 
     def _start(self, engine):
         engine.started_ms += 1
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -28,6 +28,7 @@
 )
 from kumquatseam.gateway._refusals import Reason
 from kumquatseam.gateway._response_notes import ResponseNotes
+from kumquatseam.gateway._run_guard import RunGuard
 from kumquatseam.gateway._upstream_choice import UpstreamChoice
 from kumquatseam.http1 import (
     CallerDisconnectedError,
@@ -41,7 +42,7 @@
 )
 from kumquatseam.logs import part_logger
 from kumquatseam.placement import Placement, SentRequest
-from kumquatseam.quarantine import QuarantinedError, RunPermission, RunUpstream
+from kumquatseam.quarantine import QuarantinedError
 from kumquatseam.rollouts import MovedRun
 from kumquatseam.upstreams import (
     STATED_REASONS,
@@ -97,6 +98,8 @@
         self._progress = Progress()
         self._events = EventSplitter(job.call.resume_after)
         self._times = EventTimes(job.request.received_s)
+        self._guard = RunGuard(parts, job, self._times)
+        self._permission = self._guard.permission
         self._continuation = Continuation(parts, job)
         self._forwarder = ResponseForwarder(
             parts,
@@ -106,11 +109,9 @@
             self._events,
             self._times,
             self._continuation,
+            self._guard,
         )
         self._notes = ResponseNotes(parts, job, self._times)
-        self._permission = RunPermission(
-            parts.quarantine, job.fingerprint, job.shared_parts
-        )
         #: the run that a move stopped, until an engine goes on with it.
         self._stopped_run: StoppedRun | None = None
         #: the upstream of the last attempt.
@@ -202,7 +203,7 @@
         except GraceExpiredError:
             self._after_grace_expired(placement)
         except CallerDisconnectedError:
-            self._note_abandoned(placement)
+            self._guard.note_abandoned(placement)
             raise
         return None
 
@@ -264,7 +265,7 @@
         :raises RefusedError: if the request is quarantined.
         """
         try:
-            self._permission.acquire(max(0.0, self._job.remaining_s))
+            self._guard.acquire()
         except QuarantinedError as error:
             self._failure.fail(Reason.QUARANTINED, str(error), error.retry_after_s)
 
@@ -285,6 +286,7 @@
             self._parts.directory.note_connection_failure(
                 placement.status, "connect failed"
             )
+            self._guard.note_unreachable(placement)
         self._log_failure(placement, str(error))
         self._grants.release_limit()
         progress = self._progress
@@ -319,15 +321,14 @@
         self._events.drop_partial()
         self._progress.failed_by = self._interrupted_by(error)
         if not error.is_upstream_fault:
-            self._note_abandoned(placement)
+            self._guard.note_abandoned(placement)
             self._retry_unless_trial(placement, error.detail)
             return
         self._parts.directory.note_connection_failure(
             placement.status, "response interrupted"
         )
         self._parts.pool.drop(placement.status.upstream.address)
-        upstream = self._run_upstream(placement)
-        self._permission.note_interrupted(upstream, self._times.streaming_s)
+        self._guard.note_interrupted(placement)
         self._retry_unless_trial(placement, error.detail)
 
     def _interrupted_by(self, error: ResponseInterruptedError) -> CutBy:
@@ -351,29 +352,13 @@
         run. Its engine is not excluded: once it runs newer weights, it may be chosen
         again.
         """
-        self._note_abandoned(placement)
+        self._guard.note_abandoned(placement)
         self._progress.failed_by = CutBy.GRACE
         if self._permission.is_trial:
             self._progress.may_have_run = True
             self._failure.fail(Reason.INTERRUPTED, GRACE_EXPIRED_DETAIL)
         self._retry_or_fail(placement, GRACE_EXPIRED_DETAIL, RetryCause.GRACE_EXPIRED)
 
-    def _note_abandoned(self, placement: Placement) -> None:
-        """Record that this attempt was abandoned with an unknown outcome."""
-        if self._times.sent_s is not None:
-            upstream = self._run_upstream(placement)
-            self._permission.note_abandoned(upstream, self._times.streaming_s)
-
-    def _run_upstream(self, placement: Placement) -> RunUpstream:
-        upstream = placement.status.upstream
-        current = self._parts.directory.status(upstream.incarnation_id)
-        return RunUpstream(
-            upstream.incarnation_id,
-            upstream.address,
-            placement.status.is_leaving,
-            is_gone=current is None,
-        )
-
     def _after_failure(self, placement: Placement, detail: str) -> None:
         """Retry on another upstream if the request is retryable."""
         self._progress.excluded.add(placement.status.upstream.incarnation_id)
@@ -419,7 +404,7 @@
         _log.bind(
             request=self._job.call.request_id,
             fingerprint=self._job.fingerprint,
-            parts=self._job.shared_parts,
+            parts=self._job.prompt_parts.ids,
             upstream=placement.status.upstream.incarnation_id,
             attempt=self._progress.attempts,
             remaining_s=round(self._job.remaining_s, 3),
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -18,6 +18,7 @@
     RetryableFailureError,
     RunMovedError,
 )
+from kumquatseam.gateway._run_guard import RunGuard
 from kumquatseam.http1 import (
     ConnectionPool,
     ResponseHead,
@@ -81,6 +82,7 @@
     :param events: the events sent so far.
     :param times: when they arrived.
     :param continuation: follows the stream over the upstreams that write it.
+    :param guard: records that the upstream outlived the beginning of its response.
     """
 
     def __init__(
@@ -92,7 +94,9 @@
         events: EventSplitter,
         times: EventTimes,
         continuation: Continuation,
+        guard: RunGuard,
     ) -> None:
+        self._guard = guard
         self._continuation = continuation
         self._parts = parts
         self._job = job
@@ -171,7 +175,7 @@
                 wait.until_s = self.body_until_s()
                 self._check_software(response)
                 self._send_events(response, keep, self._events.feed(data))
-                if response.placement.status.move_runs_to:
+                if response.placement.status.move_runs_to and self._guard.may_move():
                     relocation = relocation or self._relocation(response)
                     relocation.start_if_due()
             self._raise_if_broken_off(response, relocation)
@@ -265,7 +269,9 @@
     def _record_event(self, response: UpstreamResponse) -> None:
         """Record the time of an event; log the pause if the stream was resumed."""
         times = self._times
-        if times.note_event():
+        is_first = times.note_event()
+        self._guard.note_event()
+        if is_first:
             response.placement.note_first_event(times.last_event_s - times.sent_s)
             if response.sent_request is not None:
                 response.sent_request.note_first_event()
--- a/src/kumquatseam/gateway/_job.py
+++ b/src/kumquatseam/gateway/_job.py
@@ -6,6 +6,7 @@
 
 from kumquatseam.gateway._call import Call
 from kumquatseam.http1 import Request
+from kumquatseam.quarantine import PromptParts
 from kumquatseam.routes import Route, RouteTable, ServiceTraits, TeamTraits
 from kumquatseam.upstreams import ServiceVersion
 
@@ -48,9 +49,10 @@
         )
 
     @property
-    def shared_parts(self) -> tuple[str, ...]:
+    def prompt_parts(self) -> PromptParts:
         """The parts of its prompt that other requests may share."""
-        return tuple(part.part_id for part in self.call.prompt.shared)
+        ids = tuple(part.part_id for part in self.call.prompt.shared)
+        return PromptParts(self.service.name, ids)
 
     @property
     def team_name(self) -> str:
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -45,6 +45,7 @@
     BusNoticeChannel,
     Quarantine,
     QuarantineParts,
+    RunUpstream,
 )
 from kumquatseam.quotas import (
     QuotaParts,
@@ -295,9 +296,19 @@
                 BusNoticeChannel(self._bus, self._datagrams),
                 self._log_service,
                 probe=self._paths.probe_liveness,
+                find_upstream=self._run_upstream,
+                count_instances=lambda: len(self._bus.records),
             )
         )
 
+    def _run_upstream(self, incarnation_id: str) -> RunUpstream | None:
+        """Return a listed upstream, for the quarantine."""
+        status = self._directory.status(incarnation_id)
+        if status is None:
+            return None
+        address = status.upstream.address
+        return RunUpstream(incarnation_id, address, status.is_leaving)
+
     def _build_shard_owners(self) -> ShardOwners:
         tolerance = self._file.quotas
         return ShardOwners(
--- a/src/kumquatseam/quarantine/__init__.py
+++ b/src/kumquatseam/quarantine/__init__.py
@@ -3,7 +3,8 @@
 A request may crash every upstream that starts to run it, and be sent again to any
 instance. A single crash does not identify it, since any request that had just
 started on the upstream may be the cause. The request common to the crashes of
-several upstreams does.
+several upstreams does, or the part that the prompts of several requests have in
+common.
 
 - :func:`fingerprint` identifies repeats of the same request.
 - :class:`RunPermission` tracks one request: acquire it before each attempt, and
@@ -22,6 +23,7 @@
 from kumquatseam.quarantine._fingerprint import fingerprint
 from kumquatseam.quarantine._list import SuspectList
 from kumquatseam.quarantine._messages import BUS_KINDS, DATAGRAM_KINDS, CrashNotice
+from kumquatseam.quarantine._parts import PromptParts
 from kumquatseam.quarantine._permission import RunPermission
 from kumquatseam.quarantine._probe import Liveness, probe_liveness
 from kumquatseam.quarantine._publisher import (
@@ -29,7 +31,8 @@
     BusNoticeChannel,
     NoticeChannel,
 )
-from kumquatseam.quarantine._quarantine import Permit, Quarantine, QuarantineParts
+from kumquatseam.quarantine._quarantine import Permit, Quarantine
+from kumquatseam.quarantine._quarantine_parts import QuarantineParts
 from kumquatseam.quarantine._runs import InterruptedRun, RunUpstream
 
 __all__ = [
@@ -42,6 +45,7 @@
     "Liveness",
     "NoticeChannel",
     "Permit",
+    "PromptParts",
     "Quarantine",
     "QuarantineParts",
     "QuarantinedError",
--- a/src/kumquatseam/quarantine/_crash_detector.py
+++ b/src/kumquatseam/quarantine/_crash_detector.py
@@ -6,7 +6,7 @@
 import gevent
 
 from kumquatseam.logs import part_logger
-from kumquatseam.quarantine._possible_crash import PossibleCrash
+from kumquatseam.quarantine._possible_crash import CrashEvidence, PossibleCrash
 from kumquatseam.quarantine._probe import Liveness, probe_liveness
 from kumquatseam.quarantine._runs import InterruptedRun, RunUpstream
 
@@ -15,6 +15,9 @@
 #: delay before a probe: the connections of an ending process may close slightly
 #: before its listening port.
 PROBE_DELAY_S = 0.02
+#: delay before the probe of an upstream that runs a watched part for a caller that
+#: disconnected: by then it has begun to write.
+ABANDONED_PROBE_DELAY_S = 0.3
 #: expiry of an interrupted run: by then an upstream that crashed without being
 #: detected by a probe has left the list.
 INTERRUPTED_TTL_S = 10.0
@@ -33,8 +36,10 @@
     A planned shutdown also interrupts runs, but does not count as a crash.
 
     :param report: called for each request that had just started on a crashed
-        upstream, with its fingerprint, the upstream's incarnation id, and whether
-        it ran on trial.
+        upstream, and each part of their prompts, with the subject, the upstream's
+        incarnation id, and how it ran there.
+    :param note_ended: called with the incarnation id of an upstream that a probe found
+        to have ended.
     :param probe: returns whether a process listens at an address.
     :param call_later: calls a function after a delay in seconds.
     :param clock: monotonic clock in seconds.
@@ -42,12 +47,14 @@
 
     def __init__(
         self,
-        report: Callable[[str, str, bool], None],
+        report: Callable[[str, str, CrashEvidence], None],
+        note_ended: Callable[[str], None] = lambda incarnation_id: None,
         probe: Callable[[str], Liveness] = probe_liveness,
         call_later: Callable[..., object] = gevent.spawn_later,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._report = report
+        self._note_ended = note_ended
         self._probe = probe
         self._call_later = call_later
         self._clock = clock
@@ -62,27 +69,47 @@
         if upstream.is_gone:
             # No probe: the broken link was noticed late, and by now a new incarnation
             # may listen at the address.
-            self._report(run.fingerprint, upstream.incarnation_id, run.is_trial)
+            found = PossibleCrash()
+            found.add(run, self._clock() + INTERRUPTED_TTL_S)
+            self._report_all(upstream.incarnation_id, found)
             return
         found = self._possible_crash_of(upstream)
         if found is None:
             return
-        if not found.is_probed:
-            found.is_probed = True
-            self._call_later(PROBE_DELAY_S, self._check_liveness, upstream)
+        self._schedule_probe(found, upstream, PROBE_DELAY_S)
         found.add(run, self._clock() + INTERRUPTED_TTL_S)
 
     def note_abandoned(self, run: InterruptedRun) -> None:
         """Record that a caller disconnected during a run.
 
         The end of the run cannot be observed, but a crash removes the upstream from
-        the list. There is no probe, since callers disconnect all the time.
+        the list, and other instances may notice it. There is no probe unless a part of
+        its prompt is watched, since callers disconnect all the time.
         """
         if run.is_ruled_out or run.upstream.is_leaving:
             return
         found = self._possible_crash_of(run.upstream)
-        if found is not None:
-            found.add(run, self._clock() + ABANDONED_TTL_S)
+        if found is None:
+            return
+        found.add(run, self._clock() + ABANDONED_TTL_S)
+        if run.watched or run.tried or run.is_trial:
+            self._schedule_probe(found, run.upstream, ABANDONED_PROBE_DELAY_S)
+
+    def note_unreachable(self, upstream: RunUpstream) -> None:
+        """Record that an upstream refused a connection, or ended as others say.
+
+        It is probed if a run that had just begun there may have crashed it.
+        """
+        found = self._possible_crashes.get(upstream.incarnation_id)
+        if found is not None and not upstream.is_leaving:
+            self._schedule_probe(found, upstream, 0.0)
+
+    def _schedule_probe(
+        self, found: PossibleCrash, upstream: RunUpstream, delay_s: float
+    ) -> None:
+        if not found.is_probed:
+            found.is_probed = True
+            self._call_later(delay_s, self._check_liveness, upstream)
 
     def _possible_crash_of(self, upstream: RunUpstream) -> PossibleCrash | None:
         """Return the entry of an upstream; ``None`` if too many are tracked."""
@@ -107,6 +134,7 @@
         found = self._possible_crashes.get(upstream.incarnation_id)
         if liveness is Liveness.ENDED:
             self._report_crash(upstream.incarnation_id, "refuses connections")
+            self._note_ended(upstream.incarnation_id)
         elif liveness is Liveness.ALIVE:
             self._possible_crashes.pop(upstream.incarnation_id, None)
         elif found is not None:
@@ -123,10 +151,13 @@
             upstream=incarnation_id,
             evidence=evidence,
             fingerprints=list(found.started),
-            parts=[started.parts for started in found.started.values()],
+            parts=[started.run.parts.ids for started in found.started.values()],
         ).info("Upstream crashed under requests.")
-        for fingerprint, started in found.started.items():
-            self._report(fingerprint, incarnation_id, started.is_trial)
+        self._report_all(incarnation_id, found)
+
+    def _report_all(self, incarnation_id: str, found: PossibleCrash) -> None:
+        for subject, evidence in found.evidence().items():
+            self._report(subject, incarnation_id, evidence)
 
     def _expire(self) -> None:
         now_s = self._clock()
--- a/src/kumquatseam/quarantine/_messages.py
+++ b/src/kumquatseam/quarantine/_messages.py
@@ -11,9 +11,13 @@
     """Log service record of the upstreams that crashed while running a request.
 
     :param crashes: the crashes; empty if the request is no longer suspected.
+    :param survivals: runs with a watched part that did not crash their upstreams.
+    :param samples: sampled crashes, of which not all may be in the set.
     """
 
     crashes: Crashes = Crashes()
+    survivals: int = 0
+    samples: int = 0
 
 
 @attrs.frozen
@@ -25,12 +29,14 @@
     :param crashes: the new crash and all others known to the sender.
     :param is_copy: whether another instance has accepted the report; the receiver
         keeps the copy in case that instance fails.
+    :param sampled: the upstream of the new crash, if that is sampled.
     """
 
     number: int
     fingerprint: str
     crashes: Crashes
     is_copy: bool = False
+    sampled: str = ""
 
 
 @attrs.frozen
@@ -71,11 +77,15 @@
     :param fingerprint: the request.
     :param was_served: whether an upstream completed it, which shows that it does not
         crash upstreams; otherwise it did not run.
+    :param count: number of runs, if they had a part in common.
+    :param is_trial: whether it was a trial.
     """
 
     number: int
     fingerprint: str
     was_served: bool
+    count: int = 1
+    is_trial: bool = True
 
 
 @attrs.frozen
@@ -99,11 +109,27 @@
     :param fingerprint: the request.
     :param crashes: see :class:`CrashRecord`.
     :param first_crash_ago_ms: time since the owner received the first report.
+    :param survivals: see :class:`CrashRecord`.
+    :param samples: see :class:`CrashRecord`.
     """
 
     fingerprint: str
     crashes: Crashes
     first_crash_ago_ms: int = 0
+    survivals: int = 0
+    samples: int = 0
+
+
+@attrs.frozen
+class EndedNotice:
+    """Broadcast to all instances that an upstream ended.
+
+    Whoever had a run there whose caller disconnected has no other news of its end.
+
+    :param incarnation_id: the upstream.
+    """
+
+    incarnation_id: str
 
 
 #: codec of the records in the log service.
@@ -116,6 +142,7 @@
     "run": RunEnded,
     "noted": Acknowledgement,
     "notice": CrashNotice,
+    "upstream": EndedNotice,
 }
 #: bus messages, by kind on the wire.
-BUS_KINDS = {"notice": CrashNotice}
+BUS_KINDS = {"notice": CrashNotice, "upstream": EndedNotice}
--- a/src/kumquatseam/quarantine/_owners.py
+++ b/src/kumquatseam/quarantine/_owners.py
@@ -67,7 +67,7 @@
         self._number = random.getrandbits(48)
         self._pending: dict[int, _PendingCall] = {}
         for kind in (CrashReport, TrialQuestion, RunEnded):
-            link.on_message(kind, self._on_message)
+            link.on_message(kind, self.receive)
         for kind in (Acknowledgement, TrialAnswer):
             link.on_message(kind, self._on_answer)
 
@@ -118,7 +118,8 @@
         finally:
             del self._pending[message.number]
 
-    def _on_message(self, message: _Message, sender: str) -> None:
+    def receive(self, message: _Message, sender: str) -> None:
+        """Handle and answer a message to an owner."""
         self._link.send(sender, self._handle(message))
 
     def _on_answer(self, answer: _Answer, _: str) -> None:
--- a/src/kumquatseam/quarantine/_permission.py
+++ b/src/kumquatseam/quarantine/_permission.py
@@ -1,7 +1,12 @@
 """Permission to run one request, and the outcome of its runs."""
 
+from kumquatseam.quarantine._parts import NO_PARTS, PromptParts
 from kumquatseam.quarantine._quarantine import Permit, Quarantine
-from kumquatseam.quarantine._runs import InterruptedRun, RunUpstream
+from kumquatseam.quarantine._runs import (
+    RULED_OUT_AFTER_S,
+    InterruptedRun,
+    RunUpstream,
+)
 
 
 class RunPermission:
@@ -16,13 +21,17 @@
     """
 
     def __init__(
-        self, quarantine: Quarantine, fingerprint: str, parts: tuple[str, ...] = ()
+        self,
+        quarantine: Quarantine,
+        fingerprint: str,
+        parts: PromptParts = NO_PARTS,
     ) -> None:
         self._quarantine = quarantine
         self._fingerprint = fingerprint
         self._parts = parts
         self._permit: Permit | None = None
         self._has_begun = False
+        self._has_survived = False
 
     @property
     def fingerprint(self) -> str:
@@ -43,19 +52,35 @@
         :raises QuarantinedError: if the request may not run now.
         """
         if not self.is_trial:
-            self._permit = self._quarantine.admit(self._fingerprint, max_duration_s)
+            self._permit = self._quarantine.admit(
+                self._fingerprint, max_duration_s, self._parts
+            )
+
+    def may_move(self) -> bool:
+        """Return whether the run may go on at another upstream now."""
+        return not self.is_trial and not self._quarantine.is_suspected(self._parts)
 
     def note_sent(self) -> None:
         """Record that the request is being sent to an upstream."""
         self._has_begun = True
+        self._has_survived = False
 
     def note_refused(self) -> None:
         """Record that the upstream did not run the request."""
         self._has_begun = False
 
+    def note_answering(self, answering_s: float | None) -> None:
+        """Record that an upstream goes on with its answer.
+
+        :param answering_s: time since the first part of the answer.
+        """
+        if answering_s is not None and answering_s >= RULED_OUT_AFTER_S:
+            self._note_survived()
+
     def note_answered(self) -> None:
         """Record that an upstream completed the request."""
         self._quarantine.note_served(self._fingerprint)
+        self._note_survived()
 
     def note_interrupted(
         self, upstream: RunUpstream, answering_s: float | None
@@ -75,12 +100,25 @@
         """
         self._quarantine.note_abandoned(self._run(upstream, answering_s))
 
-    def _run(self, upstream: RunUpstream, answering_s: float | None) -> InterruptedRun:
-        return InterruptedRun(
-            self._fingerprint, upstream, answering_s, self.is_trial, self._parts
-        )
-
     def close(self) -> None:
         """Release the trial if the request did not run."""
         if self.is_trial and not self._has_begun:
             self._quarantine.note_not_run(self._permit)
+
+    def _note_survived(self) -> None:
+        """Record that the parts of the prompt did not crash the upstream."""
+        if not self._has_survived:
+            self._has_survived = True
+            self._quarantine.note_survived(self._parts, self._permit)
+
+    def _run(self, upstream: RunUpstream, answering_s: float | None) -> InterruptedRun:
+        permit = self._permit or Permit(self._fingerprint)
+        return InterruptedRun(
+            self._fingerprint,
+            upstream,
+            answering_s,
+            self._fingerprint in permit.tried,
+            self._parts,
+            permit.watched,
+            permit.tried,
+        )
--- a/src/kumquatseam/quarantine/_publisher.py
+++ b/src/kumquatseam/quarantine/_publisher.py
@@ -1,6 +1,7 @@
 """Broadcast and storage of the suspected requests."""
 
 import abc
+import collections
 from collections.abc import Callable
 
 from kumquatseam.logs import part_logger
@@ -8,7 +9,13 @@
 from kumquatseam.loops import WakeableLoop
 from kumquatseam.peers import DatagramLink, PeerBus
 from kumquatseam.quarantine._list import SuspectList
-from kumquatseam.quarantine._messages import RECORD_CODEC, CrashNotice, CrashRecord
+from kumquatseam.quarantine._messages import (
+    BUS_KINDS,
+    RECORD_CODEC,
+    CrashNotice,
+    CrashRecord,
+    EndedNotice,
+)
 
 _log = part_logger("quarantine")
 
@@ -18,15 +25,21 @@
 RETRY_PAUSE_S = 0.5
 
 
+#: notices of ended upstreams that are remembered, and forwarded once.
+MAX_ENDED = 64
+
+Notice = CrashNotice | EndedNotice
+
+
 class NoticeChannel(abc.ABC):
     """Broadcasts notices to all instances, without guarantee of delivery."""
 
     @abc.abstractmethod
-    def on_notice(self, listener: Callable[[CrashNotice], None]) -> None:
-        """Call ``listener`` with each notice received from another instance."""
+    def on_notice(self, kind: type, listener: Callable[[Notice], None]) -> None:
+        """Call ``listener`` with each notice of a class from another instance."""
 
     @abc.abstractmethod
-    def send(self, notice: CrashNotice) -> None:
+    def send(self, notice: Notice) -> None:
         """Broadcast ``notice`` to all reachable instances."""
 
 
@@ -40,23 +53,45 @@
     def __init__(self, bus: PeerBus, link: DatagramLink) -> None:
         self._bus = bus
         self._link = link
-        link.on_message(CrashNotice, lambda notice, _: self._forward(notice))
-        self._on_notice: Callable[[CrashNotice], None] = lambda notice: None
-
-    def on_notice(self, listener: Callable[[CrashNotice], None]) -> None:
-        self._on_notice = listener
-        self._bus.on_message(CrashNotice, listener)
-
-    def send(self, notice: CrashNotice) -> None:
+        self._listeners: dict[type, Callable[[Notice], None]] = {}
+        #: upstreams whose end was told here lately, and those whose end was forwarded:
+        #: several instances notice it.
+        self._ended: collections.deque[str] = collections.deque(maxlen=MAX_ENDED)
+        self._forwarded: collections.deque[str] = collections.deque(maxlen=MAX_ENDED)
+        for kind in BUS_KINDS.values():
+            link.on_message(kind, lambda notice, _: self._forward(notice))
+
+    def on_notice(self, kind: type, listener: Callable[[Notice], None]) -> None:
+        self._listeners[kind] = listener
+        self._bus.on_message(kind, self._receive)
+
+    def send(self, notice: Notice) -> None:
+        if _is_repeated(notice, self._ended):
+            return
         self._bus.publish(notice)
         for leader in self._bus.view().leaders():
             if leader.name != self._bus.name:
                 self._link.send(leader.address, notice)
 
-    def _forward(self, notice: CrashNotice) -> None:
+    def _forward(self, notice: Notice) -> None:
         """Forward a notice to the instances that follow this leader."""
-        self._on_notice(notice)
-        self._bus.publish(notice)
+        self._receive(notice)
+        if not _is_repeated(notice, self._forwarded):
+            self._bus.publish(notice)
+
+    def _receive(self, notice: Notice) -> None:
+        if not _is_repeated(notice, self._ended):
+            self._listeners[type(notice)](notice)
+
+
+def _is_repeated(notice: Notice, ended: collections.deque[str]) -> bool:
+    """Return whether the end of an upstream was told before; record it if not."""
+    if not isinstance(notice, EndedNotice):
+        return False
+    if notice.incarnation_id in ended:
+        return True
+    ended.append(notice.incarnation_id)
+    return False
 
 
 class RecordWriter:
@@ -86,7 +121,9 @@
         """Write the scheduled records; return whether any are left."""
         for fingerprint in list(self._unwritten):
             crashes = self._suspects.crashes(fingerprint)
-            value = RECORD_CODEC.encode(CrashRecord(crashes)) if crashes else b""
+            evidence = self._suspects.evidence(fingerprint)
+            record = CrashRecord(crashes, evidence.survivals, evidence.samples)
+            value = RECORD_CODEC.encode(record) if crashes else b""
             try:
                 self._log_service.append_keyed(SUSPECTS_TOPIC, fingerprint, value)
             except LogServiceError as error:
--- a/src/kumquatseam/quarantine/_quarantine.py
+++ b/src/kumquatseam/quarantine/_quarantine.py
@@ -1,41 +1,31 @@
 """Decides whether a request may run, from the crashes that all instances report."""
 
-import time
-from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import attrs
-import gevent.event
+import gevent
 
 from kumquatseam.lifecycle import PartGroup
-from kumquatseam.logs import part_logger
-from kumquatseam.logservice import LogService
 from kumquatseam.loops import StepLoop
-from kumquatseam.peers import DatagramLink, RendezvousOrder
-from kumquatseam.quarantine._crash_detector import CrashDetector
-from kumquatseam.quarantine._crashes import Crashes
 from kumquatseam.quarantine._errors import QuarantinedError
 from kumquatseam.quarantine._list import SuspectList
 from kumquatseam.quarantine._messages import (
-    Acknowledgement,
     CrashNotice,
     CrashReport,
+    EndedNotice,
     RunEnded,
-    TrialAnswer,
     TrialQuestion,
 )
-from kumquatseam.quarantine._owners import OwnerClient
-from kumquatseam.quarantine._probe import Liveness, probe_liveness
-from kumquatseam.quarantine._publisher import NoticeChannel, RecordWriter
-from kumquatseam.quarantine._registry import BUSY_RETRY_S, CrashRegistry
-from kumquatseam.quarantine._reporter import CrashReporter
-from kumquatseam.quarantine._runs import InterruptedRun
+from kumquatseam.quarantine._parts import NO_PARTS, PromptParts, is_part
+from kumquatseam.quarantine._policy import Evidence
+from kumquatseam.quarantine._publisher import RecordWriter
+from kumquatseam.quarantine._quarantine_parts import QuarantineParts
+from kumquatseam.quarantine._runs import InterruptedRun, RunUpstream
 from kumquatseam.quarantine._served import ServedRequests
 
-_log = part_logger("quarantine")
+if TYPE_CHECKING:
+    from kumquatseam.quarantine._investigation import CrashInvestigation
 
-#: time after a run until its outcome is known: an upstream that stops sending
-#: heartbeats leaves the list after several missed ones.
-OUTCOME_DELAY_S = 5.0
 #: an instance that cannot read the list of suspects starts without it after this
 #: long.
 LIST_LOAD_TIMEOUT_S = 2.0
@@ -51,37 +41,19 @@
     """Permission to run a request.
 
     :param fingerprint: the request.
-    :param is_trial: whether the request runs on trial, as the only copy in the fleet.
+    :param tried: what it runs on trial for, as the only such run in the fleet: the
+        request itself, or parts of its prompt.
+    :param watched: parts of its prompt that are watched.
     """
 
     fingerprint: str
-    is_trial: bool = False
+    tried: frozenset[str] = frozenset()
+    watched: frozenset[str] = frozenset()
 
-
-@attrs.frozen
-class QuarantineParts:
-    """Dependencies of a :class:`Quarantine`.
-
-    :param name: name of this instance.
-    :param order: returns the candidate owners of a request, by preference.
-    :param link: sends and receives messages between two instances.
-    :param channel: broadcasts to all instances.
-    :param log: stores the suspected requests; ``None`` if there is no log service.
-    :param clock: monotonic clock in seconds.
-    :param wait: waits for an event, with a timeout in seconds.
-    :param probe: returns whether a process listens at an address.
-    :param call_later: calls a function after a delay in seconds.
-    """
-
-    name: str
-    order: RendezvousOrder
-    link: DatagramLink
-    channel: NoticeChannel
-    log: LogService | None
-    clock: Callable[[], float] = time.monotonic
-    wait: Callable[[gevent.event.Event, float], object] = gevent.event.Event.wait
-    probe: Callable[[str], Liveness] = probe_liveness
-    call_later: Callable[..., object] = gevent.spawn_later
+    @property
+    def is_trial(self) -> bool:
+        """Whether the request runs on trial."""
+        return bool(self.tried)
 
 
 class Quarantine:
@@ -93,37 +65,25 @@
     owner's permission. From the third on, if one was on trial, it is refused for a
     period. The suspected requests are stored in the log service.
 
+    The parts of prompts that requests share have owners as well. From the second crash
+    on, the runs with a part are counted, whether they crash or not; if they crash often
+    enough, and no other part or request explains it, requests with the part are
+    treated like one request.
+
     :param parts: its dependencies.
     """
 
     def __init__(self, parts: QuarantineParts) -> None:
+        self._parts = parts
         self._clock = parts.clock
         self.suspects = SuspectList(parts.clock)
-        self._registry = CrashRegistry(self.suspects, parts.clock)
         self._served = ServedRequests(parts.clock)
-        self._channel = parts.channel
-        self._channel.on_notice(self._handle_notice)
-        self._owners = OwnerClient(
-            parts.name,
-            parts.order,
-            parts.link,
-            self._handle_message,
-            self.suspects.add_crashes,
-            parts.wait,
-        )
         self.writer = RecordWriter(parts.log, self.suspects)
-        reporter = CrashReporter(
-            self._owners,
-            self.suspects,
-            self._handle_report,
-            parts.call_later,
-            parts.clock,
-        )
-        self._crash_detector = CrashDetector(
-            reporter.report, parts.probe, parts.call_later, parts.clock
-        )
-        self._call_later = parts.call_later
-        self._has_log = parts.log is not None
+        self._investigation: CrashInvestigation | None = None
+        for kind in (CrashReport, TrialQuestion, RunEnded):
+            parts.link.on_message(kind, self._handle_first_message)
+        parts.channel.on_notice(CrashNotice, self._handle_notice)
+        parts.channel.on_notice(EndedNotice, self._handle_end)
         self._started_s = float("-inf")
         self.trials = 0
         self._loops = PartGroup(
@@ -136,7 +96,7 @@
 
     def start(self) -> None:
         """Start the background loops that write records and drop old ones."""
-        if self._has_log:
+        if self._parts.log is not None:
             self._started_s = self._clock()
         self._loops.start()
 
@@ -152,32 +112,59 @@
 
     # Called by the code that serves requests.
 
-    def admit(self, fingerprint: str, max_duration_s: float) -> Permit:
-        """Return a permit to run a request, from its owner if it is suspected.
+    def admit(
+        self,
+        fingerprint: str,
+        max_duration_s: float,
+        parts: PromptParts = NO_PARTS,
+    ) -> Permit:
+        """Return a permit to run a request, from the owners of what is suspected.
 
         :param max_duration_s: maximum duration of the run.
+        :param parts: the parts of its prompt that other requests may share.
         :raises QuarantinedError: if the request may not run now.
         """
         self._wait_for_list()
-        if not self.suspects.is_suspected(fingerprint):
+        if not self.suspects:
             return Permit(fingerprint)
-        crashes = self.suspects.crashes(fingerprint)
-        count = len(crashes.upstreams)
-        refused_for_s = self.suspects.refused_for_s(fingerprint)
-        if refused_for_s > 0:
-            raise QuarantinedError(count, refused_for_s)
-        lasts_ms = int((max_duration_s + OUTCOME_DELAY_S) * 1000)
-        question = TrialQuestion(
-            self._owners.next_number(), fingerprint, crashes, lasts_ms
+        keys = parts.subjects()
+        suspected = [s for s in (fingerprint, *keys) if self.suspects.is_suspected(s)]
+        for subject in suspected:
+            refused_for_s = self.suspects.refused_for_s(subject)
+            if refused_for_s > 0:
+                raise self._refusal(subject, refused_for_s)
+        permit = Permit(fingerprint, watched=frozenset(filter(self._is_listed, keys)))
+        for subject in suspected:
+            try:
+                self._ask_for_trial(subject, max_duration_s)
+            except QuarantinedError:
+                self.note_not_run(permit)
+                raise
+            permit = attrs.evolve(permit, tried=permit.tried | {subject})
+        self.trials += permit.is_trial
+        return permit
+
+    def is_suspected(self, parts: PromptParts) -> bool:
+        """Return whether requests with any of some parts run on trial only."""
+        return bool(self.suspects) and any(
+            map(self.suspects.is_suspected, parts.subjects())
         )
-        answered = self._owners.call(question)
-        if answered is None:
-            raise QuarantinedError(count, BUSY_RETRY_S)
-        answer, _ = answered
-        if not answer.is_granted:
-            raise QuarantinedError(count, answer.wait_ms / 1000.0)
-        self.trials += 1
-        return Permit(fingerprint, is_trial=True)
+
+    def _is_listed(self, subject: str) -> bool:
+        return subject in self.suspects
+
+    def _refusal(self, subject: str, wait_s: float) -> QuarantinedError:
+        crashes = len(self.suspects.crashes(subject).upstreams)
+        return QuarantinedError(crashes, wait_s, subject if is_part(subject) else "")
+
+    def _ask_for_trial(self, subject: str, max_duration_s: float) -> None:
+        """Ask the owner of a suspected request or part for a trial.
+
+        :raises QuarantinedError: if it may not start now.
+        """
+        wait_s = self._investigate().ask_for_trial(subject, max_duration_s)
+        if wait_s is not None:
+            raise self._refusal(subject, wait_s)
 
     def _wait_for_list(self) -> None:
         """Wait briefly for the list, so that a restart does not admit suspects."""
@@ -189,110 +176,97 @@
         """Record that an upstream completed a request."""
         self._served.add(fingerprint)
         if self.suspects.crashes(fingerprint):
-            self._call_later(0, self._report_run_ended, fingerprint, True)
+            self._investigate().report_served(fingerprint)
+
+    def note_survived(self, parts: PromptParts, permit: Permit | None) -> None:
+        """Record that a run has outlived its beginning, or was completed.
+
+        :param parts: the parts of its prompt that other requests may share.
+        :param permit: with which it ran.
+        """
+        if not self.suspects:
+            return
+        tried = permit.tried if permit is not None else frozenset()
+        for subject in filter(self._is_listed, parts.subjects()):
+            self._investigate().note_survived(subject, subject in tried)
 
     def note_not_run(self, permit: Permit) -> None:
         """Record that a trial ended before the request ran."""
-        self._call_later(0, self._report_run_ended, permit.fingerprint, False)
+        for subject in sorted(permit.tried):
+            self._investigate().report_not_run(subject)
 
     def note_interrupted(self, run: InterruptedRun) -> None:
         """Record that a run failed, possibly because its upstream crashed."""
-        self._crash_detector.note_interrupted(run)
+        self._investigate().crash_detector.note_interrupted(run)
 
     def note_abandoned(self, run: InterruptedRun) -> None:
         """Record that a caller disconnected during a run."""
-        self._crash_detector.note_abandoned(run)
+        self._investigate().crash_detector.note_abandoned(run)
+
+    def note_unreachable(self, upstream: RunUpstream) -> None:
+        """Record that an upstream refused a connection."""
+        if self._investigation is not None:
+            self._investigation.crash_detector.note_unreachable(upstream)
 
     def note_upstream_gone(self, incarnation_id: str, was_leaving: bool) -> None:
         """Record that an upstream left the list or restarted.
 
         :param was_leaving: whether this was planned.
         """
-        self._crash_detector.note_upstream_gone(incarnation_id, was_leaving)
+        if self._investigation is not None:
+            detector = self._investigation.crash_detector
+            detector.note_upstream_gone(incarnation_id, was_leaving)
 
-    # Messages from other instances.
-
-    def _handle_message(self, message: object) -> Acknowledgement | TrialAnswer:
-        """Handle a message about a request that this instance owns."""
-        if isinstance(message, CrashReport):
-            self._handle_report(message)
-        elif isinstance(message, TrialQuestion):
-            return self._decide_trial(message)
-        elif isinstance(message, RunEnded):
-            self._handle_run_ended(message)
-        fingerprint = message.fingerprint
-        return Acknowledgement(
-            message.number, fingerprint, self.suspects.crashes(fingerprint)
-        )
+    def sweep(self) -> None:
+        """Drop outdated requests, and write records missing from the log service.
 
-    def _handle_report(self, report: CrashReport) -> None:
-        is_new = self._registry.note_crashes(report.fingerprint, report.crashes)
-        if is_new and not report.is_copy:
-            self._publish(
-                report.fingerprint, self._registry.crashes(report.fingerprint)
-            )
+        The owner of a request may be cut off from the log service, or may have
+        restarted and written fewer crashes than others know of.
+        """
+        if not self.suspects:
+            return
+        outdated = self.suspects.outdated()
+        for subject in outdated:
+            self.suspects.drop(subject)
+        written = filter(self.suspects.is_written, outdated)
+        for subject in (*written, *self.suspects.unwritten()):
+            if self._investigate().may_own(subject):
+                self.writer.write(subject)
 
-    def _decide_trial(self, question: TrialQuestion) -> TrialAnswer:
-        fingerprint = question.fingerprint
-        # The sender may know of crashes that this instance does not.
-        self.suspects.add_crashes(fingerprint, question.crashes)
-        decision = self._registry.try_start_trial(
-            fingerprint, question.lasts_ms / 1000.0
-        )
-        _log.bind(
-            fingerprint=fingerprint,
-            is_granted=decision.is_granted,
-            wait_s=round(decision.wait_s, 2),
-        ).info("Trial asked for.")
-        return TrialAnswer(
-            question.number, decision.is_granted, int(decision.wait_s * 1000)
-        )
+    # Messages from other instances.
 
-    def _handle_run_ended(self, ended: RunEnded) -> None:
-        if not ended.was_served:
-            self._registry.end_trial(ended.fingerprint)
-            return
-        self._registry.clear(ended.fingerprint)
-        self._publish(ended.fingerprint, Crashes())
-
-    def _publish(self, fingerprint: str, crashes: Crashes) -> None:
-        """Store and broadcast the crashes of a request, or that it is cleared."""
-        if crashes:
-            self.suspects.add_crashes(fingerprint, crashes)
-        else:
-            self.suspects.drop(fingerprint)
-        first_ago_s = self._registry.first_crash_ago_s(fingerprint)
-        notice = CrashNotice(fingerprint, crashes, int(first_ago_s * 1000))
-        self._channel.send(notice)
-        self.writer.write(fingerprint)
-        self._clear_if_served(notice)
+    def _handle_first_message(self, message: object, sender: str) -> None:
+        """Handle a message to an owner; what handles it is loaded with the first."""
+        self._investigate().owners.receive(message, sender)
 
     def _handle_notice(self, notice: CrashNotice) -> None:
+        subject = notice.fingerprint
         if not notice.crashes:
-            self._registry.clear(notice.fingerprint)
-            self.suspects.drop(notice.fingerprint)
+            if self._investigation is not None:
+                self._investigation.forget(subject)
+            self.suspects.drop(subject)
             return
-        self.suspects.add_crashes(notice.fingerprint, notice.crashes)
+        evidence = Evidence(notice.crashes, notice.survivals, notice.samples)
+        self.suspects.add(subject, evidence)
         self._clear_if_served(notice)
 
+    def _handle_end(self, notice: EndedNotice) -> None:
+        upstream = self._parts.find_upstream(notice.incarnation_id)
+        if upstream is not None:
+            self.note_unreachable(upstream)
+
     def _clear_if_served(self, notice: CrashNotice) -> None:
         """Clear a request that this instance served since the first crash."""
         age_s = notice.first_crash_ago_ms / 1000.0
         if notice.crashes and self._served.was_served_within(notice.fingerprint, age_s):
-            self._call_later(0, self._report_run_ended, notice.fingerprint, True)
+            self._investigate().report_served(notice.fingerprint)
 
-    def _report_run_ended(self, fingerprint: str, was_served: bool) -> None:
-        self._owners.call(RunEnded(self._owners.next_number(), fingerprint, was_served))
-
-    def sweep(self) -> None:
-        """Drop outdated requests, and write records missing from the log service.
+    def _investigate(self) -> "CrashInvestigation":
+        """Return what counts crashes; it is loaded with the first of them."""
+        if self._investigation is None:
+            from kumquatseam.quarantine._investigation import CrashInvestigation
 
-        The owner of a request may be cut off from the log service, or may have
-        restarted and written fewer crashes than others know of.
-        """
-        outdated = self.suspects.outdated()
-        for fingerprint in outdated:
-            self.suspects.drop(fingerprint)
-        for fingerprint in (*outdated, *self.suspects.unwritten()):
-            if self._owners.may_own(fingerprint):
-                self.writer.write(fingerprint)
+            self._investigation = CrashInvestigation(
+                self._parts, self.suspects, self.writer, self._clear_if_served
+            )
+        return self._investigation
--- a/src/kumquatseam/quarantine/_registry.py
+++ b/src/kumquatseam/quarantine/_registry.py
@@ -9,12 +9,14 @@
 from kumquatseam.logs import part_logger
 from kumquatseam.quarantine._crashes import Crashes
 from kumquatseam.quarantine._list import SuspectList
-from kumquatseam.quarantine._policy import needs_trial
+from kumquatseam.quarantine._policy import Evidence
 
 _log = part_logger("quarantine")
 
 #: maximum number of requests counted; the one that crashed least recently is evicted.
 MAX_COUNTED = 4096
+#: newest sampled crashes of a part that are told apart.
+MAX_SAMPLED = 64
 #: expiry of a count, so that unrelated crashes do not add up: upstreams crash now
 #: and then, and some request has always just started on them.
 COUNT_TTL_S = 600.0
@@ -29,11 +31,17 @@
     :param first_crash_s: clock reading when the first crash was reported.
     :param last_crash_s: clock reading when the last new crash was reported.
     :param crashes: all crashes known when the last report was counted.
+    :param sampled: the upstreams of the newest sampled crashes, the oldest first.
+    :param samples: number of sampled crashes.
     """
 
     first_crash_s: float
     last_crash_s: float
     crashes: Crashes = Crashes()
+    sampled: collections.deque[str] = attrs.Factory(
+        lambda: collections.deque(maxlen=MAX_SAMPLED)
+    )
+    samples: int = 0
 
 
 @attrs.frozen
@@ -68,17 +76,25 @@
         )
         self._trial_deadlines_s: dict[str, float] = {}
 
-    def note_crashes(self, fingerprint: str, crashes: Crashes) -> bool:
+    def note_crashes(
+        self, fingerprint: str, crashes: Crashes, sampled: str = ""
+    ) -> bool:
         """Count upstreams that crashed while running a request.
 
-        :returns: whether the request is now suspected and must be broadcast.
+        :param sampled: the upstream of the newest crash, if that is sampled.
+        :returns: whether the request is now suspected, or the part is watched, and must
+            be broadcast.
         """
         self._expire()
         now_s = self._clock()
         known = self.crashes(fingerprint)
         entry = self._counted.setdefault(fingerprint, _CountedRequest(now_s, now_s))
         entry.crashes = known.merged(crashes)
-        if entry.crashes != known:
+        is_new_sample = bool(sampled) and sampled not in entry.sampled
+        if is_new_sample:
+            entry.sampled.append(sampled)
+            entry.samples = self.samples(fingerprint) + 1
+        if entry.crashes != known or is_new_sample:
             entry.last_crash_s = now_s
             # Sorted by the last new crash, in which order counts expire.
             self._counted.move_to_end(fingerprint)
@@ -87,12 +103,23 @@
                 fingerprint=fingerprint,
                 crashed=entry.crashes.upstreams,
                 on_trial=entry.crashes.on_trial,
+                sampled=entry.crashes.sampled,
             ).info("Crash counted.")
         while len(self._counted) > MAX_COUNTED:
             self._counted.popitem(last=False)
-        if self._suspects.crashes(fingerprint).covers(entry.crashes):
+        is_covered = self._suspects.crashes(fingerprint).covers(entry.crashes)
+        if is_covered and not is_new_sample:
             return False
-        return needs_trial(self._suspects.unattributed(fingerprint, entry.crashes))
+        survivals = self._suspects.evidence(fingerprint).survivals
+        return self._suspects.is_to_be_listed(
+            fingerprint, Evidence(entry.crashes, survivals, entry.samples)
+        )
+
+    def samples(self, fingerprint: str) -> int:
+        """Return the number of sampled crashes known for a part."""
+        entry = self._counted.get(fingerprint)
+        counted = entry.samples if entry is not None else 0
+        return max(counted, self._suspects.evidence(fingerprint).sampled_crashes)
 
     def crashes(self, fingerprint: str) -> Crashes:
         """Return all crashes known for a request, broadcast or only counted here."""
--- a/src/kumquatseam/quarantine/_reporter.py
+++ b/src/kumquatseam/quarantine/_reporter.py
@@ -10,6 +10,7 @@
 from kumquatseam.quarantine._list import SuspectList
 from kumquatseam.quarantine._messages import CrashReport
 from kumquatseam.quarantine._owners import OwnerClient
+from kumquatseam.quarantine._possible_crash import CrashEvidence
 
 _log = part_logger("quarantine")
 
@@ -18,7 +19,7 @@
 #: a report is dropped after this long without acknowledgement: the owners of the
 #: request are gone, and its new owner counts the next crashes.
 GIVE_UP_AFTER_S = 15.0
-#: maximum number of pending reports; the crash of one upstream causes about ten.
+#: maximum number of pending reports; the crash of one upstream causes some ten.
 MAX_PENDING = 512
 
 
@@ -26,14 +27,14 @@
 class _Crash:
     """The crash of an upstream while it ran a request.
 
-    :param fingerprint: the request.
+    :param fingerprint: the request, or the part.
     :param incarnation_id: the upstream.
-    :param is_on_trial: whether the request ran there on trial.
+    :param evidence: how it ran there.
     """
 
     fingerprint: str
     incarnation_id: str
-    is_on_trial: bool
+    evidence: CrashEvidence
 
 
 class CrashReporter:
@@ -64,9 +65,11 @@
         self._clock = clock
         self._pending: dict[_Crash, float] = {}
 
-    def report(self, fingerprint: str, incarnation_id: str, is_on_trial: bool) -> None:
+    def report(
+        self, fingerprint: str, incarnation_id: str, evidence: CrashEvidence
+    ) -> None:
         """Schedule the report of a crash, and return at once."""
-        crash = _Crash(fingerprint, incarnation_id, is_on_trial)
+        crash = _Crash(fingerprint, incarnation_id, evidence)
         if crash in self._pending:
             return
         if len(self._pending) >= MAX_PENDING:
@@ -88,9 +91,12 @@
     def _send_report(self, crash: _Crash) -> bool:
         """Report a crash; return whether an owner acknowledged it."""
         known = self._suspects.crashes(crash.fingerprint)
-        new_crash = Crashes.single(crash.incarnation_id, crash.is_on_trial)
+        new_crash = Crashes.single(crash.incarnation_id, crash.evidence.is_trial)
         report = CrashReport(
-            self._owners.next_number(), crash.fingerprint, known.merged(new_crash)
+            self._owners.next_number(),
+            crash.fingerprint,
+            known.merged(new_crash),
+            sampled=crash.incarnation_id if crash.evidence.is_sampled else "",
         )
         answered = self._owners.call(report)
         if answered is None:
--- a/src/kumquatseam/quarantine/_runs.py
+++ b/src/kumquatseam/quarantine/_runs.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from kumquatseam.quarantine._parts import NO_PARTS, PromptParts
+
 #: a run that has been streaming its answer for this long did not crash its upstream
 #: by being started.
 RULED_OUT_AFTER_S = 0.5
@@ -33,13 +35,17 @@
         was none.
     :param is_trial: whether it ran on trial, as the only copy in the fleet.
     :param parts: the parts of its prompt that other requests may share.
+    :param watched: keys of those that were watched when it began.
+    :param tried: the subjects that it ran on trial for.
     """
 
     fingerprint: str
     upstream: RunUpstream
     answering_s: float | None
     is_trial: bool = False
-    parts: tuple[str, ...] = ()
+    parts: PromptParts = NO_PARTS
+    watched: frozenset[str] = frozenset()
+    tried: frozenset[str] = frozenset()
 
     @property
     def is_ruled_out(self) -> bool:
--- a/src/kumquatseam/quarantine/direct.py
+++ b/src/kumquatseam/quarantine/direct.py
@@ -3,8 +3,7 @@
 from collections.abc import Callable
 
 from kumquatseam.peers import DatagramLink
-from kumquatseam.quarantine._messages import CrashNotice
-from kumquatseam.quarantine._publisher import NoticeChannel
+from kumquatseam.quarantine._publisher import Notice, NoticeChannel
 
 #: maximum number of peers to which a notice is sent one by one.
 MAX_NOTIFIED_PEERS = 12
@@ -26,10 +25,10 @@
         self._link = link
         self._list_addresses = list_addresses
 
-    def on_notice(self, listener: Callable[[CrashNotice], None]) -> None:
-        self._link.on_message(CrashNotice, lambda notice, _: listener(notice))
+    def on_notice(self, kind: type, listener: Callable[[Notice], None]) -> None:
+        self._link.on_message(kind, lambda notice, _: listener(notice))
 
-    def send(self, notice: CrashNotice) -> None:
+    def send(self, notice: Notice) -> None:
         addresses = self._list_addresses()
         if len(addresses) <= MAX_NOTIFIED_PEERS:
             for address in addresses:
