Error responses do not show that a part or a request is harmless

What callers saw: engines that answered part of the requests with errors were crashed under one part of the prompts again and again (27 crashes in 16 s in the test).

Cause: each complete response counted as a survival, or as served, also an error (5xx) that an upstream sends before or instead of running the request; so the part was cleared. And a trial that was refused or failed was followed by the next one at once, each of which may crash an upstream. The class: evidence taken from something that did not happen.

Change: only responses under 500 count, in both front ends. After a trial that an upstream refused or failed the next one waits, longer each time (owner's registry, the trials' one place).

--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -574,7 +574,10 @@
 
     def _end_answered(self, head: ResponseHead, keep: bool) -> tuple[bool, str]:
         """Record that the caller got a complete response of an upstream."""
-        self._permission.note_answered()
+        if head.status < 500:
+            self._permission.note_answered()
+        else:
+            self._permission.note_refused()
         _log.bind(
             request=self._job.call.request_id,
             status=head.status,
--- a/src/kumquatseam/quarantine/_investigation.py
+++ b/src/kumquatseam/quarantine/_investigation.py
@@ -109,11 +109,17 @@
 
     def report_served(self, fingerprint: str) -> None:
         """Report to its owner that a request was completed."""
-        self._call_later(0, self._report_run_ended, fingerprint, True)
+        number = self.owners.next_number()
+        self._call_later(0, self.owners.call, RunEnded(number, fingerprint, True))
 
-    def report_not_run(self, subject: str) -> None:
-        """Report to its owner that a trial ended before it ran."""
-        self._call_later(0, self._report_run_ended, subject, False)
+    def report_not_run(self, subject: str, has_arrived: bool) -> None:
+        """Report to its owner that a trial ended without a run.
+
+        :param has_arrived: whether it was sent to an upstream.
+        """
+        number = self.owners.next_number()
+        ended = RunEnded(number, subject, False, has_arrived=has_arrived)
+        self._call_later(0, self.owners.call, ended)
 
     def note_survived(self, part: str, is_trial: bool) -> None:
         """Count a run with a watched part that did not crash its upstream."""
@@ -134,9 +140,6 @@
         if not is_part(subject) or subject in self._suspects:
             self._suspects.add(subject, Evidence(crashes))
 
-    def _report_run_ended(self, subject: str, was_served: bool) -> None:
-        self.owners.call(RunEnded(self.owners.next_number(), subject, was_served))
-
     # Messages to the owner of a subject.
 
     def _handle_message(self, message: object) -> Acknowledgement | TrialAnswer:
@@ -191,7 +194,7 @@
 
     def _handle_run_ended(self, ended: RunEnded) -> None:
         if not ended.was_served:
-            self._registry.end_trial(ended.fingerprint)
+            self._registry.end_trial(ended.fingerprint, ended.has_arrived)
         elif is_part(ended.fingerprint):
             self._handle_survivals(ended)
         else:
--- a/src/kumquatseam/quarantine/_list.py
+++ b/src/kumquatseam/quarantine/_list.py
@@ -13,6 +13,7 @@
 from kumquatseam.quarantine._messages import RECORD_CODEC, CrashRecord
 from kumquatseam.quarantine._parts import is_part
 from kumquatseam.quarantine._policy import (
+    MIN_SURVIVALS_PER_CRASH,
     SUSPECT_TTL_S,
     WATCHED_TTL_S,
     Evidence,
@@ -187,7 +188,8 @@
         evidence = self.evidence(subject)
         if not is_part(subject):
             return bool(evidence.crashes)
-        return evidence.sampled_crashes > evidence.survivals
+        most = evidence.sampled_crashes * MIN_SURVIVALS_PER_CRASH
+        return evidence.survivals < most
 
     def is_written(self, subject: str) -> bool:
         """Return whether the log service knows of a subject."""
--- a/src/kumquatseam/quarantine/_messages.py
+++ b/src/kumquatseam/quarantine/_messages.py
@@ -79,6 +79,7 @@
         crash upstreams; otherwise it did not run.
     :param count: number of runs, if they had a part in common.
     :param is_trial: whether it was a trial.
+    :param has_arrived: whether a trial that did not run was sent to an upstream.
     """
 
     number: int
@@ -86,6 +87,7 @@
     was_served: bool
     count: int = 1
     is_trial: bool = True
+    has_arrived: bool = False
 
 
 @attrs.frozen
--- a/src/kumquatseam/quarantine/_permission.py
+++ b/src/kumquatseam/quarantine/_permission.py
@@ -30,6 +30,7 @@
         self._fingerprint = fingerprint
         self._parts = parts
         self._permit: Permit | None = None
+        self._has_arrived = False
         self._has_begun = False
         self._has_survived = False
 
@@ -62,11 +63,15 @@
 
     def note_sent(self) -> None:
         """Record that the request is being sent to an upstream."""
-        self._has_begun = True
+        self._has_arrived = self._has_begun = True
         self._has_survived = False
 
     def note_refused(self) -> None:
-        """Record that the upstream did not run the request."""
+        """Record that the upstream did not run the request, or failed to.
+
+        An error response may have been sent before the upstream began to run it, so it
+        does not show that the request is harmless.
+        """
         self._has_begun = False
 
     def note_answering(self, answering_s: float | None) -> None:
@@ -103,7 +108,7 @@
     def close(self) -> None:
         """Release the trial if the request did not run."""
         if self.is_trial and not self._has_begun:
-            self._quarantine.note_not_run(self._permit)
+            self._quarantine.note_not_run(self._permit, self._has_arrived)
 
     def _note_survived(self) -> None:
         """Record that the parts of the prompt did not crash the upstream."""
--- a/src/kumquatseam/quarantine/_quarantine.py
+++ b/src/kumquatseam/quarantine/_quarantine.py
@@ -190,10 +190,13 @@
         for subject in filter(self._is_listed, parts.subjects()):
             self._investigate().note_survived(subject, subject in tried)
 
-    def note_not_run(self, permit: Permit) -> None:
-        """Record that a trial ended before the request ran."""
+    def note_not_run(self, permit: Permit, has_arrived: bool = False) -> None:
+        """Record that a trial ended without the request having run.
+
+        :param has_arrived: whether it was sent to an upstream.
+        """
         for subject in sorted(permit.tried):
-            self._investigate().report_not_run(subject)
+            self._investigate().report_not_run(subject, has_arrived)
 
     def note_interrupted(self, run: InterruptedRun) -> None:
         """Record that a run failed, possibly because its upstream crashed."""
--- a/src/kumquatseam/quarantine/_registry.py
+++ b/src/kumquatseam/quarantine/_registry.py
@@ -22,6 +22,11 @@
 COUNT_TTL_S = 600.0
 #: retry delay while another trial is in progress; most runs end within it.
 BUSY_RETRY_S = 1.0
+#: pause after a trial that an upstream refused or failed, which shows nothing, and how
+#: it grows with each of them.
+RETRIAL_PAUSE_S = 2.0
+RETRIAL_PAUSE_FACTOR = 4.0
+MAX_RETRIAL_PAUSE_S = 30.0
 
 
 @attrs.define
@@ -33,6 +38,7 @@
     :param crashes: all crashes known when the last report was counted.
     :param sampled: the upstreams of the newest sampled crashes, the oldest first.
     :param samples: number of sampled crashes.
+    :param inconclusive: number of trials since the last crash that showed nothing.
     """
 
     first_crash_s: float
@@ -42,6 +48,7 @@
         lambda: collections.deque(maxlen=MAX_SAMPLED)
     )
     samples: int = 0
+    inconclusive: int = 0
 
 
 @attrs.frozen
@@ -75,6 +82,7 @@
             collections.OrderedDict()
         )
         self._trial_deadlines_s: dict[str, float] = {}
+        self._retrials_s: dict[str, float] = {}
 
     def note_crashes(
         self, fingerprint: str, crashes: Crashes, sampled: str = ""
@@ -96,6 +104,7 @@
             entry.samples = self.samples(fingerprint) + 1
         if entry.crashes != known or is_new_sample:
             entry.last_crash_s = now_s
+            entry.inconclusive = 0
             # Sorted by the last new crash, in which order counts expire.
             self._counted.move_to_end(fingerprint)
             self._trial_deadlines_s.pop(fingerprint, None)
@@ -144,17 +153,33 @@
         left_s = self._trial_deadlines_s.get(fingerprint, 0.0) - now_s
         if left_s > 0:
             return TrialDecision(False, min(left_s, BUSY_RETRY_S))
+        paused_for_s = self._retrials_s.get(fingerprint, 0.0) - now_s
+        if paused_for_s > 0:
+            return TrialDecision(False, paused_for_s)
         self._trial_deadlines_s[fingerprint] = now_s + max_duration_s
         return TrialDecision(True)
 
-    def end_trial(self, fingerprint: str) -> None:
-        """Record that a trial ended before the request ran."""
+    def end_trial(self, fingerprint: str, has_arrived: bool = False) -> None:
+        """Record that a trial ended without a crash.
+
+        :param has_arrived: whether it was sent to an upstream that did not run it; then
+            the next one has to wait.
+        """
         self._trial_deadlines_s.pop(fingerprint, None)
+        entry = self._counted.get(fingerprint)
+        if not has_arrived or entry is None:
+            return
+        pause_s = RETRIAL_PAUSE_S * RETRIAL_PAUSE_FACTOR**entry.inconclusive
+        entry.inconclusive += 1
+        self._retrials_s[fingerprint] = self._clock() + min(
+            pause_s, MAX_RETRIAL_PAUSE_S
+        )
 
     def clear(self, fingerprint: str) -> None:
         """Drop the crashes of a request; one that was served crashes no upstream."""
         self._counted.pop(fingerprint, None)
         self._trial_deadlines_s.pop(fingerprint, None)
+        self._retrials_s.pop(fingerprint, None)
 
     def _expire(self) -> None:
         now_s = self._clock()
@@ -163,6 +188,7 @@
             if entry.last_crash_s >= oldest_s:
                 break
             del self._counted[fingerprint]
-        for fingerprint, until_s in list(self._trial_deadlines_s.items()):
-            if until_s <= now_s:
-                del self._trial_deadlines_s[fingerprint]
+        for deadlines_s in (self._trial_deadlines_s, self._retrials_s):
+            for fingerprint, until_s in list(deadlines_s.items()):
+                if until_s <= now_s:
+                    del deadlines_s[fingerprint]
--- a/src/kumquatseam/serving/_services.py
+++ b/src/kumquatseam/serving/_services.py
@@ -94,9 +94,12 @@
             response = self._attempt_permitted(
                 team, service, call, repeatable, permission
             )
+            if response.status >= 500:
+                permission.note_refused()
         finally:
             permission.close()
-        permission.note_answered()
+        if response.status < 500:
+            permission.note_answered()
         return response
 
     def _attempt_permitted(
