Connections that an instance has no time for are closed before they are read

Idle connections could take all descriptors, so that no upstream was reached.

Cause: callers' connections were accepted without any bound. The class: work taken on before it is known that it can be done.

What was read is served as before.

--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -121,6 +121,9 @@
     metrics.register_counter("relay_failures", lambda: parts.relays.failed)
     metrics.register_counter("upstream_connections", lambda: parts.pool.opened)
     metrics.register_counter("caller_connections", lambda: parts.server.accepted)
+    metrics.register_counter(
+        "caller_connections_turned_away", lambda: parts.server.turned_away
+    )
     metrics.register_counter("log_calls", lambda: parts.log_service.calls)
     metrics.register_counter("peer_messages_sent", lambda: parts.bus.sent)
     metrics.register_counter("peer_messages_received", lambda: parts.bus.received)
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -9,6 +9,7 @@
 import gevent.socket
 
 from kumquatseam.gateway._caller import CallerConnection
+from kumquatseam.gateway._connection_admission import ConnectionAdmission
 from kumquatseam.gateway._handler import RequestHandler
 from kumquatseam.http1 import (
     BadRequestError,
@@ -43,6 +44,7 @@
     :param handler: serves one request.
     :param read_limits: returns the current limits.
     :param grace_s: maximum duration of a shutdown.
+    :param admission: decides which new connections are served.
     """
 
     def __init__(
@@ -51,7 +53,9 @@
         handler: RequestHandler,
         read_limits: Callable[[], RequestLimits],
         grace_s: float,
+        admission: ConnectionAdmission,
     ) -> None:
+        self._admission = admission
         self._address = address
         self._handler = handler
         self._read_limits = read_limits
@@ -62,6 +66,7 @@
         self._busy: set[gevent.Greenlet] = set()
         #: when what is still served is cut; ``None`` until a stop was requested.
         self._stop_s: float | None = None
+        self._open_count = 0
         self.accepted = 0
 
     def start(self) -> None:
@@ -74,6 +79,11 @@
         self._listener = listener
         self._accepting = gevent.spawn(self._accept_forever)
 
+    @property
+    def turned_away(self) -> int:
+        """The number of connections that were closed unread."""
+        return self._admission.turned_away
+
     @property
     def is_accepting(self) -> bool:
         """Whether callers may connect, and no stop was requested."""
@@ -106,6 +116,7 @@
     def _stop_accepting(self) -> None:
         if self._accepting is not None:
             self._accepting.kill()
+            self._admission.close()
             self._accepting = None
             self._listener.close()
 
@@ -133,12 +144,24 @@
                 _log.bind(error=repr(error)).warning("Cannot accept a connection.")
                 gevent.sleep(0.01)
                 continue
+            if not self._admission.admit(self._open_count):
+                connection.close()
+                continue
             self.accepted += 1
+            self._open_count += 1
             gevent.spawn(self._serve_connection, connection)
 
     def _serve_connection(self, connection) -> None:
-        for option in dead_peer_socket_options():
-            connection.setsockopt(*option)
+        try:
+            for option in dead_peer_socket_options():
+                connection.setsockopt(*option)
+            self._serve_requests(connection)
+        finally:
+            self._open_count -= 1
+            connection.close()
+
+    def _serve_requests(self, connection) -> None:
+        """Serve the requests on a connection until it ends."""
         greenlet = gevent.getcurrent()
         reader = RequestReader(connection, self._read_limits())
         self._readers[greenlet] = reader
@@ -153,7 +176,6 @@
             self._respond_bad_request(caller, error)
         finally:
             self._readers.pop(greenlet, None)
-            connection.close()
 
     def _serve_next(
         self, greenlet: gevent.Greenlet, reader: RequestReader, caller: CallerConnection
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -8,8 +8,10 @@
 from kumquatseam.feeds import TopicFeeds, TopicUpdate
 from kumquatseam.gateway._adapter import Adapter
 from kumquatseam.gateway._cache_holders import cache_holders
+from kumquatseam.gateway._connection_admission import ConnectionAdmission
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
 from kumquatseam.gateway._health import HealthServer, MetricsServer
+from kumquatseam.gateway._loop_idleness import LoopIdleness
 from kumquatseam.gateway._paces import (
     instance_pace,
     operator_pace,
@@ -280,7 +282,13 @@
                 self._targets,
             )
         )
-        return GatewayServer(gateway.listen, handler, self._read_limits, self._grace_s)
+        return GatewayServer(
+            gateway.listen,
+            handler,
+            self._read_limits,
+            self._grace_s,
+            ConnectionAdmission(LoopIdleness(), gateway.max_descriptors),
+        )
 
     @property
     def _grace_s(self) -> float:
--- a/src/kumquatseam/gatewayfile/_settings.py
+++ b/src/kumquatseam/gatewayfile/_settings.py
@@ -22,6 +22,8 @@
     :param grace_s: time from SIGTERM to SIGKILL, in seconds.
     :param connect_timeout_s: timeout of connecting to an upstream.
     :param log_level: minimum level of written log lines.
+    :param max_descriptors: file descriptors that this process may use; 0 for as many
+        as the system allows.
     :param link_mbps: bandwidth of the instance's network link; 0 if unknown.
     """
 
@@ -35,6 +37,7 @@
     grace_s: float = setting(positive=True, default=8.0)
     connect_timeout_s: float = setting(positive=True, default=0.3)
     log_level: str = setting(default="DEBUG")
+    max_descriptors: int = setting(default=0)
     link_mbps: float = setting(default=0.0)
 
 
