Bytes without end neither stop a gateway nor outlast a deadline

Cause: reads went on as long as bytes were there. A socket that is always readable was polled without a switch to other greenlets, the deadline was only checked when nothing had arrived, and heads, late answers, refusals' bodies and events had no bound. The class: a loop whose end the other side decides.

Change: heads end at 256 kB, answers to others at 1 MB, events at 256 kB, refusals' bodies are read up to 64 kB for reuse; others run after 16 reads; after a deadline 16 reads are left for what arrived before it.

--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -43,7 +43,12 @@
         headers.update(context.platform.stream_headers())
     began_s = time.monotonic()
     try:
-        status = context.platform.send(f"/call/{number}", headers=headers).status
+        answer = context.platform.send(
+            f"/call/{number}", headers=headers, preload_content=False
+        )
+        for _ in answer.stream(65_536):
+            pass
+        status = answer.status
     except urllib3.exceptions.HTTPError:
         status = 0  # Visibly broken off, or no answer at all.
     return status, time.monotonic() - began_s
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -37,6 +37,10 @@
 #: responses up to this size are buffered, so that the request can be retried or
 #: failed cleanly if the upstream's response is interrupted.
 MAX_BUFFERED_BYTES = 262_144
+#: the body of a refusal is read up to this size, so that its connection can be reused.
+MAX_DRAINED_BYTES = 65_536
+#: maximum size of an event; longer ones take memory and are no events.
+MAX_EVENT_BYTES = 262_144
 #: idle timeout of a stream that can be resumed on another engine. Engines may be silent
 #: for a second and go on; clients time out after 2 s.
 STREAM_IDLE_TIMEOUT_S = 1.6
@@ -117,8 +121,12 @@
 
         :raises ResponseInterruptedError: if it is not complete.
         """
-        while response.connection.read_body(response.wait):
-            pass
+        left_bytes = MAX_DRAINED_BYTES
+        while data := response.connection.read_body(response.wait):
+            left_bytes -= len(data)
+            if left_bytes < 0:
+                # A new connection costs less than the rest.
+                return
         response.release(self._parts.pool)
 
     def forward(self, response: UpstreamResponse, may_retry: bool) -> bool:
@@ -175,6 +183,7 @@
                 wait.until_s = self.body_until_s()
                 self._check_software(response)
                 self._send_events(response, keep, self._events.feed(data))
+                self._check_event_size(response)
                 if response.placement.status.move_runs_to and self._guard.may_move():
                     relocation = relocation or self._relocation(response)
                     relocation.start_if_due()
@@ -238,6 +247,17 @@
                 is_upstream_fault=False,
             )
 
+    def _check_event_size(self, response: UpstreamResponse) -> None:
+        """Check what was received of an event that is not complete.
+
+        :raises ResponseInterruptedError: if it is too large to be one.
+        """
+        if self._events.partial_bytes > MAX_EVENT_BYTES:
+            raise ResponseInterruptedError(
+                response.connection.address,
+                f"over {MAX_EVENT_BYTES} bytes without the end of an event",
+            )
+
     def _log_end(self, response: UpstreamResponse, is_whole: bool) -> None:
         """Log how a stream ended, and what it left of an event."""
         self._parts.metrics.record_stream_end(
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -2,10 +2,12 @@
 
 import abc
 import collections
+import math
 import socket
 import time
 from collections.abc import Callable
 
+import gevent
 import gevent.socket
 import httptools
 
@@ -23,6 +25,13 @@
 _READ_BYTES = 65_536
 #: late responses to earlier requests that may be skipped before the expected one.
 _MAX_STRAY_RESPONSES = 3
+#: maximum size of a response's head, and of a late response that is skipped.
+_MAX_HEAD_BYTES = 262_144
+_MAX_STRAY_BYTES = 1_048_576
+#: reads after which other greenlets run, also if there is more to read.
+_READS_PER_TURN = 16
+#: reads of what arrived before the deadline, but is read later.
+_MAX_LATE_READS = 16
 
 
 class ConnectionWatch(abc.ABC):
@@ -134,6 +143,8 @@
         self._end_reason = ""
         self._is_ended_on_the_way = False
         self._has_received = False
+        self._reads = 0
+        self._read_bytes = 0
         self.reuse_until_s: float | None = None
         self.has_sent = False
 
@@ -194,7 +205,11 @@
         """
         strays = 0
         while True:
-            self._read_until(lambda: self._responses and self._responses[0].head, wait)
+            self._read_until(
+                lambda: self._responses and self._responses[0].head,
+                wait,
+                _MAX_HEAD_BYTES,
+            )
             head = self._responses[0].head
             if head.headers.text(id_header) == request_id:
                 return head
@@ -209,7 +224,9 @@
                 raise ResponseInterruptedError(
                     self.address, "response to another request"
                 )
-            self._read_until(lambda: self._responses[0].complete, wait)
+            self._read_until(
+                lambda: self._responses[0].complete, wait, _MAX_STRAY_BYTES
+            )
             self._responses.popleft()
 
     def read_body(self, wait: "SocketWait") -> bytes:
@@ -238,9 +255,17 @@
         )
 
     def _read_until(
-        self, is_available: Callable[[], object], wait: "SocketWait"
+        self,
+        is_available: Callable[[], object],
+        wait: "SocketWait",
+        max_bytes: float = math.inf,
     ) -> None:
+        end_bytes = self._read_bytes + max_bytes
         while not is_available():
+            if self._read_bytes > end_bytes:
+                raise ResponseInterruptedError(
+                    self.address, f"over {max_bytes} bytes that are no response"
+                )
             if self._decoder is not None and self._decoder.unsent_for_s is not None:
                 raise RequestUnsentError(self.address, self._decoder.unsent_for_s)
             if self._parse_error:
@@ -273,6 +298,9 @@
         self._unsent = self._unsent[sent:]
 
     def _read_available(self) -> None:
+        self._reads += 1
+        if self._reads % _READS_PER_TURN == 0:
+            gevent.sleep(0)
         try:
             data = self._socket._sock.recv(_READ_BYTES)
         except BlockingIOError:
@@ -284,6 +312,7 @@
         if not data:
             self._handle_end(is_upstream=self._decoder is None)
             return
+        self._read_bytes += len(data)
         if self._watch is not None:
             self._watch.note_received(self, not self._has_received)
         self._has_received = True
@@ -375,17 +404,20 @@
         self._address = address
         self._caller = caller
         self._on_caller_readable = on_caller_readable
+        self._late_reads = 0
 
     def __call__(self, upstream, wants_write: bool) -> bool:
         while True:
             left_s = self.until_s - time.monotonic()
+            self._late_reads = self._late_reads + 1 if left_s <= 0 else 0
             readers = [upstream] if self._caller is None else [upstream, self._caller]
             writers = [upstream] if wants_write else []
             # What arrived while this process stalled counts, even if the time is over.
             readable, writable = wait_ready(readers, writers, left_s)
             if self._caller in readable and not self._on_caller_readable():
                 self._caller = None
-            if upstream in readable or writable:
+            may_read = self._late_reads <= _MAX_LATE_READS
+            if (upstream in readable or writable) and may_read:
                 return bool(writable)
             if left_s <= 0:
                 raise ResponseTimeoutError(
