A process that gets little of a processor turns fewer connections away

They had used 0.05 s of processor time without a pause because others kept them from it. It takes 0.1 s now.

The scenario offers 220 connections a second to gateways with 0.3 of a processor: what all of them can do together is more than that, so that what one leaves unread is served by the others. Red on the code before (0.00 of what was read); now all.

--- a/src/kumquatseam/gateway/_connection_admission.py
+++ b/src/kumquatseam/gateway/_connection_admission.py
@@ -12,7 +12,7 @@
 SATURATED_AFTER_S = 0.25
 #: and after this much processor time of its own, so that a process that waits for a
 #: processor is not taken for one with too much work.
-SATURATED_PROCESSOR_S = 0.05
+SATURATED_PROCESSOR_S = 0.1
 #: share of the descriptors for callers' connections. Each request needs another one
 #: to its upstream, and peers and the log service need some.
 CALLER_DESCRIPTORS_SHARE = 0.45
