Cut gateways: a failure says how long the test's proxies took

The entries of KNOWN-RED.txt for cut_from_upstreams suspect new connections through the test's proxy, which looks up whose each of them is. The message tells its times now.

--- a/features/steps/cut_from_upstreams_steps.py
+++ b/features/steps/cut_from_upstreams_steps.py
@@ -130,8 +130,16 @@
     statuses = collections.Counter(
         a.status for a in context.attempts if a.gateway in context.cut
     )
+    delays_s = sorted(
+        delay_s
+        for proxy in context.proxies
+        for came_s, delay_s in proxy.delays
+        if came_s >= context.cut_s
+    )
     assert cut / cut_all >= share * others / others_all, (
-        f"{cut} of {cut_all} served, others {others} of {others_all}: {statuses}"
+        f"{cut} of {cut_all} served, others {others} of {others_all}: {statuses}; the "
+        f"proxies took {delays_s[len(delays_s) // 2]:.3f} s for a connection (median), "
+        f"{delays_s[-1]:.3f} s (maximum), {len(delays_s)} in all"
     )
 
 
--- a/features/steps/cut_proxy.py
+++ b/features/steps/cut_proxy.py
@@ -27,6 +27,8 @@
         self.cuts = {}
         #: the process behind each connection to the target, by its local port.
         self.owners = {}
+        #: when connections came, and how long the proxy took to find whose they are.
+        self.delays = []
         #: number of connections opened, by process id.
         self.opened = {}
         #: the processes to tell apart.
@@ -61,7 +63,9 @@
             threading.Thread(target=self._serve, args=(client, port)).start()
 
     def _serve(self, client, port):
+        came_s = time.monotonic()
         pid = _process_of(port, self._port, self.pids)
+        self.delays.append((came_s, time.monotonic() - came_s))
         self.opened[pid] = self.opened.get(pid, 0) + 1
         if self.cuts.get(pid) in (RESET, LIVE_ON):
             _reset(client)
