--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -10,7 +10,9 @@
 from behave import given, then, when
 
 from kumquatseam.gateway import GatewayServer
+from kumquatseam.gateway._connection_admission import ConnectionAdmission
 from kumquatseam.gateway._handler import RequestHandler
+from kumquatseam.gateway._loop_idleness import LoopIdleness
 from kumquatseam.gateway._refusals import Reason, RefusedError
 from kumquatseam.http1 import (
     RequestLimits,
@@ -41,7 +43,11 @@
 def step_server(context):
     context.handler = SlowHandler()
     context.server = GatewayServer(
-        "127.0.0.1:0", context.handler, RequestLimits, grace_s=5.0
+        "127.0.0.1:0",
+        context.handler,
+        RequestLimits,
+        grace_s=5.0,
+        admission=ConnectionAdmission(LoopIdleness()),
     )
     context.server.start()
     port = context.server._listener.getsockname()[1]
