--- a/src/kumquatseam/gateway/_connection_admission.py
+++ b/src/kumquatseam/gateway/_connection_admission.py
@@ -49,7 +49,9 @@
         self._idleness.observe()
         is_saturated = self._is_saturated
         if is_saturated and not self._was_saturated:
-            _log.bind(turned_away=self.turned_away).info("More work than time.")
+            _log.bind(turned_away=self.turned_away).info(
+                "Saturated: new connections are turned away."
+            )
         self._was_saturated = is_saturated
         may_serve = not is_saturated and open_connections < self._max_connections
         self.turned_away += not may_serve
