--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -126,9 +126,6 @@
         self.refuses_share = 0.0
         #: Retry-After of the 503 that it answers every request with; ``None`` to serve.
         self.rest = None
-        #: callers' ports of reports, orders and polls that it answered so, when, and
-        #: for how long it asked.
-        self.control_rests = []
         #: pieces of the body of a plain service, sent one after the other.
         self.pieces = [b"whole"]
         #: requests that it runs at once, refusing others; ``None`` for any number.
@@ -276,8 +273,6 @@
         self.requests += 1
         if self.rest is not None and http.path.startswith(CONTROL_PATHS):
             self._send(http, 503, b"", {"Retry-After": self.rest})
-            told = (http.client_address[1], time.monotonic(), float(self.rest))
-            self.control_rests.append(told)
         elif expected is not None and expected != self.upstream_id:
             self.misdirected += 1
             self._send(http, 421, b"", {"X-Replica-Id": self.upstream_id})
--- a/features/steps/upstream_wishes_steps.py
+++ b/features/steps/upstream_wishes_steps.py
@@ -104,22 +104,6 @@
             yield name, owners.get(seen.peer_port), seen
 
 
-def rests_told(context):
-    """Yield each rest that a replica asked a machine for, when, and how long it is.
-
-    A machine is told in answers to its reports, orders and polls as well.
-    """
-    owners = {}
-    for proxy in context.proxies:
-        owners.update(proxy.owners)
-    for name, machine, seen in arrivals(context, context.resting):
-        if seen.rest_s:
-            yield name, machine, seen.answered_s, seen.rest_s
-    for name in context.resting:
-        for port, told_s, rest_s in context.platform.replicas[name].control_rests:
-            yield name, owners.get(port), told_s, rest_s
-
-
 # Leaving.
 
 
@@ -236,8 +220,10 @@
 @then("while all rested, requests were refused at once, to return when a rest is over")
 def step_all_rest(context):
     rests = collections.defaultdict(list)
-    for name, machine, told_s, rest_s in rests_told(context):
-        rests[name[0], machine, name].append((told_s, told_s + rest_s))
+    for name, machine, seen in arrivals(context, context.resting):
+        if seen.rest_s:
+            span = (seen.answered_s, seen.answered_s + seen.rest_s)
+            rests[name[0], machine, name].append(span)
     # By then every machine has been told by every replica.
     told_s = context.all_rest_s + 1.0
     late = [s for s in context.sent.values() if s.at_s > told_s]
