--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -26,6 +26,8 @@
 CRASHES_ON_PART_AFTER_S = 0.09
 #: how long a sound replica may fall silent in the middle of a stream.
 PAUSE_S = 1.3
+#: half of a body that is too large for a gateway to hold.
+HALF_OF_LARGE_BYTES = 400_000
 #: what a stream sends of an event before it ends inside of it, by fault.
 ENDS_INSIDE = {
     "end in a field": lambda event: event[:8],
@@ -393,6 +395,8 @@
             http.close_connection = True
         elif fault == "truncate":
             self._truncate(http, headers)
+        elif fault.startswith("large "):
+            self._begin_large(http, seen, headers, fault)
         elif fault == "stray":
             self._send(http, 200, b"stale", {**headers, "X-Request-Id": "somebody"})
             self._send(http, 200, b"whole", headers)
@@ -498,8 +502,24 @@
         http.wfile.write(b"only a part")
         http.close_connection = True
 
+    def _begin_large(self, http, seen, headers, fault):
+        """Send half of a large body; ``large break`` disconnects there."""
+        http.send_response(200)
+        length = {"Content-Length": str(2 * HALF_OF_LARGE_BYTES)}
+        for name, value in {**headers, **length}.items():
+            http.send_header(name, value)
+        http.end_headers()
+        http.wfile.write(b"x" * HALF_OF_LARGE_BYTES)
+        if fault == "large break":
+            http.close_connection = True
+        else:
+            self._hang(http, seen)
+
     def _stream(self, http, seen, headers, fault):
-        """Send events; ``break`` disconnects in the third, ``pause`` waits there."""
+        """Send events; ``break`` disconnects in the third, ``pause`` waits there.
+
+        ``silence`` sends nothing more from there on.
+        """
         first = int(http.headers.get("Last-Event-Id") or 0) + 1
         request_id = headers["X-Request-Id"]
         http.send_response(200)
@@ -530,6 +550,9 @@
                 data = self._event(number)
                 if fault == "pause" and number == first + 2:
                     time.sleep(PAUSE_S)
+                if fault == "silence" and number == first + 2:
+                    self._hang(http, seen)
+                    return
                 if fault == "break" and number == first + 2:
                     self._chunk(http, data[:8])
                     http.close_connection = True
--- a/src/kumquatseam/gateway/_caller.py
+++ b/src/kumquatseam/gateway/_caller.py
@@ -1,9 +1,11 @@
 """The connection to a caller: send responses, detect a disconnect."""
 
+import enum
 import socket
 
 import gevent
 
+from kumquatseam.errors import KumquatseamError
 from kumquatseam.http1 import CallerDisconnectedError, encode_response_head
 
 #: a caller that accepts no bytes for this long counts as disconnected; twice the
@@ -11,20 +13,38 @@
 WRITE_TIMEOUT_S = 5.0
 
 
+class ResponseOrderError(KumquatseamError):
+    """A head, body or end of a response was to be sent out of its order."""
+
+
+class _ResponseState(enum.Enum):
+    NOT_STARTED = "not started"
+    STARTED = "started"
+    COMPLETE = "complete"
+
+
 class CallerConnection:
     """A caller's socket, and the framing of the current response.
 
+    Each request gets one response: whoever sends a second head, or bytes behind the
+    end, gets a :class:`ResponseOrderError`, and nothing is sent.
+
     :param connection: the accepted socket.
     """
 
     def __init__(self, connection) -> None:
         self.socket = connection
-        self.has_started_response = False
+        self._state = _ResponseState.NOT_STARTED
         self._is_chunked = False
 
+    @property
+    def has_started_response(self) -> bool:
+        """Whether any byte of the current response may have been sent."""
+        return self._state is not _ResponseState.NOT_STARTED
+
     def reset_response(self) -> None:
         """Prepare for the response to the next request."""
-        self.has_started_response = False
+        self._state = _ResponseState.NOT_STARTED
         self._is_chunked = False
 
     def check_connected(self) -> bool:
@@ -50,8 +70,9 @@
         """Send a complete response.
 
         :raises CallerDisconnectedError: if it cannot be sent.
+        :raises ResponseOrderError: if a response has been started.
         """
-        self.has_started_response = True
+        self._advance(_ResponseState.NOT_STARTED, _ResponseState.COMPLETE)
         framed = [*fields, (b"Content-Length", b"%d" % len(body))]
         self._write(encode_response_head(status, framed) + body)
 
@@ -65,8 +86,10 @@
         """Send a response's head and the first bytes of its body.
 
         :param length_bytes: the body's length, or ``None`` for chunked encoding.
+        :raises CallerDisconnectedError: if it cannot be sent.
+        :raises ResponseOrderError: if a response has been started.
         """
-        self.has_started_response = True
+        self._advance(_ResponseState.NOT_STARTED, _ResponseState.STARTED)
         self._is_chunked = length_bytes is None
         if length_bytes is None:
             framed = [*fields, (b"Transfer-Encoding", b"chunked")]
@@ -75,15 +98,30 @@
         self._write(encode_response_head(status, framed) + self._frame(first))
 
     def send_body(self, data: bytes) -> None:
-        """Send further bytes of the body."""
+        """Send further bytes of the body.
+
+        :raises CallerDisconnectedError: if they cannot be sent.
+        :raises ResponseOrderError: if no response is being sent.
+        """
+        self._advance(_ResponseState.STARTED, _ResponseState.STARTED)
         if data:
             self._write(self._frame(data))
 
     def finish_response(self) -> None:
-        """Mark the body as complete."""
+        """Mark the body as complete.
+
+        :raises CallerDisconnectedError: if that cannot be sent.
+        :raises ResponseOrderError: if no response is being sent.
+        """
+        self._advance(_ResponseState.STARTED, _ResponseState.COMPLETE)
         if self._is_chunked:
             self._write(b"0\r\n\r\n")
 
+    def _advance(self, expected: _ResponseState, state: _ResponseState) -> None:
+        if self._state is not expected:
+            raise ResponseOrderError(f"response to a caller is {self._state.value}")
+        self._state = state
+
     def _frame(self, data: bytes) -> bytes:
         if not data or not self._is_chunked:
             return data
--- a/src/kumquatseam/gateway/_failure.py
+++ b/src/kumquatseam/gateway/_failure.py
@@ -52,13 +52,15 @@
 
         :param retry_after_s: Retry-After value, sent if the request has not run;
             ``None`` if coming back is in vain.
-        :raises BufferedFailureError: if an upstream's own error response is held.
-        :raises RefusedError: otherwise.
+        :raises BufferedFailureError: if an upstream's own error response is held, and
+            no other response was started.
+        :raises RefusedError: otherwise; a response that was started ends incomplete.
         """
         progress = self._progress
-        if progress.buffered_failure is not None:
+        has_started = self._caller.has_started_response
+        if progress.buffered_failure is not None and not has_started:
             raise BufferedFailureError(progress.buffered_failure)
-        if progress.may_have_run or self._caller.has_started_response:
+        if progress.may_have_run or has_started:
             status = 504 if reason is Reason.TIMED_OUT else 502
             raise RefusedError(status, reason, detail=detail)
         if retry_after_s is not None:
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -181,10 +181,11 @@
         self, greenlet: gevent.Greenlet, reader: RequestReader, caller: CallerConnection
     ) -> bool:
         """Serve one request; return whether the connection may carry another."""
+        # Also the response to a request that cannot be read is a new one.
+        caller.reset_response()
         request = reader.read()
         self._busy.add(greenlet)
         try:
-            caller.reset_response()
             can_reuse = self._handler.handle(
                 request, caller, self._may_keep(request), self._stops_in_s
             )
