--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -118,6 +118,11 @@
         #: whether its answers have neither length nor chunks and end with their
         #: connection.
         self.is_unframed = False
+        #: polls of its cache events that it got.
+        self.polls = 0
+        #: paths of calls that it answers without end, and how often it did.
+        self.endless_path = None
+        self.endless_answers = 0
         #: requests of all kinds that it got.
         self.requests = 0
         #: whether all its answers say that it leaves.
@@ -273,6 +278,10 @@
         # It may change while this request is answered.
         http.is_unframed = self.is_unframed
         self.requests += 1
+        if self.endless_path and http.path.startswith(self.endless_path):
+            self.endless_answers += 1
+            self._send_endless_call(http)
+            return
         if self.rest is not None and http.path.startswith(CONTROL_PATHS):
             self._send(http, 503, b"", {"Retry-After": self.rest})
         elif expected is not None and expected != self.upstream_id:
@@ -289,6 +298,7 @@
         elif http.path.startswith("/kv-events"):
             since = int(http.path.partition("since=")[2] or 0)
             wait_s = int(http.headers.get("Wait-Ms") or 0) / 1000
+            self.polls += 1
             self._wait_for_event(since, wait_s)
             with contextlib.suppress(BrokenPipeError):
                 self._send(http, 200, json.dumps(self._cache_update(since)).encode())
@@ -493,6 +503,15 @@
             seen.ended = repr(error)
         http.close_connection = True
 
+    def _send_endless_call(self, http):
+        """Send a body without end, until the caller closes or this stops."""
+        http.close_connection = True
+        http.connection.settimeout(10)
+        with contextlib.suppress(OSError):
+            http.wfile.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            while self.endless_path:
+                http.connection.sendall(b"abcdefgh" * 4096)
+
     def _truncate(self, http, headers):
         http.send_response(200)
         for name, value in headers.items():
--- a/src/kumquatseam/cachefeeds/_client.py
+++ b/src/kumquatseam/cachefeeds/_client.py
@@ -17,12 +17,14 @@
     :param upstream_id: the engine's id; ``""`` for a store.
     :param born_ms: when the engine started, as in
         :class:`~kumquatseam.upstreams.Upstream`.
+    :param capacity_tokens: size of its memory; 0 if unknown.
     """
 
     holder: str
     address: str
     upstream_id: str = ""
     born_ms: int = 0
+    capacity_tokens: int = 0
 
 
 @attrs.frozen
--- a/src/kumquatseam/engines/_client.py
+++ b/src/kumquatseam/engines/_client.py
@@ -11,6 +11,7 @@
 from kumquatseam.clocks import elapsed_s
 from kumquatseam.pools import AddressPools
 from kumquatseam.request_errors import EngineMismatchError, UpstreamError
+from kumquatseam.response_limits import ResponseLimits
 from kumquatseam.upstreams import (
     LimitObserver,
     NullLimitObserver,
@@ -23,6 +24,13 @@
 _UNAVAILABLE = 503
 _MISDIRECTED = 421
 _SERVER_ERRORS = range(500, 600)
+#: size of a response beside its tokens, and for each token: an event holds one or more.
+_BASE_BYTES = 65_536
+_BYTES_PER_TOKEN = 4096
+#: size of one event, which is held until it is complete.
+_MAX_EVENT_BYTES = 65_536
+#: ends of an event.
+_EVENT_ENDS = (b"\n\n", b"\r\r", b"\r\n\r\n")
 #: response header of a refused request that was not run.
 NOT_EXECUTED_HEADER = "X-Not-Executed"
 #: response headers of a refused request: the engine's epoch and weights version.
@@ -156,17 +164,17 @@
     ) -> Iterator[EngineChunk]:
         sent_s = elapsed_s()
         try:
-            response = self._pools.request(
+            response = self._pools.stream(
                 "POST",
                 target.url,
                 "/v1/completions",
+                self._response_limits(request),
                 body=json.dumps(_body(request)).encode(),
                 headers={
                     "Content-Type": "application/json",
                     "X-Request-Id": request.request_id,
                 },
                 timeout=self._timeout,
-                preload_content=False,
             )
         except (
             urllib3.exceptions.NewConnectionError,
@@ -205,6 +213,12 @@
             else:
                 response.close()
 
+    def _response_limits(self, request: EngineRequest) -> ResponseLimits:
+        """Return what a response may take that comes token by token."""
+        max_bytes = _BASE_BYTES + _BYTES_PER_TOKEN * request.max_tokens
+        tokens_s = self._read_timeout_s * (request.max_tokens + 1)
+        return ResponseLimits(max_bytes, self._timeout.read_timeout + tokens_s)
+
 
 def rest_of(response) -> float | None:
     """Return the seconds of rest that a refusal asks for.
@@ -255,7 +269,8 @@
 
 
 def _chunks(upstream: str, request_id: str, response) -> Iterator[EngineChunk]:
-    for event in sseclient.SSEClient(response.stream(1024)).events():
+    pieces = _bounded_events(response.stream(1024))
+    for event in sseclient.SSEClient(pieces).events():
         if event.data == _DONE:
             # Read the rest of the body, so that the connection can be reused.
             response.drain_conn()
@@ -269,6 +284,20 @@
     raise UpstreamError(upstream, True, "response ended before [DONE]")
 
 
+def _bounded_events(pieces: Iterator[bytes]) -> Iterator[bytes]:
+    """Pass on the pieces of an event stream.
+
+    :raises ValueError: if an event is too large; its pieces would be gathered.
+    """
+    event_bytes = 0
+    for piece in pieces:
+        end = max(piece.rfind(mark) for mark in _EVENT_ENDS)
+        event_bytes = len(piece) - end if end >= 0 else event_bytes + len(piece)
+        if event_bytes > _MAX_EVENT_BYTES:
+            raise ValueError(f"event over {_MAX_EVENT_BYTES} bytes")
+        yield piece
+
+
 def _chunk_from(data: dict) -> EngineChunk:
     choices = data.get("choices") or [{}]
     usage = data.get("usage") or {}
--- a/src/kumquatseam/engines/_orders.py
+++ b/src/kumquatseam/engines/_orders.py
@@ -12,8 +12,12 @@
 
 from kumquatseam.engines._client import EngineTarget
 from kumquatseam.errors import KumquatseamError
+from kumquatseam.pools import AddressPools
+from kumquatseam.response_limits import ResponseLimits
 
 _ACCEPTED = (200, 202)
+#: size of a response, of which only the status is used.
+_MAX_BYTES = 65_536
 
 
 @attrs.frozen
@@ -115,18 +119,22 @@
     """
 
     def __init__(self, timeout_s: float) -> None:
-        self._pool = urllib3.PoolManager(retries=False, timeout=timeout_s)
+        self._timeout_s = timeout_s
+        self._pools = AddressPools()
 
     def close(self) -> None:
         """Close every idle connection."""
-        self._pool.clear()
+        self._pools.close()
 
     def send(self, target: EngineTarget, order: EngineOrder) -> None:
         body = {"op": _OPERATIONS[type(order)], **attrs.asdict(order)}
         try:
-            response = self._pool.request(
+            response = self._pools.request(
                 "POST",
-                f"{target.url}/v1/orders",
+                target.url,
+                "/v1/orders",
+                ResponseLimits(_MAX_BYTES, self._timeout_s),
+                timeout=self._timeout_s,
                 body=json.dumps(body).encode(),
                 headers={"Content-Type": "application/json"},
             )
--- a/src/kumquatseam/gateway/_cache_holders.py
+++ b/src/kumquatseam/gateway/_cache_holders.py
@@ -15,13 +15,17 @@
     """
     if table is None:
         return []
-    stores = [CacheHolder(s.address, s.address) for s in table.cache_stores]
+    stores = [
+        CacheHolder(s.address, s.address, capacity_tokens=s.cache_tokens)
+        for s in table.cache_stores
+    ]
     engines = [
         CacheHolder(
             status.upstream.incarnation_id,
             status.upstream.address,
             status.upstream.upstream_id,
             status.upstream.born_ms,
+            service.engine.cache_tokens,
         )
         for service in table.services
         if service.engine is not None
--- a/src/kumquatseam/instances/_client.py
+++ b/src/kumquatseam/instances/_client.py
@@ -8,8 +8,14 @@
 
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.instances._instance import Instance
+from kumquatseam.pools import AddressPools
+from kumquatseam.response_limits import ResponseLimits
 
 _OK = 200
+#: size of the list: some ten thousand instances.
+_MAX_BYTES = 4_194_304
+#: time for a whole response, in multiples of the timeout of each of its pieces.
+_TOTAL_TIMEOUTS = 5
 
 
 @attrs.define(frozen=True, eq=False)
@@ -47,12 +53,14 @@
     """The instance list of an HTTP server.
 
     :param url: base URL.
-    :param timeout_s: timeout of a call.
+    :param timeout_s: timeout of each piece of a response.
     """
 
     def __init__(self, url: str, timeout_s: float = 2.0) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(retries=False, timeout=timeout_s)
+        self._timeout_s = timeout_s
+        self._limits = ResponseLimits(_MAX_BYTES, _TOTAL_TIMEOUTS * timeout_s)
+        self._pools = AddressPools()
 
     def read(self) -> tuple[Instance, ...]:
         reply = self._call("GET", "/instances")
@@ -68,7 +76,14 @@
 
     def _call(self, method: str, path: str, body: bytes | None = None) -> bytes:
         try:
-            response = self._pool.request(method, f"{self._url}{path}", body=body)
+            response = self._pools.request(
+                method,
+                self._url,
+                path,
+                self._limits,
+                body=body,
+                timeout=self._timeout_s,
+            )
         except urllib3.exceptions.HTTPError as error:
             raise InstanceListError(repr(error)) from error
         if response.status != _OK:
--- a/src/kumquatseam/logservice/_http.py
+++ b/src/kumquatseam/logservice/_http.py
@@ -27,7 +27,8 @@
     LogService,
     LogSlice,
 )
-from kumquatseam.pools import AddressPools
+from kumquatseam.pools import AddressPools, PooledResponse
+from kumquatseam.response_limits import ResponseLimits
 
 _PRECONDITION_FAILED = 412
 _GONE = 410
@@ -35,15 +36,21 @@
 #: the log service's era; it increases when the service is restored from an older
 #: copy.
 _ERA_HEADER = "Store-Era"
-#: maximum size of one read response.
+#: maximum size of the records of one read response.
 MAX_READ_KB = 1024
+#: size of a response: the records, or a page of newest ones in base64.
+_MAX_BYTES = 4 * MAX_READ_KB * 1024
+#: time for a whole response, in multiples of the timeout of each of its pieces; the
+#: service may send to many instances at once.
+_TOTAL_TIMEOUTS = 5
 
 
 class HttpLogService(LogService):
     """The log service at an HTTP address.
 
     :param url: base URL, e.g. ``http://10.200.1.7:8784``.
-    :param timeout_s: timeout of a call, in addition to the wait that it requests.
+    :param timeout_s: timeout of each piece of a response, in addition to the wait that
+        the call requests.
     """
 
     def __init__(self, url: str, timeout_s: float = 2.0) -> None:
@@ -121,7 +128,7 @@
 
     def _call(
         self, method: str, path: str, fields, topic: str, body=None, extra_s=0.0
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> PooledResponse:
         self.calls += 1
         timeout = urllib3.Timeout(
             connect=self._timeout_s, read=self._timeout_s + extra_s
@@ -131,6 +138,7 @@
                 method,
                 self._url,
                 f"{path}?{urllib.parse.urlencode(fields)}",
+                ResponseLimits(_MAX_BYTES, _TOTAL_TIMEOUTS * self._timeout_s + extra_s),
                 body=body,
                 timeout=timeout,
             )
@@ -153,7 +161,7 @@
         raise LogUnavailableError(f"HTTP {response.status}")
 
 
-def _era(response: urllib3.BaseHTTPResponse) -> int:
+def _era(response: PooledResponse) -> int:
     """Return the era stated in a response; 0 if there is none.
 
     :raises LogAnswerLostError: if it is not a number.
--- a/src/kumquatseam/platform/_cache_events.py
+++ b/src/kumquatseam/platform/_cache_events.py
@@ -10,12 +10,22 @@
 from kumquatseam.platform._values import DecodingError, decode_json
 from kumquatseam.pools import AddressPools
 from kumquatseam.prompts import HeldPart
+from kumquatseam.response_limits import ResponseLimits
 from kumquatseam.upstreams import AvailabilityObserver, NullAvailabilityObserver
 
 _log = part_logger("cache")
 
 #: response timeout, in addition to the wait of a long poll.
 _TIMEOUT_S = 0.6
+#: time for a whole response, in addition to that wait; the largest one takes most of it
+#: on a link of 10 Mbit/s.
+_TOTAL_S = 4.0
+#: size of a response beside its rows, and for each token of the holder's memory: a row
+#: takes some 100 bytes, and its part many more tokens than that has of these.
+_BASE_BYTES = 65_536
+_BYTES_PER_TOKEN = 16
+#: largest response from any holder; decoded, it takes some times as much memory.
+_MAX_BYTES = 2_097_152
 #: another replica responds at the address.
 _MISDIRECTED = 421
 
@@ -55,6 +65,7 @@
                 "GET",
                 f"http://{holder.address}",
                 path,
+                _limits(holder, wait_s),
                 headers=headers,
                 timeout=urllib3.Timeout(connect=_TIMEOUT_S, read=_TIMEOUT_S + wait_s),
             )
@@ -74,6 +85,15 @@
         return None
 
 
+def _limits(holder: CacheHolder, wait_s: float) -> ResponseLimits:
+    """Return what a response may take: a holder lists no more than it has room for."""
+    if holder.capacity_tokens:
+        max_bytes = _BASE_BYTES + _BYTES_PER_TOKEN * holder.capacity_tokens
+    else:
+        max_bytes = _MAX_BYTES
+    return ResponseLimits(min(max_bytes, _MAX_BYTES), _TOTAL_S + wait_s)
+
+
 def _decode_listing(raw: Mapping) -> CacheListing:
     return CacheListing(
         int(raw["epoch"]),
--- a/src/kumquatseam/platform/_orders.py
+++ b/src/kumquatseam/platform/_orders.py
@@ -9,6 +9,7 @@
 from kumquatseam.platform._entries import decode_move, decode_report
 from kumquatseam.platform._values import DecodingError
 from kumquatseam.pools import AddressPools
+from kumquatseam.response_limits import ResponseLimits
 from kumquatseam.rollouts import (
     EngineReport,
     LoadMode,
@@ -34,6 +35,8 @@
 #: the same for the rest of a copy; the caller gets no events meanwhile, and the engines
 #: are not ordered to load for a second.
 _STOP_TIMEOUT_S = 0.4
+#: size of a response; a report names a few models with their adapters.
+_MAX_BYTES = 65_536
 #: another replica responds at the address.
 _MISDIRECTED = 421
 _MODES = {LoadMode.DRAIN_FIRST: "queue", LoadMode.IN_PLACE: "retain"}
@@ -145,6 +148,7 @@
             method,
             f"http://{upstream.address}",
             path,
+            ResponseLimits(_MAX_BYTES, timeout_s),
             body=body,
             headers={
                 "Content-Type": "application/json",
--- a/src/kumquatseam/pools.py
+++ b/src/kumquatseam/pools.py
@@ -6,11 +6,21 @@
 does not run into a timeout of its own.
 """
 
+import contextlib
 import socket
+from collections.abc import Iterator
 
+import attrs
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from kumquatseam.response_limits import (
+    LimitedConnectionPool,
+    ResponseLimits,
+    limited,
+    read_body,
+)
+
 #: maximum number of idle connections per address.
 IDLE_CONNECTIONS = 64
 KEEPALIVE_IDLE_S = 1
@@ -22,23 +32,78 @@
 USER_TIMEOUT_MS = 1000 * (KEEPALIVE_IDLE_S + KEEPALIVE_INTERVAL_S * KEEPALIVE_PROBES)
 
 
+@attrs.frozen
+class PooledResponse:
+    """A response that was received whole.
+
+    :param status: e.g. ``200``.
+    :param headers: its header fields.
+    :param data: its decoded body.
+    """
+
+    status: int
+    headers: urllib3.HTTPHeaderDict
+    data: bytes
+
+
 class AddressPools:
-    """One connection pool per base URL, without urllib3's own retries."""
+    """One connection pool per base URL, without urllib3's own retries.
+
+    Nothing is received beyond the limits that each call states: there is no way to
+    make one without.
+    """
 
     def __init__(self) -> None:
         self._pools: dict[str, urllib3.PoolManager] = {}
 
-    def request(self, method: str, url: str, path: str, **options):
-        """Send a request to ``path`` at base URL ``url``.
+    def request(
+        self, method: str, url: str, path: str, limits: ResponseLimits, **options
+    ) -> PooledResponse:
+        """Send a request to ``path`` at base URL ``url``, and receive its response.
 
         A read timeout closes the idle connections to ``url``.
 
+        :param limits: what the response may take.
+        :param options: further arguments of urllib3's ``request``.
+        :raises ResponseLimitError: if the response takes more.
+        :raises urllib3.exceptions.HTTPError: if the request fails.
+        """
+        with self._drop_if_silent(url):
+            response = self._send(method, url, path, limits, **options)
+            try:
+                body = read_body(response, limits)
+            except BaseException:
+                response.close()
+                raise
+            return PooledResponse(response.status, response.headers, body)
+
+    def stream(
+        self, method: str, url: str, path: str, limits: ResponseLimits, **options
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request, and return its response with the body still to be read.
+
+        Whoever calls this releases the connection, or closes the response.
+
+        :param limits: what the response may take, with its body.
         :param options: further arguments of urllib3's ``request``.
-        :returns: urllib3's response.
+        :raises ResponseLimitError: if its head takes more.
         :raises urllib3.exceptions.HTTPError: if the request fails.
         """
+        with self._drop_if_silent(url):
+            return self._send(method, url, path, limits, **options)
+
+    def _send(
+        self, method: str, url: str, path: str, limits: ResponseLimits, **options
+    ) -> urllib3.BaseHTTPResponse:
+        with limited(limits):
+            return self._pool(url).request(
+                method, f"{url}{path}", preload_content=False, **options
+            )
+
+    @contextlib.contextmanager
+    def _drop_if_silent(self, url: str) -> Iterator[None]:
         try:
-            return self._pool(url).request(method, f"{url}{path}", **options)
+            yield
         except urllib3.exceptions.ReadTimeoutError:
             self.drop(url)
             raise
@@ -51,6 +116,7 @@
                 retries=False,
                 socket_options=dead_peer_socket_options(),
             )
+            pool.pool_classes_by_scheme = {"http": LimitedConnectionPool}
             self._pools[url] = pool
         return pool
 
--- /dev/null
+++ b/src/kumquatseam/response_limits.py
@@ -0,0 +1,157 @@
+"""Limits on what one HTTP response may take, enforced where its bytes are received.
+
+A read timeout limits each pause between two pieces, but neither the number of pieces
+nor their size. Here every byte counts, whatever it belongs to: interim responses, the
+head, the framing and trailers of the body, and the body itself.
+"""
+
+import contextlib
+import contextvars
+import http.client
+import io
+import time
+from collections.abc import Iterator
+
+import attrs
+import gevent
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import ProtocolError
+
+_BUFFER_BYTES = 65_536
+#: size of a response's head and framing, in addition to its body.
+_OVERHEAD_BYTES = 65_536
+#: reads after which other greenlets run, also if there is more to read.
+_READS_PER_TURN = 16
+
+
+@attrs.frozen
+class ResponseLimits:
+    """What a response may take; whoever makes a call states them.
+
+    :param max_bytes: size of the body, both as received and decoded.
+    :param total_s: time from the request to the last byte of its response.
+    """
+
+    max_bytes: int
+    total_s: float
+
+
+class ResponseLimitError(ProtocolError):
+    """A response exceeded its limits; its connection is closed."""
+
+
+@attrs.define
+class _Allowance:
+    """What is left for one response.
+
+    :param limits: its limits.
+    :param until_s: monotonic time at which it must be complete.
+    :param left_bytes: how much of it may still be received.
+    """
+
+    limits: ResponseLimits
+    until_s: float
+    left_bytes: int
+
+    def check(self) -> None:
+        """Check that more may be received.
+
+        :raises ResponseLimitError: if not.
+        """
+        if self.left_bytes <= 0:
+            raise ResponseLimitError(f"response over {self.limits.max_bytes} bytes")
+        if time.monotonic() >= self.until_s:
+            raise ResponseLimitError(
+                f"response not complete within {self.limits.total_s} s"
+            )
+
+
+_allowance: contextvars.ContextVar[_Allowance] = contextvars.ContextVar("allowance")
+
+
+@contextlib.contextmanager
+def limited(limits: ResponseLimits) -> Iterator[None]:
+    """Apply ``limits`` to the response to the request that is made inside.
+
+    They go on to apply to the rest of its body when that is read later.
+    """
+    until_s = time.monotonic() + limits.total_s
+    allowance = _Allowance(limits, until_s, limits.max_bytes + _OVERHEAD_BYTES)
+    token = _allowance.set(allowance)
+    try:
+        yield
+    finally:
+        _allowance.reset(token)
+
+
+def read_body(response: urllib3.BaseHTTPResponse, limits: ResponseLimits) -> bytes:
+    """Return the decoded body of a response, and release its connection.
+
+    :raises ResponseLimitError: if it is larger than allowed once it is decoded.
+    :raises urllib3.exceptions.HTTPError: if it is not complete.
+    """
+    body = bytearray()
+    while data := response.read(_BUFFER_BYTES, decode_content=True):
+        body += data
+        if len(body) > limits.max_bytes:
+            raise ResponseLimitError(f"response over {limits.max_bytes} bytes")
+    response.release_conn()
+    return bytes(body)
+
+
+class _LimitedReader(io.RawIOBase):
+    """Receives one response from a socket.
+
+    :param raw: reads from the socket.
+    :param connection: the socket, whose timeout is that of one read.
+    :param allowance: what the response may take.
+    """
+
+    def __init__(self, raw: io.RawIOBase, connection, allowance: _Allowance) -> None:
+        self._raw = raw
+        self._connection = connection
+        self._allowance = allowance
+        self._reads = 0
+
+    def readable(self) -> bool:
+        return True
+
+    def close(self) -> None:
+        self._raw.close()
+        super().close()
+
+    def readinto(self, buffer) -> int | None:
+        allowance = self._allowance
+        allowance.check()
+        self._reads += 1
+        if self._reads % _READS_PER_TURN == 0:
+            gevent.sleep(0)
+        timeout_s = self._connection.gettimeout()
+        left_s = max(allowance.until_s - time.monotonic(), 0.001)
+        if timeout_s is None or left_s < timeout_s:
+            self._connection.settimeout(left_s)
+        try:
+            received = self._raw.readinto(buffer)
+        finally:
+            self._connection.settimeout(timeout_s)
+        allowance.left_bytes -= received or 0
+        return received
+
+
+class _LimitedResponse(http.client.HTTPResponse):
+    def __init__(self, sock, *arguments, **options) -> None:
+        super().__init__(sock, *arguments, **options)
+        # Nothing is buffered yet.
+        reader = _LimitedReader(self.fp.detach(), sock, _allowance.get())
+        self.fp = io.BufferedReader(reader, _BUFFER_BYTES)
+
+
+class _LimitedConnection(HTTPConnection):
+    response_class = _LimitedResponse
+
+
+class LimitedConnectionPool(urllib3.HTTPConnectionPool):
+    """Connections whose responses are received within :func:`limited`."""
+
+    ConnectionCls = _LimitedConnection
--- a/src/kumquatseam/services/_client.py
+++ b/src/kumquatseam/services/_client.py
@@ -9,8 +9,14 @@
 from kumquatseam.engines import LIMIT_HEADER, NOT_EXECUTED_HEADER, rest_of
 from kumquatseam.pools import AddressPools
 from kumquatseam.request_errors import UpstreamError
+from kumquatseam.response_limits import ResponseLimits
 from kumquatseam.upstreams import LimitObserver, NullLimitObserver, parse_limit
 
+#: size of a response, which is held until it is complete.
+_MAX_BYTES = 8_388_608
+#: time for a whole response, in multiples of the timeout of each of its pieces.
+_TOTAL_TIMEOUTS = 5
+
 
 @attrs.frozen
 class ServiceCall:
@@ -73,6 +79,9 @@
     ) -> None:
         self._limits = limits or NullLimitObserver()
         self._timeout = urllib3.Timeout(connect=connect_timeout_s, read=read_timeout_s)
+        self._response_limits = ResponseLimits(
+            _MAX_BYTES, connect_timeout_s + _TOTAL_TIMEOUTS * read_timeout_s
+        )
         self._pools = AddressPools()
 
     def start(self) -> None:
@@ -92,6 +101,7 @@
                 call.method,
                 url,
                 f"/{call.path}",
+                self._response_limits,
                 body=call.body or None,
                 headers=headers,
                 timeout=self._timeout,
