--- a/features/steps/cache_feeds_steps.py
+++ b/features/steps/cache_feeds_steps.py
@@ -11,9 +11,9 @@
     CacheHolder,
     CacheListing,
     CachePage,
-    HolderPoller,
     IndexQuery,
 )
+from kumquatseam.cachefeeds._poller import HolderPoller
 from kumquatseam.placement import CachePlanner, CacheSource
 from kumquatseam.prompts import HeldPart, PromptChain, PromptIndex, PromptPart
 from kumquatseam.routes import EngineTraits
--- a/src/kumquatseam/cachefeeds/__init__.py
+++ b/src/kumquatseam/cachefeeds/__init__.py
@@ -7,7 +7,8 @@
 
 - :class:`CacheFeeds` decides which holders this instance polls, and applies the
   updates of other instances.
-- :class:`CacheClient` is the interface to a platform's engines and stores.
+- :class:`CacheClient` is the interface to a platform's engines and stores;
+  :class:`DeferredCacheClient` is loaded with the first poll.
 """
 
 from kumquatseam.cachefeeds._client import (
@@ -16,13 +17,13 @@
     CacheListing,
     CachePage,
 )
+from kumquatseam.cachefeeds._deferred import DeferredCacheClient
 from kumquatseam.cachefeeds._feeds import MIN_SENT_PART_SHARE, CacheFeeds
 from kumquatseam.cachefeeds._messages import (
     QUERY_KINDS,
     IndexQuery,
     IndexReply,
 )
-from kumquatseam.cachefeeds._poller import HolderPoller
 from kumquatseam.cachefeeds._warm_start import WarmStart
 
 __all__ = [
@@ -31,7 +32,7 @@
     "CacheHolder",
     "CacheListing",
     "CachePage",
-    "HolderPoller",
+    "DeferredCacheClient",
     "MIN_SENT_PART_SHARE",
     "IndexReply",
     "IndexQuery",
--- a/src/kumquatseam/cachefeeds/_feeds.py
+++ b/src/kumquatseam/cachefeeds/_feeds.py
@@ -3,17 +3,20 @@
 import collections
 import time
 from collections.abc import Callable, Collection, Mapping, Sequence
+from typing import TYPE_CHECKING
 
 import attrs
 import xxhash
 
 from kumquatseam.cachefeeds._client import CacheClient, CacheHolder
 from kumquatseam.cachefeeds._messages import IndexQuery, IndexReply
-from kumquatseam.cachefeeds._poller import HolderPoller
 from kumquatseam.logs import part_logger
 from kumquatseam.peers import HolderUpdateExchange
 from kumquatseam.prompts import HeldPart, HolderUpdate, PromptIndex
 
+if TYPE_CHECKING:
+    from kumquatseam.cachefeeds._poller import HolderPoller
+
 _log = part_logger("cache")
 
 #: a holder without updates for this long has no polling instance any more; one polls
@@ -31,6 +34,13 @@
 MAX_UNSENT = 256
 
 
+def _load_poller(*arguments) -> "HolderPoller":
+    """Build the poller of a holder; its code is loaded with the first one."""
+    from kumquatseam.cachefeeds._poller import HolderPoller
+
+    return HolderPoller(*arguments)
+
+
 class CacheFeeds(HolderUpdateExchange):
     """Keeps the index up to date with the reports of holders.
 
@@ -58,7 +68,7 @@
         list_instances: Callable[[], Sequence[str]],
         min_tokens: Callable[[], float] = lambda: 0,
         clock: Callable[[], float] = time.monotonic,
-        build_poller: Callable[..., HolderPoller] = HolderPoller,
+        build_poller: Callable[..., "HolderPoller"] = _load_poller,
         list_tracked: Callable[[], Collection[str] | None] = lambda: None,
     ) -> None:
         self._list_tracked = list_tracked
--- a/src/kumquatseam/platform/adapter.py
+++ b/src/kumquatseam/platform/adapter.py
@@ -1,9 +1,8 @@
 """The platform's implementations for the gateway's wiring."""
 
-from kumquatseam.cachefeeds import CacheClient
+from kumquatseam.cachefeeds import CacheClient, DeferredCacheClient
 from kumquatseam.gateway import Adapter, Dialect
 from kumquatseam.logservice import KeyedListener
-from kumquatseam.platform._cache_events import PlatformCacheClient
 from kumquatseam.platform._headers import PlatformDialect
 from kumquatseam.platform._orders import PlatformOrderClient
 from kumquatseam.platform._topics import (
@@ -39,7 +38,12 @@
         return PlatformOrderClient(observer)
 
     def cache_client(self, observer: AvailabilityObserver) -> CacheClient:
-        return PlatformCacheClient(observer)
+        def load() -> CacheClient:
+            from kumquatseam.platform._cache_events import PlatformCacheClient
+
+            return PlatformCacheClient(observer)
+
+        return DeferredCacheClient(load)
 
     def upstream_listener(self, directory: UpstreamDirectory) -> KeyedListener:
         return UpstreamListener(directory)
