Let the event loop be idle while much is passed on

Callers saw: new connections closed unread by a gateway that passes on one response without end (endless_answers.feature, "endless error": seen once by the users on arm64, once here in 10 loops: a request beside the endless one closed after 1 ms).

Cause: a sender that is always ahead leaves the event loop no idle moment, and ConnectionAdmission takes a loop without one for saturated. Ruled out: memory (at most 24 MB in all loops), time (the endless request itself ended in time).

Change: reading a response pauses for 1 ms after each MB. Why it works: other events are handled in that time, and where there are none the loop is idle, which is what the admission asks; with more work than the process can do it still never is.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -21,6 +21,14 @@
       | endless chunk size |
       | endless interim heads |
 
+  Scenario: New connections are served while a response without end is passed on
+    A gateway without an idle moment turns new connections away.
+
+    Given a gateway in front of 3 replicas of which one sends an endless error
+    When a request gets that, and others come meanwhile on new connections
+    Then all are answered in time, and the gateway takes at most 24 MB more
+    And the gateway turned no connection away
+
   Scenario Outline: A request without end is refused, and others are served meanwhile: <what>
     Given a gateway in front of 2 plain replicas
     When a caller sends a request with <what>, and others send meanwhile
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -47,8 +47,8 @@
     context.gateway = world.add_gateway()
 
 
-def _send(context, number):
-    headers = {"X-Deadline-Ms": str(int(DEADLINE_S * 1000))}
+def _send(context, number, more=None):
+    headers = {"X-Deadline-Ms": str(int(DEADLINE_S * 1000)), **(more or {})}
     if context.kind == "engines":
         headers.update(context.platform.stream_headers())
     began_s = time.monotonic()
@@ -64,8 +64,13 @@
     return status, time.monotonic() - began_s
 
 
+@when("a request gets that, and others come meanwhile on new connections")
+def step_send_new(context):
+    step_send(context, pause_s=0.08, headers={"Connection": "close"})
+
+
 @when("a request gets that, and others come meanwhile")
-def step_send(context):
+def step_send(context, pause_s=0.0, headers=None):
     world = context.platform
     assert _send(context, "warm")[0] == 200
     context.before_mb = resident_mb(context.gateway.process.pid)
@@ -79,7 +84,10 @@
     time.sleep(0.2)
     for replica in world.replicas.values():
         replica.script.clear()
-    context.beside = [_send(context, number) for number in range(BESIDE)]
+    context.beside = []
+    for number in range(BESIDE):
+        context.beside.append(_send(context, number, headers))
+        time.sleep(pause_s)
     first.join()
 
 
@@ -93,6 +101,12 @@
     assert more_mb <= most_mb, more_mb
 
 
+@then("the gateway turned no connection away")
+def step_none_turned_away(context):
+    lines = [d for d in context.gateway.lines() if d["event"].startswith("Saturated")]
+    assert not lines, lines
+
+
 @then("nobody sends any more")
 def step_ended(context):
     seen = [s for r in context.platform.replicas.values() for s in r.seen]
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -32,6 +32,10 @@
 _MAX_FRAMING_BYTES = 65_536
 #: reads after which other greenlets run, also if there is more to read.
 _READS_PER_TURN = 16
+#: bytes received after which there is a pause, in which the event loop can be idle: a
+#: sender that is always ahead would look like too much work (``ConnectionAdmission``).
+_BYTES_PER_PAUSE = 1_048_576
+_PAUSE_S = 0.001
 #: reads of what arrived before the deadline, but is read later.
 _MAX_LATE_READS = 16
 
@@ -147,6 +151,7 @@
         self._has_received = False
         self._reads = 0
         self._read_bytes = 0
+        self._pause_at_bytes = _BYTES_PER_PAUSE
         self.reuse_until_s: float | None = None
         self.has_sent = False
 
@@ -324,6 +329,9 @@
             self._handle_end(is_upstream=self._decoder is None)
             return
         self._read_bytes += len(data)
+        if self._read_bytes >= self._pause_at_bytes:
+            self._pause_at_bytes = self._read_bytes + _BYTES_PER_PAUSE
+            gevent.sleep(_PAUSE_S)
         if self._watch is not None:
             self._watch.note_received(self, not self._has_received)
         self._has_received = True
