--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -305,11 +305,16 @@
     """
     with lock:
         gateway.process.send_signal(number)
-        gateway.process.wait()
-        gateway.start()
-        for proxy in context.proxies:
-            proxy.pids.append(gateway.process.pid)
-        wait_until("the gateway is ready again", gateway.is_ready, RESTART_S)
+        start_again(context, gateway)
+
+
+def start_again(context, gateway):
+    """Start a gateway that was told to end, once it has, and wait until it is ready."""
+    gateway.process.wait()
+    gateway.start()
+    for proxy in context.proxies:
+        proxy.pids.append(gateway.process.pid)
+    wait_until("the gateway is ready again", gateway.is_ready, RESTART_S)
 
 
 def _ask(world, answer, gateway, number):
--- a/features/steps/two_versions_steps.py
+++ b/features/steps/two_versions_steps.py
@@ -11,7 +11,7 @@
 import sseclient
 import urllib3
 from behave import given, then, when
-from broken_answers_steps import _restart
+from broken_answers_steps import start_again
 from control_steps import step_controlled_fleet
 from cut_proxy import RESET, CutProxy
 from fleet_steps import HTTP as ROUTER_HTTP
@@ -376,7 +376,7 @@
             time.sleep(PAUSE_S)
             gateway.process.send_signal(signal.SIGCONT)
         else:
-            _restart(context, gateway)
+            start_again(context, gateway)
 
     troubles = [(1.0, cut)]
     for count, at_s in enumerate(range(2, for_s, 2)):
@@ -435,7 +435,7 @@
             old[-1].rest = "1.0"
             threading.Timer(1.0, setattr, (old[-1], "rest", None)).start()
         for gateway in world.gateways[:2]:
-            _restart(context, gateway)
+            start_again(context, gateway)
 
     run_callers(context, for_s, troubles=[(for_s / 2, crash)], **options)
 
