--- a/features/steps/overlapping_steps.py
+++ b/features/steps/overlapping_steps.py
@@ -6,7 +6,7 @@
 import time
 
 from behave import when
-from broken_answers_steps import PLAIN_BODY, Answer, _ask, _restart
+from broken_answers_steps import PLAIN_BODY, Answer, _ask, start_again
 from cut_proxy import LIVE_ON, RESET, SILENT
 from platform_replica import ENDS_INSIDE
 from upstream_wishes_steps import PATHS, Sent
@@ -71,7 +71,7 @@
         self.threads[-1].start()
 
     def _bring_back(self, gateway):
-        _restart(self.context, gateway)
+        start_again(self.context, gateway)
         time.sleep(1.0)
         self._down.discard(gateway)
 
