--- a/features/steps/two_versions_steps.py
+++ b/features/steps/two_versions_steps.py
@@ -87,9 +87,20 @@
     :param drops: whether it drops its connection after two events.
     :param comes_back_s: how long it takes to come back.
     :param deadline_s: how long it waits in all.
+    :param max_tries: how often it sends.
     """
 
-    def __init__(self, world, stream, draw, drops, comes_back_s, deadline_s=DEADLINE_S):
+    def __init__(
+        self,
+        world,
+        stream,
+        draw,
+        drops,
+        comes_back_s,
+        deadline_s=DEADLINE_S,
+        max_tries=MAX_TRIES,
+    ):
+        self.max_tries = max_tries
         self.comes_back_s = comes_back_s
         self.world = world
         self.stream = stream
@@ -100,7 +111,7 @@
 
     def run(self):
         gateway = self.draw.randrange(len(self.world.gateways))
-        for _ in range(MAX_TRIES):
+        for _ in range(self.max_tries):
             attempt = self._try(gateway)
             if self.stream.is_complete or time.monotonic() >= self.deadline_s:
                 return
@@ -299,6 +310,7 @@
     comes_back_s=COMES_BACK_S,
     streams_per_s=STREAMS_PER_S,
     deadline_s=DEADLINE_S,
+    max_tries=MAX_TRIES,
 ):
     """Begin streams at an even rate, and run troubles at their times.
 
@@ -318,7 +330,13 @@
         context.streams.append(stream)
         drops = bool(drop_every) and number % drop_every == 0
         caller = StreamCaller(
-            world, stream, random.Random(number), drops, comes_back_s, deadline_s
+            world,
+            stream,
+            random.Random(number),
+            drops,
+            comes_back_s,
+            deadline_s,
+            max_tries,
         )
         threads.append(threading.Thread(target=caller.run))
         threads[-1].start()
