--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -538,7 +538,7 @@
         return route.is_retryable and self._progress.attempts < route.max_attempts
 
     def _request_bytes(self, placement: Placement) -> bytes:
-        job = self._job
+        job, request = self._job, self._job.request
         options = SendOptions(
             upstream_id=placement.status.upstream.upstream_id,
             remaining_s=job.remaining_s,
@@ -550,8 +550,7 @@
             resume_after=self._events.last_id,
             resume_run=_resume_run_id(placement.moved_run),
         )
-        fields = self._parts.dialect.upstream_fields(job.request, options)
-        request = job.request
+        fields = self._parts.dialect.upstream_fields(request, options)
         return encode_request(request.method, request.target, fields, request.body)
 
     def _first_event_wait(self, placement: Placement) -> FirstEventWait:
@@ -581,6 +580,7 @@
         _log.bind(
             request=self._job.call.request_id,
             status=head.status,
+            framing=head.framing.value,
             attempts=self._progress.attempts,
             refusals=self._progress.refusals,
             first_event_s=self._times.first_event_s,
