--- /dev/null
+++ b/features/steps/stuttering_replica.py
@@ -0,0 +1,76 @@
+"""Replicas that send some of their answers twice, the second one late."""
+
+import contextlib
+import random
+import time
+
+#: when a second answer is sent: with the end of the first one, a moment later, or, on a
+#: kept connection, where the next answer is expected.
+AT_ONCE = "at once"
+SOON = "a moment later"
+NEXT = "with the next answer"
+MOMENTS = (AT_ONCE, SOON, NEXT)
+#: longest delay of a second answer that comes a moment later.
+MAX_DELAY_S = 0.04
+
+
+class _Recorder:
+    """Keeps what is written of one answer."""
+
+    def __init__(self, raw):
+        self._raw = raw
+        self.data = b""
+
+    def write(self, data):
+        self.data += data
+        return self._raw.write(data)
+
+    def __getattr__(self, name):
+        return getattr(self._raw, name)
+
+
+class Stutter:
+    """Lets a replica send some answers twice.
+
+    :param replica: the replica.
+    :param seed: which answers, when, and how much of them is drawn from it.
+    :param share: share of its answers.
+    :param cut_share: share of the second answers that end early.
+    :param moments: when second answers may come.
+    """
+
+    def __init__(self, replica, seed, share=0.3, cut_share=0.3, moments=MOMENTS):
+        self._draw = random.Random(f"{seed} {replica.upstream_id}")
+        self._share = share
+        self._cut_share = cut_share
+        self._moments = moments
+        self._serve = replica._serve
+        #: ids of the requests that were answered twice.
+        self.repeated = []
+        replica._serve = self._serve_and_repeat
+
+    def _serve_and_repeat(self, http, body):
+        late = http.__dict__.pop("late_answer", b"")
+        if late:
+            http.connection.sendall(late)
+        raw = http.wfile
+        http.wfile = recorder = _Recorder(raw)
+        try:
+            self._serve(http, body)
+        finally:
+            http.wfile = raw
+        if self._draw.random() < self._share:
+            with contextlib.suppress(OSError):
+                self._repeat(http, recorder.data)
+
+    def _repeat(self, http, answer):
+        self.repeated.append(http.headers.get("X-Request-Id"))
+        if self._draw.random() < self._cut_share:
+            answer = answer[: self._draw.randrange(1, len(answer))]
+        moment = self._draw.choice(self._moments)
+        if moment == NEXT and not http.close_connection:
+            http.late_answer = answer
+            return
+        if moment != AT_ONCE:
+            time.sleep(self._draw.uniform(0.0, MAX_DELAY_S))
+        http.connection.sendall(answer)
