--- a/features/second_responses.feature
+++ b/features/second_responses.feature
@@ -14,3 +14,18 @@
       | framing              | seed |
       | by chunks            | 1    |
       | by their connections | 1    |
+
+  Scenario Outline: A second response is found in any pieces, seed <seed>
+    Given 400 random bodies that quote responses, of seed <seed>
+    When each is received in random pieces, most with a second response behind
+    Then each body is as it was sent, and nothing behind it belongs to it
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
+  Scenario: A body full of quoted heads takes no time
+    Given a body of 50000 quoted heads
+    When it is received in pieces of 4096 bytes
+    Then that takes less than 1 second of a processor
--- a/features/steps/second_responses_steps.py
+++ b/features/steps/second_responses_steps.py
@@ -1,10 +1,16 @@
 """Steps for upstreams that answer twice."""
 
+import random
+import time
+
+import attrs
 from behave import given, then, when
 from platform_steps import step_platform
 from strict_caller import STREAM_PATHS, StrictCaller
 from stuttering_replica import Stutter
 
+from kumquatseam.http1._second_response import SecondResponseFinder
+
 EVENTS = 6
 PLAIN_BODY = b"".join(b"piece %d\n" % number for number in range(8))
 STREAM_BODY = b"".join(
@@ -70,11 +76,99 @@
 
 @then("all streams, and all plain answers that can be asked for again, are whole")
 def step_whole(context):
+    spoiled = set().union(*(stutter.spoiled for stutter in context.stutters))
     missing = [
         received
         for received in context.received
         if received.path != "/plain/x"
+        and not (received.path == "/once/x" and received.request_id in spoiled)
         and (received.status != 200 or received.body != _expected(received))
     ]
     count = len(context.received)
     assert not missing, f"{len(missing)} of {count}, the first: {missing[:3]}"
+
+
+# Bodies that quote responses.
+
+OWN_ID, OTHER_ID = b"own-7", b"other-7"
+_LINES = (
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 503 Busy\n",
+    b"X-Request-Id: " + OTHER_ID + b"\r\n",
+    b"Content-Type: text/plain\r\n",
+    b"GET / HTTP/1.1\r\n",
+    b"HTTP/1.",
+    b"HTT",
+    b"\r\n",
+    b"some text\n",
+    b"\x00\xff",
+)
+_SECOND = b"HTTP/1.1 200 OK\r\nServer: s\r\nx-request-id:  %b \r\n\r\n%b"
+
+
+@attrs.define
+class QuotingBody:
+    """A body with quoted responses, and what comes behind it on the connection.
+
+    :param has_second: whether that is a second response.
+    """
+
+    body: bytes
+    behind: bytes
+    has_second: bool
+
+
+def _quoting_body(draw) -> QuotingBody:
+    lines = [draw.choice(_LINES) for _ in range(draw.randrange(12))]
+    body = b"".join([*lines, b"\r\nend\n"])
+    if draw.random() < 0.3:
+        return QuotingBody(body, b"", False)
+    second = _SECOND % (OWN_ID, body)
+    return QuotingBody(body, second[: draw.randrange(5, len(second) + 1)], True)
+
+
+@given("{count:d} random bodies that quote responses, of seed {seed:d}")
+def step_quoting(context, count, seed):
+    context.draw = random.Random(seed)
+    context.bodies = [_quoting_body(context.draw) for _ in range(count)]
+
+
+@when("each is received in random pieces, most with a second response behind")
+def step_receive_pieces(context):
+    context.found = []
+    for body in context.bodies:
+        finder = SecondResponseFinder(b"x-request-id", [OWN_ID.decode()])
+        rest, passed_on = body.body + body.behind, b""
+        while rest:
+            size = context.draw.randrange(1, len(rest) + 1)
+            passed_on += finder.feed(rest[:size])
+            rest = rest[size:]
+        passed_on += finder.finish()
+        context.found.append((passed_on, finder.has_found))
+
+
+@then("each body is as it was sent, and nothing behind it belongs to it")
+def step_found(context):
+    for body, (passed_on, has_found) in zip(context.bodies, context.found, strict=True):
+        assert passed_on == body.body, (body, passed_on)
+        assert has_found == body.has_second, body
+
+
+@given("a body of {count:d} quoted heads")
+def step_many_heads(context, count):
+    context.body = b"x: HTTP/1.1 200 OK\r\n" * count + b"no header\n"
+
+
+@when("it is received in pieces of {size:d} bytes")
+def step_many_pieces(context, size):
+    finder, body = SecondResponseFinder(b"x-request-id", [OWN_ID.decode()]), b""
+    started_s = time.process_time()
+    for start in range(0, len(context.body), size):
+        body += finder.feed(context.body[start : start + size])
+    context.took_s = time.process_time() - started_s
+    assert body + finder.finish() == context.body
+
+
+@then("that takes less than {most_s:d} second of a processor")
+def step_took(context, most_s):
+    assert context.took_s < most_s, context.took_s
--- a/features/steps/stuttering_replica.py
+++ b/features/steps/stuttering_replica.py
@@ -10,6 +10,9 @@
 SOON = "a moment later"
 NEXT = "with the next answer"
 MOMENTS = (AT_ONCE, SOON, NEXT)
+#: least part of a second answer; fewer bytes may as well belong to a body whose end is
+#: that of its connection.
+LEAST_BYTES = len(b"HTTP/")
 #: longest delay of a second answer that comes a moment later.
 MAX_DELAY_S = 0.04
 
@@ -47,12 +50,17 @@
         self._serve = replica._serve
         #: ids of the requests that were answered twice.
         self.repeated = []
+        #: ids of the requests whose answers came behind a part of a second one, which
+        #: leaves them unreadable.
+        self.spoiled = set()
         replica._serve = self._serve_and_repeat
 
     def _serve_and_repeat(self, http, body):
         late = http.__dict__.pop("late_answer", b"")
         if late:
             http.connection.sendall(late)
+        if "is_spoiled" in http.__dict__:
+            self.spoiled.add(http.headers.get("X-Request-Id"))
         raw = http.wfile
         http.wfile = recorder = _Recorder(raw)
         try:
@@ -66,7 +74,8 @@
     def _repeat(self, http, answer):
         self.repeated.append(http.headers.get("X-Request-Id"))
         if self._draw.random() < self._cut_share:
-            answer = answer[: self._draw.randrange(1, len(answer))]
+            answer = answer[: self._draw.randrange(LEAST_BYTES, len(answer))]
+            http.is_spoiled = True
         moment = self._draw.choice(self._moments)
         if moment == NEXT and not http.close_connection:
             http.late_answer = answer
--- a/src/kumquatseam/http1/__init__.py
+++ b/src/kumquatseam/http1/__init__.py
@@ -24,6 +24,7 @@
     RequestUnsentError,
     ResponseInterruptedError,
     ResponseTimeoutError,
+    SecondResponseError,
     TransportError,
 )
 from kumquatseam.http1._messages import (
@@ -55,6 +56,7 @@
     "RequestReader",
     "RequestUnsentError",
     "ResponseHead",
+    "SecondResponseError",
     "TransportDecoder",
     "TransportError",
     "UpstreamConnection",
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -2,9 +2,11 @@
 
 import abc
 import collections
+import re
 import socket
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import gevent
 import gevent.socket
@@ -15,15 +17,24 @@
     RequestUnsentError,
     ResponseInterruptedError,
     ResponseTimeoutError,
+    SecondResponseError,
     TransportError,
 )
 from kumquatseam.http1._messages import Headers, ResponseHead
 from kumquatseam.http1._readiness import wait_ready
 from kumquatseam.pools import dead_peer_socket_options
 
+if TYPE_CHECKING:
+    from kumquatseam.http1._second_response import SecondResponseFinder
+
 _READ_BYTES = 65_536
+#: a status line at the end of a header's value.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}( .*)?$")
 #: late responses to earlier requests that may be skipped before the expected one.
 _MAX_STRAY_RESPONSES = 3
+#: ids that are remembered of the requests on a connection: those whose late responses
+#: are recognised.
+_MAX_REQUEST_IDS = 32
 #: maximum size of a response's head, and of a late response that is skipped.
 _MAX_HEAD_BYTES = 262_144
 _MAX_STRAY_BYTES = 1_048_576
@@ -120,6 +131,8 @@
         self.body = bytearray()
         self.complete = False
         self.keep_alive = False
+        #: set if the body ends with its connection.
+        self.finder: SecondResponseFinder | None = None
 
 
 class UpstreamConnection:
@@ -144,6 +157,9 @@
         self._socket = connection
         self._parser = httptools.HttpResponseParser(self)
         self._responses: collections.deque[_PartialResponse] = collections.deque()
+        self._request_ids: collections.deque[str] = collections.deque(
+            maxlen=_MAX_REQUEST_IDS
+        )
         self._unsent = b""
         self._parse_error = ""
         self._end_reason = ""
@@ -211,18 +227,24 @@
         :raises RequestUnsentError: if the request was not sent to the upstream.
         """
         strays = 0
+        self._request_ids.append(request_id)
         while True:
             self._read_until(
                 lambda: self._responses and self._responses[0].head,
                 wait,
                 _MAX_HEAD_BYTES,
             )
-            head = self._responses[0].head
-            if head.headers.text(id_header) == request_id:
+            response = self._responses[0]
+            head = response.head
+            self._check_head(head, id_header)
+            has_id = bool(head.headers.get(id_header))
+            if head.headers.text(id_header) == request_id or (
+                not has_id and may_lack_id(head)
+            ):
+                if head.is_ended_by_close:
+                    response.finder = self._finder(id_header)
                 return head
-            if not head.headers.get(id_header):
-                if may_lack_id(head):
-                    return head
+            if not has_id:
                 raise ResponseInterruptedError(
                     self.address, "response without a request id"
                 )
@@ -236,19 +258,60 @@
             )
             self._responses.popleft()
 
+    def _finder(self, id_header: bytes) -> "SecondResponseFinder":
+        """Return what ends a body; loaded with the first one without framing."""
+        from kumquatseam.http1._second_response import SecondResponseFinder
+
+        return SecondResponseFinder(id_header, self._request_ids)
+
+    def _check_head(self, head: ResponseHead, id_header: bytes) -> None:
+        """Check that a head is not the part of a late one, with the next one behind.
+
+        :raises ResponseInterruptedError: if it is.
+        """
+        is_joined = any(_STATUS_LINE.search(value) for _, value in head.headers.fields)
+        if is_joined or len(set(head.headers.all(id_header))) > 1:
+            raise ResponseInterruptedError(self.address, "two responses in one head")
+
     def read_body(self, wait: "SocketWait") -> bytes:
         """Return the next bytes of the body; empty once it is complete.
 
+        :raises SecondResponseError: if another response follows it.
         :raises ResponseInterruptedError: if the body is truncated, or bytes come
             without end that are no data.
         """
         response = self._responses[0]
-        self._read_until(
-            lambda: response.body or response.complete, wait, _MAX_FRAMING_BYTES
-        )
-        data = bytes(response.body)
+        while True:
+            self._read_until(
+                lambda: response.body or response.complete, wait, _MAX_FRAMING_BYTES
+            )
+            data = bytes(response.body)
+            response.body.clear()
+            if response.finder is None:
+                return data
+            is_end = not data
+            body = response.finder.finish() if is_end else response.finder.feed(data)
+            if body:
+                return body
+            if response.finder.has_found:
+                raise SecondResponseError(
+                    self.address, "another response behind the one to this request"
+                )
+            if is_end:
+                return b""
+
+    def read_second_body(self, wait: "SocketWait") -> bytes | None:
+        """Return the body of the response behind the one to this request, if any.
+
+        For use after a :class:`SecondResponseError`; reads to the connection's end.
+
+        :raises ResponseInterruptedError: if that does not come.
+        """
+        response = self._responses[0]
+        self._read_until(lambda: response.complete, wait, _MAX_STRAY_BYTES)
+        response.finder.feed(bytes(response.body))
         response.body.clear()
-        return data
+        return response.finder.second_body
 
     @property
     def is_reusable(self) -> bool:
