--- a/src/kumquatseam/codec.py
+++ b/src/kumquatseam/codec.py
@@ -26,6 +26,9 @@
 
 from kumquatseam.errors import CodecError
 
+#: maximum characters of an error's detail, which may quote the message.
+MAX_DETAIL = 400
+
 
 def _converter(strategy: UnstructureStrategy):
     converter = make_converter(unstruct_strat=strategy)
@@ -74,12 +77,16 @@
     def encode(self, message: object) -> bytes:
         """Return ``message`` encoded as msgpack.
 
-        :raises CodecError: if its class is not in the set.
+        :raises CodecError: if its class is not in the set, or a value has no encoding
+            (an integer of more than 64 bits, text that is not Unicode).
         """
         kind = self._names.get(type(message))
         if kind is None:
             raise CodecError(self._family, f"unknown class {type(message).__name__}")
-        return msgpack.packb([kind, self._converter.unstructure(message)])
+        try:
+            return msgpack.packb([kind, self._converter.unstructure(message)])
+        except (ValueError, OverflowError) as error:
+            raise CodecError(self._family, f"{kind}: {error}"[:MAX_DETAIL]) from error
 
     def decode(self, data: bytes) -> object:
         """Return the message decoded from ``data``.
@@ -97,5 +104,7 @@
             KeyError,
             TypeError,
             AttributeError,
+            OverflowError,
+            RecursionError,
         ) as error:
-            raise CodecError(self._family, repr(error)) from error
+            raise CodecError(self._family, repr(error)[:MAX_DETAIL]) from error
--- a/src/kumquatseam/nng.py
+++ b/src/kumquatseam/nng.py
@@ -17,6 +17,10 @@
 import pynng
 import pynng.nng
 
+from kumquatseam.logs import part_logger
+
+_log = part_logger("messages")
+
 
 def _use_native_locks() -> None:
     """Make pynng use native thread locks instead of gevent's.
@@ -36,7 +40,11 @@
 
 
 def receive_forever(socket: pynng.Socket, handler: Callable[[bytes], None]) -> None:
-    """Call ``handler`` with each message that ``socket`` receives."""
+    """Call ``handler`` with each message that ``socket`` receives.
+
+    An exception of the handler is logged, and the next message is received, because
+    nothing else would detect that it had ended.
+    """
     descriptor = socket.recv_fd
     while True:
         gevent.socket.wait_read(descriptor)
@@ -45,7 +53,10 @@
                 data = socket.recv(block=False)
             except pynng.TryAgain:
                 break
-            handler(data)
+            try:
+                handler(data)
+            except Exception:  # noqa: BLE001 - logged; later messages are unaffected
+                _log.exception("Handling a message failed; receiving continues.")
 
 
 def receive_within(socket: pynng.Socket, timeout_s: float) -> bytes | None:
--- a/src/kumquatseam/peers/_bus.py
+++ b/src/kumquatseam/peers/_bus.py
@@ -79,7 +79,7 @@
         self.sent += 1
         try:
             self._publisher.send(self._codec.encode(message), block=False)
-        except pynng.NNGException as error:
+        except (CodecError, pynng.NNGException) as error:
             _log.bind(error=repr(error)).warning("Message not published.")
 
     def add(self, record: InstanceRecord) -> None:
--- a/src/kumquatseam/peers/_datagrams.py
+++ b/src/kumquatseam/peers/_datagrams.py
@@ -91,7 +91,7 @@
         try:
             self._socket.sendto(self._codec.encode(message), (host, int(port)))
             self.sent += 1
-        except OSError as error:
+        except (CodecError, OSError) as error:
             # Queries fall back to another instance after their timeout; other messages
             # are advisory.
             self.send_failures += 1
