--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -18,3 +18,24 @@
 
   Scenario: A message that cannot be decoded raises the codec's own error
     Then no bytes that are derived from a valid message raise anything else
+
+  Scenario Outline: An odd record does not stop the records after it from being applied
+    Given a follower of the topic of <kind>
+    Then after each odd record that is derived from a valid one, a valid one is applied
+    And every odd record is used or refused with the decoder's own error
+
+    Examples:
+      | kind             |
+      | operators        |
+      | replicas         |
+      | suspects         |
+
+  Scenario: Weights that are named for a list of models do not stop the configuration
+    Given a follower of the topic of operators
+    When weights are named for the model ["m0"], and then a configuration is written
+    Then the configuration is in force
+
+  Scenario: A record that cannot be applied is skipped and logged once
+    Given a follower whose listener fails at the record "bad"
+    When the records "a", "bad" and "b" are written
+    Then "a" and "b" are applied, and "bad" is logged once
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -1,22 +1,38 @@
 """Steps for odd entries in lists and messages from outside."""
 
+import json
+
 import attrs
 import gevent
 import msgpack
 import pynng
 from behave import given, then, when
+from foreign_entries_steps import VALID_ENTRY
 from hypothesis import given as for_all
 from hypothesis import settings as fuzz_settings
 from hypothesis import strategies as st
+from log_capture import captured_lines
+from modelled_clock import Clock
 
 from kumquatseam.bench import free_port
 from kumquatseam.codec import MessageCodec
 from kumquatseam.errors import CodecError
-from kumquatseam.feeds import TopicUpdate
-from kumquatseam.logservice import KeyedBatch, KeyedChange
+from kumquatseam.feeds import FeedPeers, ReadPace, TopicFollower, TopicUpdate
+from kumquatseam.logservice import KeyedBatch, KeyedChange, KeyedListener
 from kumquatseam.nng import receive_within
 from kumquatseam.peers import InstanceRecord
+from kumquatseam.platform._topics import OperatorListener, UpstreamListener
+from kumquatseam.quarantine._list import SuspectList
+from kumquatseam.quarantine._messages import RECORD_CODEC, Crashes, CrashRecord
 from kumquatseam.request_reply import ReplyServer, request_once
+from kumquatseam.routes import LiveRouteTable
+from kumquatseam.standins.logservice import (
+    InMemoryLogService,
+    LogFaults,
+    LogStore,
+    LogStoreLimits,
+)
+from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
 
 FUZZ = fuzz_settings(derandomize=True, deadline=None, max_examples=300, database=None)
 
@@ -131,3 +147,221 @@
     key = random.choice(range(len(copy)) if isinstance(copy, list) else sorted(copy))
     copy[key] = _replaced(copy[key], random, value)
     return copy
+
+
+VALID_CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h",
+            "pathPrefix": "/",
+            "kind": "stream",
+            "resumable": True,
+            "timeoutMs": 5000,
+            "priority": 1,
+            "maxAttempts": 2,
+            "trafficSplit": [{"service": "engines", "weight": 1}],
+        }
+    ],
+    "services": [
+        {
+            "name": "engines",
+            "engine": {"slots": 4, "kvCapacityTokens": 9, "models": [{"name": "m0"}]},
+        },
+        {
+            "name": "store",
+            "kvStoreAddr": "10.0.0.9:80",
+            "zone": "z",
+            "kvCapacityTokens": 100,
+            "linkMbps": 10,
+        },
+    ],
+    "tenants": [
+        {"name": "t", "apiKeys": ["k"], "priority": 2, "ratePerS": 5, "burst": 1}
+    ],
+    "limits": {"maxHeaderBytes": 1000, "idleTimeoutMs": 500},
+}
+VALID_WEIGHTS = {"model": "m0", "version": 1}
+NO_PEERS = FeedPeers("a", lambda: (), lambda: 0, lambda update: None, lambda at: None)
+PACE = ReadPace(wait_s=0.0, pause_s=0.05, stale_after_s=1.0)
+
+
+def json_bytes(document):
+    return json.dumps(document).encode()
+
+
+class Operators:
+    """The topic of operators; each record that counts raises the version."""
+
+    def __init__(self):
+        self.live = LiveRouteTable()
+        self.listener = OperatorListener(self.live, WeightsTargets())
+        self.odd_keys = {"config": VALID_CONFIGURATION, "version/x": VALID_WEIGHTS}
+        self.encode = json_bytes
+
+    def valid(self, number):
+        at_least = self.live.current.version if self.live.current else 0
+        # What the odd record named may be the newest version.
+        self.version = at_least + number
+        document = {**VALID_CONFIGURATION, "version": self.version}
+        return "config", json_bytes(document)
+
+    def check_applied(self):
+        assert self.live.current.version == self.version, self.live.current.version
+        self.live.current.match("h", "/x")
+
+
+class Replicas:
+    """The topic of replicas."""
+
+    def __init__(self):
+        self.directory = UpstreamDirectory(Clock())
+        self.listener = UpstreamListener(self.directory)
+        self.odd_keys = {"odd": VALID_ENTRY}
+        self.encode = json_bytes
+
+    def valid(self, number):
+        self.slots = 1 + number
+        return "e0", json_bytes({**VALID_ENTRY, "slots": self.slots})
+
+    def check_applied(self):
+        statuses = {s.upstream.upstream_id: s for s in self.directory.all()}
+        assert statuses["e0"].upstream.slots == self.slots, statuses
+        # Sent to other instances.
+        for status in statuses.values():
+            msgpack.packb(attrs.astuple(status.upstream))
+
+
+class Suspects:
+    """The topic of suspects, in msgpack."""
+
+    def __init__(self):
+        self.listener = SuspectList(Clock())
+        record = CrashRecord(Crashes(("a",)))
+        self.document = msgpack.unpackb(RECORD_CODEC.encode(record))
+        self.odd_keys = {"odd": self.document}
+        self.encode = lambda document: msgpack.packb(document)
+
+    def valid(self, number):
+        self.key = f"f{number}"
+        return self.key, msgpack.packb(self.document)
+
+    def check_applied(self):
+        assert self.key in self.listener
+
+
+WORLDS = {"operators": Operators, "replicas": Replicas, "suspects": Suspects}
+
+
+@given("a follower of the topic of {kind}")
+def step_follower(context, kind):
+    context.kind, context.world = kind, WORLDS[kind]()
+    _follow(context, context.world.listener)
+    return context.world
+
+
+def _follow(context, listener):
+    context.log_service = InMemoryLogService(LogStore(LogStoreLimits()), LogFaults())
+    context.follower = TopicFollower(
+        context.log_service, "keyed.x", listener, PACE, NO_PEERS
+    )
+    context.follower.read()
+
+
+def _write(context, key, value):
+    context.log_service.append_keyed("keyed.x", key, value)
+
+
+@then("after each odd record that is derived from a valid one, a valid one is applied")
+def step_odd_records(context):
+    world = context.world
+    values = st.one_of(
+        st.sampled_from([float("inf"), float("nan"), 1e300, 2**64 - 1, "9" * 5000]),
+        st.sampled_from([None, True, "", "x", [], {}, [[]], {"a": {}}, -1, 0]),
+        st.sampled_from(["\ud800", "a:99999", "x" * 9000, "ő", "@deep@", "@huge@"]),
+    )
+    levels = st.sampled_from([2, 300, 500, 700, 900, 960, 1010, 100_000])
+    world_values = values.filter(lambda value: value != "\ud800")
+    if world.encode is json_bytes:
+        world_values = values
+
+    @FUZZ
+    @for_all(
+        st.sampled_from(sorted(world.odd_keys)),
+        st.randoms(use_true_random=False),
+        world_values,
+        levels,
+    )
+    def check(key, random, value, depth):
+        world = step_follower(context, context.kind)
+        odd = world.encode(_replaced(world.odd_keys[key], random, value))
+        odd = odd.replace(b'"@deep@"', b"[" * depth + b"]" * depth)
+        odd = odd.replace(b'"@huge@"', b"9" * depth)
+        odd = odd.replace(msgpack.packb("@deep@"), nested(depth))
+        _write(context, key, odd)
+        context.follower.read()
+        _write(context, *world.valid(1))
+        context.follower.read()
+        world.check_applied()
+
+    with captured_lines() as context.lines:
+        check()
+
+
+@then("every odd record is used or refused with the decoder's own error")
+def step_own_error(context):
+    failed = [line["exception"].value for line in context.lines if line["exception"]]
+    assert not failed, (len(failed), failed[:3])
+
+
+@when('weights are named for the model ["m0"], and then a configuration is written')
+def step_listed_weights(context):
+    _write(context, "version/m0", json_bytes({"model": ["m0"], "version": 1}))
+    _write(context, *context.world.valid(1))
+    context.follower.start()
+    context.add_cleanup(context.follower.close)
+    gevent.sleep(1.2)
+
+
+@then("the configuration is in force")
+def step_in_force(context):
+    assert context.world.live.current is not None
+    context.world.check_applied()
+
+
+class Fails(KeyedListener):
+    """Records the keys, and fails at one."""
+
+    def __init__(self, key):
+        self.key = key
+        self.applied = []
+
+    def apply(self, key, value, change_context):
+        if key == self.key:
+            raise LookupError(key)
+        self.applied.append(key)
+        return True
+
+
+@given('a follower whose listener fails at the record "{key}"')
+def step_failing_listener(context, key):
+    context.listener = Fails(key)
+    _follow(context, context.listener)
+
+
+@when('the records "{first}", "{second}" and "{third}" are written')
+def step_three_records(context, first, second, third):
+    for key in (first, second, third):
+        _write(context, key, b"v")
+    with captured_lines() as context.lines:
+        context.follower.start()
+        context.add_cleanup(context.follower.close)
+        gevent.sleep(1.2)
+
+
+@then('"{first}" and "{last}" are applied, and "{key}" is logged once')
+def step_skipped(context, first, last, key):
+    assert context.listener.applied == [first, last], context.listener.applied
+    failed = [line for line in context.lines if line["exception"]]
+    assert [line["extra"].get("key") for line in failed] == [key], failed
--- a/src/kumquatseam/feeds/_copy.py
+++ b/src/kumquatseam/feeds/_copy.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from kumquatseam.clocks import elapsed_s
+from kumquatseam.logs import part_logger
 from kumquatseam.logservice import (
     ChangeContext,
     KeyedBatch,
@@ -11,6 +12,8 @@
     era_of,
 )
 
+_log = part_logger("feeds")
+
 
 class TopicCopy:
     """The values of a keyed topic, up to an offset.
@@ -111,7 +114,15 @@
         return known is not None and era_of(batch.next_offset) > era_of(known)
 
     def _store(self, change: KeyedChange, change_context: ChangeContext) -> bool:
-        is_effective = self._listener.apply(change.key, change.value, change_context)
+        try:
+            is_effective = self._listener.apply(
+                change.key, change.value, change_context
+            )
+        except Exception:  # noqa: BLE001 - logged; it must not stop the other records
+            _log.bind(key=change.key, offset=change.offset).exception(
+                "A record cannot be applied; skipped."
+            )
+            is_effective = False
         if (
             change_context.is_restored
             and not is_effective
--- a/src/kumquatseam/platform/_entries.py
+++ b/src/kumquatseam/platform/_entries.py
@@ -9,7 +9,7 @@
 import re
 from collections.abc import Callable, Mapping
 
-from kumquatseam.platform._values import decode_json
+from kumquatseam.platform._values import MAX_COUNT, decode_json, text
 from kumquatseam.rollouts import EngineReport, MoveOutcome, MoveResult
 from kumquatseam.upstreams import Upstream, WeightsVersion
 
@@ -17,8 +17,6 @@
 _MAX_SLOTS = 65_536
 #: an hour; upstreams need only seconds to warm up after their start.
 _MAX_COLD_MS = 3_600_000
-#: integers up to this are exact in every JSON library.
-_MAX_COUNT = 2**53
 _MAX_PORT = 65_535
 _PORT = re.compile(r"[0-9]{1,5}")
 #: an id is sent in a header, so it must not contain spaces or line breaks.
@@ -142,10 +140,12 @@
 
 
 def _text(raw: Mapping, name: str) -> str:
-    return _checked_field(raw, name, lambda value: isinstance(value, str) and value)
+    return _checked_field(
+        raw, name, lambda value: isinstance(value, str) and text(value)
+    )
 
 
-def _count(raw: Mapping, name: str, minimum: int = 0, maximum: int = _MAX_COUNT) -> int:
+def _count(raw: Mapping, name: str, minimum: int = 0, maximum: int = MAX_COUNT) -> int:
     return _checked_field(
         raw,
         name,
--- a/src/kumquatseam/platform/_records.py
+++ b/src/kumquatseam/platform/_records.py
@@ -3,7 +3,13 @@
 from collections.abc import Mapping
 
 from kumquatseam.http1 import RequestLimits
-from kumquatseam.platform._values import decode_json
+from kumquatseam.platform._values import (
+    decode_json,
+    finite,
+    host_and_port,
+    integer,
+    text,
+)
 from kumquatseam.routes import (
     CacheStore,
     EngineTraits,
@@ -35,13 +41,15 @@
     :raises DecodingError: if it is invalid.
     """
     return decode_json(
-        "weights", value, lambda raw: WeightsVersion(raw["model"], int(raw["version"]))
+        "weights",
+        value,
+        lambda raw: WeightsVersion(text(raw["model"]), integer(raw["version"])),
     )
 
 
 def _route_table(raw: Mapping) -> RouteTable:
     return RouteTable(
-        version=int(raw["version"]),
+        version=integer(raw["version"]),
         routes=tuple(_route(item) for item in raw["routes"]),
         services=tuple(_service(item) for item in raw["services"]),
         teams=tuple(_team(item) for item in raw.get("tenants") or ()),
@@ -53,20 +61,20 @@
     kind = raw["kind"]
     is_idempotent = kind == "idempotent"
     return Route(
-        name=raw["name"],
-        host=raw["host"].lower(),
-        path_prefix=raw["pathPrefix"],
+        name=text(raw["name"]),
+        host=text(raw["host"]).lower(),
+        path_prefix=text(raw["pathPrefix"]),
         repeatability=(
             Repeatability.IDEMPOTENT if is_idempotent else Repeatability.NON_IDEMPOTENT
         ),
         shares=_shares(raw),
         is_stream=kind == "stream",
         is_resumable=bool(raw.get("resumable")),
-        timeout_s=float(raw["timeoutMs"]) / 1000.0,
-        target_latency_s=float(raw.get("targetLatencyMs", 1000)) / 1000.0,
-        target_event_gap_s=float(raw.get("gapAimMs", 1000)) / 1000.0,
-        priority=int(raw.get("priority", 5)),
-        max_attempts=int(raw.get("maxAttempts", 1)),
+        timeout_s=finite(raw["timeoutMs"]) / 1000.0,
+        target_latency_s=finite(raw.get("targetLatencyMs", 1000)) / 1000.0,
+        target_event_gap_s=finite(raw.get("gapAimMs", 1000)) / 1000.0,
+        priority=integer(raw.get("priority", 5)),
+        max_attempts=integer(raw.get("maxAttempts", 1)),
         is_public=bool(raw.get("public")),
     )
 
@@ -75,16 +83,17 @@
     split = raw.get("trafficSplit")
     if split:
         return tuple(
-            TrafficShare(item["service"], float(item["weight"])) for item in split
+            TrafficShare(text(item["service"]), finite(item["weight"]))
+            for item in split
         )
-    return (TrafficShare(raw["service"], 1.0),)
+    return (TrafficShare(text(raw["service"]), 1.0),)
 
 
 def _service(raw: Mapping) -> ServiceTraits:
     engine = raw.get("engine")
     return ServiceTraits(
-        name=raw["name"],
-        max_connections=int(raw.get("maxConnections", 0)),
+        name=text(raw["name"]),
+        max_connections=integer(raw.get("maxConnections", 0)),
         engine=_engine(engine) if engine else None,
         cache_store=_cache_store(raw) if raw.get("kvStoreAddr") else None,
     )
@@ -92,31 +101,33 @@
 
 def _cache_store(raw: Mapping) -> CacheStore:
     return CacheStore(
-        address=raw["kvStoreAddr"],
-        availability_zone=raw.get("zone") or "",
-        cache_tokens=int(raw.get("kvCapacityTokens", 0)),
-        link_mbps=float(raw.get("linkMbps") or 0.0),
+        address=host_and_port(raw["kvStoreAddr"]),
+        availability_zone=text(raw.get("zone") or ""),
+        cache_tokens=integer(raw.get("kvCapacityTokens", 0)),
+        link_mbps=finite(raw.get("linkMbps") or 0.0),
     )
 
 
 def _engine(raw: Mapping) -> EngineTraits:
     defaults = EngineTraits(1, 0)
     return EngineTraits(
-        slots=int(raw["slots"]),
-        cache_tokens=int(raw["kvCapacityTokens"]),
-        models=tuple(item["name"] for item in raw.get("models") or ()),
-        event_pollers=int(raw.get("maxConcurrent", 0)),
-        cache_token_bytes=int(raw.get("kvTokenBytes") or defaults.cache_token_bytes),
-        link_mbps=float(raw.get("linkMbps") or defaults.link_mbps),
+        slots=integer(raw["slots"]),
+        cache_tokens=integer(raw["kvCapacityTokens"]),
+        models=tuple(text(item["name"]) for item in raw.get("models") or ()),
+        event_pollers=integer(raw.get("maxConcurrent", 0)),
+        cache_token_bytes=integer(
+            raw.get("kvTokenBytes") or defaults.cache_token_bytes
+        ),
+        link_mbps=finite(raw.get("linkMbps") or defaults.link_mbps),
     )
 
 
 def _team(raw: Mapping) -> TeamTraits:
     priority = raw.get("priority")
     return TeamTraits(
-        name=raw["name"],
-        keys=tuple(raw.get("apiKeys") or ()),
-        priority=None if priority is None else int(priority),
+        name=text(raw["name"]),
+        keys=tuple(map(text, raw.get("apiKeys") or ())),
+        priority=None if priority is None else integer(priority),
         is_isolated=bool(raw.get("isolated")),
         quota=_quota(raw),
     )
@@ -124,22 +135,22 @@
 
 def _quota(raw: Mapping) -> TeamQuota | None:
     """Return a team's quota; a rate of 0 or a missing one means no limit."""
-    rate_per_s = float(raw.get("ratePerS") or 0)
+    rate_per_s = finite(raw.get("ratePerS") or 0)
     if rate_per_s <= 0:
         return None
     return TeamQuota(
         rate_per_s,
-        max(0.0, float(raw.get("burst") or 0)),
+        max(0.0, finite(raw.get("burst") or 0)),
         is_token_based=raw.get("unit") == _TOKEN_UNIT,
-        default_tokens=max(0, int(raw.get("plainTokens") or 0)),
+        default_tokens=max(0, integer(raw.get("plainTokens") or 0)),
     )
 
 
 def _limits(raw: Mapping) -> RequestLimits:
     defaults = RequestLimits()
     return RequestLimits(
-        int(raw.get("maxHeaderBytes", defaults.max_header_bytes)),
-        int(raw.get("maxBodyBytes", defaults.max_body_bytes)),
-        float(raw.get("headerTimeoutMs", defaults.header_timeout_s * 1000)) / 1000.0,
-        float(raw.get("idleTimeoutMs", defaults.idle_timeout_s * 1000)) / 1000.0,
+        integer(raw.get("maxHeaderBytes", defaults.max_header_bytes)),
+        integer(raw.get("maxBodyBytes", defaults.max_body_bytes)),
+        finite(raw.get("headerTimeoutMs", defaults.header_timeout_s * 1000)) / 1000.0,
+        finite(raw.get("idleTimeoutMs", defaults.idle_timeout_s * 1000)) / 1000.0,
     )
