--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -39,3 +39,25 @@
     Given a follower whose listener fails at the record "bad"
     When the records "a", "bad" and "b" are written
     Then "a" and "b" are applied, and "bad" is logged once
+
+  Scenario Outline: An instance that is listed with <an odd address> hides no other
+    Given an instance that knows another one by the list of instances
+    When an instance is listed with <an odd address>
+    Then it still hears from the other one, and can send to all that it knows
+    And at most one log line is written about each odd entry
+
+    Examples:
+      | an odd address              |
+      | a port out of range         |
+      | a port of 20 digits         |
+      | no port                     |
+      | an empty address            |
+      | a space in its address      |
+      | an address that is nested   |
+      | a relay's port out of range |
+      | a state port out of range   |
+      | the name of another one     |
+
+  Scenario: A connection to a port of 20 digits fails like any other
+    When a connection to a port of 20 digits is opened
+    Then it fails with the error of connections that cannot be opened
--- a/features/steps/availability_steps.py
+++ b/features/steps/availability_steps.py
@@ -327,7 +327,7 @@
     )
     context.relay.start()
     context.add_cleanup(context.relay.close)
-    record = InstanceRecord("carrier", "", "", 100.0, address)
+    record = InstanceRecord("carrier", "127.0.0.1:1", "", 100.0, address)
     relays = RelayClient("me", lambda: [record])
     context.tunnels = []
     for _ in range(2):
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -1,5 +1,6 @@
 """Steps for odd entries in lists and messages from outside."""
 
+import contextlib
 import json
 
 import attrs
@@ -18,9 +19,20 @@
 from kumquatseam.codec import MessageCodec
 from kumquatseam.errors import CodecError
 from kumquatseam.feeds import FeedPeers, ReadPace, TopicFollower, TopicUpdate
-from kumquatseam.logservice import KeyedBatch, KeyedChange, KeyedListener
+from kumquatseam.http1 import (
+    ConnectFailedError,
+    open_socket,
+)
+from kumquatseam.logservice import (
+    ChangeContext,
+    KeyedBatch,
+    KeyedChange,
+    KeyedListener,
+)
+from kumquatseam.loops import StepLoop
 from kumquatseam.nng import receive_within
-from kumquatseam.peers import InstanceRecord
+from kumquatseam.peers import DatagramSocket, InstanceRecord, InstanceRegistry, PeerBus
+from kumquatseam.peers._messages import MESSAGE_KINDS, PresenceHeartbeat
 from kumquatseam.platform._topics import OperatorListener, UpstreamListener
 from kumquatseam.quarantine._list import SuspectList
 from kumquatseam.quarantine._messages import RECORD_CODEC, Crashes, CrashRecord
@@ -365,3 +377,78 @@
     assert context.listener.applied == [first, last], context.listener.applied
     failed = [line for line in context.lines if line["exception"]]
     assert [line["extra"].get("key") for line in failed] == [key], failed
+
+
+ODD_INSTANCES = {
+    "a port out of range": {"address": "127.0.0.1:99999"},
+    "a port of 20 digits": {"address": "127.0.0.1:" + "9" * 20},
+    "no port": {"address": "127.0.0.1"},
+    "an empty address": {"address": ""},
+    "a space in its address": {"address": "a b:80"},
+    "an address that is nested": {"address": [["127.0.0.1:80"]]},
+    "a relay's port out of range": {"relay_address": "127.0.0.1:99999"},
+    "a state port out of range": {"state_address": "127.0.0.1:" + "9" * 20},
+    "the name of another one": {"name": "b", "address": "127.0.0.1:1"},
+}
+
+
+@given("an instance that knows another one by the list of instances")
+def step_instances(context):
+    records = [InstanceRecord(name, f"127.0.0.1:{free_port()}") for name in "ab"]
+    context.buses = [PeerBus(record, MESSAGE_KINDS) for record in records]
+    context.datagrams = DatagramSocket(f"127.0.0.1:{free_port()}", MESSAGE_KINDS)
+    for part in (*context.buses, context.datagrams):
+        part.start()
+        context.add_cleanup(part.close)
+    log_service = InMemoryLogService(LogStore(LogStoreLimits()), LogFaults())
+    context.registry = InstanceRegistry(log_service, context.buses[0], records[0])
+    _list_instance(context, "b", attrs.asdict(records[1]))
+
+
+def _list_instance(context, key, fields):
+    value = msgpack.packb(["instance", fields])
+    context.registry.apply(key, value, ChangeContext())
+
+
+@when("an instance is listed with {an_odd_address}")
+def step_odd_instance(context, an_odd_address):
+    fields = {"name": "", "address": "127.0.0.1:1", **ODD_INSTANCES[an_odd_address]}
+    with captured_lines() as context.lines:
+        # One of them comes before the other instance in any order.
+        for number in range(4):
+            key = f"{'ac'[number % 2]}{number}"
+            _list_instance(context, key, {**fields, "name": fields["name"] or key})
+        for _ in range(20):
+            StepLoop._run_step(context.buses[0].step)
+            context.buses[1].publish(PresenceHeartbeat("b"))
+            gevent.sleep(0.05)
+
+
+@then("it still hears from the other one, and can send to all that it knows")
+def step_hears(context):
+    assert [record.name for record in context.buses[0].live_peers()] == ["b"]
+    for record in context.buses[0].records:
+        context.datagrams.send(record.address, PresenceHeartbeat("a"))
+        for address in filter(None, (record.relay_address, record.state_address)):
+            with contextlib.suppress(ConnectFailedError):
+                open_socket(address, 0.2).close()
+
+
+@then("at most one log line is written about each odd entry")
+def step_few_lines_odd(context):
+    odd = [line for line in context.lines if line["level"].no >= 30]
+    assert len(odd) <= 4, [line["message"] for line in odd]
+    assert not any(line["exception"] for line in odd)
+
+
+@when("a connection to a port of 20 digits is opened")
+def step_open_odd(context):
+    try:
+        open_socket("127.0.0.1:" + "9" * 20, 0.2)
+    except Exception as error:
+        context.error = error
+
+
+@then("it fails with the error of connections that cannot be opened")
+def step_open_failed(context):
+    assert isinstance(context.error, ConnectFailedError), repr(context.error)
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -103,7 +103,7 @@
     host, _, port = address.rpartition(":")
     try:
         opened = gevent.socket.create_connection((host, int(port)), timeout_s)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, OverflowError) as error:
         raise ConnectFailedError(address, repr(error)) from error
     opened.settimeout(None)
     for option in dead_peer_socket_options():
--- a/src/kumquatseam/peers/_messages.py
+++ b/src/kumquatseam/peers/_messages.py
@@ -1,7 +1,10 @@
 """Messages between instances, and their compact encoding."""
 
+import math
+
 import attrs
 
+from kumquatseam.addresses import is_host_and_port
 from kumquatseam.codec import MessageCodec
 from kumquatseam.prompts import HolderUpdate, PromptPrefill
 from kumquatseam.upstreams import LimitReport
@@ -29,6 +32,12 @@
     relay_address: str = ""
     zone: str = ""
 
+    def __attrs_post_init__(self) -> None:
+        stated = (self.address, self.state_address or None, self.relay_address or None)
+        addresses_valid = all(is_host_and_port(a) for a in stated if a is not None)
+        if not (addresses_valid and 0 <= self.link_mbps < math.inf):
+            raise ValueError("invalid address or speed")
+
 
 @attrs.frozen
 class UpstreamLoad:
--- a/src/kumquatseam/platform/_orders.py
+++ b/src/kumquatseam/platform/_orders.py
@@ -6,7 +6,7 @@
 
 from kumquatseam.logs import part_logger
 from kumquatseam.platform._availability import decode_availability
-from kumquatseam.platform._entries import decode_move, decode_report
+from kumquatseam.platform._reports import decode_move, decode_report
 from kumquatseam.platform._values import DecodingError
 from kumquatseam.pools import AddressPools
 from kumquatseam.response_limits import ResponseLimits
--- a/src/kumquatseam/platform/_values.py
+++ b/src/kumquatseam/platform/_values.py
@@ -2,19 +2,17 @@
 
 import json
 import math
-import re
 from collections.abc import Callable, Mapping
 
 import attrs
 
+from kumquatseam.addresses import is_host_and_port
 from kumquatseam.errors import KumquatseamError
 
 #: integers up to this are exact in every JSON library.
 MAX_COUNT = 2**53
 #: maximum characters of a reason, which may quote the value.
 _MAX_REASON = 400
-_ADDRESS = re.compile(r"([\x21-\x7e]{1,253}):([0-9]{1,5})")
-_MAX_PORT = 65_535
 
 
 @attrs.define(frozen=True, eq=False)
@@ -53,48 +51,36 @@
 
 
 def text(value: object) -> str:
-    """Return a JSON value that is text.
-
-    :raises ValueError: if it is not, or has no encoding (half a surrogate pair).
-    """
+    """Return a value that is text with an encoding: no half of a surrogate pair."""
     if not isinstance(value, str):
-        raise ValueError(f"not text: {_quoted(value)}")
+        raise invalid(value)
     value.encode()
     return value
 
 
 def integer(value: object) -> int:
-    """Return a JSON value as an integer; a fraction is cut off.
-
-    :raises ValueError: if it is not a number, or too large.
-    """
+    """Return a number without its fraction, if it is exact in JSON."""
     number = int(value)
     if abs(number) > MAX_COUNT:
-        raise ValueError(f"too large: {_quoted(value)}")
+        raise invalid(value)
     return number
 
 
 def finite(value: object) -> float:
-    """Return a JSON value as a number.
-
-    :raises ValueError: if it is not a finite one.
-    """
+    """Return a finite number."""
     number = float(value)
     if not math.isfinite(number):
-        raise ValueError(f"not finite: {_quoted(value)}")
+        raise invalid(value)
     return number
 
 
 def host_and_port(value: object) -> str:
-    """Return a JSON value that is a ``host:port``.
-
-    :raises ValueError: if it is not.
-    """
-    match = _ADDRESS.fullmatch(text(value))
-    if not match or not 0 < int(match[2]) <= _MAX_PORT:
-        raise ValueError(f"not an address: {_quoted(value)}")
+    """Return a ``host:port``."""
+    if not is_host_and_port(text(value)):
+        raise invalid(value)
     return value
 
 
-def _quoted(value: object) -> str:
-    return repr(str(value)[:80])
+def invalid(value: object) -> ValueError:
+    """Return the error for an invalid value."""
+    return ValueError(f"invalid: {str(value)[:80]!r}")
--- a/src/kumquatseam/platform/adapter.py
+++ b/src/kumquatseam/platform/adapter.py
@@ -4,14 +4,13 @@
 from kumquatseam.gateway import Adapter, Dialect
 from kumquatseam.logservice import KeyedListener
 from kumquatseam.platform._headers import PlatformDialect
-from kumquatseam.platform._orders import PlatformOrderClient
 from kumquatseam.platform._topics import (
     OPERATOR_TOPIC,
     UPSTREAM_TOPIC,
     OperatorListener,
     UpstreamListener,
 )
-from kumquatseam.rollouts import OrderClient
+from kumquatseam.rollouts import DeferredOrderClient, OrderClient
 from kumquatseam.routes import LiveRouteTable
 from kumquatseam.upstreams import (
     AvailabilityObserver,
@@ -35,7 +34,12 @@
         return OperatorListener(live, targets)
 
     def order_client(self, observer: AvailabilityObserver) -> OrderClient:
-        return PlatformOrderClient(observer)
+        def load() -> OrderClient:
+            from kumquatseam.platform._orders import PlatformOrderClient
+
+            return PlatformOrderClient(observer)
+
+        return DeferredOrderClient(load)
 
     def cache_client(self, observer: AvailabilityObserver) -> CacheClient:
         def load() -> CacheClient:
--- a/src/kumquatseam/rollouts/__init__.py
+++ b/src/kumquatseam/rollouts/__init__.py
@@ -11,6 +11,7 @@
 - :class:`OrderClient` is the interface for ordering engines and reading their reports.
 """
 
+from kumquatseam.rollouts._deferred import DeferredOrderClient
 from kumquatseam.rollouts._orders import (
     EngineReport,
     LoadMode,
@@ -24,6 +25,7 @@
 from kumquatseam.rollouts._view import NoticeRelay, RolloutView
 
 __all__ = [
+    "DeferredOrderClient",
     "EngineReport",
     "LoadMode",
     "MovedRun",
