--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -61,3 +61,31 @@
   Scenario: A connection to a port of 20 digits fails like any other
     When a connection to a port of 20 digits is opened
     Then it fails with the error of connections that cannot be opened
+
+  Scenario Outline: A response with an odd header is read as one without it
+    When a refusal is read whose header <header> is <value>
+    Then it is read as one without this header
+
+    Examples:
+      | header            | value                                    |
+      | Retry-After       | Mon, 01 Jan 2024 00:00:00 +99999999999999|
+      | Retry-After       | Mon, 01 Jan 99999999999 00:00:00 GMT     |
+      | Keep-Alive        | timeout=[400 digits]                     |
+      | X-Weight-Versions | [400 digits]                             |
+      | Server-Limit      | [400 digits]                             |
+      | Server-Brittle    | [400 digits]                             |
+
+  Scenario Outline: A call with an odd number of tokens is malformed
+    When a call is read whose header <header> is <value>
+    Then it is refused as malformed
+
+    Examples:
+      | header          | value           |
+      | X-Prompt-Prefix | p:²             |
+      | X-Prompt-Prefix | p:[400 digits]  |
+      | X-Prompt-Prefix | p:[5000 digits] |
+      | X-Token-Usage   | [400 digits]    |
+      | X-Token-Usage   | 1,[400 digits]  |
+
+  Scenario: What a holder reports of its cache can be sent to other instances
+    Then every odd report is refused with the decoder's own error, or can be sent on
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -1,7 +1,9 @@
 """Steps for odd entries in lists and messages from outside."""
 
+import collections
 import contextlib
 import json
+import re
 
 import attrs
 import gevent
@@ -19,8 +21,12 @@
 from kumquatseam.codec import MessageCodec
 from kumquatseam.errors import CodecError
 from kumquatseam.feeds import FeedPeers, ReadPace, TopicFollower, TopicUpdate
+from kumquatseam.gateway import MalformedCallError
 from kumquatseam.http1 import (
     ConnectFailedError,
+    Headers,
+    Request,
+    ResponseHead,
     open_socket,
 )
 from kumquatseam.logservice import (
@@ -32,8 +38,12 @@
 from kumquatseam.loops import StepLoop
 from kumquatseam.nng import receive_within
 from kumquatseam.peers import DatagramSocket, InstanceRecord, InstanceRegistry, PeerBus
-from kumquatseam.peers._messages import MESSAGE_KINDS, PresenceHeartbeat
+from kumquatseam.peers._messages import MESSAGE_KINDS, LoadSummary, PresenceHeartbeat
+from kumquatseam.platform._cache_events import _decode_page
+from kumquatseam.platform._headers import PlatformDialect
 from kumquatseam.platform._topics import OperatorListener, UpstreamListener
+from kumquatseam.platform._values import DecodingError, decode_json
+from kumquatseam.prompts import HolderUpdate
 from kumquatseam.quarantine._list import SuspectList
 from kumquatseam.quarantine._messages import RECORD_CODEC, Crashes, CrashRecord
 from kumquatseam.request_reply import ReplyServer, request_once
@@ -452,3 +462,75 @@
 @then("it fails with the error of connections that cannot be opened")
 def step_open_failed(context):
     assert isinstance(context.error, ConnectFailedError), repr(context.error)
+
+
+def _odd_text(value):
+    return re.sub(r"\[(\d+) digits\]", lambda found: "9" * int(found[1]), value)
+
+
+@when("a refusal is read whose header {header} is {value}")
+def step_odd_response(context, header, value):
+    fields = [(b"X-Request-Id", b"r"), (b"Date", b"Mon, 01 Jan 2024 00:00:00 GMT")]
+    odd = (header.encode(), _odd_text(value).encode())
+    context.traits = [
+        PlatformDialect().read_response(ResponseHead(503, Headers(found), 0, False))
+        for found in ([*fields, odd], fields)
+    ]
+
+
+@then("it is read as one without this header")
+def step_read_without(context):
+    odd, plain = context.traits
+    if odd.limit_per_s is None:
+        plain = attrs.evolve(plain, limit_per_s=None)
+    assert odd == plain, odd
+
+
+@when("a call is read whose header {header} is {value}")
+def step_odd_call(context, header, value):
+    fields = [
+        (b"X-Request-Id", b"r"),
+        (header.encode(), _odd_text(value).encode("latin-1")),
+    ]
+    request = Request(b"POST", b"/", Headers(fields), b"", True, 0.0)
+    try:
+        context.error = PlatformDialect().read_call(request)
+    except Exception as error:
+        context.error = error
+
+
+@then("it is refused as malformed")
+def step_malformed(context):
+    assert isinstance(context.error, MalformedCallError), repr(context.error)[:200]
+
+
+@then("every odd report is refused with the decoder's own error, or can be sent on")
+def step_odd_reports(context):
+    codec = MessageCodec("peer message", MESSAGE_KINDS, is_compact=True)
+    row = [1, "+", "salt", "part", 5, "m0"]
+    page = {"epoch": 1, "nextToken": 2, "events": [row], "lost": False, "born": 1}
+    values = st.sampled_from(
+        [float("inf"), 1e300, 2**70, -(2**70), "9" * 5000, "9" * 400, "\ud800"]
+        + [None, -5, "", [], {}, "@deep@"]
+    )
+    outcomes = collections.Counter()
+
+    @FUZZ
+    @for_all(
+        st.randoms(use_true_random=False), values, st.sampled_from([10, 900, 9999])
+    )
+    def check(random, value, depth):
+        odd = json_bytes(_replaced(page, random, value))
+        odd = odd.replace(b'"@deep@"', b"[" * depth + b"]" * depth)
+        try:
+            read = decode_json("page", odd, _decode_page)
+        except DecodingError:
+            outcomes["refused"] += 1
+            return
+        assert all(part.tokens >= 0 for part in read.parts), read.parts
+        update = HolderUpdate("e0", read.epoch, read.next_number, read.parts)
+        codec.encode(LoadSummary("a", (), (), (update,)))
+        outcomes["sent"] += 1
+
+    check()
+    assert min(outcomes["refused"], outcomes["sent"]) > 0, outcomes
--- a/src/kumquatseam/platform/_cache_events.py
+++ b/src/kumquatseam/platform/_cache_events.py
@@ -7,7 +7,12 @@
 from kumquatseam.cachefeeds import CacheClient, CacheHolder, CacheListing, CachePage
 from kumquatseam.logs import part_logger
 from kumquatseam.platform._availability import decode_availability
-from kumquatseam.platform._values import DecodingError, decode_json
+from kumquatseam.platform._values import (
+    DecodingError,
+    decode_json,
+    integer,
+    text,
+)
 from kumquatseam.pools import AddressPools
 from kumquatseam.prompts import HeldPart
 from kumquatseam.response_limits import ResponseLimits
@@ -96,8 +101,8 @@
 
 def _decode_listing(raw: Mapping) -> CacheListing:
     return CacheListing(
-        int(raw["epoch"]),
-        int(raw["nextToken"]),
+        integer(raw["epoch"]),
+        integer(raw["nextToken"]),
         tuple(_held_part(*row[:3]) for row in raw["held"]),
         _born_ms(raw),
     )
@@ -105,9 +110,9 @@
 
 def _decode_page(raw: Mapping) -> CachePage:
     return CachePage(
-        int(raw["epoch"]),
+        integer(raw["epoch"]),
         # Despite its name, this is the number of the next event.
-        int(raw["nextToken"]),
+        integer(raw["nextToken"]),
         tuple(_decode_event(row) for row in raw["events"]),
         _born_ms(raw),
         bool(raw["lost"]),
@@ -121,11 +126,11 @@
 
 
 def _held_part(salt: str, part_id: str, tokens: int) -> HeldPart:
-    return HeldPart(str(salt), str(part_id), int(tokens))
+    return HeldPart(text(str(salt)), text(str(part_id)), max(0, integer(tokens)))
 
 
 def _born_ms(raw: Mapping) -> int:
-    return int(raw.get("born", 0))
+    return integer(raw.get("born", 0))
 
 
 __all__ = ["PlatformCacheClient"]
--- a/src/kumquatseam/platform/_headers.py
+++ b/src/kumquatseam/platform/_headers.py
@@ -1,6 +1,7 @@
 """Headers of the platform's requests and responses."""
 
 import math
+import re
 
 from kumquatseam.gateway import (
     Call,
@@ -11,6 +12,7 @@
 )
 from kumquatseam.http1 import Headers, Request, ResponseHead
 from kumquatseam.platform._availability import decode_availability
+from kumquatseam.platform._values import MAX_COUNT
 from kumquatseam.prompts import PromptChain, PromptPart
 from kumquatseam.upstreams import parse_limit
 
@@ -21,6 +23,9 @@
 _LIMIT = b"server-limit"
 _BRITTLE = b"server-brittle"
 _KEY_SCHEME = "token "
+#: a thousand times the longest prompts.
+_MAX_TOKENS = 10**9
+_TOKENS = re.compile("[0-9]{1,9}")
 
 #: addressed to the router or set only by it, so never forwarded.
 _NOT_FORWARDED = frozenset(
@@ -145,8 +150,8 @@
         usage = int(prompt_tokens), int(output_tokens or 0)
     except ValueError as error:
         raise MalformedCallError("X-Token-Usage", f"not numbers: {text!r}") from error
-    if min(usage) < 0:
-        raise MalformedCallError("X-Token-Usage", f"negative: {text!r}")
+    if min(usage) < 0 or max(usage) > _MAX_TOKENS:
+        raise MalformedCallError("X-Token-Usage", f"out of range: {text[:80]!r}")
     return usage
 
 
@@ -157,7 +162,8 @@
     parts = []
     for entry in text.split(","):
         part_id, _, tokens = entry.strip().partition(":")
-        if not part_id or not tokens.isdigit():
+        # Not of other scripts, and not so many that sums and messages overflow.
+        if not part_id or not _TOKENS.fullmatch(tokens):
             raise MalformedCallError("X-Prompt-Prefix", f"invalid entry: {entry!r}")
         parts.append(PromptPart(part_id, int(tokens)))
     return PromptChain(tuple(parts))
@@ -187,6 +193,7 @@
 
 def _integer_or_none(text: str) -> int | None:
     try:
-        return int(text)
+        number = int(text)
     except ValueError:
         return None
+    return number if abs(number) <= MAX_COUNT else None
--- a/src/kumquatseam/upstreams/_rest.py
+++ b/src/kumquatseam/upstreams/_rest.py
@@ -37,5 +37,5 @@
     try:
         sent = parsedate_to_datetime(dates[0])
         return (parsedate_to_datetime(text) - sent).total_seconds()
-    except (ValueError, TypeError, IndexError):
+    except (ValueError, TypeError, IndexError, OverflowError):
         return math.nan
