Read the others in a list when one entry is odd (LOST)

What was seen, at the clients: a listing of the log service with nested lists, an infinite number, records that are no list or a value that is no base64 raised RecursionError, TypeError or binascii.Error, which is none of the errors that readers handle; pages that do not advance raised IndexError. An entry of the list of instances whose name is a list or half a surrogate pair was taken; a record under a key that is no UTF-8 raised UnicodeDecodeError in the daemon that follows its configuration, whose greenlet handles only errors of the log service and would have ended.

Every field of a response is now decoded within one place, which raises LogAnswerLostError; a record whose key is no text is skipped, logged and left to its writer, and so is an entry of the list of instances; unframe_keyed raises CodecError for such a key. A page without an end is an error: taken for the whole list, it would have removed what it lacks.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -89,3 +89,32 @@
 
   Scenario: What a holder reports of its cache can be sent to other instances
     Then every odd report is refused with the decoder's own error, or can be sent on
+
+  Scenario Outline: A reply of the platform's services with <odd> is an error that readers handle
+    When the log service and the list of instances reply with <odd>
+    Then each call raises the error of its own that its callers handle
+
+    Examples:
+      | odd                       |
+      | lists in 100,000 levels   |
+      | a number of 5,000 digits  |
+      | an infinite number        |
+      | records that are no list  |
+      | a value that is no base64 |
+      | another type of document  |
+      | pages that do not advance |
+
+  Scenario Outline: An entry with <odd> does not hide the others in a list
+    When the log service and the list of instances contain an entry with <odd>
+    Then the other entries are read
+
+    Examples:
+      | odd                    |
+      | a name that is a list  |
+      | half a character       |
+      | no name                |
+
+  Scenario: A daemon follows its configuration past a key that is no text
+    Given a daemon that follows its configuration
+    When a record with a key that is no text and then a valid one are written
+    Then the valid one is in force
--- a/features/steps/log_return_steps.py
+++ b/features/steps/log_return_steps.py
@@ -19,7 +19,6 @@
     KeyedReader,
     LogServiceError,
     era_of,
-    frame_slice,
 )
 from kumquatseam.peers import INSTANCES_TOPIC, InstanceRecord, InstanceRegistry
 from kumquatseam.platform._topics import OperatorListener, UpstreamListener
@@ -33,6 +32,7 @@
     LogStore,
     LogStoreLimits,
 )
+from kumquatseam.standins.logservice._framing import frame_slice
 from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
 
 LEASE = "d"
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -9,6 +9,7 @@
 import gevent
 import msgpack
 import pynng
+import urllib3
 from behave import given, then, when
 from foreign_entries_steps import VALID_ENTRY
 from hypothesis import given as for_all
@@ -21,6 +22,9 @@
 from kumquatseam.codec import MessageCodec
 from kumquatseam.errors import CodecError
 from kumquatseam.feeds import FeedPeers, ReadPace, TopicFollower, TopicUpdate
+from kumquatseam.fleet._follower import ConfigurationState, apply_records
+from kumquatseam.fleet._records import RECORD_CODEC as ENTITY_CODEC
+from kumquatseam.fleet._records import EntityRecord, FieldValue
 from kumquatseam.gateway import MalformedCallError
 from kumquatseam.http1 import (
     ConnectFailedError,
@@ -29,11 +33,16 @@
     ResponseHead,
     open_socket,
 )
+from kumquatseam.instances import HttpInstanceList, InstanceListError
 from kumquatseam.logservice import (
     ChangeContext,
+    HttpLogService,
     KeyedBatch,
     KeyedChange,
     KeyedListener,
+    LogRecord,
+    LogServiceError,
+    frame_keyed,
 )
 from kumquatseam.loops import StepLoop
 from kumquatseam.nng import receive_within
@@ -43,11 +52,13 @@
 from kumquatseam.platform._headers import PlatformDialect
 from kumquatseam.platform._topics import OperatorListener, UpstreamListener
 from kumquatseam.platform._values import DecodingError, decode_json
+from kumquatseam.pools import PooledResponse
 from kumquatseam.prompts import HolderUpdate
 from kumquatseam.quarantine._list import SuspectList
 from kumquatseam.quarantine._messages import RECORD_CODEC, Crashes, CrashRecord
 from kumquatseam.request_reply import ReplyServer, request_once
 from kumquatseam.routes import LiveRouteTable
+from kumquatseam.settings import Configuration
 from kumquatseam.standins.logservice import (
     InMemoryLogService,
     LogFaults,
@@ -534,3 +545,109 @@
 
     check()
     assert min(outcomes["refused"], outcomes["sent"]) > 0, outcomes
+
+
+def _newest(items, end=1):
+    return {"items": items, "end": end, "hasMore": False}
+
+
+ODD_REPLIES = {
+    "lists in 100,000 levels": (b"[" * 100_000,) * 2,
+    "a number of 5,000 digits": (b"9" * 5000,) * 2,
+    "an infinite number": (
+        json_bytes(_newest([], float("inf"))),
+        json_bytes({"instances": float("inf")}),
+    ),
+    "records that are no list": (
+        json_bytes(_newest(5)),
+        json_bytes({"instances": 5}),
+    ),
+    "a value that is no base64": (
+        json_bytes(_newest([{"key": "k", "value": "x", "offset": 1}])),
+        b"{}",
+    ),
+    "pages that do not advance": (
+        json_bytes({"items": [], "end": 1, "hasMore": True}),
+        b"{}",
+    ),
+    "another type of document": (b'"x"', b"[]"),
+}
+
+ODD_NAMES = {
+    "a name that is a list": ["k"],
+    "half a character": "\ud800",
+    "no name": None,
+}
+
+
+class OneReply:
+    """Replies to every request with one body."""
+
+    def __init__(self, body):
+        self.body = body
+
+    def request(self, *_, **__):
+        return PooledResponse(200, urllib3.HTTPHeaderDict(), self.body)
+
+
+@when("the log service and the list of instances reply with {odd}")
+def step_odd_reply(context, odd):
+    log_service, instances = HttpLogService("http://x"), HttpInstanceList("http://x")
+    log_service._pools, instances._pools = map(OneReply, ODD_REPLIES[odd])
+    context.errors = []
+    for call in (lambda: log_service.newest("keyed.x"), instances.read):
+        try:
+            context.errors.append(call())
+        except Exception as error:
+            context.errors.append(error)
+
+
+@when("the log service and the list of instances contain an entry with {odd}")
+def step_odd_name(context, odd):
+    name = ODD_NAMES[odd]
+    found = [{"key": key, "value": "eA==", "offset": 1} for key in ("a", name, "b")]
+    listed = [
+        dict.fromkeys(("name", "kind", "address", "zone"), n) for n in ("a", name)
+    ]
+    replies = json_bytes(_newest(found)), json_bytes({"instances": listed})
+    log_service, instances = HttpLogService("http://x"), HttpInstanceList("http://x")
+    log_service._pools, instances._pools = map(OneReply, replies)
+    context.keys = [record.key for record in log_service.newest("keyed.x").records]
+    context.names = [instance.name for instance in instances.read()]
+
+
+@then("the other entries are read")
+def step_others_read(context):
+    assert (context.keys, context.names) == (["a", "b"], ["a"]), context.keys
+
+
+@then("each call raises the error of its own that its callers handle")
+def step_own_errors(context):
+    log_error, list_error = context.errors
+    assert isinstance(log_error, LogServiceError), repr(log_error)[:300]
+    assert isinstance(list_error, InstanceListError), repr(list_error)[:300]
+    assert len(str(log_error)) < 1000 and len(str(list_error)) < 1000
+
+
+@given("a daemon that follows its configuration")
+def step_daemon(context):
+    context.state = ConfigurationState(Configuration(), 0)
+
+
+def _priority_record(name):
+    record = EntityRecord("c", "o", 0, 1, False, (FieldValue("rank", "3"),))
+    return frame_keyed(f"priority:{name}", ENTITY_CODEC.encode(record))
+
+
+@when("a record with a key that is no text and then a valid one are written")
+def step_no_text_key(context):
+    odd = b"\x01\xff" + _priority_record("x")[11:]
+    payloads = (_priority_record("a"), odd, _priority_record("b"))
+    records = [LogRecord(offset, payload) for offset, payload in enumerate(payloads)]
+    context.state = apply_records(context.state, records)
+
+
+@then("the valid one is in force")
+def step_valid_in_force(context):
+    names = [priority.name for priority in context.state.configuration.priorities]
+    assert names == ["a", "b"], names
--- a/src/kumquatseam/instances/_client.py
+++ b/src/kumquatseam/instances/_client.py
@@ -8,9 +8,12 @@
 
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.instances._instance import Instance
+from kumquatseam.logs import part_logger
 from kumquatseam.pools import AddressPools
 from kumquatseam.response_limits import ResponseLimits
 
+_log = part_logger("instances")
+
 _OK = 200
 #: size of the list: some ten thousand instances.
 _MAX_BYTES = 4_194_304
@@ -61,14 +64,21 @@
         self._timeout_s = timeout_s
         self._limits = ResponseLimits(_MAX_BYTES, _TOTAL_TIMEOUTS * timeout_s)
         self._pools = AddressPools()
+        self._odd_count = 0
 
     def read(self) -> tuple[Instance, ...]:
         reply = self._call("GET", "/instances")
         try:
-            listed = json.loads(reply)["instances"]
-            return tuple(Instance(**fields) for fields in listed)
-        except (ValueError, KeyError, TypeError) as error:
-            raise InstanceListError(f"cannot decode the reply: {error!r}") from error
+            listed = [_instance(fields) for fields in json.loads(reply)["instances"]]
+        except (ValueError, LookupError, TypeError, RecursionError) as error:
+            detail = f"cannot decode the reply: {error!r}"[:400]
+            raise InstanceListError(detail) from error
+        found = tuple(instance for instance in listed if instance is not None)
+        odd_count = len(listed) - len(found)
+        if odd_count > self._odd_count:
+            _log.bind(entries=odd_count).warning("Odd entries in the list skipped.")
+        self._odd_count = odd_count
+        return found
 
     def register(self, instance: Instance) -> None:
         body = json.dumps(attrs.asdict(instance)).encode()
@@ -89,3 +99,13 @@
         if response.status != _OK:
             raise InstanceListError(f"HTTP {response.status}")
         return response.data
+
+
+def _instance(fields: dict[str, str]) -> Instance | None:
+    """Return an entry; ``None`` if it is invalid, so that others can be used."""
+    try:
+        for value in fields.values():
+            value.encode()
+        return Instance(**fields)
+    except (UnicodeEncodeError, AttributeError, TypeError):
+        return None
--- a/src/kumquatseam/logservice/__init__.py
+++ b/src/kumquatseam/logservice/__init__.py
@@ -17,7 +17,6 @@
 from kumquatseam.logservice._framing import (
     frame_keyed,
     frame_records,
-    frame_slice,
     unframe_keyed,
     unframe_records,
 )
@@ -60,7 +59,6 @@
     "era_of",
     "frame_keyed",
     "frame_records",
-    "frame_slice",
     "offset_of",
     "position",
     "unframe_keyed",
--- a/src/kumquatseam/logservice/_framing.py
+++ b/src/kumquatseam/logservice/_framing.py
@@ -38,11 +38,6 @@
     return payloads
 
 
-def frame_slice(end_offset: int, first_offset: int, payloads: Iterable[bytes]) -> bytes:
-    """Return the body of a read response."""
-    return _BOUNDS.pack(end_offset, first_offset) + frame_records(payloads)
-
-
 def unframe_slice(data: bytes) -> tuple[int, int, list[bytes]]:
     """Return ``(end_offset, first_offset, payloads)`` of a read response.
 
@@ -63,9 +58,12 @@
 def unframe_keyed(content: bytes) -> tuple[str, bytes]:
     """Return ``(key, value)`` of a keyed record's content.
 
-    :raises CodecError: if it is truncated.
+    :raises CodecError: if it is truncated, or the key is no text.
     """
     if not content or len(content) < 1 + content[0]:
         raise CodecError("keyed record", "truncated inside the key")
     split = 1 + content[0]
-    return content[1:split].decode(), content[split:]
+    try:
+        return content[1:split].decode(), content[split:]
+    except UnicodeDecodeError as error:
+        raise CodecError("keyed record", str(error)) from error
--- a/src/kumquatseam/logservice/_http.py
+++ b/src/kumquatseam/logservice/_http.py
@@ -1,6 +1,7 @@
 """Client of the platform's log service over HTTP."""
 
 import base64
+import contextlib
 import json
 import urllib.parse
 from collections.abc import Sequence
@@ -8,6 +9,7 @@
 import urllib3
 
 from kumquatseam.errors import CodecError
+from kumquatseam.logs import part_logger
 from kumquatseam.logservice._errors import (
     LogAnswerLostError,
     LogConflictError,
@@ -30,12 +32,15 @@
 from kumquatseam.pools import AddressPools, PooledResponse
 from kumquatseam.response_limits import ResponseLimits
 
+_log = part_logger("log")
+
 _PRECONDITION_FAILED = 412
 _GONE = 410
 _OK = 200
 #: the log service's era; it increases when the service is restored from an older
 #: copy.
 _ERA_HEADER = "Store-Era"
+_MAX_ERA_DIGITS = 9
 #: maximum size of the records of one read response.
 MAX_READ_KB = 1024
 #: size of a response: the records, or a page of newest ones in base64.
@@ -74,7 +79,7 @@
             fields["at"] = offset_of(at)
         body = frame_records(payloads)
         response = self._call("POST", "/log-append", fields, topic, body=body)
-        return position(_era(response), _field(response.data, "offset"))
+        return _position(response, "offset")
 
     def append_keyed(
         self, topic: str, key: str, value: bytes, at: int | None = None
@@ -114,17 +119,20 @@
                 records, end_offset = [], None
                 del fields["after"]
                 continue
-            for item in _field(response.data, "items"):
-                value = base64.b64decode(item["value"])
-                at = position(era, item["offset"])
-                records.append(KeyedRecord(item["key"], value, at))
+            with _decoding():
+                items = _field(response.data, "items")
+                found = [_record(item, era) for item in items]
+                records += [record for record in found if record is not None]
             # The pages are not one snapshot, but changes made between them are
             # past the end that the first page states, where the reader continues.
             if end_offset is None:
-                end_offset = position(era, _field(response.data, "end"))
+                end_offset = _position(response, "end")
             if not _field(response.data, "hasMore"):
                 return KeyedPage(tuple(records), end_offset)
-            fields["after"] = records[-1].key
+            after = items[-1].get("key") if items else None
+            if not isinstance(after, str) or after == fields.get("after"):
+                raise LogAnswerLostError("pages do not advance")
+            fields["after"] = after
 
     def _call(
         self, method: str, path: str, fields, topic: str, body=None, extra_s=0.0
@@ -137,7 +145,7 @@
             response = self._pools.request(
                 method,
                 self._url,
-                f"{path}?{urllib.parse.urlencode(fields)}",
+                f"{path}?{urllib.parse.urlencode(fields, errors='surrogatepass')}",
                 ResponseLimits(_MAX_BYTES, _TOTAL_TIMEOUTS * self._timeout_s + extra_s),
                 body=body,
                 timeout=timeout,
@@ -151,13 +159,10 @@
             raise LogAnswerLostError(repr(error)) from error
         if response.status == _OK:
             return response
-        era = _era(response)
         if response.status == _PRECONDITION_FAILED:
-            end_offset = position(era, _field(response.data, "end"))
-            raise LogConflictError(topic, end_offset)
+            raise LogConflictError(topic, _position(response, "end"))
         if response.status == _GONE:
-            first_offset = position(era, _field(response.data, "first"))
-            raise LogRecordsExpiredError(topic, first_offset)
+            raise LogRecordsExpiredError(topic, _position(response, "first"))
         raise LogUnavailableError(f"HTTP {response.status}")
 
 
@@ -167,17 +172,49 @@
     :raises LogAnswerLostError: if it is not a number.
     """
     text = response.headers.get(_ERA_HEADER, "0")
-    if not text.isdecimal():
+    if not text.isdecimal() or len(text) > _MAX_ERA_DIGITS:
         raise LogAnswerLostError(f"unreadable era: {text[:80]!r}")
     return int(text)
 
 
+def _record(item: dict, era: int) -> KeyedRecord | None:
+    """Return a listed record; ``None`` if its key is no text: others can be used."""
+    key = item.get("key")
+    try:
+        key.encode()
+    except (AttributeError, UnicodeEncodeError):
+        _log.bind(key=repr(key)[:80]).warning("A record's key is no text; skipped.")
+        return None
+    return KeyedRecord(
+        key, base64.b64decode(item["value"]), position(era, item["offset"])
+    )
+
+
+def _position(response: PooledResponse, name: str) -> int:
+    """Return the position in a field of a JSON response."""
+    with _decoding():
+        return position(_era(response), _field(response.data, name))
+
+
 def _field(body: bytes, name: str):
-    """Return a field of a JSON response.
+    """Return a field of a JSON response."""
+    with _decoding():
+        return json.loads(body)[name]
+
 
-    :raises LogAnswerLostError: if it is not JSON or lacks the field.
+@contextlib.contextmanager
+def _decoding():
+    """Decode a response.
+
+    :raises LogAnswerLostError: if it is invalid.
     """
     try:
-        return json.loads(body)[name]
-    except (ValueError, KeyError, TypeError) as error:
-        raise LogAnswerLostError(f"invalid response: {error!r}") from error
+        yield
+    except (
+        ValueError,
+        LookupError,
+        TypeError,
+        AttributeError,
+        RecursionError,
+    ) as error:
+        raise LogAnswerLostError(f"invalid response: {error!r}"[:400]) from error
--- a/src/kumquatseam/logservice/_keyed_reader.py
+++ b/src/kumquatseam/logservice/_keyed_reader.py
@@ -92,7 +92,7 @@
     def _change(self, offset: int, payload: bytes) -> KeyedChange | None:
         try:
             key, value = unframe_keyed(payload)
-        except (CodecError, UnicodeDecodeError) as error:
+        except CodecError as error:
             _log.bind(topic=self._topic, offset=offset, error=str(error)).warning(
                 "Cannot decode a record of a keyed topic; skipped."
             )
--- a/src/kumquatseam/platform/_entries.py
+++ b/src/kumquatseam/platform/_entries.py
@@ -9,6 +9,7 @@
 import re
 from collections.abc import Callable, Mapping
 
+from kumquatseam.addresses import is_host_and_port
 from kumquatseam.platform._values import MAX_COUNT, decode_json, text
 from kumquatseam.upstreams import Upstream, WeightsVersion
 
@@ -16,8 +17,6 @@
 _MAX_SLOTS = 65_536
 #: an hour; upstreams need only seconds to warm up after their start.
 _MAX_COLD_MS = 3_600_000
-_MAX_PORT = 65_535
-_PORT = re.compile(r"[0-9]{1,5}")
 #: an id is sent in a header, so it must not contain spaces or line breaks.
 _ID = re.compile(r"[\x21-\x7e]{1,128}")
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -73,8 +72,7 @@
 
 def _address(raw: Mapping) -> str:
     address = text_field(raw, "address")
-    host, _, port = address.rpartition(":")
-    if _is_host(host) and _PORT.fullmatch(port) and 0 < int(port) <= _MAX_PORT:
+    if is_host_and_port(address) and _is_host(address.rpartition(":")[0]):
         return address
     raise ValueError(f"address: {address[:80]!r}")
 
--- a/src/kumquatseam/standins/logservice/_server.py
+++ b/src/kumquatseam/standins/logservice/_server.py
@@ -13,11 +13,11 @@
     LogConflictError,
     LogRecordsExpiredError,
     LogUnavailableError,
-    frame_slice,
     unframe_records,
 )
 from kumquatseam.standins._http import StandinServer, json_answer, json_body
 from kumquatseam.standins.logservice._faults import LogFaults
+from kumquatseam.standins.logservice._framing import frame_slice
 from kumquatseam.standins.logservice._store import LogStore
 
 _log = part_logger("logstandin")
