Refuse odd completion requests as invalid ones

What was seen: a body of nested lists (RecursionError), messages that are a number or stream options that are a list (TypeError, AttributeError) left the check of a completion request as an unexpected error; half a surrogate pair in a prompt was accepted, though the prompt has no encoding. Each concerned that one request.

Cause and class: a reader that catches only some errors of what it decodes. read_call now checks these types and raises its own error.

Evidence: features/odd_entries.feature, 5 of 5 new scenarios red before, green after; serving passes (8 scenarios).

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -118,3 +118,15 @@
     Given a daemon that follows its configuration
     When a record with a key that is no text and then a valid one are written
     Then the valid one is in force
+
+  Scenario Outline: A completion request with <odd> gets the response of an invalid one
+    When a caller of the daemon sends a completion request with <odd>
+    Then it is refused with status 400
+
+    Examples:
+      | odd                             |
+      | lists in 100,000 levels         |
+      | a number of messages            |
+      | a list of stream options        |
+      | half a character in its prompt  |
+      | half a character in its message |
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -19,6 +19,7 @@
 from modelled_clock import Clock
 
 from kumquatseam.bench import free_port
+from kumquatseam.callers._calls import read_call
 from kumquatseam.codec import MessageCodec
 from kumquatseam.errors import CodecError
 from kumquatseam.feeds import FeedPeers, ReadPace, TopicFollower, TopicUpdate
@@ -56,9 +57,10 @@
 from kumquatseam.prompts import HolderUpdate
 from kumquatseam.quarantine._list import SuspectList
 from kumquatseam.quarantine._messages import RECORD_CODEC, Crashes, CrashRecord
+from kumquatseam.request_errors import CallerError
 from kumquatseam.request_reply import ReplyServer, request_once
 from kumquatseam.routes import LiveRouteTable
-from kumquatseam.settings import Configuration
+from kumquatseam.settings import Configuration, PrioritySettings, TeamSettings
 from kumquatseam.standins.logservice import (
     InMemoryLogService,
     LogFaults,
@@ -651,3 +653,34 @@
 def step_valid_in_force(context):
     names = [priority.name for priority in context.state.configuration.priorities]
     assert names == ["a", "b"], names
+
+
+ODD_COMPLETIONS = {
+    "lists in 100,000 levels": b"[" * 100_000,
+    "a number of messages": json_bytes({"model": "m", "messages": 5}),
+    "a list of stream options": json_bytes(
+        {"model": "m", "messages": [{"content": "x"}], "stream_options": [5]}
+    ),
+    "half a character in its prompt": json_bytes({"model": "m", "prompt": "\ud800"}),
+    "half a character in its message": json_bytes(
+        {"model": "m", "messages": [{"content": "\ud800"}]}
+    ),
+}
+
+
+@when("a caller of the daemon sends a completion request with {odd}")
+def step_odd_completion(context, odd):
+    team = TeamSettings("t", ("k",), ("p",), ("m",), ("e0",))
+    configuration = Configuration(priorities=(PrioritySettings("p", 1),), teams=(team,))
+    headers = {"Authorization": "Bearer k"}
+    is_chat = odd != "half a character in its prompt"
+    try:
+        context.error = read_call(configuration, headers, ODD_COMPLETIONS[odd], is_chat)
+    except Exception as error:
+        context.error = error
+
+
+@then("it is refused with status {status:d}")
+def step_refused_completion(context, status):
+    assert isinstance(context.error, CallerError), repr(context.error)[:200]
+    assert context.error.status == status
--- a/src/kumquatseam/callers/_calls.py
+++ b/src/kumquatseam/callers/_calls.py
@@ -46,13 +46,18 @@
     :param messages: OpenAI-style ``[{"role": ..., "content": ...}, ...]``.
     :raises CallerError: if a message is malformed.
     """
+    if not isinstance(messages, list):
+        raise CallerError(400, "invalid_request_error", "messages must be a list")
     lines = []
     for message in messages:
         if not isinstance(message, dict) or not isinstance(message.get("content"), str):
             raise CallerError(
                 400, "invalid_request_error", "each message needs content"
             )
-        lines.append(f"{message.get('role', 'user')}: {message['content']}")
+        role = message.get("role", "user")
+        if not isinstance(role, str):
+            raise CallerError(400, "invalid_request_error", "roles must be strings")
+        lines.append(f"{role}: {message['content']}")
     return "\n".join(lines)
 
 
@@ -71,11 +76,13 @@
     team = read_team(configuration, headers)
     try:
         data = json.loads(body or b"{}")
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise CallerError(400, "invalid_request_error", "body is not JSON") from error
     if not isinstance(data, dict):
         raise CallerError(400, "invalid_request_error", "body must be a JSON object")
     model = data.get("model")
+    if not isinstance(model, str):
+        raise CallerError(404, "model_not_found", "no model is named")
     if model not in team.models:
         raise CallerError(404, "model_not_found", f"no model {model!r} for your team")
     prompt = chat_prompt(data.get("messages") or []) if chat else data.get("prompt")
@@ -83,6 +90,12 @@
         raise CallerError(
             400, "invalid_request_error", "prompt must be a non-empty string"
         )
+    _check_text(prompt)
+    stream_options = data.get("stream_options") or {}
+    if not isinstance(stream_options, dict):
+        raise CallerError(
+            400, "invalid_request_error", "stream_options must be an object"
+        )
     max_tokens = data.get("max_tokens", DEFAULT_MAX_TOKENS)
     if not isinstance(max_tokens, int) or not 0 < max_tokens <= MAX_TOKENS_LIMIT:
         raise CallerError(400, "invalid_request_error", "max_tokens out of range")
@@ -97,13 +110,26 @@
         prompt=prompt,
         max_tokens=max_tokens,
         stream=bool(data.get("stream", False)),
-        include_usage=bool((data.get("stream_options") or {}).get("include_usage")),
+        include_usage=bool(stream_options.get("include_usage")),
         chat=chat,
         priority=configuration.priority(priority_class),
         idempotency_key=headers.get(IDEMPOTENCY_HEADER),
     )
 
 
+def _check_text(prompt: str) -> None:
+    """Check that a prompt has an encoding: JSON can state half a surrogate pair.
+
+    :raises CallerError: 400 if it has none.
+    """
+    try:
+        prompt.encode()
+    except UnicodeEncodeError as error:
+        raise CallerError(
+            400, "invalid_request_error", "prompt is not valid Unicode"
+        ) from error
+
+
 def read_team(configuration: Configuration, headers) -> TeamSettings:
     """Return the team that owns the API key of a request.
 
