Test a real gateway with odd entries in all of its lists

Some 60 odd entries and records: nested 500 to 100,000 levels, 5,000 digits, 1e400, NaN, half a surrogate pair, ports out of range.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -130,3 +130,8 @@
       | a list of stream options        |
       | half a character in its prompt  |
       | half a character in its message |
+
+  Scenario: A gateway serves and follows its lists past odd entries
+    Given a gateway in front of 2 plain replicas
+    When odd entries are written to all of its lists, and a replica is listed after them
+    Then the new replica gets requests, all are served, and the gateway did not end
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -17,6 +17,7 @@
 from hypothesis import strategies as st
 from log_capture import captured_lines
 from modelled_clock import Clock
+from platform_world import wait_until
 
 from kumquatseam.bench import free_port
 from kumquatseam.callers._calls import read_call
@@ -684,3 +685,41 @@
 def step_refused_completion(context, status):
     assert isinstance(context.error, CallerError), repr(context.error)[:200]
     assert context.error.status == status
+
+
+@when("odd entries are written to all of its lists, and a replica is listed after them")
+def step_odd_everywhere(context):
+    store = context.platform.store
+    nests = [b"[" * depth + b"]" * depth for depth in (500, 900, 990, 100_000)]
+    texts = [b'"\\ud800"', b"9" * 5000, b"1e400", b"NaN", b'"10.0.0.1:99999"', b"{}"]
+    for number, odd in enumerate(nests + texts):
+        for field in ("service", "address", "slots", "models", "extra"):
+            marked = json_bytes({**VALID_ENTRY, "service": "plain", field: "@odd@"})
+            key = f"odd-{number}-{field}"
+            value = marked.replace(b'"@odd@"', odd)
+            if field != "extra":
+                store.append_keyed("keyed.servers", key, value)
+        weights = b'{"model": %s, "version": 1}' % odd
+        store.append_keyed("keyed.op", f"version/odd{number}", weights)
+        store.append_keyed("keyed.op", "config", odd)
+    fields = {"name": "g", "address": "127.0.0.1:99999"}
+    for value in (b"\xff", nested(1010), msgpack.packb(["instance", fields])):
+        store.append_keyed("keyed.kumquatseam.instances", "g", value)
+    context.platform.add_replica("plain", "late")
+    context.platform.put_configuration()
+
+
+@then("the new replica gets requests, all are served, and the gateway did not end")
+def step_served_past_odd(context):
+    world = context.platform
+    (gateway,) = world.gateways
+
+    def is_late_used():
+        status = world.send().status
+        assert status == 200, status
+        return sum(seen.ran for seen in world.replicas["late"].seen) > 0
+
+    wait_until("the new replica is used", is_late_used)
+    assert gateway.process.poll() is None
+    failed = [line for line in gateway.lines() if "exception" in line]
+    assert not failed, (len(failed), failed[0]["event"], failed[0]["exception"])
