A restored list of upstreams takes no leaving back (DRAIN)

What callers saw: nothing; upstreams did.

Cause: the directory applied the older entry, ready, of the copy. Class: an older copy of a fact replaces a newer one, since nothing tells their order. Entries have one, their sequence within one start (born); it was checked and thrown away.

Fix: Availability remembers the sequence up to which the list withdrew an incarnation: by an entry that says draining, by the removal of its entry, or by a later incarnation. An entry that is no newer changes nothing while the upstream is listed, and when it is read from a restored list. A removal that is followed by an entry in a list that was not restored is still ended by it, whatever its sequence. An entry that another instance ignored counts as new for its updates when its key is written again: instances that started from the restored copy would have missed it.

--- a/src/kumquatseam/feeds/_copy.py
+++ b/src/kumquatseam/feeds/_copy.py
@@ -28,6 +28,8 @@
         self._listener = listener
         self._clock = clock
         self._values: dict[str, bytes] = {}
+        #: keys whose values in a restored log were ignored.
+        self._kept_keys: set[str] = set()
         self.next_offset: int | None = None
         self.synced_s: float | None = None
 
@@ -112,13 +114,15 @@
 
     def _store(self, change: KeyedChange, change_context: ChangeContext) -> bool:
         is_effective = self._listener.apply(change.key, change.value, change_context)
-        if (
-            change_context.is_restored
-            and not is_effective
-            and change.key in self._values
-        ):
-            # Snapshots for peers keep the known value; its owner writes it again.
-            return False
+        if change_context.is_restored and not is_effective:
+            self._kept_keys.add(change.key)
+            if change.key in self._values:
+                # Snapshots for peers keep the known value; its owner writes it again.
+                return False
+        elif change.key in self._kept_keys:
+            # Peers may have read the value that was ignored here.
+            self._kept_keys.discard(change.key)
+            is_effective = True
         if change.value:
             self._values[change.key] = change.value
         else:
--- a/src/kumquatseam/platform/_entries.py
+++ b/src/kumquatseam/platform/_entries.py
@@ -78,6 +78,7 @@
         cold_left_s=_number(raw, "coldLeftMs", _MAX_COLD_MS) / 1000.0,
         born_ms=_born_ms(raw),
         software_version=_text(raw, "version"),
+        sequence=_count(raw, "sequence"),
     )
 
 
--- a/src/kumquatseam/platform/_topics.py
+++ b/src/kumquatseam/platform/_topics.py
@@ -79,7 +79,7 @@
             self._log_unreadable(key, error)
             return self._directory.mark_unreadable(key)
         self._unreadable_keys.discard(key)
-        return self._directory.put(upstream)
+        return self._directory.put(upstream, change_context.is_restored)
 
     def note_synced(self) -> None:
         self._directory.confirm_entries()
--- a/src/kumquatseam/upstreams/_availability.py
+++ b/src/kumquatseam/upstreams/_availability.py
@@ -115,6 +115,9 @@
         self._rest_asked_until_s = -math.inf
         self._rest_known_s = -math.inf
         self._trials = 0
+        #: entries up to this sequence are older than the one that said that the
+        #: upstream is shutting down, or than its removal from the list.
+        self.withdrawn_at = -math.inf
 
     def extend(self, reason: Unavailability, for_s: float) -> bool:
         """Record a reason that holds for ``for_s`` seconds, or longer if known so.
@@ -246,10 +249,13 @@
     def note_removed(self, incarnation_id: str) -> None:
         """Record that an upstream is not listed any more.
 
-        What it said itself is kept: a delayed entry may list it again.
+        What it said itself, and its withdrawal, are kept: a delayed entry or an older
+        copy of the list may list it again.
         """
         known = self._listed.pop(incarnation_id, None)
-        if known is not None and known.left_s(*STATED_REASONS):
+        if known is None:
+            return
+        if known.withdrawn_at >= 0 or known.left_s(*STATED_REASONS):
             self._add_unlisted(incarnation_id, known)
 
     def _add_unlisted(
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -105,14 +105,24 @@
         found = [s for s in self._by_id.values() if s.upstream.service == service]
         return sorted(found, key=lambda status: status.upstream.upstream_id)
 
-    def put(self, upstream: Upstream) -> bool:
+    def put(self, upstream: Upstream, is_restored: bool = False) -> bool:
         """Add or update an entry; return whether anything changed.
 
         An entry of a later incarnation, or of other software, replaces the known one
         and discards its observations; a delayed entry of an earlier incarnation is
-        ignored.
+        ignored. So is one that is older than what is known of an upstream's leaving.
+
+        :param is_restored: whether the list was restored from an older copy; otherwise
+            an entry that is read after a removal is newer.
         """
+        availability = self._availabilities.of(upstream.incarnation_id)
+        is_outdated = upstream.sequence <= availability.withdrawn_at
         known = self._by_id.get(upstream.upstream_id)
+        if is_outdated and not upstream.is_leaving and (is_restored or known):
+            return False
+        if not is_outdated or not upstream.is_leaving:
+            withdrawn_at = upstream.sequence if upstream.is_leaving else -math.inf
+            availability.withdrawn_at = withdrawn_at
         if known is None:
             self._add(upstream, "listed")
             return True
@@ -143,7 +153,11 @@
             upstream.upstream_id
         ):
             restarted = attrs.evolve(
-                upstream, born_ms=born_ms, weights=(), software_version=""
+                upstream,
+                born_ms=born_ms,
+                weights=(),
+                software_version="",
+                sequence=0,
             )
             self._replace(status, restarted)
         return self._by_id.get(upstream.upstream_id, status)
@@ -164,6 +178,7 @@
             return False
         is_in_outage = outage_age_s is not None and outage_age_s < OUTAGE_GRACE_S
         if not is_in_outage or known.is_leaving:
+            known.availability.withdrawn_at = known.upstream.sequence
             self._drop(known, "gone")
             return True
         if known.expires_s is None:
@@ -209,6 +224,8 @@
         """Replace the known incarnation by a later one."""
         if upstream.born_ms < known.upstream.born_ms:
             return False
+        if upstream.born_ms > known.upstream.born_ms:
+            known.availability.withdrawn_at = math.inf
         self._drop(known, "ended")
         self._add(upstream, "restarted")
         return True
--- a/src/kumquatseam/upstreams/_upstream.py
+++ b/src/kumquatseam/upstreams/_upstream.py
@@ -47,6 +47,7 @@
         upstream's own clock; increases with each incarnation, 0 if not given.
     :param software_version: the version of its software, which has no order; empty
         if it is not known.
+    :param sequence: increases with each entry that this incarnation writes.
     """
 
     upstream_id: str
@@ -59,6 +60,7 @@
     cold_left_s: float = 0.0
     born_ms: int = 0
     software_version: str = ""
+    sequence: int = attrs.field(default=0, eq=False)
     #: identifies this incarnation within this process and across instances.
     incarnation_id: str = attrs.field(init=False, eq=False, repr=False)
 
