Updates that span a restore of the log fit only the copies that they start from

What callers saw: not shown with real callers. An instance that read the restored copy of a topic before what was lost was written again (as one that starts then does) missed the rewritten values: an upstream that drains stayed ready there, until its next change.

Cause: an instance that reads the log after both, and knew the values before, finds nothing to change, and broadcasts an update without changes from its old position to the new one. TopicCopy.can_apply compared the update's start with the receiver's position by number; a start in an earlier era is lower than any position of the new one. Class: a difference is applied to another base than its own.

Fix: an update whose start lies in an earlier era fits only a copy at exactly that start, or one beyond its end; others read the log. This also covers the check for receivers that are still in the earlier era, which goes.

--- a/features/restored_lists.feature
+++ b/features/restored_lists.feature
@@ -87,3 +87,12 @@
       | before                                 |
       | expires in an outage                   |
       | becomes unreadable                     |
+
+  Scenario: Who read the restored list misses nothing that was written again before others read it
+    Given an instance that follows the list, with the upstreams r1 and r2
+    When the list is copied
+    And r1 says that it drains
+    And the list is restored from the copy, but not read
+    And another instance reads the list for the first time
+    And the same is written again, and read by the first instance only
+    Then the other instance places requests on r2, by that update or by reading the list
--- a/features/steps/restored_lists_steps.py
+++ b/features/steps/restored_lists_steps.py
@@ -127,6 +127,11 @@
     context.list.read()
 
 
+@when("the list is restored from the copy, but not read")
+def step_restored_unread(context):
+    context.list.restore()
+
+
 @when("the list is restored from the copy, and r1 writes first that it is ready")
 def step_restored_with_newer(context):
     context.list.restore()
@@ -154,6 +159,18 @@
     assert context.other.placed() == names(expected), context.other.placed()
 
 
+@then(
+    "the other instance places requests on {expected}, by that update or by reading "
+    "the list"
+)
+def step_update_or_read(context, expected):
+    if context.other.copy.can_apply(context.list.update):
+        context.other.copy.apply(context.list.update)
+    else:
+        context.other.read()
+    assert context.other.placed() == names(expected), context.other.placed()
+
+
 @when("r1's entry says {state}, with {what}")
 def step_entry_says(context, state, what):
     more = {
--- a/src/kumquatseam/feeds/_copy.py
+++ b/src/kumquatseam/feeds/_copy.py
@@ -56,9 +56,11 @@
             return True
         if self.next_offset is None:
             return False
-        if self._is_restored(batch):
-            # After a restore, an update fits only copies at the offset it starts from.
-            return batch.from_offset == self.next_offset
+        if era_of(batch.next_offset) > era_of(batch.from_offset):
+            # It starts before a restore: it fits only copies at the offset it starts
+            # from, and adds nothing to those beyond its end.
+            is_old = batch.next_offset <= self.next_offset
+            return is_old or batch.from_offset == self.next_offset
         return batch.from_offset <= self.next_offset
 
     def apply(
@@ -76,9 +78,10 @@
             being noticed here.
         :returns: the changes that the listener reported as effective.
         """
-        if self.next_offset is not None and batch.next_offset < self.next_offset:
+        known = self.next_offset
+        if known is not None and batch.next_offset < known:
             return ()
-        is_restored = self._is_restored(batch)
+        is_restored = known is not None and era_of(batch.next_offset) > era_of(known)
         if is_restored:
             # As after an outage: owners that still run write lost entries again.
             outage_age_s = 0.0
@@ -107,11 +110,6 @@
         changes += [c for c in batch.changes if self._values.get(c.key) != c.value]
         return changes
 
-    def _is_restored(self, batch: KeyedBatch) -> bool:
-        """Return whether the log was restored from an older copy before ``batch``."""
-        known = self.next_offset
-        return known is not None and era_of(batch.next_offset) > era_of(known)
-
     def _store(self, change: KeyedChange, change_context: ChangeContext) -> bool:
         is_effective = self._listener.apply(change.key, change.value, change_context)
         if change_context.is_restored and not is_effective:
