--- a/src/kumquatseam/feeds/_copy.py
+++ b/src/kumquatseam/feeds/_copy.py
@@ -31,6 +31,8 @@
         self._listener = listener
         self._clock = clock
         self._values: dict[str, bytes] = {}
+        #: keys whose values in a restored log were ignored.
+        self._kept_keys: set[str] = set()
         self.next_offset: int | None = None
         self.synced_s: float | None = None
 
@@ -57,9 +59,11 @@
             return True
         if self.next_offset is None:
             return False
-        if self._is_restored(batch):
-            # After a restore, an update fits only copies at the offset it starts from.
-            return batch.from_offset == self.next_offset
+        if era_of(batch.next_offset) > era_of(batch.from_offset):
+            # It starts before a restore: it fits only copies at the offset it starts
+            # from, and adds nothing to those beyond its end.
+            is_old = batch.next_offset <= self.next_offset
+            return is_old or batch.from_offset == self.next_offset
         return batch.from_offset <= self.next_offset
 
     def apply(
@@ -77,9 +81,10 @@
             being noticed here.
         :returns: the changes that the listener reported as effective.
         """
-        if self.next_offset is not None and batch.next_offset < self.next_offset:
+        known = self.next_offset
+        if known is not None and batch.next_offset < known:
             return ()
-        is_restored = self._is_restored(batch)
+        is_restored = known is not None and era_of(batch.next_offset) > era_of(known)
         if is_restored:
             # As after an outage: owners that still run write lost entries again.
             outage_age_s = 0.0
@@ -108,28 +113,27 @@
         changes += [c for c in batch.changes if self._values.get(c.key) != c.value]
         return changes
 
-    def _is_restored(self, batch: KeyedBatch) -> bool:
-        """Return whether the log was restored from an older copy before ``batch``."""
-        known = self.next_offset
-        return known is not None and era_of(batch.next_offset) > era_of(known)
-
-    def _store(self, change: KeyedChange, change_context: ChangeContext) -> bool:
+    def _apply_change(self, change: KeyedChange, change_context: ChangeContext) -> bool:
+        """Tell the listener; a record that it fails on must not stop the others."""
         try:
-            is_effective = self._listener.apply(
-                change.key, change.value, change_context
-            )
-        except Exception:  # noqa: BLE001 - logged; it must not stop the other records
+            return self._listener.apply(change.key, change.value, change_context)
+        except Exception:  # noqa: BLE001 - any kind of record may come; logged
             _log.bind(key=change.key, offset=change.offset).exception(
                 "A record cannot be applied; skipped."
             )
-            is_effective = False
-        if (
-            change_context.is_restored
-            and not is_effective
-            and change.key in self._values
-        ):
-            # Snapshots for peers keep the known value; its owner writes it again.
             return False
+
+    def _store(self, change: KeyedChange, change_context: ChangeContext) -> bool:
+        is_effective = self._apply_change(change, change_context)
+        if change_context.is_restored and not is_effective:
+            self._kept_keys.add(change.key)
+            if change.key in self._values:
+                # Snapshots for peers keep the known value; its owner writes it again.
+                return False
+        elif change.key in self._kept_keys:
+            # Peers may have read the value that was ignored here.
+            self._kept_keys.discard(change.key)
+            is_effective = True
         if change.value:
             self._values[change.key] = change.value
         else:
--- a/src/kumquatseam/platform/_entries.py
+++ b/src/kumquatseam/platform/_entries.py
@@ -31,8 +31,6 @@
 
 
 def _upstream(upstream_id: str, raw: Mapping) -> Upstream:
-    # An entry's sequence counts heartbeats; a report's counts orders.
-    count_field(raw, "sequence")
     if not _ID.fullmatch(upstream_id) or raw.get("id", upstream_id) != upstream_id:
         raise ValueError(f"id: {raw.get('id')!r} under key {upstream_id[:80]!r}")
     return Upstream(
@@ -46,6 +44,8 @@
         cold_left_s=_number(raw, "coldLeftMs", _MAX_COLD_MS) / 1000.0,
         born_ms=born_ms_of(raw),
         software_version=text_field(raw, "version"),
+        # It counts heartbeats here; in a report it counts orders.
+        sequence=count_field(raw, "sequence"),
     )
 
 
