--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -249,6 +249,9 @@
     def note_sent(self, headers):
         pass
 
+    def is_answer(self, headers, head):
+        return True
+
     def note_response(self, headers, head, sent_s):
         pass
 
--- a/src/kumquatseam/gateway/_tunnel_traffic.py
+++ b/src/kumquatseam/gateway/_tunnel_traffic.py
@@ -27,6 +27,13 @@
     def note_sent(self, headers: Headers) -> None:
         self._directory.note_sent(self._incarnation(headers))
 
+    def is_answer(self, headers: Headers, head: ResponseHead) -> bool:
+        # As the instance that sent the request: ``UpstreamConnection.read_head``.
+        id_header = self._dialect.request_id_header
+        if not head.headers.get(id_header):
+            return self._dialect.read_response(head).is_not_run
+        return head.headers.text(id_header) == headers.text(id_header)
+
     def note_response(
         self, headers: Headers, head: ResponseHead, sent_s: float
     ) -> None:
--- a/src/kumquatseam/relays/_inspector.py
+++ b/src/kumquatseam/relays/_inspector.py
@@ -44,9 +44,12 @@
         self._is_stopped = False
         self._is_in_head = False
         self._is_readable = True
-        self._response: _ResponseReader | None = None
-        #: when the last request was sent.
+        self._responses = _ResponseReader(self._handle_head, self._handle_end)
+        #: the request under way, and when it was sent.
+        self._request: Headers | None = None
         self._sent_s = 0.0
+        #: whether the response that is read is the answer to it.
+        self._is_answer = False
 
     def stop(self) -> None:
         """Let no further request pass: the instance that carries them stops."""
@@ -55,8 +58,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is under way."""
-        is_answered = self._response is None or self._response.is_complete
-        return is_answered and self._is_readable and not self._held
+        return self._request is None and self._is_readable and not self._held
 
     def feed_request(self, data: bytes) -> bytes:
         """Add bytes of the instance that asked for the tunnel.
@@ -84,15 +86,14 @@
 
     def feed_response(self, data: bytes) -> None:
         """Add bytes of the upstream."""
-        if self._response is not None:
-            self._response.feed(data)
+        self._responses.feed(data)
 
     def end_responses(self) -> None:
         """Handle that the upstream closed, which ends a response without framing.
 
         The tunnel does not become idle: the end has still to be passed on.
         """
-        if self._response is not None and not self._response.is_complete:
+        if self._is_answer:
             self._times.record(self._sent_s)
 
     def _begin_request(self, headers: Headers) -> None:
@@ -100,11 +101,21 @@
         if closed_for_s or self._is_stopped or not self._times.ends_in_time:
             raise RequestClosedError(closed_for_s)
         self._traffic.note_sent(headers)
-        self._sent_s = sent_s = time.monotonic()
-        self._response = _ResponseReader(
-            lambda head: self._traffic.note_response(headers, head, sent_s),
-            lambda: self._times.record(sent_s),
-        )
+        self._request, self._sent_s = headers, time.monotonic()
+        # What began before is the answer to an earlier request.
+        self._is_answer = False
+
+    def _handle_head(self, head: ResponseHead) -> None:
+        request = self._request
+        if request is not None and self._traffic.is_answer(request, head):
+            self._is_answer = True
+            self._traffic.note_response(request, head, self._sent_s)
+
+    def _handle_end(self) -> None:
+        if self._is_answer:
+            self._is_answer = False
+            self._request = None
+            self._times.record(self._sent_s)
 
     # Callbacks of the parser; it defines their names.
 
@@ -123,10 +134,10 @@
 
 
 class _ResponseReader:
-    """Reads the head of one response, and notices its end.
+    """Reads the heads of an upstream's responses, and notices their ends.
 
-    :param on_head: called with the head.
-    :param on_end: called at its end.
+    :param on_head: called with each head, except those of interim responses.
+    :param on_end: called at the end of each of these responses.
     """
 
     def __init__(
@@ -137,12 +148,11 @@
         self._parser = httptools.HttpResponseParser(self)
         self._fields: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
-        self._is_in_head = True
+        self._is_in_head = False
         self._is_readable = True
-        self.is_complete = False
 
     def feed(self, data: bytes) -> None:
-        if not self._is_readable or self.is_complete:
+        if not self._is_readable:
             return
         try:
             self._parser.feed_data(data)
@@ -156,6 +166,7 @@
 
     def on_message_begin(self) -> None:
         self._fields = []
+        self._head_bytes = 0
         self._is_in_head = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -171,5 +182,4 @@
 
     def on_message_complete(self) -> None:
         if self._parser.get_status_code() >= 200:
-            self.is_complete = True
             self._on_end()
--- a/src/kumquatseam/relays/_traffic.py
+++ b/src/kumquatseam/relays/_traffic.py
@@ -19,6 +19,15 @@
     def note_sent(self, headers: Headers) -> None:
         """Handle that a request is sent."""
 
+    @abc.abstractmethod
+    def is_answer(self, headers: Headers, head: ResponseHead) -> bool:
+        """Return whether a response is the one to a request.
+
+        Otherwise it is a late one to an earlier request.
+
+        :param headers: the request's header fields.
+        """
+
     @abc.abstractmethod
     def note_response(
         self, headers: Headers, head: ResponseHead, sent_s: float
@@ -39,6 +48,9 @@
     def note_sent(self, headers: Headers) -> None:
         pass
 
+    def is_answer(self, headers: Headers, head: ResponseHead) -> bool:
+        return True
+
     def note_response(
         self, headers: Headers, head: ResponseHead, sent_s: float
     ) -> None:
