What ends a tunnel is sent behind what was passed on before it (MIXED, LOST)

Callers saw, or could see: bytes in the body of an answer that no replica sent, or an answer cut though its replica sent it whole, when a carrier stopped, lost its path, or was told by the replica to rest, while the end of an answer was being passed on to a slow receiver.

Cause: two greenlets wrote to the connection of one tunnel without order. The carrier counted an answer as ended when it had read it, not when it had passed it on; the refusal ("0 CRLF Tunnel-Unsent: ...") was then written by another greenlet into the chunk that was still being sent, and the rest of the chunk was lost behind the shutdown. A refusal behind the last chunk failed and reset the connection; uncoded tunnels were always reset: both throw away what the kernel still holds. Class: a state that is told before the act that it describes (read for passed on), and a connection with two writers.

Why it works: what is written to the other instance is written under one lock, a refusal waits for it, a tunnel is idle only while nobody holds it, and one whose upstream ended is not refused any more. Whether a tunnel is idle is asked where it is ended, with no switch between, not before a greenlet is started for it. Uncoded tunnels end by a shutdown behind the answer; a reset stays for what is truncated.

--- a/features/late_answers_on_tunnels.feature
+++ b/features/late_answers_on_tunnels.feature
@@ -21,3 +21,24 @@
     Given a tunnel on which a request was answered
     When the next one is sent, and a copy of the first answer arrives as a refusal
     Then the carrier noted what one answer said
+
+  Scenario Outline: A tunnel's end follows an answer that is <passed> passed on: <tunnel>, <end>
+    Given a tunnel with a slow receiver: <tunnel>, <passed>
+    When its upstream sends an answer, and <end>
+    Then its sender gets the whole answer
+
+    Examples:
+      | tunnel  | passed | end                                      |
+      | coded   | partly | the carrier stops                        |
+      | coded   | partly | the upstream asks for rest               |
+      | coded   | wholly | the upstream asks for rest               |
+      | coded   | partly | the upstream closes and the carrier stops |
+      | coded   | wholly | the upstream closes and the carrier stops |
+      | uncoded | partly | the carrier stops                        |
+      | uncoded | wholly | the carrier stops                        |
+      | uncoded | wholly | the upstream closes and the carrier stops |
+
+  Scenario: A refusal follows a late copy that is partly passed on
+    Given a tunnel with a slow receiver: coded, partly
+    When a long copy of an answer arrives, and the upstream wants no further request
+    Then the next request is refused as not sent, for 5 seconds
--- a/features/steps/late_answers_steps.py
+++ b/features/steps/late_answers_steps.py
@@ -1,5 +1,6 @@
 """Steps for late copies of answers on one tunnel between a sender and an upstream."""
 
+import socket
 import time
 from types import SimpleNamespace
 
@@ -8,8 +9,14 @@
 from behave import given, then, when
 
 from kumquatseam.gateway._tunnel_traffic import GatewayTunnelTraffic
-from kumquatseam.http1 import SocketWait, UpstreamConnection
+from kumquatseam.http1 import (
+    RequestUnsentError,
+    ResponseInterruptedError,
+    SocketWait,
+    UpstreamConnection,
+)
 from kumquatseam.platform._headers import PlatformDialect
+from kumquatseam.relays import RelayServer
 from kumquatseam.relays._carried import CarriedTimes
 from kumquatseam.relays._coding import ChunkedDecoder
 from kumquatseam.relays._tunnel import Tunnel
@@ -27,12 +34,15 @@
     def __init__(self):
         self.notices = []
         self.served = 0
+        self.closed_for_s = 0.0
 
     def incarnation_of(self, upstream_id):
         return upstream_id
 
     def availability_of(self, incarnation_id):
-        return SimpleNamespace(stated_for_s=0.0, note_served=self._note_served)
+        return SimpleNamespace(
+            stated_for_s=self.closed_for_s, note_served=self._note_served
+        )
 
     def note_sent(self, incarnation_id):
         pass
@@ -60,13 +70,13 @@
     """A tunnel between a sender and an upstream.
 
     :param is_coded: whether the sender decodes what comes through the tunnel.
-    :param is_slow: whether few bytes fit between the carrier and the sender.
+    :param receive_bytes: size of the buffer at the sender.
+    :param send_bytes: size of the buffer at the carrier.
     """
 
-    def __init__(self, is_coded=True, is_slow=False):
-        size = SMALL_BUFFER_BYTES if is_slow else None
-        self.sender_socket, carrier_side = connected_sockets(size)
-        upstream_side, self.upstream = connected_sockets(None)
+    def __init__(self, is_coded=True, receive_bytes=None, send_bytes=None):
+        self.sender_socket, carrier_side = connected_sockets(receive_bytes, send_bytes)
+        upstream_side, self.upstream = connected_sockets()
         self.upstream.settimeout(1.0)
         self.directory = RecordedDirectory()
         self.times = RecordedTimes()
@@ -74,6 +84,8 @@
         self.tunnel = Tunnel(carrier_side, upstream_side, traffic, self.times, is_coded)
         self._sides = (carrier_side, upstream_side)
         self._running = gevent.spawn(self._run)
+        self.server = RelayServer("127.0.0.1:0", 0.3, lambda a: True, lambda: True)
+        self.server._tunnels[self.tunnel] = "upstream"
         decoder = ChunkedDecoder() if is_coded else None
         self.sender = UpstreamConnection("upstream", self.sender_socket, None, decoder)
 
@@ -102,32 +114,28 @@
         """Return the body of the answer."""
         wait = SocketWait(time.monotonic() + 1.0, "upstream")
         self.sender.read_head(request_id, ID_HEADER, wait, _is_refusal)
-        body = b""
+        self.body = b""
         while data := self.sender.read_body(wait):
-            body += data
-        return body
+            self.body += data
+        return self.body
 
 
 def _is_refusal(head):
     return head.headers.get(b"x-not-executed") is not None
 
 
-def connected_sockets(buffer_bytes):
-    """Return both ends of a connection, with small buffers if a size is given."""
+def connected_sockets(receive_bytes=None, send_bytes=None):
+    """Return a client's socket and its server's, whose buffers may be small."""
     listener = gevent.socket.socket()
     client = gevent.socket.socket()
-    if buffer_bytes:
-        client.setsockopt(
-            gevent.socket.SOL_SOCKET, gevent.socket.SO_RCVBUF, buffer_bytes
-        )
+    if receive_bytes:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
     listener.bind(("127.0.0.1", 0))
     listener.listen()
     client.connect(listener.getsockname())
     server, _ = listener.accept()
-    if buffer_bytes:
-        server.setsockopt(
-            gevent.socket.SOL_SOCKET, gevent.socket.SO_SNDBUF, buffer_bytes
-        )
+    if send_bytes:
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_bytes)
     listener.close()
     return client, server
 
@@ -153,6 +161,8 @@
     b"HTTP/1.1 503 Full\r\n%bX-Not-Executed: full\r\nRetry-After: 9\r\n"
     b"Content-Length: 4\r\n\r\nfull"
 )
+#: fits into one read of a carrier, and not into small buffers.
+LONG_BODY = bytes(range(32, 96)) * 960
 FIRST = answer_to("q1", b"first")
 
 
@@ -222,3 +232,64 @@
     assert len(directory.notices) == 1, directory.notices
     assert directory.served == 1, directory.served
     assert not context.world.tunnel.is_idle
+
+
+# Ends of tunnels with a slow receiver.
+
+
+@given("a tunnel with a slow receiver: {tunnel}, {passed}")
+def step_slow(context, tunnel, passed):
+    build_world(
+        context,
+        is_coded=tunnel == "coded",
+        receive_bytes=SMALL_BUFFER_BYTES,
+        send_bytes=SMALL_BUFFER_BYTES if passed == "partly" else None,
+    )
+
+
+@when("its upstream sends an answer, and {end}")
+def step_end(context, end):
+    world = context.world
+    world.request("q1")
+    world.answer(answer_to("q1", LONG_BODY))
+    if "closes" in end:
+        world.upstream.shutdown(socket.SHUT_WR)
+        gevent.sleep(ARRIVAL_S)
+    if end.endswith("stops"):
+        world.server.end_as_idle()
+    else:
+        world.server.end_idle("upstream", 5.0)
+    gevent.sleep(ARRIVAL_S)
+
+
+@then("its sender gets the whole answer")
+def step_whole(context):
+    world = context.world
+    try:
+        world.read("q1")
+    except ResponseInterruptedError as error:
+        is_part = LONG_BODY.startswith(world.body)
+        raise AssertionError((len(world.body), is_part, str(error))) from error
+    assert world.body == LONG_BODY, (len(world.body), world.body[-40:])
+
+
+@when("a long copy of an answer arrives, and the upstream wants no further request")
+def step_long_copy(context):
+    world = context.world
+    world.request("q1")
+    world.answer(FIRST)
+    assert world.read("q1") == b"first"
+    world.answer(answer_to("q1", LONG_BODY))
+    world.directory.closed_for_s = 5.0
+    world.sender.send(request_of("q2"))
+    gevent.sleep(ARRIVAL_S)
+
+
+@then("the next request is refused as not sent, for {for_s:g} seconds")
+def step_refused(context, for_s):
+    try:
+        answer = context.world.read("q2")
+    except RequestUnsentError as error:
+        assert error.for_s == for_s, error
+        return
+    raise AssertionError(f"sent: {answer}")
--- a/src/kumquatseam/relays/_server.py
+++ b/src/kumquatseam/relays/_server.py
@@ -121,8 +121,8 @@
         :param for_s: for how long it wants none.
         """
         for tunnel, tunnelled in list(self._tunnels.items()):
-            if tunnelled == address and tunnel.is_idle:
-                gevent.spawn(tunnel.refuse, for_s)
+            if tunnelled == address:
+                gevent.spawn(tunnel.end_if_idle, for_s)
 
     def _serve(self, connection, _) -> None:
         try:
--- a/src/kumquatseam/relays/_tunnel.py
+++ b/src/kumquatseam/relays/_tunnel.py
@@ -3,6 +3,7 @@
 import socket
 
 import gevent
+import gevent.lock
 
 from kumquatseam.relays._carried import CarriedTimes
 from kumquatseam.relays._coding import LAST_CHUNK, encode_chunk, encode_refusal
@@ -40,12 +41,17 @@
         self._upstream = upstream
         self._inspector = TunnelInspector(traffic, times)
         self._is_coded = is_coded
+        #: held while something is passed on to the other instance.
+        self._sending = gevent.lock.BoundedSemaphore(1)
         self._is_refused = False
+        #: whether the upstream ended its connection.
+        self._is_ended = False
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is under way."""
-        return self._inspector.is_idle
+        """Whether no request is under way, and all that arrived was passed on."""
+        is_passed_on = not self._sending.locked()
+        return self._inspector.is_idle and is_passed_on and not self._is_ended
 
     def run(self) -> None:
         """Copy until the tunnel ends."""
@@ -60,20 +66,26 @@
     def stop(self) -> None:
         """Let the request under way end, and no further one begin."""
         self._inspector.stop()
-        if self.is_idle:
-            self.refuse(0.0)
+        self.end_if_idle(0.0)
 
-    def refuse(self, for_s: float) -> None:
-        """End an idle tunnel: further requests on it are not sent.
+    def end_if_idle(self, for_s: float) -> None:
+        """End the tunnel if it is idle: further requests on it are not sent.
 
         :param for_s: for how long the upstream wants none.
         """
+        if self.is_idle and not self._is_refused:
+            self._refuse(for_s)
+
+    def _refuse(self, for_s: float) -> None:
+        """Send no further request; only what was passed on whole comes before this."""
         self._is_refused = True
-        if not self._is_coded:
-            _reset(self._connection)
-            return
+        with self._sending:
+            if not self._is_ended:
+                self._send_last(encode_refusal(for_s) if self._is_coded else b"")
+
+    def _send_last(self, data: bytes) -> None:
         try:
-            self._connection.sendall(encode_refusal(for_s))
+            self._connection.sendall(data)
             self._connection.shutdown(socket.SHUT_WR)
         except OSError:
             _reset(self._connection)
@@ -89,7 +101,7 @@
                 # Neither requests nor responses continue after one side closed.
                 self._connection.shutdown(socket.SHUT_RD)
         except RequestClosedError as error:
-            self.refuse(error.for_s)
+            self._refuse(error.for_s)
         except (OSError, HeadError):
             self._abort()
         if self._is_refused:
@@ -111,12 +123,14 @@
                 self._inspector.feed_response(data)
                 if self._is_refused:
                     return
-                self._connection.sendall(encode(data))
+                with self._sending:
+                    self._connection.sendall(encode(data))
             if self._is_refused:
                 return
+            self._is_ended = True
             self._inspector.end_responses()
-            self._connection.sendall(last)
-            self._connection.shutdown(socket.SHUT_WR)
+            with self._sending:
+                self._send_last(last)
             self._upstream.shutdown(socket.SHUT_RD)
         except OSError:
             self._abort()
