--- a/features/late_answers_on_tunnels.feature
+++ b/features/late_answers_on_tunnels.feature
@@ -42,3 +42,17 @@
     Given a tunnel with a slow receiver: coded, partly
     When a long copy of an answer arrives, and the upstream wants no further request
     Then the next request is refused as not sent, for 5 seconds
+
+  Scenario Outline: A refusal behind <received> tells that the request is <fate>
+    Given a request that was sent on a tunnel
+    When <received> arrives, and then the carrier's refusal
+    Then its sender takes the request for <fate>
+
+    Examples:
+      | received                    | fate            |
+      | nothing                     | not sent        |
+      | a copy of an earlier answer | not sent        |
+      | half a copy                 | not sent        |
+      | half a head                 | maybe run       |
+      | the head of its answer      | maybe run       |
+      | half its answer             | maybe run       |
--- a/features/steps/late_answers_steps.py
+++ b/features/steps/late_answers_steps.py
@@ -18,7 +18,7 @@
 from kumquatseam.platform._headers import PlatformDialect
 from kumquatseam.relays import RelayServer
 from kumquatseam.relays._carried import CarriedTimes
-from kumquatseam.relays._coding import ChunkedDecoder
+from kumquatseam.relays._coding import ChunkedDecoder, encode_chunk, encode_refusal
 from kumquatseam.relays._tunnel import Tunnel
 
 ID_HEADER = b"x-request-id"
@@ -111,13 +111,22 @@
         gevent.sleep(ARRIVAL_S)
 
     def read(self, request_id):
-        """Return the body of the answer."""
-        wait = SocketWait(time.monotonic() + 1.0, "upstream")
-        self.sender.read_head(request_id, ID_HEADER, wait, _is_refusal)
-        self.body = b""
-        while data := self.sender.read_body(wait):
-            self.body += data
-        return self.body
+        """Return the body of the answer, which is kept also if it is cut."""
+        self.body = bytearray()
+        return read_answer(self.sender, request_id, self.body)
+
+
+def read_answer(sender, request_id, body=None):
+    """Return the body of the answer to a request.
+
+    :param body: gets what was received if the answer is cut.
+    """
+    body = bytearray() if body is None else body
+    wait = SocketWait(time.monotonic() + 1.0, "upstream")
+    sender.read_head(request_id, ID_HEADER, wait, _is_refusal)
+    while data := sender.read_body(wait):
+        body += data
+    return bytes(body)
 
 
 def _is_refusal(head):
@@ -293,3 +302,46 @@
         assert error.for_s == for_s, error
         return
     raise AssertionError(f"sent: {answer}")
+
+
+# What the sender makes of a refusal.
+
+
+@given("a request that was sent on a tunnel")
+def step_sent(context):
+    context.carrier, sender_socket = connected_sockets()
+    context.add_cleanup(context.carrier.close)
+    context.sender = UpstreamConnection(
+        "upstream", sender_socket, None, ChunkedDecoder()
+    )
+    context.add_cleanup(context.sender.close)
+    context.sender.send(request_of("q2"))
+
+
+@when("{received} arrives, and then the carrier's refusal")
+def step_received(context, received):
+    answer = answer_to("q2", b"second")
+    data = {
+        "nothing": b"",
+        "a copy of an earlier answer": FIRST,
+        "half a copy": FIRST[:-2],
+        "half a head": answer[:30],
+        "the head of its answer": answer[: -len(b"second")],
+        "half its answer": answer[:-2],
+    }[received]
+    if data:
+        context.carrier.sendall(encode_chunk(data))
+        gevent.sleep(ARRIVAL_S)
+    context.carrier.sendall(encode_refusal(5.0))
+    context.carrier.shutdown(socket.SHUT_WR)
+
+
+@then("its sender takes the request for {fate}")
+def step_fate(context, fate):
+    expected = RequestUnsentError if fate == "not sent" else ResponseInterruptedError
+    try:
+        body = read_answer(context.sender, "q2")
+    except (RequestUnsentError, ResponseInterruptedError) as error:
+        assert isinstance(error, expected), repr(error)
+        return
+    raise AssertionError(body)
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -244,7 +244,10 @@
         """
         response = self._responses[0]
         self._read_until(
-            lambda: response.body or response.complete, wait, _MAX_FRAMING_BYTES
+            lambda: response.body or response.complete,
+            wait,
+            _MAX_FRAMING_BYTES,
+            is_answered=True,
         )
         data = bytes(response.body)
         response.body.clear()
@@ -269,10 +272,12 @@
         is_available: Callable[[], object],
         wait: "SocketWait",
         max_bytes: int,
+        is_answered: bool = False,
     ) -> None:
         """Read until something is available.
 
         :param max_bytes: how much may be received meanwhile.
+        :param is_answered: whether the response to the request has begun.
         :raises ResponseInterruptedError: if more is, or the connection ends.
         :raises RequestUnsentError: if the request was not sent to the upstream.
         """
@@ -283,6 +288,12 @@
                     self.address, f"over {max_bytes} bytes without a response's data"
                 )
             if self._decoder is not None and self._decoder.unsent_for_s is not None:
+                # A head that is incomplete may be the one of the response.
+                is_in_head = self._responses and self._responses[0].head is None
+                if is_answered or is_in_head:
+                    raise ResponseInterruptedError(
+                        self.address, "ended on the way", is_upstream_fault=False
+                    )
                 raise RequestUnsentError(self.address, self._decoder.unsent_for_s)
             if self._parse_error:
                 raise ResponseInterruptedError(self.address, self._parse_error)
