--- a/features/late_answers_on_tunnels.feature
+++ b/features/late_answers_on_tunnels.feature
@@ -56,3 +56,8 @@
       | half a head                 | maybe run       |
       | the head of its answer      | maybe run       |
       | half its answer             | maybe run       |
+
+  Scenario: A request sent before the answer to the last one is not refused as not sent
+    Given a tunnel with a request under way
+    When its sender sends another one, and the upstream wants no further request
+    Then the first one does not count as not sent
--- a/features/steps/late_answers_steps.py
+++ b/features/steps/late_answers_steps.py
@@ -18,7 +18,11 @@
 from kumquatseam.platform._headers import PlatformDialect
 from kumquatseam.relays import RelayServer
 from kumquatseam.relays._carried import CarriedTimes
-from kumquatseam.relays._coding import ChunkedDecoder, encode_chunk, encode_refusal
+from kumquatseam.relays._coding import (
+    ChunkedDecoder,
+    encode_chunk,
+    encode_refusal,
+)
 from kumquatseam.relays._tunnel import Tunnel
 
 ID_HEADER = b"x-request-id"
@@ -345,3 +349,25 @@
         assert isinstance(error, expected), repr(error)
         return
     raise AssertionError(body)
+
+
+@given("a tunnel with a request under way")
+def step_under_way(context):
+    build_world(context).request("q1")
+
+
+@when("its sender sends another one, and the upstream wants no further request")
+def step_another(context):
+    world = context.world
+    world.directory.closed_for_s = 5.0
+    world.sender_socket.sendall(request_of("q2"))
+    gevent.sleep(ARRIVAL_S)
+
+
+@then("the first one does not count as not sent")
+def step_not_unsent(context):
+    try:
+        body = context.world.read("q1")
+    except ResponseInterruptedError:
+        return
+    raise AssertionError(body)
--- a/src/kumquatseam/relays/_inspector.py
+++ b/src/kumquatseam/relays/_inspector.py
@@ -65,7 +65,8 @@
 
         :returns: what is to be sent to the upstream: a head only once it is complete.
         :raises RequestClosedError: if they begin a request that must not be sent.
-        :raises HeadError: if the head of a request is too long.
+        :raises HeadError: if the head of a request is too long, or it must not be sent
+            while another one is under way.
         """
         self._held += data
         if self._is_readable:
@@ -99,6 +100,9 @@
     def _begin_request(self, headers: Headers) -> None:
         closed_for_s = self._traffic.closed_for_s(headers)
         if closed_for_s or self._is_stopped or not self._times.ends_in_time:
+            if self._request is not None:
+                # A refusal would be taken for the answer to that one.
+                raise HeadError("relay: request before the answer to the last one")
             raise RequestClosedError(closed_for_s)
         self._traffic.note_sent(headers)
         self._request, self._sent_s = headers, time.monotonic()
