A connection that was refused on the way is not kept

What could be seen: an upstream rested for longer than it asked for. A refusal that came in one read with an answer's end left the connection in the pool; the next request on it was then taken for refused now, and the rest began anew.

Cause: `is_reusable` asked the parser and the socket, but not the decoder, which holds what the socket does not show any more. Mostly the shutdown behind the refusal hid it.

Evidence: 5 new scenarios on what comes in one read with an answer; the one with a refusal failed before (is_reusable).

--- a/features/late_answers_on_tunnels.feature
+++ b/features/late_answers_on_tunnels.feature
@@ -61,3 +61,16 @@
     Given a tunnel with a request under way
     When its sender sends another one, and the upstream wants no further request
     Then the first one does not count as not sent
+
+  Scenario Outline: A connection is not used again if behind its answer comes <extra>
+    Given a request that was sent on a tunnel
+    When its answer arrives, in one read with <extra>
+    Then its sender gets the answer, and does not use the connection again
+
+    Examples:
+      | extra                     |
+      | a second copy of it       |
+      | the first byte of a copy  |
+      | half a copy               |
+      | the end of the upstream   |
+      | a refusal                 |
--- a/features/steps/late_answers_steps.py
+++ b/features/steps/late_answers_steps.py
@@ -19,6 +19,7 @@
 from kumquatseam.relays import RelayServer
 from kumquatseam.relays._carried import CarriedTimes
 from kumquatseam.relays._coding import (
+    LAST_CHUNK,
     ChunkedDecoder,
     encode_chunk,
     encode_refusal,
@@ -371,3 +372,23 @@
     except ResponseInterruptedError:
         return
     raise AssertionError(body)
+
+
+@when("its answer arrives, in one read with {extra}")
+def step_extra(context, extra):
+    answer = answer_to("q2", b"second")
+    copied, last = {
+        "a second copy of it": (answer, b""),
+        "the first byte of a copy": (answer[:1], b""),
+        "half a copy": (answer[:-2], b""),
+        "the end of the upstream": (b"", LAST_CHUNK),
+        "a refusal": (b"", encode_refusal(5.0)),
+    }[extra]
+    context.carrier.sendall(encode_chunk(answer + copied) + last)
+
+
+@then("its sender gets the answer, and does not use the connection again")
+def step_not_reused(context):
+    body = read_answer(context.sender, "q2")
+    assert body == b"second", body
+    assert not context.sender.is_reusable
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -265,6 +265,7 @@
             and not self._unsent
             and not self._parse_error
             and not self._end_reason
+            and (self._decoder is None or self._decoder.unsent_for_s is None)
         )
 
     def _read_until(
