--- a/features/late_answers_on_tunnels.feature
+++ b/features/late_answers_on_tunnels.feature
@@ -74,3 +74,8 @@
       | half a copy               |
       | the end of the upstream   |
       | a refusal                 |
+
+  Scenario: A tunnel that is ended for two reasons still tells that a request is not sent
+    Given a tunnel on which a request was answered
+    When its upstream asks for rest, and then the carrier stops
+    Then the next request is refused as not sent, for 5 seconds
--- a/features/steps/late_answers_steps.py
+++ b/features/steps/late_answers_steps.py
@@ -392,3 +392,16 @@
     body = read_answer(context.sender, "q2")
     assert body == b"second", body
     assert not context.sender.is_reusable
+
+
+@when("its upstream asks for rest, and then the carrier stops")
+def step_two_ends(context):
+    world = context.world
+    world.server.end_idle("upstream", 5.0)
+    gevent.sleep(ARRIVAL_S)
+    world.server.end_as_idle()
+    gevent.sleep(ARRIVAL_S)
+    try:
+        world.sender.send(request_of("q2"))
+    except ResponseInterruptedError as error:
+        raise AssertionError(error) from error
