Test: senders on tunnels to an upstream that answers some requests twice (MIXED, TWICE)

Six senders, a carrier that ends idle tunnels every few milliseconds, and an upstream that sends 4 in 10 answers twice: behind the first, whole, or before the next one. Guards against bodies with bytes of the carrier in them, and against "not sent" of requests that arrived.

--- a/features/late_answers_on_tunnels.feature
+++ b/features/late_answers_on_tunnels.feature
@@ -79,3 +79,15 @@
     Given a tunnel on which a request was answered
     When its upstream asks for rest, and then the carrier stops
     Then the next request is refused as not sent, for 5 seconds
+
+  Scenario Outline: Requests on tunnels that end get their own answers, or the truth (seed <seed>)
+    Given senders whose requests are carried to an upstream that answers some twice
+    When their carrier ends idle tunnels again and again, seed <seed>
+    Then every answer was the one to its request
+    And no request that counts as not sent reached the upstream
+    And none was interrupted
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
