What decides on carried requests is loaded with the first tunnel

The start has little room left (1,280,000 bytes of own code): with the checks of ids it took 1,280,074 in this clone, whose path is longer than others; features/starts.feature:5 failed. Most instances never carry a request. 1,277,015 now, less than before the checks; relays, leaving_upstreams, late_answers_on_tunnels and starts:5 pass (75 of 75).

--- a/src/kumquatseam/gateway/_tunnel_traffic.py
+++ b/src/kumquatseam/gateway/_tunnel_traffic.py
@@ -2,7 +2,7 @@
 
 from kumquatseam.gateway._dialect import Dialect
 from kumquatseam.http1 import Headers, ResponseHead
-from kumquatseam.relays import TunnelTraffic
+from kumquatseam.relays.traffic import TunnelTraffic
 from kumquatseam.upstreams import UpstreamDirectory
 
 
--- a/src/kumquatseam/gateway/_upstream_paths.py
+++ b/src/kumquatseam/gateway/_upstream_paths.py
@@ -17,12 +17,12 @@
     NoRelayError,
     RelayingConnector,
     RelayServer,
-    TunnelTraffic,
 )
 from kumquatseam.upstreams import UpstreamDirectory
 
 if TYPE_CHECKING:
     from kumquatseam.relays.client import RelayClient
+    from kumquatseam.relays.traffic import TunnelTraffic
 
 #: seconds between checks for tunnels that are still open.
 STOP_POLL_S = 0.05
@@ -119,7 +119,7 @@
         self.path.on_change(lambda is_lost: server.end_as_idle() if is_lost else None)
         return [server]
 
-    def _load_tunnel_traffic(self) -> TunnelTraffic:
+    def _load_tunnel_traffic(self) -> "TunnelTraffic":
         """Build what decides on the requests of others, at the first tunnel."""
         from kumquatseam.gateway._tunnel_traffic import GatewayTunnelTraffic
 
--- a/src/kumquatseam/relays/__init__.py
+++ b/src/kumquatseam/relays/__init__.py
@@ -8,6 +8,8 @@
 - :class:`RelayServer` opens tunnels for other instances.
 - :class:`kumquatseam.relays.client.RelayClient` opens a tunnel through another
   instance. It is not exported here, since few instances need it.
+- :class:`kumquatseam.relays.traffic.TunnelTraffic` decides on the requests that are
+  carried; few instances carry any.
 - :class:`DirectPath` tells whether this instance has lost its path to the upstreams.
 - :class:`RelayingConnector` opens connections to upstreams, either way.
 """
@@ -16,12 +18,10 @@
 from kumquatseam.relays._direct_path import DirectPath
 from kumquatseam.relays._errors import NoRelayError
 from kumquatseam.relays._server import RelayServer
-from kumquatseam.relays._traffic import TunnelTraffic
 
 __all__ = [
     "DirectPath",
     "NoRelayError",
     "RelayServer",
     "RelayingConnector",
-    "TunnelTraffic",
 ]
--- a/src/kumquatseam/relays/_server.py
+++ b/src/kumquatseam/relays/_server.py
@@ -20,10 +20,10 @@
     HeadError,
     read_head,
 )
-from kumquatseam.relays._traffic import TunnelTraffic, UnboundTraffic
 
 if TYPE_CHECKING:
     from kumquatseam.relays._carried import CarriedTimes
+    from kumquatseam.relays._traffic import TunnelTraffic
 
 _log = part_logger("relay")
 
@@ -58,7 +58,7 @@
         connect_timeout_s: float,
         is_upstream: Callable[[str], bool],
         has_path: Callable[[], bool],
-        load_traffic: Callable[[], TunnelTraffic] = UnboundTraffic,
+        load_traffic: Callable[[], "TunnelTraffic"] | None = None,
     ) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._is_upstream = is_upstream
@@ -170,10 +170,11 @@
         Its code is loaded with the first one: most instances never carry any.
         """
         from kumquatseam.relays._carried import CarriedTimes
+        from kumquatseam.relays._traffic import UnboundTraffic
         from kumquatseam.relays._tunnel import Tunnel
 
         if self._traffic is None:
-            self._traffic = self._load_traffic()
+            self._traffic = (self._load_traffic or UnboundTraffic)()
             self._times = CarriedTimes(self._end_s)
         tunnel = Tunnel(connection, upstream, self._traffic, self._times, is_coded)
         self.open_tunnels += 1
