--- a/features/steps/stutter_world.py
+++ b/features/steps/stutter_world.py
@@ -150,15 +150,13 @@
         ending = gevent.spawn(self._end_tunnels)
         senders = [gevent.spawn(self._send, n, requests) for n in range(SENDERS)]
         gevent.joinall(senders, raise_error=True)
+        assert not ending.dead
         ending.kill()
 
     def _end_tunnels(self):
         while True:
             gevent.sleep(self._random.random() * 0.03)
-            for tunnel in list(self._relay._tunnels):
-                tunnel._connection.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
-                )
+            self._shrink_buffers()
             if self._random.random() < 0.5:
                 self._relay.end_as_idle()
                 continue
@@ -167,6 +165,16 @@
             gevent.sleep(self._random.random() * 0.01)
             self._directory.closed_for_s = 0.0
 
+    def _shrink_buffers(self):
+        for tunnel in list(self._relay._tunnels):
+            try:
+                tunnel._connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
+                )
+            except OSError:
+                # It is closed already.
+                continue
+
     def _send(self, sender, requests):
         for number in range(requests):
             gevent.sleep(self._random.random() * 0.005)
