--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -283,7 +283,10 @@
         response = self._responses[0]
         while True:
             self._read_until(
-                lambda: response.body or response.complete, wait, _MAX_FRAMING_BYTES
+                lambda: response.body or response.complete,
+                wait,
+                _MAX_FRAMING_BYTES,
+                is_answered=True,
             )
             data = bytes(response.body)
             response.body.clear()
@@ -308,7 +311,9 @@
         :raises ResponseInterruptedError: if that does not come.
         """
         response = self._responses[0]
-        self._read_until(lambda: response.complete, wait, _MAX_STRAY_BYTES)
+        self._read_until(
+            lambda: response.complete, wait, _MAX_STRAY_BYTES, is_answered=True
+        )
         response.finder.feed(bytes(response.body))
         response.body.clear()
         return response.finder.second_body
@@ -325,6 +330,7 @@
             and not self._unsent
             and not self._parse_error
             and not self._end_reason
+            and (self._decoder is None or self._decoder.unsent_for_s is None)
         )
 
     def _read_until(
@@ -332,10 +338,12 @@
         is_available: Callable[[], object],
         wait: "SocketWait",
         max_bytes: int,
+        is_answered: bool = False,
     ) -> None:
         """Read until something is available.
 
         :param max_bytes: how much may be received meanwhile.
+        :param is_answered: whether the response to the request has begun.
         :raises ResponseInterruptedError: if more is, or the connection ends.
         :raises RequestUnsentError: if the request was not sent to the upstream.
         """
@@ -346,6 +354,12 @@
                     self.address, f"over {max_bytes} bytes without a response's data"
                 )
             if self._decoder is not None and self._decoder.unsent_for_s is not None:
+                # A head that is incomplete may be the one of the response.
+                is_in_head = self._responses and self._responses[0].head is None
+                if is_answered or is_in_head:
+                    raise ResponseInterruptedError(
+                        self.address, "ended on the way", is_upstream_fault=False
+                    )
                 raise RequestUnsentError(self.address, self._decoder.unsent_for_s)
             if self._parse_error:
                 raise ResponseInterruptedError(self.address, self._parse_error)
--- a/src/kumquatseam/relays/_server.py
+++ b/src/kumquatseam/relays/_server.py
@@ -20,10 +20,10 @@
     HeadError,
     read_head,
 )
-from kumquatseam.relays._traffic import TunnelTraffic, UnboundTraffic
 
 if TYPE_CHECKING:
     from kumquatseam.relays._carried import CarriedTimes
+    from kumquatseam.relays._traffic import TunnelTraffic
 
 _log = part_logger("relay")
 
@@ -58,7 +58,7 @@
         connect_timeout_s: float,
         is_upstream: Callable[[str], bool],
         has_path: Callable[[], bool],
-        load_traffic: Callable[[], TunnelTraffic] = UnboundTraffic,
+        load_traffic: Callable[[], "TunnelTraffic"] | None = None,
     ) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._is_upstream = is_upstream
@@ -121,8 +121,8 @@
         :param for_s: for how long it wants none.
         """
         for tunnel, tunnelled in list(self._tunnels.items()):
-            if tunnelled == address and tunnel.is_idle:
-                gevent.spawn(tunnel.refuse, for_s)
+            if tunnelled == address:
+                gevent.spawn(tunnel.end_if_idle, for_s)
 
     def _serve(self, connection, _) -> None:
         try:
@@ -170,10 +170,11 @@
         Its code is loaded with the first one: most instances never carry any.
         """
         from kumquatseam.relays._carried import CarriedTimes
+        from kumquatseam.relays._traffic import UnboundTraffic
         from kumquatseam.relays._tunnel import Tunnel
 
         if self._traffic is None:
-            self._traffic = self._load_traffic()
+            self._traffic = (self._load_traffic or UnboundTraffic)()
             self._times = CarriedTimes(self._end_s)
         tunnel = Tunnel(connection, upstream, self._traffic, self._times, is_coded)
         self.open_tunnels += 1
