A response of an own call that ends inside its head is no response

What callers saw: a plain service's replica that closed in the middle of its answer's head gave its caller of the own interface a 200 with an empty body, framed as whole; an order to load weights, cut after "HTTP/1.1 202", counted as accepted, and so did a registration.

Cause: http.client reads a head, the size of a chunk and trailers line by line, and takes the end of the connection for the end of what it reads. What was received so far became the head; without the fields still to come, the body had no length and ended with the connection. A size of chunk "0010" cut after "0" became the last chunk. Class: the end of a connection taken for the end of a message.

Why it works: every byte of the own calls goes through one reader, whose lines now end with a line feed or fail. The error is a ConnectionError, which urllib3 reports as any broken response.

Ruled out: reads with a JSON or framed body of their own (reports, cache events and listings, the instance list, moves, reads and appends of the log) never took a cut head: their empty body failed to decode. Resets were always errors. Whole heads with line feeds only are read.

--- a/src/kumquatseam/pools.py
+++ b/src/kumquatseam/pools.py
@@ -1,9 +1,7 @@
 """HTTP connection pools that drop connections that stopped responding.
 
-A middlebox can lose the state of open connections: they stay open but carry no
-data, while new connections work. After one read timeout all idle connections to
-the address are therefore closed, so that the next request opens a new one and
-does not run into a timeout of its own.
+A middlebox can lose the state of open connections, while new ones work. One read
+timeout therefore closes all idle connections to the address.
 """
 
 import contextlib
@@ -49,8 +47,7 @@
 class AddressPools:
     """One connection pool per base URL, without urllib3's own retries.
 
-    Nothing is received beyond the limits that each call states: there is no way to
-    make one without.
+    Nothing is received beyond the limits that each call states.
     """
 
     def __init__(self) -> None:
@@ -61,8 +58,6 @@
     ) -> PooledResponse:
         """Send a request to ``path`` at base URL ``url``, and receive its response.
 
-        A read timeout closes the idle connections to ``url``.
-
         :param limits: what the response may take.
         :param options: further arguments of urllib3's ``request``.
         :raises ResponseLimitError: if the response takes more.
@@ -136,10 +131,7 @@
 
 
 def dead_peer_socket_options() -> list[tuple[int, int, int]]:
-    """Return socket options that end connections whose peer does not acknowledge.
-
-    They include urllib3's defaults, which disable Nagle's algorithm.
-    """
+    """Return urllib3's options, and those that end connections with a silent peer."""
     return [
         *HTTPConnection.default_socket_options,
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
--- a/src/kumquatseam/response_limits.py
+++ b/src/kumquatseam/response_limits.py
@@ -1,8 +1,7 @@
 """Limits on what one HTTP response may take, enforced where its bytes are received.
 
-A read timeout limits each pause between two pieces, but neither the number of pieces
-nor their size. Here every byte counts, whatever it belongs to: interim responses, the
-head, the framing and trailers of the body, and the body itself.
+A read timeout limits neither the number of pieces nor their size. Here every byte
+counts: of interim heads and the head, of the body and its framing.
 """
 
 import contextlib
@@ -43,22 +42,14 @@
 
 @attrs.define
 class _Allowance:
-    """What is left for one response.
-
-    :param limits: its limits.
-    :param until_s: monotonic time at which it must be complete.
-    :param left_bytes: how much of it may still be received.
-    """
+    """What is left for one response, until a monotonic time."""
 
     limits: ResponseLimits
     until_s: float
     left_bytes: int
 
     def check(self) -> None:
-        """Check that more may be received.
-
-        :raises ResponseLimitError: if not.
-        """
+        """Raise :class:`ResponseLimitError` if no more may be received."""
         if self.left_bytes <= 0:
             raise ResponseLimitError(f"response over {self.limits.max_bytes} bytes")
         if time.monotonic() >= self.until_s:
@@ -101,12 +92,7 @@
 
 
 class _LimitedReader(io.RawIOBase):
-    """Receives one response from a socket.
-
-    :param raw: reads from the socket.
-    :param connection: the socket, whose timeout is that of one read.
-    :param allowance: what the response may take.
-    """
+    """Receives one response from a socket, whose timeout is that of one read."""
 
     def __init__(self, raw: io.RawIOBase, connection, allowance: _Allowance) -> None:
         self._raw = raw
@@ -139,12 +125,22 @@
         return received
 
 
+class LineReader(io.BufferedReader):
+    """Reads lines of heads and framing, which do not end with the connection."""
+
+    def readline(self, size=-1):
+        line = super().readline(size)
+        if line[-1:] != b"\n" and len(line) != size:
+            raise ConnectionError("no whole line", line[-80:])
+        return line
+
+
 class _LimitedResponse(http.client.HTTPResponse):
     def __init__(self, sock, *arguments, **options) -> None:
         super().__init__(sock, *arguments, **options)
         # Nothing is buffered yet.
         reader = _LimitedReader(self.fp.detach(), sock, _allowance.get())
-        self.fp = io.BufferedReader(reader, _BUFFER_BYTES)
+        self.fp = LineReader(reader, _BUFFER_BYTES)
 
 
 class _LimitedConnection(HTTPConnection):
--- a/src/kumquatseam/routes/_table.py
+++ b/src/kumquatseam/routes/_table.py
@@ -98,11 +98,6 @@
     cache_token_bytes: int = 163_840
     link_mbps: float = 130_000.0
 
-    @property
-    def transfer_ms_per_token(self) -> float:
-        """Time to transfer one token's KV cache between two engines."""
-        return self.transfer_ms_per_token_over(self.link_mbps)
-
     def transfer_ms_per_token_over(self, link_mbps: float) -> float:
         """Return the time to transfer one token's KV cache from another link.
 
