A body in chunks whose codings come in two fields ends with its last chunk only

What callers saw: a 200 with a part of the body, or none of it, framed as whole ("whole a" of "whole answer", 4 events of 6), when a replica's response had "Transfer-Encoding: gzip" and "Transfer-Encoding: chunked" as two fields and its connection closed inside the body. A whole response of that kind stayed open until the request's deadline.

Cause: the response's head was read for its framing by the first field of that name; the parser goes by the last one. To the head the body ended with its connection, so any close ended it. Class: two readings of one framing, as with http.client and urllib3 in the own calls.

Evidence: features/truncated_heads.feature.

Why it works: the codings of all fields together tell whether there are chunks, as the parser reads them. If "chunked" is there but not last, the parser reads up to the close and reports no end, so such a body is visibly broken off.

Ruled out, by the same scenarios: heads and bodies cut at each byte with a length, in chunks and without framing, closed or reset, directly, on a tunnel whose upstream or whose carrier ends, and behind a gateway.

--- a/features/truncated_heads.feature
+++ b/features/truncated_heads.feature
@@ -36,3 +36,37 @@
     Examples: with line feeds only
       | reader                       | framing         |
       | plain services               | by a length, LF |
+
+  Scenario Outline: An upstream's connection ends early <where>, with an answer framed <framing>
+    Given an answer framed <framing>, on a connection <where>
+    Then a whole one is received
+    And none that is closed or reset after any byte is whole
+
+    Examples:
+      | where       | framing                    |
+      | of its own  | by a length                |
+      | of its own  | by chunks                  |
+      | of its own  | by chunks, coded twice     |
+      | of its own  | by its connection          |
+      | on a tunnel | by a length                |
+      | on a tunnel | by chunks                  |
+      | on a tunnel | by chunks, coded twice     |
+      | on a tunnel | by its connection          |
+
+  Scenario: A tunnel that ends early ends no answer
+    Given an answer framed by its connection, on a connection on a tunnel
+    Then none whose tunnel is closed after any byte is whole
+
+  Scenario Outline: Callers get nothing of an answer that ends early: <replicas>, <framing>
+    Given a gateway in front of <replicas>
+    When answers framed <framing> are closed or reset after some byte, of seed <seed>
+    Then those that must not run twice, and those that no replica answers, fail visibly
+    And the others reach their callers whole
+
+    Examples:
+      | replicas                      | framing                | seed |
+      | 2 plain replicas              | by a length            | 1    |
+      | 2 plain replicas              | by chunks              | 2    |
+      | 2 plain replicas              | by chunks, coded twice | 3    |
+      | 2 engines that stream 6 events | by chunks             | 4    |
+      | 2 engines that stream 6 events | by chunks, coded twice | 5   |
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -385,7 +385,8 @@
             return
         headers = Headers(response.fields)
         length = headers.get(b"content-length")
-        is_chunked = b"chunked" in (headers.get(b"transfer-encoding") or b"").lower()
+        # The codings may come in several fields.
+        is_chunked = "chunked" in str(headers.all(b"transfer-encoding")).lower()
         response.keep_alive = self._parser.should_keep_alive()
         length_bytes = int(length) if length is not None else None
         response.head = ResponseHead(status, headers, length_bytes, is_chunked)
