A request to the own interface that ends inside its head does not run

What callers saw: a call whose connection closed inside the head's fields ran, without those that were still to come: without its Content-Length, key or content type, and with no body.

Cause: gevent's server reads a head with http.client's parser, which takes the end of the connection for the end of the head. Class: as in the own calls' responses, the end of a connection taken for the end of a message.

Evidence: features/truncated_heads.feature, requests cut at each byte, then closed, half closed or reset.

Why it works: the server's lines are whole or fail, as those of responses: a cut request line ends the connection, a cut head is answered with 400.

Ruled out, by the same scenarios: the gateway's front; with and without a body, and in chunks, nothing that was cut ran there.

--- /dev/null
+++ b/features/steps/truncated_requests_steps.py
@@ -0,0 +1,103 @@
+"""Steps for requests that end early."""
+
+import contextlib
+import socket
+
+import bottle
+import gevent
+import gevent.socket
+from behave import given, then, when
+from gevent.server import StreamServer
+from truncated_heads_steps import reset
+
+from kumquatseam.callers._server import DrainingServer
+from kumquatseam.errors import KumquatseamError
+from kumquatseam.http1 import RequestLimits, RequestReader
+
+HEAD = b"%b /run/123 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+REQUESTS = {
+    "a call without a body": HEAD % b"DELETE" + b"X-Last: x\r\n\r\n",
+    "a call with a body": HEAD % b"POST" + b"Content-Length: 10\r\n\r\nten bytes.",
+    "a call in chunks": HEAD % b"POST"
+    + b"Transfer-Encoding: chunked\r\n\r\n0a\r\nten bytes.\r\n0\r\n\r\n",
+}
+#: ways to end a connection.
+ENDS = ("closed", "half closed", "reset")
+
+
+@given("a server of own interfaces that records its requests")
+def step_own_server(context):
+    context.ran = []
+    app = bottle.Bottle()
+
+    @app.route("/<path:path>", method=["GET", "POST", "DELETE"])
+    def run(path):
+        context.ran.append((bottle.request.method, path, bottle.request.body.read()))
+        return "ran"
+
+    server = DrainingServer(("127.0.0.1", 0), app)
+    server.start()
+    context.add_cleanup(server.stop, timeout=0.1)
+    context.port = server.server_port
+
+
+@given("a gateway's front that records its requests")
+def step_front(context):
+    context.ran = []
+
+    def handle(connection, address):
+        connection.settimeout(2.0)
+        with contextlib.suppress(KumquatseamError, OSError):
+            request = RequestReader(connection, RequestLimits()).read()
+            method = request.method.decode()
+            context.ran.append((method, request.path.lstrip("/"), request.body))
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        connection.close()
+
+    server = StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    context.add_cleanup(server.stop, timeout=0.1)
+    context.port = server.server_port
+
+
+def _send(port, data, end):
+    connection = gevent.socket.create_connection(("127.0.0.1", port), 2.0)
+    connection.settimeout(2.0)
+    connection.sendall(data)
+    if end == "half closed":
+        connection.shutdown(socket.SHUT_WR)
+    elif end == "reset":
+        # What is sent is read first.
+        gevent.sleep(0.001)
+        reset(connection)
+        return
+    elif end == "closed":
+        connection.close()
+        return
+    with contextlib.suppress(OSError):
+        while connection.recv(4096):
+            pass
+    connection.close()
+
+
+@when("{request} is closed, half closed or reset after any byte, and sent whole then")
+def step_cut_requests(context, request):
+    context.request = REQUESTS[request]
+    context.wrong = []
+    for end in ENDS:
+        for cut in range(len(context.request)):
+            _send(context.port, context.request[:cut], end)
+            gevent.sleep(0)
+            if context.ran:
+                context.wrong.append((end, context.request[:cut][-30:], *context.ran))
+                context.ran.clear()
+    _send(context.port, context.request, "")
+
+
+@then("only the whole ones ran")
+def step_only_whole(context):
+    method = context.request.split()[0].decode()
+    body = b"ten bytes." if method == "POST" else b""
+    tried = len(ENDS) * len(context.request)
+    assert not context.wrong, f"{len(context.wrong)} of {tried}: {context.wrong[:3]}"
+    assert context.ran == [(method, "run/123", body)], context.ran
--- a/features/truncated_heads.feature
+++ b/features/truncated_heads.feature
@@ -70,3 +70,16 @@
       | 2 plain replicas              | by chunks, coded twice | 3    |
       | 2 engines that stream 6 events | by chunks             | 4    |
       | 2 engines that stream 6 events | by chunks, coded twice | 5   |
+
+  Scenario Outline: A request that ends early does not run at <server>: <request>
+    Given <server> that records its requests
+    When <request> is closed, half closed or reset after any byte, and sent whole then
+    Then only the whole ones ran
+
+    Examples:
+      | server                     | request               |
+      | a server of own interfaces | a call without a body |
+      | a server of own interfaces | a call with a body    |
+      | a gateway's front          | a call without a body |
+      | a gateway's front          | a call with a body    |
+      | a gateway's front          | a call in chunks      |
--- a/src/kumquatseam/callers/_server.py
+++ b/src/kumquatseam/callers/_server.py
@@ -13,12 +13,25 @@
 import gevent.pool
 import gevent.pywsgi
 
+from kumquatseam.response_limits import LineReader
+
 
 class _TrackingHandler(gevent.pywsgi.WSGIHandler):
     """A connection handler that tracks whether it is processing a request."""
 
     is_busy = False
 
+    def __init__(self, *arguments) -> None:
+        super().__init__(*arguments)
+        # Nothing is buffered yet.
+        self.rfile = LineReader(self.rfile.detach(), 8192)
+
+    def read_request(self, raw_requestline: str) -> bool:
+        try:
+            return super().read_request(raw_requestline)
+        except ConnectionError:
+            return False
+
     def handle(self):
         self.server.handlers.add(self)
         try:
