A response of an own call tells the end of its body in one way, or is none

What callers saw: a plain service's response whose Content-Length could not be read was passed on as whole, however short, if its connection closed; one with a second coding was passed on with the sizes of its chunks in it.

Cause: http.client takes a body whose length it cannot read (no number, below zero, folded, empty) to end with its connection, so does it with codings other than exactly "chunked", skips every field behind a line that is none, and splits a field at a bare CR; urllib3 only logs it. Class: two readings of one framing, as in the gateway's heads with two fields of codings.

Why it works: a head may have one length that the library reads, or the coding "chunked", and nothing that is no field; anything else fails like a broken response.

Ruled out: a length with a sign was never taken for a shorter body (int() reads it, and the body is checked against it) and is still read. Two lengths, and a length beside chunks, were not either; they are refused now.

--- a/features/steps/truncated_heads_steps.py
+++ b/features/steps/truncated_heads_steps.py
@@ -241,3 +241,57 @@
                 taken.append((is_reset, context.answer[:cut][-30:]))
     tried = 2 * len(context.cuts)
     assert not taken, f"{len(taken)} of {tried}: {taken[:4]}"
+
+
+# Framing that can be read in several ways.
+
+IN_CHUNKS = b"00a\r\nten bytes.\r\n0\r\n\r\n"
+UNCLEAR = {
+    "a length that is no number": (b"Content-Length: ten\r\n", b"ten bytes."),
+    "a length with a sign": (b"Content-Length: +10\r\n", b"ten bytes."),
+    "a length below zero": (b"Content-Length: -10\r\n", b"ten bytes."),
+    "a length in two lines": (b"Content-Length: 1\r\n 0\r\n", b"ten bytes."),
+    "an empty length": (b"Content-Length:\r\n", b"ten bytes."),
+    "a length behind a bare CR": (b"X: y\rContent-Length: 3\r\n", b"ten bytes."),
+    "two lengths": (b"Content-Length: 3\r\nContent-Length: 10\r\n", b"ten bytes."),
+    "a length and chunks": (
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        IN_CHUNKS,
+    ),
+    "chunks and another coding": (b"Transfer-Encoding: gzip, chunked\r\n", IN_CHUNKS),
+    "chunks in a second field": (
+        b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        IN_CHUNKS,
+    ),
+    "a coding that is not known": (b"Transfer-Encoding: x\r\n", b"ten bytes."),
+    "a length behind what is no field": (
+        b"no field\r\nContent-Length: 10\r\n",
+        b"ten bytes.",
+    ),
+    "a length whose name has a space": (b"Content-Length : 10\r\n", b"ten bytes."),
+    "another version": (b"Content-Length: 10\r\n", b"ten bytes."),
+}
+
+
+@given("a server whose answers' heads tell {framing}")
+def step_unclear(context, framing):
+    context.server = CutServer()
+    context.add_cleanup(context.server.close)
+    context.reader = readers(context.server.address)["plain services"]
+    fields, context.body = UNCLEAR[framing]
+    version = b"HTTP/2" if framing == "another version" else b"HTTP/1.1"
+    context.head = version + b" 200 OK\r\n" + fields + b"\r\n"
+
+
+@then("no part of one is taken for the whole")
+def step_no_part(context):
+    taken = []
+    for cut in range(len(context.body) + 1):
+        context.server.answer = context.head + context.body[:cut]
+        try:
+            found = context.reader.call().body
+        except UpstreamError:
+            continue
+        if found != b"ten bytes.":
+            taken.append((context.body[:cut], found))
+    assert not taken, f"{len(taken)} of {len(context.body) + 1}: {taken[:4]}"
--- a/features/truncated_heads.feature
+++ b/features/truncated_heads.feature
@@ -83,3 +83,24 @@
       | a gateway's front          | a call without a body |
       | a gateway's front          | a call with a body    |
       | a gateway's front          | a call in chunks      |
+
+  Scenario Outline: No part of an answer is whole whose head tells <framing>
+    Given a server whose answers' heads tell <framing>
+    Then no part of one is taken for the whole
+
+    Examples:
+      | framing                       |
+      | a length that is no number    |
+      | a length with a sign          |
+      | a length below zero           |
+      | a length in two lines         |
+      | an empty length               |
+      | a length behind a bare CR     |
+      | two lengths                   |
+      | a length and chunks           |
+      | chunks and another coding     |
+      | chunks in a second field      |
+      | a coding that is not known    |
+      | a length behind what is no field |
+      | a length whose name has a space  |
+      | another version               |
--- a/src/kumquatseam/response_limits.py
+++ b/src/kumquatseam/response_limits.py
@@ -15,7 +15,8 @@
 import gevent
 import urllib3
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import ProtocolError
+from urllib3.exceptions import InvalidHeader, ProtocolError
+from urllib3.util.response import assert_header_parsing
 
 _BUFFER_BYTES = 65_536
 #: size of a response's head and framing, in addition to its body.
@@ -130,7 +131,7 @@
 
     def readline(self, size=-1):
         line = super().readline(size)
-        if line[-1:] != b"\n" and len(line) != size:
+        if b"\r" in line[:-2] or (line[-1:] != b"\n" and len(line) != size):
             raise ConnectionError("no whole line", line[-80:])
         return line
 
@@ -142,6 +143,17 @@
         reader = _LimitedReader(self.fp.detach(), sock, _allowance.get())
         self.fp = LineReader(reader, _BUFFER_BYTES)
 
+    def begin(self):
+        super().begin()
+        headers = self.headers
+        assert_header_parsing(headers)
+        told = headers.get_all("Content-Length", [])
+        told += headers.get_all("Transfer-Encoding", [])
+        # A length or a coding that is not understood counts as none to the library.
+        is_understood = self.chunked or self.length is not None
+        if len(told) > is_understood:
+            raise InvalidHeader(f"body by {told}"[:200])
+
 
 class _LimitedConnection(HTTPConnection):
     response_class = _LimitedResponse
