An interim head is no response to an own call

What callers saw: a service behind the own interface that sent "103 Early Hints" or "102 Processing" first had that passed on as its answer, without a body, and its answer went to the next call on the connection: 102, /0, 102, /1 for the calls 0 to 3. A head with 101 counted as an answer too.

Cause: http.client skips 100 only. To it, others of 1xx are whole responses without a body, so the connection was free for the next call, and the real answer was the first to arrive on it. Class: a response matched to its request by order alone, with the end of one misread.

Why it works: 102 to 199 are skipped as 100 is, within the limits of the response; 101 fails, since nobody asked for another protocol.

Ruled out: the gateway's parser reports interim heads, which are skipped, and 101 is an error there (read in the code; interim heads without end are in features/endless_answers.feature).

--- a/features/steps/truncated_heads_steps.py
+++ b/features/steps/truncated_heads_steps.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 import threading
+import time
 
 from behave import given, then
 
@@ -295,3 +296,66 @@
         if found != b"ten bytes.":
             taken.append((context.body[:cut], found))
     assert not taken, f"{len(taken)} of {len(context.body) + 1}: {taken[:4]}"
+
+
+# Interim heads.
+
+
+class InterimServer(CutServer):
+    """Sends an interim head at once, and its answers on kept connections later."""
+
+    def __init__(self, interim):
+        self._interim = b"HTTP/1.1 %b\r\nLink: x\r\n\r\n" % interim.encode()
+        super().__init__()
+
+    def _serve(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            arguments = (connection,)
+            threading.Thread(target=self._answer, args=arguments, daemon=True).start()
+
+    def _answer(self, connection):
+        with connection, connection.makefile("rb") as reader:
+            while line := reader.readline():
+                path = line.split()[1]
+                while reader.readline().strip():
+                    pass
+                with contextlib.suppress(OSError):
+                    connection.sendall(self._interim)
+                    time.sleep(0.02)
+                    connection.sendall(
+                        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
+                        % (len(path), path)
+                    )
+
+
+@given("a server that sends {interim} before each answer")
+def step_interim(context, interim):
+    context.server = InterimServer(interim)
+    context.add_cleanup(context.server.close)
+    context.services = HttpServiceClient(1.0, 1.0)
+
+
+def _call(context, number):
+    call = ServiceCall("r", "GET", f"{number}", b"", None, "t")
+    return context.services.call(f"http://{context.server.address}", call)
+
+
+@then("every answer is the one to its call")
+def step_right_answers(context):
+    found = [_call(context, number) for number in range(4)]
+    answers = [(response.status, response.body) for response in found]
+    assert answers == [(200, b"/%d" % n) for n in range(4)], answers
+
+
+@then("every call fails")
+def step_calls_fail(context):
+    for number in range(4):
+        try:
+            found = _call(context, number)
+        except UpstreamError:
+            continue
+        raise AssertionError(found)
--- a/features/truncated_heads.feature
+++ b/features/truncated_heads.feature
@@ -104,3 +104,17 @@
       | a length behind what is no field |
       | a length whose name has a space  |
       | another version               |
+
+  Scenario Outline: An interim head is no answer: <interim>
+    Given a server that sends <interim> before each answer
+    Then every answer is the one to its call
+
+    Examples:
+      | interim           |
+      | 100 Continue      |
+      | 102 Processing    |
+      | 103 Early Hints   |
+
+  Scenario: A change of the protocol is no answer
+    Given a server that sends 101 Switching Protocols before each answer
+    Then every call fails
--- a/src/kumquatseam/response_limits.py
+++ b/src/kumquatseam/response_limits.py
@@ -143,6 +143,11 @@
         reader = _LimitedReader(self.fp.detach(), sock, _allowance.get())
         self.fp = LineReader(reader, _BUFFER_BYTES)
 
+    def _read_status(self):
+        version, status, reason = super()._read_status()
+        # The library skips no other interim head; 101 is none.
+        return version, 100 if 101 < status < 200 else status, reason
+
     def begin(self):
         super().begin()
         headers = self.headers
@@ -151,8 +156,8 @@
         told += headers.get_all("Transfer-Encoding", [])
         # A length or a coding that is not understood counts as none to the library.
         is_understood = self.chunked or self.length is not None
-        if len(told) > is_understood:
-            raise InvalidHeader(f"body by {told}"[:200])
+        if self.status == 101 or len(told) > is_understood:
+            raise InvalidHeader(f"HTTP {self.status}, {told}"[:200])
 
 
 class _LimitedConnection(HTTPConnection):
