A call to the own interface tells the end of its body in one way, or does not run

What callers saw: a call whose length could be read in two ways ran, and its body, or the rest of it, ran as the next call on the connection.

Cause: gevent's server takes its heads from http.client's parser, which skips what follows a line that is no field; it uses the first of several lengths, and drops a length beside chunks. Class: two readings of one framing, as in the own calls' responses.

Why it works: such heads are answered with 400 and the connection is closed.

Ruled out, by the same scenarios: the gateway's front, whose parser refuses them.

--- a/features/steps/truncated_requests_steps.py
+++ b/features/steps/truncated_requests_steps.py
@@ -8,7 +8,7 @@
 import gevent.socket
 from behave import given, then, when
 from gevent.server import StreamServer
-from truncated_heads_steps import reset
+from truncated_heads_steps import UNCLEAR, reset
 
 from kumquatseam.callers._server import DrainingServer
 from kumquatseam.errors import KumquatseamError
@@ -101,3 +101,24 @@
     tried = len(ENDS) * len(context.request)
     assert not context.wrong, f"{len(context.wrong)} of {tried}: {context.wrong[:3]}"
     assert context.ran == [(method, "run/123", body)], context.ran
+
+
+# Bodies that hold another request.
+
+INNER = b"GET /inner HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+
+@when("a call whose head tells {framing} holds another call in its body")
+def step_holds_another(context, framing):
+    fields, _ = UNCLEAR[framing]
+    # The longer of two lengths covers the other call; the last chunk precedes it.
+    length = b"%d" % len(INNER)
+    fields = fields.replace(b": 3", b": 0").replace(b": 10", b": " + length)
+    body = b"0\r\n\r\n" + INNER if b"chunked" in fields else INNER
+    head = b"POST /outer HTTP/1.1\r\nHost: a.example\r\n"
+    _send(context.port, head + fields + b"\r\n" + body, "half closed")
+
+
+@then("that other call does not run")
+def step_inner_not_run(context):
+    assert "inner" not in [path for _, path, _ in context.ran], context.ran
--- a/features/truncated_heads.feature
+++ b/features/truncated_heads.feature
@@ -118,3 +118,22 @@
   Scenario: A change of the protocol is no answer
     Given a server that sends 101 Switching Protocols before each answer
     Then every call fails
+
+  Scenario Outline: No body of a call runs as the next call at <server>: <framing>
+    Given <server> that records its requests
+    When a call whose head tells <framing> holds another call in its body
+    Then that other call does not run
+
+    Examples:
+      | server                     | framing                          |
+      | a server of own interfaces | a length behind what is no field |
+      | a server of own interfaces | a length whose name has a space  |
+      | a server of own interfaces | two lengths                      |
+      | a server of own interfaces | a length and chunks              |
+      | a server of own interfaces | chunks and another coding        |
+      | a server of own interfaces | chunks in a second field         |
+      | a server of own interfaces | a length behind a bare CR        |
+      | a gateway's front          | a length behind what is no field |
+      | a gateway's front          | two lengths                      |
+      | a gateway's front          | a length and chunks              |
+      | a gateway's front          | chunks and another coding        |
--- a/src/kumquatseam/callers/_server.py
+++ b/src/kumquatseam/callers/_server.py
@@ -12,13 +12,36 @@
 
 import gevent.pool
 import gevent.pywsgi
+from urllib3.exceptions import HeaderParsingError
+from urllib3.util.response import assert_header_parsing
 
 from kumquatseam.response_limits import LineReader
 
 
+def _read_fields(reader: LineReader, *_):
+    """Read the fields of a head; their ``status`` tells what is wrong with them.
+
+    The server would skip what is no field, and of several lengths use the first.
+    """
+    fields = gevent.pywsgi.headers_factory(reader)
+    lengths = fields.get_all("Content-Length", [])
+    codings = fields.get_all("Transfer-Encoding", [])
+    is_clear = len(lengths) + len(codings) <= 1
+    is_clear &= all(length.strip().isdecimal() for length in lengths)
+    is_clear &= all(coding.lower() == "chunked" for coding in codings)
+    if not is_clear:
+        fields.status = "Length of the body not clear"
+    try:
+        assert_header_parsing(fields)
+    except HeaderParsingError:
+        fields.status = "Not a field"
+    return fields
+
+
 class _TrackingHandler(gevent.pywsgi.WSGIHandler):
     """A connection handler that tracks whether it is processing a request."""
 
+    MessageClass = staticmethod(_read_fields)
     is_busy = False
 
     def __init__(self, *arguments) -> None:
