Requests: no connection carries two sends of one id

Cause: a full replica refuses a request, which is sent to it again on the same kept connection; a late copy of the refusal bears its id and passes for the answer to the second send. Class: two sends on one connection, and no mark that tells their answers apart. It covers an id that a caller uses again, a connection kept for a move, and refusals without an id, which count for whatever request is under way.

The pool is told the request's id and hands out no connection that was handed out for it before. A late answer to an earlier send then only comes on a connection on which no later one is, where its id gives it away, or which isn't used since it has something to read. A connection remembers 8 bytes of each id and is closed after 512, so none is forgotten; one more is closed if the upstream would get another instead; and after an answer without an id none is kept. Tunnels are connections of the pool as well.

--- a/features/steps/availability_steps.py
+++ b/features/steps/availability_steps.py
@@ -264,10 +264,10 @@
         self.is_waited_for = gevent.event.Event()
         self.may_connect = gevent.event.Event()
 
-    def acquire(self, address, timeout_s):
+    def acquire(self, address, timeout_s, request_id):
         self.is_waited_for.set()
         self.may_connect.wait(2)
-        return super().acquire(address, timeout_s)
+        return super().acquire(address, timeout_s, request_id)
 
 
 @given("a request that is placed on r1 and waits for its connection")
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -145,7 +145,7 @@
             ADDRESSES["other"]: StreamingConnection("other", EVENTS[2:], True),
         }
 
-    def acquire(self, address, timeout_s):
+    def acquire(self, address, timeout_s, request_id):
         self.tried.append(address)
         source = self.connections[ADDRESSES["source"]]
         if address == ADDRESSES["source"] and self.tried.count(address) > 1:
--- a/features/steps/own_fault_steps.py
+++ b/features/steps/own_fault_steps.py
@@ -79,7 +79,7 @@
     def __init__(self, connection):
         self.connection = connection
 
-    def acquire(self, address, timeout_s):
+    def acquire(self, address, timeout_s, request_id):
         return self.connection
 
     def drop(self, address):
@@ -175,7 +175,7 @@
 @when("a request acquires a connection while another greenlet closes them all")
 def step_acquire_and_drop(context):
     dropping = gevent.spawn(context.pool.drop, context.address)
-    context.acquired = context.pool.acquire(context.address, 1.0)
+    context.acquired = context.pool.acquire(context.address, 1.0, "r1")
     dropping.join()
 
 
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -445,11 +445,11 @@
 
         :raises ConnectFailedError: if none can be opened.
         """
-        connection = None
-        if self._stopped_run is not None:
-            connection = self._stopped_run.take_connection(placement)
-        address = placement.status.upstream.address
-        return connection or self._parts.pool.acquire(address, self._job.remaining_s)
+        job, run = self._job, self._stopped_run
+        connection = run.take_connection(placement) if run is not None else None
+        return connection or self._parts.pool.acquire(
+            placement.status.upstream.address, job.remaining_s, job.call.request_id
+        )
 
     @staticmethod
     def _check_open(placement: Placement) -> None:
--- a/src/kumquatseam/gateway/_relocation.py
+++ b/src/kumquatseam/gateway/_relocation.py
@@ -230,8 +230,9 @@
         if not grants.acquire_limit(destination.incarnation_id):
             return self._abandon("limit of the destination has no room")
         try:
+            job = self._job
             self._reservation.connection = self._parts.pool.acquire(
-                destination.address, self._job.remaining_s
+                destination.address, job.remaining_s, job.call.request_id
             )
         except ConnectFailedError as error:
             return self._abandon(str(error))
--- a/src/kumquatseam/gateway/_upstream_paths.py
+++ b/src/kumquatseam/gateway/_upstream_paths.py
@@ -135,5 +135,5 @@
 
     def _handle_path_change(self, is_lost: bool) -> None:
         """Reconnect to all upstreams, the other way."""
-        self.pool.drop_all()
+        self.pool.close()
         self._directory.forgive_connection_failures()
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -154,6 +154,8 @@
         self._pause_at_bytes = _BYTES_PER_PAUSE
         self.reuse_until_s: float | None = None
         self.has_sent = False
+        #: hashes of the ids of the requests that it was given out for.
+        self.carried = bytearray()
 
     @property
     def is_relayed(self) -> bool:
@@ -222,6 +224,8 @@
                 return head
             if not head.headers.get(id_header):
                 if may_lack_id(head):
+                    # A copy of it would pass for the response to any request.
+                    self._responses[0].keep_alive = False
                     return head
                 raise ResponseInterruptedError(
                     self.address, "response without a request id"
--- a/src/kumquatseam/http1/_pool.py
+++ b/src/kumquatseam/http1/_pool.py
@@ -11,6 +11,9 @@
 DEFAULT_IDLE_S = 4.0
 #: maximum number of idle connections per address.
 MAX_IDLE = 32
+#: size of what a connection remembers of the requests it carried, 8 bytes for each;
+#: then it is closed.
+MAX_CARRIED_BYTES = 4096
 
 
 class Connector(abc.ABC):
@@ -24,46 +27,55 @@
         """
 
 
-class DirectConnector(Connector):
-    """Connects directly."""
-
-    def connect(self, address: str, timeout_s: float) -> UpstreamConnection:
-        return open_connection(address, timeout_s)
-
-
 class ConnectionPool:
     """Idle connections by address.
 
     A connection serves one request at a time. It is kept only if its last response
     was complete and nothing followed it.
 
+    No connection carries two sends of one id: a late response to the first one could
+    not be told from the response to the second.
+
     :param connect_timeout_s: timeout of a new connection.
-    :param connector: opens new connections.
+    :param connector: opens new connections; without it they are direct.
     """
 
     def __init__(
         self, connect_timeout_s: float, connector: Connector | None = None
     ) -> None:
         self._connect_timeout_s = connect_timeout_s
-        self._connector = connector or DirectConnector()
+        self._connect = connector.connect if connector else open_connection
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self.opened = 0
 
-    def acquire(self, address: str, timeout_s: float) -> UpstreamConnection:
+    def acquire(
+        self, address: str, timeout_s: float, request_id: str
+    ) -> UpstreamConnection:
         """Return an idle connection that is still open, or a new one.
 
         :param timeout_s: timeout of connecting, if shorter than the pool's own.
+        :param request_id: id of the one request that is sent on it.
         :raises ConnectFailedError: if no new one can be opened.
         """
         idle = self._idle.get(address, [])
+        key = hash(request_id).to_bytes(8, "little", signed=True)
         now_s = time.monotonic()
-        while idle:
-            connection = idle.pop()
+        for position in reversed(range(len(idle))):
+            if key in idle[position].carried:
+                continue
+            connection = idle.pop(position)
             if now_s < connection.reuse_until_s and connection.is_open_and_idle():
-                return connection
+                break
             connection.close()
-        self.opened += 1
-        return self._connector.connect(address, min(timeout_s, self._connect_timeout_s))
+        else:
+            if idle:
+                # Upstreams limit the number of connections.
+                idle.pop().close()
+            self.opened += 1
+            timeout_s = min(timeout_s, self._connect_timeout_s)
+            connection = self._connect(address, timeout_s)
+        connection.carried += key
+        return connection
 
     def release(
         self, connection: UpstreamConnection, keep_alive_s: float | None
@@ -73,7 +85,8 @@
         :param keep_alive_s: the idle timeout that its upstream stated, if any.
         """
         idle = self._idle.setdefault(connection.address, [])
-        if not connection.is_reusable or len(idle) >= MAX_IDLE:
+        is_full = len(connection.carried) >= MAX_CARRIED_BYTES
+        if not connection.is_reusable or is_full or len(idle) >= MAX_IDLE:
             connection.close()
             return
         limit_s = DEFAULT_IDLE_S if keep_alive_s is None else keep_alive_s
@@ -98,11 +111,7 @@
             else:
                 del self._idle[address]
 
-    def drop_all(self) -> None:
+    def close(self) -> None:
         """Close all idle connections."""
         for address in list(self._idle):
             self.drop(address)
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        self.drop_all()
