--- a/features/steps/late_answers_steps.py
+++ b/features/steps/late_answers_steps.py
@@ -90,7 +90,7 @@
         self._sides = (carrier_side, upstream_side)
         self._running = gevent.spawn(self._run)
         self.server = RelayServer("127.0.0.1:0", 0.3, lambda a: True, lambda: True)
-        self.server._tunnels[self.tunnel] = "upstream"
+        self.server._load_carrier().tunnels[self.tunnel] = "upstream"
         decoder = ChunkedDecoder() if is_coded else None
         self.sender = UpstreamConnection("upstream", self.sender_socket, None, decoder)
 
--- a/features/steps/own_fault_steps.py
+++ b/features/steps/own_fault_steps.py
@@ -79,7 +79,7 @@
     def __init__(self, connection):
         self.connection = connection
 
-    def acquire(self, address, timeout_s):
+    def acquire(self, address, timeout_s, request_id):
         return self.connection
 
     def drop(self, address):
@@ -175,7 +175,7 @@
 @when("a request acquires a connection while another greenlet closes them all")
 def step_acquire_and_drop(context):
     dropping = gevent.spawn(context.pool.drop, context.address)
-    context.acquired = context.pool.acquire(context.address, 1.0)
+    context.acquired = context.pool.acquire(context.address, 1.0, "r1")
     dropping.join()
 
 
@@ -224,7 +224,8 @@
         client.report(Upstream("e0", "engines", replica.address))
     else:
         client.list_parts(CacheHolder("e0", replica.address, "e0"))
-    wait_until("the call was made", lambda: replica._connections)
+    # A connection of only one call may be closed already.
+    wait_until("the call was made", lambda: replica.requests)
     client.close()
 
 
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -82,7 +82,8 @@
         context.relay_address, 0.3, listed.__contains__, lambda: state != "has no path"
     )
     if state == "has all tunnels in use":
-        context.relay.open_tunnels = server_module.MAX_TUNNELS
+        tunnels = dict.fromkeys(range(server_module.MAX_TUNNELS), "")
+        context.relay._load_carrier().tunnels.update(tunnels)
     context.relay.start()
 
 
--- a/features/steps/stutter_world.py
+++ b/features/steps/stutter_world.py
@@ -166,7 +166,7 @@
             self._directory.closed_for_s = 0.0
 
     def _shrink_buffers(self):
-        for tunnel in list(self._relay._tunnels):
+        for tunnel in list(self._relay._load_carrier().tunnels):
             try:
                 tunnel._connection.setsockopt(
                     socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -170,6 +170,8 @@
         self._pause_at_bytes = _BYTES_PER_PAUSE
         self.reuse_until_s: float | None = None
         self.has_sent = False
+        #: hashes of the ids of the requests that it was given out for.
+        self.carried = bytearray()
 
     @property
     def is_relayed(self) -> bool:
@@ -241,6 +243,8 @@
             if head.headers.text(id_header) == request_id or (
                 not has_id and may_lack_id(head)
             ):
+                # A copy of one without an id would pass for that to any request.
+                response.keep_alive = response.keep_alive and has_id
                 if head.is_ended_by_close:
                     response.finder = self._finder(id_header)
                 return head
--- a/src/kumquatseam/pools.py
+++ b/src/kumquatseam/pools.py
@@ -1,7 +1,9 @@
 """HTTP connection pools that drop connections that stopped responding.
 
-A middlebox can lose the state of open connections, while new ones work. One read
-timeout therefore closes all idle connections to the address.
+A middlebox can lose the state of open connections: they stay open but carry no
+data, while new connections work. After one read timeout all idle connections to
+the address are therefore closed, so that the next request opens a new one and
+does not run into a timeout of its own.
 """
 
 import contextlib
@@ -47,10 +49,18 @@
 class AddressPools:
     """One connection pool per base URL, without urllib3's own retries.
 
-    Nothing is received beyond the limits that each call states.
+    <<<<<<< HEAD
+        Nothing is received beyond the limits that each call states.
+    =======
+        Nothing is received beyond the limits that each call states: there is no way to
+        make one without.
+
+        :param keeps_connections: whether a connection carries several calls, to any of
+            which a late response may be taken for the right one.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, keeps_connections: bool = True) -> None:
+        self._keeps_connections = keeps_connections
         self._pools: dict[str, urllib3.PoolManager] = {}
 
     def request(
@@ -58,6 +68,8 @@
     ) -> PooledResponse:
         """Send a request to ``path`` at base URL ``url``, and receive its response.
 
+        A read timeout closes the idle connections to ``url``.
+
         :param limits: what the response may take.
         :param options: further arguments of urllib3's ``request``.
         :raises ResponseLimitError: if the response takes more.
@@ -112,7 +124,9 @@
                 socket_options=dead_peer_socket_options(),
             )
             pool.pool_classes_by_scheme = {"http": LimitedConnectionPool}
-            self._pools[url] = pool
+            # Otherwise its connection is closed with it.
+            if self._keeps_connections:
+                self._pools[url] = pool
         return pool
 
     def drop(self, url: str) -> None:
@@ -131,7 +145,10 @@
 
 
 def dead_peer_socket_options() -> list[tuple[int, int, int]]:
-    """Return urllib3's options, and those that end connections with a silent peer."""
+    """Return socket options that end connections whose peer does not acknowledge.
+
+    They include urllib3's defaults, which disable Nagle's algorithm.
+    """
     return [
         *HTTPConnection.default_socket_options,
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
--- a/src/kumquatseam/response_limits.py
+++ b/src/kumquatseam/response_limits.py
@@ -1,7 +1,8 @@
 """Limits on what one HTTP response may take, enforced where its bytes are received.
 
-A read timeout limits neither the number of pieces nor their size. Here every byte
-counts: of interim heads and the head, of the body and its framing.
+A read timeout limits each pause between two pieces, but neither the number of pieces
+nor their size. Here every byte counts, whatever it belongs to: interim responses, the
+head, the framing and trailers of the body, and the body itself.
 """
 
 import contextlib
@@ -43,14 +44,22 @@
 
 @attrs.define
 class _Allowance:
-    """What is left for one response, until a monotonic time."""
+    """What is left for one response.
+
+    :param limits: its limits.
+    :param until_s: monotonic time at which it must be complete.
+    :param left_bytes: how much of it may still be received.
+    """
 
     limits: ResponseLimits
     until_s: float
     left_bytes: int
 
     def check(self) -> None:
-        """Raise :class:`ResponseLimitError` if no more may be received."""
+        """Check that more may be received.
+
+        :raises ResponseLimitError: if not.
+        """
         if self.left_bytes <= 0:
             raise ResponseLimitError(f"response over {self.limits.max_bytes} bytes")
         if time.monotonic() >= self.until_s:
@@ -93,7 +102,12 @@
 
 
 class _LimitedReader(io.RawIOBase):
-    """Receives one response from a socket, whose timeout is that of one read."""
+    """Receives one response from a socket.
+
+    :param raw: reads from the socket.
+    :param connection: the socket, whose timeout is that of one read.
+    :param allowance: what the response may take.
+    """
 
     def __init__(self, raw: io.RawIOBase, connection, allowance: _Allowance) -> None:
         self._raw = raw
@@ -127,7 +141,10 @@
 
 
 class LineReader(io.BufferedReader):
-    """Reads lines of heads and framing, which do not end with the connection."""
+    """Reads lines of heads and framing, which do not end with the connection.
+
+    :raises ConnectionError: if one does, or has a line end inside.
+    """
 
     def readline(self, size=-1):
         line = super().readline(size)
