--- a/features/steps/stutter_world.py
+++ b/features/steps/stutter_world.py
@@ -133,7 +133,7 @@
             address, 0.3, lambda a: True, lambda: True, lambda: traffic
         )
         self._relay.start()
-        record = InstanceRecord("carrier", "", "", 100.0, address)
+        record = InstanceRecord("carrier", "127.0.0.1:1", "", 100.0, address)
         relays = RelayClient("me", lambda: [record])
         self._pool = ConnectionPool(1.0, _TunnelConnector(relays))
         self.answered, self.unsent, self.interrupted = set(), set(), {}
--- a/src/kumquatseam/pools.py
+++ b/src/kumquatseam/pools.py
@@ -49,14 +49,11 @@
 class AddressPools:
     """One connection pool per base URL, without urllib3's own retries.
 
-    <<<<<<< HEAD
-        Nothing is received beyond the limits that each call states.
-    =======
-        Nothing is received beyond the limits that each call states: there is no way to
-        make one without.
-
-        :param keeps_connections: whether a connection carries several calls, to any of
-            which a late response may be taken for the right one.
+    Nothing is received beyond the limits that each call states: there is no way to
+    make one without.
+
+    :param keeps_connections: whether a connection carries several calls, to any of
+        which a late response may be taken for the right one.
     """
 
     def __init__(self, keeps_connections: bool = True) -> None:
