--- a/features/steps/stutter_world.py
+++ b/features/steps/stutter_world.py
@@ -178,11 +178,12 @@
     def _send(self, sender, requests):
         for number in range(requests):
             gevent.sleep(self._random.random() * 0.005)
+            request_id = f"s{sender}-{number}"
+            address = self.upstream.address
             try:
-                connection = self._pool.acquire(self.upstream.address, 1.0)
+                connection = self._pool.acquire(address, 1.0, request_id)
             except (ConnectFailedError, NoRelayError):
                 continue
-            request_id = f"s{sender}-{number}"
             try:
                 self._exchange(connection, request_id)
             except RequestUnsentError:
