--- a/features/second_responses.feature
+++ b/features/second_responses.feature
@@ -41,3 +41,18 @@
       | framing              |
       | by chunks            |
       | by their connections |
+
+  Scenario: Calls of the own interface do not get late responses to earlier calls
+    Given a service that sends each response once more when it got the next call
+    When 4 calls are made to it, one after the other
+    Then each got its own response, or an error that says that it may have run
+
+  Scenario Outline: A second response, <how>, behind a call's body without framing
+    Given a service whose responses have no framing and come twice, the second one <how>
+    When 1 calls are made to it, one after the other
+    Then <outcome>
+
+    Examples:
+      | how   | outcome                                              |
+      | whole | the call got its own response, once                  |
+      | cut   | the call got an error that says that it may have run |
--- a/features/steps/second_responses_steps.py
+++ b/features/steps/second_responses_steps.py
@@ -9,7 +9,7 @@
 from strict_caller import STREAM_PATHS, StrictCaller
 from stuttering_replica import Spoiler, Stutter
 
-from kumquatseam.http1._second_response import SecondResponseFinder
+from kumquatseam.http1.second_response import SecondResponseFinder
 
 EVENTS = 6
 PLAIN_BODY = b"".join(b"piece %d\n" % number for number in range(8))
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -25,7 +25,7 @@
 from kumquatseam.pools import dead_peer_socket_options
 
 if TYPE_CHECKING:
-    from kumquatseam.http1._second_response import SecondResponseFinder
+    from kumquatseam.http1.second_response import SecondResponseFinder
 
 _READ_BYTES = 65_536
 #: a status line at the end of a header's value.
@@ -264,7 +264,7 @@
 
     def _finder(self, id_header: bytes) -> "SecondResponseFinder":
         """Return what ends a body; loaded with the first one without framing."""
-        from kumquatseam.http1._second_response import SecondResponseFinder
+        from kumquatseam.http1.second_response import SecondResponseFinder
 
         return SecondResponseFinder(id_header, self._request_ids)
 
--- a/src/kumquatseam/http1/_second_response.py
+++ b/src/kumquatseam/http1/second_response.py
@@ -72,6 +72,8 @@
 
         A response that has begun counts as one, though its id may not have arrived.
         """
+        if self.has_found:
+            return b""
         rest, self._held = self._held, b""
         if rest.startswith(_MIN_PART):
             self.has_found = True
--- a/src/kumquatseam/services/_client.py
+++ b/src/kumquatseam/services/_client.py
@@ -7,11 +7,13 @@
 
 from kumquatseam.clocks import elapsed_s
 from kumquatseam.engines import LIMIT_HEADER, NOT_EXECUTED_HEADER, rest_of
-from kumquatseam.pools import AddressPools
+from kumquatseam.pools import AddressPools, PooledResponse
 from kumquatseam.request_errors import UpstreamError
 from kumquatseam.response_limits import ResponseLimits
 from kumquatseam.upstreams import LimitObserver, NullLimitObserver, parse_limit
 
+_ID_HEADER = "X-Request-Id"
+_FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
 #: size of a response, which is held until it is complete.
 _MAX_BYTES = 8_388_608
 #: time for a whole response, in multiples of the timeout of each of its pieces.
@@ -92,7 +94,7 @@
         self._pools.close()
 
     def call(self, url: str, call: ServiceCall) -> ServiceResponse:
-        headers = {"X-Request-Id": call.request_id, "X-Team": call.team}
+        headers = {_ID_HEADER: call.request_id, "X-Team": call.team}
         if call.content_type:
             headers["Content-Type"] = call.content_type
         sent_s = elapsed_s()
@@ -114,6 +116,7 @@
             raise UpstreamError(url, False, f"cannot connect: {error}") from error
         except urllib3.exceptions.HTTPError as error:
             raise UpstreamError(url, True, f"response interrupted: {error}") from error
+        self._check_id(url, call, response)
         is_not_run = NOT_EXECUTED_HEADER in response.headers
         self._limits.note_rest(url, rest_of(response))
         limit_per_s = parse_limit(response.headers.get(LIMIT_HEADER))
@@ -121,4 +124,33 @@
         if is_not_run:
             raise UpstreamError(url, False, f"HTTP {response.status}, not run")
         content_type = response.headers.get("Content-Type")
-        return ServiceResponse(response.status, response.data, content_type)
+        body = _first_body(url, call, response)
+        return ServiceResponse(response.status, body, content_type)
+
+    def _check_id(self, url: str, call: ServiceCall, response: PooledResponse) -> None:
+        """Check that a response is not a late one to an earlier call.
+
+        Services may leave the id out.
+
+        :raises UpstreamError: if it is; the one to this call may still follow.
+        """
+        if response.headers.get(_ID_HEADER, call.request_id) != call.request_id:
+            self._pools.drop(url)
+            raise UpstreamError(url, True, "response to another call")
+
+
+def _first_body(url: str, call: ServiceCall, response: PooledResponse) -> bytes:
+    """Return the body of a response without a second response behind it.
+
+    :raises UpstreamError: if it cannot be told where the body ends.
+    """
+    if any(name in response.headers for name in _FRAMING_HEADERS):
+        return response.data
+    from kumquatseam.http1.second_response import SecondResponseFinder
+
+    finder = SecondResponseFinder(_ID_HEADER.lower().encode(), [call.request_id])
+    body = finder.feed(response.data) + finder.finish()
+    # The same body twice is whole.
+    if finder.has_found and finder.second_body != body:
+        raise UpstreamError(url, True, "another response behind the one to this call")
+    return body
