--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -472,7 +472,8 @@
         headers = Headers(response.fields)
         length = headers.get(b"content-length")
         # The codings may come in several fields.
-        is_chunked = "chunked" in str(headers.all(b"transfer-encoding")).lower()
+        codings = headers.all(b"transfer-encoding")
+        is_chunked = any("chunked" in coding.lower() for coding in codings)
         response.keep_alive = self._parser.should_keep_alive()
         length_bytes = int(length) if length is not None else None
         response.head = ResponseHead(status, headers, length_bytes, is_chunked)
