A router without peers has a record without an address

The daemon did not start: its own record has an empty address if it runs without peers, and records with one are refused since.

A record may again have no address; a listed one without it is refused where it is read (odd_entries, unchanged). Routers whose stated address is none are left out of the records instead of failing the whole list.

--- a/src/kumquatseam/fleet/_router_records.py
+++ b/src/kumquatseam/fleet/_router_records.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from kumquatseam.addresses import is_host_and_port
 from kumquatseam.fleet._membership import DEAD, Membership
 from kumquatseam.peers import InstanceRecord
 
@@ -57,7 +58,8 @@
         return [
             InstanceRecord(member.name, _host_and_port(member.address))
             for member in sorted(self._membership.members(), key=lambda m: m.name)
-            if with_dead or member.state != DEAD
+            if (with_dead or member.state != DEAD)
+            and is_host_and_port(_host_and_port(member.address))
         ]
 
 
--- a/src/kumquatseam/peers/_messages.py
+++ b/src/kumquatseam/peers/_messages.py
@@ -16,7 +16,7 @@
 
     :param name: the instance's name.
     :param address: ``host:port`` at which it publishes over TCP and receives
-        datagrams over UDP.
+        datagrams over UDP; empty if it has no peers.
     :param state_address: ``host:port`` at which it answers queries; empty if it
         answers none.
     :param link_mbps: speed of its network link; 0 if unknown.
@@ -33,9 +33,9 @@
     zone: str = ""
 
     def __attrs_post_init__(self) -> None:
-        stated = (self.address, self.state_address or None, self.relay_address or None)
-        addresses_valid = all(is_host_and_port(a) for a in stated if a is not None)
-        if not (addresses_valid and 0 <= self.link_mbps < math.inf):
+        addresses = filter(None, (self.address, self.state_address, self.relay_address))
+        is_valid = all(map(is_host_and_port, addresses))
+        if not (is_valid and 0 <= self.link_mbps < math.inf):
             raise ValueError("invalid address or speed")
 
 
--- a/src/kumquatseam/peers/_registry.py
+++ b/src/kumquatseam/peers/_registry.py
@@ -53,7 +53,7 @@
         except CodecError as error:
             _log.bind(instance=key, error=str(error)).warning("Record ignored.")
             return False
-        if record.name != key:
+        if record.name != key or not record.address:
             _log.bind(instance=key, name=record.name[:80]).warning("Record ignored.")
             return False
         self._bus.add(record)
