--- a/src/kumquatseam/pools.py
+++ b/src/kumquatseam/pools.py
@@ -1,10 +1,4 @@
-"""HTTP connection pools that drop connections that stopped responding.
-
-A middlebox can lose the state of open connections: they stay open but carry no
-data, while new connections work. After one read timeout all idle connections to
-the address are therefore closed, so that the next request opens a new one and
-does not run into a timeout of its own.
-"""
+"""HTTP connection pools that drop connections that stopped responding."""
 
 import contextlib
 import socket
--- a/src/kumquatseam/response_limits.py
+++ b/src/kumquatseam/response_limits.py
@@ -1,9 +1,4 @@
-"""Limits on what one HTTP response may take, enforced where its bytes are received.
-
-A read timeout limits each pause between two pieces, but neither the number of pieces
-nor their size. Here every byte counts, whatever it belongs to: interim responses, the
-head, the framing and trailers of the body, and the body itself.
-"""
+"""Limits on what one HTTP response may take, enforced where bytes are received."""
 
 import contextlib
 import contextvars
