Tell when a cut request came, relative to the stop, and cut ones that were not sent

The record of the incident could not distinguish requests that were under way when the SIGTERM came from those that a stop began, and requests that had not been sent when the grace ended left no line. StopClock knows when the stop was requested; 'Request cut.' has received_after_stop_s. No decision changes.

Ruled out: the time in the server alone, as before; the handler, which writes the line, did not know it.

--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -14,6 +14,7 @@
 from kumquatseam.gateway._handler import RequestHandler
 from kumquatseam.gateway._loop_idleness import LoopIdleness
 from kumquatseam.gateway._refusals import Reason, RefusedError
+from kumquatseam.gateway._stop_clock import StopClock
 from kumquatseam.http1 import (
     RequestLimits,
     RequestReader,
@@ -30,8 +31,9 @@
 
     def __init__(self):
         self.has_started = gevent.event.Event()
+        self.stop = StopClock()
 
-    def handle(self, request, caller, may_keep_alive, stops_in_s):
+    def handle(self, request, caller, may_keep_alive):
         self.has_started.set()
         keep = may_keep_alive()
         gevent.sleep(0.1)
@@ -195,14 +197,15 @@
     metrics = GatewayMetrics()
     for number in range(1, 5):
         metrics.record_request(ROUTE, "ok", took_s * number / 4)
-    context.handler = RequestHandler(SimpleNamespace(metrics=metrics))
+    context.handler = RequestHandler(SimpleNamespace(metrics=metrics, stop=StopClock()))
 
 
 @when("it stops in {left_s:g} seconds")
 def step_stops_in(context, left_s):
     job = SimpleNamespace(route=SimpleNamespace(name=ROUTE))
+    context.handler.stop.begin(time.monotonic() + left_s)
     try:
-        context.handler._check_stop(job, left_s)
+        context.handler._check_stop(job)
         context.refusal = None
     except RefusedError as error:
         context.refusal = error
--- a/src/kumquatseam/gateway/_cut_record.py
+++ b/src/kumquatseam/gateway/_cut_record.py
@@ -19,6 +19,8 @@
     newest = parts.targets.newest_version(model)
     age_s = parts.targets.age_s(model)
     parts.metrics.record_cut(cut.by.value, in_force, newest)
+    stop = parts.stop
+    after_stop_s = job.request.received_s - stop.began_s if stop.is_stopping else None
     _log.bind(
         request=job.call.request_id,
         by=cut.by.value,
@@ -30,6 +32,7 @@
         has_begun=cut.has_begun,
         attempts=cut.attempts,
         remaining_s=round(job.remaining_s, 3),
+        received_after_stop_s=None if after_stop_s is None else round(after_stop_s, 3),
         configuration=job.table.version,
         configuration_in_force=in_force,
         weights=cut.version,
--- a/src/kumquatseam/gateway/_cuts.py
+++ b/src/kumquatseam/gateway/_cuts.py
@@ -6,7 +6,7 @@
 
 
 class CutBy(enum.Enum):
-    """Who ended a request that an upstream may have run."""
+    """Who ended an accepted request."""
 
     #: its caller closed the connection.
     CALLER = "caller"
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -15,6 +15,7 @@
 from kumquatseam.gateway._exchange import Exchange
 from kumquatseam.gateway._job import Job
 from kumquatseam.gateway._refusals import Reason, RefusedError
+from kumquatseam.gateway._stop_clock import StopClock
 from kumquatseam.http1 import CallerDisconnectedError, ConnectionPool, Request
 from kumquatseam.logs import part_logger
 from kumquatseam.metrics import GatewayMetrics
@@ -63,6 +64,7 @@
     :param limits: keeps the limits that upstreams announce.
     :param origins: keeps where streams began.
     :param targets: the newest weights named for each model.
+    :param stop: when this instance stops.
     """
 
     live: LiveRouteTable
@@ -79,6 +81,7 @@
     limits: UpstreamLimits
     origins: StreamOrigins
     targets: WeightsTargets
+    stop: StopClock = attrs.Factory(StopClock)
 
 
 class RequestHandler:
@@ -89,18 +92,18 @@
 
     def __init__(self, parts: HandlerParts) -> None:
         self._parts = parts
+        #: begun by the server whose requests this serves.
+        self.stop = parts.stop
 
     def handle(
         self,
         request: Request,
         caller: CallerConnection,
         may_keep_alive: Callable[[], bool],
-        stops_in_s: float = math.inf,
     ) -> bool:
         """Serve ``request``; return whether its connection can carry another one.
 
         :param may_keep_alive: whether the connection stays open after the response.
-        :param stops_in_s: time until this instance cuts what it still serves.
         :raises CallerDisconnectedError: if the caller closed its connection.
         """
         request_id = request.headers.text(self._parts.dialect.request_id_header)
@@ -109,7 +112,7 @@
         try:
             job = self._admit(request)
             kind = job.route.name
-            self._check_stop(job, stops_in_s)
+            self._check_stop(job)
             grant = self._acquire_quota(job)
             if grant is not None and grant.is_over:
                 job = attrs.evolve(job, is_over_quota=True)
@@ -131,7 +134,7 @@
             _log.bind(request=request_id).info("The caller left.")
             raise
         except gevent.GreenletExit:
-            if exchange is not None and exchange.has_sent:
+            if exchange is not None:
                 self._record_cut(job, exchange.cut(CutBy.STOP, "grace over"))
             raise
         except Exception:  # noqa: BLE001 - logged; the caller still gets a response
@@ -195,11 +198,12 @@
 
         record_cut(self._parts, job, cut)
 
-    def _check_stop(self, job: Job, stops_in_s: float) -> None:
+    def _check_stop(self, job: Job) -> None:
         """Check that a request can be finished before this instance stops.
 
         :raises RefusedError: if requests of its route may take longer.
         """
+        stops_in_s = self._parts.stop.left_s
         if stops_in_s == math.inf:
             return
         allowed_s = self._parts.metrics.allowed_s(job.route.name)
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -1,6 +1,5 @@
 """Accept callers' connections, and close them gracefully on shutdown."""
 
-import math
 import socket
 import time
 from collections.abc import Callable
@@ -58,14 +57,13 @@
         self._admission = admission
         self._address = address
         self._handler = handler
+        self._stop = handler.stop
         self._read_limits = read_limits
         self._grace_s = grace_s
         self._listener: socket.socket | None = None
         self._accepting: gevent.Greenlet | None = None
         self._readers: dict[gevent.Greenlet, RequestReader] = {}
         self._busy: set[gevent.Greenlet] = set()
-        #: when what is still served is cut; ``None`` until a stop was requested.
-        self._stop_s: float | None = None
         self._open_count = 0
         self.accepted = 0
 
@@ -92,12 +90,13 @@
     @property
     def is_stopping(self) -> bool:
         """Whether a stop was requested."""
-        return self._stop_s is not None
+        return self._stop.is_stopping
 
     def close(self) -> None:
         """Stop gracefully: finish requests already read, within the grace period."""
         started_s = time.monotonic()
-        end_s = self._stop_s = started_s + self._grace_s
+        end_s = started_s + self._grace_s
+        self._stop.begin(end_s)
         while time.monotonic() < end_s:
             elapsed_s = time.monotonic() - started_s
             if elapsed_s > IDLE_WHILE_STOPPING_S:
@@ -186,20 +185,12 @@
         request = reader.read()
         self._busy.add(greenlet)
         try:
-            can_reuse = self._handler.handle(
-                request, caller, self._may_keep(request), self._stops_in_s
-            )
+            can_reuse = self._handler.handle(request, caller, self._may_keep(request))
         finally:
             self._busy.discard(greenlet)
         # A response that was begun before a stop did not announce a close.
         return can_reuse and request.keep_alive
 
-    @property
-    def _stops_in_s(self) -> float:
-        if self._stop_s is None:
-            return math.inf
-        return max(0.0, self._stop_s - time.monotonic())
-
     def _may_keep(self, request) -> Callable[[], bool]:
         return lambda: request.keep_alive and not self.is_stopping
 
