Test: requests that a stop closes without a response or begins in vain, failing

Reproduces what callers saw around a SIGTERM: closed connections instead of answers.

- requests held by their upstream when the grace ends get no byte, 6 of 6 each for plain requests, streams, and bodies in chunks;
- a connection that was busy when the stop began brings a stream 2.9 s later; it is begun and cut 0.7 s after (status 200, incomplete);
- a gateway that has served nothing begins 4 of 4 streams of 6 s and cuts them;
- after 400 refusals within ms, or 200 short streams, streams of 3.4 s are begun with 3.5 s left;
- requests that wait for an upstream are refused 3.4 s after the SIGTERM only.

Two scenarios pass before as well and keep what must not be lost: short requests and those whose deadline ends first are served.

--- /dev/null
+++ b/features/steps/stops_that_cut_steps.py
@@ -0,0 +1,333 @@
+"""Steps for requests that a stop must not cut."""
+
+import http.client
+import signal
+import threading
+import time
+
+import attrs
+from behave import given, then, when
+from platform_steps import step_platform
+from platform_world import KEY, WAIT_S, wait_until
+
+PATHS = {"plain": "/plain/x", "stream": "/once/x"}
+DEADLINE_S = 15.0
+#: events of a stream.
+EVENTS = 10
+#: callers whose requests make a gateway know how long its streams take.
+MOST_CALLERS = 20
+#: after the requests were sent, time for them to reach their upstream.
+ARRIVE_S = 0.3
+
+
+@attrs.define(eq=False)
+class Answer:
+    """What a caller got.
+
+    :param status: 0 if the connection ended without a response.
+    :param is_whole: whether the response was complete.
+    :param ended_s: when it was.
+    :param closes: whether it announced that its connection closes.
+    """
+
+    status: int = 0
+    is_whole: bool = False
+    ended_s: float = 0.0
+    closes: bool = False
+    body: bytes = b""
+
+
+class StopCaller:
+    """A caller with one connection to the gateway of a scenario.
+
+    :param world: the platform.
+    """
+
+    def __init__(self, world) -> None:
+        port = world.gateways[0].ports["front"]
+        self._world = world
+        self._connection = http.client.HTTPConnection("127.0.0.1", port, timeout=30)
+        self._connection.connect()
+
+    def send(self, request_id, path, is_chunked=False, deadline_s=DEADLINE_S) -> Answer:
+        """Send a request and return its answer."""
+        headers = {
+            "Host": "a.example",
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": f"{deadline_s * 1000:.0f}",
+            "Authorization": f"Token {KEY}",
+        }
+        if path == PATHS["stream"]:
+            headers |= self._world.stream_headers()
+        body = [b"que", b"stion"] if is_chunked else b"question"
+        answer = Answer()
+        try:
+            self._connection.request(
+                "POST", path, body, headers, encode_chunked=is_chunked
+            )
+            response = self._connection.getresponse()
+            answer.status, answer.closes = response.status, response.will_close
+            answer.body = response.read()
+            answer.is_whole = True
+        except (OSError, http.client.HTTPException):
+            pass
+        answer.ended_s = time.monotonic()
+        return answer
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
+
+
+def _begin(context, count, path, is_chunked=False):
+    """Let callers send one request each, beside what follows."""
+    context.answers = {}
+    context.callers = []
+    for number in range(count):
+        request_id = f"asked-{number}"
+        thread = threading.Thread(
+            target=_send_one, args=(context, request_id, path, is_chunked)
+        )
+        thread.start()
+        context.callers.append(thread)
+
+
+def _send_one(context, request_id, path, is_chunked):
+    caller = StopCaller(context.platform)
+    context.answers[request_id] = caller.send(request_id, path, is_chunked)
+    caller.close()
+
+
+def _stop(context):
+    context.stopped_s = time.monotonic()
+    context.platform.gateways[0].process.send_signal(signal.SIGTERM)
+
+
+def _finish(context):
+    for thread in context.callers:
+        thread.join()
+    context.platform.gateways[0].process.wait(WAIT_S)
+
+
+def _ran(context) -> list[str]:
+    """Return the ids of the requests of the callers that ran."""
+    ids = [
+        seen.headers.get("X-Request-Id", "")
+        for replica in context.platform.replicas.values()
+        for seen in replica.seen
+        if seen.ran
+    ]
+    return [request_id for request_id in ids if request_id.startswith("asked")]
+
+
+@given(
+    "a gateway whose {kind} requests are held by their upstream for longer than a stop"
+)
+def step_held(context, kind):
+    step_platform(context)
+    world = context.platform
+    context.path = PATHS[kind]
+    if kind == "plain":
+        world.add_replica("plain", "p0").work_s = 8.0
+        world.add_route("/plain/", "non_idempotent", "plain", timeoutMs=15_000)
+    else:
+        world.add_replica("engines", "e0", version=1).script.extend(["hang"] * 20)
+        world.add_route("/once/", "stream", "engines", maxAttempts=1, timeoutMs=15_000)
+        world.name_weights(1)
+    world.put_configuration()
+    world.add_gateway()
+
+
+@when("{count:d} requests are sent with {framing}, and the gateway gets SIGTERM")
+def step_send_and_stop(context, count, framing):
+    _begin(context, count, context.path, is_chunked=framing == "chunks")
+    (replica,) = context.platform.replicas.values()
+    wait_until("all reached their upstream", lambda: len(replica.seen) == count)
+    _stop(context)
+    _finish(context)
+
+
+@then("each caller got a whole response with status {status:d}")
+def step_each_got(context, status):
+    answers = list(context.answers.values())
+    assert all(a.is_whole and a.status == status for a in answers), answers
+
+
+@given("a gateway that has served {count:d} streams of {for_s:g} seconds")
+def step_served(context, count, for_s):
+    step_platform(context)
+    world = context.platform
+    world.add_replica("engines", "e0", version=1, events=EVENTS)
+    world.add_route("/once/", "stream", "engines", maxAttempts=1, timeoutMs=15_000)
+    world.put_configuration()
+    world.name_weights(1)
+    world.add_gateway()
+    context.for_s = for_s
+    _set_duration(context, for_s)
+    callers = min(count, MOST_CALLERS)
+    threads = [
+        threading.Thread(target=_serve_some, args=(context, number, count // callers))
+        for number in range(callers)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def _serve_some(context, number, count):
+    caller = StopCaller(context.platform)
+    for _ in range(count):
+        answer = caller.send(f"before-{number}-{time.monotonic_ns()}", PATHS["stream"])
+        assert answer.is_whole and answer.status == 200, answer
+    caller.close()
+
+
+@given("its only engine does not accept requests")
+def step_closed_engine(context):
+    (engine,) = context.platform.replicas
+    context.platform.list_replica(engine, state="draining")
+    time.sleep(ARRIVE_S)
+
+
+@when("{count:d} streams wait for an engine, and the gateway gets SIGTERM")
+def step_wait_and_stop(context, count):
+    _begin(context, count, PATHS["stream"])
+    time.sleep(ARRIVE_S)
+    _stop(context)
+    _finish(context)
+
+
+@when("the gateway gets SIGTERM and {count:d} callers stream")
+def step_stop_and_stream(context, count):
+    _stop(context)
+    time.sleep(0.1)
+    _begin(context, count, PATHS["stream"])
+    _finish(context)
+
+
+@then("each was refused within {most_s:g} second of the SIGTERM, and none ran")
+def step_refused_soon(context, most_s):
+    answers = list(context.answers.values())
+    assert answers and all(
+        answer.status == 503 and answer.ended_s - context.stopped_s < most_s
+        for answer in answers
+    ), (context.stopped_s, answers)
+    assert not _ran(context), _ran(context)
+
+
+@then("each stream was whole")
+def step_each_whole(context):
+    answers = list(context.answers.values())
+    assert answers and all(a.is_whole and a.status == 200 for a in answers), answers
+
+
+# Late requests.
+
+
+def _set_duration(context, for_s):
+    """Let streams that begin from now on take ``for_s`` seconds."""
+    (engine,) = context.platform.replicas.values()
+    engine.event_pause_s = for_s / engine.events
+
+
+def _stream_and_stop(context, for_s):
+    context.answers = {}
+    _set_duration(context, for_s)
+    context.caller = StopCaller(context.platform)
+
+    def stream():
+        context.answers["asked-first"] = context.caller.send(
+            "asked-first", PATHS["stream"]
+        )
+
+    context.callers = [threading.Thread(target=stream)]
+    context.callers[0].start()
+    time.sleep(ARRIVE_S)
+    _stop(context)
+
+
+@given("a stream of {for_s:g} seconds has ended")
+@given("one stream of {for_s:g} seconds has ended")
+def step_one_ended(context, for_s):
+    _set_duration(context, for_s)
+    caller = StopCaller(context.platform)
+    answer = caller.send("before-long", PATHS["stream"])
+    assert answer.is_whole, answer
+    caller.close()
+
+
+@when(
+    "a stream of {for_s:g} seconds begins, the gateway gets SIGTERM, and engines get "
+    "{times:d} times slower"
+)
+def step_stop_slower(context, for_s, times):
+    context.times_slower = times
+    _stream_and_stop(context, for_s)
+
+
+@when("a stream of {for_s:g} seconds begins, and the gateway gets SIGTERM")
+def step_stop_as_fast(context, for_s):
+    context.times_slower = 1
+    _stream_and_stop(context, for_s)
+
+
+@when("the same connection brings a stream at once when the first one has ended")
+def step_second(context):
+    _send_second(context, DEADLINE_S)
+
+
+@when(
+    "the same connection brings a stream with a deadline of {deadline_ms:d} ms when "
+    "the first one has ended"
+)
+def step_second_deadline(context, deadline_ms):
+    _send_second(context, deadline_ms / 1000)
+
+
+def _send_second(context, deadline_s):
+    context.callers[0].join()
+    _set_duration(context, context.for_s * context.times_slower)
+    context.answers["asked-second"] = context.caller.send(
+        "asked-second", PATHS["stream"], deadline_s=deadline_s
+    )
+    context.caller.close()
+    _finish(context)
+
+
+@then("the first stream was whole")
+def step_first_whole(context):
+    answer = context.answers["asked-first"]
+    assert answer.is_whole and answer.status == 200 and not answer.closes, answer
+
+
+@then(
+    "the second one was refused, the connection announced its end, and it did not run"
+)
+def step_second_refused(context):
+    answer = context.answers["asked-second"]
+    assert answer.is_whole and answer.status == 503 and answer.closes, answer
+    assert "asked-second" not in _ran(context)
+
+
+@then("both streams were whole")
+def step_both_whole(context):
+    step_first_whole(context)
+    second = context.answers["asked-second"]
+    assert second.is_whole and second.status == 200, second
+
+
+# What a gateway knows of its streams.
+
+
+@given("{count:d} requests for streams have been refused")
+def step_many_refused(context, count):
+    (engine,) = context.platform.replicas.values()
+    engine.rest = "0.2"
+    for number in range(count):
+        caller = StopCaller(context.platform)
+        answer = caller.send(f"refused-{number}", PATHS["stream"])
+        assert answer.status == 503, answer
+        caller.close()
+    engine.rest = None
+    time.sleep(ARRIVE_S)
