--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -61,7 +61,7 @@
 
 @when("idle connections are to be closed and a request starts before the close")
 def step_start_before_close(context):
-    context.server._close_idle()
+    context.server.close_idle()
     # The event loop may deliver the request's bytes to the greenlet before it runs
     # the scheduled close.
     context.reader.is_reading = True
@@ -73,7 +73,7 @@
 @when("a request is sent and the idle connections are closed at once")
 def step_send_and_close(context):
     context.connection.sendall(REQUEST)
-    context.server._close_idle()
+    context.server.close_idle()
 
 
 @then("the request is answered")
@@ -86,9 +86,9 @@
 @then("the connection is closed once it is idle again")
 def step_closed(context):
     gevent.sleep(0.02)
-    context.server._close_idle()
+    context.server.close_idle()
     assert context.connection.recv(10) == b""
-    context.server._stop_accepting()
+    context.server.stop_accepting()
 
 
 # Stalls of the process.
@@ -184,7 +184,7 @@
     assert second.endswith(b"whole"), second
     assert context.connection.recv(10) == b""
     context.closing.kill()
-    context.server._stop_accepting()
+    context.server.stop_accepting()
 
 
 # Requests that are begun in a stop.
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -1,7 +1,6 @@
 """Accept callers' connections, and close them gracefully on shutdown."""
 
 import socket
-import time
 from collections.abc import Callable
 
 import gevent
@@ -24,16 +23,6 @@
 
 #: length of the kernel's accept queue, for bursts of connections.
 BACKLOG = 1024
-#: new connections are still accepted for this long after a stop was requested; the
-#: load balancer needs two failed health checks, a second apart, to detect it.
-ACCEPT_WHILE_STOPPING_S = 2.6
-#: idle connections stay open for this long after a stop was requested. The response
-#: to a last request announces the close, so fewer closes race with a request.
-IDLE_WHILE_STOPPING_S = 2.0
-#: how long the requests that are cut at the end of a stop may take to log it.
-KILL_TIMEOUT_S = 0.1
-#: seconds between checks for connections that are still open.
-STOP_POLL_S = 0.05
 
 
 class GatewayServer:
@@ -57,7 +46,7 @@
         self._admission = admission
         self._address = address
         self._handler = handler
-        self._stop = handler.stop
+        self.stop = handler.stop
         self._read_limits = read_limits
         self._grace_s = grace_s
         self._listener: socket.socket | None = None
@@ -90,36 +79,34 @@
     @property
     def is_stopping(self) -> bool:
         """Whether a stop was requested."""
-        return self._stop.is_stopping
+        return self.stop.is_stopping
+
+    @property
+    def open_greenlets(self) -> list[gevent.Greenlet]:
+        """What serves the open connections."""
+        return list(self._readers)
+
+    @property
+    def busy_count(self) -> int:
+        """The number of requests that are being served."""
+        return len(self._busy)
 
     def close(self) -> None:
         """Stop gracefully: finish requests already read, within the grace period."""
-        started_s = time.monotonic()
-        end_s = started_s + self._grace_s
-        self._stop.begin(end_s)
-        while time.monotonic() < end_s:
-            elapsed_s = time.monotonic() - started_s
-            if elapsed_s > IDLE_WHILE_STOPPING_S:
-                self._close_idle()
-            if elapsed_s > ACCEPT_WHILE_STOPPING_S:
-                self._stop_accepting()
-                if not self._readers:
-                    break
-            gevent.sleep(STOP_POLL_S)
-        self._stop_accepting()
-        _log.bind(
-            cut=len(self._busy), took_s=round(time.monotonic() - started_s, 2)
-        ).info("Stopped serving callers.")
-        gevent.killall(list(self._readers), timeout=KILL_TIMEOUT_S)
-
-    def _stop_accepting(self) -> None:
+        from kumquatseam.gateway._server_stop import stop_server
+
+        stop_server(self, self._grace_s)
+
+    def stop_accepting(self) -> None:
+        """Accept no further connections."""
         if self._accepting is not None:
             self._accepting.kill()
             self._admission.close()
             self._accepting = None
             self._listener.close()
 
-    def _close_idle(self) -> None:
+    def close_idle(self) -> None:
+        """Close the connections that wait for a request."""
         loop = gevent.get_hub().loop
         for greenlet, reader in list(self._readers.items()):
             loop.run_callback(self._close_if_idle, greenlet, reader)
--- /dev/null
+++ b/src/kumquatseam/gateway/_server_stop.py
@@ -0,0 +1,43 @@
+"""Stop a server gracefully; loaded with the stop."""
+
+import time
+
+import gevent
+
+from kumquatseam.logs import part_logger
+
+_log = part_logger("server")
+
+#: new connections are still accepted for this long after a stop was requested; the
+#: load balancer needs two failed health checks, a second apart, to detect it.
+ACCEPT_WHILE_STOPPING_S = 2.6
+#: idle connections stay open for this long after a stop was requested. The response
+#: to a last request announces the close, so fewer closes race with a request.
+IDLE_WHILE_STOPPING_S = 2.0
+#: how long the requests that are cut at the end of a stop may take to tell it.
+KILL_TIMEOUT_S = 0.1
+#: seconds between checks for connections that are still open.
+STOP_POLL_S = 0.05
+
+
+def stop_server(server, grace_s: float) -> None:
+    """Finish the requests already read, within the grace period.
+
+    :param server: the ``GatewayServer``.
+    :param grace_s: maximum duration.
+    """
+    started_s = time.monotonic()
+    server.stop.begin(started_s + grace_s)
+    while server.stop.left_s > 0:
+        elapsed_s = time.monotonic() - started_s
+        if elapsed_s > IDLE_WHILE_STOPPING_S:
+            server.close_idle()
+        if elapsed_s > ACCEPT_WHILE_STOPPING_S:
+            server.stop_accepting()
+            if not server.open_greenlets:
+                break
+        gevent.sleep(STOP_POLL_S)
+    server.stop_accepting()
+    took_s = round(time.monotonic() - started_s, 2)
+    _log.bind(cut=server.busy_count, took_s=took_s).info("Stopped serving callers.")
+    gevent.killall(server.open_greenlets, timeout=KILL_TIMEOUT_S)
