--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -41,9 +41,9 @@
 UNCONFIGURED_RETRY_S = 0.5
 #: Retry-After of an instance that stops; others serve the request at once.
 STOPPING_RETRY_S = 0.05
-#: Retry-After after an internal error; short, since another instance may serve the
-#: request.
-INTERNAL_ERROR_RETRY_S = 0.1
+#: Retry-After of a request that the router itself ends; short, since another instance
+#: may serve it.
+OWN_FAULT_RETRY_S = 0.1
 
 
 @attrs.frozen
@@ -136,11 +136,16 @@
         except gevent.GreenletExit:
             if exchange is not None:
                 self._record_cut(job, exchange.cut(CutBy.STOP, "grace over"))
-            raise
+            outcome = Reason.STOPPING.value
+            fault = self._own_fault(Reason.STOPPING, exchange)
+            if fault.is_not_run:
+                self._refund(grant)
+            # A caller must be able to tell this from a lost connection.
+            return self._refuse(request_id, caller, may_keep_alive, fault)
         except Exception:  # noqa: BLE001 - logged; the caller still gets a response
             _log.bind(request=request_id).exception("Serving failed unexpectedly.")
             outcome = Reason.INTERNAL_ERROR.value
-            fault = self._internal_error(exchange is not None and exchange.has_sent)
+            fault = self._own_fault(Reason.INTERNAL_ERROR, exchange)
             if fault.is_not_run:
                 self._refund(grant)
             else:
@@ -235,16 +240,14 @@
             self._parts.quotas.refund(grant)
 
     @staticmethod
-    def _internal_error(has_sent: bool) -> RefusedError:
-        """Return the response to a request that failed by an error of the router.
+    def _own_fault(reason: Reason, exchange: Exchange | None) -> RefusedError:
+        """Return the response to a request that the router itself ends.
 
         If nothing was sent, the request has not run, so the caller may retry it.
         """
-        if has_sent:
-            return RefusedError(502, Reason.INTERNAL_ERROR)
-        return RefusedError(
-            503, Reason.INTERNAL_ERROR, INTERNAL_ERROR_RETRY_S, "nothing was sent"
-        )
+        if exchange is not None and exchange.has_sent:
+            return RefusedError(502, reason)
+        return RefusedError(503, reason, OWN_FAULT_RETRY_S, "nothing was sent")
 
     def _read_call(self, request: Request) -> Call:
         try:
