--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -202,7 +202,12 @@
 
 @when("it stops in {left_s:g} seconds")
 def step_stops_in(context, left_s):
-    job = SimpleNamespace(route=SimpleNamespace(name=ROUTE))
+    now_s = time.monotonic()
+    job = SimpleNamespace(
+        route=SimpleNamespace(name=ROUTE),
+        request=SimpleNamespace(received_s=now_s),
+        end_s=now_s + 10.0,
+    )
     context.handler.stop.begin(time.monotonic() + left_s)
     try:
         context.handler._check_stop(job)
--- a/features/steps/stops_that_cut_steps.py
+++ b/features/steps/stops_that_cut_steps.py
@@ -1,5 +1,6 @@
 """Steps for requests that a stop must not cut."""
 
+import contextlib
 import http.client
 import signal
 import threading
@@ -16,6 +17,8 @@
 EVENTS = 10
 #: callers whose requests make a gateway know how long its streams take.
 MOST_CALLERS = 20
+#: how long before the end of a response its connection brings the next request.
+EARLY_S = 0.05
 #: after the requests were sent, time for them to reach their upstream.
 ARRIVE_S = 0.3
 
@@ -51,6 +54,34 @@
 
     def send(self, request_id, path, is_chunked=False, deadline_s=DEADLINE_S) -> Answer:
         """Send a request and return its answer."""
+        headers = self._headers(request_id, path, deadline_s)
+        body = [b"que", b"stion"] if is_chunked else b"question"
+        try:
+            self._connection.request(
+                "POST", path, body, headers, encode_chunked=is_chunked
+            )
+        except OSError:
+            return Answer(ended_s=time.monotonic())
+        return self._read(self._connection.getresponse)
+
+    def send_early(self, request_id, path, deadline_s) -> None:
+        """Send a request behind the one that is being answered."""
+        headers = self._headers(request_id, path, deadline_s)
+        lines = [f"POST {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
+        head = "\r\n".join([*lines, "Content-Length: 8", "", ""])
+        self._connection.sock.sendall(head.encode() + b"question")
+
+    def receive_next(self) -> Answer:
+        """Return the answer to the request that was sent early."""
+
+        def receive():
+            response = http.client.HTTPResponse(self._connection.sock, method="POST")
+            response.begin()
+            return response
+
+        return self._read(receive)
+
+    def _headers(self, request_id, path, deadline_s) -> dict:
         headers = {
             "Host": "a.example",
             "X-Request-Id": request_id,
@@ -59,18 +90,16 @@
         }
         if path == PATHS["stream"]:
             headers |= self._world.stream_headers()
-        body = [b"que", b"stion"] if is_chunked else b"question"
+        return headers
+
+    @staticmethod
+    def _read(receive) -> Answer:
         answer = Answer()
-        try:
-            self._connection.request(
-                "POST", path, body, headers, encode_chunked=is_chunked
-            )
-            response = self._connection.getresponse()
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            response = receive()
             answer.status, answer.closes = response.status, response.will_close
             answer.body = response.read()
             answer.is_whole = True
-        except (OSError, http.client.HTTPException):
-            pass
         answer.ended_s = time.monotonic()
         return answer
 
@@ -242,6 +271,7 @@
         )
 
     context.callers = [threading.Thread(target=stream)]
+    context.first_ends_s = time.monotonic() + for_s
     context.callers[0].start()
     time.sleep(ARRIVE_S)
     _stop(context)
@@ -286,11 +316,12 @@
 
 
 def _send_second(context, deadline_s):
-    context.callers[0].join()
+    # Before the first one has ended, so that the connection is never idle.
+    time.sleep(max(0.0, context.first_ends_s - EARLY_S - time.monotonic()))
+    context.caller.send_early("asked-second", PATHS["stream"], deadline_s)
     _set_duration(context, context.for_s * context.times_slower)
-    context.answers["asked-second"] = context.caller.send(
-        "asked-second", PATHS["stream"], deadline_s=deadline_s
-    )
+    context.callers[0].join()
+    context.answers["asked-second"] = context.caller.receive_next()
     context.caller.close()
     _finish(context)
 
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -1,6 +1,5 @@
 """Serve one request: authenticate, match a route, apply quotas, forward, respond."""
 
-import math
 import random
 import time
 from collections.abc import Callable
@@ -39,8 +38,6 @@
 DEFAULT_DEADLINE_S = 30.0
 #: Retry-After before the first configuration is loaded, which takes about this long.
 UNCONFIGURED_RETRY_S = 0.5
-#: Retry-After of an instance that stops; others serve the request at once.
-STOPPING_RETRY_S = 0.05
 #: Retry-After of a request that the router itself ends; short, since another instance
 #: may serve it.
 OWN_FAULT_RETRY_S = 0.1
@@ -206,15 +203,10 @@
     def _check_stop(self, job: Job) -> None:
         """Check that a request can be finished before this instance stops.
 
-        :raises RefusedError: if requests of its route may take longer.
+        :raises RefusedError: if it may take longer.
         """
-        stops_in_s = self._parts.stop.left_s
-        if stops_in_s == math.inf:
-            return
         allowed_s = self._parts.metrics.allowed_s(job.route.name)
-        if allowed_s > stops_in_s:
-            detail = f"needs {allowed_s:.2f} s, {stops_in_s:.2f} s left"
-            raise RefusedError(503, Reason.STOPPING, STOPPING_RETRY_S, detail)
+        self.stop.check(job.request.received_s, job.end_s, allowed_s)
 
     def _acquire_quota(self, job: Job) -> QuotaGrant | None:
         """Charge the request to its team's quota, if there is one.
--- a/src/kumquatseam/gateway/_server_stop.py
+++ b/src/kumquatseam/gateway/_server_stop.py
@@ -4,13 +4,11 @@
 
 import gevent
 
+from kumquatseam.gateway._stop_clock import ADMIT_WHILE_STOPPING_S
 from kumquatseam.logs import part_logger
 
 _log = part_logger("server")
 
-#: new connections are still accepted for this long after a stop was requested; the
-#: load balancer needs two failed health checks, a second apart, to detect it.
-ACCEPT_WHILE_STOPPING_S = 2.6
 #: idle connections stay open for this long after a stop was requested. The response
 #: to a last request announces the close, so fewer closes race with a request.
 IDLE_WHILE_STOPPING_S = 2.0
@@ -32,7 +30,7 @@
         elapsed_s = time.monotonic() - started_s
         if elapsed_s > IDLE_WHILE_STOPPING_S:
             server.close_idle()
-        if elapsed_s > ACCEPT_WHILE_STOPPING_S:
+        if elapsed_s > ADMIT_WHILE_STOPPING_S:
             server.stop_accepting()
             if not server.open_greenlets:
                 break
--- a/src/kumquatseam/gateway/_stop_clock.py
+++ b/src/kumquatseam/gateway/_stop_clock.py
@@ -1,8 +1,18 @@
-"""When this instance stops."""
+"""When this instance stops, and which requests it may begin until then."""
 
 import math
 import time
 
+from kumquatseam.gateway._refusals import Reason, RefusedError
+
+#: new connections, and requests that are expected to end in time, are accepted for this
+#: long after a stop was requested; the load balancer needs two failed health checks, a
+#: second apart, to detect it. Later ones come on kept connections only, and others
+#: serve them at once, so they need not rely on an estimate.
+ADMIT_WHILE_STOPPING_S = 2.6
+#: Retry-After of an instance that stops; others serve the request at once.
+STOPPING_RETRY_S = 0.05
+
 
 class StopClock:
     """Tells how long requests may still take, once a stop was requested."""
@@ -28,3 +38,18 @@
     def left_s(self) -> float:
         """Time until what is still served is cut; infinite unless it stops."""
         return max(0.0, self._end_s - time.monotonic())
+
+    def check(self, received_s: float, end_s: float, allowed_s: float) -> None:
+        """Check that a request that is sent now can end before the stop.
+
+        :param received_s: when it was received.
+        :param end_s: when its deadline passes; it ends by then in any case.
+        :param allowed_s: the time to allow for it.
+        :raises RefusedError: if it may be cut.
+        """
+        if end_s <= self._end_s:
+            return
+        is_late = received_s > self.began_s + ADMIT_WHILE_STOPPING_S
+        if is_late or allowed_s > self.left_s:
+            detail = f"needs {allowed_s:.2f} s, {self.left_s:.2f} s left"
+            raise RefusedError(503, Reason.STOPPING, STOPPING_RETRY_S, detail)
