Expect of a request in a stop what requests recently took, not all ends at once

Callers whose requests a stopping gateway began were cut when its grace ended. The check took the 99th percentile of everything on the route since the start: 400 refusals within milliseconds, or 200 short streams before a slower one, made streams of 3.4 s look short, and a process that had served nothing began all.

The longest response of the last 30 to 60 s counts, 1.5 times as before; if there is none, nothing is begun but what its own deadline ends in time. Three floats a route instead of a histogram read.

A refusal costs the caller one connection to another instance; a cut of a request that may run once costs the whole request. The steps record the outcome of real answers now, with the bounds that they had.

--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -196,7 +196,7 @@
 def step_requests_took(context, took_s):
     metrics = GatewayMetrics()
     for number in range(1, 5):
-        metrics.record_request(ROUTE, "ok", took_s * number / 4)
+        metrics.record_request(ROUTE, "answered_2xx", took_s * number / 4)
     context.handler = RequestHandler(SimpleNamespace(metrics=metrics, stop=StopClock()))
 
 
--- a/src/kumquatseam/metrics/_gateway.py
+++ b/src/kumquatseam/metrics/_gateway.py
@@ -4,12 +4,15 @@
 from collections.abc import Callable
 
 from kumquatseam.metrics._latency import LatencyHistogram
+from kumquatseam.metrics._recent_longest import RecentLongest
 
 #: significant digits of a latency; limits the memory of a histogram per route and
 #: kind of latency.
 _DIGITS = 2
 #: label of the software version at which a stream went on.
 _VERSIONS = {True: "same", False: "other", None: "unknown"}
+#: outcome of requests that tell how long the next one may take.
+ANSWERED = "answered_2xx"
 #: versions and causes under which cuts are counted; the oldest ones are dropped.
 MAX_CUT_SERIES = 64
 
@@ -30,6 +33,7 @@
         self.continuations: collections.Counter[tuple[str, str]] = collections.Counter()
         self.moves: collections.Counter[tuple[str, str]] = collections.Counter()
         self.cuts: collections.Counter[tuple[str, str, str]] = collections.Counter()
+        self._answered: dict[str, RecentLongest] = {}
         self.latencies: dict[tuple[str, str], LatencyHistogram] = {}
         self.counters: dict[str, Callable[[], float]] = {}
         self.gauges: dict[str, Callable[[], float]] = {}
@@ -38,11 +42,16 @@
         """Record a finished request."""
         self.requests[route, outcome] += 1
         self._record("request_seconds", route, took_s)
+        if outcome == ANSWERED:
+            longest = self._answered.get(route)
+            if longest is None:
+                longest = self._answered[route] = RecentLongest()
+            longest.record(took_s)
 
     def allowed_s(self, route: str) -> float:
-        """Return the time to allow for a route's next request; 0 if unknown."""
-        latency = self.latencies.get(("request_seconds", route))
-        return latency.allowed_s if latency is not None else 0.0
+        """Return the time to allow for a route's next request; infinite if unknown."""
+        longest = self._answered.get(route)
+        return longest.allowed_s if longest is not None else float("inf")
 
     def record_retry(self, cause: str, is_allowed: bool) -> None:
         """Record that a request was to be sent to an upstream once more.
