--- a/features/stops_that_cut.feature
+++ b/features/stops_that_cut.feature
@@ -14,8 +14,8 @@
       | stream         | stream | a length |
       | body in chunks | stream | chunks   |
 
-  Scenario: Requests that wait for an upstream when a stop begins are refused at once
-    Given a gateway that has served 3 streams of 1 seconds
+  Scenario: Requests that wait for an upstream and would outlast a stop are refused at once
+    Given a gateway that has served 3 streams of 2.5 seconds
     And its only engine does not accept requests
     When 4 streams wait for an engine, and the gateway gets SIGTERM
     Then each was refused within 1 second of the SIGTERM, and none ran
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -451,8 +451,7 @@
             placement.status.upstream.address, job.remaining_s, job.call.request_id
         )
 
-    @staticmethod
-    def _check_open(placement: Placement) -> None:
+    def _check_open(self, placement: Placement) -> None:
         """Check that the upstream still wants requests, just before one is sent.
 
         Permissions, grants and connections take time, in which it may say that it does
@@ -461,7 +460,9 @@
 
         :raises UpstreamClosedError: if it does not, or the request would start too late
             on its weights.
+        :raises RefusedError: if this instance may stop before it has ended.
         """
+        self._failure.check_stop()
         reasons = STATED_REASONS
         if placement.moved_run is not None:
             reasons = tuple(r for r in reasons if r is not Unavailability.LEAVING)
--- a/src/kumquatseam/gateway/_failure.py
+++ b/src/kumquatseam/gateway/_failure.py
@@ -42,6 +42,20 @@
             self._progress.failed_by = CutBy.DEADLINE
             self.fail(Reason.TIMED_OUT, "deadline passed")
 
+    def check_stop(self) -> None:
+        """End the request if this instance may stop before its response has ended.
+
+        A response that has begun goes on for as long as it can.
+        """
+        if self._caller.has_started_response:
+            return
+        job, parts = self._job, self._parts
+        allowed_s = parts.metrics.allowed_s(job.route.name)
+        try:
+            parts.stop.check(job.request.received_s, job.end_s, allowed_s)
+        except RefusedError as error:
+            self.fail(error.reason, error.detail, error.retry_after_s)
+
     def fail(
         self,
         reason: Reason,
--- a/src/kumquatseam/gateway/_upstream_choice.py
+++ b/src/kumquatseam/gateway/_upstream_choice.py
@@ -97,6 +97,7 @@
         timeout_at_s = time.monotonic() + job.remaining_s * share
         while True:
             self._failure.check_deadline()
+            self._failure.check_stop()
             self._check_version_served()
             placement = None
             if self._continuation.is_its_turn():
