Load what follows a failed attempt with the first one

_exchange held the decisions after each kind of failure; they are one concept of their own (_failed_attempts) and most starting instances need none.

--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -1,5 +1,6 @@
 """Forward one request: choose upstreams, retry, and pass the response on."""
 
+import functools
 import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -36,7 +37,6 @@
     RequestUnsentError,
     ResponseHead,
     ResponseInterruptedError,
-    ResponseTimeoutError,
     UpstreamConnection,
     encode_request,
 )
@@ -51,6 +51,7 @@
 )
 
 if TYPE_CHECKING:
+    from kumquatseam.gateway._failed_attempts import FailedAttempts
     from kumquatseam.gateway._stopped_run import StoppedRun
 
 _log = part_logger("exchange")
@@ -62,18 +63,11 @@
     RequestUnsentError,
     UpstreamClosedError,
 )
-#: a request fails after this many upstreams refused it; each further attempt
-#: counts against the retry budget of the whole fleet.
-MAX_REFUSALS = 4
-#: a request fails after it could not connect to any upstream this many times.
-MAX_CONNECT_ROUNDS = 2
 #: status of an upstream that is not the expected one, or not on the expected weights.
 MISDIRECTED = 421
 #: share of its remaining time that a retryable request waits for the first byte of
 #: one upstream.
 FIRST_BYTE_TIMEOUT_SHARE = 0.45
-#: logged if a request did not start before the grace of replaced weights expired.
-GRACE_EXPIRED_DETAIL = "not started before the grace of replaced weights expired"
 
 
 class Exchange:
@@ -185,40 +179,28 @@
             self._take_stopped_run(moved.run)
         except NOT_BEGUN_ERRORS as error:
             if self._stopped_run is None:
-                self._after_not_begun(placement, error)
+                self._failures.after_not_begun(placement, error)
             else:
-                self._log_failure(placement, str(error))
+                self._failures.log(placement, str(error))
                 self._grants.release_limit()
                 if isinstance(error, NotRunError) and error.is_misdirected:
                     self._stopped_run.note_misdirected(placement)
         except RetryableFailureError as error:
             self._progress.buffered_failure = error.response
-            self._after_failure(placement, "server error response")
+            self._failures.after_failure(placement, "server error response")
         except ResponseInterruptedError as error:
             run = self._stopped_run
             if run is not None and run.may_ask_again(placement, error, self._response):
-                self._log_failure(placement, error.detail)
+                self._failures.log(placement, error.detail)
             else:
-                self._after_interrupted(placement, error)
+                self._failures.after_interrupted(placement, error)
         except GraceExpiredError:
-            self._after_grace_expired(placement)
+            self._failures.after_grace_expired(placement)
         except CallerDisconnectedError:
             self._guard.note_abandoned(placement)
             raise
         return None
 
-    def _after_not_begun(self, placement: Placement, error: Exception) -> None:
-        """Choose again: the upstream has not begun to run the request."""
-        match error:
-            case NotRunError():
-                self._after_refusal(placement)
-            case ConnectFailedError():
-                self._after_connect_failure(placement, error)
-            case RequestUnsentError():
-                self._after_unsent(placement, error)
-            case _:
-                self._after_closed(placement, str(error))
-
     # Placement.
 
     def _next_placement(self) -> Placement:
@@ -255,7 +237,7 @@
             self._failure.fail(
                 Reason.INTERRUPTED, "no engine went on with the moved run"
             )
-        self._consume_retry(RetryCause.FAILED)
+        self._failures.consume_retry(RetryCause.FAILED)
 
     def _acquire_permission(self) -> None:
         """Get the quarantine's permission for the next attempt.
@@ -269,149 +251,30 @@
         except QuarantinedError as error:
             self._failure.fail(Reason.QUARANTINED, str(error), error.retry_after_s)
 
-    # Failed attempts.
-
-    def _after_refusal(self, placement: Placement) -> None:
-        progress = self._progress
-        progress.refusals += 1
-        progress.excluded.add(placement.status.upstream.incarnation_id)
-        if progress.refusals >= MAX_REFUSALS:
-            self._failure.fail(Reason.ALL_REFUSED, f"{progress.refusals} refusals")
-        self._consume_retry(RetryCause.REFUSED)
-
-    def _after_connect_failure(
-        self, placement: Placement, error: ConnectFailedError
-    ) -> None:
-        if error.is_upstream_fault:
-            self._parts.directory.note_connection_failure(
-                placement.status, "connect failed"
-            )
-            self._guard.note_unreachable(placement)
-        self._log_failure(placement, str(error))
-        self._grants.release_limit()
-        progress = self._progress
-        progress.connect_failures += 1
-        upstreams = len(self._parts.directory.of_service(self._job.service.name))
-        if not error.is_upstream_fault or (
-            progress.connect_failures > MAX_CONNECT_ROUNDS * upstreams
-        ):
-            # No upstream can be reached, so the request would go round in vain.
-            self._failure.fail(Reason.NO_UPSTREAM, str(error))
-        self._progress.excluded.add(placement.status.upstream.incarnation_id)
-
-    def _after_unsent(self, placement: Placement, error: RequestUnsentError) -> None:
-        """Choose again: the upstream wants no requests from whoever carries them."""
-        if error.for_s:
-            placement.status.availability.extend(Unavailability.RESTING, error.for_s)
-        self._permission.note_refused()
-        self._progress.attempts -= 1
-        self._after_closed(placement, str(error))
-
-    def _after_closed(self, placement: Placement, detail: str) -> None:
-        """Choose again, since nothing was sent to an upstream that wants no requests.
-
-        The placer does not choose it any more.
-        """
-        self._log_failure(placement, detail)
-        self._grants.release_limit()
-
-    def _after_interrupted(
-        self, placement: Placement, error: ResponseInterruptedError
-    ) -> None:
-        self._events.drop_partial()
-        self._progress.failed_by = self._interrupted_by(error)
-        if not error.is_upstream_fault:
-            self._guard.note_abandoned(placement)
-            self._retry_unless_trial(placement, error.detail)
-            return
-        self._parts.directory.note_connection_failure(
-            placement.status, "response interrupted"
-        )
-        self._parts.pool.drop(placement.status.upstream.address)
-        self._guard.note_interrupted(placement)
-        self._retry_unless_trial(placement, error.detail)
-
-    def _interrupted_by(self, error: ResponseInterruptedError) -> CutBy:
-        if isinstance(error, ResponseTimeoutError):
-            is_over = self._job.remaining_s <= 0
-            return CutBy.DEADLINE if is_over else CutBy.SILENCE
-        return CutBy.UPSTREAM if error.is_upstream_fault else CutBy.TRANSPORT
-
-    def _retry_unless_trial(self, placement: Placement, detail: str) -> None:
-        """Retry, except for a trial: it must not crash a second upstream."""
-        if self._permission.is_trial:
-            self._progress.may_have_run = True
-            self._log_failure(placement, detail)
-            self._failure.fail(Reason.INTERRUPTED, detail)
-        self._after_failure(placement, detail)
-
-    def _after_grace_expired(self, placement: Placement) -> None:
-        """Retry on an engine with newer weights if the request is retryable.
-
-        The request may have started at the last moment, so it counts as possibly
-        run. Its engine is not excluded: once it runs newer weights, it may be chosen
-        again.
-        """
-        self._guard.note_abandoned(placement)
-        self._progress.failed_by = CutBy.GRACE
-        if self._permission.is_trial:
-            self._progress.may_have_run = True
-            self._failure.fail(Reason.INTERRUPTED, GRACE_EXPIRED_DETAIL)
-        self._retry_or_fail(placement, GRACE_EXPIRED_DETAIL, RetryCause.GRACE_EXPIRED)
-
-    def _after_failure(self, placement: Placement, detail: str) -> None:
-        """Retry on another upstream if the request is retryable."""
-        self._progress.excluded.add(placement.status.upstream.incarnation_id)
-        self._retry_or_fail(placement, detail, RetryCause.FAILED)
-
-    def _retry_or_fail(
-        self, placement: Placement, detail: str, cause: RetryCause
-    ) -> None:
-        """Retry, on the same upstream too, if the request is retryable.
-
-        :raises RefusedError: if it may not be retried.
-        """
-        job, progress = self._job, self._progress
-        progress.may_have_run = True
-        self._log_failure(placement, detail)
-        self._failure.check_deadline()
-        can_continue = not self._caller.has_started_response or job.route.is_resumable
-        if not job.route.is_retryable or not can_continue:
-            self._failure.fail(Reason.INTERRUPTED, detail)
-        if progress.attempts >= job.route.max_attempts:
-            self._failure.fail(Reason.INTERRUPTED, f"{detail}; no attempts left")
-        self._consume_retry(cause)
-
-    def _consume_retry(self, cause: RetryCause) -> None:
-        """Note that the next attempt needs a grant of the service's retry budget.
-
-        :raises RefusedError: if the budget is known to be used up.
-        """
-        if not self._grants.need_retry(cause):
-            self._acquire_retry_grant()
-
     def _acquire_retry_grant(self) -> None:
         """Get a grant for the attempt that is about to be sent, if it needs one.
 
         :raises RefusedError: if the retry budget is used up.
         """
         if not self._grants.acquire_retry():
-            self._failure.fail(Reason.BUDGET_SPENT, "retry budget used up")
+            self._failure.fail_for_budget()
 
-    def _log_failure(self, placement: Placement, detail: str) -> None:
-        now_s = time.monotonic()
-        first_s, sent_s = self._times.attempt_first_event_s, self._times.sent_s
-        _log.bind(
-            request=self._job.call.request_id,
-            fingerprint=self._job.fingerprint,
-            parts=self._job.prompt_parts.ids,
-            upstream=placement.status.upstream.incarnation_id,
-            attempt=self._progress.attempts,
-            remaining_s=round(self._job.remaining_s, 3),
-            sent_ago_s=round(now_s - sent_s, 3) if sent_s is not None else None,
-            first_event_ago_s=round(now_s - first_s, 3) if first_s else None,
-            detail=detail,
-        ).info("Attempt failed.")
+    @functools.cached_property
+    def _failures(self) -> "FailedAttempts":
+        """What follows a failed attempt; loaded with the first one."""
+        from kumquatseam.gateway._failed_attempts import FailedAttempts
+
+        return FailedAttempts(
+            self._parts,
+            self._job,
+            self._caller,
+            self._progress,
+            self._grants,
+            self._failure,
+            self._guard,
+            self._events,
+            self._times,
+        )
 
     # One attempt.
 
--- a/src/kumquatseam/gateway/_failure.py
+++ b/src/kumquatseam/gateway/_failure.py
@@ -56,6 +56,10 @@
         except RefusedError as error:
             self.fail(error.reason, error.detail, error.retry_after_s)
 
+    def fail_for_budget(self) -> None:
+        """End the request for want of a retry."""
+        self.fail(Reason.BUDGET_SPENT, "retry budget used up")
+
     def fail(
         self,
         reason: Reason,
