A stopped run is asked for until its memory can have been copied

Callers saw a closed connection of a stream that may run once, on a sound engine. Cause: the call that stops the run waits 0.4 s (then its error is a ReadTimeoutError, and what it did is unknown); after three rounds, 0.45 s, the gateway gave the run up (by=move), while the rest of its memory still waited for a link, and both engines refused it.

A fourth round makes it 1.05 s, 1.45 s from the stop, less than the two seconds after which callers leave. It costs two retries more for a run that every engine refuses; the budget still has the last word.

The stand-in's engines can let a copy wait for a link, and have lengths by request.

--- a/features/steps/platform_moves.py
+++ b/features/steps/platform_moves.py
@@ -32,6 +32,23 @@
     RESET = "it is done, and the destination resets the connection unread"
 
 
+@attrs.frozen
+class SlowCopy:
+    """The source stops the run at once, and the rest of its memory waits for a link.
+
+    Until it is copied, neither engine goes on with the run.
+
+    :param for_s: how long it waits.
+    """
+
+    for_s: float
+
+
+@attrs.frozen
+class BusyLink(SlowCopy):
+    """The same, and all that is copied before that waits as long."""
+
+
 @attrs.define(eq=False)
 class ReplicaRun:
     """A stream that a replica runs, or ran until it was stopped.
@@ -58,6 +75,7 @@
     :param destination: the replica with a copy, if any.
     :param refusals: how often the destination still turns its request away.
     :param resets: how often it still resets the connection unread.
+    :param ready_s: until when neither engine goes on.
     """
 
     handle: str
@@ -68,6 +86,7 @@
     refusals: int = 0
     resets: int = 0
     expires_s: float = 0.0
+    ready_s: float = 0.0
 
 
 class ReplicaMoves:
@@ -126,6 +145,8 @@
             memory = self.memories.get(value)
             if memory is None or memory.is_used:
                 return None
+            if time.monotonic() < memory.ready_s:
+                return None
             is_here = memory.source is self._replica
             has_stopped = memory.run.is_stopping and memory.run.ended.is_set()
             if is_here and not has_stopped:
@@ -177,6 +198,11 @@
         if is_last:
             run.is_stopping = True
             run.ended.wait(STOP_TIMEOUT_S)
+            if isinstance(kind, SlowCopy):
+                self._memory(run).ready_s = time.monotonic() + kind.for_s
+                time.sleep(kind.for_s)
+        elif isinstance(kind, BusyLink):
+            time.sleep(kind.for_s)
         destination = self._replica.find(order["to"])
         has_room = (
             kind is not MoveAnswer.NO_ROOM
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -128,6 +128,8 @@
         self.born_ms = 1_700_000_000_000
         self.version = version
         self.events = events
+        #: number of events by request id, where it differs.
+        self.lengths: dict[str, int] = {}
         self.event_pause_s = event_pause_s
         self.load_s = load_s
         self.crashes_on = crashes_on
@@ -569,7 +571,8 @@
         crashes = self._crashes_under(seen)
         run = self.run_moves.begin(request_id)
         try:
-            for number in range(first, self.events + 1):
+            last = self.lengths.get(request_id, self.events)
+            for number in range(first, last + 1):
                 run.events = number - 1
                 if crashes and number == first + 1:
                     time.sleep(CRASHES_ON_PART_AFTER_S)
--- a/src/kumquatseam/gateway/_stopped_run.py
+++ b/src/kumquatseam/gateway/_stopped_run.py
@@ -16,9 +16,10 @@
 from kumquatseam.upstreams import InFlightRequest, Unavailability
 
 #: how often the engines that hold a run's memory are asked to go on with it.
-MAX_ROUNDS = 3
-#: pause before the second round; doubles each time. An engine that refuses may still be
-#: copying, and callers abandon a stream after two seconds without events.
+MAX_ROUNDS = 4
+#: pause before the second round; doubles each time, to 1.05 s in all. An engine that
+#: refuses may still be copying, and callers abandon a stream after two seconds without
+#: events, of which the call that stopped the run may have taken 0.4.
 ROUND_PAUSE_S = 0.15
 
 
