In a stop, only runs that are sure to end in time are moved

Callers of a gateway that stops saw streams that may run once closed, though their engine was sound and had ended its part: a move had stopped the run late in the grace, and no engine had begun again (by=move), or the engine that went on was sent it more than three seconds after the SIGTERM, only to be cut with the gateway.

Cause: a move did not ask how much time its own instance had left. Its last step cannot be undone, and a run can always stay: an engine that is ordered to load finishes its runs first. Now a run is moved in a stop only if a request of its route that takes as long as is allowed for it, and pauses for as long as a move may take, still ends before the cut; this is asked before the copy, and again before the run is stopped.

--- a/features/moves_in_a_stop.feature
+++ b/features/moves_in_a_stop.feature
@@ -9,3 +9,23 @@
     When 8 streams have begun and weights are named
     Then runs were stopped by moves
     And every stream was answered whole
+
+  Scenario Outline: Weights are named <named_s> seconds after the SIGTERM of <which>
+    Given 2 gateways in front of 3 engines, streams have 110 events
+    And the rest of each run's memory waits <copy_s> seconds for a link
+    When streams run at <which>, which gets SIGTERM, and weights are named <named_s> seconds later
+    Then no stream is lost
+    And no run was stopped by a move after the SIGTERM
+
+    Examples:
+      | which                       | named_s | copy_s |
+      | the holder of the rollout   | 2.2     | 1.0    |
+      | a gateway beside the holder | 2.2     | 1.0    |
+      | a gateway beside the holder | 2.8     | 0.1    |
+
+  Scenario: A run that ends in time is moved in a stop as at any other time
+    Given 2 gateways in front of 3 engines, streams have 26 events
+    And 3 streams have ended at each gateway
+    When streams run at a gateway beside the holder, which gets SIGTERM, and weights are named 0 seconds later
+    Then runs were stopped by moves
+    And every stream was answered whole
--- a/src/kumquatseam/gateway/_relocation.py
+++ b/src/kumquatseam/gateway/_relocation.py
@@ -8,8 +8,12 @@
 A run is stopped last: only once its memory is copied, a place at the destination is
 reserved and a connection to it is open. Until then it goes on where it is, whatever
 fails. Once it is stopped, its source can go on with it as well as its destination.
+
+An engine that is ordered to load finishes its runs first, so a run can always stay. It
+does in a stop of this instance, unless it is sure to end before that cuts it.
 """
 
+import math
 import time
 
 import gevent
@@ -32,6 +36,9 @@
 #: pause before a run that was not moved is tried again: the destination engines get no
 #: new requests, so some of their runs have ended by then.
 RETRY_PAUSE_S = 0.25
+#: how long a run that a move stops may pause at most: the call that stops it, and the
+#: rounds in which its engines are asked to go on.
+MAX_PAUSE_S = 1.6
 #: answers to the call that stops a run after which it may have been stopped.
 _MAY_HAVE_STOPPED = (MoveOutcome.DONE, MoveOutcome.UNANSWERED)
 
@@ -50,6 +57,7 @@
         self._placement = placement
         self._move: _Move | None = None
         self._started_s = 0.0
+        self._stays = False
 
     def start_if_due(self) -> None:
         """Start moving the run if its engine is being drained."""
@@ -62,6 +70,9 @@
             return
         if self._job.call.tokens > MAX_MOVED_TOKENS:
             return
+        if not ends_in_time(self._parts, self._job):
+            self._stay("the stop leaves too little time")
+            return
         destination = self._parts.placer.move_destination(self._placement)
         if destination is None:
             return
@@ -69,8 +80,19 @@
         self._move = _Move(self._parts, self._job, self._placement, destination)
         self._move.start()
 
+    def _stay(self, reason: str) -> None:
+        """Let the run end where it is."""
+        self._stays = True
+        _log.bind(
+            request=self._job.call.request_id,
+            source=self._placement.status.upstream.incarnation_id,
+            reason=reason,
+        ).info("Run not moved.")
+
     def _may_start(self) -> bool:
         """Return whether no move is in progress or was tried too recently."""
+        if self._stays:
+            return False
         if self._move is None:
             return True
         if not self._move.is_over or self._move.may_have_stopped_run:
@@ -104,6 +126,23 @@
             self._move.close()
 
 
+def ends_in_time(parts, job: Job) -> bool:
+    """Return whether a run that pauses for a move ends before this instance cuts it.
+
+    It is expected to take no longer than requests of its route are allowed. One that
+    takes longer already tells nothing of its end.
+
+    :param parts: dependencies (``HandlerParts``).
+    :param job: the request.
+    """
+    stops_in_s = parts.stop.left_s
+    if stops_in_s == math.inf:
+        return True
+    allowed_s = parts.metrics.allowed_s(job.route.name)
+    left_s = allowed_s - (time.monotonic() - job.request.received_s)
+    return 0.0 < left_s <= stops_in_s - MAX_PAUSE_S
+
+
 class _Move:
     """One attempt to move a run to one destination.
 
@@ -238,6 +277,9 @@
             return self._abandon(str(error))
         if not self._parts.placer.may_move(self._source, self._destination.status):
             return self._abandon("source or destination changed")
+        # A stop may have been requested meanwhile.
+        if not ends_in_time(self._parts, self._job):
+            return self._abandon("the stop leaves too little time")
         return self._may_stop
 
     def _stop(self) -> None:
