Close a caller's connection once it has received the response

What callers saw: a response that its engine had ended arrived in part, and the connection was reset; no line told of it, since the request counted as answered. It takes bytes of the caller that nobody has read when the connection is closed (an empty line behind a body, the next request) while a part of the response is still on its way. A kept connection is not closed after a response, so it comes where the caller asked for the close, and in a stop, in which each response announces it.

Cause: close() with unread bytes sends a reset, and the kernel drops what it has not delivered. Only responses to bad requests were followed by a read.

A stop waits for those that remain within its grace, and does not take them for idle ones. Bad requests use the same end.

--- /dev/null
+++ b/features/last_bytes.feature
@@ -0,0 +1,31 @@
+Feature: The last bytes of a response reach the caller
+  What an engine wrote in time is not lost between this process and its caller. Guards
+  against closes that reset a connection while a part of the response is on its way,
+  and against callers that are given up although they still receive.
+
+  Scenario Outline: A caller sends <sent> while its response is on the way, and <end>
+    The caller receives slowly, so that most of the response is still in the system's
+    buffers when the gateway closes the connection.
+
+    Given a gateway whose engine streams 200 kB in half a second
+    When a slow caller sends <sent> behind its request, and <end>
+    Then the slow caller receives the whole response
+
+    Examples:
+      | sent            | end                              |
+      | an empty line   | asked for the close              |
+      | another request | asked for the close              |
+      | an empty line   | the response begins in a stop    |
+      | another request | the response begins in a stop    |
+
+  Scenario Outline: A caller that <does> holds up neither its connection nor a stop
+    Given a gateway whose engine streams 200 kB in half a second
+    When the gateway stops, and a caller that has its response <does>
+    Then the process ends within <within_s> seconds of the signal
+
+    Examples:
+      | does                            | within_s |
+      | closes its connection           | 3.0      |
+      | keeps its connection open       | 3.0      |
+      | keeps sending single bytes      | 3.5      |
+      | sends as much as it can         | 3.5      |
--- /dev/null
+++ b/features/steps/last_bytes_steps.py
@@ -0,0 +1,158 @@
+"""Steps for the end of a response, on raw connections of callers."""
+
+import signal
+import socket
+import threading
+import time
+
+from behave import given, then, when
+from platform_steps import step_platform
+from platform_world import KEY
+
+#: events of the stream, and the size of each.
+EVENTS = 40
+EVENT_BYTES = 5_000
+#: what a slow caller's system holds of a response, and how fast it is read.
+RECEIVE_BUFFER_BYTES = 4_096
+READ_BYTES = 8_192
+READ_PAUSE_S = 0.05
+#: how long it waits before it reads: the engine has ended its stream by then.
+READS_AFTER_S = 0.7
+TIMEOUT_S = 10.0
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def encode_call(world, request_id, path="/once/x", close=False) -> bytes:
+    """Return the bytes of a request with its body in chunks."""
+    headers = {
+        "Host": "a.example",
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": "12000",
+        "Authorization": f"Token {KEY}",
+        "Transfer-Encoding": "chunked",
+        **world.stream_headers(),
+    }
+    if close:
+        headers["Connection"] = "close"
+    fields = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    head = f"POST {path} HTTP/1.1\r\n{fields}\r\n".encode()
+    return head + b"8\r\nquestion\r\n0\r\n\r\n"
+
+
+def connect(world, buffer_bytes=None) -> socket.socket:
+    """Return a connection to the first gateway."""
+    caller = socket.socket()
+    if buffer_bytes is not None:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+    caller.settimeout(TIMEOUT_S)
+    caller.connect(("127.0.0.1", world.gateways[0].ports["front"]))
+    return caller
+
+
+def receive(caller, is_whole, read_bytes=READ_BYTES, pause_s=0.0):
+    """Receive until a response is whole or the connection ends.
+
+    :returns: the bytes, and how it ended.
+    """
+    data = bytearray()
+    try:
+        while not is_whole(data):
+            received = caller.recv(read_bytes)
+            if not received:
+                return bytes(data), "closed"
+            data += received
+            time.sleep(pause_s)
+    except OSError as error:
+        return bytes(data), repr(error)
+    return bytes(data), "whole"
+
+
+def _is_stream_whole(data) -> bool:
+    return LAST_CHUNK in data
+
+
+@given("a gateway whose engine streams 200 kB in half a second")
+def step_gateway(context):
+    step_platform(context)
+    world = context.platform
+    engine = world.add_replica("engines", "e0", version=1, events=EVENTS)
+    text = b"x" * EVENT_BYTES
+    engine._event = lambda number: b"id: %d\ndata: %b\n\n" % (number, text)
+    world.add_route("/once/", "stream", "engines", maxAttempts=1, timeoutMs=12_000)
+    world.put_configuration()
+    world.name_weights(1)
+    world.add_gateway()
+
+
+def _stop(context):
+    context.process = context.platform.gateways[0].process
+    context.process.send_signal(signal.SIGTERM)
+    context.stopped_s = time.monotonic()
+    time.sleep(0.3)
+
+
+@when("a slow caller sends {sent} behind its request, and {end}")
+def step_slow_caller(context, sent, end):
+    world = context.platform
+    if end == "the response begins in a stop":
+        _stop(context)
+    caller = connect(world, RECEIVE_BUFFER_BYTES)
+    with caller:
+        is_last = end == "asked for the close"
+        caller.sendall(encode_call(world, "slow", close=is_last))
+        time.sleep(0.05)
+        more = {"an empty line": b"\r\n", "another request": encode_call(world, "2")}
+        caller.sendall(more[sent])
+        time.sleep(READS_AFTER_S)
+        context.received = receive(caller, _is_stream_whole, READ_BYTES, READ_PAUSE_S)
+
+
+@then("the slow caller receives the whole response")
+def step_whole(context):
+    data, ended = context.received
+    engine = context.platform.replicas["e0"]
+    assert engine.seen[0].ended == "whole", engine.seen[0].ended
+    assert ended == "whole", (len(data), ended)
+    assert data.partition(LAST_CHUNK)[0].count(b"data: ") == EVENTS
+
+
+@when("the gateway stops, and a caller that has its response {does}")
+def step_stops(context, does):
+    world = context.platform
+    _stop(context)
+    # Time enough to act, until connections are no longer accepted.
+    time.sleep(1.5)
+    with connect(world) as caller:
+        caller.sendall(encode_call(world, "r"))
+        data, ended = receive(caller, _is_stream_whole)
+        assert ended == "whole", (len(data), ended)
+        if does == "closes its connection":
+            caller.close()
+        else:
+            thread = threading.Thread(target=_go_on, args=(caller, does))
+            thread.start()
+        context.process.wait(TIMEOUT_S)
+        context.ended_s = time.monotonic()
+        if does != "closes its connection":
+            thread.join()
+
+
+def _go_on(caller, does):
+    """Do what a caller does after its response, until the connection is reset."""
+    pause_s = {"keeps sending single bytes": 0.02, "sends as much as it can": 0.0}
+    if does not in pause_s:
+        return
+    piece = b"x" if pause_s[does] else b"x" * 65_536
+    end_s = time.monotonic() + TIMEOUT_S
+    try:
+        while time.monotonic() < end_s:
+            caller.sendall(piece)
+            time.sleep(pause_s[does])
+    except OSError:
+        return
+
+
+@then("the process ends within {within_s:g} seconds of the signal")
+def step_ends(context, within_s):
+    took_s = context.ended_s - context.stopped_s
+    assert took_s <= within_s, took_s
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -53,6 +53,8 @@
         self._accepting: gevent.Greenlet | None = None
         self._readers: dict[gevent.Greenlet, RequestReader] = {}
         self._busy: set[gevent.Greenlet] = set()
+        #: those whose callers still receive the last response.
+        self._ending: set[gevent.Greenlet] = set()
         self._open_count = 0
         self.accepted = 0
 
@@ -118,7 +120,8 @@
         greenlet later, possibly during a request that arrived meanwhile, and the
         caller would get no response at all.
         """
-        is_idle = greenlet not in self._busy and not reader.is_reading
+        is_served = greenlet in self._busy or greenlet in self._ending
+        is_idle = not is_served and not reader.is_reading
         if is_idle and not greenlet.dead and not reader.has_bytes():
             greenlet.throw(IdleConnectionError())
 
@@ -152,15 +155,23 @@
         reader = RequestReader(connection, self._read_limits())
         self._readers[greenlet] = reader
         caller = CallerConnection(connection)
+        bad_request = None
         try:
-            while self._serve_next(greenlet, reader, caller):
-                reader.set_limits(self._read_limits())
+            try:
+                while self._serve_next(greenlet, reader, caller):
+                    reader.set_limits(self._read_limits())
+            except BadRequestError as error:
+                bad_request = error
+            self._ending.add(greenlet)
+            # Loaded when first needed.
+            from kumquatseam.gateway._connection_end import end_connection
+
+            end_connection(caller, bad_request)
         except (IdleConnectionError, CallerDisconnectedError):
             # Normal ends of a connection; a request in progress logs its own end.
             pass
-        except BadRequestError as error:
-            self._respond_bad_request(caller, error)
         finally:
+            self._ending.discard(greenlet)
             self._readers.pop(greenlet, None)
 
     def _serve_next(
@@ -180,20 +191,3 @@
 
     def _may_keep(self, request) -> Callable[[], bool]:
         return lambda: request.keep_alive and not self.is_stopping
-
-    def _respond_bad_request(
-        self, caller: CallerConnection, error: BadRequestError
-    ) -> None:
-        _log.bind(status=error.status, detail=error.detail).info("Bad request.")
-        fields = [(b"Connection", b"close")]
-        try:
-            caller.send_response(error.status, fields, b"")
-            # With unread bytes, the close would send a reset, and the caller could
-            # lose the response; so discard for a moment what it still sends.
-            with gevent.Timeout(0.5, False):
-                while caller.socket.recv(65_536):
-                    pass
-        except (CallerDisconnectedError, OSError) as disconnect:
-            _log.bind(detail=repr(disconnect)).info(
-                "The caller disconnected before it received the error response."
-            )
