Wait a moment for a slow reader at the end of a log

What operators saw: the log of a process that ended broke off, without the lines of the requests that were cut at the end of its grace.

Cause: the end wrote once what the pipe took at that moment, and dropped the rest.

Now it goes on for up to 0.2 s, half of what the grace leaves for the end of the process; nothing is waited for if all is written. A reader that never reads again costs 0.2 s. A connection's end needs no set of its own: what still arrives on it is read.

--- a/features/last_bytes.feature
+++ b/features/last_bytes.feature
@@ -39,3 +39,13 @@
       | keeps its connection open  |
       | keeps sending single bytes |
       | sends as much as it can    |
+
+  Scenario Outline: The last lines of a log whose reader <reads>
+    Given a log whose pipe is full, with more lines pending
+    When the process ends its log, and the reader <reads>
+    Then <outcome>, and the end takes at most 0.35 seconds
+
+    Examples:
+      | reads                | outcome                |
+      | goes on a bit later  | every line arrives     |
+      | never reads again    | what was written stays |
--- a/features/steps/last_bytes_steps.py
+++ b/features/steps/last_bytes_steps.py
@@ -1,14 +1,19 @@
 """Steps for the end of a response, on raw connections of callers."""
 
+import json
+import os
 import signal
 import socket
 import threading
 import time
 
 from behave import given, then, when
+from loguru import logger
 from platform_steps import step_platform
 from platform_world import KEY, GatewayProcess, wait_until
 
+from kumquatseam.logs import LineWriter
+
 #: events of the stream, and the size of each.
 EVENTS = 40
 EVENT_BYTES = 5_000
@@ -182,3 +187,55 @@
 def step_ends(context):
     took_s = context.ended_s - context.stopped_s
     assert took_s <= GRACE_S / 2, took_s
+
+
+# Logs.
+
+#: more lines than a pipe holds, and how soon a reader that pauses goes on.
+LINES = 600
+LINE_TEXT = "x" * 200
+READER_PAUSE_S = 0.05
+
+
+@given("a log whose pipe is full, with more lines pending")
+def step_full_pipe(context):
+    context.read_end, write_end = os.pipe()
+    context.writer = LineWriter(write_end, "p")
+    context.writer.start()
+    context.write_end = write_end
+    sink = logger.add(context.writer.write, format="{message}", level="INFO")
+    try:
+        for number in range(LINES):
+            logger.bind(part="test", number=number).info(LINE_TEXT)
+    finally:
+        logger.remove(sink)
+
+
+@when("the process ends its log, and the reader {reads}")
+def step_end_log(context, reads):
+    context.lines = []
+    reader = threading.Thread(target=_read_lines, args=(context,))
+    if reads == "goes on a bit later":
+        threading.Timer(READER_PAUSE_S, reader.start).start()
+    began_s = time.monotonic()
+    context.writer.close()
+    context.took_s = time.monotonic() - began_s
+    os.close(context.write_end)
+    if reads == "never reads again":
+        reader.start()
+    time.sleep(READER_PAUSE_S)
+    reader.join()
+
+
+def _read_lines(context):
+    with open(context.read_end, "rb") as pipe:
+        context.lines = pipe.read().split(b"\n")
+
+
+@then("{outcome}, and the end takes at most {within_s:g} seconds")
+def step_lines(context, outcome, within_s):
+    assert context.took_s <= within_s, context.took_s
+    numbers = [json.loads(line)["number"] for line in context.lines[:-1]]
+    count = LINES if outcome == "every line arrives" else len(numbers)
+    assert numbers == list(range(count)), (len(numbers), LINES)
+    assert numbers
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -53,8 +53,6 @@
         self._accepting: gevent.Greenlet | None = None
         self._readers: dict[gevent.Greenlet, RequestReader] = {}
         self._busy: set[gevent.Greenlet] = set()
-        #: those whose callers still receive the last response.
-        self._ending: set[gevent.Greenlet] = set()
         self._open_count = 0
         self.accepted = 0
 
@@ -120,8 +118,7 @@
         greenlet later, possibly during a request that arrived meanwhile, and the
         caller would get no response at all.
         """
-        is_served = greenlet in self._busy or greenlet in self._ending
-        is_idle = not is_served and not reader.is_reading
+        is_idle = greenlet not in self._busy and not reader.is_reading
         if is_idle and not greenlet.dead and not reader.is_in_use():
             greenlet.throw(IdleConnectionError())
 
@@ -162,7 +159,8 @@
                     reader.set_limits(self._read_limits())
             except BadRequestError as error:
                 bad_request = error
-            self._ending.add(greenlet)
+            # What still arrives is read, so the connection is not idle.
+            reader.is_reading = True
             # Loaded when first needed.
             from kumquatseam.gateway._connection_end import end_connection
 
@@ -171,7 +169,6 @@
             # Normal ends of a connection; a request in progress logs its own end.
             pass
         finally:
-            self._ending.discard(greenlet)
             self._readers.pop(greenlet, None)
 
     def _serve_next(
--- a/src/kumquatseam/logs.py
+++ b/src/kumquatseam/logs.py
@@ -32,6 +32,9 @@
 MAX_PENDING_BYTES = 1_048_576
 #: interval between two writes; lines are batched to save system calls.
 FLUSH_INTERVAL_S = 0.05
+#: how long the end of a process waits for a slow reader; half of what its grace
+#: leaves for its end.
+CLOSE_WAIT_S = 0.2
 
 
 def configure_logging(process_name: str, level: str = "INFO") -> None:
@@ -99,11 +102,15 @@
         self._greenlet = gevent.spawn(self._run)
 
     def close(self) -> None:
-        """Stop, after writing as much as the reader accepts without blocking."""
+        """Stop, after writing as much as the reader accepts in ``CLOSE_WAIT_S``."""
         if self._greenlet is not None:
             self._greenlet.kill()
             self._greenlet = None
+        end_s = time.monotonic() + CLOSE_WAIT_S
         self._flush()
+        while self._pending and time.monotonic() < end_s:
+            gevent.sleep(0.01)
+            self._flush()
 
     def write(self, message) -> None:
         """Buffer one loguru message."""
