Let callers receive slowly

What callers saw: 88,064 of 250,000 bytes at 20 kB a second, and 4,096 after a pause of 6 s, then a reset; the request was logged as answered.

Cause: TCP_USER_TIMEOUT (4 s) is meant for peers that don't acknowledge. Linux also counts the time in which the peer's window is smaller than the next segment, and does not begin anew when some of it is received. So the kernel dropped what it held for a caller that was alive, before WRITE_TIMEOUT_S, and also after this process had written all.

Now callers' connections don't set it. Keep-alive still finds dead callers within 4 s while nothing is on its way; else a blocked write does, or the request's time limit.

Evidence: features/last_bytes.feature, "gets a whole body": 2 of 2 failed before, 2 of 2 pass. "is given up" (9 MB to a caller that receives nothing) passed before and does.

--- a/features/last_bytes.feature
+++ b/features/last_bytes.feature
@@ -28,6 +28,21 @@
       | an empty line   |
       | another request |
 
+  Scenario Outline: A caller that receives <how> gets a whole body
+    Given a gateway whose plain service answers with 250 kB
+    When a caller receives such an answer <how>
+    Then it receives the whole body
+
+    Examples:
+      | how                        |
+      | at 20 kB a second          |
+      | after a pause of 6 seconds |
+
+  Scenario: A caller that receives nothing is given up
+    Given a gateway whose plain service answers with 9000 kB
+    When a caller receives nothing of such an answer
+    Then the gateway logs within 12 seconds that the caller left
+
   Scenario Outline: A caller that <does> holds up neither its connection nor a stop
     Given a gateway whose engine streams 200 kB in half a second
     When the gateway stops, and a caller that has its response <does>
--- a/features/steps/last_bytes_steps.py
+++ b/features/steps/last_bytes_steps.py
@@ -36,8 +36,9 @@
         "X-Deadline-Ms": "12000",
         "Authorization": f"Token {KEY}",
         "Transfer-Encoding": "chunked",
-        **world.stream_headers(),
     }
+    if path == "/once/x":
+        headers |= world.stream_headers()
     if close:
         headers["Connection"] = "close"
     fields = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
@@ -189,6 +190,63 @@
     assert took_s <= GRACE_S / 2, took_s
 
 
+# Slow callers of a whole body.
+
+
+@given("a gateway whose plain service answers with {body_kb:d} kB")
+def step_plain_service(context, body_kb):
+    step_platform(context)
+    world = context.platform
+    service = world.add_replica("plain", "p0")
+    service.pieces = [b"x" * 1_000] * body_kb
+    context.body_bytes = body_kb * 1_000
+    world.add_route("/plain/", "non_idempotent", "plain", timeoutMs=12_000)
+    world.put_configuration()
+    _add_gateway(world)
+
+
+@when("a caller receives such an answer {how}")
+def step_receives_slowly(context, how):
+    with connect(context.platform, RECEIVE_BUFFER_BYTES) as caller:
+        caller.sendall(encode_call(context.platform, "slow", "/plain/x"))
+        is_pausing = how == "after a pause of 6 seconds"
+        if is_pausing:
+            time.sleep(6.0)
+        context.received = receive(
+            caller,
+            lambda data: _body_bytes(data) == context.body_bytes,
+            1_000,
+            0.0 if is_pausing else 0.05,
+        )
+
+
+def _body_bytes(data) -> int:
+    return len(data.partition(b"\r\n\r\n")[2])
+
+
+@then("it receives the whole body")
+def step_whole_body(context):
+    data, ended = context.received
+    assert ended == "whole", (len(data), ended)
+
+
+@when("a caller receives nothing of such an answer")
+def step_receives_nothing(context):
+    context.caller = connect(context.platform, RECEIVE_BUFFER_BYTES)
+    context.caller.sendall(encode_call(context.platform, "slow", "/plain/x"))
+
+
+@then("the gateway logs within {within_s:g} seconds that the caller left")
+def step_left(context, within_s):
+    (gateway,) = context.platform.gateways
+    with context.caller:
+        wait_until(
+            "the caller left",
+            lambda: any(d["event"] == "The caller left." for d in gateway.lines()),
+            within_s,
+        )
+
+
 # Logs.
 
 #: more lines than a pipe holds, and how soon a reader that pauses goes on.
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -141,6 +141,10 @@
         try:
             for option in dead_peer_socket_options():
                 connection.setsockopt(*option)
+            # It also ends connections whose callers receive slowly: their window stays
+            # too small for what is next. Dead ones are found by keep-alive, or when
+            # nothing more can be written.
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
             self._serve_requests(connection)
         finally:
             self._open_count -= 1
