Take a connection whose send queue cannot be read for one without any

The call can fail for a connection that has just ended; an error in the callback that closes idle connections would have skipped the others.

--- a/src/kumquatseam/http1/_readiness.py
+++ b/src/kumquatseam/http1/_readiness.py
@@ -39,8 +39,11 @@
 
 
 def unacknowledged_bytes(connection) -> int:
-    """Return how much was sent that the peer has not acknowledged."""
-    answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    """Return how much was sent that the peer has not acknowledged; 0 if unknown."""
+    try:
+        answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
     return struct.unpack("i", answer)[0]
 
 
