Let an empty line behind a request not end its connection

What callers saw: a kept connection was closed 0.8 s (the time limit of a head) after a response, if an empty line had followed the request; a request sent just then was lost unread. In a stop, such a connection was no idle one for as long.

Cause: the first bytes after a request counted as the beginning of the next one.

--- a/features/last_bytes.feature
+++ b/features/last_bytes.feature
@@ -43,6 +43,13 @@
     When a caller receives nothing of such an answer
     Then the gateway logs within 12 seconds that the caller left
 
+  Scenario: An empty line behind a request does not end its connection
+    The time limit of a request's head is 0.8 seconds.
+
+    Given a gateway whose plain service answers with 1 kB
+    When a caller sends a request, an empty line, and after 1.6 s its next request
+    Then both requests are answered on one connection
+
   Scenario Outline: A caller that <does> holds up neither its connection nor a stop
     Given a gateway whose engine streams 200 kB in half a second
     When the gateway stops, and a caller that has its response <does>
--- a/features/steps/last_bytes_steps.py
+++ b/features/steps/last_bytes_steps.py
@@ -247,6 +247,33 @@
         )
 
 
+@when(
+    "a caller sends a request, an empty line, and after {after_s:g} s its next request"
+)
+def step_empty_line(context, after_s):
+    context.answers = []
+    with connect(context.platform) as caller:
+        for number in range(2):
+            call = encode_call(context.platform, f"r{number}", "/plain/x")
+            try:
+                caller.sendall(call)
+                context.answers.append(
+                    receive(
+                        caller, lambda data: _body_bytes(data) == context.body_bytes
+                    )
+                )
+                caller.sendall(b"\r\n")
+            except OSError as error:
+                context.answers.append((b"", repr(error)))
+            time.sleep(after_s)
+
+
+@then("both requests are answered on one connection")
+def step_both_answered(context):
+    ends = [ended for _, ended in context.answers]
+    assert ends == ["whole", "whole"], ends
+
+
 # Logs.
 
 #: more lines than a pipe holds, and how soon a reader that pauses goes on.
--- a/src/kumquatseam/gateway/_connection_end.py
+++ b/src/kumquatseam/gateway/_connection_end.py
@@ -10,7 +10,7 @@
 from kumquatseam.http1 import (
     BadRequestError,
     CallerDisconnectedError,
-    unacknowledged_bytes,
+    queued_bytes,
 )
 from kumquatseam.logs import part_logger
 
@@ -82,7 +82,7 @@
         if data is not None:
             left_bytes -= len(data)
             is_sending = True
-        if unacknowledged_bytes(connection) <= _END_BYTES:
+        if queued_bytes(connection) <= _END_BYTES:
             if not is_sending:
                 return
             end_s = min(end_s, now_s + CLOSE_WAIT_S)
--- a/src/kumquatseam/http1/__init__.py
+++ b/src/kumquatseam/http1/__init__.py
@@ -37,7 +37,7 @@
     is_joined_head,
 )
 from kumquatseam.http1._pool import ConnectionPool, Connector
-from kumquatseam.http1._readiness import unacknowledged_bytes
+from kumquatseam.http1._readiness import queued_bytes
 from kumquatseam.http1._request_reader import RequestReader
 
 __all__ = [
@@ -66,5 +66,5 @@
     "is_joined_head",
     "open_connection",
     "open_socket",
-    "unacknowledged_bytes",
+    "queued_bytes",
 ]
--- a/src/kumquatseam/http1/_readiness.py
+++ b/src/kumquatseam/http1/_readiness.py
@@ -1,7 +1,6 @@
 """Wait until sockets can be read or written, whatever their descriptors' numbers."""
 
 import fcntl
-import struct
 import termios
 from collections.abc import Sequence
 
@@ -38,13 +37,13 @@
     return readable, writable
 
 
-def unacknowledged_bytes(connection) -> int:
-    """Return how much was sent that the peer has not acknowledged; 0 if unknown."""
+def queued_bytes(connection) -> int:
+    """Return how much the peer has yet to acknowledge; 0 if that is unknown."""
     try:
         answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
     except OSError:
         return 0
-    return struct.unpack("i", answer)[0]
+    return memoryview(answer).cast("i")[0]
 
 
 def _poll(poll, masks: dict[int, int], timeout_s: float) -> dict[int, int]:
--- a/src/kumquatseam/http1/_request_reader.py
+++ b/src/kumquatseam/http1/_request_reader.py
@@ -9,7 +9,7 @@
 
 from kumquatseam.http1._errors import BadRequestError, IdleConnectionError
 from kumquatseam.http1._messages import Headers, Request, RequestLimits
-from kumquatseam.http1._readiness import unacknowledged_bytes
+from kumquatseam.http1._readiness import queued_bytes
 
 _READ_BYTES = 65_536
 #: requests that a connection may send before it receives the responses.
@@ -57,8 +57,8 @@
         self._limits = limits
 
     def is_in_use(self) -> bool:
-        """Return whether the caller has sent more, or still receives a response."""
-        if self._messages or unacknowledged_bytes(self._connection):
+        """Return whether the caller sends, or still receives."""
+        if self._messages or queued_bytes(self._connection):
             return True
         try:
             return bool(self._connection._sock.recv(1, socket.MSG_PEEK))
@@ -74,8 +74,12 @@
         """
         started_s = time.monotonic()
         self._received_bytes = self._reads = 0
-        if not self._messages:
-            self._receive(self._limits.idle_timeout_s)
+        until_s = started_s + self._limits.idle_timeout_s
+        # Empty lines begin no request.
+        while not (self._messages or self._parse_error):
+            if started_s >= until_s:
+                raise IdleConnectionError
+            self._receive(until_s - started_s)
             started_s = time.monotonic()
         self.is_reading = True
         try:
--- a/src/kumquatseam/logs.py
+++ b/src/kumquatseam/logs.py
@@ -102,7 +102,7 @@
         self._greenlet = gevent.spawn(self._run)
 
     def close(self) -> None:
-        """Stop, after writing as much as the reader accepts in ``CLOSE_WAIT_S``."""
+        """Stop; a slow reader gets ``CLOSE_WAIT_S``."""
         if self._greenlet is not None:
             self._greenlet.kill()
             self._greenlet = None
