--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -8,6 +8,7 @@
 import collections
 import contextlib
 import json
+import math
 import os
 import random
 import socket
@@ -65,6 +66,26 @@
     "endless interim heads": b"HTTP/1.1 100 Continue\r\n\r\n",
 }
 CONTROL_PATHS = ("/order", "/report", "/kv-")
+#: how often a request that waits for a place checks whether it still should.
+QUEUE_POLL_S = 0.05
+
+
+@attrs.frozen
+class RunShape:
+    """How a replica runs one request.
+
+    :param events: number of events of its stream.
+    :param event_pause_s: pause between two events.
+    :param prompt_s: how long its prompt is read, before it begins to run.
+    :param padding_bytes: what each event carries besides its number.
+    :param work_s: how long a plain request runs.
+    """
+
+    events: int = 0
+    event_pause_s: float = 0.0
+    prompt_s: float = 0.0
+    padding_bytes: int = 0
+    work_s: float = 0.0
 
 
 @attrs.define
@@ -85,6 +106,10 @@
     incarnation: int = 1
     said_leaving: bool = False
     rest_s: float = 0.0
+    #: when it was first at work on it: for a stream, when it sent the first event.
+    at_work_s: float = 0.0
+    #: whether it had to wait for a place.
+    has_queued: bool = False
 
     def has_part(self, parts) -> bool:
         """Return whether its prompt has one of some parts, not as the last one."""
@@ -163,6 +188,18 @@
         self.queue = 0
         self.admitted = 0
         self._slot_freed = threading.Condition()
+        #: returns the shape of a request's run; ``None`` for the replica's own.
+        self.shape_of = None
+        #: requests of any kind that run at once while others wait for a place, and how
+        #: many may wait; ``None`` for any number of runs.
+        self.run_slots = None
+        self.run_queue = 0
+        self.slots_taken = 0
+        self._waiting = collections.deque()
+        #: whether a request that waits is dropped when its connection is closed.
+        self.drops_left = True
+        #: by how much its runs take longer than usual.
+        self.slowness = 1.0
         #: refusals a second beyond which it falls over, as it says; ``None`` for none.
         self.brittle = None
         #: whether it does so.
@@ -401,6 +438,16 @@
         if copy is not None and self.run_moves.take(copy) is None:
             self._send(http, 503, b"", {**headers, "X-Not-Executed": "1"})
             return
+        if self.run_slots is None:
+            self._run(http, seen, headers, fault)
+        elif self._take_slot(http, seen, headers, is_copy=copy is not None):
+            try:
+                if self._read_prompt(http, seen):
+                    self._run(http, seen, headers, fault)
+            finally:
+                self._free_slot()
+
+    def _run(self, http, seen, headers, fault):
         seen.ran = True
         seen.began_s = time.monotonic()
         if self.crashes_on is not None and self.crashes_on in http.path:
@@ -434,13 +481,93 @@
         elif self.version is not None:
             self._stream(http, seen, headers, fault)
         else:
-            self._work(http, headers, fault)
+            self._work(http, seen, headers, fault)
+
+    def _shape(self, seen) -> RunShape:
+        if self.shape_of is not None:
+            return self.shape_of(seen)
+        return RunShape(self.events, self.event_pause_s, work_s=self.work_s)
+
+    def _take_slot(self, http, seen, headers, is_copy) -> bool:
+        """Wait for a place; return whether the request is to run.
 
-    def _work(self, http, headers, fault=""):
+        A run that goes on has had its place reserved.
+        """
+        if is_copy:
+            with self._slot_freed:
+                self.slots_taken += 1
+            return True
+        limit_s = float(http.headers.get("X-Deadline-Ms") or math.inf) / 1000
+        ticket = object()
+        with self._slot_freed:
+            is_full = (
+                self.slots_taken >= self.run_slots
+                and len(self._waiting) >= self.run_queue
+            )
+            if not is_full:
+                self._waiting.append(ticket)
+        try:
+            while not is_full:
+                with self._slot_freed:
+                    if self._slot_freed.wait_for(
+                        lambda: self._may_take_slot(ticket), QUEUE_POLL_S
+                    ):
+                        self.slots_taken += 1
+                        return True
+                seen.has_queued = True
+                if self.drops_left and self._has_left(http):
+                    http.close_connection = True
+                    return False
+                if self.loading or time.monotonic() > seen.arrived_s + limit_s:
+                    break
+        finally:
+            if not is_full:
+                with self._slot_freed:
+                    self._waiting.remove(ticket)
+                    self._slot_freed.notify_all()
+        with contextlib.suppress(OSError):
+            self._send(http, 503, b"", {**headers, "X-Not-Executed": "1"})
+        return False
+
+    def _may_take_slot(self, ticket):
+        is_first = self._waiting[0] is ticket
+        return is_first and not self.loading and self.slots_taken < self.run_slots
+
+    def _free_slot(self):
+        with self._slot_freed:
+            self.slots_taken -= 1
+            self._slot_freed.notify_all()
+
+    @staticmethod
+    def _has_left(http):
+        """Return whether the other end closed the connection of a request."""
+        try:
+            peeked = http.connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return not peeked
+
+    def _read_prompt(self, http, seen) -> bool:
+        """Read the prompt; return whether the request begins to run afterwards."""
+        if "Kv-From" in http.headers:
+            return True
+        read_s = 0.0
+        while read_s < self._shape(seen).prompt_s:
+            time.sleep(QUEUE_POLL_S)
+            read_s += QUEUE_POLL_S / self.slowness
+            if self.drops_left and self._has_left(http):
+                http.close_connection = True
+                return False
+        return True
+
+    def _work(self, http, seen, headers, fault=""):
         with self._slot_freed:
             self._slot_freed.wait_for(self._has_slot)
             self.running += 1
-        time.sleep(self.work_s)
+        seen.at_work_s = time.monotonic()
+        time.sleep(self._shape(seen).work_s * self.slowness)
         with self._slot_freed:
             self.running -= 1
             self.admitted -= 1
@@ -459,6 +586,11 @@
                 http.wfile.flush()
                 time.sleep(self.event_pause_s)
 
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for a place."""
+        return len(self._waiting)
+
     def _has_slot(self):
         return self.slots is None or self.running < self.slots
 
@@ -571,7 +703,7 @@
         crashes = self._crashes_under(seen)
         run = self.run_moves.begin(request_id)
         try:
-            last = self.lengths.get(request_id, self.events)
+            last = self.lengths.get(request_id, self._shape(seen).events)
             for number in range(first, last + 1):
                 run.events = number - 1
                 if crashes and number == first + 1:
@@ -585,7 +717,7 @@
                     http.close_connection = True
                     http.connection.shutdown(socket.SHUT_RDWR)
                     return
-                data = self._event(number)
+                data = self._event(number, self._shape(seen).padding_bytes)
                 if fault == "pause" and number == first + 2:
                     time.sleep(PAUSE_S)
                 if fault == "silence" and number == first + 2:
@@ -602,7 +734,8 @@
                     return
                 self._chunk(http, data)
                 seen.events_sent += 1
-                time.sleep(self.event_pause_s)
+                seen.at_work_s = seen.at_work_s or time.monotonic()
+                time.sleep(self._shape(seen).event_pause_s * self.slowness)
             self._end_body(http)
             seen.ended = "whole"
         except OSError as error:
@@ -618,9 +751,10 @@
             for part, share in self.crashes_on_parts.items()
         )
 
-    def _event(self, number):
+    def _event(self, number, padding_bytes=0):
         written_by = f"event: {self.software}\n" if self.software else ""
-        return f"id: {number}\n{written_by}data: piece {number}\n\n".encode()
+        piece = f"piece {number}{'.' * padding_bytes}"
+        return f"id: {number}\n{written_by}data: {piece}\n\n".encode()
 
     def _resets_next(self, first):
         if first > 1 or not self.resets_every:
@@ -678,7 +812,7 @@
             "busy": self.loading,
             "sequence": self.sequence,
             "born": self.born_ms,
-            "waiting": 0,
+            "waiting": self.waiting,
             "running": self.running,
             "kvUsed": 0,
             "kvTotal": 1,
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -24,7 +24,7 @@
 listen = 127.0.0.1:{front}
 health_listen = 127.0.0.1:{ready}
 metrics_listen = 127.0.0.1:{metrics}
-grace_s = 4
+grace_s = {grace_s}
 [peers]
 address = 127.0.0.1:{peer}
 state_address = 127.0.0.1:{state}
@@ -60,8 +60,11 @@
 class GatewayProcess:
     """A gateway running as a separate process."""
 
-    def __init__(self, folder: Path, name: str, log_port: int, slack=50, seeds=""):
+    def __init__(
+        self, folder: Path, name: str, log_port: int, slack=50, seeds="", grace_s=4
+    ):
         self.name = name
+        self.grace_s = grace_s
         self.ports = {
             p: free_port()
             for p in ("front", "ready", "metrics", "peer", "state", "relay")
@@ -70,7 +73,12 @@
         self.log_path = folder / f"{name}.log"
         self.settings.write_text(
             TEMPLATE.format(
-                name=name, log=log_port, slack=slack, seeds=seeds, **self.ports
+                name=name,
+                log=log_port,
+                slack=slack,
+                seeds=seeds,
+                grace_s=grace_s,
+                **self.ports,
             )
         )
         self.process = None
--- a/features/steps/starts_steps.py
+++ b/features/steps/starts_steps.py
@@ -252,7 +252,7 @@
 @given('gateway settings with "{line}"')
 def step_settings(context, line):
     ports = dict.fromkeys(("front", "ready", "metrics", "peer", "state", "relay"), 1)
-    text = TEMPLATE.format(name="g", log=1, slack=50, seeds="", **ports)
+    text = TEMPLATE.format(name="g", log=1, slack=50, seeds="", grace_s=4, **ports)
     text = text.replace("is_first_start = true\n", "")
     text = text.replace("[peers]", f"[peers]\n{line}")
     with tempfile.TemporaryDirectory() as folder:
--- a/features/steps/whole_answers_world.py
+++ b/features/steps/whole_answers_world.py
@@ -147,6 +147,9 @@
     :param draw: a random number generator.
     """
 
+    #: route timeouts that configurations set.
+    TIMEOUTS_MS = (8_000, 15_000)
+
     def __init__(self, world, draw):
         self.world = world
         self.draw = draw
@@ -193,7 +196,7 @@
     def _change(self, kind):
         world = self.world
         if kind == "timeouts":
-            timeout_ms = self.draw.choice((8_000, 15_000))
+            timeout_ms = self.draw.choice(self.TIMEOUTS_MS)
             for route in world.routes:
                 route["timeoutMs"] = timeout_ms
         elif kind == "route":
