--- a/features/programs/stop_soak.py
+++ b/features/programs/stop_soak.py
@@ -11,6 +11,7 @@
 import json
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -111,6 +112,8 @@
     parser.add_argument("--keep-all", action="store_true")
     options = parser.parse_args()
     logger.remove()
+    # Gateways are closed at the end of a seed, also if that is asked for.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     began_s = time.monotonic()
     seeds = range(options.first, options.last + 1)
     failed = [seed for seed in seeds if not run_seed(seed, options)]
--- a/features/steps/stop_verdict.py
+++ b/features/steps/stop_verdict.py
@@ -1,6 +1,7 @@
 """What became of requests around stops, judged by the rule on accepted requests."""
 
 import collections
+import os
 
 import attrs
 from platform_world import wait_until
@@ -161,10 +162,16 @@
     stop = _stop_around(world, request)
     ended_s = request.ended_s if stop is None else _ended_s(stop, request)
     traits = (_progress(request, seen), _sent(request, stop), _engine(stop, seen))
+    if request.reads_slowly:
+        traits = (*traits, "read slowly")
     if not request.last_byte_s:
         excuse = "not sent whole"
-    elif not seen and ended_s <= request.last_byte_s + UNREAD_S:
+    elif request.gave_up:
+        excuse = "its caller gave up"
+    elif not seen and request.was_reset:
         excuse = "not read"
+    elif not seen and ended_s <= request.last_byte_s + UNREAD_S:
+        excuse = "closed within 0.2 s"
     elif ended_s >= request.sent_s + request.deadline_s - DEADLINE_TOLERANCE_S:
         excuse = "deadline"
     elif stop is not None and _is_excused_in(stop, request, seen, ended_s):
@@ -267,7 +274,8 @@
         f"statuses in stops {dict(sorted(verdict.statuses_in_stops.items()))}",
         f"queued {verdict.queued}, moves {verdict.moves}",
         f"{len(took)} stops of {took[0] if took else 0} to {took[-1] if took else 0} "
-        f"s, killed {killed}; idle ones {verdict.idle_stops_s}",
+        f"s, killed {killed}; idle ones {verdict.idle_stops_s}; lag at most "
+        f"{world.lag.max_s:.2f} s, load {os.getloadavg()[0]:.0f}",
     ]
     lines = ["; ".join(parts)]
     groups = (
