Play gateways that are out of step while replicas of another version join

A gateway stands still, or is cut off from the others, from the log service or from both, while replicas of a new version join, or replicas start again with it under their ids. Callers take streams up there meanwhile and right after.

The stand-in replica may start again with other software; a connection from before is reset and carries nothing of it.

--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -243,6 +243,8 @@
             def setup(self):
                 super().setup()
                 replica._connections.add(self.connection)
+                # Read after that: a start with other software resets the connection.
+                self.software = replica.software
 
             def finish(self):
                 replica._connections.discard(self.connection)
@@ -266,14 +268,17 @@
     def start(self):
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
-    def restart(self, is_reset=False):
+    def restart(self, is_reset=False, software=None):
         """Simulate a restart under the same id: clear the order and cache state.
 
         Open connections are closed, so that their peers detect the crash.
 
         :param is_reset: whether they are reset, so that no answer without framing looks
             complete.
+        :param software: the version of its software from now on; ``None`` for the one
+            that it had.
         """
+        self.software = software or self.software
         self.born_ms += 1000
         self.sequence = 0
         self.fence = -1
@@ -717,7 +722,8 @@
                     http.close_connection = True
                     http.connection.shutdown(socket.SHUT_RDWR)
                     return
-                data = self._event(number, self._shape(seen).padding_bytes)
+                padding_bytes = self._shape(seen).padding_bytes
+                data = self._event(number, http.software, padding_bytes)
                 if fault == "pause" and number == first + 2:
                     time.sleep(PAUSE_S)
                 if fault == "silence" and number == first + 2:
@@ -751,8 +757,9 @@
             for part, share in self.crashes_on_parts.items()
         )
 
-    def _event(self, number, padding_bytes=0):
-        written_by = f"event: {self.software}\n" if self.software else ""
+    @staticmethod
+    def _event(number, software, padding_bytes=0):
+        written_by = f"event: {software}\n" if software else ""
         piece = f"piece {number}{'.' * padding_bytes}"
         return f"id: {number}\n{written_by}data: {piece}\n\n".encode()
 
--- a/features/steps/two_versions_steps.py
+++ b/features/steps/two_versions_steps.py
@@ -274,11 +274,11 @@
     step_versions(context, count, old, new, events, room, has_proxies=False)
 
 
-def add_engine(context, name, software):
+def add_engine(context, name, software, service="engines"):
     """Add an engine, behind a proxy or not, and list it."""
     world = context.platform
     replica = world.add_replica(
-        "engines",
+        service,
         name,
         version=1,
         events=context.events,
