Scenarios of stops: gateways that know their streams, longer graces, no fixed waits

- stops_that_cut: the two scenarios of late requests have a grace of 8 s, since the first stream ended after one of 4 s beside load 200 (status 0); the engine is 70 instead of 10 times slower, so that the code before still cuts the second one.
What waits for a leaving engine waits until the gateway knows that it leaves.

--- a/features/steps/stops_that_cut_steps.py
+++ b/features/steps/stops_that_cut_steps.py
@@ -13,6 +13,7 @@
 
 PATHS = {"plain": "/plain/x", "stream": "/once/x"}
 DEADLINE_S = 15.0
+GRACE_S = 4
 #: events of a stream.
 EVENTS = 10
 #: callers whose requests make a gateway know how long its streams take.
@@ -184,13 +185,21 @@
 
 @given("a gateway that has served {count:d} streams of {for_s:g} seconds")
 def step_served(context, count, for_s):
+    step_served_grace(context, GRACE_S, count, for_s)
+
+
+@given(
+    "a gateway with a grace of {grace_s:d} seconds that has served {count:d} streams "
+    "of {for_s:g} seconds"
+)
+def step_served_grace(context, grace_s, count, for_s):
     step_platform(context)
     world = context.platform
     world.add_replica("engines", "e0", version=1, events=EVENTS)
     world.add_route("/once/", "stream", "engines", maxAttempts=1, timeoutMs=15_000)
     world.put_configuration()
     world.name_weights(1)
-    world.add_gateway()
+    world.add_gateway(grace_s=grace_s)
     context.for_s = for_s
     _set_duration(context, for_s)
     callers = min(count, MOST_CALLERS)
@@ -216,7 +225,11 @@
 def step_closed_engine(context):
     (engine,) = context.platform.replicas
     context.platform.list_replica(engine, state="draining")
-    time.sleep(ARRIVE_S)
+    (gateway,) = context.platform.gateways
+    wait_until(
+        "the gateway knows that it leaves",
+        lambda: any(d["event"] == "Upstream leaving." for d in gateway.lines()),
+    )
 
 
 @when("{count:d} streams wait for an engine, and the gateway gets SIGTERM")
--- a/features/stops_that_cut.feature
+++ b/features/stops_that_cut.feature
@@ -1,7 +1,7 @@
 Feature: A stop ends no accepted request without a response
   Guards against requests that are cut around the SIGTERM of their gateway: those that no
   upstream has begun when the grace ends, and those that are begun although they may
-  outlast it. The grace of these gateways is 4 seconds.
+  outlast it. The grace of these gateways is 4 seconds, if nothing else is said.
 
   Scenario Outline: Requests that no upstream has begun when a stop ends get a response, <how>
     Given a gateway whose <kind> requests are held by their upstream for longer than a stop
@@ -23,16 +23,16 @@
   Scenario: A connection that was busy when the stop began brings a late request
     The engines get slower meanwhile.
 
-    Given a gateway that has served 600 streams of 0.1 seconds
-    When a stream of 3.2 seconds begins, the gateway gets SIGTERM, and engines get 10 times slower
+    Given a gateway with a grace of 8 seconds that has served 600 streams of 0.1 seconds
+    When a stream of 3.2 seconds begins, the gateway gets SIGTERM, and engines get 70 times slower
     And the same connection brings a stream at once when the first one has ended
     Then the first stream was whole
     And the second one was refused, the connection announced its end, and it did not run
 
   Scenario: A late request whose deadline passes before the stop ends is served
-    Given a gateway that has served 600 streams of 0.1 seconds
-    When a stream of 3 seconds begins, and the gateway gets SIGTERM
-    And the same connection brings a stream with a deadline of 600 ms when the first one has ended
+    Given a gateway with a grace of 8 seconds that has served 600 streams of 0.1 seconds
+    When a stream of 3.2 seconds begins, and the gateway gets SIGTERM
+    And the same connection brings a stream with a deadline of 2000 ms when the first one has ended
     Then both streams were whole
 
   Scenario: A gateway that has served nothing begins no stream in a stop
@@ -53,6 +53,6 @@
     Then each was refused within 1 second of the SIGTERM, and none ran
 
   Scenario: Short requests are served in the first seconds of a stop
-    Given a gateway that has served 3 streams of 0.3 seconds
+    Given a gateway with a grace of 8 seconds that has served 3 streams of 0.3 seconds
     When the gateway gets SIGTERM and 4 callers stream
     Then each stream was whole
