--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -205,7 +205,7 @@
     now_s = time.monotonic()
     job = SimpleNamespace(
         route=SimpleNamespace(name=ROUTE),
-        request=SimpleNamespace(received_s=now_s),
+        request=SimpleNamespace(complete_s=now_s),
         end_s=now_s + 10.0,
     )
     context.handler.stop.begin(time.monotonic() + left_s)
--- a/features/steps/stops_that_cut_steps.py
+++ b/features/steps/stops_that_cut_steps.py
@@ -18,6 +18,8 @@
 EVENTS = 10
 #: callers whose requests make a gateway know how long its streams take.
 MOST_CALLERS = 20
+#: pause between the pieces of a body; less than the time limit of a head.
+PIECE_PAUSE_S = 0.3
 #: how long before the end of a response its connection brings the next request.
 EARLY_S = 0.05
 #: after the requests were sent, time for them to reach their upstream.
@@ -72,8 +74,22 @@
         head = "\r\n".join([*lines, "Content-Length: 8", "", ""])
         self._connection.sock.sendall(head.encode() + b"question")
 
+    def send_in_pieces(self, request_id, path, until_s) -> None:
+        """Send a request whose body in chunks ends at a time.
+
+        :param until_s: when, in monotonic time.
+        """
+        headers = self._headers(request_id, path, DEADLINE_S)
+        lines = [f"POST {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
+        head = "\r\n".join([*lines, "Transfer-Encoding: chunked", "", ""])
+        self._connection.sock.sendall(head.encode())
+        while time.monotonic() < until_s:
+            self._connection.sock.sendall(b"8\r\nquestion\r\n")
+            time.sleep(PIECE_PAUSE_S)
+        self._connection.sock.sendall(b"0\r\n\r\n")
+
     def receive_next(self) -> Answer:
-        """Return the answer to the request that was sent early."""
+        """Return the answer to the request that was sent so or early."""
 
         def receive():
             response = http.client.HTTPResponse(self._connection.sock, method="POST")
@@ -315,6 +331,27 @@
     _stream_and_stop(context, for_s)
 
 
+@when("the gateway gets SIGTERM, and engines get {times:d} times slower")
+def step_stop_and_slow(context, times):
+    context.answers, context.callers = {}, []
+    _stop(context)
+    _set_duration(context, context.for_s * times)
+
+
+@when(
+    "a stream's body in chunks begins {begins_s:g} seconds later, and ends {ends_s:g} "
+    "seconds after the SIGTERM"
+)
+def step_late_body(context, begins_s, ends_s):
+    time.sleep(max(0.0, context.stopped_s + begins_s - time.monotonic()))
+    caller = StopCaller(context.platform)
+    until_s = context.stopped_s + ends_s
+    caller.send_in_pieces("asked-second", PATHS["stream"], until_s)
+    context.answers["asked-second"] = caller.receive_next()
+    caller.close()
+    _finish(context)
+
+
 @when("the same connection brings a stream at once when the first one has ended")
 def step_second(context):
     _send_second(context, DEADLINE_S)
--- a/features/stops_that_cut.feature
+++ b/features/stops_that_cut.feature
@@ -29,6 +29,12 @@
     Then the first stream was whole
     And the second one was refused, the connection announced its end, and it did not run
 
+  Scenario: A request begins early in a stop, and the last bytes of its body are late
+    Given a gateway with a grace of 8 seconds that has served 600 streams of 0.1 seconds
+    When the gateway gets SIGTERM, and engines get 70 times slower
+    And a stream's body in chunks begins 2 seconds later, and ends 3.2 seconds after the SIGTERM
+    Then the second one was refused, the connection announced its end, and it did not run
+
   Scenario: A late request whose deadline passes before the stop ends is served
     Given a gateway with a grace of 8 seconds that has served 600 streams of 0.1 seconds
     When a stream of 3.2 seconds begins, and the gateway gets SIGTERM
--- a/src/kumquatseam/gateway/_failure.py
+++ b/src/kumquatseam/gateway/_failure.py
@@ -52,7 +52,7 @@
         job, parts = self._job, self._parts
         allowed_s = parts.metrics.allowed_s(job.route.name)
         try:
-            parts.stop.check(job.request.received_s, job.end_s, allowed_s)
+            parts.stop.check(job.request.complete_s, job.end_s, allowed_s)
         except RefusedError as error:
             self.fail(error.reason, error.detail, error.retry_after_s)
 
--- a/src/kumquatseam/gateway/_stop_clock.py
+++ b/src/kumquatseam/gateway/_stop_clock.py
@@ -39,17 +39,17 @@
         """Time until what is still served is cut; infinite unless it stops."""
         return max(0.0, self._end_s - time.monotonic())
 
-    def check(self, received_s: float, end_s: float, allowed_s: float) -> None:
+    def check(self, complete_s: float, end_s: float, allowed_s: float) -> None:
         """Check that a request that is sent now can end before the stop.
 
-        :param received_s: when it was received.
+        :param complete_s: when it had been received.
         :param end_s: when its deadline passes; it ends by then in any case.
         :param allowed_s: the time to allow for it.
         :raises RefusedError: if it may be cut.
         """
         if end_s <= self._end_s:
             return
-        is_late = received_s > self.began_s + ADMIT_WHILE_STOPPING_S
+        is_late = complete_s > self.began_s + ADMIT_WHILE_STOPPING_S
         if is_late or allowed_s > self.left_s:
             detail = f"needs {allowed_s:.2f} s, {self.left_s:.2f} s left"
             raise RefusedError(503, Reason.STOPPING, STOPPING_RETRY_S, detail)
--- a/src/kumquatseam/http1/_messages.py
+++ b/src/kumquatseam/http1/_messages.py
@@ -120,6 +120,7 @@
     :param body: the complete body, without transfer coding.
     :param keep_alive: whether the connection may carry another request.
     :param received_s: monotonic time at which its first bytes arrived.
+    :param complete_s: the same for its last bytes; as ``received_s`` if not given.
     """
 
     method: bytes
@@ -128,6 +129,11 @@
     body: bytes
     keep_alive: bool
     received_s: float
+    complete_s: float = attrs.field()
+
+    @complete_s.default
+    def _received_at_once(self) -> float:
+        return self.received_s
 
     @property
     def path(self) -> str:
--- a/src/kumquatseam/http1/_request_reader.py
+++ b/src/kumquatseam/http1/_request_reader.py
@@ -116,6 +116,7 @@
             bytes(message.body),
             message.keep_alive,
             started_s,
+            time.monotonic(),
         )
 
     def _raise_if_invalid(self) -> None:
