In a stop, go on with what may have run

Found by review: a retryable request whose first attempt had failed in a stop got a 502 at once if 1.5 times the longest response of its route was no longer left. A further attempt costs it nothing, since the end of the grace answers the same; and a run that was just moved could end that way. Only what has not run is refused, so that its caller can begin elsewhere.

--- a/src/kumquatseam/gateway/_failure.py
+++ b/src/kumquatseam/gateway/_failure.py
@@ -45,9 +45,9 @@
     def check_stop(self) -> None:
         """End the request if this instance may stop before its response has ended.
 
-        A response that has begun goes on for as long as it can.
+        One that may have run goes on for as long as it can: it would have to fail.
         """
-        if self._caller.has_started_response:
+        if self._progress.may_have_run or self._caller.has_started_response:
             return
         job, parts = self._job, self._parts
         allowed_s = parts.metrics.allowed_s(job.route.name)
