Give a caller up only if it receives nothing, not if its system makes no room

Found by review. Callers that received 100 kB a second were given up after 5 s: the limit was on a whole write, and a full buffer takes more only once much of it (megabytes) has been received.

Evidence: last_bytes, 'receives steadily': reset after some seconds before; not now. What counts is that the send queue shrinks within 5 s. A caller that receives nothing is given up as before ('is given up' passes).

--- a/features/last_bytes.feature
+++ b/features/last_bytes.feature
@@ -28,6 +28,12 @@
       | an empty line   |
       | another request |
 
+  Scenario: A caller still receives when its connection has been idle for too long
+    Given connections may be idle for 1 second
+    And a gateway whose engine streams 200 kB in half a second
+    When a slow caller on a kept connection sends an empty line 1.7 s after its request
+    Then the slow caller receives the whole response
+
   Scenario Outline: A caller that receives <how> gets a whole body
     Given a gateway whose plain service answers with 250 kB
     When a caller receives such an answer <how>
@@ -38,6 +44,11 @@
       | at 20 kB a second          |
       | after a pause of 6 seconds |
 
+  Scenario: A caller that receives steadily is not given up, however large the body is
+    Given a gateway whose plain service answers with 9000 kB
+    When a caller goes on receiving such an answer at 100 kB a second for 9 seconds
+    Then the gateway has not logged that the caller left
+
   Scenario: A caller that receives nothing is given up
     Given a gateway whose plain service answers with 9000 kB
     When a caller receives nothing of such an answer
--- a/features/steps/last_bytes_steps.py
+++ b/features/steps/last_bytes_steps.py
@@ -78,10 +78,18 @@
     return LAST_CHUNK in data
 
 
+@given("connections may be idle for {idle_s:g} second")
+def step_idle(context, idle_s):
+    context.idle_timeout_ms = int(idle_s * 1000)
+
+
 @given("a gateway whose engine streams 200 kB in half a second")
 def step_gateway(context):
     step_platform(context)
     world = context.platform
+    idle_timeout_ms = getattr(context, "idle_timeout_ms", None)
+    if idle_timeout_ms is not None:
+        world.idle_timeout_ms = idle_timeout_ms
     engine = world.add_replica("engines", "e0", version=1, events=EVENTS)
     text = b"x" * EVENT_BYTES
     engine._event = lambda number, *_: b"id: %d\ndata: %b\n\n" % (number, text)
@@ -144,6 +152,21 @@
         context.received = receive(caller, _is_stream_whole, READ_BYTES, READ_PAUSE_S)
 
 
+@when(
+    "a slow caller on a kept connection sends an empty line {after_s:g} s after its "
+    "request"
+)
+def step_idle_connection(context, after_s):
+    world = context.platform
+    with connect(world, RECEIVE_BUFFER_BYTES) as caller:
+        caller.sendall(encode_call(world, "slow"))
+        sender = threading.Timer(after_s, caller.sendall, (b"\r\n",))
+        sender.start()
+        time.sleep(READS_AFTER_S)
+        context.received = receive(caller, _is_stream_whole, READ_BYTES, READ_PAUSE_S)
+        sender.join()
+
+
 @then("the slow caller receives the whole response")
 def step_whole(context):
     data, ended = context.received
@@ -234,6 +257,22 @@
     assert ended == "whole", (len(data), ended)
 
 
+@when(
+    "a caller goes on receiving such an answer at 100 kB a second for {for_s:g} seconds"
+)
+def step_receives_for(context, for_s):
+    with connect(context.platform, RECEIVE_BUFFER_BYTES) as caller:
+        caller.sendall(encode_call(context.platform, "steady", "/plain/x"))
+        end_s = time.monotonic() + for_s
+        receive(caller, lambda data: time.monotonic() > end_s, 5_000, 0.05)
+        context.lines = context.platform.gateways[0].lines()
+
+
+@then("the gateway has not logged that the caller left")
+def step_not_left(context):
+    assert not [d for d in context.lines if d["event"] == "The caller left."]
+
+
 @when("a caller receives nothing of such an answer")
 def step_receives_nothing(context):
     context.caller = connect(context.platform, RECEIVE_BUFFER_BYTES)
--- a/src/kumquatseam/gateway/_caller.py
+++ b/src/kumquatseam/gateway/_caller.py
@@ -6,7 +6,11 @@
 import gevent
 
 from kumquatseam.errors import KumquatseamError
-from kumquatseam.http1 import CallerDisconnectedError, encode_response_head
+from kumquatseam.http1 import (
+    CallerDisconnectedError,
+    encode_response_head,
+    queued_bytes,
+)
 
 #: a caller that accepts no bytes for this long counts as disconnected; twice the
 #: longest pause that clients accept themselves.
@@ -128,8 +132,30 @@
         return b"%x\r\n%b\r\n" % (len(data), data)
 
     def _write(self, data: bytes) -> None:
+        view = memoryview(data)
         try:
-            with gevent.Timeout(WRITE_TIMEOUT_S, TimeoutError):
-                self.socket.sendall(data)
-        except (OSError, TimeoutError) as error:
+            while view:
+                view = view[self._write_some(view) :]
+        except OSError as error:
             raise CallerDisconnectedError from error
+
+    def _write_some(self, data: memoryview) -> int:
+        """Write what the system takes; return how much.
+
+        A full buffer takes more only once much of it has been received, so a caller
+        has to receive some of it in time, not make room.
+
+        :raises TimeoutError: if it receives nothing for ``WRITE_TIMEOUT_S``.
+        """
+        try:
+            return self.socket._sock.send(data)
+        except BlockingIOError:
+            queued = queued_bytes(self.socket)
+        while True:
+            try:
+                with gevent.Timeout(WRITE_TIMEOUT_S, TimeoutError):
+                    return self.socket.send(data)
+            except TimeoutError:
+                before, queued = queued, queued_bytes(self.socket)
+                if queued == before:
+                    raise
