An idle timeout waits for the caller to have received the last response

Found by review. The idle timeout of a kept connection closed it whether its caller had received all or not; what the caller sent after that reset it, and what was on its way was lost.

Evidence: last_bytes, 'idle for too long': 126,976 of 201,000 bytes and ECONNRESET before, all now.

--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -163,6 +163,9 @@
                     reader.set_limits(self._read_limits())
             except BadRequestError as error:
                 bad_request = error
+            except IdleConnectionError:
+                # Its caller may still receive the last response.
+                pass
             # What still arrives is read, so the connection is not idle.
             reader.is_reading = True
             # Loaded when first needed.
