--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -31,7 +31,7 @@
 
     def __init__(self):
         self.has_started = gevent.event.Event()
-        self.stop = StopClock()
+        self.stop_clock = StopClock()
 
     def handle(self, request, caller, may_keep_alive):
         self.has_started.set()
@@ -208,7 +208,7 @@
         request=SimpleNamespace(complete_s=now_s),
         end_s=now_s + 10.0,
     )
-    context.handler.stop.begin(time.monotonic() + left_s)
+    context.handler.stop_clock.begin(time.monotonic() + left_s)
     try:
         context.handler._check_stop(job)
         context.refusal = None
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -90,7 +90,7 @@
     def __init__(self, parts: HandlerParts) -> None:
         self._parts = parts
         #: begun by the server whose requests this serves.
-        self.stop = parts.stop
+        self.stop_clock = parts.stop
 
     def handle(
         self,
@@ -206,7 +206,7 @@
         :raises RefusedError: if it may take longer.
         """
         allowed_s = self._parts.metrics.allowed_s(job.route.name)
-        self.stop.check(job.request.complete_s, job.end_s, allowed_s)
+        self.stop_clock.check(job.request.complete_s, job.end_s, allowed_s)
 
     def _acquire_quota(self, job: Job) -> QuotaGrant | None:
         """Charge the request to its team's quota, if there is one.
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -46,7 +46,8 @@
         self._admission = admission
         self._address = address
         self._handler = handler
-        self.stop = handler.stop
+        #: begun when a stop is requested.
+        self.stop_clock = handler.stop_clock
         self._read_limits = read_limits
         self._grace_s = grace_s
         self._listener: socket.socket | None = None
@@ -79,7 +80,7 @@
     @property
     def is_stopping(self) -> bool:
         """Whether a stop was requested."""
-        return self.stop.is_stopping
+        return self.stop_clock.is_stopping
 
     @property
     def open_greenlets(self) -> list[gevent.Greenlet]:
--- a/src/kumquatseam/gateway/_server_stop.py
+++ b/src/kumquatseam/gateway/_server_stop.py
@@ -25,8 +25,8 @@
     :param grace_s: maximum duration.
     """
     started_s = time.monotonic()
-    server.stop.begin(started_s + grace_s)
-    while server.stop.left_s > 0:
+    server.stop_clock.begin(started_s + grace_s)
+    while server.stop_clock.left_s > 0:
         elapsed_s = time.monotonic() - started_s
         if elapsed_s > IDLE_WHILE_STOPPING_S:
             server.close_idle()
--- a/src/kumquatseam/gateway/_stop_clock.py
+++ b/src/kumquatseam/gateway/_stop_clock.py
@@ -51,5 +51,6 @@
             return
         is_late = complete_s > self.began_s + ADMIT_WHILE_STOPPING_S
         if is_late or allowed_s > self.left_s:
-            detail = f"needs {allowed_s:.2f} s, {self.left_s:.2f} s left"
+            needed = "more than is certain" if is_late else f"{allowed_s:.2f} s"
+            detail = f"needs {needed}, {self.left_s:.2f} s left"
             raise RefusedError(503, Reason.STOPPING, STOPPING_RETRY_S, detail)
--- a/src/kumquatseam/metrics/_recent_longest.py
+++ b/src/kumquatseam/metrics/_recent_longest.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 
-#: a time counts for this long at least, and for twice as long at most.
+#: a time counts for this long at least, and for three times as long at most.
 RECENT_S = 30.0
 #: time allowed for the next one, as a multiple of the longest one: runs that move, or
 #: that wait for processor time, take longer.
