Load what a stop needs soon after the start, not when it is requested

The procedure of a stop, the record of cuts and the end of connections were imported at the SIGTERM: without a free descriptor, or with the package replaced on disk by then, the process ended at once and cut everything.

Evidence: own_faults, 'A stop needs no module': ImportError before, 503 and a graceful end now. They are loaded 2 s after the start, which stays as short.

--- a/features/own_faults.feature
+++ b/features/own_faults.feature
@@ -46,6 +46,11 @@
       | 1.78 | refuses |
       | 2.7  | begins  |
 
+  Scenario: A stop needs no module that is not loaded some seconds after the start
+    Given a server that runs in a process of its own
+    When its package cannot be read any more and a request is cut by its stop
+    Then the request is answered with 503 and the process ends
+
   Scenario: A connection that was announced to stay open is not closed when a stop begins
     Given a server with one connection whose request is being answered
     When a stop begins, and the answer does not announce that the connection closes
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -1,8 +1,11 @@
 """Steps for connections that are closed while a server stops."""
 
 import fcntl
+import subprocess
+import sys
 import threading
 import time
+from pathlib import Path
 from types import SimpleNamespace
 
 import gevent
@@ -187,6 +190,27 @@
     context.server.stop_accepting()
 
 
+# What a stop needs.
+
+_PROGRAM = Path(__file__).parent.parent / "programs" / "stop_without_package.py"
+
+
+@given("a server that runs in a process of its own")
+def step_own_process(context):
+    context.command = [sys.executable, str(_PROGRAM)]
+
+
+@when("its package cannot be read any more and a request is cut by its stop")
+def step_unreadable(context):
+    context.done = subprocess.run(context.command, capture_output=True, text=True)
+
+
+@then("the request is answered with 503 and the process ends")
+def step_answered_at_end(context):
+    assert context.done.returncode == 0, context.done.stderr
+    assert context.done.stdout.startswith("HTTP/1.1 503"), context.done.stdout
+
+
 # Requests that are begun in a stop.
 
 ROUTE = "r"
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -23,6 +23,8 @@
 
 #: length of the kernel's accept queue, for bursts of connections.
 BACKLOG = 1024
+#: when what only a stop needs is loaded: after the start, which it would prolong.
+LOAD_STOP_AFTER_S = 2.0
 
 
 class GatewayServer:
@@ -66,6 +68,8 @@
         listener.listen(BACKLOG)
         self._listener = listener
         self._accepting = gevent.spawn(self._accept_forever)
+        # By the stop, descriptors may be used up, or the package replaced.
+        gevent.spawn_later(LOAD_STOP_AFTER_S, self._load_stop)
 
     @property
     def turned_away(self) -> int:
@@ -92,11 +96,16 @@
         """The number of requests that are being served."""
         return len(self._busy)
 
-    def close(self) -> None:
-        """Stop gracefully: finish requests already read, within the grace period."""
+    @staticmethod
+    def _load_stop() -> "Callable[[GatewayServer, float], None]":
+        """Return what stops a server gracefully."""
         from kumquatseam.gateway._server_stop import stop_server
 
-        stop_server(self, self._grace_s)
+        return stop_server
+
+    def close(self) -> None:
+        """Stop gracefully: finish requests already read, within the grace period."""
+        self._load_stop()(self, self._grace_s)
 
     def stop_accepting(self) -> None:
         """Accept no further connections."""
--- a/src/kumquatseam/gateway/_server_stop.py
+++ b/src/kumquatseam/gateway/_server_stop.py
@@ -1,9 +1,10 @@
-"""Stop a server gracefully; loaded with the stop."""
+"""Stop a server gracefully; loaded some seconds after a start, with all of a stop."""
 
 import time
 
 import gevent
 
+from kumquatseam.gateway import _connection_end, _cut_record  # noqa: F401
 from kumquatseam.gateway._stop_clock import ADMIT_WHILE_STOPPING_S
 from kumquatseam.logs import part_logger
 
