--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -292,6 +292,20 @@
     }
 
 
+def _unread(context, attempts):
+    """Return the ids of requests whose connections the first gateway turned away.
+
+    Right after it goes on it is saturated; it counts each one, and logs no request.
+    """
+    world = context.platform
+    gateway = world.gateways[FIRST]
+    logged = {line.get("request") for line in gateway.lines()}
+    found = {a.request_id for a in attempts if not a.status} - logged
+    count = world.metric(gateway, "caller_connections_turned_away_total")
+    assert len(found) <= count, f"{len(found)} without an answer, {count} turned away"
+    return found
+
+
 @then(
     "what was taken up there went on, or was refused with 503, unless its engine ended"
 )
@@ -301,11 +315,13 @@
     counts = {status: statuses.count(status) for status in sorted(set(statuses))}
     print(f"taken up at the first gateway: {counts}")
     broken_off = _broken_off(context)
+    unread = _unread(context, taken)
     others = {
         a.request_id
         for a in taken
         if a.status not in (200, 503)
         and (a.status != 502 or a.request_id not in broken_off)
+        and a.request_id not in unread
     }
     lines = [
         line
--- a/src/kumquatseam/gateway/_continuation.py
+++ b/src/kumquatseam/gateway/_continuation.py
@@ -1,42 +1,28 @@
 """Where a stream began, and at which upstreams it goes on."""
 
-import enum
-import time
+import functools
 from collections.abc import Collection
+from typing import TYPE_CHECKING
 
 import gevent
 
 from kumquatseam.gateway._job import Job
-from kumquatseam.logs import part_logger
-from kumquatseam.origins import stream_key
+from kumquatseam.http1 import UpstreamConnection
 from kumquatseam.placement import Placement, QueuePlace
 from kumquatseam.upstreams import ServiceVersion
 
-_log = part_logger("continuation")
+if TYPE_CHECKING:
+    from kumquatseam.gateway._stream_writers import StreamWriters
 
-#: longest time that an origin is kept after it was told last; it is told again while
-#: the stream lasts.
-MAX_KEEP_S = 60.0
-#: time after the first event until the origin is told again; doubles each time.
-FIRST_REPEAT_S = 1.0
 #: how often a stream that waits for its turn checks its caller.
 TURN_CHECK_S = 0.1
 
 
-class ContinuedBy(enum.Enum):
-    """Who took a stream up after it was broken off."""
-
-    CALLER = "caller"
-    GATEWAY = "gateway"
-    MOVE = "move"
-
-
 class Continuation:
     """Follows one stream over the upstreams that write it.
 
-    The upstream that writes the first event binds the stream to its software version,
-    before the event is passed on. A stream that its caller takes up is bound from the
-    start.
+    The upstream that writes the first event binds the stream to its software version, as
+    soon as that is known. A stream that its caller takes up is bound from the start.
 
     :param parts: dependencies (``HandlerParts``).
     :param job: the request.
@@ -45,13 +31,19 @@
     def __init__(self, parts, job: Job) -> None:
         self._parts = parts
         self._job = job
-        #: what the stream is bound to; ``None`` while any version will do.
-        self.origin: ServiceVersion | None = job.origin
-        self._has_events = False
-        self._current: Placement | None = None
         self._queue_place: QueuePlace | None = None
-        self._repeat_s = FIRST_REPEAT_S
-        self._repeat_at_s = 0.0
+
+    @functools.cached_property
+    def _writers(self) -> "StreamWriters":
+        """Loaded with the first resumable stream."""
+        from kumquatseam.gateway._stream_writers import StreamWriters
+
+        return StreamWriters(self._parts, self._job)
+
+    @property
+    def origin(self) -> ServiceVersion | None:
+        """What the stream is bound to; ``None`` while any version will do."""
+        return self._writers.origin if self._job.route.is_resumable else None
 
     @property
     def is_bound(self) -> bool:
@@ -61,17 +53,19 @@
     @property
     def software_version(self) -> str:
         """The only software version that may write the next event; ``""`` for any."""
-        return self.origin.software_version if self.origin is not None else ""
+        origin = self.origin
+        return origin.software_version if origin is not None else ""
 
     # Placement.
 
     @property
     def is_served(self) -> bool:
         """Whether any upstream may write the next event."""
-        if self.origin is None:
+        origin = self.origin
+        if origin is None:
             # Whatever began the stream is not known to be of the same version.
-            return not self._has_events
-        return self._parts.directory.serves(self.origin)
+            return not (self._job.route.is_resumable and self._writers.has_events)
+        return self._parts.directory.serves(origin)
 
     def may_forgive(self, excluded: Collection[str]) -> bool:
         """Return whether upstreams that failed may be tried again.
@@ -113,60 +107,18 @@
 
     # Events.
 
-    def may_pass_on(self, placement: Placement) -> bool:
-        """Return whether events of an upstream may be passed on.
-
-        It may have started again, at another version, since it was chosen. Once its
-        first event was passed on, the connection leads to the same process.
-        """
-        if not self._job.route.is_resumable or placement is self._current:
+    def may_pass_on(self, placement: Placement, connection: UpstreamConnection) -> bool:
+        """Return whether events of an upstream may be passed on."""
+        if not self._job.route.is_resumable:
             return True
-        return self._parts.directory.has_kept_version(placement.status)
+        return self._writers.may_pass_on(placement, connection)
 
-    def note_events(self, placement: Placement) -> None:
-        """Record that events are about to be passed on.
+    def note_events(self, placement: Placement, connection: UpstreamConnection) -> None:
+        """Record that events of an upstream are about to be passed on."""
+        if self._job.route.is_resumable:
+            self._writers.note_events(placement, connection)
 
-        :param placement: the upstream that wrote them.
-        """
-        if not self._job.route.is_resumable:
-            return
-        if placement is not self._current:
-            self._current = placement
-            self._note_upstream(placement)
-        if self.origin is not None and time.monotonic() >= self._repeat_at_s:
-            self._tell_owners()
-
-    def _note_upstream(self, placement: Placement) -> None:
-        if self._has_events:
-            is_moved = placement.moved_run is not None
-            self._record(ContinuedBy.MOVE if is_moved else ContinuedBy.GATEWAY)
-        elif self.origin is not None:
-            self._record(ContinuedBy.CALLER)
-        elif placement.status.upstream.software_version:
-            self.origin = placement.status.upstream.service_version
-        self._has_events = True
-
-    def _tell_owners(self) -> None:
-        """Tell those who may be asked later where the stream began."""
-        job = self._job
-        keep_s = min(MAX_KEEP_S, max(0.0, job.caller_remaining_s))
-        key = job.origin_key or stream_key(job.team_name, job.call.request_id)
-        self._parts.origins.note(key, self.origin, keep_s)
-        self._repeat_at_s = time.monotonic() + self._repeat_s
-        self._repeat_s = min(MAX_KEEP_S / 2, 2 * self._repeat_s)
-
-    def _record(self, by: ContinuedBy) -> None:
-        upstream = self._current.status.upstream
-        is_same = None
-        if self.origin is not None:
-            is_same = upstream.software_version == self.software_version
-        self._parts.metrics.record_continuation(by.value, is_same)
-        _log.bind(
-            request=self._job.call.request_id,
-            by=by.value,
-            resumes=self._job.call.first_resumed,
-            after=self._job.call.resume_after,
-            upstream=upstream.incarnation_id,
-            software=upstream.software_version,
-            began_at=self.software_version,
-        ).info("Stream continued.")
+    def note_broken_off(self) -> None:
+        """Record that an upstream broke the stream off, which may go on elsewhere."""
+        if self._job.route.is_resumable:
+            self._writers.note_broken_off()
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -193,6 +193,7 @@
             if run is not None and run.may_ask_again(placement, error, self._response):
                 self._failures.log(placement, error.detail)
             else:
+                self._continuation.note_broken_off()
                 self._failures.after_interrupted(placement, error)
         except GraceExpiredError:
             self._failures.after_grace_expired(placement)
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -242,10 +242,10 @@
 
         :raises ResponseInterruptedError: if it is not known to be the expected one.
         """
-        if not self._continuation.may_pass_on(response.placement):
+        if not self._continuation.may_pass_on(response.placement, response.connection):
             raise ResponseInterruptedError(
                 response.connection.address,
-                "upstream started again with other software",
+                "upstream is not known to run the software that began the stream",
                 is_upstream_fault=False,
             )
 
@@ -281,7 +281,7 @@
     def _send_events(self, response: UpstreamResponse, keep: bool, data: bytes) -> None:
         if not data:
             return
-        self._continuation.note_events(response.placement)
+        self._continuation.note_events(response.placement, response.connection)
         self._record_event(response)
         if self._caller.has_started_response:
             self._caller.send_body(data)
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -1,8 +1,10 @@
 """Serve one request: authenticate, match a route, apply quotas, forward, respond."""
 
+import functools
 import random
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import attrs
 import gevent
@@ -32,6 +34,9 @@
 from kumquatseam.routes import LiveRouteTable, Route, RouteTable, TeamTraits
 from kumquatseam.upstreams import UpstreamDirectory, WeightsTargets
 
+if TYPE_CHECKING:
+    from kumquatseam.gateway._processes import UpstreamProcesses
+
 _log = part_logger("request")
 
 #: for callers that send no deadline: the longest usual route timeout.
@@ -80,6 +85,13 @@
     targets: WeightsTargets
     stop: StopClock = attrs.Factory(StopClock)
 
+    @functools.cached_property
+    def processes(self) -> "UpstreamProcesses":
+        """Identifies upstreams; loaded with the first resumable stream."""
+        from kumquatseam.gateway._processes import UpstreamProcesses
+
+        return UpstreamProcesses(self.directory, self.orders)
+
 
 class RequestHandler:
     """Serves requests, one call of :meth:`handle` each.
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -166,6 +166,10 @@
         self._read_bytes = 0
         self._pause_at_bytes = _BYTES_PER_PAUSE
         self.reuse_until_s: float | None = None
+        #: in monotonic time.
+        self.opened_s = time.monotonic()
+        #: the incarnation of the upstream that it leads to, once that is known.
+        self.incarnation_id = ""
         self.has_sent = False
         #: hashes of the ids of the requests that it was given out for.
         self.carried = bytearray()
--- a/src/kumquatseam/platform/_cache_events.py
+++ b/src/kumquatseam/platform/_cache_events.py
@@ -1,5 +1,6 @@
 """Client of the cache listings and events of the platform's engines and stores."""
 
+import time
 from collections.abc import Mapping, Sequence
 
 import urllib3
@@ -65,6 +66,7 @@
             return None
         if holder.upstream_id:
             headers = {**headers, "X-Expect-Instance": holder.upstream_id}
+        asked_s = time.monotonic()
         try:
             response = self._pools.request(
                 "GET",
@@ -80,7 +82,9 @@
                     decode_availability(response.status, response.headers.getlist),
                 )
             if response.status == 200:
-                return decode_json("cache events", response.data, build)
+                listing = decode_json("cache events", response.data, build)
+                self._observer.note_born(holder.holder, listing.born_ms, asked_s)
+                return listing
             reason = f"HTTP {response.status}"
         except (urllib3.exceptions.HTTPError, DecodingError) as error:
             reason = repr(error)
--- a/src/kumquatseam/platform/_orders.py
+++ b/src/kumquatseam/platform/_orders.py
@@ -1,6 +1,7 @@
 """Client of the order and report calls of the platform's engines."""
 
 import json
+import time
 
 import urllib3
 
@@ -96,10 +97,13 @@
         if not self._observer.begin_call(upstream.incarnation_id):
             return None
         try:
+            asked_s = time.monotonic()
             response = self._call("GET", upstream, "/report")
             if response.status != 200:
                 return None
-            return decode_report(response.data)
+            report = decode_report(response.data)
+            self._observer.note_born(upstream.incarnation_id, report.born_ms, asked_s)
+            return report
         except (urllib3.exceptions.HTTPError, DecodingError) as error:
             self._log_failure(upstream, "report", error)
             return None
--- a/src/kumquatseam/upstreams/_availability.py
+++ b/src/kumquatseam/upstreams/_availability.py
@@ -74,7 +74,7 @@
 
 
 class AvailabilityObserver(abc.ABC):
-    """Is told what responses say about further requests to upstreams."""
+    """Is told what upstreams say of themselves in responses to calls."""
 
     @abc.abstractmethod
     def begin_call(self, incarnation_id: str, is_urgent: bool = False) -> bool:
@@ -89,6 +89,15 @@
     ) -> None:
         """Handle a notice of an upstream."""
 
+    @abc.abstractmethod
+    def note_born(self, incarnation_id: str, born_ms: int, asked_s: float) -> None:
+        """Handle what an upstream says of its start.
+
+        :param incarnation_id: the incarnation that was called.
+        :param born_ms: when it started; 0 if it does not say so.
+        :param asked_s: when it was called, in monotonic time.
+        """
+
 
 class NullAvailabilityObserver(AvailabilityObserver):
     """Ignores notices."""
@@ -101,6 +110,9 @@
     ) -> None:
         pass
 
+    def note_born(self, incarnation_id: str, born_ms: int, asked_s: float) -> None:
+        pass
+
 
 class Availability:
     """Until when one incarnation of an upstream gets no requests.
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -34,7 +34,8 @@
 #: within this time of its end: the platform's two seconds plus one poll interval.
 OUTAGE_GRACE_S = 2.5
 #: an upstream with an unreadable entry is removed after this long: three of the
-#: usual heartbeat intervals, after which the platform removes a silent one too.
+#: usual heartbeat intervals, after which the platform removes a silent one too. So long
+#: a start that an upstream reported goes before entries that contradict it.
 UNREADABLE_GRACE_S = 3.6
 #: an engine sends an event of some response every 40 ms; if responses are in progress
 #: and none arrives for this long, the engine or the network path to it is down.
@@ -116,8 +117,11 @@
             an entry that is read after a removal is newer.
         """
         availability = self._availabilities.of(upstream.incarnation_id)
-        is_outdated = upstream.sequence <= availability.withdrawn_at
         known = self._by_id.get(upstream.upstream_id)
+        if self._is_doubtful(known, upstream):
+            self._drop(known, "never listed")
+            known, availability.withdrawn_at = None, -math.inf
+        is_outdated = upstream.sequence <= availability.withdrawn_at
         if is_outdated and not upstream.is_leaving and (is_restored or known):
             return False
         if not is_outdated or not upstream.is_leaving:
@@ -164,7 +168,18 @@
                 sequence=0,
             )
             self._replace(status, restarted)
-        return self._by_id.get(upstream.upstream_id, status)
+        return self.newest(status)
+
+    def note_born(self, incarnation_id: str, born_ms: int, asked_s: float) -> None:
+        status = self._by_incarnation.get(incarnation_id)
+        if status is not None:
+            newest = self.note_restart(status, born_ms)
+            if newest.upstream.born_ms == born_ms:
+                newest.alive_s = max(newest.alive_s, asked_s)
+
+    def newest(self, status: UpstreamStatus) -> UpstreamStatus:
+        """Return the listed incarnation of an upstream; ``status`` if none is."""
+        return self._by_id.get(status.upstream.upstream_id, status)
 
     def remove(self, upstream_id: str, outage_age_s: float | None = None) -> bool:
         """Remove an upstream whose entry is no longer listed.
@@ -218,7 +233,9 @@
 
     def _add(self, upstream: Upstream, change: str) -> None:
         availability = self._availabilities.note_listed(upstream.incarnation_id)
-        status = UpstreamStatus(upstream, availability=availability)
+        status = UpstreamStatus(
+            upstream, availability=availability, known_since_s=self._clock()
+        )
         status.note_entry(upstream, self._clock())
         self._by_id[upstream.upstream_id] = status
         self._by_incarnation[upstream.incarnation_id] = status
@@ -234,6 +251,14 @@
         self._add(upstream, "restarted")
         return True
 
+    def _is_doubtful(self, known: UpstreamStatus | None, upstream: Upstream) -> bool:
+        """Return whether an entry contradicts a start that was only reported."""
+        if known is None or known.upstream.software_version:
+            return False
+        known_for_s = self._clock() - known.known_since_s
+        is_older = upstream.born_ms < known.upstream.born_ms
+        return is_older and known_for_s > UNREADABLE_GRACE_S
+
     def _drop(self, status: UpstreamStatus, change: str) -> None:
         del self._by_id[status.upstream.upstream_id]
         del self._by_incarnation[status.upstream.incarnation_id]
@@ -381,12 +406,6 @@
         """Return whether any upstream of a software version is not leaving."""
         return bool(self.serving(version))
 
-    def has_kept_version(self, status: UpstreamStatus) -> bool:
-        """Return whether an upstream is not known to run other software by now."""
-        known = self._by_id.get(status.upstream.upstream_id)
-        version = status.upstream.software_version
-        return known is None or known.upstream.software_version == version
-
     def rest_left_s(self, service: str, software_version: str = "") -> float:
         """Return when an upstream of a service is the first not to rest any more.
 
--- a/src/kumquatseam/upstreams/_status.py
+++ b/src/kumquatseam/upstreams/_status.py
@@ -38,6 +38,8 @@
         known.
     :param closing_until_s: until then it is about to load weights, and requests
         should prefer other upstreams.
+    :param known_since_s: when it became known; it had started by then.
+    :param alive_s: when it is known to have run last.
     :param expires_s: when to remove it, if its entry expired during an outage of the
         list or is unreadable.
     """
@@ -55,6 +57,8 @@
     _version_known_s: dict[str, float] = attrs.Factory(dict)
     _orders_known_s: float = -math.inf
     closing_until_s: float = 0.0
+    known_since_s: float = 0.0
+    alive_s: float = -math.inf
     expires_s: float | None = None
     _move_runs_to: tuple[str, ...] = ()
 
