Tests: let threads of stand-ins keep the interpreter for longer

Seen: beside nothing else, the process of rejoined_streams.feature took 5 cores, half of them in the kernel, with 2,200 to 2,400 threads, and the load was 150 to 265; the suite beside it ran out of time.

Cause: a thread that waits for the interpreter wakes up every 5 ms, so each stand-in's thread costs processor time while it waits.

Change: 0.1 s instead.

--- a/features/environment.py
+++ b/features/environment.py
@@ -2,12 +2,19 @@
 
 import os
 import shutil
+import sys
 from pathlib import Path
 
 from loguru import logger
 
+#: seconds for which a thread may keep the interpreter. Stand-ins have up to thousands of
+#: threads, and each that waits for it wakes up so often, which takes several cores at
+#: the default of 0.005 s. They hold it for much shorter times themselves.
+SWITCH_INTERVAL_S = 0.1
+
 
 def before_all(context):
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
     # Parts called in this process would print their lines between the dots.
     logger.remove()
 
