Load the keys of streams with the first stream that needs one

starts.feature:5 failed since: a gateway's start loaded origins._key, which none of the loaded modules uses any more; its only users (_stream_writers, _resumption) are loaded with the first resumable stream. The step behind it, the bound on the start-up code, was skipped. Callers saw nothing.

--- a/features/steps/origins_steps.py
+++ b/features/steps/origins_steps.py
@@ -8,8 +8,8 @@
 
 from kumquatseam.codec import merge_kinds
 from kumquatseam.errors import CodecError
-from kumquatseam.origins import stream_key
 from kumquatseam.origins._messages import OriginNotice
+from kumquatseam.origins.keys import stream_key
 from kumquatseam.trackers._messages import WorkBegan
 from kumquatseam.upstreams import ServiceVersion
 
--- a/features/steps/origins_world.py
+++ b/features/steps/origins_world.py
@@ -13,8 +13,8 @@
     OriginParts,
     OriginSearch,
     StreamOrigins,
-    stream_key,
 )
+from kumquatseam.origins.keys import stream_key
 from kumquatseam.peers import InstanceRecord
 from kumquatseam.upstreams import ServiceVersion
 
--- a/src/kumquatseam/gateway/_stream_writers.py
+++ b/src/kumquatseam/gateway/_stream_writers.py
@@ -7,7 +7,7 @@
 from kumquatseam.gateway._processes import UpstreamProcesses
 from kumquatseam.http1 import UpstreamConnection
 from kumquatseam.logs import part_logger
-from kumquatseam.origins import stream_key
+from kumquatseam.origins.keys import stream_key
 from kumquatseam.placement import Placement
 from kumquatseam.upstreams import ServiceVersion
 
--- a/src/kumquatseam/origins/__init__.py
+++ b/src/kumquatseam/origins/__init__.py
@@ -3,11 +3,11 @@
 Replicas of several software versions may serve one service, and a stream goes on only
 at the version that began it, in one answer or over the attempts of its caller.
 
-- :func:`stream_key` names a stream by its team and its caller's first attempt.
 - :class:`StreamOrigins` keeps what began each stream at a few instances, and finds it.
+- :mod:`kumquatseam.origins.keys` names a stream by its team and its caller's first
+  attempt. It is not imported here, since no start needs it.
 """
 
-from kumquatseam.origins._key import stream_key
 from kumquatseam.origins._messages import DATAGRAM_KINDS
 from kumquatseam.origins._origins import (
     SWEEP_INTERVAL_S,
@@ -22,5 +22,4 @@
     "OriginParts",
     "OriginSearch",
     "StreamOrigins",
-    "stream_key",
 ]
