Take an answer for a sign of life at the time of its request, not of its bytes

Callers could see streams with events of two software versions: a stream of v1, blocked by a caller that reads slowly, goes on to pass events on from a process that has ended since, and a connection that was opened meanwhile, to the process that started again under the id with v2, was taken for one to v1.

Cause: bytes that arrived on a known connection counted as sent at most 0.25 s before they were read. They may wait longer: in the receive buffer while the greenlet writes to a slow caller (up to WRITE_TIMEOUT_S without progress, longer with), in the sender's system behind a full window or a link that is cut, also once the process is gone.

Now an answer tells that its process was alive when the request was sent, which holds whatever the delay. The two examples for bytes (received at 11.5 and 11.1 s) are replaced by ones for answers (sent 0.1 s after and before the connection was opened); the new second one is as strict, and the old first one is no evidence.

--- a/features/identified_upstreams.feature
+++ b/features/identified_upstreams.feature
@@ -18,8 +18,8 @@
       | 1000 | direct  | 11     | a poll at 10.5 s said that it started at 1000  | none             | some      |
       | 1000 | direct  | 11     | a poll at 12 s said that it started at 2000    | none             | 0         |
       | 1000 | direct  | 13     | a poll at 12 s said that it started at 2000    | none             | some      |
-      | 1000 | direct  | 11     | a known connection to it got bytes at 11.5 s   | the listed one   | 0         |
-      | 1000 | direct  | 11     | a known connection to it got bytes at 11.1 s   | none             | some      |
+      | 1000 | direct  | 11     | it answered what it was sent at 11.1 s         | the listed one   | 0         |
+      | 1000 | direct  | 11     | it answered what it was sent at 10.9 s         | none             | some      |
       | 1000 | direct  | 9      | its reports say that it started at 1000        | none             | 0         |
       | 1000 | direct  | 11     | it is listed as v3 of 2000 at 12 s             | none             | 0         |
       | 1000 | direct  | 11     | its entry is gone, and reports say 1000        | the listed one   | 1         |
@@ -27,6 +27,13 @@
       | none | direct  | 11     | it is listed as v3 at 12 s                     | none             | 0         |
       | 1000 | relayed | 11     | it sends no report                             | the listed one   | 0         |
 
+  Scenario: Events that waited for a slow caller do not show that their engine still runs
+    Given an engine of v1 that is listed at 10 s, having started at 1000
+    And it answered what it was sent at 10.9 s
+    And its reports say that it started at 2000
+    When another event of that answer is passed on at 14 s
+    Then a connection that was opened at 13 s is not found to lead to the listed one
+
   Scenario: Connections that are opened at the same time cause one question
     Given an engine of v1 that is listed at 10 s, having started at 1000
     And its reports say that it started at 1000
--- a/features/steps/identified_steps.py
+++ b/features/steps/identified_steps.py
@@ -55,6 +55,7 @@
 class _Connection:
     def __init__(self, opened_s, is_relayed=False):
         self.opened_s, self.is_relayed = opened_s, is_relayed
+        self.sent_s = opened_s
         self.incarnation_id = ""
 
 
@@ -144,15 +145,39 @@
     context.clock.now_s = 20.0
 
 
-@given("a known connection to it got bytes at {at_s:g} s")
-def step_bytes(context, at_s):
-    known = _Connection(10.5)
-    known.incarnation_id = context.listed.upstream.incarnation_id
+@given("it answered what it was sent at {sent_s:g} s")
+def step_answered(context, sent_s):
+    """On a connection that is known to lead to it, at 12 s."""
+    connection = _Connection(10.5)
+    connection.sent_s = sent_s
+    connection.incarnation_id = context.listed.upstream.incarnation_id
+    context.parts = _Parts(context.processes)
+    context.stream = StreamWriters(context.parts, _Job())
+    context.known = _Placement(context.listed), connection
+    _pass_known_on(context, 12.0)
+
+
+@when("another event of that answer is passed on at {at_s:g} s")
+def step_waited(context, at_s):
+    _pass_known_on(context, at_s)
+
+
+def _pass_known_on(context, at_s):
     context.clock.now_s = at_s
-    context.processes.note_received(context.listed, known)
+    assert context.stream.may_pass_on(*context.known)
+    context.stream.note_events(*context.known)
     context.clock.now_s = 20.0
 
 
+@then(
+    "a connection that was opened at {opened_s:g} s is not found to lead to the listed "
+    "one"
+)
+def step_not_found(context, opened_s):
+    found = _ticking(context, lambda: _identify(context, _Connection(opened_s)))
+    assert found is not context.listed, found
+
+
 @step("it is listed as v3 of {born_ms:d} at {at_s:g} s")
 def step_listed_later(context, born_ms, at_s):
     _list(context, "v3", born_ms, at_s)
--- a/src/kumquatseam/gateway/_processes.py
+++ b/src/kumquatseam/gateway/_processes.py
@@ -16,9 +16,6 @@
 
 _log = part_logger("processes")
 
-#: how long received bytes may have waited, on their way or for this process: what sent
-#: them may have ended since.
-RECEIVE_LAG_S = 0.25
 #: pause after a question without an answer.
 ASK_PAUSE_S = 0.1
 
@@ -27,9 +24,10 @@
     """Identifies the process at the other end of a connection.
 
     A process that was alive before a connection was opened, and still is afterwards, is
-    the one that the connection leads to. That it is alive is known from what it says of
-    itself, and from the bytes that arrive on connections that are known to lead to it.
-    Where neither is recent, it is asked for its report.
+    the one that the connection leads to. That it was alive when it was sent something
+    is known from its answers: to polls, which state its start, and to requests on
+    connections that are known to lead to it. Where neither is recent, it is asked for
+    its report.
 
     An incarnation that does not state when it started has an id of its own, and no
     other can be asked through another instance: such connections are taken to lead to
@@ -103,12 +101,17 @@
             asking = self._asking[upstream_id] = gevent.spawn(self._ask, newest)
         return asking
 
-    def note_received(
+    def note_answered(
         self, status: UpstreamStatus, connection: UpstreamConnection
     ) -> None:
-        """Record that bytes arrived on a connection."""
+        """Record that a request on a connection was answered.
+
+        What answered was alive when the request was sent. The time of the bytes tells
+        nothing: they may have waited in the system of an upstream that has ended since,
+        or here, until a slow caller took what came before them.
+        """
         if connection.incarnation_id == status.upstream.incarnation_id:
-            _note_alive(status, self._clock() - RECEIVE_LAG_S)
+            _note_alive(status, connection.sent_s)
 
     def _ask(self, status: UpstreamStatus) -> None:
         upstream = status.upstream
--- a/src/kumquatseam/gateway/_stream_writers.py
+++ b/src/kumquatseam/gateway/_stream_writers.py
@@ -76,8 +76,7 @@
         It may have started again, at another version, since it was chosen or listed.
         Once its first event was passed on, the connection leads to the same process.
         """
-        if placement is self._current:
-            self._processes.note_received(placement.status, connection)
+        if connection is self._connection:
             return True
         is_bound = self._origin is not None
         known = self._processes.wait_identified(
@@ -85,6 +84,7 @@
             connection,
             BOUND_WAIT_S if is_bound else FIRST_EVENT_WAIT_S,
         )
+        self._processes.note_answered(placement.status, connection)
         if not is_bound:
             return True
         return known is not None and known.upstream.service_version == self._origin
@@ -94,7 +94,7 @@
 
         :param placement: the upstream that wrote them.
         """
-        if placement is not self._current:
+        if connection is not self._connection:
             self._current, self._connection = placement, connection
             self._note_upstream()
         if self._origin is None and not self._bind_if_identified():
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -166,8 +166,8 @@
         self._read_bytes = 0
         self._pause_at_bytes = _BYTES_PER_PAUSE
         self.reuse_until_s: float | None = None
-        #: in monotonic time.
-        self.opened_s = time.monotonic()
+        #: in monotonic time; when the newest request on it was begun to be sent.
+        self.opened_s = self.sent_s = time.monotonic()
         #: the incarnation of the upstream that it leads to, once that is known.
         self.incarnation_id = ""
         self.has_sent = False
@@ -205,6 +205,7 @@
         :raises ResponseInterruptedError: if the connection fails.
         """
         self._responses.clear()
+        self.sent_s = time.monotonic()
         self._unsent = data
         self.has_sent = False
         if self._watch is not None:
