Move runs only between processes whose software is known

A stream of which one run is moved could get events of two software versions: its source, or its destination, has started again under its id with other software, the entry of the process before is still listed, and the move compared these entries. It holds also for streams that may run once, which nothing else binds.

Requests name the id alone, and the call that copies a run names an address.

Now the processes at both ends are identified before the run is stopped, while it goes on at its source, in 0.5 s at most; otherwise it stays. The memory of a run is in the process that copied or received it, so what is known of these holds when the run goes on.

Evidence: moves.feature, 'A run moves only between processes that are known', source and target, failed before (asked to copy and to stop). It costs up to two questions a move.

--- a/features/moves.feature
+++ b/features/moves.feature
@@ -18,6 +18,20 @@
     And the caller's stream is complete, with 4 events
     And it went on at its destination, after event 2
 
+  Scenario Outline: A run moves only between processes that are known: <restarts> restarted
+    An entry that was read before does not tell what software runs at either end.
+
+    Given a stream that is to be moved from or to an engine that restarts: <restarts>
+    When the caller's request is served
+    Then the run <was stopped>
+    And the caller's stream is complete, with 4 events
+
+    Examples:
+      | restarts | was stopped     |
+      | neither  | was stopped     |
+      | source   | was not stopped |
+      | target   | was not stopped |
+
   Scenario Outline: A move that does not stop the run leaves it where it is: <answer>
     Given a stream whose move is answered so: <answer>
     When the caller's request is served
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -213,7 +213,9 @@
         """Return what moves the run; loaded with the first one that has to move."""
         from kumquatseam.gateway._relocation import Relocation
 
-        return Relocation(self._parts, self._job, response.placement)
+        return Relocation(
+            self._parts, self._job, response.placement, response.connection
+        )
 
     def _raise_if_broken_off(
         self, response: UpstreamResponse, relocation: "Relocation | None"
--- a/src/kumquatseam/gateway/_relocation.py
+++ b/src/kumquatseam/gateway/_relocation.py
@@ -22,7 +22,7 @@
 from kumquatseam.gateway._grants import AttemptGrants
 from kumquatseam.gateway._job import Job
 from kumquatseam.gateway._stopped_run import RunReservation, StoppedRun
-from kumquatseam.http1 import ConnectFailedError
+from kumquatseam.http1 import ConnectFailedError, UpstreamConnection
 from kumquatseam.logs import part_logger
 from kumquatseam.placement import Placement, RequestWork
 from kumquatseam.quotas import UpstreamFullError
@@ -40,6 +40,9 @@
 #: how long a run that a move stops may pause at most: the call that stops it, and the
 #: rounds in which its engines are asked to go on.
 MAX_PAUSE_S = 1.6
+#: how long it may take to know the processes at both ends of a move; the run goes on
+#: meanwhile.
+IDENTIFY_WAIT_S = 0.5
 #: answers to the call that stops a run after which it may have been stopped.
 _MAY_HAVE_STOPPED = (MoveOutcome.DONE, MoveOutcome.UNANSWERED)
 
@@ -50,12 +53,20 @@
     :param parts: dependencies (``HandlerParts``).
     :param job: the request.
     :param placement: the engine it runs on.
+    :param connection: the connection that it is read from.
     """
 
-    def __init__(self, parts, job: Job, placement: Placement) -> None:
+    def __init__(
+        self,
+        parts,
+        job: Job,
+        placement: Placement,
+        connection: UpstreamConnection,
+    ) -> None:
         self._parts = parts
         self._job = job
         self._placement = placement
+        self._connection = connection
         self._move: _Move | None = None
         #: when the next attempt may start, and the pause after it.
         self._next_start_s = 0.0
@@ -81,7 +92,9 @@
             return
         self._next_start_s = time.monotonic() + self._pause_s
         self._pause_s *= 2
-        self._move = _Move(self._parts, self._job, self._placement, destination)
+        self._move = _Move(
+            self._parts, self._job, self._placement, destination, self._connection
+        )
         self._move.start()
 
     def _stay(self, reason: str) -> None:
@@ -154,15 +167,22 @@
     :param job: the request.
     :param source: the engine it runs on.
     :param destination: the engine it moves to.
+    :param connection: the connection that it is read from.
     """
 
     def __init__(
-        self, parts, job: Job, source: Placement, destination: Placement
+        self,
+        parts,
+        job: Job,
+        source: Placement,
+        destination: Placement,
+        connection: UpstreamConnection,
     ) -> None:
         self._parts = parts
         self._job = job
         self._source = source
         self._destination = destination
+        self._connection = connection
         self._reservation = self._new_reservation()
         self._handle = ""
         #: the answer to the call that stops the run; ``None`` until that is sent.
@@ -279,6 +299,8 @@
             )
         except ConnectFailedError as error:
             return self._abandon(str(error))
+        if not self._is_same_software():
+            return self._abandon("software of source or destination unknown")
         if not self._parts.placer.may_move(self._source, self._destination.status):
             return self._abandon("source or destination changed")
         # A stop may have been requested meanwhile.
@@ -286,6 +308,24 @@
             return self._abandon("the stop leaves too little time")
         return self._may_stop
 
+    def _is_same_software(self) -> bool:
+        """Return whether one software version is known to run at both ends.
+
+        Either may have started again, at another version, since its entry was read.
+        """
+        versions = set()
+        for placement, connection in (
+            (self._source, self._connection),
+            (self._destination, self._reservation.connection),
+        ):
+            known = self._parts.processes.wait_identified(
+                placement.status, connection, IDENTIFY_WAIT_S
+            )
+            if known is None or not known.upstream.software_version:
+                return False
+            versions.add(known.upstream.service_version)
+        return len(versions) == 1
+
     def _stop(self) -> None:
         """Stop the run, which copies the rest of its memory."""
         self._stopped = MoveResult(MoveOutcome.UNANSWERED)
