Keep no connection of which it can never be known where it leads

Callers whose streams broke off were refused (stream_origin_unknown) long after an engine had started again: a stream that began on the new process before its start was known leaves a connection that was opened before that. It cannot be told where it leads, no question is asked (ask returns None), and the pool kept it, the newest first, for up to 512 requests; all streams on it stayed unbound, and bound ones were interrupted on it. The same holds for an engine whose entry is removed and written again, for connections that carried no resumable stream before.

Such a connection is closed now after the stream that it carries: one new connection each.

Evidence: by reading, and identified_upstreams.feature, 'A connection that was opened at' (no interface for it before; that such a connection is never identified is an older example: a poll at 12 s, opened at 11). Not played with real processes.

--- a/features/identified_upstreams.feature
+++ b/features/identified_upstreams.feature
@@ -65,6 +65,22 @@
     And its reports say that it started at 2000
     Then a stream of v1 may not pass events on from a connection that was opened at 11 s
 
+  Scenario Outline: A connection that was opened at <opened> s to an engine that <what>
+    Streams on one that can never be known to lead anywhere would all stay unbound.
+
+    Given an engine of v1 that is listed at 10 s, having started at 1000
+    And an engine that <what>
+    When a stream passes an event on from a connection that was opened at <opened> s
+    Then the connection <may> carry another stream
+
+    Examples:
+      | opened | what                                         | may     |
+      | 11     | has been listed without a break              | may     |
+      | 11     | is found at 12 s to have started at 2000     | may not |
+      | 13     | is found at 12 s to have started at 2000     | may     |
+      | 11     | was removed, and is listed again at 12 s     | may not |
+      | 13     | was removed, and is listed again at 12 s     | may     |
+
   Scenario: A stream whose writer is not known does not go on at another engine
     Given an engine of v1 that is listed at 10 s, having started at 1000
     And it sends no report
--- a/features/steps/identified_steps.py
+++ b/features/steps/identified_steps.py
@@ -1,5 +1,6 @@
 """Steps for the incarnations that connections lead to."""
 
+import attrs
 import gevent
 from behave import given, step, then, when
 
@@ -310,6 +311,32 @@
     assert not _ticking(context, lambda: context.stream.may_pass_on(*arguments))
 
 
+@given("an engine that has been listed without a break")
+def step_listed_on(context):
+    _list(context, "v1", 1000, 12.0)
+    context.clock.now_s = 20.0
+
+
+@given("an engine that is found at {at_s:g} s to have started at {born_ms:d}")
+def step_found_restarted(context, at_s, born_ms):
+    step_poll(context, at_s, born_ms)
+
+
+@given("an engine that was removed, and is listed again at {at_s:g} s")
+def step_listed_again_later(context, at_s):
+    context.directory.remove("e0")
+    context.clock.now_s = at_s
+    entry = attrs.evolve(context.listed.upstream, sequence=1)
+    context.directory.put(entry)
+    context.clock.now_s = 20.0
+
+
+@then("the connection {may} carry another stream")
+def step_may_reuse(context, may):
+    may_reuse = context.stream.may_reuse(context.placement, context.connection)
+    assert may_reuse == (may == "may")
+
+
 @then("the stream is not bound")
 def step_unbound(context):
     assert context.stream.origin is None, context.stream.origin
--- a/src/kumquatseam/gateway/_continuation.py
+++ b/src/kumquatseam/gateway/_continuation.py
@@ -118,6 +118,12 @@
         if self._job.route.is_resumable:
             self._writers.note_events(placement, connection)
 
+    def may_reuse(self, placement: Placement, connection: UpstreamConnection) -> bool:
+        """Return whether a connection may carry another stream."""
+        if not self._job.route.is_resumable:
+            return True
+        return self._writers.may_reuse(placement, connection)
+
     def note_broken_off(self) -> None:
         """Record that an upstream broke the stream off, which may go on elsewhere."""
         if self._job.route.is_resumable:
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -206,7 +206,8 @@
         if not self._caller.has_started_response:
             self._caller.start_response(200, self._fields(response.head, keep), None)
         self._caller.finish_response()
-        response.release(self._parts.pool)
+        if self._continuation.may_reuse(response.placement, response.connection):
+            response.release(self._parts.pool)
         return keep
 
     def _relocation(self, response: UpstreamResponse) -> "Relocation":
--- a/src/kumquatseam/gateway/_processes.py
+++ b/src/kumquatseam/gateway/_processes.py
@@ -69,6 +69,15 @@
         newest = self._directory.newest(status)
         return newest.upstream.service_version == status.upstream.service_version
 
+    def may_identify(
+        self, status: UpstreamStatus, connection: UpstreamConnection
+    ) -> bool:
+        """Return whether it is known where a connection leads, or may be some time."""
+        newest = self._directory.newest(status)
+        if newest.known_since_s <= connection.opened_s:
+            return True
+        return self.identify(status, connection) is not None
+
     def wait_identified(
         self, status: UpstreamStatus, connection: UpstreamConnection, timeout_s: float
     ) -> UpstreamStatus | None:
--- a/src/kumquatseam/gateway/_stream_writers.py
+++ b/src/kumquatseam/gateway/_stream_writers.py
@@ -95,6 +95,10 @@
             return known is not None or self._processes.is_listed_as(placement.status)
         return known is not None and known.upstream.service_version == self._origin
 
+    def may_reuse(self, placement: Placement, connection: UpstreamConnection) -> bool:
+        """Return whether another stream that it carries may be bound."""
+        return self._processes.may_identify(placement.status, connection)
+
     def note_events(self, placement: Placement, connection: UpstreamConnection) -> None:
         """Record that events are about to be passed on.
 
