--- a/features/environment.py
+++ b/features/environment.py
@@ -7,9 +7,9 @@
 
 from loguru import logger
 
-#: seconds for which a thread may keep the interpreter. Stand-ins have up to thousands of
-#: threads, and each that waits for it wakes up so often, which takes several cores at
-#: the default of 0.005 s. They hold it for much shorter times themselves.
+#: seconds for which a thread may keep the interpreter. Stand-ins have up to thousands
+#: of threads, and each that waits for it wakes up so often, which takes several cores
+#: at the default of 0.005 s. They hold it for much shorter times themselves.
 SWITCH_INTERVAL_S = 0.1
 
 
