Drop a reported start only if entries go on to contradict it

A gateway that was cut from the log service reads afterwards what was written meanwhile, in order: for an engine that has started again, entries of the process before, then its own. The first of the old ones, if read over 3.6 s after the start was reported, dropped the live incarnation as 'never listed' and brought the one before back, with its version, until the next entry. Each drop closes the idle connections, makes known connections unidentifiable, and tells the quarantine that the engine is gone while requests run on it. By reading, and by the examples; not played with real processes.

Cause: the time since the report was compared, not the time for which entries contradict it, as versions.md has it. Now that is kept from the first such entry on. The example of one entry at 18 s, which held as proof, is replaced by ones for several: one entry, or several within 1 s, prove nothing, and entries from 14 to 18 s do.

--- a/features/identified_upstreams.feature
+++ b/features/identified_upstreams.feature
@@ -89,13 +89,19 @@
     When its reports say that it started at 1000
     Then the stream may not pass events on from a connection that was opened at 12 s
 
-  Scenario Outline: An engine that reports <reported> and goes on to write entries of 1000
+  Scenario Outline: An engine that reports 2000, and entries of 1000 read from <first> to <last> s
+    One that is read late, with what was written while its reader was cut off, was written
+    before the engine started again; several are read at once then.
+
     Given an engine of v1 that is listed at 10 s, having started at 1000
-    And a poll at 12 s said that it started at <reported>
-    When it is listed as v1 of 1000 again at <again> s
+    And a poll at 12 s said that it started at 2000
+    When it is listed as v1 of 1000 again at <first> s
+    And it is listed as v1 of 1000 again at <last> s
     Then its listed incarnation started at <listed>
 
     Examples:
-      | reported | again | listed |
-      | 2000     | 14    | 2000   |
-      | 2000     | 18    | 1000   |
+      | first | last | listed |
+      | 14    | 14   | 2000   |
+      | 18    | 18   | 2000   |
+      | 18    | 19   | 2000   |
+      | 14    | 18   | 1000   |
--- a/src/kumquatseam/upstreams/_directory.py
+++ b/src/kumquatseam/upstreams/_directory.py
@@ -252,12 +252,16 @@
         return True
 
     def _is_doubtful(self, known: UpstreamStatus | None, upstream: Upstream) -> bool:
-        """Return whether an entry contradicts a start that was only reported."""
+        """Return whether entries go on to contradict a start that was only reported.
+
+        A first one may have been written before it, whenever it is read.
+        """
         if known is None or known.upstream.software_version:
             return False
-        known_for_s = self._clock() - known.known_since_s
-        is_older = upstream.born_ms < known.upstream.born_ms
-        return is_older and known_for_s > UNREADABLE_GRACE_S
+        if upstream.born_ms >= known.upstream.born_ms:
+            return False
+        known.contradicted_s = min(known.contradicted_s, self._clock())
+        return self._clock() - known.contradicted_s > UNREADABLE_GRACE_S
 
     def _drop(self, status: UpstreamStatus, change: str) -> None:
         del self._by_id[status.upstream.upstream_id]
--- a/src/kumquatseam/upstreams/_status.py
+++ b/src/kumquatseam/upstreams/_status.py
@@ -40,6 +40,7 @@
         should prefer other upstreams.
     :param known_since_s: when it became known; it had started by then.
     :param alive_s: when it is known to have run last.
+    :param contradicted_s: when an entry first contradicted its start.
     :param expires_s: when to remove it, if its entry expired during an outage of the
         list or is unreadable.
     """
@@ -59,6 +60,7 @@
     closing_until_s: float = 0.0
     known_since_s: float = 0.0
     alive_s: float = -math.inf
+    contradicted_s: float = math.inf
     expires_s: float | None = None
     _move_runs_to: tuple[str, ...] = ()
 
