Tell in the line of a cut how long its stream had been silent

Whether such a stream was slow, or stood still because its engine had preempted the run, in the middle of its stream, or was halted, could not be told from the record or from the lines.

--- a/features/steps/begun_responses_steps.py
+++ b/features/steps/begun_responses_steps.py
@@ -10,6 +10,7 @@
 
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.gateway._caller import CallerConnection
+from kumquatseam.gateway._forwarding import STREAM_IDLE_TIMEOUT_S
 
 FAULTS = {
     ("stream", "is silent in the middle"): "silence",
@@ -120,6 +121,9 @@
         lambda: [d for d in gateway.lines() if d["event"] == "Request cut."],
     )
     assert cut["by"] == by and cut["has_begun"], cut
+    assert (cut["silent_s"] is not None) == context.is_stream, cut
+    if by == "silence":
+        assert cut["silent_s"] >= STREAM_IDLE_TIMEOUT_S, cut
 
 
 # One connection.
--- a/src/kumquatseam/gateway/_cut_record.py
+++ b/src/kumquatseam/gateway/_cut_record.py
@@ -30,6 +30,7 @@
         is_retryable=route.is_retryable,
         is_resumable=route.is_resumable,
         has_begun=cut.has_begun,
+        silent_s=None if cut.silent_s is None else round(cut.silent_s, 3),
         attempts=cut.attempts,
         remaining_s=round(job.remaining_s, 3),
         received_after_stop_s=None if after_stop_s is None else round(after_stop_s, 3),
--- a/src/kumquatseam/gateway/_cuts.py
+++ b/src/kumquatseam/gateway/_cuts.py
@@ -38,6 +38,7 @@
     :param version: version of the weights that it ran on, if any.
     :param attempts: how often it was sent to an upstream.
     :param has_begun: whether the caller had received part of a response.
+    :param silent_s: time since the last event of a stream, if there was one.
     """
 
     by: CutBy
@@ -46,3 +47,4 @@
     version: int | None = None
     attempts: int = 0
     has_begun: bool = False
+    silent_s: float | None = None
--- a/src/kumquatseam/gateway/_event_times.py
+++ b/src/kumquatseam/gateway/_event_times.py
@@ -51,6 +51,12 @@
         since_s, self.paused_since_s = self.paused_since_s, None
         return time.monotonic() - since_s if since_s is not None else None
 
+    @property
+    def silent_s(self) -> float | None:
+        """Time since the newest event; ``None`` if there was none."""
+        last_s = self.last_event_s
+        return time.monotonic() - last_s if last_s is not None else None
+
     @property
     def streaming_s(self) -> float | None:
         """Time from the first to the last event of this attempt.
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -146,6 +146,7 @@
             placement.version if placement else None,
             self._progress.attempts,
             self._caller.has_started_response,
+            self._times.silent_s,
         )
 
     def run(self) -> tuple[bool, str]:
