--- a/src/kumquatseam/gateway/_continuation.py
+++ b/src/kumquatseam/gateway/_continuation.py
@@ -21,8 +21,8 @@
 class Continuation:
     """Follows one stream over the upstreams that write it.
 
-    The upstream that writes the first event binds the stream to its software version
-    once that is known. A stream that its caller takes up is bound from the start.
+    The upstream that writes the first event binds the stream to its software version,
+    as soon as that is known. A stream that its caller takes up is bound from the start.
 
     :param parts: dependencies (``HandlerParts``).
     :param job: the request.
@@ -118,6 +118,12 @@
         if self._job.route.is_resumable:
             self._writers.note_events(placement, connection)
 
+    def may_reuse(self, placement: Placement, connection: UpstreamConnection) -> bool:
+        """Return whether a connection may carry another stream."""
+        if not self._job.route.is_resumable:
+            return True
+        return self._writers.may_reuse(placement, connection)
+
     def note_broken_off(self) -> None:
         """Record that an upstream broke the stream off, which may go on elsewhere."""
         if self._job.route.is_resumable:
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -206,14 +206,17 @@
         if not self._caller.has_started_response:
             self._caller.start_response(200, self._fields(response.head, keep), None)
         self._caller.finish_response()
-        response.release(self._parts.pool)
+        if self._continuation.may_reuse(response.placement, response.connection):
+            response.release(self._parts.pool)
         return keep
 
     def _relocation(self, response: UpstreamResponse) -> "Relocation":
         """Return what moves the run; loaded with the first one that has to move."""
         from kumquatseam.gateway._relocation import Relocation
 
-        return Relocation(self._parts, self._job, response.placement)
+        return Relocation(
+            self._parts, self._job, response.placement, response.connection
+        )
 
     def _raise_if_broken_off(
         self, response: UpstreamResponse, relocation: "Relocation | None"
--- a/src/kumquatseam/gateway/_processes.py
+++ b/src/kumquatseam/gateway/_processes.py
@@ -16,9 +16,6 @@
 
 _log = part_logger("processes")
 
-#: how long received bytes may have waited, on their way or for this process: what sent
-#: them may have ended since.
-RECEIVE_LAG_S = 0.25
 #: pause after a question without an answer.
 ASK_PAUSE_S = 0.1
 
@@ -27,9 +24,10 @@
     """Identifies the process at the other end of a connection.
 
     A process that was alive before a connection was opened, and still is afterwards, is
-    the one that the connection leads to. That it is alive is known from what it says of
-    itself, and from the bytes that arrive on connections that are known to lead to it.
-    Where neither is recent, it is asked for its report.
+    the one that the connection leads to. That it was alive when it was sent something
+    is known from its answers: to polls, which state its start, and to requests on
+    connections that are known to lead to it. Where neither is recent, it is asked for
+    its report.
 
     An incarnation that does not state when it started has an id of its own, and no
     other can be asked through another instance: such connections are taken to lead to
@@ -60,13 +58,26 @@
         """
         newest = self._directory.newest(status)
         if not status.upstream.born_ms or connection.is_relayed:
-            is_same = newest.upstream.service_version == status.upstream.service_version
-            return newest if is_same else None
+            return newest if self.is_listed_as(status) else None
         for known in (status, newest):
             if _is_process(known, connection):
                 return known
         return None
 
+    def is_listed_as(self, status: UpstreamStatus) -> bool:
+        """Return whether the listed incarnation has the software of an earlier one."""
+        newest = self._directory.newest(status)
+        return newest.upstream.service_version == status.upstream.service_version
+
+    def may_identify(
+        self, status: UpstreamStatus, connection: UpstreamConnection
+    ) -> bool:
+        """Return whether it is known where a connection leads, or may be some time."""
+        newest = self._directory.newest(status)
+        if newest.known_since_s <= connection.opened_s:
+            return True
+        return self.identify(status, connection) is not None
+
     def wait_identified(
         self, status: UpstreamStatus, connection: UpstreamConnection, timeout_s: float
     ) -> UpstreamStatus | None:
@@ -103,12 +114,17 @@
             asking = self._asking[upstream_id] = gevent.spawn(self._ask, newest)
         return asking
 
-    def note_received(
+    def note_answered(
         self, status: UpstreamStatus, connection: UpstreamConnection
     ) -> None:
-        """Record that bytes arrived on a connection."""
+        """Record that a request on a connection was answered.
+
+        What answered was alive when the request was sent. The time of the bytes tells
+        nothing: they may have waited in the system of an upstream that has ended since,
+        or here, until a slow caller took what came before them.
+        """
         if connection.incarnation_id == status.upstream.incarnation_id:
-            _note_alive(status, self._clock() - RECEIVE_LAG_S)
+            _note_alive(status, connection.sent_s)
 
     def _ask(self, status: UpstreamStatus) -> None:
         upstream = status.upstream
--- a/src/kumquatseam/gateway/_stream_writers.py
+++ b/src/kumquatseam/gateway/_stream_writers.py
@@ -7,7 +7,7 @@
 from kumquatseam.gateway._processes import UpstreamProcesses
 from kumquatseam.http1 import UpstreamConnection
 from kumquatseam.logs import part_logger
-from kumquatseam.origins import stream_key
+from kumquatseam.origins.keys import stream_key
 from kumquatseam.placement import Placement
 from kumquatseam.upstreams import ServiceVersion
 
@@ -76,25 +76,35 @@
         It may have started again, at another version, since it was chosen or listed.
         Once its first event was passed on, the connection leads to the same process.
         """
-        if placement is self._current:
-            self._processes.note_received(placement.status, connection)
+        if connection is self._connection:
             return True
+        if self.has_events and self._origin is None:
+            # Of what wrote the events so far; else the next writer would bind them.
+            self._bind_if_identified()
+            if self._origin is None:
+                return False
         is_bound = self._origin is not None
         known = self._processes.wait_identified(
             placement.status,
             connection,
             BOUND_WAIT_S if is_bound else FIRST_EVENT_WAIT_S,
         )
+        self._processes.note_answered(placement.status, connection)
         if not is_bound:
-            return True
+            # What is listed by now as something else is left before it has begun.
+            return known is not None or self._processes.is_listed_as(placement.status)
         return known is not None and known.upstream.service_version == self._origin
 
+    def may_reuse(self, placement: Placement, connection: UpstreamConnection) -> bool:
+        """Return whether another stream that it carries may be bound."""
+        return self._processes.may_identify(placement.status, connection)
+
     def note_events(self, placement: Placement, connection: UpstreamConnection) -> None:
         """Record that events are about to be passed on.
 
         :param placement: the upstream that wrote them.
         """
-        if placement is not self._current:
+        if connection is not self._connection:
             self._current, self._connection = placement, connection
             self._note_upstream()
         if self._origin is None and not self._bind_if_identified():
