Finish a stop although a caller still receives when the grace ends

What belongs to the end of a stop (waiting for the tunnels of other instances, closing all parts, os._exit) had been left out.

Cause: gevent.killall(..., timeout=0.1) raises Timeout if a greenlet is not dead by then. A request that is cut ends its connection after the kill, and that waits for up to 5 s until the caller has acknowledged what is on its way. So a stop failed if a caller that receives slowly had a response under way at the end of the grace.

Change: the greenlets are killed without waiting and then joined for the same time, which raises nothing.

--- a/features/last_bytes.feature
+++ b/features/last_bytes.feature
@@ -73,6 +73,13 @@
       | keeps sending single bytes |
       | sends as much as it can    |
 
+  Scenario: A caller that still receives when the grace ends does not hold up the process
+    Its response has begun, and is cut.
+
+    Given a gateway with a grace of 4 seconds whose engine streams for longer than that
+    When the gateway stops, and a caller that receives nothing has a response under way
+    Then the process ends by itself within its grace, as after any other stop
+
   Scenario Outline: The last lines of a log whose reader <reads>
     Given a log whose pipe is full, with more lines pending
     When the process ends its log, and the reader <reads>
--- a/features/steps/last_bytes_steps.py
+++ b/features/steps/last_bytes_steps.py
@@ -84,7 +84,7 @@
 
 
 @given("a gateway whose engine streams 200 kB in half a second")
-def step_gateway(context):
+def step_gateway(context, grace_s=GRACE_S):
     step_platform(context)
     world = context.platform
     idle_timeout_ms = getattr(context, "idle_timeout_ms", None)
@@ -96,7 +96,7 @@
     world.add_route("/once/", "stream", "engines", maxAttempts=1, timeoutMs=12_000)
     world.put_configuration()
     world.name_weights(1)
-    _add_gateway(world)
+    _add_gateway(world, grace_s=grace_s)
     # A gateway that does not know how long its streams take begins none in a stop.
     with connect(world) as caller:
         caller.sendall(encode_call(world, "known"))
@@ -104,9 +104,9 @@
         assert ended == "whole", (len(data), ended)
 
 
-def _add_gateway(world, stdout=None):
+def _add_gateway(world, stdout=None, grace_s=GRACE_S):
     """Add a gateway whose grace leaves time also on a busy machine."""
-    gateway = GatewayProcess(world.folder, "gateway-0", world.log_port, grace_s=GRACE_S)
+    gateway = GatewayProcess(world.folder, "gateway-0", world.log_port, grace_s=grace_s)
     gateway.start(stdout)
     world.gateways.append(gateway)
     wait_until("the gateway is ready", gateway.is_ready)
@@ -217,6 +217,40 @@
     assert took_s <= GRACE_S / 2, took_s
 
 
+@given(
+    "a gateway with a grace of {grace_s:d} seconds whose engine streams for longer "
+    "than that"
+)
+def step_long_streams(context, grace_s):
+    step_gateway(context, grace_s)
+    engine = context.platform.replicas["e0"]
+    engine.lengths["slow"] = round(2 * grace_s / engine.event_pause_s)
+
+
+@when("the gateway stops, and a caller that receives nothing has a response under way")
+def step_stops_under_way(context):
+    world = context.platform
+    with connect(world, RECEIVE_BUFFER_BYTES) as caller:
+        caller.sendall(encode_call(world, "slow"))
+        assert caller.recv(1) == b"H"
+        _stop(context)
+        context.process.wait(TIMEOUT_S)
+        context.ended_s = time.monotonic()
+
+
+@then("the process ends by itself within its grace, as after any other stop")
+def step_ends_by_itself(context):
+    (gateway,) = context.platform.gateways
+    took_s = context.ended_s - context.stopped_s
+    text = gateway.log_path.read_text()
+    assert "Traceback" not in text, f"{took_s:.2f} s, {text[-2000:]}"
+    assert context.process.returncode == 0, context.process.returncode
+    assert took_s <= gateway.grace_s, took_s
+    # What was begun is cut, or this is about nothing.
+    cuts = [d["request"] for d in gateway.lines() if d["event"] == "Request cut."]
+    assert cuts == ["slow"], cuts
+
+
 # Slow callers of a whole body.
 
 
--- a/src/kumquatseam/gateway/_server_stop.py
+++ b/src/kumquatseam/gateway/_server_stop.py
@@ -39,4 +39,8 @@
     server.stop_accepting()
     took_s = round(time.monotonic() - started_s, 2)
     _log.bind(cut=server.busy_count, took_s=took_s).info("Stopped serving callers.")
-    gevent.killall(server.open_greenlets, timeout=KILL_TIMEOUT_S)
+    left = server.open_greenlets
+    gevent.killall(left, block=False)
+    # Those whose caller still receives go on until the process ends. A blocking
+    # killall would raise then, and the rest of the stop would be left out.
+    gevent.joinall(left, timeout=KILL_TIMEOUT_S)
