End the process at once also if its stop fails

Cause: an error of Gateway.close passed by os._exit, so the interpreter ended the usual way, which has no bound in time: it waits for threads, runs what is registered for its exit, and frees everything.

Change: any error of a stop, also one that is no Exception, is logged as a line of the log, and the process ends with status 1 as before, through os._exit.

--- a/features/last_bytes.feature
+++ b/features/last_bytes.feature
@@ -80,6 +80,11 @@
     When the gateway stops, and a caller that receives nothing has a response under way
     Then the process ends by itself within its grace, as after any other stop
 
+  Scenario: A stop that fails ends the process, and says so
+    Given a gateway whose stop fails, and whose interpreter takes long to end
+    When the gateway stops, and serves nothing
+    Then the process ends with an error, which is logged, well before its grace is over
+
   Scenario Outline: The last lines of a log whose reader <reads>
     Given a log whose pipe is full, with more lines pending
     When the process ends its log, and the reader <reads>
--- a/features/steps/last_bytes_steps.py
+++ b/features/steps/last_bytes_steps.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 import time
+from pathlib import Path
 
 from behave import given, then, when
 from loguru import logger
@@ -25,6 +26,7 @@
 READS_AFTER_S = 0.7
 TIMEOUT_S = 15.0
 GRACE_S = 12
+STOP_THAT_FAILS = Path(__file__).parent.parent / "programs" / "stop_that_fails.py"
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -104,9 +106,10 @@
         assert ended == "whole", (len(data), ended)
 
 
-def _add_gateway(world, stdout=None, grace_s=GRACE_S):
+def _add_gateway(world, stdout=None, grace_s=GRACE_S, program=None):
     """Add a gateway whose grace leaves time also on a busy machine."""
     gateway = GatewayProcess(world.folder, "gateway-0", world.log_port, grace_s=grace_s)
+    gateway.program = program or gateway.program
     gateway.start(stdout)
     world.gateways.append(gateway)
     wait_until("the gateway is ready", gateway.is_ready)
@@ -251,6 +254,31 @@
     assert cuts == ["slow"], cuts
 
 
+@given("a gateway whose stop fails, and whose interpreter takes long to end")
+def step_stop_fails(context):
+    step_platform(context)
+    world = context.platform
+    world.put_configuration()
+    _add_gateway(world, program=[str(STOP_THAT_FAILS)])
+
+
+@when("the gateway stops, and serves nothing")
+def step_stops_idle(context):
+    _stop(context)
+    context.process.wait(TIMEOUT_S)
+    context.ended_s = time.monotonic()
+
+
+@then("the process ends with an error, which is logged, well before its grace is over")
+def step_ends_with_error(context):
+    step_ends(context)
+    assert context.process.returncode == 1, context.process.returncode
+    lines = context.platform.gateways[0].lines()
+    (error,) = [d["exception"] for d in lines if d["event"] == "The stop failed."]
+    assert "Timeout" in error, error
+    assert lines[-1]["event"] == "Stopped.", lines[-1]
+
+
 # Slow callers of a whole body.
 
 
--- a/src/kumquatseam/gateway/program.py
+++ b/src/kumquatseam/gateway/program.py
@@ -15,6 +15,7 @@
 
 _log = part_logger("program")
 
+EXIT_STOP_FAILED = 1
 EXIT_SETTINGS = 2
 #: seconds between checks of the settings file, which may change without a signal.
 SETTINGS_POLL_S = 1.0
@@ -42,13 +43,17 @@
     gevent.spawn(_follow_settings, settings_path, gateway, reload, file)
     stop.wait()
     _log.info("Stop asked for.")
+    status = 0
     try:
         gateway.close()
-    finally:
-        _log.info("Stopped.")
-        lines.close()
-    # Threads of libraries must not keep the process alive past its grace period.
-    os._exit(0)
+    except BaseException:  # noqa: BLE001 - also timeouts of gevent; logged
+        _log.exception("The stop failed.")
+        status = EXIT_STOP_FAILED
+    _log.info("Stopped.")
+    lines.close()
+    # Neither threads of libraries nor the end of the interpreter may keep the process
+    # alive past its grace period, least of all if the stop failed.
+    os._exit(status)
 
 
 def _follow_settings(
