Tests: a stop whose process ends with an error fails the soak of stops

Change: the status of each stopped process must be 0, also of those that are stopped idle in the end. The check for SIGKILL stays.

--- a/features/steps/stop_soak_steps.py
+++ b/features/steps/stop_soak_steps.py
@@ -58,10 +58,11 @@
     assert not verdict.wrong, context.described
 
 
-@then("no process needed to be killed")
+@then("no process needed to be killed, and each ended without an error")
 def step_not_killed(context):
     stops = context.verdict.stops
     assert not any(stop.was_killed for stop in stops), context.described
+    assert not context.verdict.failed_stops, context.described
 
 
 @then("requests were sent in several stops, and others waited at engines")
--- a/features/steps/stop_verdict.py
+++ b/features/steps/stop_verdict.py
@@ -65,11 +65,18 @@
     wrong: list = attrs.Factory(list)
     stops: list = attrs.Factory(list)
     idle_stops_s: list[float] = attrs.Factory(list)
+    idle_statuses: list[int] = attrs.Factory(list)
     #: requests that ended in a stop, by when they were sent and how they ended.
     in_stops: collections.Counter = attrs.Factory(collections.Counter)
     moves: int = 0
     queued: int = 0
 
+    @property
+    def failed_stops(self) -> list[int | None]:
+        """With what processes ended whose stop failed, or that were killed."""
+        statuses = [stop.status for stop in self.stops] + self.idle_statuses
+        return [status for status in statuses if status != 0]
+
     @property
     def is_held(self) -> bool:
         return not (
@@ -79,6 +86,7 @@
             or self.at_work_twice
             or self.wrong
             or any(stop.was_killed for stop in self.stops)
+            or self.failed_stops
         )
 
 
@@ -95,6 +103,7 @@
 def judge(world, idle_stops_s) -> Verdict:
     """Compare what callers got with what ran at the replicas."""
     verdict = Verdict(stops=world.stops, idle_stops_s=idle_stops_s)
+    verdict.idle_statuses = world.idle_statuses
     seen = collections.defaultdict(list)
     for replica in world.platform.replicas.values():
         verdict.moves += len(replica.run_moves.asked)
@@ -274,7 +283,8 @@
         f"statuses in stops {dict(sorted(verdict.statuses_in_stops.items()))}",
         f"queued {verdict.queued}, moves {verdict.moves}",
         f"{len(took)} stops of {took[0] if took else 0} to {took[-1] if took else 0} "
-        f"s, killed {killed}; idle ones {verdict.idle_stops_s}; lag at most "
+        f"s, killed {killed}, failed {verdict.failed_stops}; idle ones "
+        f"{verdict.idle_stops_s}; lag at most "
         f"{world.lag.max_s:.2f} s, load {os.getloadavg()[0]:.0f}",
     ]
     lines = ["; ".join(parts)]
--- a/features/steps/stop_world.py
+++ b/features/steps/stop_world.py
@@ -140,6 +140,7 @@
     :param sigterm_s: when it got SIGTERM.
     :param gone_s: when its process had ended.
     :param was_killed: whether it needed SIGKILL, at the end of its grace.
+    :param status: with what its process ended; ``None`` before.
     :param signals: what it got besides, and when after the SIGTERM.
     :param slowness: by how much engines were slowed meanwhile.
     """
@@ -149,6 +150,7 @@
     sigterm_s: float = 0.0
     gone_s: float = 0.0
     was_killed: bool = False
+    status: int | None = None
     is_unused: bool = False
     signals: list[tuple[str, float]] = attrs.Factory(list)
     slowness: float = 1.0
@@ -167,6 +169,8 @@
         self.seed = seed
         self.grace_s = grace_s
         self.stops: list[Stop] = []
+        #: with what the gateways ended that were stopped last, all idle.
+        self.idle_statuses: list[int] = []
         self.requests: list[SentRequest] = []
         self.hidden: set[int] = set()
         self.lag = LagMeter()
@@ -632,6 +636,7 @@
             gateway.process.kill()
             gateway.process.wait()
         stop.gone_s = time.monotonic()
+        stop.status = gateway.process.returncode
 
     def release_engine(self):
         """Replace an engine: the new one starts first, the old one drains."""
@@ -755,4 +760,5 @@
             process.kill()
             process.wait()
         took.append(round(time.monotonic() - began_s, 2))
+        world.idle_statuses.append(process.returncode)
     return took
--- a/features/stop_soak.feature
+++ b/features/stop_soak.feature
@@ -11,7 +11,7 @@
     Then requests were sent in several stops, and others waited at engines
     And no request was cut in a stop but those still at work at its end
     And what was refused never ran, nothing ran twice, and no answer was wrong
-    And no process needed to be killed
+    And no process needed to be killed, and each ended without an error
 
     Examples:
       | seed |
