--- a/src/kumquatseam/gateway/_continuation.py
+++ b/src/kumquatseam/gateway/_continuation.py
@@ -21,8 +21,8 @@
 class Continuation:
     """Follows one stream over the upstreams that write it.
 
-    The upstream that writes the first event binds the stream to its software version, as
-    soon as that is known. A stream that its caller takes up is bound from the start.
+    The upstream that writes the first event binds the stream to its software version,
+    as soon as that is known. A stream that its caller takes up is bound from the start.
 
     :param parts: dependencies (``HandlerParts``).
     :param job: the request.
