Tests: the soak of stops uses the same switch interval as behave

The constant and its reason moved to features/steps/switch_interval.py, which environment.py and stop_soak.py use.

--- a/features/environment.py
+++ b/features/environment.py
@@ -2,19 +2,15 @@
 
 import os
 import shutil
-import sys
 from pathlib import Path
 
 from loguru import logger
 
-#: seconds for which a thread may keep the interpreter. Stand-ins have up to thousands of
-#: threads, and each that waits for it wakes up so often, which takes several cores at
-#: the default of 0.005 s. They hold it for much shorter times themselves.
-SWITCH_INTERVAL_S = 0.1
+from steps.switch_interval import lengthen_switch_interval
 
 
 def before_all(context):
-    sys.setswitchinterval(SWITCH_INTERVAL_S)
+    lengthen_switch_interval()
     # Parts called in this process would print their lines between the dots.
     logger.remove()
 
--- a/features/programs/stop_soak.py
+++ b/features/programs/stop_soak.py
@@ -32,6 +32,7 @@
     serve_and_stop,
     start_world,
 )
+from switch_interval import lengthen_switch_interval  # noqa: E402
 from whole_answers_world import draw_answer  # noqa: E402
 
 
@@ -111,6 +112,7 @@
     parser.add_argument("--keep", default="")
     parser.add_argument("--keep-all", action="store_true")
     options = parser.parse_args()
+    lengthen_switch_interval()
     logger.remove()
     # Gateways are closed at the end of a seed, also if that is asked for.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
