Tests: let scripted connections tell which process they lead to

Seen: moves.feature:93, :99, :135, :143, :151 and rests_of_upstreams.feature:81 fail each time, without load of their own (5 of 26 scenarios of moves.feature in a run; :81 in 14 of 14).

Cause: since gateways read opened_s and incarnation_id of the connections on which resumable streams arrive, and ask engines for reports. The scripted connections and orders of moves_steps.py have none of these, so requests end with internal_fault: AttributeError in UpstreamProcesses.note_received, traced in rests_of_upstreams.feature:81.

Change: a scripted connection is opened when the pool hands it out, and a scripted engine answers a report as the process that was asked for. No check is changed.

--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -28,7 +28,7 @@
 from kumquatseam.placement import BroadcastWork, Placement, VersionDemand
 from kumquatseam.platform._headers import PlatformDialect
 from kumquatseam.prompts import PromptIndex
-from kumquatseam.rollouts import MoveOutcome, MoveResult
+from kumquatseam.rollouts import EngineReport, MoveOutcome, MoveResult
 from kumquatseam.routes import (
     EngineTraits,
     LiveRouteTable,
@@ -61,6 +61,8 @@
     is_relayed = False
 
     def __init__(self, address, events, is_whole, refusals=0, resets=0):
+        self.opened_s = time.monotonic()
+        self.incarnation_id = ""
         self.address = address
         self.events = list(events)
         self.is_whole = is_whole
@@ -153,7 +155,9 @@
         if address == ADDRESSES["target"] and self.target_failures:
             self.target_failures -= 1
             raise ConnectFailedError(address, "timed out")
-        return self.connections[address]
+        connection = self.connections[address]
+        connection.opened_s, connection.incarnation_id = time.monotonic(), ""
+        return connection
 
     def release(self, connection, keep_alive_s):
         pass
@@ -228,6 +232,11 @@
     def free_run(self, source, handle):
         self.freed.append(handle)
 
+    def report(self, upstream):
+        """Answer as the process that was asked for."""
+        gevent.sleep(0)
+        return EngineReport((), False, 0, 0, 0, upstream.born_ms)
+
 
 def _build(context, target_failures, is_resumable=False, orders=None):
     route = Route(
