Tests: spend less processor time on proxies and stand-in engines

Seen: with 8 engines behind proxies and 4 gateways the behave process, which holds engines, proxies and callers, took 17.6 s of processor time in a run of 20 s of two_versions.feature :7 beside load 14: nearly all that its interpreter can get. Beside load 32 to 61 it took 94.7 s, offered 68 of the 300 streams it means to offer, and failed (listed). In broken_answers.feature:58 it took 213.9 s beside load 24 to 61; a proxy took 111 s to find whose connection one was.

Cause, measured: for each new connection the proxy read /proc/net/tcp (2,900 lines then, 8 to 10 ms of system time each time) and the descriptors of all gateways. And each long poll of cache events looked a hundred times a second whether there was one.

Change: the proxy asks the kernel for the one connection (0.2 ms with the search for its process), and reads descriptors only for a connection that it has not found before. A poll is woken by an event.

--- a/features/steps/cut_proxy.py
+++ b/features/steps/cut_proxy.py
@@ -5,9 +5,15 @@
 import struct
 import threading
 import time
-from pathlib import Path
 
 _POLL_S = 0.02
+#: from linux/netlink.h and linux/sock_diag.h.
+_NETLINK_SOCK_DIAG = 4
+_SOCK_DIAG_BY_FAMILY = 20
+_NLM_F_REQUEST = 1
+#: where an answer holds the number of the socket: behind the message's head, at the
+#: field ``idiag_inode`` of ``struct inet_diag_msg``.
+_INODE_AT = 16 + 68
 #: how a process is cut, by what happens to its connections.
 SILENT = "open connections fall silent"
 RESET = "all connections are reset"
@@ -64,7 +70,7 @@
 
     def _serve(self, client, port):
         came_s = time.monotonic()
-        pid = _process_of(port, self._port, self.pids)
+        pid = _HOLDERS.find(port, self._port, self.pids)
         self.delays.append((came_s, time.monotonic() - came_s))
         self.opened[pid] = self.opened.get(pid, 0) + 1
         if self.cuts.get(pid) in (RESET, LIVE_ON):
@@ -128,20 +134,64 @@
         return
 
 
-def _process_of(port, own_port, pids):
-    """Return the id of the process whose connection comes from a loopback port."""
-    local = f"0100007F:{port:04X}"
-    remote = f"0100007F:{own_port:04X}"
-    for _ in range(5):
-        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-            fields = line.split()
-            if fields[1] == local and fields[2] == remote and fields[9] != "0":
-                return _holder_of(f"socket:[{fields[9]}]", pids)
-        time.sleep(0.005)
-    return None
+class _Holders:
+    """Knows which processes hold the other ends of connections."""
 
+    def __init__(self):
+        self._pids = {}
+        self._lock = threading.Lock()
 
-def _holder_of(link, pids):
+    def find(self, port, own_port, pids):
+        """Return the id of the process whose connection comes from a loopback port.
+
+        :param own_port: the port that it goes to.
+        :param pids: the processes to tell apart; ``None`` is returned for any other.
+        """
+        for _ in range(5):
+            inode = _inode_of(port, own_port)
+            if inode:
+                return self._holder_of(inode, pids)
+            time.sleep(0.005)
+        return None
+
+    def _holder_of(self, inode, pids):
+        # Numbers of sockets are not used again soon. Who comes while another looks
+        # through the processes finds what that one found, as a rule.
+        with self._lock:
+            if inode not in self._pids:
+                self._pids = dict(_sockets_of(pids))
+            return self._pids.get(inode)
+
+
+_HOLDERS = _Holders()
+
+
+def _inode_of(port, own_port):
+    """Return the number of a connected loopback socket; 0 if there is none.
+
+    The kernel is asked for this one. Its list of all of them, in /proc/net/tcp, has
+    thousands of lines beside other tests, and takes 10 ms and more to write.
+    """
+    address = socket.inet_aton("127.0.0.1") + bytes(12)
+    ends = struct.pack("!HH", port, own_port) + address * 2 + bytes(4) + b"\xff" * 8
+    request = struct.pack("=BBBxI", socket.AF_INET, socket.IPPROTO_TCP, 0, 0xFFFFFFFF)
+    request += ends
+    head = struct.pack(
+        "=IHHII", 16 + len(request), _SOCK_DIAG_BY_FAMILY, _NLM_F_REQUEST, 1, 0
+    )
+    with socket.socket(
+        socket.AF_NETLINK, socket.SOCK_RAW, _NETLINK_SOCK_DIAG
+    ) as kernel:
+        kernel.send(head + request)
+        answer = kernel.recv(4096)
+    if struct.unpack_from("=H", answer, 4)[0] != _SOCK_DIAG_BY_FAMILY:
+        # There is no such connection any more.
+        return 0
+    return struct.unpack_from("=I", answer, _INODE_AT)[0]
+
+
+def _sockets_of(pids):
+    """Yield the numbers of the sockets of processes, with their process ids."""
     for pid in pids:
         try:
             entries = os.listdir(f"/proc/{pid}/fd")
@@ -150,8 +200,8 @@
             continue
         for entry in entries:
             try:
-                if os.readlink(f"/proc/{pid}/fd/{entry}") == link:
-                    return pid
+                link = os.readlink(f"/proc/{pid}/fd/{entry}")
             except OSError:
                 continue
-    return None
+            if link.startswith("socket:["):
+                yield int(link[8:-1]), pid
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -225,6 +225,7 @@
         self.cached_parts: dict[tuple[str, str], int] = {}
         #: cache events served to pollers.
         self.cache_events: list[list] = []
+        self._events_changed = threading.Condition()
         #: looks up another replica by its address, to copy a run to it.
         self.find = lambda address: None
         self.incarnations = 1
@@ -791,12 +792,17 @@
             part_id, _, tokens = entry.partition(":")
             if (salt, part_id) not in self.cached_parts:
                 self.cached_parts[salt, part_id] = int(tokens)
-                self.cache_events.append(["+", salt, part_id, int(tokens), "m0"])
+                with self._events_changed:
+                    event = ["+", salt, part_id, int(tokens), "m0"]
+                    self.cache_events.append(event)
+                    self._events_changed.notify_all()
 
     def _wait_for_event(self, since, wait_s):
-        deadline_s = time.monotonic() + wait_s
-        while len(self.cache_events) <= since and time.monotonic() < deadline_s:
-            time.sleep(0.01)
+        # Not looked at again and again: with many engines, dozens of polls wait here.
+        with self._events_changed:
+            self._events_changed.wait_for(
+                lambda: len(self.cache_events) > since, wait_s
+            )
 
     def _cache_update(self, since=0, held=False):
         update = {
