Tests: offer what is meant beside load, and let the test's clock wait for starts

Seen, offered against meant: beside load 24 to 61 on 8 cores, two_versions.feature:7 offered 68 of 300 streams and :77 343 of 960; broken_answers.feature:58 sent 12 of 300 requests and :59 65 of 300. All four failed. rejoined_streams.feature:16, :17 and :19 had 12, 16 and 10 streams taken up instead of 20 beside load 14 to 26.

And gateways were killed at fixed times, though beside load a start takes longer than the time between two kills: then nobody was left to carry requests, or all callers had given up before the first gateway was back.

Change: what is to begin is due at times counted from the start (pace.evenly), all of it is offered. The clock by which gateways are killed, callers begin and their patience ends stands still (pace.TestClock) while gateways that were killed start for longer than they are to: until the first is back 1.5 s after a kill of all and all are after 2.5 s, and in broken_answers until the one ended last is ready when the next is due. No bound or check is changed.

Not run on a quiet machine: there was none.

--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -12,6 +12,7 @@
 import urllib3
 from behave import given, then, when
 from moves_steps import ScriptedMoves, _build
+from pace import TestClock, evenly
 from platform_replica import ENDS_INSIDE
 from platform_world import wait_until
 from upstream_wishes_steps import cut_gateways
@@ -33,6 +34,9 @@
 LOST = MoveResult(MoveOutcome.UNANSWERED)
 #: limit on a restart, beside any load.
 RESTART_S = 30.0
+#: how many requests callers of cut gateways send, and for how long.
+REQUESTS_PER_S = 100 / 3
+ALL_S = 9.0
 PLAIN_BODY = b"".join(b"piece %d\n" % number for number in range(8))
 
 
@@ -275,37 +279,34 @@
     cut_gateways(context, 2)
     draw = random.Random(1)
     context.answers, threads = [], []
-    started_s = time.monotonic()
+    clock = TestClock()
     ended = 0
-    locks = (threading.Lock(), threading.Lock())
-    while time.monotonic() < started_s + 9.0:
-        if time.monotonic() > started_s + 2.0 * (ended + 1):
+    for _ in evenly(clock, REQUESTS_PER_S, ALL_S):
+        if clock.now_s > 2.0 * (ended + 1):
             gateway = world.gateways[2 + ended % 2]
             number = signal.SIGKILL if how == "killed" else signal.SIGTERM
-            arguments = (context, gateway, number, locks[ended % 2])
+            ended += 1
+            arguments = (context, gateway, number, clock, 2.0 * (ended + 1))
             threads.append(threading.Thread(target=_restart, args=arguments))
             threads[-1].start()
-            ended += 1
         path = draw.choice(("/plain/x", "/safe/x", "/resume/x"))
         answer = Answer(path, True)
         context.answers.append(answer)
         arguments = (world, answer, draw.randrange(2), len(context.answers))
         threads.append(threading.Thread(target=_ask, args=arguments))
         threads[-1].start()
-        time.sleep(0.03)
     for thread in threads:
         thread.join()
 
 
-def _restart(context, gateway, number, lock):
+def _restart(context, gateway, number, clock, end_s):
     """End a gateway with a signal and start it again.
 
-    :param lock: held until it is ready: where that takes long, it would be started
-        twice, or never carry anything.
+    :param end_s: when the other one is to end. The clock waits with that until this one
+        is ready: where that takes long, there would be none to carry anything.
     """
-    with lock:
-        gateway.process.send_signal(number)
-        start_again(context, gateway)
+    gateway.process.send_signal(number)
+    clock.wait_for(end_s, lambda: start_again(context, gateway))
 
 
 def start_again(context, gateway):
--- a/features/steps/cut_from_upstreams_steps.py
+++ b/features/steps/cut_from_upstreams_steps.py
@@ -9,11 +9,14 @@
 import urllib3
 from behave import given, then, when
 from cut_proxy import CutProxy
+from pace import TestClock, evenly
 from platform_steps import step_platform
 from platform_world import wait_until
 
 PATHS = ("/plain/x", "/safe/x", "/resume/x")
 REQUESTS_PER_S = 30
+#: how long callers send before gateways are cut.
+BEFORE_CUT_S = 1.0
 
 
 @attrs.define
@@ -70,11 +73,11 @@
     context.cut = set(range(count))
     context.attempts = []
     draw = random.Random(1)
-    context.cut_s = time.monotonic() + 1.0
+    context.cut_s = time.monotonic() + BEFORE_CUT_S
     context.healed_s = context.cut_s + for_s
     threads = []
     is_cut = False
-    while time.monotonic() < context.healed_s:
+    for _ in evenly(TestClock(), REQUESTS_PER_S, BEFORE_CUT_S + for_s):
         if not is_cut and time.monotonic() >= context.cut_s:
             is_cut = True
             for proxy in context.proxies:
@@ -86,9 +89,11 @@
         arguments = (world, attempt, draw.choice(PATHS), f"r{len(context.attempts)}")
         threads.append(threading.Thread(target=_send, args=arguments))
         threads[-1].start()
-        time.sleep(1 / REQUESTS_PER_S)
+    time.sleep(max(0.0, context.healed_s - time.monotonic()))
     for proxy in context.proxies:
         proxy.heal()
+    # Later where this process could not keep up.
+    context.healed_s = time.monotonic()
     context.opened_before = collections.Counter()
     for thread in threads:
         thread.join()
--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -9,6 +9,7 @@
 import attrs
 from behave import given, then, when
 from cut_proxy import SILENT, CutProxy
+from pace import TestClock, evenly
 from platform_steps import step_platform
 from platform_world import GatewayProcess, wait_until
 from two_versions_steps import EVENTS, CallerStream, StreamCaller, add_engine
@@ -129,10 +130,9 @@
     for timer in troubles:
         timer.start()
     callers = []
-    while time.monotonic() < started_s + for_s:
+    for _ in evenly(TestClock(), STREAMS_PER_S, for_s):
         callers.append(threading.Thread(target=_begin_stream(context).run))
         callers[-1].start()
-        time.sleep(1 / STREAMS_PER_S)
     for thread in (*troubles, *callers):
         thread.join()
     begin_s, end_s = _span(trouble)
--- a/features/steps/rejoined_steps.py
+++ b/features/steps/rejoined_steps.py
@@ -4,7 +4,8 @@
 import time
 
 from behave import then, when
-from broken_answers_steps import start_again
+from broken_answers_steps import RESTART_S, start_again
+from platform_world import wait_until
 from two_versions_steps import add_engine, run_callers
 
 #: when all gateways are killed.
@@ -12,6 +13,10 @@
 #: how long they are away, and the pause until the next one starts.
 AWAY_S = 0.5
 STEP_S = 0.2
+#: by when the first gateway and all of them are to be back; beside load their starts
+#: take longer, and the test's clock waits for them.
+FIRST_BACK_S = 1.5
+ALL_BACK_S = 2.5
 #: pause and number of attempts of callers that come back at once.
 AT_ONCE_S = 0.05
 ATTEMPTS_AT_ONCE = 40
@@ -44,14 +49,27 @@
     for gateway in gateways:
         gateway.process.kill()
     context.killed_s.append(time.monotonic())
+    killed_s = context.clock.now_s
     starts = [
         threading.Timer(AWAY_S + STEP_S * n, start_again, (context, gateway))
         for n, gateway in enumerate(gateways)
     ]
     for start in starts:
         start.start()
-    for start in starts:
-        start.join()
+    context.clock.wait_for(
+        killed_s + FIRST_BACK_S,
+        lambda: wait_until("one is back", lambda: _is_any_ready(gateways), RESTART_S),
+    )
+    context.clock.wait_for(killed_s + ALL_BACK_S, lambda: _join(starts))
+
+
+def _is_any_ready(gateways):
+    return any(gateway.is_ready() for gateway in gateways)
+
+
+def _join(threads):
+    for thread in threads:
+        thread.join()
 
 
 def _releases(context, what):
--- a/features/steps/two_versions_steps.py
+++ b/features/steps/two_versions_steps.py
@@ -16,6 +16,7 @@
 from cut_proxy import RESET, CutProxy
 from fleet_steps import HTTP as ROUTER_HTTP
 from fleet_steps import post_completion, prompt_of
+from pace import TestClock, evenly
 from platform_steps import step_platform
 from platform_world import HTTP, KEY, wait_until
 
@@ -90,6 +91,7 @@
     :param comes_back_s: how long it takes to come back.
     :param deadline_s: how long it waits in all.
     :param max_tries: how often it sends.
+    :param clock: counts how long it waits.
     """
 
     def __init__(
@@ -101,27 +103,34 @@
         comes_back_s,
         deadline_s=DEADLINE_S,
         max_tries=MAX_TRIES,
+        clock=None,
     ):
+        self.clock = clock or TestClock()
         self.max_tries = max_tries
         self.comes_back_s = comes_back_s
         self.world = world
         self.stream = stream
         self.draw = draw
         self.drops = drops
-        self.deadline_s = stream.began_s + deadline_s
+        self.deadline_s = self.clock.now_s + deadline_s
         self.first_id = ""
 
+    @property
+    def left_s(self):
+        """How long it still waits."""
+        return self.deadline_s - self.clock.now_s
+
     def run(self):
         gateway = self.draw.randrange(len(self.world.gateways))
         for _ in range(self.max_tries):
             attempt = self._try(gateway)
-            if self.stream.is_complete or time.monotonic() >= self.deadline_s:
+            if self.stream.is_complete or self.left_s <= 0:
                 return
             wait_s = self.comes_back_s
             if attempt.status in (429, 503) and attempt.retry_after:
-                left_s = self.deadline_s - time.monotonic()
-                wait_s = min(float(attempt.retry_after), left_s / 3)
+                wait_s = min(float(attempt.retry_after), self.left_s / 3)
             time.sleep(wait_s)
+            self.clock.sleep_while_still()
             gateway = self._another(gateway)
 
     def _another(self, gateway):
@@ -161,7 +170,7 @@
         headers = {
             "Host": "a.example",
             "X-Request-Id": attempt.request_id,
-            "X-Deadline-Ms": f"{(self.deadline_s - time.monotonic()) * 1000:.0f}",
+            "X-Deadline-Ms": f"{self.left_s * 1000:.0f}",
             "Authorization": f"Token {KEY}",
             **self.world.stream_headers(),
         }
@@ -321,11 +330,11 @@
     :param troubles: pairs of seconds after the start and what to call then.
     """
     world = context.platform
-    started_s = time.monotonic()
+    clock = context.clock = TestClock()
     due = sorted(troubles, key=lambda trouble: trouble[0])
     threads = []
-    while time.monotonic() < started_s + for_s:
-        while due and time.monotonic() >= started_s + due[0][0]:
+    for _ in evenly(clock, streams_per_s, for_s):
+        while due and clock.now_s >= due[0][0]:
             threads.append(threading.Thread(target=due.pop(0)[1]))
             threads[-1].start()
         number = len(context.streams)
@@ -340,10 +349,10 @@
             comes_back_s,
             deadline_s,
             max_tries,
+            clock,
         )
         threads.append(threading.Thread(target=caller.run))
         threads[-1].start()
-        time.sleep(1 / streams_per_s)
     for thread in threads:
         thread.join()
 
--- a/features/steps/upstream_wishes_steps.py
+++ b/features/steps/upstream_wishes_steps.py
@@ -9,6 +9,7 @@
 import urllib3
 from behave import then, when
 from cut_proxy import RESET
+from pace import TestClock, evenly
 from platform_world import wait_until
 
 PATHS = ("/plain/x", "/safe/x", "/resume/x")
@@ -56,7 +57,7 @@
     due = sorted(on_time, key=lambda pair: pair[0])
     threads = []
     started_s = time.monotonic()
-    while time.monotonic() < started_s + for_s:
+    for _ in evenly(TestClock(), REQUESTS_PER_S, for_s):
         while due and time.monotonic() >= started_s + due[0][0]:
             due.pop(0)[1]()
         sent = Sent(time.monotonic(), draw.choice(PATHS))
@@ -65,7 +66,6 @@
         arguments = (world, sent, draw.randrange(len(world.gateways)), request_id)
         threads.append(threading.Thread(target=ask, args=arguments))
         threads[-1].start()
-        time.sleep(1 / REQUESTS_PER_S)
     for thread in threads:
         thread.join()
 
