Tests: know the times of rest that engines ask for in answers to calls

Cause, traced: an engine that rests also answers polls and reports with 503 and Retry-After, and gateways keep to that. The check knew the answers to requests only. Where a gateway was told of an engine's rest by calls alone, the check took the other engine's rest, which began later, for the first to end. The product is right.

Change: the stand-in records the times of rest that it asks for in answers to calls, and both checks of rests count them like those in answers to requests. So they also check that no requests are sent in a rest that was told in a call. No bound is changed.

--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -117,6 +117,21 @@
         return any(entry.partition(":")[0] in parts for entry in prefix)
 
 
+@attrs.frozen
+class RestTold:
+    """A time of rest that the replica asked for in the answer to a call.
+
+    :param peer_port: port of the connection on which it did.
+    :param answered_s: when it had answered, in monotonic time.
+    :param rest_s: the time that it asked for.
+    """
+
+    peer_port: int
+    incarnation: int
+    answered_s: float
+    rest_s: float
+
+
 class StandinReplica:
     """A replica on a loopback port.
 
@@ -176,6 +191,9 @@
         self.refuses_share = 0.0
         #: Retry-After of the 503 that it answers every request with; ``None`` to serve.
         self.rest = None
+        #: times of rest that it asked for in answers to calls; those in answers to
+        #: requests are in ``seen``.
+        self.rests_told: list[RestTold] = []
         #: pieces of the body of a plain service, sent one after the other.
         self.pieces = [b"whole"]
         #: requests that it runs at once, refusing others; ``None`` for any number.
@@ -345,8 +363,17 @@
             self.endless_answers += 1
             self._send_endless_call(http)
             return
-        if self.rest is not None and http.path.startswith(CONTROL_PATHS):
-            self._send(http, 503, b"", {"Retry-After": self.rest})
+        rest = self.rest
+        if rest is not None and http.path.startswith(CONTROL_PATHS):
+            self._send(http, 503, b"", {"Retry-After": rest})
+            self.rests_told.append(
+                RestTold(
+                    http.client_address[1],
+                    self.incarnations,
+                    time.monotonic(),
+                    float(rest),
+                )
+            )
         elif expected is not None and expected != self.upstream_id:
             self.misdirected += 1
             self._send(http, 421, b"", {"X-Replica-Id": self.upstream_id})
--- a/features/steps/upstream_wishes_steps.py
+++ b/features/steps/upstream_wishes_steps.py
@@ -104,6 +104,23 @@
             yield name, owners.get(seen.peer_port), seen
 
 
+def rests(context, names):
+    """Yield each time of rest that some replicas asked for, and what it was told in.
+
+    With each come the replica and the machine that was told. An answer to a call, such
+    as a poll of cache events, tells it like an answer to a request.
+    """
+    for name, machine, seen in arrivals(context, names):
+        if seen.rest_s:
+            yield name, machine, seen
+    owners = {}
+    for proxy in context.proxies:
+        owners.update(proxy.owners)
+    for name in names:
+        for told in context.platform.replicas[name].rests_told:
+            yield name, owners.get(told.peer_port), told
+
+
 # Leaving.
 
 
@@ -198,13 +215,11 @@
     for name, machine, seen in arrivals(context, context.resting):
         by_pair[name, seen.incarnation, machine].append(seen)
     worst = collections.Counter()
-    for pair, requests in by_pair.items():
-        for asked in requests:
-            if asked.rest_s:
-                from_s, until_s = asked.answered_s + FREE_S, asked.answered_s
-                until_s += asked.rest_s
-                count = sum(from_s < seen.arrived_s < until_s for seen in requests)
-                worst[pair] = max(worst[pair], count)
+    for name, machine, told in rests(context, context.resting):
+        pair = name, told.incarnation, machine
+        from_s, until_s = told.answered_s + FREE_S, told.answered_s + told.rest_s
+        count = sum(from_s < seen.arrived_s < until_s for seen in by_pair[pair])
+        worst[pair] = max(worst[pair], count)
     assert worst, "no replica asked for rest"
     over = {pair: count for pair, count in worst.items() if count > most}
     assert not over, f"{len(over)} of {len(worst)} pairs: {over}"
@@ -219,11 +234,10 @@
 
 @then("while all rested, requests were refused at once, to return when a rest is over")
 def step_all_rest(context):
-    rests = collections.defaultdict(list)
-    for name, machine, seen in arrivals(context, context.resting):
-        if seen.rest_s:
-            span = (seen.answered_s, seen.answered_s + seen.rest_s)
-            rests[name[0], machine, name].append(span)
+    spans_told = collections.defaultdict(list)
+    for name, machine, told in rests(context, context.resting):
+        span = (told.answered_s, told.answered_s + told.rest_s)
+        spans_told[name[0], machine, name].append(span)
     # By then every machine has been told by every replica.
     told_s = context.all_rest_s + 1.0
     late = [s for s in context.sent.values() if s.at_s > told_s]
@@ -235,7 +249,7 @@
         kind = "e" if sent.path.startswith("/resume") else "p"
         ends_s = [
             max((end_s for since_s, end_s in spans if since_s <= sent.at_s), default=0)
-            for (found, machine, _), spans in rests.items()
+            for (found, machine, _), spans in spans_told.items()
             if found == kind and machine == sent.machine
         ]
         # Of a gateway that is cut, what its carriers were told is not known here.
