Do not blame an upstream for a request whose time is over

Cause: connecting may take the request's remaining time at most. Where that is over or short, the failure was recorded as the upstream's: it gets no requests for a time, though nothing is known of it. Class: an own lack of time is taken for another's fault.

Change: after a connection that failed, a request whose time is over ends as one, before anything is recorded of the upstream.

Evidence: the new scenario of own_faults.feature fails without the change (the engine is taken for failed) and passes with it; own_faults, relays and retry_budget pass. Not covered: the path to the upstreams still counts such a failure as one of the two in a row after which it asks other instances.

--- a/features/own_faults.feature
+++ b/features/own_faults.feature
@@ -90,3 +90,9 @@
     Given a request that was never under suspicion, and no permission was acquired for it
     When it is recorded as served
     Then it counts as served lately
+
+  Scenario: An upstream is not blamed for a request whose time is over
+    Given a stream on an engine that is not reached before the request's time is over
+    When the caller's request is served
+    Then its caller is told that it has not run
+    And the engine is not taken for failed
--- a/features/steps/own_fault_steps.py
+++ b/features/steps/own_fault_steps.py
@@ -6,6 +6,7 @@
 import gevent.socket
 from behave import given, then, when
 from log_capture import captured_lines
+from moves_steps import _build as build_move
 from platform_replica import StandinReplica
 from platform_world import wait_until
 from quarantine_world import single_instance_quarantine
@@ -20,7 +21,7 @@
 from kumquatseam.engines import EngineTarget, HttpEngineOrderClient, RoleOrder
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
-from kumquatseam.http1 import ConnectionPool, Headers, Request
+from kumquatseam.http1 import ConnectFailedError, ConnectionPool, Headers, Request
 from kumquatseam.http1._connection import open_connection
 from kumquatseam.logservice.appending import append_once
 from kumquatseam.metrics import GatewayMetrics
@@ -43,7 +44,12 @@
     LogStore,
     LogStoreLimits,
 )
-from kumquatseam.upstreams import Upstream, UpstreamDirectory, WeightsTargets
+from kumquatseam.upstreams import (
+    Unavailability,
+    Upstream,
+    UpstreamDirectory,
+    WeightsTargets,
+)
 
 ROUTE = Route(
     "r", "h", "/", Repeatability.NON_IDEMPOTENT, (TrafficShare("plain", 1.0),)
@@ -269,3 +275,27 @@
 @then("it counts as served lately")
 def step_served_lately(context):
     assert context.quarantine._served.was_served_within("fingerprint", 5.0)
+
+
+@given("a stream on an engine that is not reached before the request's time is over")
+def step_not_reached(context):
+    build_move(context, 0)
+    directory = context.placer.directory
+    directory.status("source").move_runs(())
+
+    def acquire(address, timeout_s, request_id):
+        gevent.sleep(timeout_s)
+        raise ConnectFailedError(address, "timed out")
+
+    context.pool.acquire = acquire
+
+
+@then("its caller is told that it has not run")
+def step_told_not_run(context):
+    assert context.answer.startswith(b"HTTP/1.1 503 "), context.answer
+
+
+@then("the engine is not taken for failed")
+def step_not_failed(context):
+    availability = context.placer.directory.status("source").availability
+    assert not availability.left_s(Unavailability.FAILED)
--- a/src/kumquatseam/gateway/_failed_attempts.py
+++ b/src/kumquatseam/gateway/_failed_attempts.py
@@ -95,6 +95,8 @@
     def _after_connect_failure(
         self, placement: Placement, error: ConnectFailedError
     ) -> None:
+        # Connecting was given the request's time at most, which may have been short.
+        self._failure.check_deadline()
         if error.is_upstream_fault:
             self._parts.directory.note_connection_failure(
                 placement.status, "connect failed"
