--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -117,6 +117,21 @@
         return any(entry.partition(":")[0] in parts for entry in prefix)
 
 
+@attrs.frozen
+class RestTold:
+    """A time of rest that the replica asked for in the answer to a call.
+
+    :param peer_port: port of the connection on which it did.
+    :param answered_s: when it had answered, in monotonic time.
+    :param rest_s: the time that it asked for.
+    """
+
+    peer_port: int
+    incarnation: int
+    answered_s: float
+    rest_s: float
+
+
 class StandinReplica:
     """A replica on a loopback port.
 
@@ -176,6 +191,9 @@
         self.refuses_share = 0.0
         #: Retry-After of the 503 that it answers every request with; ``None`` to serve.
         self.rest = None
+        #: times of rest that it asked for in answers to calls; those in answers to
+        #: requests are in ``seen``.
+        self.rests_told: list[RestTold] = []
         #: pieces of the body of a plain service, sent one after the other.
         self.pieces = [b"whole"]
         #: requests that it runs at once, refusing others; ``None`` for any number.
@@ -225,6 +243,7 @@
         self.cached_parts: dict[tuple[str, str], int] = {}
         #: cache events served to pollers.
         self.cache_events: list[list] = []
+        self._events_changed = threading.Condition()
         #: looks up another replica by its address, to copy a run to it.
         self.find = lambda address: None
         self.incarnations = 1
@@ -344,8 +363,17 @@
             self.endless_answers += 1
             self._send_endless_call(http)
             return
-        if self.rest is not None and http.path.startswith(CONTROL_PATHS):
-            self._send(http, 503, b"", {"Retry-After": self.rest})
+        rest = self.rest
+        if rest is not None and http.path.startswith(CONTROL_PATHS):
+            self._send(http, 503, b"", {"Retry-After": rest})
+            self.rests_told.append(
+                RestTold(
+                    http.client_address[1],
+                    self.incarnations,
+                    time.monotonic(),
+                    float(rest),
+                )
+            )
         elif expected is not None and expected != self.upstream_id:
             self.misdirected += 1
             self._send(http, 421, b"", {"X-Replica-Id": self.upstream_id})
@@ -791,12 +819,17 @@
             part_id, _, tokens = entry.partition(":")
             if (salt, part_id) not in self.cached_parts:
                 self.cached_parts[salt, part_id] = int(tokens)
-                self.cache_events.append(["+", salt, part_id, int(tokens), "m0"])
+                with self._events_changed:
+                    event = ["+", salt, part_id, int(tokens), "m0"]
+                    self.cache_events.append(event)
+                    self._events_changed.notify_all()
 
     def _wait_for_event(self, since, wait_s):
-        deadline_s = time.monotonic() + wait_s
-        while len(self.cache_events) <= since and time.monotonic() < deadline_s:
-            time.sleep(0.01)
+        # Not looked at again and again: with many engines, dozens of polls wait here.
+        with self._events_changed:
+            self._events_changed.wait_for(
+                lambda: len(self.cache_events) > since, wait_s
+            )
 
     def _cache_update(self, since=0, held=False):
         update = {
