--- a/src/kumquatseam/gateway/_stop_clock.py
+++ b/src/kumquatseam/gateway/_stop_clock.py
@@ -3,16 +3,6 @@
 import math
 import time
 
-from kumquatseam.gateway._refusals import Reason, RefusedError
-
-#: new connections, and requests that are expected to end in time, are accepted for this
-#: long after a stop was requested; the load balancer needs two failed health checks, a
-#: second apart, to detect it. Later ones come on kept connections only, and others
-#: serve them at once, so they need not rely on an estimate.
-ADMIT_WHILE_STOPPING_S = 2.6
-#: Retry-After of an instance that stops; others serve the request at once.
-STOPPING_RETRY_S = 0.05
-
 
 class StopClock:
     """Tells how long requests may still take, once a stop was requested."""
@@ -47,10 +37,8 @@
         :param allowed_s: the time to allow for it.
         :raises RefusedError: if it may be cut.
         """
-        if end_s <= self._end_s:
-            return
-        is_late = complete_s > self.began_s + ADMIT_WHILE_STOPPING_S
-        if is_late or allowed_s > self.left_s:
-            needed = "more than is certain" if is_late else f"{allowed_s:.2f} s"
-            detail = f"needs {needed}, {self.left_s:.2f} s left"
-            raise RefusedError(503, Reason.STOPPING, STOPPING_RETRY_S, detail)
+        if end_s > self._end_s:
+            # Loaded by then: the stop has begun.
+            from kumquatseam.gateway._server_stop import check_request
+
+            check_request(self, complete_s, allowed_s)
