--- a/src/kumquatseam/gateway/_processes.py
+++ b/src/kumquatseam/gateway/_processes.py
@@ -72,7 +72,7 @@
     def may_identify(
         self, status: UpstreamStatus, connection: UpstreamConnection
     ) -> bool:
-        """Return whether it is known where a connection leads, or may be some time."""
+        """Return whether it is known where a connection leads, or may become known."""
         newest = self._directory.newest(status)
         if newest.known_since_s <= connection.opened_s:
             return True
