Tests: crowds of clients that take a gateway's memory and connections

What callers saw: a process ran out of memory, and everybody's requests with it.

The scenarios start a gateway, its log service and a replica on loopback, and one program with the crowd: 100 clients that send without end or leave large bodies unfinished, 300 whose heads are full of short fields, 100 with whole bodies, 150 that read long answers slowly, 150 that send nothing. Checked are the life of the process, the peak of its resident memory (100 MB, the machine of the test), its descriptors, and an ordinary request while the crowd stays and after it left; nothing depends on time.

--- /dev/null
+++ b/features/steps/crowd_world.py
@@ -0,0 +1,130 @@
+"""A crowd of clients as a process of its own, and what a server takes meanwhile."""
+
+import json
+import os
+import subprocess
+import sys
+import threading
+from pathlib import Path
+
+import attrs
+import urllib3
+from platform_world import KEY, wait_until
+
+_PROGRAM = Path(__file__).parent.parent / "programs" / "crowd.py"
+#: until when the crowd has sent what it sends; not a bound of any check.
+SETTLED_S = 120.0
+#: tries of an ordinary client, each on a new connection.
+TRIES = 3
+_POLL_S = 0.05
+
+
+@attrs.define
+class Usage:
+    """The most that a process took.
+
+    :param memory_mb: resident memory.
+    :param descriptors: open descriptors.
+    """
+
+    memory_mb: float = 0.0
+    descriptors: int = 0
+
+
+class UsageWatch:
+    """Watches what a process takes, from its start or from now on.
+
+    :param process: the process (``subprocess.Popen``).
+    """
+
+    def __init__(self, process: subprocess.Popen) -> None:
+        self._process = process
+        self._is_closed = threading.Event()
+        self.most = Usage()
+        self._thread = threading.Thread(target=self._watch, daemon=True)
+
+    def start(self) -> None:
+        """Begin to count descriptors."""
+        self._thread.start()
+
+    def close(self) -> Usage:
+        """Stop watching; return the most, for memory since the process began."""
+        self._is_closed.set()
+        self._thread.join()
+        self._note()
+        return self.most
+
+    def _watch(self) -> None:
+        while not self._is_closed.wait(_POLL_S):
+            self._note()
+
+    def _note(self) -> None:
+        folder = Path(f"/proc/{self._process.pid}")
+        try:
+            status = (folder / "status").read_text()
+            open_count = len(os.listdir(folder / "fd"))
+        except OSError:
+            # It has ended.
+            return
+        peaks = [line for line in status.splitlines() if line.startswith("VmHWM:")]
+        for line in peaks:
+            peak_mb = int(line.split()[1]) / 1024
+            self.most.memory_mb = max(self.most.memory_mb, peak_mb)
+        self.most.descriptors = max(self.most.descriptors, open_count)
+
+
+class Crowd:
+    """Runs ``programs/crowd.py``.
+
+    :param options: as that program takes them, without the key.
+    """
+
+    def __init__(self, **options) -> None:
+        self._options = {"key": KEY, **options}
+        self._process: subprocess.Popen | None = None
+        self._said: list[str] = []
+
+    def start(self) -> None:
+        """Let the clients come."""
+        self._process = subprocess.Popen(
+            [sys.executable, str(_PROGRAM), json.dumps(self._options)],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def wait_settled(self) -> None:
+        """Wait until each has sent what it sends, or was closed."""
+        wait_until("the crowd has settled", lambda: self._said, SETTLED_S)
+
+    def wait_left(self) -> None:
+        """Wait until all have left."""
+        self._process.wait(SETTLED_S)
+        assert self._process.returncode == 0, self._process.returncode
+
+    def close(self) -> None:
+        """End the program."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+            self._process.wait()
+
+    def _read(self) -> None:
+        for line in self._process.stdout:
+            self._said.append(line.strip())
+
+
+def send_ordinary(world, path, **options) -> list[int]:
+    """Send one ordinary request, again after a failure as clients do.
+
+    :returns: the status of each try; 0 for a connection that was closed.
+    """
+    statuses = []
+    for _ in range(TRIES):
+        try:
+            answer = world.send(path, headers={"Connection": "close"}, **options)
+            statuses.append(answer.status)
+        except urllib3.exceptions.HTTPError:
+            statuses.append(0)
+        if statuses[-1] == 200:
+            break
+    return statuses
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -608,7 +608,8 @@
             self.admitted -= 1
             self._slot_freed.notify()
         if not http.is_unframed:
-            with contextlib.suppress(BrokenPipeError):
+            # Its caller may leave before it has received all.
+            with contextlib.suppress(ConnectionError):
                 self._send(http, 200, b"".join(self.pieces), headers)
             return
         with contextlib.suppress(OSError):
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -61,7 +61,14 @@
     """A gateway running as a separate process."""
 
     def __init__(
-        self, folder: Path, name: str, log_port: int, slack=50, seeds="", grace_s=4
+        self,
+        folder: Path,
+        name: str,
+        log_port: int,
+        slack=50,
+        seeds="",
+        grace_s=4,
+        more="",
     ):
         self.name = name
         self.grace_s = grace_s
@@ -79,7 +86,7 @@
                 seeds=seeds,
                 grace_s=grace_s,
                 **self.ports,
-            )
+            ).replace("[peers]", f"{more}\n[peers]", 1)
         )
         self.process = None
         #: what the interpreter runs.
@@ -132,6 +139,8 @@
         #: quota fields of the team's entry in the configuration.
         self.quota: dict = {}
         self.idle_timeout_ms = 15000
+        #: limits of callers' requests that differ.
+        self.limits: dict = {}
         self.version = 0
         #: callbacks run before anything else is closed.
         self.on_close = []
@@ -216,6 +225,7 @@
                 "maxBodyBytes": 20000,
                 "headerTimeoutMs": 800,
                 "idleTimeoutMs": self.idle_timeout_ms,
+                **self.limits,
             },
             "tenants": [
                 {
--- /dev/null
+++ b/features/steps/untrusted_clients_steps.py
@@ -0,0 +1,164 @@
+"""Steps for crowds of clients that take a gateway's memory and connections."""
+
+from behave import given, then, when
+from crowd_world import Crowd, UsageWatch, send_ordinary
+from platform_replica import RunShape
+from platform_steps import step_platform
+from platform_world import wait_until
+
+#: limits of requests, low so that small crowds show what large ones take.
+LIMITS = {
+    "maxBodyBytes": 1_000_000,
+    "maxHeaderBytes": 16_384,
+    "headerTimeoutMs": 5000,
+}
+#: limits of the users' pages.
+PAGE_LIMITS = {**LIMITS, "maxBodyBytes": 4_194_304}
+#: how long the clients of a crowd stay once they have sent what they send.
+HOLD_S = 6.0
+#: longest that an answer to the crowd may take; it comes slowly.
+TIMEOUT_MS = 20_000
+LARGE_ANSWER_BYTES = 8_000_000
+EVENT_BYTES = 32_000
+EVENTS = 400
+CROWD_PATH = "/crowd/x"
+STREAM_PATH = "/stream/x"
+ORDINARY_PATH = "/plain/x"
+
+
+def _start_world(context, memory_mb, descriptors, limits=None):
+    step_platform(context)
+    world = context.platform
+    world.limits = limits or LIMITS
+    world.add_replica("plain", "p0")
+    world.add_route("/plain/", "idempotent", "plain")
+    world.add_route("/crowd/", "non_idempotent", "other", timeoutMs=TIMEOUT_MS)
+    context.crowd = context.watch = None
+    context.crowd_path = CROWD_PATH
+    context.model_headers = {}
+    context.machine = f"max_descriptors = {descriptors}"
+
+
+def _start_gateway(context):
+    world = context.platform
+    world.put_configuration()
+    gateway = world.add_gateway(more=context.machine)
+    context.watch = UsageWatch(gateway.process)
+    context.watch.start()
+    world.on_close.append(context.watch.close)
+
+
+@given(
+    "a gateway with {memory_mb:d} MB and {descriptors:d} descriptors, "
+    "in front of a plain replica"
+)
+def step_gateway(context, memory_mb, descriptors):
+    _start_world(context, memory_mb, descriptors)
+    context.platform.add_replica("other", "p1")
+    _start_gateway(context)
+
+
+@given(
+    "a gateway with {memory_mb:d} MB and {descriptors:d} descriptors, "
+    "in front of a replica with {what}"
+)
+def step_gateway_answers(context, memory_mb, descriptors, what):
+    _start_world(context, memory_mb, descriptors)
+    world = context.platform
+    if what.startswith("answers"):
+        world.add_replica("other", "p1").pieces = [b"x" * LARGE_ANSWER_BYTES]
+    else:
+        engine = world.add_replica("engines", "e0", version=1)
+        engine.shape_of = lambda seen: RunShape(EVENTS, 0.01, 0.0, EVENT_BYTES)
+        world.add_route("/stream/", "stream", "engines", timeoutMs=TIMEOUT_MS)
+        world.name_weights(1)
+        context.crowd_path = STREAM_PATH
+        context.model_headers = world.stream_headers()
+    _start_gateway(context)
+
+
+@given("the replica takes {work_s:d} seconds for each request of the crowd")
+def step_slow_replica(context, work_s):
+    context.platform.replicas["p1"].work_s = work_s
+
+
+@given("its limits are those of the pages")
+def step_page_limits(context):
+    world = context.platform
+    world.limits = PAGE_LIMITS
+    world.put_configuration()
+    (gateway,) = world.gateways
+    wait_until(
+        "the gateway has the new limits",
+        lambda: world.metric(gateway, "configuration_version") == world.version,
+    )
+
+
+@when("{count:d} clients send {kind}")
+def step_crowd(context, count, kind):
+    world = context.platform
+    context.crowd = Crowd(
+        port=world.gateways[0].ports["front"],
+        path=context.crowd_path,
+        kind=kind,
+        count=count,
+        body_bytes=world.limits["maxBodyBytes"],
+        head_bytes=world.limits["maxHeaderBytes"],
+        hold_s=HOLD_S,
+        model_headers=context.model_headers,
+    )
+    world.on_close.append(context.crowd.close)
+    context.crowd.start()
+    context.crowd.wait_settled()
+
+
+@when("{count:d} clients read them slowly")
+def step_slow_readers(context, count):
+    step_crowd(context, count, "slow readers")
+
+
+@then("an ordinary request is answered while they stay, and one after they left")
+def step_ordinary(context):
+    during = send_ordinary(context.platform, ORDINARY_PATH)
+    context.crowd.wait_left()
+    after = send_ordinary(context.platform, ORDINARY_PATH)
+    last = (during[-1], after[-1])
+    assert last == (200, 200), (during, after, context.watch.most)
+
+
+@then("the gateway lives, with at most {memory_mb:d} MB and {count:d} descriptors")
+def step_usage(context, memory_mb, count):
+    process = context.platform.gateways[0].process
+    assert process.poll() is None, process.returncode
+    most = context.watch.close()
+    print(most)
+    assert most.memory_mb <= memory_mb, most
+    assert most.descriptors <= count, most
+
+
+@when("one client sends a request of the largest size {how}")
+def step_largest(context, how):
+    body = b"x" * PAGE_LIMITS["maxBodyBytes"]
+    pieces = [body[at : at + 65_536] for at in range(0, len(body), 65_536)]
+    is_chunked = how == "in chunks"
+    context.answer = context.platform.send(
+        CROWD_PATH, body=iter(pieces) if is_chunked else body
+    )
+
+
+@then("it is answered")
+def step_answered(context):
+    assert context.answer.status == 200, context.answer.status
+    (seen,) = context.platform.replicas["p1"].seen
+    assert len(seen.body) == PAGE_LIMITS["maxBodyBytes"], len(seen.body)
+
+
+@when("one client asks for it")
+def step_ask(context):
+    context.answer = context.platform.send(CROWD_PATH)
+
+
+@then("it gets all of it")
+def step_whole(context):
+    assert context.answer.status == 200, context.answer.status
+    assert len(context.answer.data) == LARGE_ANSWER_BYTES, len(context.answer.data)
