Bound what a request sends between its data

What callers saw: a field without the end of its line, in a head, behind the last chunk or in the size of a chunk, took six times the largest body from a gateway for each connection; with 100 of them its memory went to 754 MB, and its time to joining the line again with each read, so that others were closed unread.

Cause: the parser reports a field only when its line has ended, so the sizes that were checked did not grow. The only bound was on all bytes of a request, which leaves room for a body in chunks of one byte.

The bytes since the last data (of a head, or between two pieces of a body) are bounded by the configured size of a head and one read. A body in chunks of one byte has data in each read and is not affected. The response is 431 in a head and 413 behind it, as before.

Ruled out: a limit on the number of trailers alone; the line that never ends is none.

--- a/src/kumquatseam/http1/_request_reader.py
+++ b/src/kumquatseam/http1/_request_reader.py
@@ -50,6 +50,8 @@
         #: what was received of the current request, and in how many reads.
         self._received_bytes = 0
         self._reads = 0
+        #: the part of it after its last data: of a head, or between pieces of a body.
+        self._framing_bytes = 0
         self.is_reading = False
 
     def set_limits(self, limits: RequestLimits) -> None:
@@ -73,7 +75,7 @@
         :raises BadRequestError: if the request is invalid, too large or too slow.
         """
         started_s = time.monotonic()
-        self._received_bytes = self._reads = 0
+        self._received_bytes = self._framing_bytes = self._reads = 0
         until_s = started_s + self._limits.idle_timeout_s
         # Empty lines begin no request.
         while not (self._messages or self._parse_error):
@@ -126,13 +128,19 @@
             raise self._parse_error
 
     def _check_size(self, message: _PartialRequest) -> None:
-        if message.head_bytes > self._limits.max_header_bytes:
+        # The parser reports a field only once its line has ended.
+        max_framing_bytes = self._limits.max_header_bytes + _READ_BYTES
+        is_framing_too_large = self._framing_bytes > max_framing_bytes
+        is_in_head = not message.head_complete
+        if message.head_bytes > self._limits.max_header_bytes or (
+            is_in_head and is_framing_too_large
+        ):
             raise BadRequestError(431, "request head is too large")
         if len(message.body) > self._limits.max_body_bytes:
             raise BadRequestError(413, "request body is too large")
         max_body_bytes = self._limits.max_body_bytes * _BYTES_PER_BODY_BYTE
         max_bytes = self._limits.max_header_bytes + max_body_bytes + _READ_BYTES
-        if self._received_bytes > max_bytes:
+        if is_framing_too_large or self._received_bytes > max_bytes:
             raise BadRequestError(413, "request has too much beside its body")
 
     def _receive(self, timeout_s: float) -> None:
@@ -152,6 +160,7 @@
         if not data:
             raise IdleConnectionError
         self._received_bytes += len(data)
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -191,6 +200,7 @@
 
     def on_body(self, data: bytes) -> None:
         message = self._messages[-1]
+        self._framing_bytes = 0
         # The first read past the limit is kept, so that the size check fails.
         if len(message.body) <= self._limits.max_body_bytes:
             message.body += data
