Keep the body of a request once

What callers saw: nothing by itself; a gateway took two bytes for each byte of a body that was being passed on, so its memory was used up at half the work.

Cause: the bytes received were copied into the request, and again behind the head that goes to the upstream; what was unsent was copied with each send.

The buffer that a body is read into is the body of the request. A body above 16 KB goes to the upstream as a piece of its own, and what is unsent is a view of it.

--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -347,14 +347,14 @@
             self._progress.attempts += 1
         self._times.sent_s = time.monotonic()
         self._sent_elapsed_s = elapsed_s()
-        request_bytes = self._request_bytes(placement)
+        pieces = self._request_pieces(placement)
         self._progress.has_sent = True
         self._permission.note_sent()
         self._parts.directory.note_sent(placement.status.upstream.incarnation_id)
         self._parts.limits.announced.note_sent(placement.status.upstream.incarnation_id)
         self._grants.note_sent()
         self._sent_request = placement.note_sent()
-        connection.send(request_bytes)
+        connection.send(*pieces)
         wait = self._first_event_wait(placement)
         dialect = self._parts.dialect
         head = connection.read_head(
@@ -403,7 +403,7 @@
         route = self._job.route
         return route.is_retryable and self._progress.attempts < route.max_attempts
 
-    def _request_bytes(self, placement: Placement) -> bytes:
+    def _request_pieces(self, placement: Placement) -> list[bytes | bytearray]:
         job, request = self._job, self._job.request
         options = SendOptions(
             upstream_id=placement.status.upstream.upstream_id,
--- a/src/kumquatseam/http1/_connection.py
+++ b/src/kumquatseam/http1/_connection.py
@@ -157,7 +157,7 @@
         self._request_ids: collections.deque[str] = collections.deque(
             maxlen=_MAX_REQUEST_IDS
         )
-        self._unsent = b""
+        self._unsent: list[memoryview] = []
         self._parse_error = ""
         self._end_reason = ""
         self._is_ended_on_the_way = False
@@ -199,14 +199,15 @@
             return False
         return False
 
-    def send(self, data: bytes) -> None:
+    def send(self, *pieces: bytes | bytearray) -> None:
         """Start sending a request; the rest is sent by the read methods.
 
+        :param pieces: the request, not to be changed until it is sent.
         :raises ResponseInterruptedError: if the connection fails.
         """
         self._responses.clear()
         self.sent_s = time.monotonic()
-        self._unsent = data
+        self._unsent = [memoryview(piece) for piece in pieces]
         self.has_sent = False
         if self._watch is not None:
             self._watch.note_sent(self, self.address)
@@ -385,8 +386,9 @@
     def _write(self) -> None:
         if not self._unsent:
             return
+        piece = self._unsent[0]
         try:
-            sent = self._socket._sock.send(self._unsent[:262_144])
+            sent = self._socket._sock.send(piece[:262_144])
         except BlockingIOError:
             return
         except OSError as error:
@@ -396,10 +398,14 @@
                     self.address, f"send: {error!r}"
                 ) from error
             # A response sent before the whole request was read may still be readable.
-            self._unsent = b"\0"
+            self._unsent = [memoryview(b"\0")]
             return
         self.has_sent = True
-        self._unsent = self._unsent[sent:]
+        if sent < len(piece):
+            self._unsent[0] = piece[sent:]
+            return
+        del self._unsent[0]
+        self._write()
 
     def _read_available(self) -> None:
         self._reads += 1
--- a/src/kumquatseam/http1/_messages.py
+++ b/src/kumquatseam/http1/_messages.py
@@ -23,6 +23,8 @@
     )
 )
 
+#: a body up to this size is copied behind its head, to be sent at once.
+MAX_JOINED_BYTES = 16_384
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: |$)")
 _REASONS = {
     200: b"OK",
@@ -117,7 +119,7 @@
     :param method: e.g. ``b"POST"``.
     :param target: path and query exactly as sent.
     :param headers: its header fields.
-    :param body: the complete body, without transfer coding.
+    :param body: the complete body, without transfer coding; not copied.
     :param keep_alive: whether the connection may carry another request.
     :param received_s: monotonic time at which its first bytes arrived.
     :param complete_s: the same for its last bytes; as ``received_s`` if not given.
@@ -126,7 +128,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     keep_alive: bool
     received_s: float
     complete_s: float = attrs.field()
@@ -185,14 +187,20 @@
 
 
 def encode_request(
-    method: bytes, target: bytes, fields: list[tuple[bytes, bytes]], body: bytes
-) -> bytes:
-    """Return a request's bytes, with a Content-Length if it may have a body."""
+    method: bytes,
+    target: bytes,
+    fields: list[tuple[bytes, bytes]],
+    body: bytes | bytearray,
+) -> list[bytes | bytearray]:
+    """Return the pieces of a request, with a Content-Length if it may have a body.
+
+    A large body is a piece of its own, so that it is not copied.
+    """
     framed = list(fields)
     if body or method not in (b"GET", b"HEAD", b"DELETE"):
         framed.append((b"Content-Length", b"%d" % len(body)))
-    head = b"%b %b HTTP/1.1\r\n" % (method, target)
-    return head + _encode_fields(framed) + b"\r\n" + body
+    head = b"%b %b HTTP/1.1\r\n" % (method, target) + _encode_fields(framed) + b"\r\n"
+    return [head + body] if len(body) <= MAX_JOINED_BYTES else [head, body]
 
 
 def encode_response_head(status: int, fields: list[tuple[bytes, bytes]]) -> bytes:
--- a/src/kumquatseam/http1/_request_reader.py
+++ b/src/kumquatseam/http1/_request_reader.py
@@ -115,7 +115,7 @@
             message.method,
             message.target,
             Headers(message.fields),
-            bytes(message.body),
+            message.body,
             message.keep_alive,
             started_s,
             time.monotonic(),
--- a/src/kumquatseam/quarantine/_fingerprint.py
+++ b/src/kumquatseam/quarantine/_fingerprint.py
@@ -6,7 +6,9 @@
 _SEPARATOR = b"\x00"
 
 
-def fingerprint(team: str, method: bytes, host: str, target: bytes, body: bytes) -> str:
+def fingerprint(
+    team: str, method: bytes, host: str, target: bytes, body: bytes | bytearray
+) -> str:
     """Return a hash that is equal for repeats of the same request.
 
     Ids, deadlines, hop-by-hop headers and API keys are left out, since they may
