Send one interim response, and wait for nobody to receive it

What callers saw: a request whose head asked n times to continue got n interim responses, each written inside the parser, without a timeout: a client that receives nothing could hold its connection for good.

Cause: the response was sent for each Expect field as it was parsed, before the head was complete and its size was known.

It is sent once, when the head is complete and its size allowed and the body is not there yet, without waiting.

--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -1,10 +1,12 @@
 """Steps for crowds of clients that take a gateway's memory and connections."""
 
+import socket
+
 from behave import given, then, when
 from crowd_world import Crowd, UsageWatch, send_ordinary
 from platform_replica import RunShape
 from platform_steps import step_platform
-from platform_world import wait_until
+from platform_world import KEY, wait_until
 
 #: limits of requests, low so that small crowds show what large ones take.
 LIMITS = {
@@ -25,6 +27,12 @@
 STREAM_PATH = "/stream/x"
 ORDINARY_PATH = "/plain/x"
 
+EXPECTING_HEAD = (
+    b"POST /plain/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: expecting\r\n"
+    b"X-Deadline-Ms: 5000\r\nAuthorization: Token %b\r\nConnection: close\r\n"
+    b"Content-Length: 4\r\n" % KEY.encode()
+)
+
 
 def _start_world(context, memory_mb, descriptors, limits=None):
     step_platform(context)
@@ -162,3 +170,21 @@
 def step_whole(context):
     assert context.answer.status == 200, context.answer.status
     assert len(context.answer.data) == LARGE_ANSWER_BYTES, len(context.answer.data)
+
+
+@when("one client asks {times:d} times to continue, and sends its body once it may")
+def step_expect(context, times):
+    port = context.platform.gateways[0].ports["front"]
+    fields = "Expect: 100-continue\r\n" * times
+    with socket.create_connection(("127.0.0.1", port), 5) as connection:
+        connection.sendall(EXPECTING_HEAD + fields.encode() + b"\r\n")
+        context.received = connection.recv(65_536)
+        connection.sendall(b"body")
+        while data := connection.recv(65_536):
+            context.received += data
+
+
+@then("it gets {count:d} interim response, and its answer")
+def step_interim(context, count):
+    assert context.received.count(b"HTTP/1.1 100 ") == count, context.received
+    assert context.received.count(b"HTTP/1.1 200 ") == 1, context.received
--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -79,3 +79,8 @@
     When one client asks for it
     Then it gets all of it
     And the gateway lives, with at most 88 MB and 600 descriptors
+
+  Scenario: A request that asks several times for an interim response gets one
+    Given a gateway with 88 MB and 600 descriptors, in front of a plain replica
+    When one client asks 5 times to continue, and sends its body once it may
+    Then it gets 1 interim response, and its answer
--- a/src/kumquatseam/http1/_request_reader.py
+++ b/src/kumquatseam/http1/_request_reader.py
@@ -1,6 +1,7 @@
 """Read callers' requests from one connection."""
 
 import collections
+import contextlib
 import socket
 import time
 
@@ -18,6 +19,7 @@
 _READS_PER_TURN = 16
 #: bytes received for each byte of a body in chunks of one byte.
 _BYTES_PER_BODY_BYTE = 6
+_INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class _PartialRequest:
@@ -32,6 +34,8 @@
         self.keep_alive = True
         self.head_complete = False
         self.complete = False
+        #: whether its caller waits for an interim response before it sends the body.
+        self.awaits_interim = False
 
 
 class RequestReader:
@@ -96,6 +100,7 @@
             self._raise_if_invalid()
             has_started = bool(self._messages) and self._messages[0].head_complete
             if has_started:
+                self._send_interim(self._messages[0])
                 if time.monotonic() >= until_s:
                     raise BadRequestError(
                         408, "request body not complete within the timeout"
@@ -121,6 +126,15 @@
             time.monotonic(),
         )
 
+    def _send_interim(self, message: _PartialRequest) -> None:
+        """Send the interim response that a caller waits for, once."""
+        if not message.awaits_interim:
+            return
+        message.awaits_interim = False
+        # Callers that do not receive it need not wait for it either.
+        with contextlib.suppress(OSError):
+            self._connection._sock.send(_INTERIM_RESPONSE)
+
     def _raise_if_invalid(self) -> None:
         if self._messages:
             self._check_size(self._messages[0])
@@ -190,7 +204,7 @@
             return
         message.fields.append((name, value or b""))
         if name.lower() == b"expect" and b"100-continue" in (value or b"").lower():
-            self._connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            message.awaits_interim = True
 
     def on_headers_complete(self) -> None:
         message = self._messages[-1]
