Load what few instances need when they first need it

Loaded at first use from now on: the load data of trackers, which only fleets of more than twelve instances ask for; the search for the origin of a stream, which only a caller needs that takes one up; the places of brittle upstreams. The servers of health and metrics are built beside their classes.

--- a/features/steps/limits_world.py
+++ b/features/steps/limits_world.py
@@ -38,9 +38,9 @@
 from kumquatseam.trackers import (
     TRACKER_KINDS,
     LoadTracker,
-    TrackedWork,
     TrackerClient,
 )
+from kumquatseam.trackers.tracked_work import TrackedWork
 from kumquatseam.upstreams import (
     NO_LIMIT_PER_S,
     AnnouncedLimits,
--- a/features/steps/origins_world.py
+++ b/features/steps/origins_world.py
@@ -11,10 +11,10 @@
 from kumquatseam.origins import (
     DATAGRAM_KINDS,
     OriginParts,
-    OriginSearch,
     StreamOrigins,
 )
 from kumquatseam.origins.keys import stream_key
+from kumquatseam.origins.search import OriginSearch
 from kumquatseam.peers import InstanceRecord
 from kumquatseam.upstreams import ServiceVersion
 
--- a/features/steps/trackers_world.py
+++ b/features/steps/trackers_world.py
@@ -14,10 +14,10 @@
 from kumquatseam.trackers import (
     TRACKER_KINDS,
     LoadTracker,
-    TrackedWork,
     TrackerClient,
     WorkBegan,
 )
+from kumquatseam.trackers.tracked_work import TrackedWork
 from kumquatseam.upstreams import (
     Upstream,
     UpstreamDirectory,
--- a/src/kumquatseam/gateway/_health.py
+++ b/src/kumquatseam/gateway/_health.py
@@ -5,6 +5,8 @@
 import bottle
 from gevent import pywsgi
 
+from kumquatseam.gatewayfile import GatewaySettings
+
 
 class _PageServer:
     """Serves one page over HTTP.
@@ -63,3 +65,19 @@
             return read()
 
         super().__init__(address, path, respond)
+
+
+def health_servers(
+    settings: GatewaySettings,
+    is_ready: Callable[[], bool],
+    read_metrics: Callable[[], bytes],
+) -> list[HealthServer | MetricsServer]:
+    """Return the servers that the settings ask for; the one of metrics is optional."""
+    servers: list[HealthServer | MetricsServer] = [
+        HealthServer(settings.health_listen, settings.ready_path, is_ready)
+    ]
+    if settings.metrics_listen:
+        servers.append(
+            MetricsServer(settings.metrics_listen, settings.metrics_path, read_metrics)
+        )
+    return servers
--- a/src/kumquatseam/gateway/_resumption.py
+++ b/src/kumquatseam/gateway/_resumption.py
@@ -5,8 +5,9 @@
 from kumquatseam.gateway._job import Job
 from kumquatseam.gateway._refusals import Reason, RefusedError
 from kumquatseam.logs import part_logger
-from kumquatseam.origins import OriginSearch, StreamOrigins
+from kumquatseam.origins import StreamOrigins
 from kumquatseam.origins.keys import stream_key
+from kumquatseam.origins.search import OriginSearch
 from kumquatseam.upstreams import ServiceVersion, UpstreamDirectory
 
 _log = part_logger("continuation")
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -1,6 +1,7 @@
 """Composition root of the gateway: builds all parts, starts and stops them."""
 
 import time
+from typing import TYPE_CHECKING
 
 from kumquatseam import cachefeeds, feeds, origins, quarantine, quotas
 from kumquatseam.cachefeeds import MIN_SENT_PART_SHARE, CacheFeeds, WarmStart
@@ -10,7 +11,7 @@
 from kumquatseam.gateway._cache_holders import cache_holders
 from kumquatseam.gateway._connection_admission import ConnectionAdmission
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
-from kumquatseam.gateway._health import HealthServer, MetricsServer
+from kumquatseam.gateway._health import health_servers
 from kumquatseam.gateway._loop_idleness import LoopIdleness
 from kumquatseam.gateway._paces import (
     instance_pace,
@@ -63,7 +64,6 @@
     TRACKER_KINDS,
     FleetSizeSwitch,
     LoadTracker,
-    TrackedWork,
     TrackerClient,
 )
 from kumquatseam.upstreams import (
@@ -76,6 +76,9 @@
     WeightsTargets,
 )
 
+if TYPE_CHECKING:
+    from kumquatseam.trackers.tracked_work import TrackedWork
+
 _log = part_logger("gateway")
 
 #: messages that instances publish on the peer bus, by kind on the wire.
@@ -218,7 +221,7 @@
             self._build_rollouts(),
             StepLoop(SWEEP_INTERVAL_S, self._pool.sweep),
             *self._paths.parts,
-            *self._health_servers(),
+            *health_servers(file.gateway, self._is_ready, self._metrics_text),
         ]
         self._parts = PartGroup("gateway", parts)
         self._has_gauges = False
@@ -360,26 +363,29 @@
 
     def _build_work(self) -> FleetSizeSwitch:
         """Build the source of in-flight work of all instances, for any fleet size."""
-        name = self._bus.name
-        order = RendezvousOrder(lambda: self._bus.records)
-        client = TrackerClient(
-            name,
-            order,
+        self._tracker_client = TrackerClient(
+            self._bus.name,
+            RendezvousOrder(lambda: self._bus.records),
             self._datagrams,
             self._tracker,
             unresponsive=self._shard_owners.calls.unresponsive,
         )
-        self._tracker_client = client
         return FleetSizeSwitch(
             lambda: self._bus.view().is_full_mesh,
             BroadcastWork(self._directory, self._index, self._loads.on_upstream),
-            TrackedWork(
-                client,
-                self._directory,
-                name,
-                note_load=lambda load: self._limits.note_tracked(
-                    load.holder, load.limit, load.used_up_ms / 1000.0, load.brittle
-                ),
+            self._load_tracked_work,
+        )
+
+    def _load_tracked_work(self) -> "TrackedWork":
+        """Build what asks trackers, once the fleet is large."""
+        from kumquatseam.trackers.tracked_work import TrackedWork
+
+        return TrackedWork(
+            self._tracker_client,
+            self._directory,
+            self._bus.name,
+            note_load=lambda load: self._limits.note_tracked(
+                load.holder, load.limit, load.used_up_ms / 1000.0, load.brittle
             ),
         )
 
@@ -441,19 +447,6 @@
             INSTANCES_TOPIC, registry, instance_pace(self._file.peers.is_first_start)
         )
 
-    def _health_servers(self) -> list:
-        gateway = self._file.gateway
-        servers: list = [
-            HealthServer(gateway.health_listen, gateway.ready_path, self._is_ready)
-        ]
-        if gateway.metrics_listen:
-            servers.append(
-                MetricsServer(
-                    gateway.metrics_listen, gateway.metrics_path, self._metrics_text
-                )
-            )
-        return servers
-
     def _is_ready(self) -> bool:
         is_configured = self._live.current is not None and self._quarantine.is_ready
         return is_configured and self._server.is_accepting
--- a/src/kumquatseam/origins/__init__.py
+++ b/src/kumquatseam/origins/__init__.py
@@ -5,14 +5,14 @@
 
 - :class:`StreamOrigins` keeps what began each stream at a few instances, and finds it.
 - :mod:`kumquatseam.origins.keys` names a stream by its team and its caller's first
-  attempt. It is not imported here, since no start needs it.
+  attempt, and :mod:`kumquatseam.origins.search` asks for what began it. They are not
+  imported here, since no start needs them.
 """
 
 from kumquatseam.origins._messages import DATAGRAM_KINDS
 from kumquatseam.origins._origins import (
     SWEEP_INTERVAL_S,
     OriginParts,
-    OriginSearch,
     StreamOrigins,
 )
 
@@ -20,6 +20,5 @@
     "DATAGRAM_KINDS",
     "SWEEP_INTERVAL_S",
     "OriginParts",
-    "OriginSearch",
     "StreamOrigins",
 ]
--- a/src/kumquatseam/origins/_origins.py
+++ b/src/kumquatseam/origins/_origins.py
@@ -2,12 +2,13 @@
 
 import time
 from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
 
 import attrs
 import gevent.event
 
 from kumquatseam.origins._messages import OriginNotice, OriginQuery, OriginReply
-from kumquatseam.origins._table import KeptOrigin, OriginTable
+from kumquatseam.origins._table import OriginTable
 from kumquatseam.peers import (
     DatagramCalls,
     DatagramLink,
@@ -18,31 +19,14 @@
 )
 from kumquatseam.upstreams import ServiceVersion
 
+if TYPE_CHECKING:
+    from kumquatseam.origins.search import OriginSearch
+
 #: interval at which outdated origins are dropped.
 SWEEP_INTERVAL_S = 2.0
 #: groups of streams with the same owners. Selecting owners takes longer in a larger
 #: fleet, so they are selected once for each group.
 OWNER_GROUPS = 1024
-#: times that owners are asked, if some of them do not reply.
-MAX_ROUNDS = 2
-
-
-@attrs.frozen
-class OriginSearch:
-    """The result of a search for a stream's origin.
-
-    :param origin: the origin, if it is known.
-    :param source: who knew it: this instance by its name, or ``"owner"``.
-    :param age_s: how long it has been known there.
-    :param asked: the instances that were asked.
-    :param is_complete: whether all of them replied.
-    """
-
-    origin: ServiceVersion | None = None
-    source: str = ""
-    age_s: float = 0.0
-    asked: tuple[str, ...] = ()
-    is_complete: bool = True
 
 
 @attrs.frozen
@@ -80,11 +64,11 @@
     """
 
     def __init__(self, parts: OriginParts) -> None:
-        self._name = parts.name
-        self._clock = parts.clock
-        self._are_known = parts.are_instances_known
+        self.name = parts.name
+        self.clock = parts.clock
+        self.are_instances_known = parts.are_instances_known
         self.table = OriginTable(parts.clock)
-        self._owners = KeyOwners(
+        self.owners = KeyOwners(
             parts.name,
             RendezvousOrder(parts.list_instances, spreads_zones=True),
             parts.link,
@@ -92,8 +76,8 @@
                 parts.link, (OriginReply,), parts.clock, parts.wait, parts.unresponsive
             ),
         )
-        self._owners.on_notice(OriginNotice, self._keep)
-        self._owners.on_request(OriginQuery, self._reply)
+        self.owners.on_notice(OriginNotice, self._keep)
+        self.owners.on_request(OriginQuery, self._reply)
         self.searches = 0
         self.unknown = 0
 
@@ -103,60 +87,31 @@
         :param keep_s: how long its caller may take it up.
         """
         self.table.put(key, origin, keep_s)
-        self._owners.notify_all(
+        self.owners.notify_all(
             _owner_key(key),
             OriginNotice(
                 key, origin.service, origin.software_version, int(keep_s * 1000)
             ),
         )
 
-    def find(self, key: bytes) -> OriginSearch:
+    def find(self, key: bytes) -> "OriginSearch":
         """Search for the origin of a stream; takes a round trip to its owners."""
+        # Loaded with the first stream that a caller takes up.
+        from kumquatseam.origins.search import find_origin
+
         self.searches += 1
-        kept = self.table.get(key)
-        if kept is not None:
-            return self._from_table(kept)
-        found = self._ask_owners(key) if self._are_known() else _NOT_SEARCHED
+        found = find_origin(self, key, _owner_key(key))
         self.unknown += found.origin is None
         return found
 
     def owners_of(self, key: bytes) -> Sequence[InstanceRecord]:
         """Return the instances that keep the origin of a stream for all others."""
-        return self._owners.of(_owner_key(key))
+        return self.owners.of(_owner_key(key))
 
     def sweep(self) -> None:
         """Drop outdated origins."""
         self.table.drop_outdated()
 
-    def _from_table(self, kept: KeptOrigin) -> OriginSearch:
-        age_s = self._clock() - kept.since_s
-        self.unknown += kept.origin is None
-        return OriginSearch(kept.origin, self._name, age_s)
-
-    def _ask_owners(self, key: bytes) -> OriginSearch:
-        owner_key = _owner_key(key)
-        owners = self._owners.of(owner_key)
-        asked = tuple(record.name for record in owners)
-        replies: list[OriginReply] = []
-        for _ in range(MAX_ROUNDS):
-            query = OriginQuery(self._owners.calls.next_number(), key)
-            replies = self._owners.call_all(owner_key, query, _is_known)
-            known = next(filter(_is_known, replies), None)
-            if known is not None:
-                return self._from_reply(key, known, asked)
-            if len(replies) == len(owners):
-                break
-        return OriginSearch(asked=asked, is_complete=len(replies) == len(owners))
-
-    def _from_reply(
-        self, key: bytes, reply: OriginReply, asked: tuple[str, ...]
-    ) -> OriginSearch:
-        origin = None
-        if reply.service:
-            origin = ServiceVersion(reply.service, reply.software_version)
-        self.table.put(key, origin, reply.keep_ms / 1000.0)
-        return OriginSearch(origin, "owner", reply.age_ms / 1000.0, asked)
-
     def _keep(self, notice: OriginNotice) -> None:
         origin = ServiceVersion(notice.service, notice.software_version)
         self.table.put(notice.key, origin, notice.keep_ms / 1000.0)
@@ -165,7 +120,7 @@
         kept = self.table.get(query.key)
         if kept is None:
             return OriginReply(query.number, is_known=False)
-        now_s = self._clock()
+        now_s = self.clock()
         origin = kept.origin or ServiceVersion("", "")
         return OriginReply(
             query.number,
@@ -177,14 +132,6 @@
         )
 
 
-#: what is known before the list of instances was read.
-_NOT_SEARCHED = OriginSearch(is_complete=False)
-
-
-def _is_known(reply: OriginReply) -> bool:
-    return reply.is_known
-
-
 def _owner_key(key: bytes) -> str:
     """Return the key that selects the owners of a stream's origin."""
     return f"origins/{int.from_bytes(key[:2], 'big') % OWNER_GROUPS}"
--- a/src/kumquatseam/quotas/_owners.py
+++ b/src/kumquatseam/quotas/_owners.py
@@ -1,7 +1,9 @@
 """Finding and calling the owners of a shard."""
 
+import functools
 import time
 from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
 
 import attrs
 import gevent.event
@@ -27,11 +29,13 @@
     RetryHistory,
     RetryHistoryRequest,
 )
-from kumquatseam.quotas._place_allocator import PlaceAllocator
 from kumquatseam.quotas._retry_allocator import RetryAllocator
 from kumquatseam.routes import RouteTable
 from kumquatseam.upstreams import AnnouncedLimits, LimitReport
 
+if TYPE_CHECKING:
+    from kumquatseam.quotas._place_allocator import PlaceAllocator
+
 #: instances that one owner serves at most. A larger fleet splits each team's quota into
 #: shards, so that an owner's load does not grow with the fleet.
 INSTANCES_PER_SHARD = 200
@@ -120,7 +124,6 @@
         self.retry_allocator = RetryAllocator(
             parts.retries, parts.retry_clock, parts.is_first_start
         )
-        self.place_allocator = PlaceAllocator(parts.clock)
         self._shard_count: int | None = None
         self._resharded_s = float("-inf")
         self._history_queries: dict[QuotaShard, _HistoryQuery] = {}
@@ -131,6 +134,13 @@
         parts.link.on_message(RetryHistory, self._collect_history)
         parts.link.on_message(LimitReport, lambda m, _: parts.limits.merge_report(m))
 
+    @functools.cached_property
+    def place_allocator(self) -> "PlaceAllocator":
+        """Grants places; loaded when an instance asks for the first one."""
+        from kumquatseam.quotas._place_allocator import PlaceAllocator
+
+        return PlaceAllocator(self.clock)
+
     @property
     def retry_settings(self) -> RetrySettings:
         """The retry budget of each service."""
@@ -215,10 +225,10 @@
 
         :returns: 0 if it has, as far as this instance knows.
         """
-        return max(
-            self.allocator.used_up_s(incarnation_id),
-            self.place_allocator.full_s(incarnation_id),
-        )
+        used_up_s = self.allocator.used_up_s(incarnation_id)
+        if "place_allocator" not in vars(self):
+            return used_up_s
+        return max(used_up_s, self.place_allocator.full_s(incarnation_id))
 
     def _apply_usage(self, update: QuotaUsageUpdate) -> None:
         if update.shard.is_retry_budget:
--- a/src/kumquatseam/trackers/__init__.py
+++ b/src/kumquatseam/trackers/__init__.py
@@ -8,11 +8,13 @@
 - :class:`LoadTracker` tracks the load of upstreams, in an :class:`InFlightTable`.
 - :class:`TrackerClient` queries and notifies trackers by datagrams. Rendezvous
   hashing (``peers.RendezvousOrder``) determines which instance tracks an upstream.
-- :class:`TrackedWork` provides the trackers' load data to placement.
+- ``tracked_work.TrackedWork`` provides the trackers' load data to placement; it is
+  loaded where the fleet is large.
 - :class:`FleetSizeSwitch` uses trackers in large fleets only.
 """
 
 from kumquatseam.trackers._client import TrackerClient
+from kumquatseam.trackers._fleet_size import FleetSizeSwitch
 from kumquatseam.trackers._in_flight import InFlightTable
 from kumquatseam.trackers._messages import (
     TRACKER_KINDS,
@@ -25,7 +27,6 @@
     WorkPrefilled,
 )
 from kumquatseam.trackers._tracker import LoadTracker
-from kumquatseam.trackers._work import FleetSizeSwitch, TrackedWork
 
 __all__ = [
     "TRACKER_KINDS",
@@ -35,7 +36,6 @@
     "LoadTracker",
     "PartsSent",
     "TrackedLoad",
-    "TrackedWork",
     "TrackerClient",
     "WorkBegan",
     "InFlightTable",
