Limit the memory that requests of all callers hold together

What callers saw: each request was within the limits, and all of them together ended the process: large bodies left unfinished, whole or trickling, large bodies that wait for a slow upstream, heads full of short fields. Everybody's requests ended with it.

Cause: every limit was one on a single request. 0.45 of 4,200 descriptors are 1,890 connections, each of which could hold a whole body.

One budget for all connections (buffers). Each connection has an account and takes from the budget before it holds: heads with what their fields cost as objects, bodies, what was read beyond them, and itself. The length that a body states is reserved before the body is read, so that two bodies never wait for each other's rest; a body in chunks reserves the largest size once it is above 64 KB. Connections with more than 64 KB in all leave a quarter of the budget to smaller ones.

If there is no room, clients whose transfer has lagged behind 16 KB/s for a second are evicted first, those that hold most for longest; then a large request waits for up to half a second, unread, so that TCP holds its sender; then it gets 503 with Retry-After: nothing of it was sent to an upstream. Requests that are complete are never evicted. A body that states more than the largest size is refused before it is read.

The size of the budget: 0.6 of what the process leaves of 0.85 of the machine's memory (new setting memory_mb, by default what the system has), looked at each second, and never less than two of the largest requests. When the buffers have room again, the allocator returns what was freed.

Ruled out: charging what has arrived without a reservation (all of a crowd then hold a part, and none can be finished); waiting with what is in memory already (300 heads full of short fields took 126 MB while they waited).

--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -44,7 +44,7 @@
     context.crowd = context.watch = None
     context.crowd_path = CROWD_PATH
     context.model_headers = {}
-    context.machine = f"max_descriptors = {descriptors}"
+    context.machine = f"memory_mb = {memory_mb}\nmax_descriptors = {descriptors}"
 
 
 def _start_gateway(context):
--- a/src/kumquatseam/gateway/_connection_end.py
+++ b/src/kumquatseam/gateway/_connection_end.py
@@ -56,8 +56,11 @@
 
 def _refuse(caller: CallerConnection, error: BadRequestError) -> None:
     _log.bind(status=error.status, detail=error.detail).info("Bad request.")
+    fields = [(b"Connection", b"close")]
+    if error.retry_after_s is not None:
+        fields.append((b"Retry-After", b"%.2f" % error.retry_after_s))
     try:
-        caller.send_response(error.status, [(b"Connection", b"close")], b"")
+        caller.send_response(error.status, fields, b"")
     except CallerDisconnectedError as disconnect:
         _log.bind(detail=repr(disconnect)).info(
             "The caller disconnected before it received the error response."
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -6,6 +6,7 @@
 import gevent
 import gevent.socket
 
+from kumquatseam.buffers import BufferAccount, BufferBudget, BufferLimitError
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._connection_admission import ConnectionAdmission
 from kumquatseam.gateway._handler import RequestHandler
@@ -23,6 +24,8 @@
 
 #: length of the kernel's accept queue, for bursts of connections.
 BACKLOG = 1024
+#: what a connection takes without a request.
+CONNECTION_BYTES = 16_384
 #: when what only a stop needs is loaded: after the start, which it would prolong.
 LOAD_STOP_AFTER_S = 2.0
 
@@ -35,6 +38,7 @@
     :param read_limits: returns the current limits.
     :param grace_s: maximum duration of a shutdown.
     :param admission: decides which new connections are served.
+    :param buffers: memory that callers make this process hold; not limited by default.
     """
 
     def __init__(
@@ -44,8 +48,10 @@
         read_limits: Callable[[], RequestLimits],
         grace_s: float,
         admission: ConnectionAdmission,
+        buffers: BufferBudget | None = None,
     ) -> None:
         self._admission = admission
+        self._buffers = buffers or BufferBudget()
         self._address = address
         self._handler = handler
         #: begun when a stop is requested.
@@ -140,7 +146,8 @@
                 _log.bind(error=repr(error)).warning("Cannot accept a connection.")
                 gevent.sleep(0.01)
                 continue
-            if not self._admission.admit(self._open_count):
+            may_serve = self._admission.admit(self._open_count)
+            if not may_serve or not self._buffers.may_open(CONNECTION_BYTES):
                 connection.close()
                 continue
             self.accepted += 1
@@ -163,11 +170,13 @@
     def _serve_requests(self, connection) -> None:
         """Serve the requests on a connection until it ends."""
         greenlet = gevent.getcurrent()
-        reader = RequestReader(connection, self._read_limits())
+        account = self._buffers.open_account(lambda: self._evict(greenlet, account))
+        reader = RequestReader(connection, self._read_limits(), account)
         self._readers[greenlet] = reader
         caller = CallerConnection(connection)
         bad_request = None
         try:
+            account.take_over_limit(CONNECTION_BYTES)
             try:
                 while self._serve_next(greenlet, reader, caller):
                     reader.set_limits(self._read_limits())
@@ -178,15 +187,26 @@
                 pass
             # What still arrives is read, so the connection is not idle.
             reader.is_reading = True
+            reader.close()
             # Loaded when first needed.
             from kumquatseam.gateway._connection_end import end_connection
 
             end_connection(caller, bad_request)
-        except (IdleConnectionError, CallerDisconnectedError):
+        except (IdleConnectionError, CallerDisconnectedError, BufferLimitError):
             # Normal ends of a connection; a request in progress logs its own end.
             pass
         finally:
             self._readers.pop(greenlet, None)
+            account.close()
+
+    def _evict(self, greenlet: gevent.Greenlet, account: BufferAccount) -> None:
+        """End a connection that waits for its caller, in the event loop's next turn."""
+
+        def end() -> None:
+            if account.on_time_until_s is not None and not greenlet.dead:
+                greenlet.throw(BufferLimitError(self._buffers.limit_bytes))
+
+        gevent.get_hub().loop.run_callback(end)
 
     def _serve_next(
         self, greenlet: gevent.Greenlet, reader: RequestReader, caller: CallerConnection
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -9,6 +9,7 @@
 from kumquatseam.feeds import TopicFeeds, TopicUpdate
 from kumquatseam.gateway._adapter import Adapter
 from kumquatseam.gateway._cache_holders import cache_holders
+from kumquatseam.gateway._caller_buffers import CallerBuffers
 from kumquatseam.gateway._connection_admission import ConnectionAdmission
 from kumquatseam.gateway._handler import HandlerParts, RequestHandler
 from kumquatseam.gateway._health import health_servers
@@ -192,6 +193,7 @@
             limits=self._announced_limits,
         )
         self._work = self._build_work()
+        self._caller_buffers = CallerBuffers(file.gateway.memory_mb, self._read_limits)
         self._server = self._build_server()
         parts = [
             self._log_service,
@@ -221,6 +223,7 @@
             self._build_rollouts(),
             StepLoop(SWEEP_INTERVAL_S, self._pool.sweep),
             *self._paths.parts,
+            self._caller_buffers,
             *health_servers(file.gateway, self._is_ready, self._metrics_text),
         ]
         self._parts = PartGroup("gateway", parts)
@@ -291,6 +294,7 @@
             self._read_limits,
             self._grace_s,
             ConnectionAdmission(LoopIdleness(), gateway.max_descriptors),
+            self._caller_buffers.budget,
         )
 
     @property
--- a/src/kumquatseam/gatewayfile/_settings.py
+++ b/src/kumquatseam/gatewayfile/_settings.py
@@ -24,6 +24,8 @@
     :param log_level: minimum level of written log lines.
     :param max_descriptors: file descriptors that this process may use; 0 for as many
         as the system allows.
+    :param memory_mb: memory that this process may take, in millions of bytes; 0 for as
+        much as the system has.
     :param link_mbps: bandwidth of the instance's network link; 0 if unknown.
     """
 
@@ -38,6 +40,7 @@
     connect_timeout_s: float = setting(positive=True, default=0.3)
     log_level: str = setting(default="DEBUG")
     max_descriptors: int = setting(default=0)
+    memory_mb: float = setting(default=0.0)
     link_mbps: float = setting(default=0.0)
 
 
--- a/src/kumquatseam/http1/_errors.py
+++ b/src/kumquatseam/http1/_errors.py
@@ -15,10 +15,12 @@
 
     :param status: HTTP status to respond with before closing.
     :param detail: what is wrong.
+    :param retry_after_s: Retry-After value, if the same request can succeed later.
     """
 
     status: int
     detail: str
+    retry_after_s: float | None = None
 
     def __str__(self) -> str:
         return f"http: {self.status}: {self.detail}"
--- a/src/kumquatseam/http1/_messages.py
+++ b/src/kumquatseam/http1/_messages.py
@@ -111,6 +111,11 @@
     idle_timeout_s: float = 15.0
     total_timeout_s: float = 30.0
 
+    @property
+    def max_request_bytes(self) -> int:
+        """Size of the largest request."""
+        return self.max_header_bytes + self.max_body_bytes
+
 
 @attrs.frozen
 class Request:
--- a/src/kumquatseam/http1/_request_reader.py
+++ b/src/kumquatseam/http1/_request_reader.py
@@ -8,6 +8,12 @@
 import gevent
 import httptools
 
+from kumquatseam.buffers import (
+    SMALL_BYTES,
+    BufferAccount,
+    BufferBudget,
+    BufferLimitError,
+)
 from kumquatseam.http1._errors import BadRequestError, IdleConnectionError
 from kumquatseam.http1._messages import Headers, Request, RequestLimits
 from kumquatseam.http1._readiness import queued_bytes
@@ -19,6 +25,10 @@
 _READS_PER_TURN = 16
 #: bytes received for each byte of a body in chunks of one byte.
 _BYTES_PER_BODY_BYTE = 6
+#: what a header field takes beside its name and value: objects that refer to them.
+_FIELD_BYTES = 256
+#: Retry-After of a request for which there is no memory; another instance may have it.
+_NO_MEMORY_RETRY_S = 0.2
 _INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -36,6 +46,19 @@
         self.complete = False
         #: whether its caller waits for an interim response before it sends the body.
         self.awaits_interim = False
+        #: length of its body, as it says; the largest one once it is long without.
+        self.expected_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """The memory that it takes."""
+        fields_bytes = self.head_bytes + len(self.fields) * _FIELD_BYTES
+        return fields_bytes + len(self.body)
+
+    @property
+    def missing_bytes(self) -> int:
+        """How much of its body may follow."""
+        return 0 if self.complete else max(0, self.expected_bytes - len(self.body))
 
 
 class RequestReader:
@@ -43,11 +66,20 @@
 
     :param connection: the caller's socket.
     :param limits: limits of the caller's requests.
+    :param account: the memory that the caller makes this process hold; a request is
+        charged to it until the next one is read.
     """
 
-    def __init__(self, connection, limits: RequestLimits) -> None:
+    def __init__(
+        self,
+        connection,
+        limits: RequestLimits,
+        account: BufferAccount | None = None,
+    ) -> None:
         self._connection = connection
         self._limits = limits
+        self._account = account or BufferBudget().open_account()
+        self._charged_bytes = 0
         self._parser = httptools.HttpRequestParser(self)
         self._messages: collections.deque[_PartialRequest] = collections.deque()
         self._parse_error: BadRequestError | None = None
@@ -80,6 +112,7 @@
         """
         started_s = time.monotonic()
         self._received_bytes = self._framing_bytes = self._reads = 0
+        self._charge()
         until_s = started_s + self._limits.idle_timeout_s
         # Empty lines begin no request.
         while not (self._messages or self._parse_error):
@@ -88,16 +121,28 @@
             self._receive(until_s - started_s)
             started_s = time.monotonic()
         self.is_reading = True
+        self._account.begin_transfer()
         try:
             return self._read_message(started_s)
+        except BufferLimitError as error:
+            raise BadRequestError(503, str(error), _NO_MEMORY_RETRY_S) from error
         finally:
+            self._account.end_transfer()
             self.is_reading = False
 
+    def close(self) -> None:
+        """Discard what was read of requests that are not complete."""
+        self._messages.clear()
+        self._framing_bytes = 0
+        self._parser = None
+        self._charge()
+
     def _read_message(self, started_s: float) -> Request:
         timeout_s = self._limits.header_timeout_s
         until_s = started_s + self._limits.total_timeout_s
         while not (self._messages and self._messages[0].complete):
             self._raise_if_invalid()
+            self._charge()
             has_started = bool(self._messages) and self._messages[0].head_complete
             if has_started:
                 self._send_interim(self._messages[0])
@@ -115,6 +160,7 @@
                 )
             self._receive(left_s)
         self._check_size(self._messages[0])
+        self._charge()
         message = self._messages.popleft()
         return Request(
             message.method,
@@ -126,6 +172,26 @@
             time.monotonic(),
         )
 
+    def _charge(self) -> None:
+        """Charge what is read of requests, and the rest of the first one's body.
+
+        A body that has begun to be read can be finished, so that no two wait for each
+        other's memory.
+
+        :raises BufferLimitError: if there is no memory for it.
+        """
+        held_bytes = self._framing_bytes + sum(m.held_bytes for m in self._messages)
+        missing_bytes = self._messages[0].missing_bytes if self._messages else 0
+        if held_bytes > self._charged_bytes:
+            self._account.take(held_bytes - self._charged_bytes)
+            self._charged_bytes = held_bytes
+        charged_bytes = held_bytes + missing_bytes
+        if charged_bytes > self._charged_bytes:
+            self._account.reserve(charged_bytes - self._charged_bytes)
+        else:
+            self._account.give_back(self._charged_bytes - charged_bytes)
+        self._charged_bytes = charged_bytes
+
     def _send_interim(self, message: _PartialRequest) -> None:
         """Send the interim response that a caller waits for, once."""
         if not message.awaits_interim:
@@ -150,7 +216,8 @@
             is_in_head and is_framing_too_large
         ):
             raise BadRequestError(431, "request head is too large")
-        if len(message.body) > self._limits.max_body_bytes:
+        body_bytes = max(len(message.body), message.expected_bytes)
+        if body_bytes > self._limits.max_body_bytes:
             raise BadRequestError(413, "request body is too large")
         max_body_bytes = self._limits.max_body_bytes * _BYTES_PER_BODY_BYTE
         max_bytes = self._limits.max_header_bytes + max_body_bytes + _READ_BYTES
@@ -173,6 +240,7 @@
             raise IdleConnectionError from None
         if not data:
             raise IdleConnectionError
+        self._account.note_moved(len(data))
         self._received_bytes += len(data)
         self._framing_bytes += len(data)
         try:
@@ -203,12 +271,16 @@
             # The parser reports trailers too; they are no headers.
             return
         message.fields.append((name, value or b""))
-        if name.lower() == b"expect" and b"100-continue" in (value or b"").lower():
+        name = name.lower()
+        if name == b"expect" and b"100-continue" in (value or b"").lower():
             message.awaits_interim = True
+        elif name == b"content-length" and value:
+            message.expected_bytes = int(value)
 
     def on_headers_complete(self) -> None:
         message = self._messages[-1]
         message.head_complete = True
+        self._framing_bytes = 0
         message.method = self._parser.get_method()
         message.keep_alive = self._parser.should_keep_alive()
 
@@ -218,6 +290,9 @@
         # The first read past the limit is kept, so that the size check fails.
         if len(message.body) <= self._limits.max_body_bytes:
             message.body += data
+        if len(message.body) > max(SMALL_BYTES, message.expected_bytes):
+            # In chunks, of which any number may follow.
+            message.expected_bytes = self._limits.max_body_bytes
 
     def on_message_complete(self) -> None:
         self._messages[-1].complete = True
