--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -78,7 +78,7 @@
     )
     metrics.register_gauge("path_lost", lambda: int(parts.path.is_lost))
     metrics.register_gauge("requests_suspected", lambda: len(parts.quarantine.suspects))
-    metrics.register_gauge("quotas_kept", lambda: len(parts.shard_owners.allocator))
+    metrics.register_gauge("quotas_kept", lambda: parts.shard_owners.owned_quotas)
     metrics.register_gauge(
         "retry_budget_used", parts.shard_owners.retry_allocator.used_share
     )
--- a/src/kumquatseam/quotas/__init__.py
+++ b/src/kumquatseam/quotas/__init__.py
@@ -21,12 +21,10 @@
 - :class:`UpstreamLimits` acquires grants for requests to upstreams with a limit.
 - :class:`UpstreamPlaces` acquires places at brittle upstreams.
 - :class:`RetryBudgets` acquires grants for retries of requests for a service.
-- :class:`QuotaAllocator` grants leases from the shards owned by this instance.
 - :class:`QuotaExceededError`, :class:`UpstreamLimitError` and
   :class:`UpstreamFullError` say when to retry.
 """
 
-from kumquatseam.quotas._allocator import QuotaAllocator
 from kumquatseam.quotas._errors import (
     QuotaExceededError,
     UpstreamFullError,
@@ -55,7 +53,6 @@
     "CallerRetry",
     "LimitGrant",
     "PlaceGrant",
-    "QuotaAllocator",
     "QuotaExceededError",
     "QuotaGrant",
     "QuotaLeaseReply",
--- a/src/kumquatseam/quotas/_allocator.py
+++ b/src/kumquatseam/quotas/_allocator.py
@@ -39,6 +39,7 @@
     :param current_table: returns the configuration in force here, if any.
     :param tolerance: how far the fleet may exceed a quota.
     :param limits: the limits that upstreams announced.
+    :param started_s: when this instance started, by the clock.
     :param clock: monotonic clock in seconds.
     """
 
@@ -48,6 +49,7 @@
         current_table: Callable[[], RouteTable | None],
         tolerance: QuotaTolerance,
         limits: AnnouncedLimits,
+        started_s: float,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._name = name
@@ -55,7 +57,7 @@
         self._tolerance = tolerance
         self._limits = limits
         self._clock = clock
-        self._started_s = clock()
+        self._started_s = started_s
         self._shards: dict[QuotaShard, OwnedShard] = {}
 
     def __len__(self) -> int:
--- a/src/kumquatseam/quotas/_owners.py
+++ b/src/kumquatseam/quotas/_owners.py
@@ -18,7 +18,6 @@
     KeyOwners,
     RendezvousOrder,
 )
-from kumquatseam.quotas._allocator import QuotaAllocator
 from kumquatseam.quotas._messages import (
     QuotaLeaseReply,
     QuotaLeaseRequest,
@@ -34,6 +33,7 @@
 from kumquatseam.upstreams import AnnouncedLimits, LimitReport
 
 if TYPE_CHECKING:
+    from kumquatseam.quotas._allocator import QuotaAllocator
     from kumquatseam.quotas._place_allocator import PlaceAllocator
 
 #: instances that one owner serves at most. A larger fleet splits each team's quota into
@@ -118,9 +118,8 @@
             DatagramCalls(parts.link, (QuotaLeaseReply,), parts.clock, parts.wait),
         )
         self.calls = self._owners.calls
-        self.allocator = QuotaAllocator(
-            parts.name, parts.current_table, parts.tolerance, parts.limits, parts.clock
-        )
+        self._parts = parts
+        self._started_s = parts.clock()
         self.retry_allocator = RetryAllocator(
             parts.retries, parts.retry_clock, parts.is_first_start
         )
@@ -129,11 +128,33 @@
         self._history_queries: dict[QuotaShard, _HistoryQuery] = {}
         self._owners.on_request(QuotaLeaseRequest, self._decide)
         self._owners.on_notice(QuotaUsageUpdate, self._apply_usage)
-        self._owners.on_notice(QuotaLeaseReturn, self.allocator.apply_return)
+        self._owners.on_notice(
+            QuotaLeaseReturn, lambda notice: self.allocator.apply_return(notice)
+        )
         parts.link.on_message(RetryHistoryRequest, self._send_history)
         parts.link.on_message(RetryHistory, self._collect_history)
         parts.link.on_message(LimitReport, lambda m, _: parts.limits.merge_report(m))
 
+    @functools.cached_property
+    def allocator(self) -> "QuotaAllocator":
+        """Grants leases; loaded when an instance asks for the first one."""
+        from kumquatseam.quotas._allocator import QuotaAllocator
+
+        parts = self._parts
+        return QuotaAllocator(
+            parts.name,
+            parts.current_table,
+            parts.tolerance,
+            parts.limits,
+            self._started_s,
+            parts.clock,
+        )
+
+    @property
+    def owned_quotas(self) -> int:
+        """The number of quotas and limits that this instance keeps for the fleet."""
+        return len(self.allocator) if "allocator" in vars(self) else 0
+
     @functools.cached_property
     def place_allocator(self) -> "PlaceAllocator":
         """Grants places; loaded when an instance asks for the first one."""
@@ -225,10 +246,13 @@
 
         :returns: 0 if it has, as far as this instance knows.
         """
-        used_up_s = self.allocator.used_up_s(incarnation_id)
-        if "place_allocator" not in vars(self):
-            return used_up_s
-        return max(used_up_s, self.place_allocator.full_s(incarnation_id))
+        used_up_s = full_s = 0.0
+        # What nobody asked for is not loaded for this.
+        if "allocator" in vars(self):
+            used_up_s = self.allocator.used_up_s(incarnation_id)
+        if "place_allocator" in vars(self):
+            full_s = self.place_allocator.full_s(incarnation_id)
+        return max(used_up_s, full_s)
 
     def _apply_usage(self, update: QuotaUsageUpdate) -> None:
         if update.shard.is_retry_budget:
