Hold little of a response that is received slowly, and charge it

What callers saw: long answers that many clients receive slowly took some 0.8 MB of the gateway for each, until the process ended.

Cause: the first 256 KB, which are held back so that a broken response can be told, were kept for as long as the rest was passed on, in three copies; each piece was copied once more behind its size. Nothing of it was counted.

The held part is let go once it is written, pieces are written as they are, and what a caller has yet to receive is charged to its account while the write waits: the response, the part that is held back, and a part of an event. A cut response is never complete, and its upstream is let go as after a disconnect.

--- a/src/kumquatseam/gateway/_caller.py
+++ b/src/kumquatseam/gateway/_caller.py
@@ -5,8 +5,10 @@
 
 import gevent
 
+from kumquatseam.buffers import BufferAccount, BufferBudget, BufferLimitError
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.http1 import (
+    MAX_JOINED_BYTES,
     CallerDisconnectedError,
     encode_response_head,
     queued_bytes,
@@ -17,6 +19,13 @@
 WRITE_TIMEOUT_S = 5.0
 
 
+class CallerTooSlowError(CallerDisconnectedError):
+    """The caller received too slowly, and the memory was needed for others."""
+
+    def __str__(self) -> str:
+        return "gateway: the caller received too slowly while buffers were full"
+
+
 class ResponseOrderError(KumquatseamError):
     """A head, body or end of a response was to be sent out of its order."""
 
@@ -34,10 +43,12 @@
     end, gets a :class:`ResponseOrderError`, and nothing is sent.
 
     :param connection: the accepted socket.
+    :param account: the memory that the caller makes this process hold.
     """
 
-    def __init__(self, connection) -> None:
+    def __init__(self, connection, account: BufferAccount | None = None) -> None:
         self.socket = connection
+        self.account = account or BufferBudget().open_account()
         self._state = _ResponseState.NOT_STARTED
         self._is_chunked = False
 
@@ -78,7 +89,7 @@
         """
         self._advance(_ResponseState.NOT_STARTED, _ResponseState.COMPLETE)
         framed = [*fields, (b"Content-Length", b"%d" % len(body))]
-        self._write(encode_response_head(status, framed) + body)
+        self._write(encode_response_head(status, framed), body)
 
     def start_response(
         self,
@@ -99,7 +110,7 @@
             framed = [*fields, (b"Transfer-Encoding", b"chunked")]
         else:
             framed = [*fields, (b"Content-Length", b"%d" % length_bytes)]
-        self._write(encode_response_head(status, framed) + self._frame(first))
+        self._write(encode_response_head(status, framed), *self._frame(first))
 
     def send_body(self, data: bytes) -> None:
         """Send further bytes of the body.
@@ -109,7 +120,7 @@
         """
         self._advance(_ResponseState.STARTED, _ResponseState.STARTED)
         if data:
-            self._write(self._frame(data))
+            self._write(*self._frame(data))
 
     def finish_response(self) -> None:
         """Mark the body as complete.
@@ -126,36 +137,63 @@
             raise ResponseOrderError(f"response to a caller is {self._state.value}")
         self._state = state
 
-    def _frame(self, data: bytes) -> bytes:
+    def _frame(self, data: bytes) -> tuple[bytes, ...]:
         if not data or not self._is_chunked:
-            return data
-        return b"%x\r\n%b\r\n" % (len(data), data)
-
-    def _write(self, data: bytes) -> None:
-        view = memoryview(data)
+            return (data,)
+        return (b"%x\r\n" % len(data), data, b"\r\n")
+
+    def _write(self, *pieces: bytes) -> None:
+        """Write pieces of a response, joined if that copies little."""
+        if sum(map(len, pieces)) <= MAX_JOINED_BYTES:
+            pieces = (b"".join(pieces),)
+        left = [memoryview(piece) for piece in pieces if piece]
         try:
-            while view:
-                view = view[self._write_some(view) :]
+            while left:
+                _drop(left, self._write_some(left))
         except OSError as error:
             raise CallerDisconnectedError from error
+        except BufferLimitError as error:
+            raise CallerTooSlowError from error
 
-    def _write_some(self, data: memoryview) -> int:
+    def _write_some(self, pieces: list[memoryview]) -> int:
         """Write what the system takes; return how much.
 
-        A full buffer takes more only once much of it has been received, so a caller
-        has to receive some of it in time, not make room.
-
-        :raises TimeoutError: if it receives nothing for ``WRITE_TIMEOUT_S``.
+        :raises TimeoutError: if the caller receives nothing for ``WRITE_TIMEOUT_S``.
+        :raises BufferLimitError: if it is too slow while buffers are full.
         """
         try:
-            return self.socket._sock.send(data)
+            return self.socket._sock.sendmsg(pieces)
         except BlockingIOError:
-            queued = queued_bytes(self.socket)
+            pass
+        unsent_bytes = sum(map(len, pieces))
+        self.account.begin_transfer()
+        self.account.take_over_limit(unsent_bytes)
+        try:
+            return self._wait_and_write(pieces)
+        finally:
+            self.account.end_transfer()
+            self.account.give_back(unsent_bytes)
+
+    def _wait_and_write(self, pieces: list[memoryview]) -> int:
+        """Write once the system takes more.
+
+        A full buffer takes more only once much of it has been received, so a caller
+        has to receive some of it in time, not make room.
+        """
+        queued = queued_bytes(self.socket)
         while True:
             try:
                 with gevent.Timeout(WRITE_TIMEOUT_S, TimeoutError):
-                    return self.socket.send(data)
+                    return self.socket.sendmsg(pieces)
             except TimeoutError:
                 before, queued = queued, queued_bytes(self.socket)
                 if queued == before:
                     raise
+
+
+def _drop(pieces: list[memoryview], sent_bytes: int) -> None:
+    """Drop the first bytes of pieces."""
+    while pieces and sent_bytes >= len(pieces[0]):
+        sent_bytes -= len(pieces.pop(0))
+    if sent_bytes:
+        pieces[0] = pieces[0][sent_bytes:]
--- a/src/kumquatseam/gateway/_cuts.py
+++ b/src/kumquatseam/gateway/_cuts.py
@@ -10,6 +10,8 @@
 
     #: its caller closed the connection.
     CALLER = "caller"
+    #: its caller received slowly, and the memory was needed for others.
+    SLOW_CALLER = "slow_caller"
     #: the upstream broke its response off, or did not respond properly.
     UPSTREAM = "upstream"
     #: what carried the connection to the upstream ended.
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -6,8 +6,9 @@
 
 import attrs
 
+from kumquatseam.buffers import BufferLimitError
 from kumquatseam.gateway._call import ResponseTraits
-from kumquatseam.gateway._caller import CallerConnection
+from kumquatseam.gateway._caller import CallerConnection, CallerTooSlowError
 from kumquatseam.gateway._continuation import Continuation
 from kumquatseam.gateway._event_times import EventTimes
 from kumquatseam.gateway._events import EventSplitter
@@ -18,6 +19,7 @@
     RetryableFailureError,
     RunMovedError,
 )
+from kumquatseam.gateway._response_buffer import ResponseBuffer
 from kumquatseam.gateway._run_guard import RunGuard
 from kumquatseam.http1 import (
     ConnectionPool,
@@ -108,6 +110,7 @@
         self._may_keep = may_keep_alive
         self._events = events
         self._times = times
+        self._buffer = ResponseBuffer(caller.account)
 
     def body_until_s(self) -> float:
         """Return until when the next bytes of a response must arrive."""
@@ -138,10 +141,16 @@
         :raises ResponseInterruptedError: if it ends before it is complete.
         :raises RetryableFailureError: if it is an error, and may be retried.
         :raises RunMovedError: if its run was moved to another engine.
+        :raises CallerDisconnectedError: if the caller left, or receives too slowly.
         """
-        if self._job.route.is_stream and response.head.status == 200:
-            return self._forward_stream(response)
-        return self._forward_body(response, may_retry)
+        try:
+            if self._job.route.is_stream and response.head.status == 200:
+                return self._forward_stream(response)
+            return self._forward_body(response, may_retry)
+        except BufferLimitError as error:
+            raise CallerTooSlowError from error
+        finally:
+            self._buffer.hold(0)
 
     def send_buffered(self, response: BufferedResponse) -> bool:
         """Send a complete response; return whether the connection stays open."""
@@ -154,19 +163,23 @@
         body = bytearray()
         while data := response.connection.read_body(response.wait):
             body += data
-            if len(body) > MAX_BUFFERED_BYTES:
-                return self._forward_large(response, bytes(body))
+            is_large = len(body) > MAX_BUFFERED_BYTES
+            if is_large or not self._buffer.may_hold(len(body)):
+                return self._forward_large(response, body)
         response.release(self._parts.pool)
-        buffered = BufferedResponse(response.head, bytes(body))
+        buffered = BufferedResponse(response.head, body)
         if response.head.status >= 500 and may_retry:
             raise RetryableFailureError(buffered)
         return self.send_buffered(buffered)
 
-    def _forward_large(self, response: UpstreamResponse, first: bytes) -> bool:
+    def _forward_large(self, response: UpstreamResponse, first: bytearray) -> bool:
         head, keep = response.head, self._may_keep()
         self._caller.start_response(
             head.status, self._fields(head, keep), head.length_bytes, first
         )
+        # It is kept by the caller of this method too.
+        first.clear()
+        self._buffer.hold(0)
         while data := response.connection.read_body(response.wait):
             self._caller.send_body(data)
         self._caller.finish_response()
@@ -257,6 +270,7 @@
 
         :raises ResponseInterruptedError: if it is no event, or too large to be one.
         """
+        self._buffer.hold(self._events.partial_bytes)
         if self._events.is_spoiled:
             raise ResponseInterruptedError(
                 response.connection.address, "bytes that are no event"
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -10,7 +10,7 @@
 import gevent
 
 from kumquatseam.gateway._call import Call
-from kumquatseam.gateway._caller import CallerConnection
+from kumquatseam.gateway._caller import CallerConnection, CallerTooSlowError
 from kumquatseam.gateway._cuts import Cut, CutBy
 from kumquatseam.gateway._dialect import Dialect, MalformedCallError
 from kumquatseam.gateway._exchange import Exchange
@@ -135,12 +135,15 @@
             elif exchange is not None:
                 self._record_cut(job, exchange.cut(detail=error.detail))
             return self._refuse(request_id, caller, may_keep_alive, error)
-        except CallerDisconnectedError:
+        except CallerDisconnectedError as error:
+            is_slow = isinstance(error, CallerTooSlowError)
             if exchange is not None and exchange.has_sent:
-                self._record_cut(job, exchange.cut(CutBy.CALLER))
+                by = CutBy.SLOW_CALLER if is_slow else CutBy.CALLER
+                self._record_cut(job, exchange.cut(by))
             else:
                 self._refund(grant)
-            _log.bind(request=request_id).info("The caller left.")
+            event = "The caller received too slowly." if is_slow else "The caller left."
+            _log.bind(request=request_id).info(event)
             raise
         except gevent.GreenletExit:
             if exchange is not None:
--- a/src/kumquatseam/gateway/_outcomes.py
+++ b/src/kumquatseam/gateway/_outcomes.py
@@ -45,7 +45,7 @@
     """
 
     head: ResponseHead
-    body: bytes
+    body: bytes | bytearray
 
 
 class NotRunError(Exception):
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -173,7 +173,7 @@
         account = self._buffers.open_account(lambda: self._evict(greenlet, account))
         reader = RequestReader(connection, self._read_limits(), account)
         self._readers[greenlet] = reader
-        caller = CallerConnection(connection)
+        caller = CallerConnection(connection, account)
         bad_request = None
         try:
             account.take_over_limit(CONNECTION_BYTES)
--- a/src/kumquatseam/http1/__init__.py
+++ b/src/kumquatseam/http1/__init__.py
@@ -27,6 +27,7 @@
     TransportError,
 )
 from kumquatseam.http1._messages import (
+    MAX_JOINED_BYTES,
     Framing,
     Headers,
     Request,
@@ -52,6 +53,7 @@
     "Framing",
     "Headers",
     "IdleConnectionError",
+    "MAX_JOINED_BYTES",
     "Request",
     "RequestLimits",
     "RequestReader",
