Let connections that send nothing give way to new ones

What callers saw: a crowd that holds all places of a gateway with nothing sent keeps everybody else out for the whole idle timeout; each ordinary caller was closed unread.

Cause: at the limit of connections the new one was turned away, whoever holds the others.

When all places are taken, a connection that waits for a request is closed instead of the new one: first those that never began one, then first requests that are unfinished for a second (408: nothing was run), then connections that have been idle or unfinished for five seconds; the longest first. One with bytes unread is kept. Below the limit nothing changes.

--- a/src/kumquatseam/gateway/_connection_admission.py
+++ b/src/kumquatseam/gateway/_connection_admission.py
@@ -1,6 +1,7 @@
 """Which new connections of callers are served."""
 
 import resource
+from collections.abc import Callable
 
 from kumquatseam.gateway._loop_idleness import LoopIdleness
 from kumquatseam.logs import part_logger
@@ -16,6 +17,9 @@
 #: share of the descriptors for callers' connections. Each request needs another one
 #: to its upstream, and peers and the log service need some.
 CALLER_DESCRIPTORS_SHARE = 0.45
+#: connections that may be open for a moment, while some of them are being closed, as a
+#: share of those that may be served.
+CLOSING_SHARE = 1.1
 
 
 class ConnectionAdmission:
@@ -41,10 +45,12 @@
         """Stop observing the event loop."""
         self._idleness.close()
 
-    def admit(self, open_connections: int) -> bool:
+    def admit(self, open_connections: int, free_place: Callable[[], bool]) -> bool:
         """Return whether a new connection may be served.
 
         :param open_connections: connections of callers that are open already.
+        :param free_place: begins to close one that is idle; returns whether there is
+            one.
         """
         self._idleness.observe()
         is_saturated = self._is_saturated
@@ -53,7 +59,11 @@
                 "Saturated: new connections are turned away."
             )
         self._was_saturated = is_saturated
-        may_serve = not is_saturated and open_connections < self._max_connections
+        may_serve = not is_saturated and (
+            open_connections < self._max_connections
+            or open_connections < self._max_connections * CLOSING_SHARE
+            and free_place()
+        )
         self.turned_away += not may_serve
         return may_serve
 
--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -124,6 +124,14 @@
     metrics.register_counter(
         "caller_connections_turned_away", lambda: parts.server.turned_away
     )
+    metrics.register_counter(
+        "caller_connections_closed_for_others", lambda: parts.server.freed_places
+    )
+    buffers = parts.server.buffers
+    metrics.register_gauge("buffer_bytes_held", lambda: buffers.used_bytes)
+    metrics.register_gauge("buffer_bytes_limit", lambda: buffers.limit_bytes)
+    metrics.register_counter("buffer_evictions", lambda: buffers.evicted)
+    metrics.register_counter("buffer_refusals", lambda: buffers.refused)
     metrics.register_counter("log_calls", lambda: parts.log_service.calls)
     metrics.register_counter("peer_messages_sent", lambda: parts.bus.sent)
     metrics.register_counter("peer_messages_received", lambda: parts.bus.received)
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import gevent
 import gevent.socket
@@ -20,6 +21,9 @@
 from kumquatseam.logs import part_logger
 from kumquatseam.pools import dead_peer_socket_options
 
+if TYPE_CHECKING:
+    from kumquatseam.gateway._connection_places import ConnectionPlaces
+
 _log = part_logger("server")
 
 #: length of the kernel's accept queue, for bursts of connections.
@@ -51,7 +55,7 @@
         buffers: BufferBudget | None = None,
     ) -> None:
         self._admission = admission
-        self._buffers = buffers or BufferBudget()
+        self.buffers = buffers or BufferBudget()
         self._address = address
         self._handler = handler
         #: begun when a stop is requested.
@@ -62,6 +66,8 @@
         self._accepting: gevent.Greenlet | None = None
         self._readers: dict[gevent.Greenlet, RequestReader] = {}
         self._busy: set[gevent.Greenlet] = set()
+        #: loaded when all places are first taken.
+        self._places: ConnectionPlaces | None = None
         self._open_count = 0
         self.accepted = 0
 
@@ -82,6 +88,11 @@
         """The number of connections that were closed unread."""
         return self._admission.turned_away
 
+    @property
+    def freed_places(self) -> int:
+        """The number of connections that gave their places to new ones."""
+        return self._places.freed if self._places is not None else 0
+
     @property
     def is_accepting(self) -> bool:
         """Whether callers may connect, and no stop was requested."""
@@ -146,14 +157,25 @@
                 _log.bind(error=repr(error)).warning("Cannot accept a connection.")
                 gevent.sleep(0.01)
                 continue
-            may_serve = self._admission.admit(self._open_count)
-            if not may_serve or not self._buffers.may_open(CONNECTION_BYTES):
+            may_serve = self._admission.admit(self._open_count, self._free_place)
+            if not may_serve or not self.buffers.may_open(CONNECTION_BYTES):
                 connection.close()
                 continue
             self.accepted += 1
             self._open_count += 1
             gevent.spawn(self._serve_connection, connection)
 
+    def _free_place(self) -> bool:
+        """Begin to close an idle connection; return whether there is one."""
+        if self._places is None:
+            from kumquatseam.gateway._connection_places import ConnectionPlaces
+
+            self._places = ConnectionPlaces(self._readers)
+        if len(self._readers) < self._open_count:
+            # Those that were accepted in this turn of the loop have not begun to wait.
+            gevent.sleep(0)
+        return self._places.free_one()
+
     def _serve_connection(self, connection) -> None:
         try:
             for option in dead_peer_socket_options():
@@ -170,7 +192,7 @@
     def _serve_requests(self, connection) -> None:
         """Serve the requests on a connection until it ends."""
         greenlet = gevent.getcurrent()
-        account = self._buffers.open_account(lambda: self._evict(greenlet, account))
+        account = self.buffers.open_account(lambda: self._evict(greenlet, account))
         reader = RequestReader(connection, self._read_limits(), account)
         self._readers[greenlet] = reader
         caller = CallerConnection(connection, account)
@@ -204,7 +226,7 @@
 
         def end() -> None:
             if account.on_time_until_s is not None and not greenlet.dead:
-                greenlet.throw(BufferLimitError(self._buffers.limit_bytes))
+                greenlet.throw(BufferLimitError(self.buffers.limit_bytes))
 
         gevent.get_hub().loop.run_callback(end)
 
--- a/src/kumquatseam/http1/_request_reader.py
+++ b/src/kumquatseam/http1/_request_reader.py
@@ -89,6 +89,10 @@
         #: the part of it after its last data: of a head, or between pieces of a body.
         self._framing_bytes = 0
         self.is_reading = False
+        #: requests that were read, and since when the next one is waited for;
+        #: ``None`` while it is not.
+        self.requests_read = 0
+        self.waits_since_s: float | None = None
 
     def set_limits(self, limits: RequestLimits) -> None:
         """Set the limits of the next requests."""
@@ -110,7 +114,15 @@
             connection ends.
         :raises BadRequestError: if the request is invalid, too large or too slow.
         """
-        started_s = time.monotonic()
+        self.waits_since_s = time.monotonic()
+        try:
+            request = self._read_next(self.waits_since_s)
+        finally:
+            self.waits_since_s = None
+        self.requests_read += 1
+        return request
+
+    def _read_next(self, started_s: float) -> Request:
         self._received_bytes = self._framing_bytes = self._reads = 0
         self._charge()
         until_s = started_s + self._limits.idle_timeout_s
