Charge a connection when it is accepted

The charge was made when its greenlet began, and could then exceed the budget by what was accepted in one turn of the loop; the slowest clients, however little they lagged, were evicted for it.

--- a/src/kumquatseam/buffers/_account.py
+++ b/src/kumquatseam/buffers/_account.py
@@ -33,14 +33,14 @@
     """The memory that one connection holds; take before holding, give back after.
 
     :param budget: shared by all connections.
-    :param wake: called once the account was evicted, to end the connection's wait for
-        its client.
+    :param held_bytes: what the connection itself takes.
     """
 
-    def __init__(self, budget: "BufferBudget", wake: Callable[[], None]) -> None:
+    def __init__(self, budget: "BufferBudget", held_bytes: int) -> None:
         self._budget = budget
-        self.wake = wake
-        self.held_bytes = 0
+        self.held_bytes = held_bytes
+        #: called once the account was evicted, to end the wait for its client.
+        self.wake: Callable[[], None] = lambda: None
         self.is_evicted = False
         #: until when its client has moved enough; ``None`` while nothing is awaited
         #: from the client.
--- a/src/kumquatseam/buffers/_budget.py
+++ b/src/kumquatseam/buffers/_budget.py
@@ -2,7 +2,6 @@
 
 import functools
 import sys
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from kumquatseam.buffers._account import BufferAccount
@@ -39,13 +38,14 @@
 
         return BufferPressure(self)
 
-    def open_account(self, wake: Callable[[], None] = lambda: None) -> BufferAccount:
+    def open_account(self, held_bytes: int = 0) -> BufferAccount:
         """Return the account of a new connection.
 
-        :param wake: see :class:`BufferAccount`.
+        :param held_bytes: what the connection itself takes.
         """
-        account = BufferAccount(self, wake)
+        account = BufferAccount(self, held_bytes)
         self.accounts.add(account)
+        self.used_bytes += held_bytes
         return account
 
     def close_account(self, account: BufferAccount) -> None:
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -162,7 +162,8 @@
                 continue
             self.accepted += 1
             self._open_count += 1
-            gevent.spawn(self._serve_connection, connection)
+            account = self.buffers.open_account(CONNECTION_BYTES)
+            gevent.spawn(self._serve_connection, connection, account)
 
     def _may_serve(self) -> bool:
         """Return whether a new connection is served; an idle one may give way to it."""
@@ -181,7 +182,7 @@
             gevent.sleep(0)
         return self._places.free_one()
 
-    def _serve_connection(self, connection) -> None:
+    def _serve_connection(self, connection, account: BufferAccount) -> None:
         try:
             for option in dead_peer_socket_options():
                 connection.setsockopt(*option)
@@ -189,21 +190,21 @@
             # too small for what is next. Dead ones are found by keep-alive, or when
             # nothing more can be written.
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
-            self._serve_requests(connection)
+            self._serve_requests(connection, account)
         finally:
             self._open_count -= 1
+            account.close()
             connection.close()
 
-    def _serve_requests(self, connection) -> None:
+    def _serve_requests(self, connection, account: BufferAccount) -> None:
         """Serve the requests on a connection until it ends."""
         greenlet = gevent.getcurrent()
-        account = self.buffers.open_account(lambda: self._evict(greenlet, account))
+        account.wake = lambda: self._evict(greenlet, account)
         reader = RequestReader(connection, self._read_limits(), account)
         self._readers[greenlet] = reader
         caller = CallerConnection(connection, account)
         bad_request = None
         try:
-            account.take_over_limit(CONNECTION_BYTES)
             try:
                 while self._serve_next(greenlet, reader, caller):
                     reader.set_limits(self._read_limits())
@@ -225,7 +226,6 @@
             pass
         finally:
             self._readers.pop(greenlet, None)
-            account.close()
 
     def _evict(self, greenlet: gevent.Greenlet, account: BufferAccount) -> None:
         """End a connection that waits for its caller, in the event loop's next turn."""
