Count what the parser keeps behind a request

A small request with 60 KB of a line behind it, without its end, was charged only the request: what came behind the last data of a request began to count with the next one. Charged now is what the parser was given and did not report, which a complete message ends.

A write whose account is evicted at its begin no longer leaves the account waiting for its caller, which could have ended the connection at another wait.

--- a/src/kumquatseam/gateway/_caller.py
+++ b/src/kumquatseam/gateway/_caller.py
@@ -167,8 +167,8 @@
             pass
         unsent_bytes = sum(map(len, pieces))
         self.account.begin_transfer()
-        self.account.take_over_limit(unsent_bytes)
         try:
+            self.account.take_over_limit(unsent_bytes)
             return self._wait_and_write(pieces)
         finally:
             self.account.end_transfer()
--- a/src/kumquatseam/gateway/_gauges.py
+++ b/src/kumquatseam/gateway/_gauges.py
@@ -125,7 +125,7 @@
         "caller_connections_turned_away", lambda: parts.server.turned_away
     )
     metrics.register_counter(
-        "caller_connections_closed_for_others", lambda: parts.server.freed_places
+        "caller_connections_closed_for_others", lambda: _count_freed(parts.server)
     )
     buffers = parts.server.buffers
     metrics.register_gauge("buffer_bytes_held", lambda: buffers.used_bytes)
@@ -142,6 +142,10 @@
     metrics.register_counter("trackers_silent", lambda: client.timeout_count)
 
 
+def _count_freed(server: GatewayServer) -> int:
+    return server.places.freed if server.places is not None else 0
+
+
 def _count_held_out(directory: UpstreamDirectory) -> int:
     return sum(s.is_held_out for s in directory.all())
 
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -67,7 +67,7 @@
         self._readers: dict[gevent.Greenlet, RequestReader] = {}
         self._busy: set[gevent.Greenlet] = set()
         #: loaded when all places are first taken.
-        self._places: ConnectionPlaces | None = None
+        self.places: ConnectionPlaces | None = None
         self._open_count = 0
         self.accepted = 0
 
@@ -88,11 +88,6 @@
         """The number of connections that were closed unread."""
         return self._admission.turned_away
 
-    @property
-    def freed_places(self) -> int:
-        """The number of connections that gave their places to new ones."""
-        return self._places.freed if self._places is not None else 0
-
     @property
     def is_accepting(self) -> bool:
         """Whether callers may connect, and no stop was requested."""
@@ -173,14 +168,14 @@
 
     def _free_place(self) -> bool:
         """Begin to close an idle connection; return whether there is one."""
-        if self._places is None:
+        if self.places is None:
             from kumquatseam.gateway._connection_places import ConnectionPlaces
 
-            self._places = ConnectionPlaces(self._readers)
+            self.places = ConnectionPlaces(self._readers)
         if len(self._readers) < self._open_count:
             # Those that were accepted in this turn of the loop have not begun to wait.
             gevent.sleep(0)
-        return self._places.free_one()
+        return self.places.free_one()
 
     def _serve_connection(self, connection, account: BufferAccount) -> None:
         try:
--- a/src/kumquatseam/http1/_request_reader.py
+++ b/src/kumquatseam/http1/_request_reader.py
@@ -91,6 +91,10 @@
         self._reads = 0
         #: the part of it after its last data: of a head, or between pieces of a body.
         self._framing_bytes = 0
+        #: what the parser keeps, about: what it was given and did not report yet; and
+        #: what it reports of the current read.
+        self._unparsed_bytes = 0
+        self._parsed_bytes = 0
         self.is_reading = False
         #: requests that were read, and since when the next one is waited for;
         #: ``None`` while it is not.
@@ -148,7 +152,7 @@
     def close(self) -> None:
         """Discard what was read of requests that are not complete."""
         self._messages.clear()
-        self._framing_bytes = 0
+        self._unparsed_bytes = 0
         self._parser = None
         self._charge()
 
@@ -195,7 +199,7 @@
 
         :raises BufferLimitError: if there is no memory for it.
         """
-        held_bytes = self._framing_bytes + sum(m.held_bytes for m in self._messages)
+        held_bytes = self._unparsed_bytes + sum(m.held_bytes for m in self._messages)
         missing_bytes = self._messages[0].missing_bytes if self._messages else 0
         if held_bytes > self._charged_bytes:
             self._account.take(held_bytes - self._charged_bytes)
@@ -266,6 +270,9 @@
             )
         except httptools.HttpParserError as error:
             self._parse_error = BadRequestError(400, f"not an HTTP request: {error!r}")
+        unparsed_bytes = self._unparsed_bytes + len(data) - self._parsed_bytes
+        self._unparsed_bytes = max(0, unparsed_bytes)
+        self._parsed_bytes = 0
 
     # Callbacks of the parser; it defines their names.
 
@@ -278,10 +285,13 @@
         message = self._messages[-1]
         message.target += url
         message.head_bytes += len(url)
+        self._parsed_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         message = self._messages[-1]
-        message.head_bytes += len(name) + len(value or b"") + 4
+        line_bytes = len(name) + len(value or b"") + 4
+        message.head_bytes += line_bytes
+        self._parsed_bytes += line_bytes
         if message.head_complete:
             # The parser reports trailers too; they are no headers.
             return
@@ -302,6 +312,7 @@
     def on_body(self, data: bytes) -> None:
         message = self._messages[-1]
         self._framing_bytes = 0
+        self._parsed_bytes += len(data)
         # The first read past the limit is kept, so that the size check fails.
         if len(message.body) <= self._limits.max_body_bytes:
             message.body += data
@@ -311,3 +322,5 @@
 
     def on_message_complete(self) -> None:
         self._messages[-1].complete = True
+        # The little that is never reported does not add up.
+        self._unparsed_bytes = 0
