--- a/src/kumquatseam/gateway/_connection_places.py
+++ b/src/kumquatseam/gateway/_connection_places.py
@@ -19,6 +19,8 @@
 MAX_FOUND = 64
 #: pause after a search that found none, as a multiple of the time that it took.
 SEARCH_PAUSE_FACTOR = 10.0
+#: shortest time between two lines that say so in the log.
+LOG_INTERVAL_S = 10.0
 
 
 class ConnectionPlaces:
@@ -33,7 +35,7 @@
     def __init__(self, readers: dict[gevent.Greenlet, RequestReader]) -> None:
         self._readers = readers
         self._found: collections.deque = collections.deque()
-        self._search_at_s = 0.0
+        self._search_at_s = self._log_at_s = 0.0
         #: connections that gave way.
         self.freed = 0
 
@@ -64,9 +66,11 @@
         if not idle:
             ended_s = time.monotonic()
             self._search_at_s = ended_s + SEARCH_PAUSE_FACTOR * (ended_s - now_s)
-        _log.bind(open=len(self._readers), idle=len(idle)).debug(
-            "All places are taken: idle connections give way."
-        )
+        if now_s >= self._log_at_s:
+            self._log_at_s = now_s + LOG_INTERVAL_S
+            _log.bind(open=len(self._readers), idle=len(idle), freed=self.freed).info(
+                "All places are taken: idle connections give way."
+            )
 
 
 def _allowed_s(reader: RequestReader) -> float:
