Serve the routers' callers on the gateway's connections, within limits

What callers saw: each completion in chunks, also a small valid one, got 400 and an HTML page.

Cause: the library's WSGI server has no limit on the time or size of a request, and the web framework decoded chunks a second time and wrote bodies to files.

CallerServer serves the application on GatewayServer's connections: RequestReader bounds each request, the budget of buffers all of them, idle connections give way, and callers that receive nothing are closed. _wsgi translates between requests and the application; a body exists once and in no file. Errors before the application and those of the framework are JSON as all others. Limits and time-outs are settings ([callers]), by default those of before where there were any; a connection may now be idle for 75 s, a body may take 60 s. Connections are not turned away while the event loop is saturated, since a router may stand alone.

Ruled out: limits in front of the library's server; what it and the framework hold cannot be counted, and chunks are read a byte at a time.

The truncated_heads scenarios use the new server with the same checks.

--- a/features/programs/crowd.py
+++ b/features/programs/crowd.py
@@ -2,10 +2,12 @@
 
 Usage: crowd.py JSON, with
 
-- ``port``, ``key`` and ``path``: where they send requests, and with which key;
+- ``port`` and ``path``: where they send requests;
+- ``authorization``: the value of that header;
 - ``kind``: what they do, a key of ``KINDS``;
 - ``count``: how many of them there are;
 - ``body_bytes`` and ``head_bytes``: the largest body and head that the server takes;
+- ``model``: the model that completions name;
 - ``hold_s``: how long they stay after they have sent what they send.
 
 Prints ``settled`` once each of them has sent all that it sends before it waits, was
@@ -46,13 +48,14 @@
     """What the crowd is told; see the module."""
 
     port: int
-    key: str
+    authorization: str
     path: str
     kind: str
     count: int
     body_bytes: int
     head_bytes: int
     hold_s: float
+    model: str = ""
     model_headers: dict[str, str] = attrs.Factory(dict)
 
 
@@ -63,7 +66,7 @@
         "Host: a.example",
         f"X-Request-Id: crowd-{number}-{time.monotonic_ns():x}",
         "X-Deadline-Ms: 20000",
-        f"Authorization: Token {options.key}",
+        f"Authorization: {options.authorization}",
         *(f"{name}: {value}" for name, value in options.model_headers.items()),
         *fields,
     ]
@@ -160,6 +163,15 @@
         yield from whole_body(options, number)
 
 
+def whole_completion(options, number):
+    """Yield a whole completion request of about the largest size."""
+    call = {"model": options.model, "prompt": "", "max_tokens": 1}
+    # Short words: each is a token.
+    call["prompt"] = "ab " * ((options.body_bytes - len(json.dumps(call))) // 3)
+    body = json.dumps(call).encode()
+    yield _with_length(options, number, len(body)) + body
+
+
 def small_request(options, number):
     """Yield a small whole request."""
     yield _with_length(options, number, 4) + b"body"
@@ -194,6 +206,7 @@
     "unfinished chunks": Kind(unfinished_chunks),
     "whole bodies": Kind(whole_body),
     "pipelined bodies": Kind(pipelined_bodies),
+    "whole completions": Kind(whole_completion),
     "slow readers": Kind(small_request, reads_slowly=True),
     "idle connections": Kind(nothing),
 }
--- a/features/steps/crowd_world.py
+++ b/features/steps/crowd_world.py
@@ -1,7 +1,7 @@
 """A crowd of clients as a process of its own, and what a server takes meanwhile."""
 
 import json
-import os
+import stat
 import subprocess
 import sys
 import threading
@@ -10,7 +10,7 @@
 
 import attrs
 import urllib3
-from platform_world import KEY, wait_until
+from platform_world import wait_until
 
 _PROGRAM = Path(__file__).parent.parent / "programs" / "crowd.py"
 #: until when the crowd has sent what it sends; not a bound of any check.
@@ -21,6 +21,8 @@
 #: away; clients then try another gateway, and here there is only one.
 RETRY_PAUSE_S = 1.0
 _POLL_S = 0.05
+#: descriptors of standard output and error.
+_LOGS = ("1", "2")
 
 
 @attrs.define
@@ -29,10 +31,12 @@
 
     :param memory_mb: resident memory.
     :param descriptors: open descriptors.
+    :param files_mb: size of its open files; machines keep them in memory.
     """
 
     memory_mb: float = 0.0
     descriptors: int = 0
+    files_mb: float = 0.0
 
 
 class UsageWatch:
@@ -66,7 +70,7 @@
         folder = Path(f"/proc/{self._process.pid}")
         try:
             status = (folder / "status").read_text()
-            open_count = len(os.listdir(folder / "fd"))
+            links = list((folder / "fd").iterdir())
         except OSError:
             # It has ended.
             return
@@ -74,17 +78,29 @@
         for line in peaks:
             peak_mb = int(line.split()[1]) / 1024
             self.most.memory_mb = max(self.most.memory_mb, peak_mb)
-        self.most.descriptors = max(self.most.descriptors, open_count)
+        self.most.descriptors = max(self.most.descriptors, len(links))
+        files_mb = sum(_file_bytes(e) for e in links if e.name not in _LOGS) / 1024**2
+        self.most.files_mb = max(self.most.files_mb, files_mb)
+
+
+def _file_bytes(link: Path) -> int:
+    """Return the size of what a descriptor refers to, if that is a file."""
+    try:
+        found = link.stat()
+    except OSError:
+        # It was closed.
+        return 0
+    return found.st_size if stat.S_ISREG(found.st_mode) else 0
 
 
 class Crowd:
     """Runs ``programs/crowd.py``.
 
-    :param options: as that program takes them, without the key.
+    :param options: as that program takes them.
     """
 
     def __init__(self, **options) -> None:
-        self._options = {"key": KEY, **options}
+        self._options = options
         self._process: subprocess.Popen | None = None
         self._said: list[str] = []
 
@@ -117,9 +133,10 @@
             self._said.append(line.strip())
 
 
-def send_ordinary(world, path, **options) -> list[int]:
+def send_ordinary(send) -> list[int]:
     """Send one ordinary request, again after a failure as clients do.
 
+    :param send: sends it on a new connection, and returns urllib3's response.
     :returns: the status of each try; 0 for a connection that was closed.
     """
     statuses = []
@@ -127,8 +144,7 @@
         if statuses:
             time.sleep(RETRY_PAUSE_S)
         try:
-            answer = world.send(path, headers={"Connection": "close"}, **options)
-            statuses.append(answer.status)
+            statuses.append(send().status)
         except urllib3.exceptions.HTTPError:
             statuses.append(0)
         if statuses[-1] == 200:
--- a/features/steps/truncated_requests_steps.py
+++ b/features/steps/truncated_requests_steps.py
@@ -10,9 +10,10 @@
 from gevent.server import StreamServer
 from truncated_heads_steps import UNCLEAR, reset
 
-from kumquatseam.callers._server import DrainingServer
+from kumquatseam.callers._server import CallerServer
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.http1 import RequestLimits, RequestReader
+from kumquatseam.settings import CallerSettings
 
 HEAD = b"%b /run/123 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
 REQUESTS = {
@@ -35,10 +36,10 @@
         context.ran.append((bottle.request.method, path, bottle.request.body.read()))
         return "ran"
 
-    server = DrainingServer(("127.0.0.1", 0), app)
+    server = CallerServer("127.0.0.1:0", app, CallerSettings())
     server.start()
-    context.add_cleanup(server.stop, timeout=0.1)
-    context.port = server.server_port
+    context.add_cleanup(server.close)
+    context.port = server.port
 
 
 @given("a gateway's front that records its requests")
--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -1,5 +1,6 @@
 """Steps for crowds of clients that take a gateway's memory and connections."""
 
+import functools
 import socket
 
 from behave import given, then, when
@@ -106,6 +107,7 @@
 def step_crowd(context, count, kind):
     world = context.platform
     context.crowd = Crowd(
+        authorization=f"Token {KEY}",
         port=world.gateways[0].ports["front"],
         path=context.crowd_path,
         kind=kind,
@@ -127,9 +129,12 @@
 
 @then("an ordinary request is answered while they stay, and one after they left")
 def step_ordinary(context):
-    during = send_ordinary(context.platform, ORDINARY_PATH)
+    send = functools.partial(
+        context.platform.send, ORDINARY_PATH, headers={"Connection": "close"}
+    )
+    during = send_ordinary(send)
     context.crowd.wait_left()
-    after = send_ordinary(context.platform, ORDINARY_PATH)
+    after = send_ordinary(send)
     last = (during[-1], after[-1])
     assert last == (200, 200), (during, after, context.watch.most)
 
--- /dev/null
+++ b/features/untrusted_callers.feature
@@ -0,0 +1,46 @@
+Feature: Callers of a router that take what they can
+  The routers' own interface is open to whoever connects as well. A router stays within
+  the memory of its machine, which has no disk, and its descriptors, and goes on serving
+  others.
+
+  Scenario: A completion whose body comes in chunks is answered
+    Given a router with 100 MB and 600 descriptors
+    When one caller sends a completion in chunks
+    Then it is answered with status 200
+
+  Scenario Outline: A request that the interface refuses gets an error as JSON: <request>
+    Given a router with 100 MB and 600 descriptors
+    When one caller sends <request>
+    Then it is answered with status <status>, and an error as JSON
+
+    Examples:
+      | request                    | status |
+      | a body that is too large   | 413    |
+      | chunks that are too large  | 413    |
+      | a head that is too large   | 431    |
+      | what is no request         | 400    |
+
+  Scenario Outline: A crowd of callers does not exceed the memory of a router: <kind>
+    Given a router with 100 MB and 600 descriptors
+    When 100 callers send <kind>
+    Then an ordinary call is answered while they stay, and one after they left
+    And the router lives, with at most 100 MB and 600 descriptors
+
+    Examples: Requests without end
+      | kind            |
+      | trailer line    |
+      | short trailers  |
+      | chunk extension |
+      | header line     |
+
+    Examples: Requests within the limits
+      | kind              |
+      | unfinished bodies |
+      | trickling bodies  |
+      | unfinished chunks |
+
+  Scenario: Callers that send nothing leave room for others
+    Given a router with 100 MB and 200 descriptors
+    When 150 callers send idle connections
+    Then an ordinary call is answered while they stay, and one after they left
+    And the router lives, with at most 100 MB and 200 descriptors
--- a/src/kumquatseam/bench/_processes.py
+++ b/src/kumquatseam/bench/_processes.py
@@ -83,6 +83,11 @@
             self._log.close()
         return self._process.returncode
 
+    @property
+    def process(self) -> subprocess.Popen | None:
+        """The process, once it was started."""
+        return self._process
+
     def has_ended(self) -> bool:
         """Return whether the process was started and has ended by itself."""
         return self._process is not None and self._process.poll() is not None
--- a/src/kumquatseam/callers/_interface.py
+++ b/src/kumquatseam/callers/_interface.py
@@ -18,8 +18,9 @@
     caller_error_response,
     failure_body,
     failure_response,
+    server_error_text,
 )
-from kumquatseam.callers._server import DrainingServer
+from kumquatseam.callers._server import CallerServer
 from kumquatseam.callers._shapes import (
     SSE_DONE,
     completion_body,
@@ -28,6 +29,7 @@
     usage_body,
     usage_chunk,
 )
+from kumquatseam.callers._wsgi import BODY_KEY
 from kumquatseam.engines import EngineChunk
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.fleet import LiveConfiguration
@@ -43,11 +45,9 @@
     RefusalLog,
     ServiceServer,
 )
-from kumquatseam.settings import DaemonSettings
+from kumquatseam.settings import CallerSettings, DaemonSettings
 
 _log = part_logger("callers")
-#: size of a request's body, which is held while the request is served.
-_MAX_BODY_BYTES = 8_388_608
 _SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "DELETE", "PATCH"]
 
 
@@ -55,6 +55,7 @@
     """HTTP front end; the requests themselves are processed by ``serving``.
 
     :param daemon: the daemon's settings.
+    :param settings: limits on what callers send and hold.
     :param live: the active configuration.
     :param completions: serves completions.
     :param services: serves calls to plain services.
@@ -66,6 +67,7 @@
     def __init__(
         self,
         daemon: DaemonSettings,
+        settings: CallerSettings,
         live: LiveConfiguration,
         completions: CompletionServer,
         services: ServiceServer,
@@ -74,6 +76,7 @@
         read_status: Callable[[], dict],
     ) -> None:
         self._daemon = daemon
+        self._settings = settings
         self._live = live
         self._completions = completions
         self._services = services
@@ -81,8 +84,9 @@
         self._figures = figures
         self._ids = itertools.count(1)
         self._instance = uuid.uuid4().hex[:8]
-        self._server: DrainingServer | None = None
+        self._server: CallerServer | None = None
         self.app = bottle.Bottle()
+        self.app.default_error_handler = server_error_text
         self.app.post(
             "/v1/completions", callback=lambda: self._serve_completion(chat=False)
         )
@@ -100,14 +104,11 @@
     @property
     def address(self) -> str:
         """The base URL callers use."""
-        host, port = self._server.address[:2]
-        return f"http://{host}:{port}"
+        return f"http://{self._daemon.listen_host}:{self._server.port}"
 
     def start(self) -> None:
         """Start accepting connections."""
-        self._server = DrainingServer(
-            (self._daemon.listen_host, self._daemon.listen_port), self.app
-        )
+        self._server = CallerServer(self._daemon.listen, self.app, self._settings)
         self._server.start()
         _log.info("Listening on {}.", self.address)
 
@@ -129,10 +130,9 @@
         started_s = time.monotonic()
         request_id = f"cmpl-{self._instance}-{next(self._ids)}"
         request = bottle.request
+        body = request.environ[BODY_KEY]
         try:
-            call = read_call(
-                self._live.current, request.headers, _read_body(request), chat
-            )
+            call = read_call(self._live.current, request.headers, body, chat)
         except CallerError as error:
             return self._reject_call(request_id, error)
         _log.info(
@@ -212,7 +212,6 @@
             if service is None or name not in team.services:
                 detail = f"no service {name!r} for your team"
                 raise CallerError(404, "service_not_found", detail)
-            body = _read_body(request)
         except CallerError as error:
             return self._reject_call(request_id, error)
         query = f"?{request.query_string}" if request.query_string else ""
@@ -220,7 +219,7 @@
             request_id=request_id,
             method=request.method,
             path=path + query,
-            body=body,
+            body=request.environ[BODY_KEY],
             content_type=request.content_type or None,
             team=team.name,
         )
@@ -267,17 +266,6 @@
         return failure_response(error)
 
 
-def _read_body(request) -> bytes:
-    """Return a request's body.
-
-    :raises CallerError: if it is too large.
-    """
-    if request.content_length > _MAX_BODY_BYTES:
-        detail = f"request body over {_MAX_BODY_BYTES} bytes"
-        raise CallerError(413, "invalid_request_error", detail)
-    return request.body.read()
-
-
 @attrs.frozen
 class _ClosingStream:
     """An event stream that cancels its request when the caller disconnects."""
--- a/src/kumquatseam/callers/_refusals.py
+++ b/src/kumquatseam/callers/_refusals.py
@@ -39,6 +39,16 @@
     return bottle.HTTPResponse(body=json.dumps(body), status=status, headers=headers)
 
 
+def server_error_text(response: bottle.HTTPError) -> str:
+    """Return the text of an error response that the framework makes."""
+    bottle.response.content_type = "application/json"
+    return json.dumps(error_body(_code_of(response.status_code), response.body))
+
+
+def _code_of(status: int) -> str:
+    return "internal_error" if status >= 500 else "invalid_request_error"
+
+
 def caller_error_response(error: CallerError) -> bottle.HTTPResponse:
     """Return the response to an invalid request."""
     return json_response(error.status, error_body(error.code, error.detail))
--- a/src/kumquatseam/callers/_server.py
+++ b/src/kumquatseam/callers/_server.py
@@ -1,120 +1,89 @@
-"""An HTTP server whose graceful shutdown does not wait for idle connections.
+"""The server of the caller interface: a WSGI application behind limits.
 
-gevent's server waits for the handler of every open connection. Callers keep
-connections open between requests, so a plain ``stop`` would wait for its whole
-timeout on idle connections. This server tracks which handlers are processing a
-request. When it drains, it closes idle connections and sends ``Connection: close``
-with the responses on busy ones.
+Connections are those of :class:`~kumquatseam.gateway.GatewayServer`, which bounds what
+all callers together make this process hold; a WSGI server of a library bounds neither
+the size of a request nor the time that it takes.
 """
 
-import contextlib
-import socket
+import time
 
-import gevent.pool
-import gevent.pywsgi
-from urllib3.exceptions import HeaderParsingError
-from urllib3.util.response import assert_header_parsing
+import gevent
 
-from kumquatseam.response_limits import LineReader
+from kumquatseam.callers._wsgi import WsgiHandler
+from kumquatseam.gateway import CallerBuffers, ConnectionAdmission, GatewayServer
+from kumquatseam.http1 import RequestLimits
+from kumquatseam.settings import CallerSettings
 
+#: seconds between two looks at the connections that are still open.
+_DRAIN_POLL_S = 0.02
+#: how long what is cut at the end may take to let go.
+_KILL_TIMEOUT_S = 0.1
 
-def _read_fields(reader: LineReader, *_):
-    """Read the fields of a head; their ``status`` tells what is wrong with them.
 
-    The server would skip what is no field, and of several lengths use the first.
-    """
-    fields = gevent.pywsgi.headers_factory(reader)
-    lengths = fields.get_all("Content-Length", [])
-    codings = fields.get_all("Transfer-Encoding", [])
-    is_clear = len(lengths) + len(codings) <= 1
-    is_clear &= all(length.strip().isdecimal() for length in lengths)
-    is_clear &= all(coding.lower() == "chunked" for coding in codings)
-    if not is_clear:
-        fields.status = "Length of the body not clear"
-    try:
-        assert_header_parsing(fields)
-    except HeaderParsingError:
-        fields.status = "Not a field"
-    return fields
-
-
-class _TrackingHandler(gevent.pywsgi.WSGIHandler):
-    """A connection handler that tracks whether it is processing a request."""
-
-    MessageClass = staticmethod(_read_fields)
-    is_busy = False
-
-    def __init__(self, *arguments) -> None:
-        super().__init__(*arguments)
-        # Nothing is buffered yet.
-        self.rfile = LineReader(self.rfile.detach(), 8192)
-
-    def read_request(self, raw_requestline: str) -> bool:
-        try:
-            return super().read_request(raw_requestline)
-        except ConnectionError:
-            return False
-
-    def handle(self):
-        self.server.handlers.add(self)
-        try:
-            super().handle()
-        finally:
-            self.server.handlers.discard(self)
-
-    def handle_one_response(self):
-        self.is_busy = True
-        try:
-            super().handle_one_response()
-        finally:
-            self.is_busy = False
-            if self.server.is_draining:
-                self.close_connection = True
-
-    def finalize_headers(self):
-        if self.server.is_draining:
-            self.close_connection = True
-            self.response_headers.append((b"Connection", b"close"))
-        super().finalize_headers()
+class CallerServer:
+    """Serves a WSGI application to callers.
 
-    def close_if_idle(self) -> None:
-        """Shut down reading unless a request is being served on the connection."""
-        if not self.is_busy:
-            # Bytes received before the shutdown can still be read, so a request
-            # that arrives at the same moment is served.
-            with contextlib.suppress(OSError):
-                self.socket.shutdown(socket.SHUT_RD)
-
-
-class DrainingServer(gevent.pywsgi.WSGIServer):
-    """WSGI server that drains its handlers when it stops.
-
-    :param address: host and port.
-    :param app: the WSGI application.
+    :param address: ``host:port`` to listen on.
+    :param app: the application; it may use the keys of ``environ`` that
+        :mod:`kumquatseam.callers._wsgi` names.
+    :param settings: limits on what callers send and hold.
     """
 
-    def __init__(self, address: tuple[str, int], app) -> None:
-        # stop() waits for running handlers only if they run in a pool.
-        super().__init__(
+    def __init__(self, address: str, app, settings: CallerSettings) -> None:
+        limits = RequestLimits(
+            settings.max_header_bytes,
+            settings.max_body_bytes,
+            settings.header_timeout_s,
+            settings.idle_timeout_s,
+            settings.body_timeout_s,
+        )
+        self._buffers = CallerBuffers(
+            settings.memory_mb, lambda: limits.max_request_bytes
+        )
+        # A router stands alone in small deployments: a new connection waits while it
+        # is busy, since there may be no other instance to try.
+        admission = ConnectionAdmission(None, settings.max_descriptors)
+        self._server = GatewayServer(
             address,
-            app,
-            log=None,
-            spawn=gevent.pool.Pool(),
-            handler_class=_TrackingHandler,
+            WsgiHandler(app),
+            lambda: limits,
+            0.0,
+            admission,
+            self._buffers.budget,
         )
-        self.handlers: set[_TrackingHandler] = set()
-        self.is_draining = False
+
+    @property
+    def port(self) -> int:
+        """The port on which it listens."""
+        return self._server.port
+
+    def start(self) -> None:
+        """Listen and accept connections."""
+        self._buffers.start()
+        self._server.start()
+
+    def close(self) -> None:
+        """Stop at once."""
+        self.drain(0.0)
 
     def drain(self, timeout_s: float) -> int:
         """Stop accepting connections and wait for running requests.
 
+        Idle connections are closed, and responses announce the close of the others.
+
         :returns: how many requests were cut since they took longer.
         """
-        self.is_draining = True
-        self.stop_accepting()
-        for handler in list(self.handlers):
-            handler.close_if_idle()
-        self.pool.join(timeout=timeout_s)
-        cut = sum(handler.is_busy for handler in self.handlers)
-        self.stop(timeout=0)
+        server = self._server
+        server.stop_clock.begin(time.monotonic() + timeout_s)
+        server.stop_accepting()
+        while server.stop_clock.left_s > 0:
+            server.close_idle()
+            gevent.sleep(_DRAIN_POLL_S)
+            if not server.open_greenlets:
+                break
+        cut = server.busy_count
+        left = server.open_greenlets
+        gevent.killall(left, block=False)
+        gevent.joinall(left, timeout=_KILL_TIMEOUT_S)
+        self._buffers.close()
         return cut
--- a/src/kumquatseam/gateway/_caller.py
+++ b/src/kumquatseam/gateway/_caller.py
@@ -97,19 +97,23 @@
         fields: list[tuple[bytes, bytes]],
         length_bytes: int | None,
         first: bytes = b"",
+        is_ended_by_close: bool = False,
     ) -> None:
         """Send a response's head and the first bytes of its body.
 
         :param length_bytes: the body's length, or ``None`` for chunked encoding.
+        :param is_ended_by_close: whether a body without a length ends with the
+            connection instead.
         :raises CallerDisconnectedError: if it cannot be sent.
         :raises ResponseOrderError: if a response has been started.
         """
         self._advance(_ResponseState.NOT_STARTED, _ResponseState.STARTED)
-        self._is_chunked = length_bytes is None
-        if length_bytes is None:
-            framed = [*fields, (b"Transfer-Encoding", b"chunked")]
-        else:
-            framed = [*fields, (b"Content-Length", b"%d" % length_bytes)]
+        self._is_chunked = length_bytes is None and not is_ended_by_close
+        framed = list(fields)
+        if self._is_chunked:
+            framed.append((b"Transfer-Encoding", b"chunked"))
+        elif length_bytes is not None:
+            framed.append((b"Content-Length", b"%d" % length_bytes))
         self._write(encode_response_head(status, framed), *self._frame(first))
 
     def send_body(self, data: bytes) -> None:
--- a/src/kumquatseam/gateway/_caller_buffers.py
+++ b/src/kumquatseam/gateway/_caller_buffers.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from kumquatseam.buffers import BufferBudget
-from kumquatseam.http1 import RequestLimits
 from kumquatseam.loops import StepLoop
 
 if TYPE_CHECKING:
@@ -22,18 +21,18 @@
 
     :param memory_mb: memory of the machine, in millions of bytes; 0 for as much as the
         system has.
-    :param read_limits: returns the current limits of requests.
+    :param largest_request_bytes: returns what the largest request takes now.
     """
 
     def __init__(
-        self, memory_mb: float, read_limits: Callable[[], RequestLimits]
+        self, memory_mb: float, largest_request_bytes: Callable[[], int]
     ) -> None:
         super().__init__(
             SIZING_INTERVAL_S, lambda: self._memory.step(), starts_immediately=True
         )
         self._memory_mb = memory_mb
-        self._read_limits = read_limits
-        largest_bytes = read_limits().max_request_bytes
+        self._largest_request_bytes = largest_request_bytes
+        largest_bytes = largest_request_bytes()
         self.budget = BufferBudget(FIRST_LARGEST_REQUESTS * largest_bytes)
 
     @functools.cached_property
@@ -41,8 +40,4 @@
         """What sizes the budget; loaded with the first look."""
         from kumquatseam.buffers.sizing import ProcessMemory
 
-        return ProcessMemory(
-            self.budget,
-            self._memory_mb,
-            lambda: self._read_limits().max_request_bytes,
-        )
+        return ProcessMemory(self.budget, self._memory_mb, self._largest_request_bytes)
--- a/src/kumquatseam/gateway/_connection_admission.py
+++ b/src/kumquatseam/gateway/_connection_admission.py
@@ -29,12 +29,12 @@
     try, at another instance. Once a request is read it has to be served here: with too
     many of them each is served later than the one before, and none in time.
 
-    :param idleness: observes the event loop.
+    :param idleness: observes the event loop; without one, only places are limited.
     :param max_descriptors: descriptors that this instance may use; 0 for as many as
         the system allows.
     """
 
-    def __init__(self, idleness: LoopIdleness, max_descriptors: int = 0) -> None:
+    def __init__(self, idleness: LoopIdleness | None, max_descriptors: int = 0) -> None:
         self._idleness = idleness
         self._max_descriptors = max_descriptors
         self._was_saturated = False
@@ -43,7 +43,8 @@
 
     def close(self) -> None:
         """Stop observing the event loop."""
-        self._idleness.close()
+        if self._idleness is not None:
+            self._idleness.close()
 
     def admit(self, open_connections: int, free_place: Callable[[], bool]) -> bool:
         """Return whether a new connection may be served.
@@ -52,7 +53,8 @@
         :param free_place: begins to close one that is idle; returns whether there is
             one.
         """
-        self._idleness.observe()
+        if self._idleness is not None:
+            self._idleness.observe()
         is_saturated = self._is_saturated
         if is_saturated and not self._was_saturated:
             _log.bind(turned_away=self.turned_away).info(
@@ -70,7 +72,7 @@
     @property
     def _is_saturated(self) -> bool:
         idleness = self._idleness
-        return (
+        return idleness is not None and (
             idleness.busy_s >= SATURATED_AFTER_S
             and idleness.busy_processor_s >= SATURATED_PROCESSOR_S
         )
--- a/src/kumquatseam/gateway/_connection_end.py
+++ b/src/kumquatseam/gateway/_connection_end.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import time
+from collections.abc import Callable
 
 import gevent.socket
 
@@ -32,7 +33,9 @@
 
 
 def end_connection(
-    caller: CallerConnection, bad_request: BadRequestError | None
+    caller: CallerConnection,
+    bad_request: BadRequestError | None,
+    describe: Callable[[BadRequestError], tuple[list[tuple[bytes, bytes]], bytes]],
 ) -> None:
     """End the sending side; return once the connection may be closed.
 
@@ -42,10 +45,11 @@
     no time if the caller has acknowledged all and sent nothing.
 
     :param bad_request: why what the caller sends is no request; it gets a response.
+    :param describe: returns header fields and body of that response.
     :raises CallerDisconnectedError: if that cannot be sent.
     """
     if bad_request is not None:
-        _refuse(caller, bad_request)
+        _refuse(caller, bad_request, *describe(bad_request))
     try:
         caller.socket.shutdown(socket.SHUT_WR)
         _discard(caller.socket, is_sending=bad_request is not None)
@@ -54,13 +58,18 @@
         return
 
 
-def _refuse(caller: CallerConnection, error: BadRequestError) -> None:
+def _refuse(
+    caller: CallerConnection,
+    error: BadRequestError,
+    fields: list[tuple[bytes, bytes]],
+    body: bytes,
+) -> None:
     _log.bind(status=error.status, detail=error.detail).info("Bad request.")
-    fields = [(b"Connection", b"close")]
+    fields = [*fields, (b"Connection", b"close")]
     if error.retry_after_s is not None:
         fields.append((b"Retry-After", b"%.2f" % error.retry_after_s))
     try:
-        caller.send_response(error.status, fields, b"")
+        caller.send_response(error.status, fields, body)
     except CallerDisconnectedError as disconnect:
         _log.bind(detail=repr(disconnect)).info(
             "The caller disconnected before it received the error response."
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -11,6 +11,7 @@
 
 from kumquatseam.gateway._call import Call
 from kumquatseam.gateway._caller import CallerConnection, CallerTooSlowError
+from kumquatseam.gateway._connection_handler import ConnectionHandler
 from kumquatseam.gateway._cuts import Cut, CutBy
 from kumquatseam.gateway._dialect import Dialect, MalformedCallError
 from kumquatseam.gateway._exchange import Exchange
@@ -93,16 +94,15 @@
         return UpstreamProcesses(self.directory, self.orders)
 
 
-class RequestHandler:
-    """Serves requests, one call of :meth:`handle` each.
+class RequestHandler(ConnectionHandler):
+    """Forwards requests to upstreams, one call of :meth:`handle` each.
 
     :param parts: dependencies.
     """
 
     def __init__(self, parts: HandlerParts) -> None:
+        super().__init__(parts.stop)
         self._parts = parts
-        #: begun by the server whose requests this serves.
-        self.stop_clock = parts.stop
 
     def handle(
         self,
@@ -110,11 +110,6 @@
         caller: CallerConnection,
         may_keep_alive: Callable[[], bool],
     ) -> bool:
-        """Serve ``request``; return whether its connection can carry another one.
-
-        :param may_keep_alive: whether the connection stays open after the response.
-        :raises CallerDisconnectedError: if the caller closed its connection.
-        """
         request_id = request.headers.text(self._parts.dialect.request_id_header)
         kind, outcome = "none", "left"
         exchange = grant = None
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -10,7 +10,7 @@
 from kumquatseam.buffers import BufferAccount, BufferBudget, BufferLimitError
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._connection_admission import ConnectionAdmission
-from kumquatseam.gateway._handler import RequestHandler
+from kumquatseam.gateway._connection_handler import ConnectionHandler
 from kumquatseam.http1 import (
     BadRequestError,
     CallerDisconnectedError,
@@ -48,7 +48,7 @@
     def __init__(
         self,
         address: str,
-        handler: RequestHandler,
+        handler: ConnectionHandler,
         read_limits: Callable[[], RequestLimits],
         grace_s: float,
         admission: ConnectionAdmission,
@@ -83,6 +83,11 @@
         # By the stop, descriptors may be used up, or the package replaced.
         gevent.spawn_later(LOAD_STOP_AFTER_S, self._load_stop)
 
+    @property
+    def port(self) -> int:
+        """The port on which it listens."""
+        return self._listener.getsockname()[1]
+
     @property
     def turned_away(self) -> int:
         """The number of connections that were closed unread."""
@@ -215,7 +220,7 @@
             # Loaded when first needed.
             from kumquatseam.gateway._connection_end import end_connection
 
-            end_connection(caller, bad_request)
+            end_connection(caller, bad_request, self._handler.describe)
         except (IdleConnectionError, CallerDisconnectedError, BufferLimitError):
             # Normal ends of a connection; a request in progress logs its own end.
             pass
--- a/src/kumquatseam/gateway/wiring.py
+++ b/src/kumquatseam/gateway/wiring.py
@@ -193,7 +193,9 @@
             limits=self._announced_limits,
         )
         self._work = self._build_work()
-        self._caller_buffers = CallerBuffers(file.gateway.memory_mb, self._read_limits)
+        self._caller_buffers = CallerBuffers(
+            file.gateway.memory_mb, lambda: self._read_limits().max_request_bytes
+        )
         self._server = self._build_server()
         parts = [
             self._log_service,
--- a/src/kumquatseam/http1/_messages.py
+++ b/src/kumquatseam/http1/_messages.py
@@ -128,6 +128,7 @@
     :param keep_alive: whether the connection may carry another request.
     :param received_s: monotonic time at which its first bytes arrived.
     :param complete_s: the same for its last bytes; as ``received_s`` if not given.
+    :param version: HTTP version of its caller.
     """
 
     method: bytes
@@ -137,6 +138,7 @@
     keep_alive: bool
     received_s: float
     complete_s: float = attrs.field()
+    version: str = "1.1"
 
     @complete_s.default
     def _received_at_once(self) -> float:
--- a/src/kumquatseam/http1/_request_reader.py
+++ b/src/kumquatseam/http1/_request_reader.py
@@ -44,6 +44,7 @@
         self.head_bytes = 0
         self.body = bytearray()
         self.method = b""
+        self.version = "1.1"
         self.keep_alive = True
         self.head_complete = False
         self.complete = False
@@ -189,6 +190,7 @@
             message.keep_alive,
             started_s,
             time.monotonic(),
+            message.version,
         )
 
     def _charge(self) -> None:
@@ -307,6 +309,7 @@
         message.head_complete = True
         self._framing_bytes = 0
         message.method = self._parser.get_method()
+        message.version = self._parser.get_http_version()
         message.keep_alive = self._parser.should_keep_alive()
 
     def on_body(self, data: bytes) -> None:
--- a/src/kumquatseam/settings/__init__.py
+++ b/src/kumquatseam/settings/__init__.py
@@ -29,6 +29,7 @@
 from kumquatseam.settings._schema import (
     POLICY_NAMES,
     AdmissionSettings,
+    CallerSettings,
     DaemonSettings,
     FleetSettings,
     InstanceSettings,
@@ -43,6 +44,7 @@
     "ENTITY_KINDS",
     "POLICY_NAMES",
     "AdmissionSettings",
+    "CallerSettings",
     "Configuration",
     "DaemonSettings",
     "Entity",
--- a/src/kumquatseam/settings/_loading.py
+++ b/src/kumquatseam/settings/_loading.py
@@ -1,9 +1,9 @@
 """Reading and validating the INI file.
 
-Sections: ``[daemon]``, the optional ``[log]``, ``[instances]``, ``[fleet]`` and
-``[admission]``, and one ``[KIND:NAME]`` per entity. Every value must have the type
-of its key and every entity referred to must exist; the first error found is raised
-as :class:`~kumquatseam.errors.SettingsError`.
+Sections: ``[daemon]``, the optional ``[log]``, ``[instances]``, ``[fleet]``,
+``[admission]`` and ``[callers]``, and one ``[KIND:NAME]`` per entity. Every value must
+have the type of its key and every entity referred to must exist; the first error found
+is raised as :class:`~kumquatseam.errors.SettingsError`.
 """
 
 import configparser
@@ -16,6 +16,7 @@
 from kumquatseam.settings._entities import ENTITY_KINDS, build_entity
 from kumquatseam.settings._schema import (
     AdmissionSettings,
+    CallerSettings,
     DaemonSettings,
     FleetSettings,
     InstanceSettings,
@@ -30,6 +31,7 @@
     "instances": InstanceSettings,
     "fleet": FleetSettings,
     "admission": AdmissionSettings,
+    "callers": CallerSettings,
 }
 
 
--- a/src/kumquatseam/settings/_schema.py
+++ b/src/kumquatseam/settings/_schema.py
@@ -127,6 +127,30 @@
     first_byte_timeout_s: float = setting(positive=True, default=10.0)
 
 
+@attrs.frozen
+class CallerSettings:
+    """Limits on what callers send and hold (section ``[callers]``).
+
+    :param max_header_bytes: size of a request's head.
+    :param max_body_bytes: size of a request's body.
+    :param header_timeout_s: time for a head, and for each pause within a body.
+    :param body_timeout_s: time from the first byte of a request to its last one.
+    :param idle_timeout_s: how long a connection may wait for the next request.
+    :param memory_mb: memory of the machine in millions of bytes, from which what all
+        callers may hold together is derived; 0 for as much as the system has.
+    :param max_descriptors: descriptors that the daemon may use; 0 for as many as the
+        system allows.
+    """
+
+    max_header_bytes: int = setting(positive=True, default=65_536)
+    max_body_bytes: int = setting(positive=True, default=8_388_608)
+    header_timeout_s: float = setting(positive=True, default=10.0)
+    body_timeout_s: float = setting(positive=True, default=60.0)
+    idle_timeout_s: float = setting(positive=True, default=75.0)
+    memory_mb: float = setting(default=0.0)
+    max_descriptors: int = setting(default=0)
+
+
 @attrs.frozen
 class Settings:
     """All settings of a router daemon.
@@ -142,3 +166,4 @@
     instances: InstanceSettings = InstanceSettings()
     fleet: FleetSettings = FleetSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    callers: CallerSettings = CallerSettings()
--- a/src/kumquatseam/wiring.py
+++ b/src/kumquatseam/wiring.py
@@ -354,6 +354,7 @@
         )
         return CallerInterface(
             daemon,
+            self._settings.callers,
             self._live,
             CompletionServer(self._router, engines, parts),
             ServiceServer(self._services, parts),
