Hold no list of a prompt's tokens, and charge what a completion becomes

What callers saw: completions of legal size that wait for an engine ended a router: a prompt of short words took some twenty times its size.

Cause: the tokens of a prompt were kept as a list of strings for as long as the request ran. Nothing that a body becomes (text, tokens, keys of blocks, the request to the engine) was counted.

Prompts are split as they are read, for keys and for retries anew; a body is let go once it was parsed; the text, its copies and the keys are charged to the caller's account, and refused with 503, not run, if there is no memory.

What confirmed prompts leave in the prefix index is not counted; it expires after index_entry_ttl_s.

--- a/features/untrusted_callers.feature
+++ b/features/untrusted_callers.feature
@@ -38,6 +38,7 @@
       | unfinished bodies |
       | trickling bodies  |
       | unfinished chunks |
+      | whole completions |
 
   Scenario: Callers that send nothing leave room for others
     Given a router with 100 MB and 200 descriptors
--- a/src/kumquatseam/callers/_interface.py
+++ b/src/kumquatseam/callers/_interface.py
@@ -1,6 +1,7 @@
 """The caller interface: OpenAI-compatible HTTP served by bottle on gevent."""
 
 import itertools
+import sys
 import time
 import uuid
 from collections.abc import Callable
@@ -8,6 +9,7 @@
 import attrs
 import bottle
 
+from kumquatseam.buffers import BufferAccount, BufferLimitError
 from kumquatseam.callers._calls import (
     IDEMPOTENCY_HEADER,
     CompletionCall,
@@ -20,7 +22,7 @@
     failure_response,
     server_error_text,
 )
-from kumquatseam.callers._server import CallerServer
+from kumquatseam.callers._server import COMPLETION_COPIES, CallerServer
 from kumquatseam.callers._shapes import (
     SSE_DONE,
     completion_body,
@@ -29,7 +31,7 @@
     usage_body,
     usage_chunk,
 )
-from kumquatseam.callers._wsgi import BODY_KEY
+from kumquatseam.callers._wsgi import ACCOUNT_KEY, BODY_KEY
 from kumquatseam.engines import EngineChunk
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.fleet import LiveConfiguration
@@ -135,6 +137,10 @@
             call = read_call(self._live.current, request.headers, body, chat)
         except CallerError as error:
             return self._reject_call(request_id, error)
+        try:
+            _charge_text(request.environ[ACCOUNT_KEY], call.prompt, body)
+        except BufferLimitError as error:
+            return self._refuse(request_id, call.team.name, call.model, error)
         _log.info(
             "request={} team={} model={} priority={} idempotency_key={} stream={}",
             request_id,
@@ -266,6 +272,17 @@
         return failure_response(error)
 
 
+def _charge_text(account: BufferAccount, prompt: str, body: bytearray) -> None:
+    """Charge what a completion takes beside its body, in place of which it is held.
+
+    :raises BufferLimitError: if there is no memory for it.
+    """
+    body_bytes = len(body)
+    body.clear()
+    copies_bytes = (COMPLETION_COPIES - 2) * body_bytes
+    account.take(sys.getsizeof(prompt) + copies_bytes)
+
+
 @attrs.frozen
 class _ClosingStream:
     """An event stream that cancels its request when the caller disconnects."""
--- a/src/kumquatseam/callers/_refusals.py
+++ b/src/kumquatseam/callers/_refusals.py
@@ -4,6 +4,7 @@
 
 import bottle
 
+from kumquatseam.buffers import BufferLimitError
 from kumquatseam.callers._shapes import error_body
 from kumquatseam.errors import KumquatseamError, OverloadedError, UpstreamsRestingError
 from kumquatseam.quarantine import QuarantinedError
@@ -25,6 +26,7 @@
 _CODES = {
     AlreadyClaimedError: "idempotency_conflict",
     ClaimUnavailableError: "claim_unavailable",
+    BufferLimitError: "overloaded",
     OverloadedError: "overloaded",
     TeamLimitError: "team_limit",
     QuarantinedError: "quarantined",
--- a/src/kumquatseam/callers/_server.py
+++ b/src/kumquatseam/callers/_server.py
@@ -14,6 +14,9 @@
 from kumquatseam.http1 import RequestLimits
 from kumquatseam.settings import CallerSettings
 
+#: what a completion takes, as a multiple of its body: as text, as it is sent to an
+#: engine, and the keys of its blocks.
+COMPLETION_COPIES = 4
 #: seconds between two looks at the connections that are still open.
 _DRAIN_POLL_S = 0.02
 #: how long what is cut at the end may take to let go.
@@ -38,7 +41,7 @@
             settings.body_timeout_s,
         )
         self._buffers = CallerBuffers(
-            settings.memory_mb, lambda: limits.max_request_bytes
+            settings.memory_mb, lambda: COMPLETION_COPIES * limits.max_request_bytes
         )
         # A router stands alone in small deployments: a new connection waits while it
         # is busy, since there may be no other instance to try.
--- a/src/kumquatseam/engines/__init__.py
+++ b/src/kumquatseam/engines/__init__.py
@@ -4,11 +4,17 @@
   over HTTP.
 - :class:`EngineOrderClient` sends engines orders under a fencing token.
 - :class:`EngineEventSubscriber` receives cache events and load reports.
-- :func:`tokenize`, :func:`cache_salt`, :func:`salt_seed` and
-  :func:`block_keys` compute block keys exactly as engines do.
+- :func:`tokenize`, :class:`PromptTokens`, :func:`cache_salt`, :func:`salt_seed`
+  and :func:`block_keys` compute block keys exactly as engines do.
 """
 
-from kumquatseam.engines._blocks import block_keys, cache_salt, salt_seed, tokenize
+from kumquatseam.engines._blocks import (
+    PromptTokens,
+    block_keys,
+    cache_salt,
+    salt_seed,
+    tokenize,
+)
 from kumquatseam.engines._client import (
     EPOCH_HEADER,
     LIMIT_HEADER,
@@ -63,6 +69,7 @@
     "ModelVersion",
     "OrderRefusedError",
     "OrderUnansweredError",
+    "PromptTokens",
     "RoleOrder",
     "SERVING",
     "STANDBY",
--- a/src/kumquatseam/engines/_blocks.py
+++ b/src/kumquatseam/engines/_blocks.py
@@ -20,8 +20,11 @@
     2
 """
 
+import itertools
 import re
+from collections.abc import Iterable, Iterator
 
+import attrs
 import xxhash
 
 _TOKEN = re.compile(r"\S+")
@@ -33,6 +36,21 @@
     return _TOKEN.findall(text)
 
 
+@attrs.frozen
+class PromptTokens:
+    """The tokens of a prompt, split anew each time they are read.
+
+    Use it where a prompt is kept: a list of its tokens takes many times its size.
+
+    :param text: the prompt.
+    """
+
+    text: str
+
+    def __iter__(self) -> Iterator[str]:
+        return (match.group() for match in _TOKEN.finditer(self.text))
+
+
 def cache_salt(team: str, model: str, version: str) -> str:
     """Return the cache salt that scopes blocks to a team and weights version.
 
@@ -52,7 +70,7 @@
     return xxhash.xxh3_64_intdigest(salt.encode())
 
 
-def block_keys(tokens: list[str], block_size_tokens: int, seed: int) -> list[int]:
+def block_keys(tokens: Iterable[str], block_size_tokens: int, seed: int) -> list[int]:
     """Return the chained keys of the prompt's full blocks.
 
     A partial last block has no key: engines cache only full blocks.
@@ -64,10 +82,11 @@
     """
     keys = []
     parent = seed
-    for start in range(0, len(tokens) - block_size_tokens + 1, block_size_tokens):
-        chunk = _SEPARATOR.join(
-            t.encode() for t in tokens[start : start + block_size_tokens]
-        )
+    rest = iter(tokens)
+    while len(block := list(itertools.islice(rest, block_size_tokens))) == (
+        block_size_tokens
+    ):
+        chunk = _SEPARATOR.join(token.encode() for token in block)
         parent = xxhash.xxh3_64_intdigest(chunk, seed=parent)
         keys.append(parent)
     return keys
--- a/src/kumquatseam/routing/_router.py
+++ b/src/kumquatseam/routing/_router.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import xxhash
@@ -55,7 +55,7 @@
     :param request_id: id given by the router.
     :param team: the caller's team.
     :param model: the requested model.
-    :param tokens: the prompt's tokens.
+    :param tokens: the prompt's tokens, which may be read several times.
     :param priority: its priority class.
     :param may_be_shed: whether it may be refused when engines are overloaded.
     :param exclude: engines not to choose (e.g. one that just failed).
@@ -65,7 +65,7 @@
     request_id: str
     team: TeamSettings
     model: str
-    tokens: tuple[str, ...]
+    tokens: Iterable[str]
     priority: PrioritySettings
     may_be_shed: bool = True
     exclude: frozenset[str] = frozenset()
@@ -299,7 +299,7 @@
     def _keys(self, request: RoutingRequest, version: str) -> tuple[int, ...]:
         salt = cache_salt(request.team.name, request.model, version)
         return tuple(
-            block_keys(list(request.tokens), self._block_size_tokens, salt_seed(salt))
+            block_keys(request.tokens, self._block_size_tokens, salt_seed(salt))
         )
 
     def _candidate(
--- a/src/kumquatseam/serving/_completions.py
+++ b/src/kumquatseam/serving/_completions.py
@@ -8,7 +8,7 @@
 """
 
 import urllib.parse
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -17,7 +17,7 @@
     EngineClient,
     EngineRequest,
     EngineTarget,
-    tokenize,
+    PromptTokens,
 )
 from kumquatseam.errors import UpstreamsRestingError
 from kumquatseam.logs import part_logger
@@ -116,7 +116,7 @@
     finished: bool = False
     excluded: set[str] = attrs.Factory(set)
     usage: EngineChunk | None = None
-    tokens: tuple[str, ...] = ()
+    tokens: Iterable[str] = ()
     first_chunk_s: float | None = None
     last_chunk_s: float = 0.0
 
@@ -175,7 +175,7 @@
     def _serve(self, completion: Completion, attempts: _Attempts):
         parts = self._parts
         parts.retry_budget.record_request()
-        attempts.tokens = tuple(tokenize(completion.prompt))
+        attempts.tokens = PromptTokens(completion.prompt)
         team, key = completion.team, completion.idempotency_key
         claim = parts.hold_claim(team.name, key, completion.request_id)
         with parts.limiter.running_request(team), claim:
--- a/src/kumquatseam/settings/_schema.py
+++ b/src/kumquatseam/settings/_schema.py
@@ -132,7 +132,8 @@
     """Limits on what callers send and hold (section ``[callers]``).
 
     :param max_header_bytes: size of a request's head.
-    :param max_body_bytes: size of a request's body.
+    :param max_body_bytes: size of a request's body. A completion takes four times as
+        much memory while it is served.
     :param header_timeout_s: time for a head, and for each pause within a body.
     :param body_timeout_s: time from the first byte of a request to its last one.
     :param idle_timeout_s: how long a connection may wait for the next request.
