Charge the response to a call of a plain service while it is held

What callers saw: a router receives responses of plain services whole before it passes them on; many callers that asked for long ones and received them slowly ended it.

Cause: nothing counted them before the first byte was written.

Each piece is charged to the caller as it is received. If there is no memory, the call ends with 502, may_have_run, and the replica is not blamed for it.

Ruled out: a reservation before the call; its response states no size by then.

--- a/features/untrusted_callers.feature
+++ b/features/untrusted_callers.feature
@@ -40,6 +40,12 @@
       | unfinished chunks |
       | whole completions |
 
+  Scenario: Callers that read slowly do not exceed the memory of a router
+    Given a router with 100 MB and 600 descriptors, whose service answers with 4 MB
+    When 100 callers send slow readers
+    Then an ordinary call is answered while they stay, and one after they left
+    And the router lives, with at most 100 MB and 600 descriptors
+
   Scenario: Callers that send nothing leave room for others
     Given a router with 100 MB and 200 descriptors
     When 150 callers send idle connections
--- a/src/kumquatseam/callers/_interface.py
+++ b/src/kumquatseam/callers/_interface.py
@@ -37,7 +37,7 @@
 from kumquatseam.fleet import LiveConfiguration
 from kumquatseam.logs import part_logger
 from kumquatseam.metrics.figures import RequestStatistics
-from kumquatseam.request_errors import CallerError
+from kumquatseam.request_errors import CallerError, ResponseMemoryError
 from kumquatseam.services import ServiceCall
 from kumquatseam.serving import (
     Completion,
@@ -220,6 +220,7 @@
                 raise CallerError(404, "service_not_found", detail)
         except CallerError as error:
             return self._reject_call(request_id, error)
+        held = _HeldResponse(name, request.environ[ACCOUNT_KEY])
         query = f"?{request.query_string}" if request.query_string else ""
         call = ServiceCall(
             request_id=request_id,
@@ -228,6 +229,7 @@
             body=request.environ[BODY_KEY],
             content_type=request.content_type or None,
             team=team.name,
+            hold_response=held.hold,
         )
         key = request.headers.get(IDEMPOTENCY_HEADER)
         try:
@@ -283,6 +285,31 @@
     account.take(sys.getsizeof(prompt) + copies_bytes)
 
 
+@attrs.define
+class _HeldResponse:
+    """Charges a service's response to the caller for whom it is held.
+
+    :param service: the service.
+    :param account: the memory that the caller makes this process hold.
+    """
+
+    service: str
+    account: BufferAccount
+    _held_bytes: int = 0
+
+    def hold(self, size_bytes: int) -> None:
+        """Hold ``size_bytes`` in all.
+
+        :raises ResponseMemoryError: if there is no memory for it.
+        """
+        more_bytes = max(0, size_bytes - self._held_bytes)
+        try:
+            self.account.take(more_bytes)
+        except BufferLimitError as error:
+            raise ResponseMemoryError(self.service) from error
+        self._held_bytes += more_bytes
+
+
 @attrs.frozen
 class _ClosingStream:
     """An event stream that cancels its request when the caller disconnects."""
--- a/src/kumquatseam/callers/_refusals.py
+++ b/src/kumquatseam/callers/_refusals.py
@@ -13,6 +13,7 @@
     AlreadyClaimedError,
     CallerError,
     ClaimUnavailableError,
+    ResponseMemoryError,
     TeamLimitError,
 )
 from kumquatseam.serving import may_have_run
@@ -28,6 +29,7 @@
     ClaimUnavailableError: "claim_unavailable",
     BufferLimitError: "overloaded",
     OverloadedError: "overloaded",
+    ResponseMemoryError: "response_memory",
     TeamLimitError: "team_limit",
     QuarantinedError: "quarantined",
     UpstreamLimitError: "upstream_limit",
--- a/src/kumquatseam/request_errors.py
+++ b/src/kumquatseam/request_errors.py
@@ -25,6 +25,19 @@
         return f"callers: {self.status} {self.code}: {self.detail}"
 
 
+@attrs.define(frozen=True, eq=False)
+class ResponseMemoryError(KumquatseamError):
+    """There is no memory for the response to a call, which has run.
+
+    :param service: the service that responds.
+    """
+
+    service: str
+
+    def __str__(self) -> str:
+        return f"callers: no memory for a response of service {self.service}"
+
+
 @attrs.define(frozen=True, eq=False)
 class NoUpstreamError(KumquatseamError):
     """No live engine may serve this team and model; the request was not run.
--- a/src/kumquatseam/response_limits.py
+++ b/src/kumquatseam/response_limits.py
@@ -5,7 +5,7 @@
 import http.client
 import io
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 import gevent
@@ -27,10 +27,13 @@
 
     :param max_bytes: size of the body, both as received and decoded.
     :param total_s: time from the request to the last byte of its response.
+    :param hold: called with the size of what is held of the body, before more is
+        received; raises the error that ends the call.
     """
 
     max_bytes: int
     total_s: float
+    hold: Callable[[int], None] | None = None
 
 
 class ResponseLimitError(ProtocolError):
@@ -92,6 +95,8 @@
         body += data
         if len(body) > limits.max_bytes:
             raise ResponseLimitError(f"response over {limits.max_bytes} bytes")
+        if limits.hold is not None:
+            limits.hold(len(body))
     response.release_conn()
     return bytes(body)
 
--- a/src/kumquatseam/services/_client.py
+++ b/src/kumquatseam/services/_client.py
@@ -1,6 +1,7 @@
 """HTTP client for plain services."""
 
 import abc
+from collections.abc import Callable
 
 import attrs
 import urllib3
@@ -30,6 +31,8 @@
     :param body: the request body.
     :param content_type: its media type, or ``None``.
     :param team: the caller's team, forwarded to the service.
+    :param hold_response: called with the size of what is held of its response, before
+        more is received; raises the error that ends the call.
     """
 
     request_id: str
@@ -38,6 +41,7 @@
     body: bytes
     content_type: str | None
     team: str
+    hold_response: Callable[[int], None] | None = None
 
 
 @attrs.frozen
@@ -97,13 +101,14 @@
         headers = {_ID_HEADER: call.request_id, "X-Team": call.team}
         if call.content_type:
             headers["Content-Type"] = call.content_type
+        limits = attrs.evolve(self._response_limits, hold=call.hold_response)
         sent_s = elapsed_s()
         try:
             response = self._pools.request(
                 call.method,
                 url,
                 f"/{call.path}",
-                self._response_limits,
+                limits,
                 body=call.body or None,
                 headers=headers,
                 timeout=self._timeout,
--- a/src/kumquatseam/serving/_refusals.py
+++ b/src/kumquatseam/serving/_refusals.py
@@ -9,6 +9,7 @@
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.request_errors import (
     AlreadyClaimedError,
+    ResponseMemoryError,
     RetryBudgetError,
     UpstreamError,
 )
@@ -24,7 +25,7 @@
     """
     if isinstance(error, UpstreamError | RetryBudgetError):
         return error.started
-    return isinstance(error, AlreadyClaimedError)
+    return isinstance(error, AlreadyClaimedError | ResponseMemoryError)
 
 
 @attrs.frozen
--- a/src/kumquatseam/standins/services/__init__.py
+++ b/src/kumquatseam/standins/services/__init__.py
@@ -17,7 +17,9 @@
     ``lose_answers`` set it runs a call and then breaks the connection; with
     ``refuse`` it answers 503 without running (``X-Not-Executed``); a call whose path
     has ``crashes_on`` in it crashes the process. With ``limit_per_s`` set, it announces
-    that it accepts so many calls a second from all routers together.
+    that it accepts so many calls a second from all routers together. With
+    ``answer_bytes`` set, its answers to a call whose path has ``large`` in it have that
+    size.
 
     :param name: the replica's name.
     :param port: TCP port on 127.0.0.1.
@@ -32,6 +34,7 @@
             "delay_s": 0.0,
             "crashes_on": None,
             "limit_per_s": None,
+            "answer_bytes": 0,
         }
         app = bottle.Bottle()
         app.put("/standin/faults", callback=self._set_faults)
@@ -75,6 +78,8 @@
         if self._faults["lose_answers"]:
             self._faults["lose_answers"] -= 1
             return self._break()
+        if self._faults["answer_bytes"] and "large" in path.split("/"):
+            return b"x" * self._faults["answer_bytes"]
         return {"replica": self._name, "run": len(self._runs), "path": path}
 
     def _break(self):
