--- a/src/kumquatseam/admission/__init__.py
+++ b/src/kumquatseam/admission/__init__.py
@@ -1,8 +1,9 @@
 """Admission limits that protect teams and upstreams from each other.
 
 - :class:`RetryCause` says why a request is sent once more.
-- :class:`TokenBucket` limits consumption to a rate and a burst; ``quotas`` uses it
-  for fleet-wide quotas.
+- :class:`kumquatseam.admission.token_bucket.TokenBucket` limits consumption to a rate
+  and a burst; ``quotas`` uses it for fleet-wide quotas. It is not exported here, since
+  gateways load it with the first quota.
 - :class:`kumquatseam.admission.retry_budget.RetryBudget` limits the retries of one
   process to a share of its requests. It is not exported here, since only routers need
   it; gateways share a budget (``quotas``).
@@ -14,6 +15,5 @@
 """
 
 from kumquatseam.admission._retry_cause import RetryCause
-from kumquatseam.admission._token_bucket import TokenBucket
 
-__all__ = ["RetryCause", "TokenBucket"]
+__all__ = ["RetryCause"]
--- a/src/kumquatseam/quotas/_team_shard.py
+++ b/src/kumquatseam/quotas/_team_shard.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from kumquatseam.admission import TokenBucket
+from kumquatseam.admission.token_bucket import TokenBucket
 from kumquatseam.quotas._messages import (
     MIN_LEASE_S,
     QuotaLeaseReply,
--- a/src/kumquatseam/quotas/_teams.py
+++ b/src/kumquatseam/quotas/_teams.py
@@ -1,8 +1,9 @@
 """Acquiring quota for requests."""
 
+from typing import TYPE_CHECKING
+
 import attrs
 
-from kumquatseam.admission import TokenBucket
 from kumquatseam.logs import part_logger
 from kumquatseam.quotas._errors import QuotaExceededError
 from kumquatseam.quotas._messages import (
@@ -16,6 +17,9 @@
 from kumquatseam.quotas._owners import ShardOwners
 from kumquatseam.routes import TeamTraits
 
+if TYPE_CHECKING:
+    from kumquatseam.admission.token_bucket import TokenBucket
+
 _log = part_logger("quota")
 
 #: shards tried before a request is refused, since one shard may be used up while
@@ -68,7 +72,7 @@
     usage_per_s: float = 0.0
     usage_updated_s: float = 0.0
     unreported: int = 0
-    fallback_bucket: TokenBucket | None = None
+    fallback_bucket: "TokenBucket | None" = None
     unreturned: dict[QuotaShard, int] = attrs.Factory(dict)
 
     def record_usage(self, amount: int, now_s: float) -> None:
@@ -267,6 +271,9 @@
             rate_per_s = limit.rate_per_s / instances
             # A level of 1 admits one request of any cost, which puts the bucket in
             # debt.
+            # Loaded when first needed.
+            from kumquatseam.admission.token_bucket import TokenBucket
+
             lease.fallback_bucket = TokenBucket(rate_per_s, burst, 1.0, now_s)
         self.decided_locally += 1
         if not lease.fallback_bucket.try_consume(cost, now_s):
--- a/src/kumquatseam/quotas/_upstream_shard.py
+++ b/src/kumquatseam/quotas/_upstream_shard.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from kumquatseam.admission import TokenBucket
+from kumquatseam.admission.token_bucket import TokenBucket
 from kumquatseam.quotas._messages import (
     OwnerVote,
     QuotaLeaseReply,
