Charge an upstream's failure that is kept while the request is tried again

What callers saw: nothing by itself. Up to 256 KB for each request in service were held that nothing counted, while upstreams answer with long errors and retries are slow.

Cause: the charge ended with the attempt, the failure is kept until the request ends.

The charge stays, and the server gives back whatever serving a request took once it has ended, for routers too.

--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -196,6 +196,8 @@
         self.rests_told: list[RestTold] = []
         #: pieces of the body of a plain service, sent one after the other.
         self.pieces = [b"whole"]
+        #: body of its answer to a request that it is told to fail.
+        self.failure = b"broken"
         #: requests that it runs at once, refusing others; ``None`` for any number.
         self.room = None
         #: how long a request of a plain service runs.
@@ -495,7 +497,7 @@
         elif fault == "hang":
             self._hang(http, seen)
         elif fault == "fail":
-            self._send(http, 500, b"broken", headers)
+            self._send(http, 500, self.failure, headers)
         elif fault == "unsigned":
             self._send(http, 200, b"whose?", {"X-Request-Id": headers["X-Request-Id"]})
         elif fault.startswith("endless"):
--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -1,7 +1,9 @@
 """Steps for crowds of clients that take a gateway's memory and connections."""
 
+import collections
 import functools
 import socket
+import threading
 
 from behave import given, then, when
 from crowd_world import Crowd, UsageWatch, send_ordinary
@@ -27,6 +29,8 @@
 CROWD_PATH = "/crowd/x"
 STREAM_PATH = "/stream/x"
 ORDINARY_PATH = "/plain/x"
+RETRIED_PATH = "/retried/x"
+KB = 1000
 
 EXPECTING_HEAD = (
     b"POST /plain/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: expecting\r\n"
@@ -193,3 +197,57 @@
 def step_interim(context, count):
     assert context.received.count(b"HTTP/1.1 100 ") == count, context.received
     assert context.received.count(b"HTTP/1.1 200 ") == 1, context.received
+
+
+@given(
+    "a gateway with {memory_mb:d} MB and {descriptors:d} descriptors, "
+    "in front of two replicas"
+)
+def step_gateway_two(context, memory_mb, descriptors):
+    _start_world(context, memory_mb, descriptors)
+    for name in ("p1", "p2"):
+        context.platform.add_replica("other", name)
+    world = context.platform
+    world.add_route("/retried/", "idempotent", "other")
+    _start_gateway(context)
+
+
+@given(
+    "a request fails with {size_kb:d} KB at the first one, "
+    "and takes {work_s:d} seconds at the other"
+)
+def step_fails_first(context, size_kb, work_s):
+    script = collections.deque(["fail"])
+    for name in ("p1", "p2"):
+        replica = context.platform.replicas[name]
+        replica.script, replica.work_s = script, work_s
+        replica.failure = b"x" * (size_kb * KB)
+
+
+@when("one client sends it")
+def step_send_retried(context):
+    world = context.platform
+    context.held_before = world.metric(world.gateways[0], "buffer_bytes_held")
+    answers = context.answers = []
+    sending = threading.Thread(target=lambda: answers.append(world.send(RETRIED_PATH)))
+    sending.start()
+    context.add_cleanup(sending.join)
+
+
+@then("the gateway holds {size_kb:d} KB more meanwhile, and nothing of it afterwards")
+def step_holds_more(context, size_kb):
+    world = context.platform
+    (gateway,) = world.gateways
+
+    def held_more_bytes():
+        return world.metric(gateway, "buffer_bytes_held") - context.held_before
+
+    wait_until("the retry runs", lambda: len(_seen(world)) == 2)
+    assert held_more_bytes() >= size_kb * KB, held_more_bytes()
+    wait_until("it is answered", lambda: context.answers)
+    assert context.answers[0].status == 200, context.answers[0].status
+    assert held_more_bytes() < size_kb * KB, held_more_bytes()
+
+
+def _seen(world):
+    return [seen for replica in world.replicas.values() for seen in replica.seen]
--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -84,3 +84,9 @@
     Given a gateway with 88 MB and 600 descriptors, in front of a plain replica
     When one client asks 5 times to continue, and sends its body once it may
     Then it gets 1 interim response, and its answer
+
+  Scenario: A failure that is kept while its request is tried again is counted
+    Given a gateway with 88 MB and 600 descriptors, in front of two replicas
+    And a request fails with 200 KB at the first one, and takes 2 seconds at the other
+    When one client sends it
+    Then the gateway holds 200 KB more meanwhile, and nothing of it afterwards
--- a/src/kumquatseam/callers/_wsgi.py
+++ b/src/kumquatseam/callers/_wsgi.py
@@ -48,8 +48,6 @@
         may_keep_alive: Callable[[], bool],
     ) -> bool:
         response = _Response(request, caller, may_keep_alive)
-        account = caller.account
-        held_bytes = account.held_bytes
         result = ()
         try:
             result = self._app(_environ(request, caller), response.start)
@@ -64,7 +62,6 @@
         finally:
             if hasattr(result, "close"):
                 result.close()
-            account.give_back(account.held_bytes - held_bytes)
         return response.keeps_connection
 
     def describe(
--- a/src/kumquatseam/gateway/_connection_handler.py
+++ b/src/kumquatseam/gateway/_connection_handler.py
@@ -26,6 +26,8 @@
     ) -> bool:
         """Serve ``request``; return whether its connection can carry another one.
 
+        What it takes from the caller's account is given back afterwards.
+
         :param may_keep_alive: whether the connection stays open after the response.
         :raises CallerDisconnectedError: if the caller closed its connection.
         """
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -147,6 +147,10 @@
             if self._job.route.is_stream and response.head.status == 200:
                 return self._forward_stream(response)
             return self._forward_body(response, may_retry)
+        except RetryableFailureError:
+            # It is kept until the request ends, which gives back what it takes.
+            self._buffer = ResponseBuffer(self._caller.account)
+            raise
         except BufferLimitError as error:
             raise CallerTooSlowError from error
         finally:
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -243,11 +243,15 @@
         # Before the request is read: one that is invalid gets a response too.
         caller.reset_response()
         request = reader.read()
+        account = caller.account
+        held_bytes = account.held_bytes
         self._busy.add(greenlet)
         try:
             can_reuse = self._handler.handle(request, caller, self._may_keep(request))
         finally:
             self._busy.discard(greenlet)
+            # What serving it took on top.
+            account.give_back(account.held_bytes - held_bytes)
         # A response that was begun before a stop did not announce a close.
         return can_reuse and request.keep_alive
 
