--- a/features/steps/untrusted_callers_steps.py
+++ b/features/steps/untrusted_callers_steps.py
@@ -10,6 +10,7 @@
 from fleet_steps import HTTP, prompt_of, start_fleet
 
 from kumquatseam.bench import MODEL, FleetPlan
+from kumquatseam.settings import CallerSettings
 
 #: low, so that small crowds show what large ones take.
 MAX_BODY_BYTES = 1_000_000
@@ -32,15 +33,24 @@
 
 @given("a router with {memory_mb:d} MB and {descriptors:d} descriptors")
 def step_router(context, memory_mb, descriptors):
+    limits = {"max_body_bytes": MAX_BODY_BYTES, "max_header_bytes": MAX_HEADER_BYTES}
+    _start_router(context, memory_mb, descriptors, limits)
+
+
+@given(
+    "a router with {memory_mb:d} MB and {descriptors:d} descriptors, "
+    "and the limits of its defaults"
+)
+def step_router_defaults(context, memory_mb, descriptors):
+    _start_router(context, memory_mb, descriptors, {})
+
+
+def _start_router(context, memory_mb, descriptors, limits):
     engine_options = {"decode_ms_per_token": TOKEN_MS, "prefill_ms_per_token": 0}
     plan = FleetPlan(services=1, engine_options=engine_options)
-    limits = {
-        "memory_mb": memory_mb,
-        "max_descriptors": descriptors,
-        "max_body_bytes": MAX_BODY_BYTES,
-        "max_header_bytes": MAX_HEADER_BYTES,
-    }
-    fleet = start_fleet(context, attrs.evolve(plan, sections={"callers": limits}))
+    machine = {"memory_mb": memory_mb, "max_descriptors": descriptors}
+    sections = {"callers": {**machine, **limits}}
+    fleet = start_fleet(context, attrs.evolve(plan, sections=sections))
     context.router = fleet.routers[0]
     context.crowd_path = COMPLETIONS_PATH
     context.watch = UsageWatch(context.router.program.process)
@@ -104,6 +114,20 @@
     context.status, context.answer = response.status, response.data
 
 
+@when("one caller sends a completion of the largest size {how}")
+def step_largest(context, how):
+    call = {**COMPLETION, "prompt": ""}
+    left_bytes = CallerSettings().max_body_bytes - len(json.dumps(call))
+    # Short words: each is a token.
+    call["prompt"] = ("ab " * (left_bytes // 3)).ljust(left_bytes)
+    body = json.dumps(call).encode()
+    assert len(body) == CallerSettings().max_body_bytes, len(body)
+    pieces = (body[at : at + 65_536] for at in range(0, len(body), 65_536))
+    sent = pieces if how == "in chunks" else body
+    response = _send(context, COMPLETIONS_PATH, sent)
+    context.status, context.answer = response.status, response.data
+
+
 @when("one caller sends a body that is too large")
 def step_large_body(context):
     _send_raw(context, [LARGE_LENGTH])
--- a/features/untrusted_callers.feature
+++ b/features/untrusted_callers.feature
@@ -40,6 +40,17 @@
       | unfinished chunks |
       | whole completions |
 
+  Scenario Outline: One completion of the largest size is answered on a small machine: <how>
+    Given a router with 128 MB and 600 descriptors, and the limits of its defaults
+    When one caller sends a completion of the largest size <how>
+    Then it is answered with status 200
+    And the router lives, with at most 128 MB and 600 descriptors
+
+    Examples:
+      | how           |
+      | with a length |
+      | in chunks     |
+
   Scenario: Callers that read slowly do not exceed the memory of a router
     Given a router with 100 MB and 600 descriptors, whose service answers with 4 MB
     When 100 callers send slow readers
