--- a/src/kumquatseam/gateway/_rollout_candidate.py
+++ b/src/kumquatseam/gateway/_rollout_candidate.py
@@ -78,10 +78,12 @@
     def _run(self) -> None:
         while self._parts.lease_rank() is None:
             gevent.sleep(RANK_CHECK_S)
-        self._lease = self._build_lease()
+        from kumquatseam.gateway._rollout_duty import build_duty, build_lease
+
+        self._lease = build_lease(self._parts)
         if self._heard_fence is not None:
             self._lease.note_other_holder(self._heard_fence)
-        self._duty = self._build_duty()
+        self._duty = build_duty(self._parts, self._lease, self._view)
         self._duty.start()
 
     def _note_other_holder(self, held: LeaseHeartbeat) -> None:
@@ -89,36 +91,3 @@
             self._heard_fence = held.fence
         else:
             self._lease.note_other_holder(held.fence)
-
-    def _build_lease(self) -> "DutyLease":
-        from kumquatseam.leases import DutyLease
-
-        bus = self._parts.bus
-        return DutyLease(
-            self._parts.log_service,
-            ROLLOUT_LEASE,
-            bus.name,
-            self._parts.settings.lease_s,
-            self._parts.lease_rank,
-            on_held=lambda fence: bus.publish(LeaseHeartbeat(ROLLOUT_LEASE, fence)),
-        )
-
-    def _build_duty(self) -> BackgroundTask:
-        from kumquatseam.rollouts.duty import RolloutBounds, RolloutDuty
-
-        parts = self._parts
-        return RolloutDuty(
-            self._lease,
-            parts.targets,
-            parts.live,
-            parts.directory,
-            parts.orders,
-            parts.bus,
-            self._view,
-            parts.running_on,
-            may_act=lambda: not parts.path.is_lost,
-            bounds=RolloutBounds(
-                parts.settings.replaced_weights_grace_s,
-                parts.settings.complete_s,
-            ),
-        )
