Serve health and metrics on few connections, within limits

What callers saw: nothing by itself. A crowd at the listeners for health and metrics took descriptors without a limit, which callers, upstreams and the log service need, and was never closed: the library's WSGI server limits neither connections nor time.

One page server on GatewayServer's connections, with 32 connections and 2 MB for all of them: idle ones give way to new ones, so that probes are answered while a crowd stays. The gateway no longer loads the web framework nor the library's server.

--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -9,7 +9,7 @@
 from crowd_world import Crowd, UsageWatch, send_ordinary
 from platform_replica import RunShape
 from platform_steps import step_platform
-from platform_world import KEY, wait_until
+from platform_world import HTTP, KEY, wait_until
 
 #: limits of requests, low so that small crowds show what large ones take.
 LIMITS = {
@@ -109,10 +109,19 @@
 
 @when("{count:d} clients send {kind}")
 def step_crowd(context, count, kind):
+    _start_crowd(context, "front", count, kind)
+
+
+@when("its {listener} listener gets {count:d} clients that send {kind}")
+def step_crowd_listener(context, count, kind, listener):
+    _start_crowd(context, listener, count, kind)
+
+
+def _start_crowd(context, listener, count, kind):
     world = context.platform
     context.crowd = Crowd(
         authorization=f"Token {KEY}",
-        port=world.gateways[0].ports["front"],
+        port=world.gateways[0].ports[listener],
         path=context.crowd_path,
         kind=kind,
         count=count,
@@ -143,6 +152,18 @@
     assert last == (200, 200), (during, after, context.watch.most)
 
 
+@then("its health check and its metrics are answered while they stay")
+def step_pages(context):
+    ports = context.platform.gateways[0].ports
+    for listener, path in (("ready", "/ready"), ("metrics", "/metrics")):
+        url = f"http://127.0.0.1:{ports[listener]}{path}"
+        headers = {"Connection": "close"}
+        statuses = send_ordinary(
+            lambda u=url, h=headers: HTTP.request("GET", u, headers=h)
+        )
+        assert statuses[-1] == 200, (listener, statuses, context.watch.most)
+
+
 @then("the gateway lives, with at most {memory_mb:d} MB and {count:d} descriptors")
 def step_usage(context, memory_mb, count):
     process = context.platform.gateways[0].process
--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -90,3 +90,17 @@
     And a request fails with 200 KB at the first one, and takes 2 seconds at the other
     When one client sends it
     Then the gateway holds 200 KB more meanwhile, and nothing of it afterwards
+
+  Scenario Outline: A crowd at the <listener> listener leaves room for others: <kind>
+    Given a gateway with 100 MB and 200 descriptors, in front of a plain replica
+    When its <listener> listener gets 300 clients that send <kind>
+    Then its health check and its metrics are answered while they stay
+    And an ordinary request is answered while they stay, and one after they left
+    And the gateway lives, with at most 100 MB and 200 descriptors
+
+    Examples:
+      | listener | kind              |
+      | ready    | idle connections  |
+      | ready    | unfinished bodies |
+      | metrics  | idle connections  |
+      | metrics  | header line       |
--- a/src/kumquatseam/gateway/__init__.py
+++ b/src/kumquatseam/gateway/__init__.py
@@ -19,7 +19,6 @@
 from kumquatseam.gateway._connection_handler import ConnectionHandler
 from kumquatseam.gateway._dialect import Dialect, MalformedCallError
 from kumquatseam.gateway._handler import RequestHandler
-from kumquatseam.gateway._health import HealthServer, MetricsServer
 from kumquatseam.gateway._server import GatewayServer
 from kumquatseam.gateway._stop_clock import StopClock
 
@@ -33,9 +32,7 @@
     "ConnectionHandler",
     "Dialect",
     "GatewayServer",
-    "HealthServer",
     "MalformedCallError",
-    "MetricsServer",
     "RequestHandler",
     "SendOptions",
     "StopClock",
--- a/src/kumquatseam/gateway/_connection_admission.py
+++ b/src/kumquatseam/gateway/_connection_admission.py
@@ -32,11 +32,19 @@
     :param idleness: observes the event loop; without one, only places are limited.
     :param max_descriptors: descriptors that this instance may use; 0 for as many as
         the system allows.
+    :param max_connections: connections that may be served; 0 for a share of the
+        descriptors.
     """
 
-    def __init__(self, idleness: LoopIdleness | None, max_descriptors: int = 0) -> None:
+    def __init__(
+        self,
+        idleness: LoopIdleness | None,
+        max_descriptors: int = 0,
+        max_connections: int = 0,
+    ) -> None:
         self._idleness = idleness
         self._max_descriptors = max_descriptors
+        self._fixed_connections = max_connections
         self._was_saturated = False
         #: connections turned away since the start.
         self.turned_away = 0
@@ -79,6 +87,8 @@
 
     @property
     def _max_connections(self) -> int:
+        if self._fixed_connections:
+            return self._fixed_connections
         limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         if self._max_descriptors:
             limit = min(limit, self._max_descriptors)
--- a/src/kumquatseam/gateway/_health.py
+++ b/src/kumquatseam/gateway/_health.py
@@ -2,28 +2,95 @@
 
 from collections.abc import Callable
 
-import bottle
-from gevent import pywsgi
-
+import attrs
+import gevent
+
+from kumquatseam.buffers import BufferBudget
+from kumquatseam.gateway._caller import CallerConnection
+from kumquatseam.gateway._connection_admission import ConnectionAdmission
+from kumquatseam.gateway._connection_handler import ConnectionHandler
+from kumquatseam.gateway._server import GatewayServer
+from kumquatseam.gateway._stop_clock import StopClock
 from kumquatseam.gatewayfile import GatewaySettings
+from kumquatseam.http1 import Request, RequestLimits
+
+#: connections to one endpoint; a load balancer and a few collectors need some.
+MAX_CONNECTIONS = 32
+#: what all of them may hold together: twice their heads and themselves.
+MAX_HELD_BYTES = 2_097_152
+#: probes and collectors ask every few seconds, and send hardly anything.
+LIMITS = RequestLimits(
+    max_header_bytes=8192,
+    max_body_bytes=1024,
+    header_timeout_s=5.0,
+    idle_timeout_s=75.0,
+    total_timeout_s=5.0,
+)
+
+
+@attrs.frozen
+class Page:
+    """What an endpoint responds with.
+
+    :param status: HTTP status.
+    :param body: its text.
+    """
+
+    status: int
+    body: bytes
+
 
+class _PageHandler(ConnectionHandler):
+    """Responds to requests for one page.
+
+    :param path: the page's path.
+    :param read: returns the page.
+    """
 
-class _PageServer:
-    """Serves one page over HTTP.
+    def __init__(self, path: str, read: Callable[[], Page]) -> None:
+        super().__init__(StopClock())
+        self._path = path
+        self._read = read
+
+    def handle(
+        self,
+        request: Request,
+        caller: CallerConnection,
+        may_keep_alive: Callable[[], bool],
+    ) -> bool:
+        page = self._respond(request)
+        keep = may_keep_alive()
+        fields = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        if not keep:
+            fields.append((b"Connection", b"close"))
+        body = page.body if request.method == b"GET" else b""
+        caller.send_response(page.status, fields, body)
+        return keep
+
+    def _respond(self, request: Request) -> Page:
+        if request.path != self._path:
+            return Page(404, b"")
+        if request.method not in (b"GET", b"HEAD"):
+            return Page(405, b"")
+        return self._read()
+
+
+class PageServer:
+    """Serves one page over HTTP, on few connections.
 
     :param address: ``host:port`` to listen on.
     :param path: the page's path.
-    :param respond: sets the response's status and headers, and returns the text.
+    :param read: returns the page.
     """
 
-    def __init__(self, address: str, path: str, respond: Callable[[], object]) -> None:
-        app = bottle.Bottle()
-        app.get(path)(respond)
-        host, _, port = address.rpartition(":")
-        # Otherwise each start looks the host's name up.
-        environ = {"SERVER_NAME": host}
-        self._server = pywsgi.WSGIServer(
-            (host, int(port)), app, log=None, environ=environ
+    def __init__(self, address: str, path: str, read: Callable[[], Page]) -> None:
+        self._server = GatewayServer(
+            address,
+            _PageHandler(path, read),
+            lambda: LIMITS,
+            0.0,
+            ConnectionAdmission(None, max_connections=MAX_CONNECTIONS),
+            BufferBudget(MAX_HELD_BYTES),
         )
 
     def start(self) -> None:
@@ -32,52 +99,31 @@
 
     def close(self) -> None:
         """Stop listening."""
-        self._server.stop(timeout=0.1)
-
-
-class HealthServer(_PageServer):
-    """Serves the readiness check: whether this process accepts new connections.
-
-    :param address: ``host:port`` to listen on.
-    :param path: path of the check.
-    :param is_ready: whether to respond with 200 or with 503.
-    """
-
-    def __init__(self, address: str, path: str, is_ready: Callable[[], bool]) -> None:
-        def respond() -> str:
-            bottle.response.status = 200 if is_ready() else 503
-            return ""
-
-        super().__init__(address, path, respond)
-
-
-class MetricsServer(_PageServer):
-    """Serves metrics as text.
-
-    :param address: ``host:port`` to listen on.
-    :param path: path of the metrics.
-    :param read: returns the metrics as text.
-    """
-
-    def __init__(self, address: str, path: str, read: Callable[[], bytes]) -> None:
-        def respond() -> bytes:
-            bottle.response.content_type = "text/plain; version=0.0.4"
-            return read()
-
-        super().__init__(address, path, respond)
+        self._server.stop_accepting()
+        gevent.killall(self._server.open_greenlets, block=False)
 
 
 def health_servers(
     settings: GatewaySettings,
     is_ready: Callable[[], bool],
     read_metrics: Callable[[], bytes],
-) -> list[HealthServer | MetricsServer]:
-    """Return the servers that the settings ask for; the one of metrics is optional."""
-    servers: list[HealthServer | MetricsServer] = [
-        HealthServer(settings.health_listen, settings.ready_path, is_ready)
-    ]
+) -> list[PageServer]:
+    """Return the servers that the settings ask for; the one of metrics is optional.
+
+    :param is_ready: whether this process accepts new connections.
+    :param read_metrics: returns the metrics as text.
+    """
+
+    def read_ready() -> Page:
+        return Page(200 if is_ready() else 503, b"")
+
+    servers = [PageServer(settings.health_listen, settings.ready_path, read_ready)]
     if settings.metrics_listen:
         servers.append(
-            MetricsServer(settings.metrics_listen, settings.metrics_path, read_metrics)
+            PageServer(
+                settings.metrics_listen,
+                settings.metrics_path,
+                lambda: Page(200, read_metrics()),
+            )
         )
     return servers
--- a/src/kumquatseam/http1/_messages.py
+++ b/src/kumquatseam/http1/_messages.py
@@ -31,6 +31,7 @@
     400: b"Bad Request",
     401: b"Unauthorized",
     404: b"Not Found",
+    405: b"Method Not Allowed",
     408: b"Request Timeout",
     413: b"Content Too Large",
     429: b"Too Many Requests",
