Refuse transfer codings of requests other than chunked

What callers saw: the bytes of a body in two codings (gzip, chunked) were forwarded to an upstream without the word that they are compressed; behind the chunks another request could follow. Routers refused such calls until their callers came to the same reader.

Cause: the reader took every coding whose last one is chunked.

A field that names another coding, or a second field, ends the connection with 400.

--- a/features/steps/truncated_requests_steps.py
+++ b/features/steps/truncated_requests_steps.py
@@ -49,10 +49,14 @@
     def handle(connection, address):
         connection.settimeout(2.0)
         with contextlib.suppress(KumquatseamError, OSError):
-            request = RequestReader(connection, RequestLimits()).read()
-            method = request.method.decode()
-            context.ran.append((method, request.path.lstrip("/"), request.body))
-            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            reader = RequestReader(connection, RequestLimits())
+            may_follow = True
+            while may_follow:
+                request = reader.read()
+                method = request.method.decode()
+                context.ran.append((method, request.path.lstrip("/"), request.body))
+                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                may_follow = request.keep_alive
         connection.close()
 
     server = StreamServer(("127.0.0.1", 0), handle)
--- a/features/truncated_heads.feature
+++ b/features/truncated_heads.feature
@@ -137,3 +137,4 @@
       | a gateway's front          | two lengths                      |
       | a gateway's front          | a length and chunks              |
       | a gateway's front          | chunks and another coding        |
+      | a gateway's front          | chunks in a second field         |
--- a/src/kumquatseam/http1/_request_reader.py
+++ b/src/kumquatseam/http1/_request_reader.py
@@ -48,6 +48,7 @@
         self.keep_alive = True
         self.head_complete = False
         self.complete = False
+        self.is_chunked = False
         #: whether its caller waits for an interim response before it sends the body.
         self.awaits_interim = False
         #: length of its body, as it says; the largest one once it is long without.
@@ -303,6 +304,11 @@
             message.awaits_interim = True
         elif name == b"content-length" and value:
             message.expected_bytes = int(value)
+        elif name == b"transfer-encoding":
+            # Others would be lost on the way to an upstream.
+            if message.is_chunked or value.lower() != b"chunked":
+                raise ValueError("transfer coding is not supported")
+            message.is_chunked = True
 
     def on_headers_complete(self) -> None:
         message = self._messages[-1]
