--- a/features/steps/untrusted_callers_steps.py
+++ b/features/steps/untrusted_callers_steps.py
@@ -148,6 +148,12 @@
     _send_raw(context, ["no field"])
 
 
+@when("one caller sends a call of an unknown path")
+def step_unknown_path(context):
+    response = _send(context, "/unknown", b"")
+    context.status, context.answer = response.status, response.data
+
+
 @then("it is answered with status {status:d}")
 def step_status(context, status):
     assert context.status == status, (context.status, context.answer)
--- a/features/untrusted_callers.feature
+++ b/features/untrusted_callers.feature
@@ -19,6 +19,7 @@
       | chunks that are too large  | 413    |
       | a head that is too large   | 431    |
       | what is no request         | 400    |
+      | a call of an unknown path  | 404    |
 
   Scenario Outline: A crowd of callers does not exceed the memory of a router: <kind>
     Given a router with 100 MB and 600 descriptors
--- a/src/kumquatseam/gateway/_server.py
+++ b/src/kumquatseam/gateway/_server.py
@@ -74,7 +74,8 @@
     def start(self) -> None:
         """Listen and accept connections."""
         host, _, port = self._address.rpartition(":")
-        listener = gevent.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = gevent.socket.socket(family, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, int(port)))
         listener.listen(BACKLOG)
--- a/src/kumquatseam/http1/_messages.py
+++ b/src/kumquatseam/http1/_messages.py
@@ -28,14 +28,17 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: |$)")
 _REASONS = {
     200: b"OK",
+    204: b"No Content",
     400: b"Bad Request",
     401: b"Unauthorized",
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
