--- a/features/steps/untrusted_callers_steps.py
+++ b/features/steps/untrusted_callers_steps.py
@@ -69,7 +69,7 @@
     context.crowd_path = LARGE_PATH
 
 
-@when("{count:d} callers send {kind}")
+@when("a crowd of {count:d} callers sends {kind}")
 def step_crowd(context, count, kind):
     context.crowd = Crowd(
         authorization=f"Bearer {KEY}",
--- a/features/untrusted_callers.feature
+++ b/features/untrusted_callers.feature
@@ -23,7 +23,7 @@
 
   Scenario Outline: A crowd of callers does not exceed the memory of a router: <kind>
     Given a router with 100 MB and 600 descriptors
-    When 100 callers send <kind>
+    When a crowd of 100 callers sends <kind>
     Then an ordinary call is answered while they stay, and one after they left
     And the router lives, with at most 100 MB and 600 descriptors
 
@@ -54,12 +54,12 @@
 
   Scenario: Callers that read slowly do not exceed the memory of a router
     Given a router with 100 MB and 600 descriptors, whose service answers with 4 MB
-    When 100 callers send slow readers
+    When a crowd of 100 callers sends slow readers
     Then an ordinary call is answered while they stay, and one after they left
     And the router lives, with at most 100 MB and 600 descriptors
 
   Scenario: Callers that send nothing leave room for others
     Given a router with 100 MB and 200 descriptors
-    When 150 callers send idle connections
+    When a crowd of 150 callers sends idle connections
     Then an ordinary call is answered while they stay, and one after they left
     And the router lives, with at most 100 MB and 200 descriptors
