--- a/features/programs/soak.py
+++ b/features/programs/soak.py
@@ -1,10 +1,12 @@
 """Soak of planned work with real processes, by hand: one line for each seed.
 
 Usage: soak.py FIRST LAST [--gateways N] [--engines N] [--callers N] [--for SECONDS]
-[--troubles] [--keep FOLDER]
+[--troubles] [--crowds N] [--keep FOLDER]
 
 ``--troubles`` pauses and kills gateways as well; requests of a gateway that was killed
-meanwhile are left out. The logs of gateways are kept in FOLDER for seeds that failed.
+meanwhile are left out. ``--crowds`` sends N series of crowds that don't behave to the
+gateways, whose machines have little memory. The logs of gateways are kept in FOLDER for
+seeds that failed.
 """
 
 import argparse
@@ -19,7 +21,8 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "steps"))
 
-from platform_world import PlatformWorld  # noqa: E402
+from crowd_world import CrowdSeries, UsageWatch  # noqa: E402
+from platform_world import KEY, PlatformWorld  # noqa: E402
 from whole_answers_world import (  # noqa: E402
     TROUBLES,
     PlannedWork,
@@ -31,6 +34,34 @@
     start_world,
 )
 
+#: limits of requests, and the machines of gateways, while crowds come.
+LIMITS = {
+    "maxBodyBytes": 1_000_000,
+    "maxHeaderBytes": 16_384,
+    "headerTimeoutMs": 5000,
+}
+MEMORY_MB = 110
+MACHINE = f"memory_mb = {MEMORY_MB}\nmax_descriptors = 400"
+
+
+def start_crowds(world, seed, count) -> list[CrowdSeries]:
+    """Send series of crowds to the gateways."""
+    ports = [gateway.ports["front"] for gateway in world.gateways]
+    series = [
+        CrowdSeries(
+            ports,
+            random.Random(f"{seed}/crowd/{number}"),
+            authorization=f"Token {KEY}",
+            path="/plain/x",
+            body_bytes=LIMITS["maxBodyBytes"],
+            head_bytes=LIMITS["maxHeaderBytes"],
+        )
+        for number in range(count)
+    ]
+    for one in series:
+        one.start()
+    return series
+
 
 def run_seed(seed, options) -> bool:
     """Run one seed; return whether every accepted request was answered whole."""
@@ -44,20 +75,34 @@
     troubles = TROUBLES if options.troubles else ()
     schedule = draw_schedule(draw, options.for_s, troubles)
     is_whole = False
+    machine = ""
+    if options.crowds:
+        world.limits, machine = LIMITS, MACHINE
     try:
-        start_world(world, options.gateways, options.engines, work.next_answer)
+        start_world(
+            world, options.gateways, options.engines, work.next_answer, machine=machine
+        )
+        crowds = start_crowds(world, seed, options.crowds)
+        watches = [UsageWatch(lambda g=g: g.process) for g in world.gateways]
+        for watch in watches:
+            watch.start()
         outcomes = serve_and_work(
             world, options.callers, options.for_s, schedule, work, seed
         )
         verdict = judge(world, outcomes, work.kills)
+        for one in crowds:
+            one.close()
+        most_mb = max(watch.close().memory_mb for watch in watches)
         is_whole = not (
-            verdict.cut
+            (options.crowds and most_mb > MEMORY_MB)
+            or verdict.cut
             or verdict.run_though_refused
             or verdict.run_twice
             or verdict.at_work_twice
         )
         print(f"seed {seed}: {'held' if is_whole else 'FAILED'}:", end=" ")
-        print(describe(world, verdict), flush=True)
+        print(describe(world, verdict), end=" ")
+        print(f"{sum(s.crowds for s in crowds)} crowds, {most_mb:.0f} MB", flush=True)
     finally:
         world.close()
         if not is_whole and options.keep:
@@ -75,6 +120,7 @@
     parser.add_argument("--callers", type=int, default=30)
     parser.add_argument("--for", dest="for_s", type=float, default=20.0)
     parser.add_argument("--troubles", action="store_true")
+    parser.add_argument("--crowds", type=int, default=0)
     parser.add_argument("--keep", default="")
     options = parser.parse_args()
     logger.remove()
--- a/features/steps/crowd_world.py
+++ b/features/steps/crowd_world.py
@@ -1,11 +1,13 @@
 """A crowd of clients as a process of its own, and what a server takes meanwhile."""
 
 import json
+import random
 import stat
 import subprocess
 import sys
 import threading
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import attrs
@@ -42,11 +44,11 @@
 class UsageWatch:
     """Watches what a process takes, from its start or from now on.
 
-    :param process: the process (``subprocess.Popen``).
+    :param find: returns the process, another one once it was started again.
     """
 
-    def __init__(self, process: subprocess.Popen) -> None:
-        self._process = process
+    def __init__(self, find: Callable[[], subprocess.Popen]) -> None:
+        self._find = find
         self._is_closed = threading.Event()
         self.most = Usage()
         self._thread = threading.Thread(target=self._watch, daemon=True)
@@ -67,7 +69,7 @@
             self._note()
 
     def _note(self) -> None:
-        folder = Path(f"/proc/{self._process.pid}")
+        folder = Path(f"/proc/{self._find().pid}")
         try:
             status = (folder / "status").read_text()
             links = list((folder / "fd").iterdir())
@@ -133,6 +135,62 @@
             self._said.append(line.strip())
 
 
+#: what a crowd does that never completes a request.
+ENDLESS_KINDS = (
+    "trailer line",
+    "short trailers",
+    "chunk extension",
+    "header line",
+    "tiny fields",
+    "unfinished bodies",
+    "trickling bodies",
+    "unfinished chunks",
+    "idle connections",
+)
+#: how many clients come at once, and for how long each crowd stays.
+COUNTS = (20, 150)
+STAYS_S = (0.5, 4.0)
+
+
+class CrowdSeries(threading.Thread):
+    """One crowd after the other at ports that are drawn, until it is closed.
+
+    :param ports: the ports.
+    :param draw: random generator.
+    :param options: of every crowd.
+    """
+
+    def __init__(self, ports: list[int], draw: random.Random, **options) -> None:
+        super().__init__(daemon=True)
+        self._ports = ports
+        self._draw = draw
+        self._options = options
+        self._is_closed = threading.Event()
+        self.crowds = 0
+
+    def run(self) -> None:
+        draw = self._draw
+        while not self._is_closed.is_set():
+            crowd = Crowd(
+                port=draw.choice(self._ports),
+                kind=draw.choice(ENDLESS_KINDS),
+                count=draw.randint(*COUNTS),
+                hold_s=draw.uniform(*STAYS_S),
+                **self._options,
+            )
+            crowd.start()
+            try:
+                crowd.wait_left()
+            finally:
+                crowd.close()
+            self.crowds += 1
+
+    def close(self) -> None:
+        """Let the last crowd leave."""
+        self._is_closed.set()
+        self.join()
+
+
 def send_ordinary(send) -> list[int]:
     """Send one ordinary request, again after a failure as clients do.
 
--- a/features/steps/untrusted_callers_steps.py
+++ b/features/steps/untrusted_callers_steps.py
@@ -53,7 +53,7 @@
     fleet = start_fleet(context, attrs.evolve(plan, sections=sections))
     context.router = fleet.routers[0]
     context.crowd_path = COMPLETIONS_PATH
-    context.watch = UsageWatch(context.router.program.process)
+    context.watch = UsageWatch(lambda: context.router.program.process)
     context.watch.start()
     context.add_cleanup(context.watch.close)
 
--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -56,7 +56,7 @@
     world = context.platform
     world.put_configuration()
     gateway = world.add_gateway(more=context.machine)
-    context.watch = UsageWatch(gateway.process)
+    context.watch = UsageWatch(lambda: gateway.process)
     context.watch.start()
     world.on_close.append(context.watch.close)
 
--- a/features/steps/whole_answers_world.py
+++ b/features/steps/whole_answers_world.py
@@ -365,8 +365,11 @@
     return replica
 
 
-def start_world(world, gateways, engines, next_answer, slack=200):
-    """Start gateways in front of engines and two plain replicas, all sound."""
+def start_world(world, gateways, engines, next_answer, slack=200, machine=""):
+    """Start gateways in front of engines and two plain replicas, all sound.
+
+    :param machine: settings of the gateways' machines, as lines of ``[gateway]``.
+    """
     for number in range(engines):
         add_engine(world, f"e{number}", next_answer)
     for number in range(2):
@@ -378,7 +381,7 @@
     world.put_configuration()
     world.name_weights(1)
     for _ in range(gateways):
-        world.add_gateway(wait=False, slack=slack)
+        world.add_gateway(wait=False, slack=slack, more=machine)
     for gateway in world.gateways:
         wait_until("the gateway is ready", gateway.is_ready, 60)
         wait_until("it lists replicas", lambda g=gateway: world.knows_replicas(g), 60)
