--- a/features/buffers.feature
+++ b/features/buffers.feature
@@ -50,3 +50,6 @@
     When client "huge" states a body of 300 KB
     Then client "huge" is refused with 413
     And nothing is held
+
+  Scenario: A reader that receives anything raises its own errors, and holds little
+    Then whatever is received gives requests or errors, and nothing is held afterwards
