Routers' status tells what callers make them hold

The gauges that gateways have for their buffers, in the status object of routers; a body that was begun counts whole, and no longer once its caller left.

--- a/features/steps/untrusted_callers_steps.py
+++ b/features/steps/untrusted_callers_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from crowd_world import Crowd, UsageWatch, send_ordinary
 from fleet_steps import HTTP, prompt_of, start_fleet
+from platform_world import wait_until
 
 from kumquatseam.bench import MODEL, FleetPlan
 from kumquatseam.settings import CallerSettings
@@ -20,6 +21,7 @@
 #: how long an engine takes for a token, so that the crowd's completions wait.
 TOKEN_MS = 300
 KEY = "key-alpha"
+KB = 1000
 COMPLETION = {"model": MODEL, "prompt": prompt_of(8), "max_tokens": 1}
 COMPLETIONS_PATH = "/v1/completions"
 LARGE_PATH = "/services/portal/large"
@@ -194,3 +196,32 @@
             received += data
     head, _, context.answer = received.partition(b"\r\n\r\n")
     context.status = int(head.split()[1])
+
+
+@when("one caller sends {sent_kb:d} KB of a body of {size_kb:d} KB, and waits")
+def step_part(context, sent_kb, size_kb):
+    context.held_before = _held_bytes(context)
+    address = ("127.0.0.1", context.router.port)
+    context.caller = socket.create_connection(address, 5)
+    context.add_cleanup(context.caller.close)
+    length = f"Content-Length: {size_kb * KB}"
+    head = f"POST {COMPLETIONS_PATH} HTTP/1.1\r\nHost: a\r\n{length}\r\n\r\n"
+    context.caller.sendall(head.encode() + b"x" * (sent_kb * KB))
+
+
+@then(
+    "the status tells that {size_kb:d} KB are held, "
+    "and nothing of it once the caller left"
+)
+def step_status_tells(context, size_kb):
+    def holds_body():
+        return _held_bytes(context) - context.held_before >= size_kb * KB
+
+    wait_until("the body is counted", holds_body)
+    context.caller.close()
+    wait_until("it is no longer", lambda: not holds_body())
+
+
+def _held_bytes(context) -> int:
+    status = HTTP.request("GET", f"{context.router.url}/kumquatseam/status").json()
+    return status["buffers"]["held_bytes"]
--- a/features/untrusted_callers.feature
+++ b/features/untrusted_callers.feature
@@ -63,3 +63,8 @@
     When a crowd of 150 callers sends idle connections
     Then an ordinary call is answered while they stay, and one after they left
     And the router lives, with at most 100 MB and 200 descriptors
+
+  Scenario: The status tells what callers make a router hold
+    Given a router with 100 MB and 600 descriptors
+    When one caller sends 100 KB of a body of 500 KB, and waits
+    Then the status tells that 500 KB are held, and nothing of it once the caller left
--- a/src/kumquatseam/callers/_interface.py
+++ b/src/kumquatseam/callers/_interface.py
@@ -63,7 +63,8 @@
     :param services: serves calls to plain services.
     :param refusals: records every refusal.
     :param figures: records request metrics.
-    :param read_status: returns the ``/kumquatseam/status`` object.
+    :param read_status: returns the ``/kumquatseam/status`` object, to which this adds
+        the buffers.
     """
 
     def __init__(
@@ -100,7 +101,10 @@
             method=_SERVICE_METHODS,
             callback=self._serve_service_call,
         )
-        self.app.get("/kumquatseam/status", callback=read_status)
+        self.app.get(
+            "/kumquatseam/status",
+            callback=lambda: {**read_status(), "buffers": self._server.read_buffers()},
+        )
         self.app.get("/health", callback=lambda: {"status": "ok"})
 
     @property
--- a/src/kumquatseam/callers/_server.py
+++ b/src/kumquatseam/callers/_server.py
@@ -60,6 +60,16 @@
         """The port on which it listens."""
         return self._server.port
 
+    def read_buffers(self) -> dict[str, int]:
+        """Return what callers make this process hold, and what that cost some."""
+        budget = self._buffers.budget
+        return {
+            "held_bytes": budget.used_bytes,
+            "limit_bytes": budget.limit_bytes,
+            "evicted": budget.evicted,
+            "refused": budget.refused,
+        }
+
     def start(self) -> None:
         """Listen and accept connections."""
         self._buffers.start()
