Tests: a crowd at a gateway without a path to the upstreams

Two gateways, the first cut from the replicas; 100 clients send it whole bodies of 1 MB (which the replica takes 3 s for), or read answers of 8 MB slowly.

--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 from crowd_world import Crowd, UsageWatch, send_ordinary
+from cut_proxy import RESET, CutProxy
 from platform_replica import RunShape
 from platform_steps import step_platform
 from platform_world import HTTP, KEY, wait_until
@@ -272,3 +273,66 @@
 
 def _seen(world):
     return [seen for replica in world.replicas.values() for seen in replica.seen]
+
+
+@given(
+    "{count:d} gateways with {memory_mb:d} MB and {descriptors:d} descriptors, "
+    "the first of them cut from the replicas"
+)
+def step_cut_gateway(context, count, memory_mb, descriptors):
+    _start_world(context, memory_mb, descriptors)
+    world = context.platform
+    world.add_replica("other", "p1")
+    proxies = []
+    for name, replica in world.replicas.items():
+        proxies.append(CutProxy(replica.address))
+        world.on_close.append(proxies[-1].close)
+        world.list_replica(name, address=proxies[-1].address)
+    world.put_configuration()
+    for _ in range(count):
+        world.add_gateway(more=context.machine)
+    wait_until("all know each other", world.all_know_each_other)
+    context.watches = [UsageWatch(lambda g=g: g.process) for g in world.gateways]
+    for watch in context.watches:
+        watch.start()
+        world.on_close.append(watch.close)
+    cut = world.gateways[0].process.pid
+    for proxy in proxies:
+        proxy.pids = [gateway.process.pid for gateway in world.gateways]
+        proxy.cut(cut, RESET)
+    wait_until("the other one carries", lambda: _is_carried(world))
+
+
+def _is_carried(world):
+    # A path counts as lost once two upstreams cannot be reached.
+    statuses = {world.send(path).status for path in (ORDINARY_PATH, CROWD_PATH)}
+    return statuses == {200}
+
+
+@given(
+    "the replica takes {work_s:d} seconds for each request of the crowd, "
+    "and answers with {size_mb:d} MB"
+)
+def step_slow_answers(context, work_s, size_mb):
+    step_slow_replica(context, work_s)
+    if size_mb:
+        context.platform.replicas["p1"].pieces = [b"x" * (size_mb * KB * KB)]
+
+
+@then("an ordinary request at the second one is answered while they stay, and later")
+def step_ordinary_second(context):
+    send = functools.partial(context.platform.send, ORDINARY_PATH, gateway=1)
+    during = send_ordinary(send)
+    context.crowd.wait_left()
+    after = send_ordinary(send)
+    assert (during[-1], after[-1]) == (200, 200), (during, after)
+
+
+@then("both live, with at most {memory_mb:d} MB and {count:d} descriptors")
+def step_usage_both(context, memory_mb, count):
+    most = [watch.close() for watch in context.watches]
+    print(most)
+    for gateway, used in zip(context.platform.gateways, most, strict=True):
+        assert gateway.process.poll() is None, gateway.process.returncode
+        assert used.memory_mb <= memory_mb, most
+        assert used.descriptors <= count, most
--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -104,3 +104,15 @@
       | ready    | unfinished bodies |
       | metrics  | idle connections  |
       | metrics  | header line       |
+
+  Scenario Outline: A crowd does not exceed the memory of a gateway that carries for another: <kind>
+    Given 2 gateways with 100 MB and 600 descriptors, the first of them cut from the replicas
+    And the replica takes 3 seconds for each request of the crowd, and answers with <size> MB
+    When 100 clients send <kind>
+    Then an ordinary request at the second one is answered while they stay, and later
+    And both live, with at most 100 MB and 600 descriptors
+
+    Examples:
+      | kind         | size |
+      | whole bodies | 0    |
+      | slow readers | 8    |
