Accept spaces behind the coding of a request in chunks

What callers saw: since a request with "Transfer-Encoding: chunked " (white space behind a field's value is legal) got 400; before, it was served.

Cause: the value was compared as the parser reports it, with the spaces behind it.

Evidence: truncated_heads.feature:86 and :88 (gateway's front, routers) failed before and pass; all of "ends early" and "No body of a call" pass. Calls in chunks are cut after any byte at routers as well now.

--- a/features/steps/truncated_requests_steps.py
+++ b/features/steps/truncated_requests_steps.py
@@ -21,6 +21,8 @@
     "a call with a body": HEAD % b"POST" + b"Content-Length: 10\r\n\r\nten bytes.",
     "a call in chunks": HEAD % b"POST"
     + b"Transfer-Encoding: chunked\r\n\r\n0a\r\nten bytes.\r\n0\r\n\r\n",
+    "a call in chunks, with spaces behind its coding": HEAD % b"POST"
+    + b"Transfer-Encoding: Chunked  \r\n\r\n0a\r\nten bytes.\r\n0\r\n\r\n",
 }
 #: ways to end a connection.
 ENDS = ("closed", "half closed", "reset")
--- a/features/truncated_heads.feature
+++ b/features/truncated_heads.feature
@@ -83,6 +83,9 @@
       | a gateway's front          | a call without a body |
       | a gateway's front          | a call with a body    |
       | a gateway's front          | a call in chunks      |
+      | a gateway's front          | a call in chunks, with spaces behind its coding |
+      | a server of own interfaces | a call in chunks      |
+      | a server of own interfaces | a call in chunks, with spaces behind its coding |
 
   Scenario Outline: No part of an answer is whole whose head tells <framing>
     Given a server whose answers' heads tell <framing>
--- a/src/kumquatseam/http1/_request_reader.py
+++ b/src/kumquatseam/http1/_request_reader.py
@@ -306,7 +306,7 @@
             message.expected_bytes = int(value)
         elif name == b"transfer-encoding":
             # Others would be lost on the way to an upstream.
-            if message.is_chunked or value.lower() != b"chunked":
+            if message.is_chunked or value.strip().lower() != b"chunked":
                 raise ValueError("transfer coding is not supported")
             message.is_chunked = True
 
