--- a/features/steps/crowd_world.py
+++ b/features/steps/crowd_world.py
@@ -23,6 +23,8 @@
 #: away; clients then try another gateway, and here there is only one.
 RETRY_PAUSE_S = 1.0
 _POLL_S = 0.05
+#: as the machines' memory is stated.
+_MB = 1_000_000
 #: descriptors of standard output and error.
 _LOGS = ("1", "2")
 
@@ -78,10 +80,10 @@
             return
         peaks = [line for line in status.splitlines() if line.startswith("VmHWM:")]
         for line in peaks:
-            peak_mb = int(line.split()[1]) / 1024
+            peak_mb = int(line.split()[1]) * 1024 / _MB
             self.most.memory_mb = max(self.most.memory_mb, peak_mb)
         self.most.descriptors = max(self.most.descriptors, len(links))
-        files_mb = sum(_file_bytes(e) for e in links if e.name not in _LOGS) / 1024**2
+        files_mb = sum(_file_bytes(e) for e in links if e.name not in _LOGS) / _MB
         self.most.files_mb = max(self.most.files_mb, files_mb)
 
 
