Log callers of a router that did not receive their response

A caller that left, or was closed since it received too slowly, ended a response without a line in the router's log. The new scenario of untrusted_callers.feature failed before.

--- a/features/steps/untrusted_callers_steps.py
+++ b/features/steps/untrusted_callers_steps.py
@@ -7,7 +7,7 @@
 import attrs
 from behave import given, then, when
 from crowd_world import Crowd, UsageWatch, send_ordinary
-from fleet_steps import HTTP, prompt_of, start_fleet
+from fleet_steps import HTTP, post_completion, prompt_of, start_fleet
 from platform_world import wait_until
 
 from kumquatseam.bench import MODEL, FleetPlan
@@ -225,3 +225,20 @@
 def _held_bytes(context) -> int:
     status = HTTP.request("GET", f"{context.router.url}/kumquatseam/status").json()
     return status["buffers"]["held_bytes"]
+
+
+@when("one caller leaves in the middle of a stream")
+def step_leave(context):
+    response = post_completion(context, KEY, prompt_of(8), stream=True, max_tokens=20)
+    assert response.status == 200, response.status
+    response.read(1)
+    response.close()
+
+
+@then("the router's log tells that its response was not received")
+def step_log_tells(context):
+    said = f"Response to a request of {COMPLETIONS_PATH} not received"
+    wait_until(
+        "the log tells it",
+        lambda: any(said in line for line in context.router.log_lines("callers")),
+    )
--- a/features/untrusted_callers.feature
+++ b/features/untrusted_callers.feature
@@ -68,3 +68,8 @@
     Given a router with 100 MB and 600 descriptors
     When one caller sends 100 KB of a body of 500 KB, and waits
     Then the status tells that 500 KB are held, and nothing of it once the caller left
+
+  Scenario: A router's log tells of a caller that did not receive its response
+    Given a router with 100 MB and 600 descriptors
+    When one caller leaves in the middle of a stream
+    Then the router's log tells that its response was not received
--- a/src/kumquatseam/callers/_wsgi.py
+++ b/src/kumquatseam/callers/_wsgi.py
@@ -54,7 +54,9 @@
             for data in result:
                 response.send(data)
             response.finish()
-        except CallerDisconnectedError:
+        except CallerDisconnectedError as error:
+            path = request.path
+            _log.info("Response to a request of {} not received: {}.", path, error)
             raise
         except Exception:  # noqa: BLE001 - logged; the caller still gets a response
             _log.exception("Serving failed unexpectedly.")
