--- a/src/kumquatseam/callers/_interface.py
+++ b/src/kumquatseam/callers/_interface.py
@@ -142,7 +142,7 @@
         except CallerError as error:
             return self._reject_call(request_id, error)
         try:
-            _charge_text(request.environ[ACCOUNT_KEY], call.prompt, body)
+            _replace_body(request.environ[ACCOUNT_KEY], call.prompt, body)
         except BufferLimitError as error:
             return self._refuse(request_id, call.team.name, call.model, error)
         _log.info(
@@ -278,10 +278,12 @@
         return failure_response(error)
 
 
-def _charge_text(account: BufferAccount, prompt: str, body: bytearray) -> None:
-    """Charge what a completion takes beside its body, in place of which it is held.
+def _replace_body(account: BufferAccount, prompt: str, body: bytearray) -> None:
+    """Let go of a completion's body, and charge what is held in its place.
 
-    :raises BufferLimitError: if there is no memory for it.
+    The charge for the body stays and covers one of the copies.
+
+    :raises BufferLimitError: if there is no memory for the others.
     """
     body_bytes = len(body)
     body.clear()
--- a/src/kumquatseam/callers/_server.py
+++ b/src/kumquatseam/callers/_server.py
@@ -14,7 +14,7 @@
 from kumquatseam.http1 import RequestLimits
 from kumquatseam.settings import CallerSettings
 
-#: what a completion takes, as a multiple of its body: as text, as it is sent to an
+#: what a completion takes, as a multiple of its body: its text, the request to an
 #: engine, and the keys of its blocks.
 COMPLETION_COPIES = 4
 #: seconds between two looks at the connections that are still open.
