--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -117,7 +117,11 @@
             stdout=self._log,
             stderr=self._log,
         )
-        wait_until("the store answers", self._answers)
+        try:
+            wait_until("the store answers", self._answers)
+        except NotRunError:
+            self.close()
+            raise
 
     def append(self, topic: str, key: str, value: bytes) -> None:
         """Append a record to a keyed topic."""
@@ -659,10 +663,10 @@
             Gateway(self.temporary, f"front-{i + 1}", self.store.port, **bounds)
             for i in range(count)
         ]
+        self.gateways += made
         for gateway in made:
             gateway.write_settings(seeds=[g.control_address for g in made][:3])
             gateway.start()
-        self.gateways += made
         for gateway in made:
             wait_until(f"{gateway.name} is ready", gateway.is_ready)
             for replica in self.replicas:
