--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A model replica fails a resumable stream with a large body that does not end whole."""
+"""A model replica fails a resumable stream with a body that does not end whole."""
 
 import sys
 import time
@@ -55,7 +55,7 @@
 
 
 def prompt(number: int) -> dict:
-    """Return the headers of a conversation of its own, so that each replica gets some."""
+    """Return the headers of a conversation of its own; each replica gets some."""
     prefix = f"5c1e{number:04x}:800,e4402b{number:02x}:250"
     return {**STREAM_HEADERS, "X_Prompt_Prefix": prefix}
 
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -91,7 +91,7 @@
     """What was sent, answered and run, in order; written to ``record.txt``."""
 
     def __init__(self, folder: Path) -> None:
-        self._file = open(folder / "record.txt", "w", encoding="utf-8")
+        self._file = open(folder / "record.txt", "w", encoding="utf-8")  # noqa: SIM115
         self._lock = threading.Lock()
         self._began_s = time.monotonic()
 
@@ -108,7 +108,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.port = free_port()
-        self._log = open(folder / "store.log", "wb")
+        self._log = open(folder / "store.log", "wb")  # noqa: SIM115
         self._process = subprocess.Popen(
             [sys.executable, "-S", "-m", "kumquatseam.cli", "standin", "log"]
             + [str(self.port)],
@@ -449,9 +449,7 @@
     """Answer as a sound replica: a stream of events, or one body."""
     if replica.service != "engines":
         body = f"body for {request.request_id} by {replica.replica_id}".encode()
-        head = head_of(
-            request, replica.replica_id, 200, f"Content-Length: {len(body)}"
-        )
+        head = head_of(request, replica.replica_id, 200, f"Content-Length: {len(body)}")
         connection.sendall(head + body)
         return True
     send_stream(replica, connection, request, events=6, pause_s=0.05)
@@ -534,7 +532,13 @@
         self.socket = socket.create_connection(("127.0.0.1", gateway.front_port), 2.0)
 
     def send(
-        self, request_id, path, method="POST", body=b"question", deadline_ms=5000, **more
+        self,
+        request_id,
+        path,
+        method="POST",
+        body=b"question",
+        deadline_ms=5000,
+        **more,
     ) -> None:
         """Send a request."""
         lines = [
