Log which upstream began the response that a caller has

"Answered." named the status of the last upstream, and "Request cut." the one that ran the request last. Neither told whose head the caller has, so a response that an upstream began and another one ended looked like a sound 200. Both lines, and explain, now name the upstream and status that began it.

A stream was appended to a response that had begun as a failure.

explain.feature, "cut after it had begun": fails without the change (no begun_by), passes with it.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -15,6 +15,12 @@
     And the explanation of "lost-2" contains "p0@1700000000000: "
     And the explanation of "lost-2" contains "accepted, and cut by its upstream"
 
+  Scenario: A request whose response was cut after it had begun
+    Given a gateway in front of 1 plain replica
+    When request "lost-3" is sent to a replica that breaks off a large body
+    Then the explanation of "lost-3" contains "its response had begun with status 200 at upstream p0@1700000000000"
+    And the explanation of "lost-3" contains "connection closed"
+
   Scenario: A slow request
     Given a gateway in front of 1 engines that stream 5 events
     When request "slow-1" is streamed
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -24,6 +24,13 @@
         context.platform.send(request_id=request_id)
 
 
+@when('request "{request_id}" is sent to a replica that breaks off a large body')
+def step_broken_off(context, request_id):
+    context.platform.replicas["p0"].script.append("large break")
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        context.platform.send(request_id=request_id)
+
+
 @when('request "{request_id}" is streamed')
 def step_streamed(context, request_id):
     world = context.platform
--- a/src/kumquatseam/explain/_explanation.py
+++ b/src/kumquatseam/explain/_explanation.py
@@ -111,10 +111,16 @@
 
 def _cut_cause(cut: LogLine) -> str:
     fields = cut.fields
-    began = "its response had begun" if fields.get("has_begun") else "no response begun"
+    began = "no response begun"
+    if fields.get("has_begun"):
+        began = (
+            f"its response had begun with status {fields.get('begun_status')} "
+            f"at upstream {fields.get('begun_by')}"
+        )
     return (
         f"accepted, and cut by {_CUT_BY.get(str(fields.get('by')), fields.get('by'))} "
-        f"({began}; upstream {fields.get('upstream')}; {fields.get('detail')}); "
+        f"({began}; last upstream {fields.get('upstream')}; "
+        f"{fields.get('detail')}); "
         f"configuration {fields.get('configuration')}, "
         f"{fields.get('configuration_in_force')} in force; "
         f"weights {fields.get('weights')}, {fields.get('weights_named')} named"
@@ -136,7 +142,10 @@
 
 def _answer_cause(last: LogLine, own: list[LogLine]) -> str:
     fields = last.fields
-    text = f"answered with {fields.get('status')} after {fields.get('took_s')} s"
+    text = (
+        f"answered with {fields.get('status')} of {fields.get('begun_by')} "
+        f"after {fields.get('took_s')} s"
+    )
     if fields.get("first_event_s") is not None:
         text += f", first event after {round(float(fields['first_event_s']), 3)} s"
     placed = [line for line in own if line.event == "Placed."]
--- a/src/kumquatseam/gateway/_cuts.py
+++ b/src/kumquatseam/gateway/_cuts.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from kumquatseam.gateway._begun_response import BegunResponse
+
 
 class CutBy(enum.Enum):
     """Who ended an accepted request."""
@@ -39,7 +41,7 @@
     :param upstream: the incarnation that ran it last.
     :param version: version of the weights that it ran on, if any.
     :param attempts: how often it was sent to an upstream.
-    :param has_begun: whether the caller had received part of a response.
+    :param begun: the response that the caller had received a part of, if any.
     :param silent_s: time since the last event of a stream, if there was one.
     """
 
@@ -48,5 +50,5 @@
     upstream: str = ""
     version: int | None = None
     attempts: int = 0
-    has_begun: bool = False
+    begun: BegunResponse | None = None
     silent_s: float | None = None
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -145,7 +145,7 @@
             placement.status.upstream.incarnation_id if placement else "",
             placement.version if placement else None,
             self._progress.attempts,
-            self._caller.has_started_response,
+            self._forwarder.begun,
             self._times.silent_s,
         )
 
@@ -443,9 +443,11 @@
             self._permission.note_answered()
         else:
             self._permission.note_refused()
+        begun = self._forwarder.begun
         _log.bind(
             request=self._job.call.request_id,
-            status=head.status,
+            status=begun.head.status,
+            begun_by=begun.upstream,
             framing=head.framing.value,
             attempts=self._progress.attempts,
             refusals=self._progress.refusals,
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -7,6 +7,7 @@
 import attrs
 
 from kumquatseam.buffers import BufferLimitError
+from kumquatseam.gateway._begun_response import BegunResponse
 from kumquatseam.gateway._call import ResponseTraits
 from kumquatseam.gateway._caller import CallerConnection, CallerTooSlowError
 from kumquatseam.gateway._continuation import Continuation
@@ -70,6 +71,11 @@
     sent_request: SentRequest | None
     is_released: bool = False
 
+    @property
+    def incarnation_id(self) -> str:
+        """The incarnation that responds."""
+        return self.placement.status.upstream.incarnation_id
+
     def release(self, pool: ConnectionPool) -> None:
         """Return the connection of a response that was read to its end."""
         self.is_released = True
@@ -111,6 +117,8 @@
         self._events = events
         self._times = times
         self._buffer = ResponseBuffer(caller.account)
+        #: the response that the caller has received a part of, if any.
+        self.begun: BegunResponse | None = None
 
     def body_until_s(self) -> float:
         """Return until when the next bytes of a response must arrive."""
@@ -167,6 +175,7 @@
         """Send a complete response; return whether the connection stays open."""
         keep = self._may_keep()
         fields = self._fields(response.head, keep)
+        self.begun = BegunResponse(response.upstream, response.head)
         self._caller.send_response(response.head.status, fields, response.body)
         return keep
 
@@ -180,13 +189,14 @@
             # Not kept while more is awaited.
             del data
         response.release(self._parts.pool)
-        buffered = BufferedResponse(response.head, body)
+        buffered = BufferedResponse(response.incarnation_id, response.head, body)
         if response.head.status >= 500 and may_retry:
             raise RetryableFailureError(buffered)
         return self.send_buffered(buffered)
 
     def _forward_large(self, response: UpstreamResponse, first: bytearray) -> bool:
         head, keep = response.head, self._may_keep()
+        self.begun = BegunResponse(response.incarnation_id, head)
         self._caller.start_response(
             head.status, self._fields(head, keep), head.length_bytes, first
         )
@@ -232,6 +242,7 @@
         self._log_end(response, is_whole=True)
         self._send_events(response, keep, self._events.flush())
         if not self._caller.has_started_response:
+            self.begun = BegunResponse(response.incarnation_id, response.head)
             self._caller.start_response(200, self._fields(response.head, keep), None)
         self._caller.finish_response()
         if self._continuation.may_reuse(response.placement, response.connection):
@@ -303,7 +314,7 @@
         )
         _log.bind(
             request=self._job.call.request_id,
-            upstream=response.placement.status.upstream.incarnation_id,
+            upstream=response.incarnation_id,
             framing=response.head.framing.value,
             partial_bytes=self._events.partial_bytes,
             is_whole=is_whole,
@@ -318,6 +329,7 @@
         if self._caller.has_started_response:
             self._caller.send_body(data)
             return
+        self.begun = BegunResponse(response.incarnation_id, response.head)
         fields = self._fields(response.head, keep)
         self._caller.start_response(response.head.status, fields, None, data)
         self._parts.metrics.record_first_event(
--- a/src/kumquatseam/gateway/_outcomes.py
+++ b/src/kumquatseam/gateway/_outcomes.py
@@ -40,10 +40,12 @@
 class BufferedResponse:
     """A completely received response of an upstream.
 
+    :param upstream: the incarnation that sent it.
     :param head: its status line and headers.
     :param body: its complete body.
     """
 
+    upstream: str
     head: ResponseHead
     body: bytes | bytearray
 
