Forward streams and bodies in modules of their own

ResponseForwarder began the caller's response at four places, of two kinds: whole events of a stream, and bytes of one upstream's body. The two now have a module each, and one owner of what the caller has received: CallerResponse sends the head, and keeps who began the response (BegunResponse).

No behaviour changes, but that a stream is closed after a stop that began between its head and its first event only if its caller was told so.

--- a/features/steps/begun_responses_steps.py
+++ b/features/steps/begun_responses_steps.py
@@ -10,7 +10,7 @@
 
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.gateway._caller import CallerConnection
-from kumquatseam.gateway._forwarding import STREAM_IDLE_TIMEOUT_S
+from kumquatseam.gateway._upstream_response import STREAM_IDLE_TIMEOUT_S
 
 FAULTS = {
     ("stream", "is silent in the middle"): "silence",
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -15,7 +15,7 @@
 from kumquatseam.gateway._events import EventSplitter
 from kumquatseam.gateway._failure import FailureResponse
 from kumquatseam.gateway._first_event_wait import FirstEventWait
-from kumquatseam.gateway._forwarding import ResponseForwarder, UpstreamResponse
+from kumquatseam.gateway._forwarding import ResponseForwarder
 from kumquatseam.gateway._grants import AttemptGrants
 from kumquatseam.gateway._job import Job
 from kumquatseam.gateway._outcomes import (
@@ -31,6 +31,7 @@
 from kumquatseam.gateway._response_notes import ResponseNotes
 from kumquatseam.gateway._run_guard import RunGuard
 from kumquatseam.gateway._upstream_choice import UpstreamChoice
+from kumquatseam.gateway._upstream_response import UpstreamResponse
 from kumquatseam.http1 import (
     CallerDisconnectedError,
     ConnectFailedError,
@@ -367,7 +368,6 @@
         in_flight_request.note_answering()
         traits = dialect.read_response(head)
         self._notes.record(placement.status, head, traits, self._sent_elapsed_s)
-        wait.until_s = self._forwarder.body_until_s()
         response = self._response = UpstreamResponse(
             placement,
             connection,
@@ -377,6 +377,7 @@
             in_flight_request,
             self._sent_request,
         )
+        response.limit_silence(job)
         if head.status != 200:
             wait.note_first_event()
         if traits.is_not_run:
