--- /dev/null
+++ b/features/begun_bodies.feature
@@ -0,0 +1,43 @@
+Feature: A body that has begun is not continued by another upstream
+  Guards against a response that is no stream being taken for one that can be resumed:
+  it was filled up with the events of another replica, and looked complete.
+
+  Scenario Outline: <status> with a large body in <framing> that <end>, where streams can be resumed
+    Given a gateway in front of 3 engines whose streams can be resumed
+    When a caller's request gets <status> with a body in <framing> that <end>
+    Then the caller has the beginning of that response, and its connection is closed
+    And 1 engine got the request
+    And the gateway's log names that engine and status <status> as the beginning
+
+    Examples:
+      | status | framing        | end                           |
+      | 500    | a length       | breaks off                    |
+      | 500    | a length       | is reset                      |
+      | 500    | a length       | falls silent                  |
+      | 500    | chunks         | breaks off                    |
+      | 500    | chunks         | is reset                      |
+      | 500    | chunks         | goes on with what is no chunk |
+      | 500    | chunks         | has no end                    |
+      | 500    | its connection | is reset                      |
+      | 201    | chunks         | breaks off                    |
+      | 302    | a length       | is reset                      |
+      | 400    | chunks         | falls silent                  |
+      | 404    | a length       | breaks off                    |
+
+  Scenario: A body that breaks off in the second attempt
+    Given a gateway in front of 3 engines whose streams can be resumed
+    When the first engine resets its connection, and the second one's body breaks off
+    Then the caller has the beginning of that response, and its connection is closed
+    And 2 engines got the request
+
+  Scenario: A small body that breaks off while there is no memory to hold it
+    Given a gateway with little memory in front of 3 engines whose streams can be resumed
+    When a caller's request gets 500 with a small body that breaks off
+    Then the caller has the beginning of that response, and its connection is closed
+    And 1 engine got the request
+
+  Scenario: A body whose carrier is killed while the path to the engines comes back
+    Given 3 gateways in front of 2 engines and 2 plain replicas, each behind a proxy
+    When a body is sent to a gateway that is cut from them, and what carries it is killed
+    Then the caller has the beginning of that response, and its connection is closed
+    And 1 engine got the request
--- a/features/begun_responses.feature
+++ b/features/begun_responses.feature
@@ -30,6 +30,9 @@
       | a body before a head                   |
       | a body behind a complete response      |
       | the end of a response, twice           |
+      | events in a body                       |
+      | a body in a stream                     |
+      | events behind a complete response      |
 
   Scenario: A request that cannot be read is answered behind a complete response
     Given a gateway in front of 2 plain replicas
--- /dev/null
+++ b/features/steps/begun_bodies_steps.py
@@ -0,0 +1,173 @@
+"""Steps for bodies that begin and do not end."""
+
+import collections
+import os
+import signal
+import socket
+import threading
+import time
+
+from begun_responses_steps import HEAD, LAST_CHUNK, encode_request, receive
+from behave import given, then, when
+from partial_body import FILLER, PartialBody
+from platform_steps import step_platform
+from platform_world import wait_until
+from upstream_wishes_steps import cut_gateways
+
+REQUEST_ID = "begun"
+DEADLINE_S = 3.0
+#: until a connection is closed, beside any load.
+CLOSE_S = 12.0
+#: more than a gateway with little memory holds, less than others do.
+SMALL_BYTES = 100_000
+
+
+@given("a gateway in front of {count:d} engines whose streams can be resumed")
+def step_gateway(context, count, more=""):
+    step_platform(context)
+    world = context.platform
+    # One script for all: the faults come in the order in which they are asked.
+    context.script = collections.deque()
+    for number in range(count):
+        replica = world.add_replica("engines", f"e{number}", version=1)
+        replica.script = context.script
+    world.add_route(
+        "/resume/",
+        "stream",
+        "engines",
+        resumable=True,
+        timeoutMs=8000,
+        maxAttempts=count,
+    )
+    world.put_configuration()
+    world.name_weights(1)
+    world.add_gateway(more=more)
+
+
+@given(
+    "a gateway with little memory in front of {count:d} engines whose streams can be "
+    "resumed"
+)
+def step_small_gateway(context, count):
+    step_gateway(context, count, more="memory_mb = 1")
+    world = context.platform
+    wait_until(
+        "its buffers are small",
+        lambda: world.metric(world.gateways[0], "buffer_bytes_limit") < SMALL_BYTES,
+    )
+
+
+def _ask(context):
+    """Send a request to the first gateway, and keep all that its caller receives."""
+    port = context.platform.gateways[0].ports["front"]
+    headers = context.platform.stream_headers()
+    with socket.create_connection(("127.0.0.1", port), 2) as connection:
+        head = encode_request(DEADLINE_S, headers, REQUEST_ID)
+        connection.sendall(b"POST /resume/x HTTP/1.1\r\n" + head)
+        context.received, context.is_closed = receive(
+            connection, time.monotonic() + CLOSE_S
+        )
+
+
+@when("a caller's request gets {status:d} with a body in {framing} that {end}")
+def step_partial(context, status, framing, end):
+    context.script.append(PartialBody(status, framing, end))
+    _ask(context)
+
+
+@when("a caller's request gets {status:d} with a small body that {end}")
+def step_small(context, status, end):
+    context.script.append(PartialBody(status, "a length", end, SMALL_BYTES))
+    _ask(context)
+
+
+@when("the first engine resets its connection, and the second one's body breaks off")
+def step_second(context):
+    context.script.extend(["reset", PartialBody(500, "chunks", "breaks off")])
+    _ask(context)
+
+
+@when(
+    "a body is sent to a gateway that is cut from them, and what carries it is killed"
+)
+def step_carried(context):
+    world = context.platform
+    cut_gateways(context, 1)
+    for name in ("e0", "e1"):
+        world.replicas[name].script.append(PartialBody(500, "chunks", "falls silent"))
+    asking = threading.Thread(target=_ask, args=(context,))
+    asking.start()
+    (sent,) = wait_until("an engine got the request", lambda: _asked(context))
+    # The other one would serve.
+    for name in ("e0", "e1"):
+        world.replicas[name].script.clear()
+    wait_until("the body was begun", lambda: sent.ran)
+    time.sleep(0.3)
+    for proxy in context.proxies:
+        proxy.heal()
+    owners = {port: pid for p in context.proxies for port, pid in p.owners.items()}
+    os.kill(owners[sent.peer_port], signal.SIGKILL)
+    asking.join()
+
+
+def _asked(context):
+    """Return the requests that reached engines."""
+    return [
+        seen
+        for replica in context.platform.replicas.values()
+        for seen in replica.seen
+        if seen.headers.get("X-Request-Id") == REQUEST_ID
+    ]
+
+
+@then("the caller has the beginning of that response, and its connection is closed")
+def step_beginning(context):
+    received = context.received
+    assert received.startswith(HEAD), received[:200]
+    assert received.count(HEAD) == 1, received[received.rindex(HEAD) :][:200]
+    head, _, body = received.partition(b"\r\n\r\n")
+    fields = dict(
+        line.lower().split(b": ", 1) for line in head.splitlines()[1:] if line
+    )
+    if b"content-length" in fields:
+        content = body
+        is_complete = len(body) >= int(fields[b"content-length"])
+    else:
+        content, is_complete = _chunks(body)
+    assert content, "nothing of the body"
+    assert not content.strip(FILLER), content.strip(FILLER)[:200]
+    assert not is_complete, "complete"
+    assert context.is_closed, "still open"
+
+
+def _chunks(body):
+    """Return the content of chunks, and whether the last one is among them."""
+    content = b""
+    while body:
+        if body.startswith(LAST_CHUNK):
+            return content, True
+        size, _, body = body.partition(b"\r\n")
+        content += body[: int(size, 16)]
+        body = body[int(size, 16) + 2 :]
+    return content, False
+
+
+@then("{count:d} engine got the request")
+@then("{count:d} engines got the request")
+def step_asked(context, count):
+    assert len(_asked(context)) == count, _asked(context)
+
+
+@then(
+    "the gateway's log names that engine and status {status:d} as the beginning",
+)
+def step_logged(context, status):
+    gateway = context.platform.gateways[0]
+    (cut,) = wait_until(
+        "the end is logged",
+        lambda: [d for d in gateway.lines() if d["event"] == "Request cut."],
+    )
+    (asked,) = _asked(context)
+    names = {name for name, r in context.platform.replicas.items() if asked in r.seen}
+    assert {cut["begun_by"].partition("@")[0]} == names, cut
+    assert cut["begun_status"] == status, cut
--- a/features/steps/begun_responses_steps.py
+++ b/features/steps/begun_responses_steps.py
@@ -48,10 +48,11 @@
     script.extend(["fail", FAULTS[kind, ends]])
 
 
-def _request(deadline_s, headers=()):
+def encode_request(deadline_s, headers=(), request_id="begun"):
+    """Return the header fields of a request, as sent."""
     fields = {
         "Host": "a.example",
-        "X-Request-Id": "begun",
+        "X-Request-Id": request_id,
         "X-Deadline-Ms": int(deadline_s * 1000),
         "Authorization": f"Token {KEY}",
         "Content-Length": 0,
@@ -61,7 +62,7 @@
     return lines.encode() + b"\r\n"
 
 
-def _receive(connection, until_s):
+def receive(connection, until_s):
     """Return what arrives until the connection is closed, and whether it was."""
     received = b""
     while (left_s := until_s - time.monotonic()) > 0:
@@ -78,7 +79,7 @@
     return received, False
 
 
-def _connect(context):
+def connect(context):
     port = context.platform.gateways[0].ports["front"]
     return socket.create_connection(("127.0.0.1", port), 2)
 
@@ -86,10 +87,12 @@
 @when("a caller sends a request that may take {deadline_s:f} seconds")
 def step_send(context, deadline_s):
     headers = context.platform.stream_headers() if context.is_stream else {}
-    with _connect(context) as connection:
+    with connect(context) as connection:
         context.began_s = time.monotonic()
-        connection.sendall(b"POST /call/x HTTP/1.1\r\n" + _request(deadline_s, headers))
-        context.received, context.is_closed = _receive(connection, time.monotonic() + 9)
+        connection.sendall(
+            b"POST /call/x HTTP/1.1\r\n" + encode_request(deadline_s, headers)
+        )
+        context.received, context.is_closed = receive(connection, time.monotonic() + 9)
     context.took_s = time.monotonic() - context.began_s
 
 
@@ -172,6 +175,18 @@
         lambda caller: (caller.start_response(200, [], None), caller.finish_response()),
         lambda caller: caller.finish_response(),
     ),
+    "events in a body": (
+        lambda caller: caller.start_response(500, [], 10, b"first"),
+        lambda caller: caller.send_events(b"data: a\n\n"),
+    ),
+    "a body in a stream": (
+        lambda caller: caller.start_events(200, [], b"data: a\n\n"),
+        lambda caller: caller.send_body(b"more"),
+    ),
+    "events behind a complete response": (
+        lambda caller: (caller.start_events(200, []), caller.finish_response()),
+        lambda caller: caller.send_events(b"data: a\n\n"),
+    ),
 }
 
 
@@ -195,14 +210,14 @@
 
 @when("a caller sends a request, and bytes that are none on the same connection")
 def step_send_invalid(context):
-    with _connect(context) as connection:
-        connection.sendall(b"POST /safe/x HTTP/1.1\r\n" + _request(2.0))
+    with connect(context) as connection:
+        connection.sendall(b"POST /safe/x HTTP/1.1\r\n" + encode_request(2.0))
         until_s = time.monotonic() + 3
         context.received = b""
         while b"whole" not in context.received and time.monotonic() < until_s:
             context.received += connection.recv(65_536)
         connection.sendall(b"\x00\x01 no request\r\n\r\n")
-        rest, context.is_closed = _receive(connection, until_s)
+        rest, context.is_closed = receive(connection, until_s)
         context.received += rest
 
 
--- /dev/null
+++ b/features/steps/partial_body.py
@@ -0,0 +1,87 @@
+"""Responses of a replica whose body ends before it is complete."""
+
+import contextlib
+import socket
+import time
+
+import attrs
+
+#: what the bodies consist of; no event does.
+FILLER = b"x"
+#: bytes of a body that are sent at once, in pieces of ``PIECE_BYTES``.
+PIECE_BYTES = 8_192
+PIECE_PAUSE_S = 0.01
+#: time in which what was sent on the loopback device has been read.
+READ_S = 0.2
+#: length that a body is said to have beyond what is sent of it.
+MISSING_BYTES = 100
+#: limit on waiting for the other end, beside any load.
+WAIT_S = 20.0
+
+
+@attrs.frozen
+class PartialBody:
+    """A response that begins soundly, for a replica's script.
+
+    :param status: its status.
+    :param framing: ``a length``, ``chunks`` or ``its connection``.
+    :param end: how the body ends; see :meth:`_end`.
+    :param sent_bytes: how much of the body is sent before that.
+    """
+
+    status: int
+    framing: str
+    end: str
+    sent_bytes: int = 300_000
+
+    def send(self, http, headers):
+        """Send it, and end the connection."""
+        http.close_connection = True
+        http.connection.settimeout(WAIT_S)
+        with contextlib.suppress(OSError):
+            self._send_head(http, headers)
+            for _ in range(0, self.sent_bytes, PIECE_BYTES):
+                self._send_piece(http)
+            self._end(http)
+
+    def _send_head(self, http, headers):
+        http.send_response(self.status)
+        framing = {
+            "a length": {"Content-Length": str(self._length_bytes)},
+            "chunks": {"Transfer-Encoding": "chunked"},
+            "its connection": {},
+        }
+        for name, value in {**headers, **framing[self.framing]}.items():
+            http.send_header(name, value)
+        http.end_headers()
+
+    @property
+    def _length_bytes(self) -> int:
+        pieces = -(-self.sent_bytes // PIECE_BYTES)
+        return pieces * PIECE_BYTES + MISSING_BYTES
+
+    def _send_piece(self, http):
+        data = FILLER * PIECE_BYTES
+        if self.framing == "chunks":
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        http.connection.sendall(data)
+
+    def _end(self, http):
+        match self.end:
+            case "breaks off":
+                http.connection.shutdown(socket.SHUT_WR)
+            case "is reset":
+                # A reset discards what the other end has not read.
+                time.sleep(READ_S)
+                http.connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+                )
+                http.connection.close()
+            case "goes on with what is no chunk":
+                http.connection.sendall(b"no size\r\n")
+            case "falls silent":
+                http.connection.recv(1)
+            case "has no end":
+                while True:
+                    self._send_piece(http)
+                    time.sleep(PIECE_PAUSE_S)
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -18,6 +18,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 import attrs
+from partial_body import PartialBody
 from platform_moves import ReplicaMoves
 
 SIGNATURE = "3e1b.07.5a2"
@@ -494,7 +495,9 @@
             self.crash()
             return
         self._cache_prompt(http)
-        if fault == "reset":
+        if isinstance(fault, PartialBody):
+            fault.send(http, headers)
+        elif fault == "reset":
             self._reset(http)
         elif fault == "hang":
             self._hang(http, seen)
--- a/src/kumquatseam/callers/_wsgi.py
+++ b/src/kumquatseam/callers/_wsgi.py
@@ -113,14 +113,14 @@
         """Send a piece of the body."""
         if not data or not self._has_body:
             return
-        if self._caller.has_started_response:
+        if self._caller.phase.has_begun:
             self._caller.send_body(data)
         else:
             self._begin(data)
 
     def finish(self) -> None:
         """End the response."""
-        if not self._caller.has_started_response:
+        if not self._caller.phase.has_begun:
             # Its body has no bytes, but that to HEAD has a length.
             self._length_bytes = self._length_bytes or 0
             self._begin(b"")
@@ -129,7 +129,7 @@
     def fail(self) -> None:
         """End a response that the application did not finish."""
         self.keeps_connection = False
-        if not self._caller.has_started_response:
+        if not self._caller.phase.has_begun:
             body = json.dumps(error_body("internal_error", "internal error")).encode()
             fields = [_JSON_TYPE, (b"Connection", b"close")]
             self._caller.send_response(_FAILED, fields, body)
--- a/src/kumquatseam/gateway/_caller.py
+++ b/src/kumquatseam/gateway/_caller.py
@@ -1,12 +1,12 @@
 """The connection to a caller: send responses, detect a disconnect."""
 
-import enum
 import socket
 
 import gevent
 
 from kumquatseam.buffers import BufferAccount, BufferBudget, BufferLimitError
 from kumquatseam.errors import KumquatseamError
+from kumquatseam.gateway._response_phase import ResponsePhase
 from kumquatseam.http1 import (
     MAX_JOINED_BYTES,
     CallerDisconnectedError,
@@ -30,17 +30,11 @@
     """A head, body or end of a response was to be sent out of its order."""
 
 
-class _ResponseState(enum.Enum):
-    NOT_STARTED = "not started"
-    STARTED = "started"
-    COMPLETE = "complete"
-
-
 class CallerConnection:
     """A caller's socket, and the framing of the current response.
 
-    Each request gets one response: whoever sends a second head, or bytes behind the
-    end, gets a :class:`ResponseOrderError`, and nothing is sent.
+    Each request gets one response: whoever sends a second head, events in a body, or
+    bytes behind the end, gets a :class:`ResponseOrderError`, and nothing is sent.
 
     :param connection: the accepted socket.
     :param account: the memory that the caller makes this process hold.
@@ -49,17 +43,13 @@
     def __init__(self, connection, account: BufferAccount | None = None) -> None:
         self.socket = connection
         self.account = account or BufferBudget().open_account()
-        self._state = _ResponseState.NOT_STARTED
+        #: how much of the current response may have been sent.
+        self.phase = ResponsePhase.NOT_STARTED
         self._is_chunked = False
 
-    @property
-    def has_started_response(self) -> bool:
-        """Whether any byte of the current response may have been sent."""
-        return self._state is not _ResponseState.NOT_STARTED
-
     def reset_response(self) -> None:
         """Prepare for the response to the next request."""
-        self._state = _ResponseState.NOT_STARTED
+        self.phase = ResponsePhase.NOT_STARTED
         self._is_chunked = False
 
     def check_connected(self) -> bool:
@@ -87,7 +77,7 @@
         :raises CallerDisconnectedError: if it cannot be sent.
         :raises ResponseOrderError: if a response has been started.
         """
-        self._advance(_ResponseState.NOT_STARTED, _ResponseState.COMPLETE)
+        self._advance(ResponsePhase.COMPLETE, ResponsePhase.NOT_STARTED)
         framed = [*fields, (b"Content-Length", b"%d" % len(body))]
         self._write(encode_response_head(status, framed), body)
 
@@ -99,7 +89,7 @@
         first: bytes = b"",
         is_ended_by_close: bool = False,
     ) -> None:
-        """Send a response's head and the first bytes of its body.
+        """Send the head of one upstream's response, and the first bytes of its body.
 
         :param length_bytes: the body's length, or ``None`` for chunked encoding.
         :param is_ended_by_close: whether a body without a length ends with the
@@ -107,39 +97,71 @@
         :raises CallerDisconnectedError: if it cannot be sent.
         :raises ResponseOrderError: if a response has been started.
         """
-        self._advance(_ResponseState.NOT_STARTED, _ResponseState.STARTED)
-        self._is_chunked = length_bytes is None and not is_ended_by_close
+        self._advance(ResponsePhase.BODY, ResponsePhase.NOT_STARTED)
+        is_chunked = length_bytes is None and not is_ended_by_close
         framed = list(fields)
-        if self._is_chunked:
-            framed.append((b"Transfer-Encoding", b"chunked"))
-        elif length_bytes is not None:
+        if length_bytes is not None:
             framed.append((b"Content-Length", b"%d" % length_bytes))
-        self._write(encode_response_head(status, framed), *self._frame(first))
+        self._start(status, framed, is_chunked, first)
 
     def send_body(self, data: bytes) -> None:
         """Send further bytes of the body.
 
         :raises CallerDisconnectedError: if they cannot be sent.
-        :raises ResponseOrderError: if no response is being sent.
+        :raises ResponseOrderError: if no body is being sent.
         """
-        self._advance(_ResponseState.STARTED, _ResponseState.STARTED)
+        self._advance(ResponsePhase.BODY, ResponsePhase.BODY)
         if data:
             self._write(*self._frame(data))
 
+    def start_events(
+        self, status: int, fields: list[tuple[bytes, bytes]], first: bytes = b""
+    ) -> None:
+        """Send the head of a stream, which upstreams may take turns in sending.
+
+        :param first: its first events.
+        :raises CallerDisconnectedError: if it cannot be sent.
+        :raises ResponseOrderError: if a response has been started.
+        """
+        self._advance(ResponsePhase.EVENTS, ResponsePhase.NOT_STARTED)
+        self._start(status, list(fields), True, first)
+
+    def send_events(self, data: bytes) -> None:
+        """Send further events of the stream.
+
+        :raises CallerDisconnectedError: if they cannot be sent.
+        :raises ResponseOrderError: if no stream is being sent.
+        """
+        self._advance(ResponsePhase.EVENTS, ResponsePhase.EVENTS)
+        self._write(*self._frame(data))
+
     def finish_response(self) -> None:
-        """Mark the body as complete.
+        """Mark the body or the stream as complete.
 
         :raises CallerDisconnectedError: if that cannot be sent.
-        :raises ResponseOrderError: if no response is being sent.
+        :raises ResponseOrderError: if none is being sent.
         """
-        self._advance(_ResponseState.STARTED, _ResponseState.COMPLETE)
+        begun = (ResponsePhase.EVENTS, ResponsePhase.BODY)
+        self._advance(ResponsePhase.COMPLETE, *begun)
         if self._is_chunked:
             self._write(b"0\r\n\r\n")
 
-    def _advance(self, expected: _ResponseState, state: _ResponseState) -> None:
-        if self._state is not expected:
-            raise ResponseOrderError(f"response to a caller is {self._state.value}")
-        self._state = state
+    def _advance(self, phase: ResponsePhase, *expected: ResponsePhase) -> None:
+        if self.phase not in expected:
+            raise ResponseOrderError(f"response to a caller is {self.phase.value}")
+        self.phase = phase
+
+    def _start(
+        self,
+        status: int,
+        fields: list[tuple[bytes, bytes]],
+        is_chunked: bool,
+        first: bytes,
+    ) -> None:
+        self._is_chunked = is_chunked
+        if is_chunked:
+            fields.append((b"Transfer-Encoding", b"chunked"))
+        self._write(encode_response_head(status, fields), *self._frame(first))
 
     def _frame(self, data: bytes) -> tuple[bytes, ...]:
         if not data or not self._is_chunked:
--- a/src/kumquatseam/gateway/_caller_response.py
+++ b/src/kumquatseam/gateway/_caller_response.py
@@ -46,12 +46,12 @@
 
         :returns: whether the head was sent now.
         """
-        if self._caller.has_started_response:
-            self._caller.send_body(data)
+        if self._caller.phase.has_begun:
+            self._caller.send_events(data)
             return False
         head = response.head
         fields = self._begin(response.incarnation_id, head)
-        self._caller.start_response(head.status, fields, None, data)
+        self._caller.start_events(head.status, fields, data)
         return True
 
     def finish(self) -> None:
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -387,7 +387,7 @@
         self._note_resumed()
         if not traits.is_signed:
             raise ResponseInterruptedError(connection.address, "response is not signed")
-        if self._caller.has_started_response and head.status != 200:
+        if self._caller.phase.has_begun and head.status != 200:
             raise ResponseInterruptedError(
                 connection.address, f"status {head.status} instead of a resumed stream"
             )
--- a/src/kumquatseam/gateway/_failed_attempts.py
+++ b/src/kumquatseam/gateway/_failed_attempts.py
@@ -191,8 +191,8 @@
         progress.may_have_run = True
         self.log(placement, detail)
         self._failure.check_deadline()
-        can_continue = not self._caller.has_started_response or job.route.is_resumable
-        if not job.route.is_retryable or not can_continue:
+        may_go_on = self._caller.phase.may_change_upstream(job.route.is_resumable)
+        if not job.route.is_retryable or not may_go_on:
             self._failure.fail(Reason.INTERRUPTED, detail)
         if progress.attempts >= job.route.max_attempts:
             self._failure.fail(Reason.INTERRUPTED, f"{detail}; no attempts left")
--- a/src/kumquatseam/gateway/_failure.py
+++ b/src/kumquatseam/gateway/_failure.py
@@ -47,7 +47,7 @@
 
         One that may have run goes on for as long as it can: it would have to fail.
         """
-        if self._progress.may_have_run or self._caller.has_started_response:
+        if self._progress.may_have_run or self._caller.phase.has_begun:
             return
         job, parts = self._job, self._parts
         allowed_s = parts.metrics.allowed_s(job.route.name)
@@ -75,10 +75,10 @@
         :raises RefusedError: otherwise; a response that was started ends incomplete.
         """
         progress = self._progress
-        has_started = self._caller.has_started_response
-        if progress.buffered_failure is not None and not has_started:
+        has_begun = self._caller.phase.has_begun
+        if progress.buffered_failure is not None and not has_begun:
             raise BufferedFailureError(progress.buffered_failure)
-        if progress.may_have_run or has_started:
+        if progress.may_have_run or has_begun:
             status = 504 if reason is Reason.TIMED_OUT else 502
             raise RefusedError(status, reason, detail=detail)
         if retry_after_s is not None:
--- a/src/kumquatseam/gateway/_handler.py
+++ b/src/kumquatseam/gateway/_handler.py
@@ -279,7 +279,7 @@
             retry_after_s=error.retry_after_s,
             detail=error.detail,
         ).info("Refused.")
-        if caller.has_started_response:
+        if caller.phase.has_begun:
             # Part of the response was sent: closing the connection shows the caller
             # that it is incomplete.
             return False
