Await the rest of a body that no other upstream can send

What callers saw: on a route whose streams can be resumed, a sound response that is no stream (a 400 of 300 KB, say) was cut 1.6 s after its head, also while its bytes still came, and the log blamed "silence".

Cause: the limit on the silence of a stream that can go on elsewhere was set once, with the head, for bodies too. Until a body has begun at the caller that is right: the request can be retried. Once it has begun nobody else can send the rest, and the limit only ends sound responses early. Streams renew it with each event; bodies never did.

Change: the limit is lifted when a body begins at the caller. The deadline and the caller's own disconnect end the wait.

begun_bodies.feature, "is awaited": 4 of 4 fail before (two sound bodies with a pause of 2.2 s cut, two others ended after 1.62 s of 3), pass now; the other 15 pass on both. The stand-in's PartialBody is ScriptedBody now, which may pause.

Left as it is: a body that has not begun may take 1.6 s in all on such a route before the request is tried elsewhere.

--- a/features/begun_bodies.feature
+++ b/features/begun_bodies.feature
@@ -24,6 +24,20 @@
       | 400    | chunks         | falls silent                  |
       | 404    | a length       | breaks off                    |
 
+  Scenario Outline: A body in <framing> that <end>, and that nobody else can send, is awaited
+    Given a gateway in front of 3 engines whose streams can be resumed
+    When a caller's request gets <status> with a body in <framing> that <end>
+    Then the caller has <part>
+    And 1 engine got the request
+    And the gateway's log names "<by>" as the end
+
+    Examples:
+      | status | framing  | end          | part                    | by       |
+      | 400    | a length | pauses       | the whole response      | nobody   |
+      | 500    | chunks   | pauses       | the whole response      | nobody   |
+      | 500    | a length | falls silent | a part until 3 s        | deadline |
+      | 400    | chunks   | has no end   | a part until 3 s        | deadline |
+
   Scenario: A body that breaks off in the second attempt
     Given a gateway in front of 3 engines whose streams can be resumed
     When the first engine resets its connection, and the second one's body breaks off
--- a/features/steps/partial_body.py
+++ b/features/steps/scripted_body.py
@@ -1,4 +1,4 @@
-"""Responses of a replica whose body ends before it is complete."""
+"""Responses of a replica whose body breaks off, pauses or has no end."""
 
 import contextlib
 import socket
@@ -13,20 +13,22 @@
 PIECE_PAUSE_S = 0.01
 #: time in which what was sent on the loopback device has been read.
 READ_S = 0.2
-#: length that a body is said to have beyond what is sent of it.
-MISSING_BYTES = 100
+#: how much of a body is sent after its pause, if at all.
+REST_BYTES = 100
+#: a pause that ends a stream which can be resumed.
+PAUSE_S = 2.2
 #: limit on waiting for the other end, beside any load.
 WAIT_S = 20.0
 
 
 @attrs.frozen
-class PartialBody:
+class ScriptedBody:
     """A response that begins soundly, for a replica's script.
 
     :param status: its status.
     :param framing: ``a length``, ``chunks`` or ``its connection``.
-    :param end: how the body ends; see :meth:`_end`.
-    :param sent_bytes: how much of the body is sent before that.
+    :param end: how the body goes on; see :meth:`_end`.
+    :param sent_bytes: how much of the body is sent first.
     """
 
     status: int
@@ -35,8 +37,8 @@
     sent_bytes: int = 300_000
 
     def send(self, http, headers):
-        """Send it, and end the connection."""
-        http.close_connection = True
+        """Send it, and end the connection unless it is whole."""
+        http.close_connection = self.end != "pauses"
         http.connection.settimeout(WAIT_S)
         with contextlib.suppress(OSError):
             self._send_head(http, headers)
@@ -58,10 +60,10 @@
     @property
     def _length_bytes(self) -> int:
         pieces = -(-self.sent_bytes // PIECE_BYTES)
-        return pieces * PIECE_BYTES + MISSING_BYTES
+        return pieces * PIECE_BYTES + REST_BYTES
 
-    def _send_piece(self, http):
-        data = FILLER * PIECE_BYTES
+    def _send_piece(self, http, size_bytes=PIECE_BYTES):
+        data = FILLER * size_bytes
         if self.framing == "chunks":
             data = b"%x\r\n%b\r\n" % (len(data), data)
         http.connection.sendall(data)
@@ -79,6 +81,11 @@
                 http.connection.close()
             case "goes on with what is no chunk":
                 http.connection.sendall(b"no size\r\n")
+            case "pauses":
+                time.sleep(PAUSE_S)
+                self._send_piece(http, REST_BYTES)
+                if self.framing == "chunks":
+                    http.connection.sendall(b"0\r\n\r\n")
             case "falls silent":
                 http.connection.recv(1)
             case "has no end":
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -143,6 +143,7 @@
 
     def _forward_large(self, response: UpstreamResponse, first: bytearray) -> None:
         self._caller_response.start_body(response, first)
+        response.allow_silence(self._job)
         # It is kept by the caller of this method too.
         first.clear()
         self._buffer.hold(0)
--- a/src/kumquatseam/gateway/_upstream_response.py
+++ b/src/kumquatseam/gateway/_upstream_response.py
@@ -50,6 +50,10 @@
             until_s = time.monotonic() + STREAM_IDLE_TIMEOUT_S
             self.wait.until_s = min(job.end_s, until_s)
 
+    def allow_silence(self, job: Job) -> None:
+        """Wait until the deadline: only this upstream can send the rest."""
+        self.wait.until_s = job.end_s
+
     def release(self, pool: ConnectionPool) -> None:
         """Return the connection of a response that was read to its end."""
         self.is_released = True
