Continue a stream only with a response of its media type

Cause: a further attempt was compared with status 200, not with the response that its caller has. The lines of a short text can pass for fields of an event, and a whole response then ends the stream.

Change: a response that goes on with another one has to have its status and, where both state one, its media type (BegunResponse.mismatch), checked before anything of it is forwarded. Otherwise the attempt counts as interrupted, as with another status before.

begun_bodies.feature, "A stream is not continued": text/plain fails before (2 events, then "ready: yes", complete), all pass now; application/json, 201 and 500 passed on both, and parameters of the type make no difference.

Not compared: the framing, which ends at the gateway (streams reach callers in chunks); codings of the content, whose bytes are no events.

--- a/features/begun_bodies.feature
+++ b/features/begun_bodies.feature
@@ -55,3 +55,22 @@
     When a body is sent to a gateway that is cut from them, and what carries it is killed
     Then the caller has the beginning of that response, and its connection is closed
     And 1 engine got the request
+
+  Scenario Outline: A stream is not continued by a whole response with <status> and <media_type>
+    Given a gateway in front of 3 engines whose streams can be resumed
+    When a stream breaks off, and the next engine answers <status> with <media_type>: "<body>"
+    Then the caller has the whole stream of 5 events
+    And 3 engines got the request
+
+    Examples:
+      | status | media_type        | body       |
+      | 200    | text/plain        | ready: yes |
+      | 200    | application/json  | {}         |
+      | 201    | text/event-stream | data: made |
+      | 500    | text/event-stream | data: none |
+
+  Scenario: A stream is continued by a response whose media type differs in its parameters
+    Given a gateway in front of 3 engines whose streams can be resumed
+    When a stream breaks off, and the next engine answers 200 with Text/Event-Stream; charset=utf-8: "id: 3"
+    Then the caller has the beginning of a stream of 2 events, and then "id: 3"
+    And 2 engines got the request
--- a/features/steps/begun_bodies_steps.py
+++ b/features/steps/begun_bodies_steps.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 from platform_steps import step_platform
 from platform_world import wait_until
-from scripted_body import FILLER, ScriptedBody
+from scripted_body import FILLER, ScriptedAnswer, ScriptedBody
 from upstream_wishes_steps import cut_gateways
 
 REQUEST_ID = "begun"
@@ -57,10 +57,10 @@
     )
 
 
-def _ask(context):
+def _ask(context, **more_headers):
     """Send a request to the first gateway, and keep all that its caller receives."""
     port = context.platform.gateways[0].ports["front"]
-    headers = context.platform.stream_headers()
+    headers = {**context.platform.stream_headers(), **more_headers}
     with socket.create_connection(("127.0.0.1", port), 2) as connection:
         head = encode_request(DEADLINE_S, headers, REQUEST_ID)
         began_s = time.monotonic()
@@ -110,6 +110,16 @@
     asking.join()
 
 
+@when(
+    "a stream breaks off, and the next engine answers {status:d} with {media_type}: "
+    '"{body}"'
+)
+def step_other_kind(context, status, media_type, body):
+    answer = ScriptedAnswer(status, media_type, f"{body}\n\n".encode())
+    context.script.extend(["break", answer])
+    _ask(context, Connection="close")
+
+
 def _asked(context):
     """Return the requests that reached engines."""
     return [
@@ -198,3 +208,21 @@
         lambda: [d for d in gateway.lines() if d["event"] in ends],
     )
     assert end.get("by", "nobody") == by, end
+
+
+@then("the caller has the whole stream of {count:d} events")
+def step_whole_stream(context, count):
+    content, is_complete = _chunks(context.received.partition(b"\r\n\r\n")[2])
+    assert content == _events(count), content
+    assert is_complete, "incomplete"
+
+
+@then('the caller has the beginning of a stream of {count:d} events, and then "{rest}"')
+def step_continued(context, count, rest):
+    content, is_complete = _chunks(context.received.partition(b"\r\n\r\n")[2])
+    assert content == _events(count) + f"{rest}\n\n".encode(), content
+    assert is_complete, "incomplete"
+
+
+def _events(count):
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, count + 1))
--- a/features/steps/platform_replica.py
+++ b/features/steps/platform_replica.py
@@ -19,7 +19,7 @@
 
 import attrs
 from platform_moves import ReplicaMoves
-from scripted_body import ScriptedBody
+from scripted_body import ScriptedAnswer, ScriptedBody
 
 SIGNATURE = "3e1b.07.5a2"
 #: how long a request runs before it crashes the replica.
@@ -495,7 +495,7 @@
             self.crash()
             return
         self._cache_prompt(http)
-        if isinstance(fault, ScriptedBody):
+        if isinstance(fault, ScriptedAnswer | ScriptedBody):
             fault.send(http, headers)
         elif fault == "reset":
             self._reset(http)
--- a/features/steps/scripted_body.py
+++ b/features/steps/scripted_body.py
@@ -21,6 +21,30 @@
 WAIT_S = 20.0
 
 
+@attrs.frozen
+class ScriptedAnswer:
+    """A whole response, for a replica's script.
+
+    :param status: its status.
+    :param media_type: what its body is said to be.
+    :param body: its body.
+    """
+
+    status: int
+    media_type: str
+    body: bytes
+
+    def send(self, http, headers):
+        """Send it; the connection stays open."""
+        http.send_response(self.status)
+        length = {"Content-Length": str(len(self.body))}
+        media_type = {"Content-Type": self.media_type}
+        for name, value in {**headers, **media_type, **length}.items():
+            http.send_header(name, value)
+        http.end_headers()
+        http.wfile.write(self.body)
+
+
 @attrs.frozen
 class ScriptedBody:
     """A response that begins soundly, for a replica's script.
--- a/src/kumquatseam/gateway/_caller_response.py
+++ b/src/kumquatseam/gateway/_caller_response.py
@@ -6,7 +6,7 @@
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._outcomes import BufferedResponse
 from kumquatseam.gateway._upstream_response import UpstreamResponse
-from kumquatseam.http1 import ResponseHead
+from kumquatseam.http1 import ResponseHead, ResponseInterruptedError
 
 
 class CallerResponse:
@@ -26,6 +26,15 @@
         #: whether the caller's connection stays open, as it was told.
         self.keeps_connection = False
 
+    def check_continues(self, response: UpstreamResponse) -> None:
+        """Check that a response belongs to what its caller has received, if anything.
+
+        :raises ResponseInterruptedError: if it does not.
+        """
+        mismatch = self.begun.mismatch(response.head) if self.begun else ""
+        if mismatch:
+            raise ResponseInterruptedError(response.connection.address, mismatch)
+
     def send_buffered(self, response: BufferedResponse) -> None:
         """Send a complete response."""
         fields = self._begin(response.upstream, response.head)
--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -387,10 +387,6 @@
         self._note_resumed()
         if not traits.is_signed:
             raise ResponseInterruptedError(connection.address, "response is not signed")
-        if self._caller.phase.has_begun and head.status != 200:
-            raise ResponseInterruptedError(
-                connection.address, f"status {head.status} instead of a resumed stream"
-            )
         keep = self._forwarder.forward(response, self._may_retry())
         return self._end_answered(head, keep)
 
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -100,11 +100,13 @@
         """Send a response; return whether the caller's connection stays open.
 
         :param may_retry: whether the request may be sent to another upstream.
-        :raises ResponseInterruptedError: if it ends before it is complete.
+        :raises ResponseInterruptedError: if it ends before it is complete, or cannot
+            be the rest of a stream that was begun.
         :raises RetryableFailureError: if it is an error, and may be retried.
         :raises RunMovedError: if its run was moved to another engine.
         :raises CallerDisconnectedError: if the caller left, or receives too slowly.
         """
+        self._caller_response.check_continues(response)
         try:
             if self._job.route.is_stream and response.head.status == 200:
                 self._stream.forward(response, self._buffer)
