--- a/src/kumquatseam/gateway/_exchange.py
+++ b/src/kumquatseam/gateway/_exchange.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from kumquatseam.admission import RetryCause
 from kumquatseam.clocks import elapsed_s
 from kumquatseam.gateway._call import SendOptions
 from kumquatseam.gateway._caller import CallerConnection
@@ -234,13 +233,7 @@
         """
         run, self._stopped_run = self._stopped_run, None
         run.close()
-        # An engine that did not answer may have begun to go on, and broken off.
-        self._progress.failed_by = CutBy.UPSTREAM if run.is_unanswered else CutBy.MOVE
-        if not self._job.route.is_resumable:
-            self._failure.fail(
-                Reason.INTERRUPTED, "no engine went on with the moved run"
-            )
-        self._failures.consume_retry(RetryCause.FAILED)
+        self._failures.after_run_given_up(run.is_unanswered)
 
     def _acquire_permission(self) -> None:
         """Get the quarantine's permission for the next attempt.
--- a/src/kumquatseam/gateway/_failed_attempts.py
+++ b/src/kumquatseam/gateway/_failed_attempts.py
@@ -175,6 +175,19 @@
             self._failure.fail(Reason.INTERRUPTED, GRACE_EXPIRED_DETAIL)
         self._retry_or_fail(placement, GRACE_EXPIRED_DETAIL, RetryCause.GRACE_EXPIRED)
 
+    def after_run_given_up(self, is_unanswered: bool) -> None:
+        """Retry without the memory of a run that no engine goes on with.
+
+        :param is_unanswered: whether an engine was asked to go on and did not answer.
+        """
+        # That engine may have begun to go on, and broken off.
+        self._progress.failed_by = CutBy.UPSTREAM if is_unanswered else CutBy.MOVE
+        if not self._job.route.is_resumable:
+            self._failure.fail(
+                Reason.INTERRUPTED, "no engine went on with the moved run"
+            )
+        self.consume_retry(RetryCause.FAILED)
+
     def after_failure(self, placement: Placement, detail: str) -> None:
         """Retry on another upstream if the request is retryable."""
         self._progress.excluded.add(placement.status.upstream.incarnation_id)
