Refuse at the caller's connection what does not fit its stated length

It now counts what is missing of a body whose length it has stated: more, or an end before it, is a ResponseOrderError, which is logged, and the connection is closed. The next such fault fails here and not in a caller's hands.

The own interface states lengths too: an application whose body is shorter or longer than it says is cut, or answered with 500 if nothing was sent; before, its caller waited for the rest, or took what was too much for the next response. A response to HEAD is sent whole, as it has no body to count.

--- a/features/begun_responses.feature
+++ b/features/begun_responses.feature
@@ -33,6 +33,22 @@
       | events in a body                       |
       | a body in a stream                     |
       | events behind a complete response      |
+      | more than the length of a body         |
+      | a first part beyond the length         |
+      | the end of a body before its length    |
+
+  Scenario Outline: An application's response with <sent> is <received>
+    Given an application that answers <method> with <sent>
+    When its response is sent
+    Then the caller receives <received>, and the connection <stays>
+
+    Examples:
+      | method | sent                         | received         | stays      |
+      | GET    | a body as long as stated     | all of it        | stays open |
+      | HEAD   | a body as long as stated     | its head         | stays open |
+      | GET    | a body shorter than stated   | a part of it     | is closed  |
+      | GET    | a body longer than stated    | an error         | is closed  |
+      | GET    | a piece more than stated     | a part of it     | is closed  |
 
   Scenario: A request that cannot be read is answered behind a complete response
     Given a gateway in front of 2 plain replicas
--- a/features/steps/begun_responses_steps.py
+++ b/features/steps/begun_responses_steps.py
@@ -4,13 +4,16 @@
 import socket
 import time
 
+import gevent.socket
 from behave import given, then, when
 from platform_steps import step_platform
 from platform_world import KEY, wait_until
 
+from kumquatseam.callers._wsgi import WsgiHandler
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.gateway._caller import CallerConnection
 from kumquatseam.gateway._upstream_response import STREAM_IDLE_TIMEOUT_S
+from kumquatseam.http1 import Headers, Request
 
 FAULTS = {
     ("stream", "is silent in the middle"): "silence",
@@ -187,6 +190,18 @@
         lambda caller: (caller.start_events(200, []), caller.finish_response()),
         lambda caller: caller.send_events(b"data: a\n\n"),
     ),
+    "more than the length of a body": (
+        lambda caller: caller.start_response(500, [], 10, b"first"),
+        lambda caller: caller.send_body(b"second"),
+    ),
+    "a first part beyond the length": (
+        lambda caller: None,
+        lambda caller: caller.start_response(500, [], 3, b"first"),
+    ),
+    "the end of a body before its length": (
+        lambda caller: caller.start_response(500, [], 10, b"first"),
+        lambda caller: caller.finish_response(),
+    ),
 }
 
 
@@ -208,6 +223,61 @@
     assert context.sent.data == context.before, context.sent.data
 
 
+# The server of an application.
+
+APPLICATIONS = {
+    "a body as long as stated": ("5", [b"hello"]),
+    "a body shorter than stated": ("9", [b"hello"]),
+    "a body longer than stated": ("3", [b"hello"]),
+    "a piece more than stated": ("7", [b"hello", b"world"]),
+}
+RECEIVED = {
+    "all of it": (b"HTTP/1.1 200 OK", b"hello"),
+    "its head": (b"HTTP/1.1 200 OK", b""),
+    "a part of it": (b"HTTP/1.1 200 OK", b"hello"),
+    "an error": (b"HTTP/1.1 500 Internal Server Error", b'{"error"'),
+}
+
+
+@given("an application that answers {method} with {sent}")
+def step_application(context, method, sent):
+    length, context.pieces = APPLICATIONS[sent]
+
+    def app(environ, start_response):
+        start_response("200 OK", [("Content-Length", length)])
+        return context.pieces
+
+    context.handler = WsgiHandler(app)
+    fields = [(b"Host", b"h")]
+    context.request = Request(
+        method.encode(), b"/x", Headers(fields), b"", True, time.monotonic()
+    )
+
+
+@when("its response is sent")
+def step_application_sends(context):
+    with gevent.socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        receiver = gevent.socket.create_connection(listener.getsockname(), 2)
+        sender, _ = listener.accept()
+    with receiver, sender:
+        context.stays_open = context.handler.handle(
+            context.request, CallerConnection(sender), lambda: True
+        )
+        context.received = receiver.recv(65_536)
+
+
+@then("the caller receives {received}, and the connection {stays}")
+def step_application_received(context, received, stays):
+    status_line, body_start = RECEIVED[received]
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert head.startswith(status_line), context.received
+    assert body.startswith(body_start), context.received
+    assert len(body) == len(body_start) or received == "an error", context.received
+    assert context.stays_open == (stays == "stays open")
+
+
 @when("a caller sends a request, and bytes that are none on the same connection")
 def step_send_invalid(context):
     with connect(context) as connection:
--- a/src/kumquatseam/callers/_wsgi.py
+++ b/src/kumquatseam/callers/_wsgi.py
@@ -120,8 +120,13 @@
 
     def finish(self) -> None:
         """End the response."""
+        if not self._has_body:
+            self.keeps_connection = self._may_keep()
+            left_out_bytes = self._length_bytes or 0
+            fields = self._final_fields()
+            self._caller.send_response(self._status, fields, b"", left_out_bytes)
+            return
         if not self._caller.phase.has_begun:
-            # Its body has no bytes, but that to HEAD has a length.
             self._length_bytes = self._length_bytes or 0
             self._begin(b"")
         self._caller.finish_response()
@@ -137,13 +142,19 @@
     def _begin(self, first: bytes) -> None:
         is_ended_by_close = self._length_bytes is None and self._is_old_version
         self.keeps_connection = self._may_keep() and not is_ended_by_close
-        fields = self._fields
-        if not self.keeps_connection:
-            fields = [*fields, (b"Connection", b"close")]
         self._caller.start_response(
-            self._status, fields, self._length_bytes, first, is_ended_by_close
+            self._status,
+            self._final_fields(),
+            self._length_bytes,
+            first,
+            is_ended_by_close,
         )
 
+    def _final_fields(self) -> list[tuple[bytes, bytes]]:
+        if self.keeps_connection:
+            return self._fields
+        return [*self._fields, (b"Connection", b"close")]
+
 
 class _BodyReader(io.RawIOBase):
     """Reads a body without a copy of it.
--- a/src/kumquatseam/gateway/_caller.py
+++ b/src/kumquatseam/gateway/_caller.py
@@ -2,8 +2,6 @@
 
 import socket
 
-import gevent
-
 from kumquatseam.buffers import BufferAccount, BufferBudget, BufferLimitError
 from kumquatseam.errors import KumquatseamError
 from kumquatseam.gateway._response_phase import ResponsePhase
@@ -11,13 +9,8 @@
     MAX_JOINED_BYTES,
     CallerDisconnectedError,
     encode_response_head,
-    queued_bytes,
 )
 
-#: a caller that accepts no bytes for this long counts as disconnected; twice the
-#: longest pause that clients accept themselves.
-WRITE_TIMEOUT_S = 5.0
-
 
 class CallerTooSlowError(CallerDisconnectedError):
     """The caller received too slowly, and the memory was needed for others."""
@@ -33,8 +26,9 @@
 class CallerConnection:
     """A caller's socket, and the framing of the current response.
 
-    Each request gets one response: whoever sends a second head, events in a body, or
-    bytes behind the end, gets a :class:`ResponseOrderError`, and nothing is sent.
+    Each request gets one response: whoever sends a second head, events in a body, bytes
+    behind the end, or more or fewer than the stated length, gets a
+    :class:`ResponseOrderError`, and nothing is sent.
 
     :param connection: the accepted socket.
     :param account: the memory that the caller makes this process hold.
@@ -46,11 +40,12 @@
         #: how much of the current response may have been sent.
         self.phase = ResponsePhase.NOT_STARTED
         self._is_chunked = False
+        #: bytes of the body that are missing; ``None`` if its length is not stated.
+        self._missing_bytes: int | None = None
 
     def reset_response(self) -> None:
         """Prepare for the response to the next request."""
         self.phase = ResponsePhase.NOT_STARTED
-        self._is_chunked = False
 
     def check_connected(self) -> bool:
         """Check a readable socket for a disconnect.
@@ -70,15 +65,21 @@
         return False
 
     def send_response(
-        self, status: int, fields: list[tuple[bytes, bytes]], body: bytes
+        self,
+        status: int,
+        fields: list[tuple[bytes, bytes]],
+        body: bytes,
+        left_out_bytes: int = 0,
     ) -> None:
         """Send a complete response.
 
+        :param left_out_bytes: length of a body that is not sent, as to HEAD.
         :raises CallerDisconnectedError: if it cannot be sent.
         :raises ResponseOrderError: if a response has been started.
         """
         self._advance(ResponsePhase.COMPLETE, ResponsePhase.NOT_STARTED)
-        framed = [*fields, (b"Content-Length", b"%d" % len(body))]
+        length_bytes = len(body) + left_out_bytes
+        framed = [*fields, (b"Content-Length", b"%d" % length_bytes)]
         self._write(encode_response_head(status, framed), body)
 
     def start_response(
@@ -95,9 +96,12 @@
         :param is_ended_by_close: whether a body without a length ends with the
             connection instead.
         :raises CallerDisconnectedError: if it cannot be sent.
-        :raises ResponseOrderError: if a response has been started.
+        :raises ResponseOrderError: if a response has been started, or the length is
+            exceeded.
         """
+        missing_bytes = _missing_after(length_bytes, first)
         self._advance(ResponsePhase.BODY, ResponsePhase.NOT_STARTED)
+        self._missing_bytes = missing_bytes
         is_chunked = length_bytes is None and not is_ended_by_close
         framed = list(fields)
         if length_bytes is not None:
@@ -108,9 +112,11 @@
         """Send further bytes of the body.
 
         :raises CallerDisconnectedError: if they cannot be sent.
-        :raises ResponseOrderError: if no body is being sent.
+        :raises ResponseOrderError: if no body is being sent, or its length is exceeded.
         """
+        missing_bytes = _missing_after(self._missing_bytes, data)
         self._advance(ResponsePhase.BODY, ResponsePhase.BODY)
+        self._missing_bytes = missing_bytes
         if data:
             self._write(*self._frame(data))
 
@@ -124,6 +130,7 @@
         :raises ResponseOrderError: if a response has been started.
         """
         self._advance(ResponsePhase.EVENTS, ResponsePhase.NOT_STARTED)
+        self._missing_bytes = None
         self._start(status, list(fields), True, first)
 
     def send_events(self, data: bytes) -> None:
@@ -139,8 +146,12 @@
         """Mark the body or the stream as complete.
 
         :raises CallerDisconnectedError: if that cannot be sent.
-        :raises ResponseOrderError: if none is being sent.
+        :raises ResponseOrderError: if none is being sent, or a part of it is missing.
         """
+        if self._missing_bytes:
+            raise ResponseOrderError(
+                f"response to a caller lacks {self._missing_bytes} bytes"
+            )
         begun = (ResponsePhase.EVENTS, ResponsePhase.BODY)
         self._advance(ResponsePhase.COMPLETE, *begun)
         if self._is_chunked:
@@ -175,49 +186,42 @@
         left = [memoryview(piece) for piece in pieces if piece]
         try:
             while left:
-                _drop(left, self._write_some(left))
+                _drop(left, self._send_some(left))
         except OSError as error:
             raise CallerDisconnectedError from error
         except BufferLimitError as error:
             raise CallerTooSlowError from error
 
-    def _write_some(self, pieces: list[memoryview]) -> int:
-        """Write what the system takes; return how much.
+    def _send_some(self, pieces: list[memoryview]) -> int:
+        """Send what the system takes; return how much.
 
-        :raises TimeoutError: if the caller receives nothing for ``WRITE_TIMEOUT_S``.
+        :raises TimeoutError: if the caller receives nothing for too long.
         :raises BufferLimitError: if it is too slow while buffers are full.
         """
         try:
-            return _send(self.socket._sock, pieces)
+            return send_pieces(self.socket._sock, pieces)
         except BlockingIOError:
-            pass
-        unsent_bytes = sum(map(len, pieces))
-        self.account.begin_transfer()
-        try:
-            self.account.take_over_limit(unsent_bytes)
-            return self._wait_and_write(pieces)
-        finally:
-            self.account.end_transfer()
-            self.account.give_back(unsent_bytes)
+            from kumquatseam.gateway._slow_caller import send_when_ready
 
-    def _wait_and_write(self, pieces: list[memoryview]) -> int:
-        """Write once the system takes more.
+            return send_when_ready(self.socket, self.account, pieces)
 
-        A full buffer takes more only once much of it has been received, so a caller
-        has to receive some of it in time, not make room.
-        """
-        queued = queued_bytes(self.socket)
-        while True:
-            try:
-                with gevent.Timeout(WRITE_TIMEOUT_S, TimeoutError):
-                    return _send(self.socket, pieces)
-            except TimeoutError:
-                before, queued = queued, queued_bytes(self.socket)
-                if queued == before:
-                    raise
-
-
-def _send(connection, pieces: list[memoryview]) -> int:
+
+def _missing_after(missing_bytes: int | None, data: bytes | bytearray) -> int | None:
+    """Return how much of a body is missing once ``data`` is sent.
+
+    :raises ResponseOrderError: if that is more than its length.
+    """
+    if missing_bytes is None:
+        return None
+    if len(data) > missing_bytes:
+        raise ResponseOrderError(
+            f"response to a caller exceeds its length: {len(data)} bytes, "
+            f"{missing_bytes} missing"
+        )
+    return missing_bytes - len(data)
+
+
+def send_pieces(connection, pieces: list[memoryview]) -> int:
     """Send what the system takes of pieces; return how much."""
     if len(pieces) == 1:
         return connection.send(pieces[0])
