--- a/features/begun_bodies.feature
+++ b/features/begun_bodies.feature
@@ -44,6 +44,12 @@
     Then the caller has the beginning of that response, and its connection is closed
     And 2 engines got the request
 
+  Scenario: Bodies of all engines that break off
+    Given a gateway in front of 3 engines whose streams can be resumed
+    When the bodies of all engines break off
+    Then the caller has the beginning of that response, and its connection is closed
+    And 1 engine got the request
+
   Scenario: A small body that breaks off while there is no memory to hold it
     Given a gateway with little memory in front of 3 engines whose streams can be resumed
     When a caller's request gets 500 with a small body that breaks off
--- a/features/steps/begun_bodies_steps.py
+++ b/features/steps/begun_bodies_steps.py
@@ -87,6 +87,12 @@
     _ask(context)
 
 
+@when("the bodies of all engines break off")
+def step_all(context):
+    context.script.extend([ScriptedBody(500, "a length", "breaks off")] * 3)
+    _ask(context)
+
+
 @when(
     "a body is sent to a gateway that is cut from them, and what carries it is killed"
 )
