Name the parts that a stream's forwarder takes, and forget a response's length with it

What a newcomer would ask of the diff: a tuple without names, a length that outlived its response, an error whose text left lengths out.

--- a/src/kumquatseam/explain/_explanation.py
+++ b/src/kumquatseam/explain/_explanation.py
@@ -143,7 +143,7 @@
 def _answer_cause(last: LogLine, own: list[LogLine]) -> str:
     fields = last.fields
     text = (
-        f"answered with {fields.get('status')} of {fields.get('begun_by')} "
+        f"answered with {fields.get('status')} from {fields.get('begun_by')} "
         f"after {fields.get('took_s')} s"
     )
     if fields.get("first_event_s") is not None:
--- a/src/kumquatseam/gateway/_caller.py
+++ b/src/kumquatseam/gateway/_caller.py
@@ -20,7 +20,7 @@
 
 
 class ResponseOrderError(KumquatseamError):
-    """A head, body or end of a response was to be sent out of its order."""
+    """A part of a response was to be sent out of its order, or beyond its length."""
 
 
 class CallerConnection:
@@ -46,6 +46,7 @@
     def reset_response(self) -> None:
         """Prepare for the response to the next request."""
         self.phase = ResponsePhase.NOT_STARTED
+        self._missing_bytes = None
 
     def check_connected(self) -> bool:
         """Check a readable socket for a disconnect.
--- a/src/kumquatseam/gateway/_forwarding.py
+++ b/src/kumquatseam/gateway/_forwarding.py
@@ -58,7 +58,10 @@
         self._account = caller.account
         self._buffer = ResponseBuffer(caller.account)
         self._caller_response = CallerResponse(caller, may_keep_alive)
-        self._stream_parts = (events, times, continuation, guard)
+        self._events = events
+        self._times = times
+        self._continuation = continuation
+        self._guard = guard
 
     @functools.cached_property
     def _stream(self) -> "StreamForwarder":
@@ -66,7 +69,13 @@
         from kumquatseam.gateway._stream_forwarding import StreamForwarder
 
         return StreamForwarder(
-            self._parts, self._job, self._caller_response, *self._stream_parts
+            self._parts,
+            self._job,
+            self._caller_response,
+            self._events,
+            self._times,
+            self._continuation,
+            self._guard,
         )
 
     @property
